Build, shared types, link messages and the design page

Cause: nothing existed; the parts need one build, one set of shared types and one page of interfaces before they can be written side by side. Before: empty tree. Conclusion: base for all other work.

--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -0,0 +1,21 @@
+package org.tanagerbank.cli;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.function.Supplier;
+
+/**
+ * The commands of the binary by name. A name may have two words, as in {@code config publish}.
+ *
+ * <p>Immutable and thread-safe.
+ */
+final class CommandTable {
+  /** A command and the line that the overview prints for it. */
+  record Row(String summary, Supplier<Command> factory) {}
+
+  static final ImmutableMap<String, Row> ROWS =
+      ImmutableMap.<String, Row>builder()
+          .put("version", new Row("print the version", VersionCommand::new))
+          .buildOrThrow();
+
+  private CommandTable() {}
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/contract/ChatKey.java
@@ -0,0 +1,27 @@
+package org.tanagerbank.contract;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Hash that names a chat of a workspace, from which its home is derived.
+ *
+ * <p>The function is fixed, so every process computes the same value. Immutable and thread-safe.
+ *
+ * @param hash the 64-bit hash
+ */
+public record ChatKey(long hash) {
+  private static final HashFunction HASH = Hashing.murmur3_128(0x7a6f);
+
+  /** Returns the key of the chat that a workspace names by an id. */
+  public static ChatKey of(String workspace, String chatId) {
+    return new ChatKey(
+        HASH.newHasher()
+            .putString(workspace, StandardCharsets.UTF_8)
+            .putByte((byte) 0)
+            .putString(chatId, StandardCharsets.UTF_8)
+            .hash()
+            .asLong());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/contract/ErrorCode.java
@@ -0,0 +1,72 @@
+package org.tanagerbank.contract;
+
+/**
+ * The error codes that callers, operators and other processes see.
+ *
+ * <p>Each code has a fixed HTTP status. Codes are never renamed or reused. Immutable and
+ * thread-safe.
+ */
+public enum ErrorCode {
+  // Faults of the request itself.
+  BAD_REQUEST(400),
+  MALFORMED_JSON(400),
+  UNKNOWN_MODEL(404),
+  UNKNOWN_SERVICE(404),
+  NOT_FOUND(404),
+  METHOD_NOT_ALLOWED(405),
+  BODY_TOO_LARGE(413),
+  KEY_TOO_LONG(400),
+  KEY_MALFORMED(400),
+  KEY_REUSED(422),
+  KEY_EXPIRED(409),
+  RESUME_OUT_OF_RANGE(416),
+
+  // The request was refused before it ran.
+  OVERLOADED(503),
+  WORKSPACE_LIMIT(429),
+  LEAVING(503),
+  NO_UPSTREAM(503),
+  NO_CONFIGURATION(503),
+  DEPENDENCY_DOWN(503),
+  QUARANTINED(422),
+  LOG_UNAVAILABLE(503),
+  RETRY_BUDGET_EXHAUSTED(503),
+  SUSPECT_WAITING(503),
+  MOVED(503),
+  WRONG_INCARNATION(503),
+  SEALED(503),
+
+  // The request may have run, or ran without a complete answer.
+  UPSTREAM_LOST(502),
+  ENGINE_CRASHED(502),
+  ENGINE_ERROR(502),
+  INCOMPLETE(502),
+  FORGOTTEN(502),
+  ANSWER_EXPIRED(410),
+  DEADLINE_EXCEEDED(504),
+  CANCELLED(499),
+
+  // Faults of a link or of the platform.
+  FRAME_TOO_LARGE(502),
+  FRAME_OUT_OF_ORDER(502),
+  PLATFORM_ERROR(502),
+  RECORDS_EXPIRED(410),
+
+  // Faults of settings, declaration and commands.
+  INVALID_SETTINGS(400),
+  INVALID_DECLARATION(400),
+  BASE_OUTDATED(409),
+  PORT_IN_USE(500),
+  INTERNAL(500);
+
+  private final int httpStatus;
+
+  ErrorCode(int httpStatus) {
+    this.httpStatus = httpStatus;
+  }
+
+  /** Returns the HTTP status that goes with this code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/contract/TanagerException.java
@@ -0,0 +1,66 @@
+package org.tanagerbank.contract;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * An unchecked exception with an {@link ErrorCode}, a {@link Verdict} and the time after which a
+ * retry makes sense.
+ *
+ * <p>Immutable apart from the state inherited from {@link Throwable}.
+ */
+public final class TanagerException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final ErrorCode code;
+  private final Verdict verdict;
+  private final long retryAfterMillis;
+
+  private TanagerException(
+      ErrorCode code, Verdict verdict, long retryAfterMillis, String message, Throwable cause) {
+    super(message, cause);
+    this.code = checkNotNull(code);
+    this.verdict = checkNotNull(verdict);
+    this.retryAfterMillis = retryAfterMillis;
+  }
+
+  /** Returns an exception for a request that was not run. */
+  public static TanagerException notRun(ErrorCode code, String message) {
+    return new TanagerException(code, Verdict.NOT_RUN, 0, message, null);
+  }
+
+  /** Returns an exception for a request that was not run and may be tried again after a time. */
+  public static TanagerException notRun(ErrorCode code, String message, long retryAfterMillis) {
+    return new TanagerException(code, Verdict.NOT_RUN, retryAfterMillis, message, null);
+  }
+
+  /** Returns an exception for a request that may have run. */
+  public static TanagerException mayHaveRun(ErrorCode code, String message) {
+    return new TanagerException(code, Verdict.MAY_HAVE_RUN, 0, message, null);
+  }
+
+  /** Returns an exception with all parts given. */
+  public static TanagerException of(
+      ErrorCode code, Verdict verdict, long retryAfterMillis, String message) {
+    return new TanagerException(code, verdict, retryAfterMillis, message, null);
+  }
+
+  /** Returns an exception for a failure outside any request, with its cause. */
+  public static TanagerException failure(ErrorCode code, String message, Throwable cause) {
+    return new TanagerException(code, Verdict.NOT_RUN, 0, message, cause);
+  }
+
+  /** Returns the error code. */
+  public ErrorCode code() {
+    return code;
+  }
+
+  /** Returns whether the request may have run. */
+  public Verdict verdict() {
+    return verdict;
+  }
+
+  /** Returns the time in milliseconds after which a retry makes sense; 0 when unknown. */
+  public long retryAfterMillis() {
+    return retryAfterMillis;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/events/LogEvent.java
@@ -0,0 +1,67 @@
+package org.tanagerbank.events;
+
+import java.util.logging.Level;
+
+/**
+ * The catalogue of log events.
+ *
+ * <p>Numbers are never reused. {@code docs/EVENTS.md} lists every event with its cause and what an
+ * operator does. Immutable and thread-safe.
+ */
+public enum LogEvent {
+  // 1000-1099: start and stop of processes.
+  PROCESS_STARTED(1001, Level.INFO),
+  PROCESS_STOPPING(1002, Level.INFO),
+  PROCESS_STOPPED(1003, Level.INFO),
+  SETTINGS_INVALID(1004, Level.SEVERE),
+  PORT_IN_USE(1005, Level.SEVERE),
+  DRAIN_LIMIT_REACHED(1006, Level.WARNING),
+
+  // 1100-1199: entry.
+  ENTRY_READY(1101, Level.INFO),
+
+  // 1200-1299: sidecar, ledger and engine.
+  SIDECAR_READY(1201, Level.INFO),
+
+  // 1300-1399: links.
+  LINK_FRAME_REJECTED(1301, Level.WARNING),
+
+  // 1400-1499: configuration.
+  CONFIG_ADOPTED(1401, Level.INFO),
+
+  // 1500-1599: membership and routing.
+  UPSTREAMS_CHANGED(1501, Level.INFO),
+
+  // 1600-1699: platform clients.
+  LOG_OUTAGE_BEGAN(1601, Level.WARNING),
+  LOG_OUTAGE_ENDED(1602, Level.INFO),
+
+  // 1700-1799: HTTP.
+  HTTP_HANDLER_FAILED(1701, Level.SEVERE),
+
+  // 1900-1999: stand-ins.
+  STANDIN_READY(1901, Level.INFO);
+
+  private final int number;
+  private final Level level;
+
+  LogEvent(int number, Level level) {
+    this.number = number;
+    this.level = level;
+  }
+
+  /** Returns the number of the event. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the level at which the event is logged. */
+  public Level level() {
+    return level;
+  }
+
+  /** Returns the number as it stands in logs, for example {@code TB1001}. */
+  public String id() {
+    return "TB" + number;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/http/HttpMessage.java
@@ -0,0 +1,25 @@
+package org.tanagerbank.http;
+
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * A whole HTTP request. Header names are in lower case. The body array must not be changed.
+ *
+ * @param method the method in upper case
+ * @param path the path and query, beginning with a slash
+ * @param headers the headers by lower-case name
+ * @param body the body, possibly empty
+ */
+public record HttpMessage(
+    String method, String path, ImmutableMap<String, String> headers, byte[] body) {
+  /** Returns a header by its lower-case name, or a default. */
+  public String header(String name, String fallback) {
+    return headers.getOrDefault(name, fallback);
+  }
+
+  /** Returns the path without its query. */
+  public String pathOnly() {
+    int mark = path.indexOf('?');
+    return mark < 0 ? path : path.substring(0, mark);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/http/HttpReply.java
@@ -0,0 +1,12 @@
+package org.tanagerbank.http;
+
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * A whole HTTP response. The body array must not be changed.
+ *
+ * @param status the HTTP status
+ * @param headers the headers by lower-case name
+ * @param body the body, possibly empty
+ */
+public record HttpReply(int status, ImmutableMap<String, String> headers, byte[] body) {}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/machine/Zone.java
@@ -0,0 +1,18 @@
+package org.tanagerbank.machine;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * An availability zone and the region it belongs to.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name the name of the zone, unique across regions
+ * @param region the name of the region
+ */
+public record Zone(String name, String region) {
+  public Zone {
+    checkArgument(!name.isEmpty(), "zone name must not be empty");
+    checkArgument(!region.isEmpty(), "region name must not be empty");
+  }
+}
