Add the membership view

Cause: entries need one view of usable upstreams and live entries, merged from the platform's lagging list, the instances' own reports and links.

Before: no membership package.

--- /dev/null
+++ b/src/main/java/org/tanagerbank/membership/Members.java
@@ -0,0 +1,30 @@
+package org.tanagerbank.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.Upstream;
+
+/**
+ * The instances that may be used at one time. All lists are ordered by instance id.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param upstreams the usable upstreams by service; a service with none has no key
+ * @param entries the live entries by zone name
+ * @param absent the known instances that are not used, with the reason
+ */
+public record Members(
+    ImmutableMap<String, ImmutableList<Upstream>> upstreams,
+    ImmutableMap<String, ImmutableList<InstanceInfo>> entries,
+    ImmutableMap<String, Absence> absent) {
+  /** Returns the usable upstreams of a service. */
+  public ImmutableList<Upstream> upstreamsOf(String service) {
+    return upstreams.getOrDefault(service, ImmutableList.of());
+  }
+
+  /** Returns the live entries of a zone. */
+  public ImmutableList<InstanceInfo> entriesOf(String zone) {
+    return entries.getOrDefault(zone, ImmutableList.of());
+  }
+}
