--- a/src/main/java/org/tanagerbank/declaration/DeclarationParser.java
+++ b/src/main/java/org/tanagerbank/declaration/DeclarationParser.java
@@ -30,6 +30,9 @@
  * syntax error of YAML hides what follows it; all other faults are found in one run. Thread-safe.
  */
 public final class DeclarationParser {
+  /** Limit on a text in UTF-8 bytes: it must fit into one link frame, which holds 1 MiB. */
+  public static final int MAX_TEXT_BYTES = 1_000_000;
+
   private static final String SERVICES = "services";
 
   private DeclarationParser() {}
@@ -37,8 +40,8 @@
   /** Parses a text. */
   public static ParsedDeclaration parse(String text) {
     try {
-      if (Utf8.encodedLength(text) > Schema.MAX_TEXT_BYTES) {
-        return faulty(new Fault(1, 1, "the text exceeds " + Schema.MAX_TEXT_BYTES + " bytes"));
+      if (Utf8.encodedLength(text) > MAX_TEXT_BYTES) {
+        return faulty(new Fault(1, 1, "the text exceeds " + MAX_TEXT_BYTES + " bytes"));
       }
       return read(compose(text));
     } catch (MarkedYAMLException e) {
@@ -73,7 +76,7 @@
 
   private static Node compose(String text) {
     LoaderOptions options = new LoaderOptions();
-    options.setCodePointLimit(Schema.MAX_TEXT_BYTES);
+    options.setCodePointLimit(MAX_TEXT_BYTES);
     return new Composer(new ParserImpl(new StreamReader(text), options), new Resolver(), options)
         .getSingleNode();
   }
--- a/src/main/java/org/tanagerbank/declaration/Schema.java
+++ b/src/main/java/org/tanagerbank/declaration/Schema.java
@@ -13,8 +13,6 @@
  * <p>Immutable and thread-safe.
  */
 final class Schema {
-  /** Limit on the text in UTF-8 bytes: it must fit into one link frame, which holds 1 MiB. */
-  static final int MAX_TEXT_BYTES = 1_000_000;
 
   static final int MAX_SERVICES = 1_000;
   static final int MAX_LIST_LENGTH = 1_000;
--- a/src/test/java/org/tanagerbank/declaration/DeclarationParserTest.java
+++ b/src/test/java/org/tanagerbank/declaration/DeclarationParserTest.java
@@ -104,7 +104,8 @@
     assertThat(faults("services: {}\n---\nservices: {}")).contains("2:1: YAML syntax");
     assertThat(faults("a: 1\nb: \u0001")).contains("2:4: character not allowed");
     assertThat(faults("a: \ud800")).contains("not valid Unicode");
-    assertThat(faults("#" + "x".repeat(Schema.MAX_TEXT_BYTES))).contains("exceeds 1000000 bytes");
+    assertThat(faults("#" + "x".repeat(DeclarationParser.MAX_TEXT_BYTES)))
+        .contains("exceeds 1000000 bytes");
     assertThat(faults("[".repeat(10_000))).contains("1:1: ");
   }
 
