Publish to and follow the configuration log

Cause: operators need the result of a publish even when the answer to the append is lost; entries need a source that outlives outages.

Ruled out: appending again without looking for the own record first; giving out what is read before the end of the log is reached (it is usually outdated); a reading thread that ends with an unexpected fault.

--- /dev/null
+++ b/src/test/java/org/tanagerbank/config/ConfigPublisherTest.java
@@ -0,0 +1,102 @@
+package org.tanagerbank.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentSkipListSet;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.adoption.InMemoryLog;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.contract.Verdict;
+
+/** Guards against publishers that report a result other than the log's, or publish twice. */
+final class ConfigPublisherTest {
+  private static final String TEXT = "services: {}";
+
+  private final InMemoryLog log = new InMemoryLog();
+  private final ConfigPublisher publisher = new ConfigPublisher(log, 60_000);
+
+  @Test
+  void acceptsOnTheBaseAndTellsTheLoserWhoWon() throws Exception {
+    assertThat(publisher.publish(new Publish("a", 0, "ann", TEXT)))
+        .isEqualTo(new PublishResult.Accepted(1));
+    PublishResult.Lost lost =
+        (PublishResult.Lost) publisher.publish(new Publish("b", 0, "bob", TEXT));
+    assertThat(lost.winner().revision()).isEqualTo(1);
+    assertThat(lost.winner().operator()).isEqualTo("ann");
+    assertThat(log.all()).hasSize(1);
+  }
+
+  @Test
+  void recognisesItsRecordWhenTheAnswerIsLost() throws Exception {
+    log.loseAnswers(1);
+    assertThat(publisher.publish(new Publish("a", 0, "ann", TEXT)))
+        .isEqualTo(new PublishResult.Accepted(1));
+    assertThat(log.all()).hasSize(1);
+  }
+
+  @Test
+  void sameIdAgainIsARepeat() throws Exception {
+    publisher.publish(new Publish("a", 0, "ann", TEXT));
+    publisher.publish(new Publish("b", 1, "bob", TEXT));
+    assertThat(publisher.publish(new Publish("a", 0, "ann", TEXT)))
+        .isEqualTo(new PublishResult.Repeat(1));
+    assertThat(log.all()).hasSize(2);
+  }
+
+  @Test
+  void outageEndsWithNotRunWhenNothingWasAppended() {
+    log.setOutage(true);
+    TanagerException failure =
+        assertThrows(
+            TanagerException.class,
+            () -> new ConfigPublisher(log, 1).publish(new Publish("a", 0, "ann", TEXT)));
+    assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+  }
+
+  @Test
+  void logWithoutAPlaceToStartIsRefused() throws Exception {
+    publisher.publish(new Publish("a", 0, "ann", TEXT));
+    log.expireBefore(2);
+    TanagerException failure =
+        assertThrows(
+            TanagerException.class, () -> publisher.publish(new Publish("b", 1, "bob", TEXT)));
+    assertThat(failure).hasMessageThat().contains("begins at offset 2");
+  }
+
+  @Test
+  void ofManyRacingPublishersExactlyOneWinsEachRevision() throws Exception {
+    Set<Long> revisions = new ConcurrentSkipListSet<>();
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      String id = "p" + i;
+      Thread thread = new Thread(() -> publishUntilAccepted(id, revisions));
+      threads.add(thread);
+      thread.start();
+    }
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    assertThat(revisions).hasSize(8);
+  }
+
+  private void publishUntilAccepted(String id, Set<Long> revisions) {
+    long base = 0;
+    try {
+      while (true) {
+        PublishResult result = publisher.publish(new Publish(id, base, id, TEXT));
+        if (result instanceof PublishResult.Accepted accepted) {
+          assertThat(revisions.add(accepted.revision())).isTrue();
+          return;
+        }
+        base = ((PublishResult.Lost) result).winner().revision();
+      }
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/config/LogConfigSourceTest.java
@@ -0,0 +1,123 @@
+package org.tanagerbank.config;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.adoption.AdoptedConfig;
+import org.tanagerbank.adoption.ConfigOffer;
+import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.adoption.ConfigRecord.Snapshot;
+import org.tanagerbank.adoption.ConfigRecordCodec;
+import org.tanagerbank.adoption.InMemoryLog;
+import org.tanagerbank.platform.LogRecord;
+
+/** Guards against a source that misses a change, goes back, or serves without a configuration. */
+final class LogConfigSourceTest {
+  private static final String TEXT = "services: {}";
+
+  /** Only keeps a failing test from waiting forever. */
+  private static final long PATIENCE_SECONDS = 60;
+
+  private final InMemoryLog log = new InMemoryLog();
+  private final BlockingQueue<AdoptedConfig> seen = new LinkedBlockingQueue<>();
+  private LogConfigSource source;
+
+  private void start(String self, long retentionMillis, PeerOffers peers) {
+    LogConfigSettings settings = new LogConfigSettings(self, 20, 500, 1, 5, retentionMillis);
+    source = new LogConfigSource(log, settings, peers, List::of, new Random(1));
+    source.subscribe(seen::add);
+    source.start();
+  }
+
+  @AfterEach
+  void stop() {
+    source.stop();
+  }
+
+  private void publish(String id, long base) {
+    log.append("config", ConfigRecordCodec.encode(new Publish(id, base, "ann", TEXT)));
+  }
+
+  private void awaitRevision(long revision) throws InterruptedException {
+    assertThat(seen.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).revision()).isEqualTo(revision);
+    assertThat(source.current().orElseThrow().revision()).isEqualTo(revision);
+  }
+
+  @Test
+  void givesTheLatestRevisionFirstAndThenEachChange() throws Exception {
+    publish("a", 0);
+    publish("b", 1);
+    start("", 86_400_000, PeerOffers.none());
+    awaitRevision(2);
+    publish("lost", 1);
+    publish("c", 2);
+    awaitRevision(4);
+    log.setOutage(true);
+    log.setOutage(false);
+    publish("d", 4);
+    awaitRevision(5);
+  }
+
+  @Test
+  void startsFromPeersInAnOutageAndNeverGoesBack() throws Exception {
+    publish("a", 0);
+    publish("b", 1);
+    log.setOutage(true);
+    List<ConfigOffer> offers =
+        List.of(new ConfigOffer(1, "a", TEXT), new ConfigOffer(2, "b", TEXT));
+    start("", 86_400_000, have -> offers);
+    awaitRevision(2);
+    assertThat(source.offer(new ConfigOffer(1, "a", TEXT))).isFalse();
+    log.setOutage(false);
+    publish("c", 2);
+    awaitRevision(3);
+  }
+
+  @Test
+  void asksPeersWhenTheLogHoldsNoPlaceToStart() throws Exception {
+    publish("a", 0);
+    publish("b", 1);
+    log.expireBefore(2);
+    start("", 86_400_000, have -> List.of(new ConfigOffer(2, "b", TEXT)));
+    awaitRevision(2);
+  }
+
+  @Test
+  void appendsASnapshotFromWhichAnotherSourceStarts() throws Exception {
+    publish("a", 0);
+    // The test log's times lie in 1970, so half of any short retention has passed.
+    start("entry-1", 1_000, PeerOffers.none());
+    awaitRevision(1);
+    long offset = 2;
+    while (log.all().size() < offset) {
+      Thread.onSpinWait();
+    }
+    LogRecord record = log.all().get(1);
+    assertThat(ConfigRecordCodec.decode(record.data()))
+        .isEqualTo(new Snapshot(1, "a", "ann", 1_000, TEXT, 1));
+    source.stop();
+    log.expireBefore(2);
+    start("", 86_400_000, PeerOffers.none());
+    awaitRevision(1);
+  }
+
+  @Test
+  void faultyListenerDoesNotStopTheOthers() throws Exception {
+    start("", 86_400_000, PeerOffers.none());
+    source.subscribe(
+        config -> {
+          throw new IllegalStateException("listener fault of the test");
+        });
+    BlockingQueue<Long> later = new LinkedBlockingQueue<>();
+    source.subscribe(config -> later.add(config.revision()));
+    publish("a", 0);
+    awaitRevision(1);
+    assertThat(later.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo(1);
+  }
+}
