Add the HTTP server and client, the platform clients and the stand-ins

Cause: the entry, the sidecar and the demo need HTTP and something to talk to.

Ruled out: relying on HttpCore's capacity window alone. It is checked only between read events, and a trial read 90,112 bytes on a credit of 16,384, so each read also asks the credit of its call. Relying on HttpCore to report a caller that closed its connection: it goes on writing until a write fails, and a test waited 20 s in vain, so the server fails the exchange at the end of input. Letting exceptions of listeners reach HttpCore: one ended an I/O thread and every later call on it timed out, so they are logged instead.

Conclusion: usable by the other packages. HttpExchange gained a default method abort(), which a handler needs to drop a connection without a response.

--- a/src/main/java/org/tanagerbank/http/HttpExchange.java
+++ b/src/main/java/org/tanagerbank/http/HttpExchange.java
@@ -16,4 +16,12 @@
 
   /** Runs an action once if the caller goes away before the response is complete. */
   void onAbort(Runnable action);
+
+  /**
+   * Closes the connection without a response, so that the caller sees a failure. After {@link
+   * #beginStream} use {@link BodyWriter#abort}.
+   */
+  default void abort() {
+    beginStream(502, ImmutableMap.of()).abort();
+  }
 }
--- /dev/null
+++ b/src/main/java/org/tanagerbank/http/WholeReply.java
@@ -0,0 +1,83 @@
+package org.tanagerbank.http;
+
+import com.google.common.collect.ImmutableMap;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.contract.Verdict;
+
+/** Collects a whole response for a thread that waits for it. */
+final class WholeReply implements HttpCallListener {
+  /** How long a cancelled call may take to report that it ended. */
+  private static final long CANCEL_MILLIS = 1_000;
+
+  private final String what;
+  private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private ImmutableMap<String, String> headers = ImmutableMap.of();
+
+  WholeReply(HttpMessage request, InetSocketAddress address) {
+    this.what = request.method() + " " + request.path() + " at " + address;
+  }
+
+  @Override
+  public void onHead(int code, ImmutableMap<String, String> fields) {
+    status = code;
+    headers = fields;
+  }
+
+  @Override
+  public void onData(byte[] data) {
+    body.writeBytes(data);
+  }
+
+  @Override
+  public void onEnd() {
+    future.complete(new HttpReply(status, headers, body.toByteArray()));
+  }
+
+  @Override
+  public void onFailure(Exception cause, boolean mayHaveRun) {
+    Verdict verdict = mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    future.completeExceptionally(failure(verdict, " failed: " + cause));
+  }
+
+  /** Waits for the response and cancels the call when it takes too long. */
+  HttpReply await(HttpCall call, long timeoutMillis) {
+    try {
+      return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      call.cancel();
+      return afterCancel(" took longer than " + timeoutMillis + " ms");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      call.cancel();
+      throw failure(Verdict.MAY_HAVE_RUN, " was interrupted");
+    } catch (ExecutionException e) {
+      throw (TanagerException) e.getCause();
+    }
+  }
+
+  private HttpReply afterCancel(String reason) {
+    try {
+      return future.get(CANCEL_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      throw failure(((TanagerException) e.getCause()).verdict(), reason);
+    } catch (TimeoutException e) {
+      throw failure(Verdict.MAY_HAVE_RUN, reason);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw failure(Verdict.MAY_HAVE_RUN, reason);
+    }
+  }
+
+  private TanagerException failure(Verdict verdict, String reason) {
+    return TanagerException.of(ErrorCode.PLATFORM_ERROR, verdict, 0, what + reason);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/InstanceRows.java
@@ -0,0 +1,48 @@
+package org.tanagerbank.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.InstanceKind;
+import org.tanagerbank.machine.InstanceState;
+import org.tanagerbank.machine.Zone;
+
+/** Converts rows of the instance list between JSON and {@link InstanceInfo}. */
+public final class InstanceRows {
+  private InstanceRows() {}
+
+  /**
+   * Reads a row. A row without {@code httpAddress} serves HTTP at its {@code address}; a row
+   * without {@code incarnation} has 0, and one without {@code state} is live.
+   *
+   * @throws IllegalArgumentException if the row is not valid
+   */
+  public static InstanceInfo read(JsonNode row) {
+    String address = row.required("address").asText();
+    return new InstanceInfo(
+        row.required("id").asText(),
+        InstanceKind.valueOf(Ascii.toUpperCase(row.required("kind").asText())),
+        row.path("service").asText(""),
+        new Zone(row.required("zone").asText(), row.required("region").asText()),
+        SocketAddresses.parse(address),
+        SocketAddresses.parse(row.path("httpAddress").asText(address)),
+        row.path("incarnation").asLong(0),
+        InstanceState.valueOf(Ascii.toUpperCase(row.path("state").asText("live"))));
+  }
+
+  /** Returns an instance as a row of the list. */
+  public static ObjectNode write(InstanceInfo info) {
+    return Json.object()
+        .put("id", info.id())
+        .put("kind", Ascii.toLowerCase(info.kind().name()))
+        .put("service", info.service())
+        .put("zone", info.zone().name())
+        .put("region", info.zone().region())
+        .put("address", SocketAddresses.format(info.address()))
+        .put("httpAddress", SocketAddresses.format(info.httpAddress()))
+        .put("incarnation", info.incarnation())
+        .put("state", Ascii.toLowerCase(info.state().name()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/standin/InstanceListStandin.java
@@ -0,0 +1,179 @@
+package org.tanagerbank.standin;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.http.HttpErrors;
+import org.tanagerbank.http.HttpExchange;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.HttpService;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.platform.InstanceRows;
+
+/**
+ * Stand-in for the platform's instance list, which serves the list as it was some time ago.
+ *
+ * <p>With a probe interval it drops instances whose address refuses connections. {@code POST
+ * /admin} takes {@code lagMillis} and {@code outage}. Thread-safe.
+ */
+public final class InstanceListStandin implements Standin {
+  private static final int MAX_BODY_BYTES = 1 << 20;
+  private static final int PROBE_TIMEOUT_MILLIS = 200;
+  private static final String PREFIX = "/instances/";
+
+  private final long probeMillis;
+  private final HttpService http;
+  private final StandinTimer timer = new StandinTimer("instances-standin");
+  private final Map<String, InstanceInfo> current = new LinkedHashMap<>();
+
+  /** The states of the list by time; the first is the youngest that is old enough to be served. */
+  private final List<Version> versions = new ArrayList<>();
+
+  private long lagMillis;
+  private boolean outage;
+
+  private record Version(long atMillis, ImmutableMap<String, InstanceInfo> instances) {}
+
+  private InstanceListStandin(InetSocketAddress bind, long lagMillis, long probeMillis) {
+    checkArgument(lagMillis >= 0, "lagMillis must not be negative: %s", lagMillis);
+    checkArgument(probeMillis >= 0, "probeMillis must not be negative: %s", probeMillis);
+    this.lagMillis = lagMillis;
+    this.probeMillis = probeMillis;
+    this.http = HttpService.create(bind, MAX_BODY_BYTES, this::handle);
+    versions.add(new Version(0, ImmutableMap.of()));
+  }
+
+  /**
+   * Returns a list that listens on an address after {@link #start}.
+   *
+   * @param lagMillis how old the served list is
+   * @param probeMillis the time between probes of the instances; 0 for none
+   */
+  public static InstanceListStandin create(
+      InetSocketAddress bind, long lagMillis, long probeMillis) {
+    return new InstanceListStandin(bind, lagMillis, probeMillis);
+  }
+
+  @Override
+  public void start() {
+    timer.start();
+    http.start();
+    if (probeMillis > 0) {
+      timer.every(probeMillis, this::probe);
+    }
+  }
+
+  @Override
+  public void stop() {
+    http.stop();
+    timer.stop();
+  }
+
+  @Override
+  public InetSocketAddress address() {
+    return http.address();
+  }
+
+  /** Registers an instance, or replaces its row. */
+  public synchronized void register(InstanceInfo info) {
+    current.put(info.id(), info);
+    changed();
+  }
+
+  /** Removes an instance. */
+  public synchronized void remove(String id) {
+    if (current.remove(id) != null) {
+      changed();
+    }
+  }
+
+  private void changed() {
+    versions.add(new Version(System.currentTimeMillis(), ImmutableMap.copyOf(current)));
+  }
+
+  private void handle(HttpMessage request, HttpExchange exchange) {
+    String path = request.pathOnly();
+    String call = request.method() + " " + path;
+    if (call.equals("POST /admin")) {
+      exchange.respond(admin(Json.parseObject(request.body())));
+    } else if (call.equals("GET /instances")) {
+      exchange.respond(list());
+    } else if (path.startsWith(PREFIX) && request.method().equals("PUT")) {
+      register(row(path.substring(PREFIX.length()), Json.parseObject(request.body())));
+      exchange.respond(HttpErrors.json(200, Json.object()));
+    } else if (path.startsWith(PREFIX) && request.method().equals("DELETE")) {
+      remove(path.substring(PREFIX.length()));
+      exchange.respond(HttpErrors.json(200, Json.object()));
+    } else {
+      throw TanagerException.notRun(ErrorCode.NOT_FOUND, "no such call: " + call);
+    }
+  }
+
+  private synchronized HttpReply admin(ObjectNode body) {
+    lagMillis = body.path("lagMillis").asLong(lagMillis);
+    outage = body.path("outage").asBoolean(outage);
+    return HttpErrors.json(200, Json.object().put("lagMillis", lagMillis).put("outage", outage));
+  }
+
+  private static InstanceInfo row(String id, ObjectNode body) {
+    try {
+      return InstanceRows.read(body.put("id", id));
+    } catch (IllegalArgumentException e) {
+      throw TanagerException.notRun(ErrorCode.BAD_REQUEST, "invalid row: " + e.getMessage());
+    }
+  }
+
+  private synchronized HttpReply list() {
+    if (outage) {
+      return Standin.error(503, "UNAVAILABLE", "the instance list has an outage", 1_000);
+    }
+    long served = System.currentTimeMillis() - lagMillis;
+    while (versions.size() > 1 && versions.get(1).atMillis() <= served) {
+      versions.remove(0);
+    }
+    Version version = versions.get(0);
+    ObjectNode body = Json.object();
+    ArrayNode rows = body.putArray("instances");
+    version.instances().values().forEach(info -> rows.add(InstanceRows.write(info)));
+    return HttpErrors.json(200, body);
+  }
+
+  private void probe() {
+    ImmutableMap<String, InstanceInfo> probed;
+    synchronized (this) {
+      probed = ImmutableMap.copyOf(current);
+    }
+    probed.values().stream().filter(info -> refuses(info.address())).forEach(this::removeIfSame);
+  }
+
+  private synchronized void removeIfSame(InstanceInfo info) {
+    if (info.equals(current.get(info.id()))) {
+      remove(info.id());
+    }
+  }
+
+  private static boolean refuses(InetSocketAddress address) {
+    try (Socket socket = new Socket()) {
+      socket.connect(address, PROBE_TIMEOUT_MILLIS);
+      return false;
+    } catch (ConnectException e) {
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/standin/RateLimit.java
@@ -0,0 +1,34 @@
+package org.tanagerbank.standin;
+
+/**
+ * A token bucket that holds at most one second of its rate, at least one token.
+ *
+ * <p>Not thread-safe.
+ */
+final class RateLimit {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final double perSecond;
+  private final double capacity;
+  private double tokens;
+  private long atMillis;
+
+  RateLimit(double perSecond, long nowMillis) {
+    this.perSecond = perSecond;
+    this.capacity = Math.max(1, perSecond);
+    this.tokens = capacity;
+    this.atMillis = nowMillis;
+  }
+
+  /** Takes a token and returns 0, or returns the time in milliseconds until there is one. */
+  long take(long nowMillis) {
+    double gained = Math.max(0, nowMillis - atMillis) * perSecond / MILLIS_PER_SECOND;
+    tokens = Math.min(capacity, tokens + gained);
+    atMillis = Math.max(atMillis, nowMillis);
+    if (tokens >= 1) {
+      tokens--;
+      return 0;
+    }
+    return Math.max(1, (long) Math.ceil((1 - tokens) * MILLIS_PER_SECOND / perSecond));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/standin/WeightStandin.java
@@ -0,0 +1,108 @@
+package org.tanagerbank.standin;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.http.HttpErrors;
+import org.tanagerbank.http.HttpExchange;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.HttpService;
+import org.tanagerbank.http.Json;
+
+/**
+ * Stand-in for the platform's weight store, which limits the rate of loads.
+ *
+ * <p>{@code POST /admin} takes {@code loadsPerSecond} and {@code outage}; {@code GET
+ * /admin/executions} counts the loads. Thread-safe.
+ */
+public final class WeightStandin implements Standin {
+  private static final int MAX_BODY_BYTES = 1 << 16;
+  private static final Pattern WEIGHTS = Pattern.compile("/weights/[^/]+/[^/]+");
+
+  private final HttpService http;
+  private final byte[] weights;
+  private final ExecutionCounts loads = new ExecutionCounts();
+  private RateLimit rate;
+  private boolean outage;
+
+  private WeightStandin(InetSocketAddress bind, double loadsPerSecond, int weightBytes) {
+    this.rate = limit(loadsPerSecond);
+    this.weights = new byte[weightBytes];
+    this.http = HttpService.create(bind, MAX_BODY_BYTES, this::handle);
+  }
+
+  /**
+   * Returns a store that listens on an address after {@link #start}.
+   *
+   * @param loadsPerSecond the rate of loads; above it a load gets 429
+   * @param weightBytes the size of every model's weights
+   */
+  public static WeightStandin create(
+      InetSocketAddress bind, double loadsPerSecond, int weightBytes) {
+    return new WeightStandin(bind, loadsPerSecond, weightBytes);
+  }
+
+  @Override
+  public void start() {
+    http.start();
+  }
+
+  @Override
+  public void stop() {
+    http.stop();
+  }
+
+  @Override
+  public InetSocketAddress address() {
+    return http.address();
+  }
+
+  private void handle(HttpMessage request, HttpExchange exchange) {
+    String path = request.pathOnly();
+    if (path.equals("/admin")) {
+      exchange.respond(admin(Json.parseObject(request.body())));
+    } else if (path.equals("/admin/executions")) {
+      exchange.respond(HttpErrors.json(200, loads.json()));
+    } else if (WEIGHTS.matcher(path).matches() && request.method().equals("GET")) {
+      exchange.respond(load(path));
+    } else {
+      throw TanagerException.notRun(ErrorCode.NOT_FOUND, "no such path: " + path);
+    }
+  }
+
+  private synchronized HttpReply admin(ObjectNode body) {
+    outage = body.path("outage").asBoolean(outage);
+    if (body.has("loadsPerSecond")) {
+      double perSecond = body.get("loadsPerSecond").asDouble();
+      if (perSecond <= 0) {
+        throw TanagerException.notRun(ErrorCode.BAD_REQUEST, "loadsPerSecond must be positive");
+      }
+      rate = limit(perSecond);
+    }
+    return HttpErrors.json(200, Json.object().put("outage", outage));
+  }
+
+  private synchronized HttpReply load(String path) {
+    if (outage) {
+      return Standin.error(503, "UNAVAILABLE", "the weight store has an outage", 1_000);
+    }
+    long wait = rate.take(System.currentTimeMillis());
+    if (wait > 0) {
+      return Standin.error(429, "RATE_LIMIT", "more loads than the store takes", wait);
+    }
+    loads.begin();
+    loads.count("weights", path);
+    return new HttpReply(200, ImmutableMap.of("content-type", "application/octet-stream"), weights);
+  }
+
+  private static RateLimit limit(double loadsPerSecond) {
+    checkArgument(loadsPerSecond > 0, "loadsPerSecond must be positive: %s", loadsPerSecond);
+    return new RateLimit(loadsPerSecond, System.currentTimeMillis());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
@@ -0,0 +1,243 @@
+package org.tanagerbank.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.contract.Verdict;
+
+/** Guards against wrong, cut-off and unbounded responses, and against wrong verdicts. */
+final class HttpRoundTripTest {
+  private static final InetSocketAddress FREE_PORT = new InetSocketAddress("127.0.0.1", 0);
+  private static final int PIECE = 16 << 10;
+  private static final int PIECES = 2_000;
+
+  private final HttpService server = HttpService.create(FREE_PORT, 100_000, this::handle);
+  private final AsyncHttpCaller caller = AsyncHttpCaller.create(2_000);
+  private final CompletableFuture<BodyWriter> stream = new CompletableFuture<>();
+  private final CountDownLatch aborted = new CountDownLatch(1);
+  private final AtomicLong maxPending = new AtomicLong();
+
+  @BeforeEach
+  void start() {
+    server.start();
+    caller.start();
+  }
+
+  @AfterEach
+  void stop() {
+    caller.stop();
+    server.stop();
+  }
+
+  private void handle(HttpMessage request, HttpExchange exchange) {
+    switch (request.pathOnly()) {
+      case "/echo" -> exchange.respond(echo(request));
+      case "/refuse" -> throw TanagerException.notRun(ErrorCode.OVERLOADED, "full", 1_001);
+      case "/fault" -> throw new IllegalStateException("a fault");
+      case "/drop" -> exchange.abort();
+      case "/many" -> writeMany(exchange.beginStream(200, ImmutableMap.of()));
+      default -> {
+        exchange.onAbort(aborted::countDown);
+        stream.complete(exchange.beginStream(200, ServerSentEvents.HEADERS));
+      }
+    }
+  }
+
+  private static HttpReply echo(HttpMessage request) {
+    String text =
+        request.method()
+            + " "
+            + request.path()
+            + " "
+            + request.header("x-chat-id", "none")
+            + " "
+            + QueryString.of(request).text("q", "")
+            + " ";
+    byte[] body = (text + new String(request.body(), UTF_8)).getBytes(UTF_8);
+    return new HttpReply(200, ImmutableMap.of("x-test", "yes"), body);
+  }
+
+  /** Writes a long body and keeps at most a few pieces queued. */
+  private void writeMany(BodyWriter out) {
+    AtomicLong written = new AtomicLong();
+    Runnable fill =
+        () -> {
+          while (written.get() < PIECES && out.pendingBytes() < 4L * PIECE) {
+            byte[] piece = new byte[PIECE];
+            piece[0] = (byte) written.getAndIncrement();
+            out.write(piece);
+            maxPending.accumulateAndGet(out.pendingBytes(), Math::max);
+          }
+          if (written.get() == PIECES) {
+            out.end();
+          }
+        };
+    out.onProgress(fill);
+    fill.run();
+  }
+
+  private static HttpMessage message(String method, String path, String body) {
+    return new HttpMessage(
+        method, path, ImmutableMap.of("X-Chat-Id", "c1", "Host", "x"), body.getBytes(UTF_8));
+  }
+
+  private HttpReply exchange(HttpMessage request) {
+    return caller.exchange(server.address(), request, 20_000);
+  }
+
+  @Test
+  void wholeRequestAndResponse() {
+    for (String method : List.of("GET", "POST", "PUT", "DELETE", "PATCH")) {
+      String body = method.startsWith("P") ? "b\u00f6dy" : "";
+      HttpReply reply = exchange(message(method, "/echo?q=a%20b", body));
+      assertThat(reply.status()).isEqualTo(200);
+      assertThat(reply.headers()).containsEntry("x-test", "yes");
+      assertThat(new String(reply.body(), UTF_8))
+          .isEqualTo(method + " /echo?q=a%20b c1 a b " + body);
+    }
+  }
+
+  @Test
+  void errorsAreJsonWithRetryAfterRoundedUp() {
+    HttpReply refused = exchange(message("GET", "/refuse", ""));
+    assertThat(refused.status()).isEqualTo(503);
+    assertThat(refused.headers()).containsEntry("retry-after", "2");
+    assertThat(new String(refused.body(), UTF_8))
+        .isEqualTo(
+            "{\"error\":{\"code\":\"OVERLOADED\",\"message\":\"full\",\"verdict\":\"NOT_RUN\","
+                + "\"retryAfterMillis\":1001}}");
+    assertThat(exchange(message("GET", "/fault", "")).status()).isEqualTo(500);
+  }
+
+  @Test
+  void tooLargeBodyIsRefusedAndTheConnectionServesOn() {
+    HttpReply refused = exchange(message("POST", "/echo", "x".repeat(100_001)));
+    assertThat(refused.status()).isEqualTo(413);
+    assertThat(new String(refused.body(), UTF_8)).contains("BODY_TOO_LARGE");
+    assertThat(exchange(message("POST", "/echo", "x".repeat(100_000))).status()).isEqualTo(200);
+  }
+
+  @Test
+  void headAndEachPieceArriveBeforeTheEnd() throws Exception {
+    Collector collector = new Collector();
+    caller.send(server.address(), message("GET", "/stream", ""), 1_000, collector);
+    assertThat(collector.head.get(20, TimeUnit.SECONDS)).isEqualTo(200);
+    BodyWriter out = stream.get(20, TimeUnit.SECONDS);
+    out.write(ServerSentEvents.data("one"));
+    collector.awaitData();
+    assertThat(collector.outcome.isDone()).isFalse();
+    out.write(ServerSentEvents.data("two"));
+    out.end();
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end");
+    assertThat(new String(collector.body(), UTF_8)).isEqualTo("data: one\n\ndata: two\n\n");
+  }
+
+  @Test
+  void slowReaderHoldsTheWriterBack() throws Exception {
+    Collector collector = new Collector();
+    HttpCall call = caller.send(server.address(), message("GET", "/many", ""), PIECE, collector);
+    collector.awaitData();
+    int granted = PIECE;
+    int total = PIECE * PIECES;
+    while (granted < total) {
+      int reached = Math.min(granted, total);
+      Collector.await("the credit is used", () -> collector.length() >= reached);
+      assertThat(collector.length()).isAtMost(granted + (16 << 10));
+      granted += 4 << 20;
+      call.addCredit(4 << 20);
+    }
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end");
+    assertThat(maxPending.get()).isAtMost(5L * PIECE);
+    byte[] body = collector.body();
+    assertThat(body).hasLength(total);
+    for (int i = 0; i < PIECES; i++) {
+      assertThat(body[i * PIECE]).isEqualTo((byte) i);
+    }
+  }
+
+  @Test
+  void cancelTellsTheServerAndTheListener() throws Exception {
+    Collector collector = new Collector();
+    HttpCall call = caller.send(server.address(), message("GET", "/stream", ""), 100, collector);
+    stream.get(20, TimeUnit.SECONDS);
+    call.cancel();
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("may have run");
+    assertThat(aborted.await(20, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  void abortedStreamIsAFailure() throws Exception {
+    Collector collector = new Collector();
+    caller.send(server.address(), message("GET", "/stream", ""), 100, collector);
+    BodyWriter out = stream.get(20, TimeUnit.SECONDS);
+    out.write(ServerSentEvents.data("one"));
+    collector.awaitData();
+    out.abort();
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("may have run");
+  }
+
+  @Test
+  void droppedConnectionMayHaveRunAndARefusedOneHasNot() throws Exception {
+    TanagerException dropped =
+        assertThrows(TanagerException.class, () -> exchange(message("POST", "/drop", "x")));
+    assertThat(dropped.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    int closedPort;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      closedPort = socket.getLocalPort();
+    }
+    InetSocketAddress closed = new InetSocketAddress("127.0.0.1", closedPort);
+    TanagerException refused =
+        assertThrows(
+            TanagerException.class,
+            () -> caller.exchange(closed, message("POST", "/echo", "x"), 20_000));
+    assertThat(refused.verdict()).isEqualTo(Verdict.NOT_RUN);
+    assertThat(refused.code()).isEqualTo(ErrorCode.PLATFORM_ERROR);
+  }
+
+  @Test
+  void timedOutExchangeMayHaveRun() {
+    TanagerException late =
+        assertThrows(
+            TanagerException.class,
+            () -> caller.exchange(server.address(), message("POST", "/stream", ""), 50));
+    assertThat(late.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void portInUseIsSaidClearly() {
+    HttpService second = HttpService.create(server.address(), 1, this::handle);
+    TanagerException failure = assertThrows(TanagerException.class, second::start);
+    assertThat(failure.code()).isEqualTo(ErrorCode.PORT_IN_USE);
+    assertThat(failure).hasMessageThat().contains("127.0.0.1:" + server.address().getPort());
+  }
+
+  @Test
+  void thousandOpenStreamsNeedNoThreadsOfTheirOwn() throws Exception {
+    int before = Thread.activeCount();
+    List<Collector> collectors = new ArrayList<>();
+    for (int i = 0; i < 1_000; i++) {
+      Collector collector = new Collector();
+      collectors.add(collector);
+      caller.send(server.address(), message("GET", "/stream", ""), 100, collector);
+    }
+    for (Collector collector : collectors) {
+      assertThat(collector.head.get(20, TimeUnit.SECONDS)).isEqualTo(200);
+    }
+    assertThat(Thread.activeCount()).isAtMost(before + 20);
+  }
+}
