--- /dev/null
+++ b/src/main/java/org/tanagerbank/load/TurnReader.java
@@ -0,0 +1,154 @@
+package org.tanagerbank.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableMap;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.http.HttpCall;
+import org.tanagerbank.http.HttpCallListener;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.http.ServerSentEvents;
+
+/**
+ * Reads the response to one chat completion, streamed or not, and reports the result once.
+ *
+ * <p>Called by one thread at a time, as {@link HttpCallListener} promises.
+ */
+final class TurnReader implements HttpCallListener {
+  private final Latencies latencies;
+  private final Consumer<TurnResult> done;
+  private final AtomicReference<HttpCall> call = new AtomicReference<>();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final StringBuilder text = new StringBuilder();
+  private final ServerSentEvents.Reader events = ServerSentEvents.reader(this::event);
+  private final long sentNanos = System.nanoTime();
+  private long lastTokenNanos;
+  private int status;
+  private boolean streamed;
+  private boolean whole;
+  private long promptTokens;
+  private long reusedTokens;
+  private String errorCode = "";
+  private String verdict = "";
+  private long retryAfterMillis;
+
+  TurnReader(Latencies latencies, Consumer<TurnResult> done) {
+    this.latencies = latencies;
+    this.done = done;
+  }
+
+  void bind(HttpCall value) {
+    call.set(value);
+  }
+
+  @Override
+  public void onHead(int status, ImmutableMap<String, String> headers) {
+    this.status = status;
+    streamed = headers.getOrDefault("content-type", "").startsWith("text/event-stream");
+  }
+
+  @Override
+  public void onData(byte[] data) {
+    if (streamed) {
+      events.read(data);
+    } else {
+      body.writeBytes(data);
+    }
+    HttpCall current = call.get();
+    if (current != null) {
+      current.addCredit(data.length);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (!streamed) {
+      readWholeBody();
+    } else if (!whole && errorCode.isEmpty()) {
+      errorCode = TurnResult.NO_END_MARK;
+    }
+    finish();
+  }
+
+  @Override
+  public void onFailure(Exception cause, boolean mayHaveRun) {
+    errorCode = "CONNECTION_FAILED";
+    verdict = mayHaveRun ? "MAY_HAVE_RUN" : "NOT_RUN";
+    finish();
+  }
+
+  private void finish() {
+    done.accept(
+        new TurnResult(
+            status,
+            errorCode,
+            verdict,
+            text.toString(),
+            whole && errorCode.isEmpty(),
+            promptTokens,
+            reusedTokens,
+            retryAfterMillis));
+  }
+
+  private void readWholeBody() {
+    JsonNode tree;
+    try {
+      tree = Json.parseObject(body.toByteArray());
+    } catch (TanagerException e) {
+      errorCode = e.code().name();
+      return;
+    }
+    if (tree.has("error")) {
+      readError(tree.path("error"));
+      return;
+    }
+    text.append(tree.path("choices").path(0).path("message").path("content").asText());
+    readUsage(tree.path("usage"));
+    whole = status == 200;
+    latencies.firstToken(System.nanoTime() - sentNanos);
+  }
+
+  private void event(ServerSentEvents.Event event) {
+    if (event.data().equals(ServerSentEvents.DONE)) {
+      whole = true;
+      return;
+    }
+    JsonNode tree = Json.parseObject(event.data().getBytes(StandardCharsets.UTF_8));
+    if (tree.has("error")) {
+      readError(tree.path("error"));
+      return;
+    }
+    String piece = tree.path("choices").path(0).path("delta").path("content").asText("");
+    if (!piece.isEmpty()) {
+      token(piece);
+    }
+    if (tree.hasNonNull("usage")) {
+      readUsage(tree.path("usage"));
+    }
+  }
+
+  private void token(String piece) {
+    long now = System.nanoTime();
+    if (lastTokenNanos == 0) {
+      latencies.firstToken(now - sentNanos);
+    } else {
+      latencies.betweenTokens(now - lastTokenNanos);
+    }
+    lastTokenNanos = now;
+    text.append(piece);
+  }
+
+  private void readUsage(JsonNode usage) {
+    promptTokens = usage.path("prompt_tokens").asLong();
+    reusedTokens = usage.path("prompt_tokens_details").path("cached_tokens").asLong();
+  }
+
+  private void readError(JsonNode error) {
+    errorCode = error.path("code").asText("UNKNOWN");
+    verdict = error.path("verdict").asText("");
+    retryAfterMillis = error.path("retryAfterMillis").asLong();
+  }
+}
