--- a/src/main/java/org/tanagerbank/events/LogEvent.java
+++ b/src/main/java/org/tanagerbank/events/LogEvent.java
@@ -25,6 +25,8 @@
 
   // 1300-1399: links.
   LINK_FRAME_REJECTED(1301, Level.WARNING),
+  LINK_SILENT(1302, Level.WARNING),
+  LINK_HANDLER_FAILED(1303, Level.SEVERE),
 
   // 1400-1499: configuration.
   CONFIG_ADOPTED(1401, Level.INFO),
--- a/src/main/java/org/tanagerbank/link/Link.java
+++ b/src/main/java/org/tanagerbank/link/Link.java
@@ -14,6 +14,15 @@
   /** Returns whether the send buffer is below its high-water mark. */
   boolean isWritable();
 
+  /**
+   * Turns the heartbeat on or off. While it is on, the link is pinged and closed once it is silent.
+   * Users turn it on while they have something in flight on the link.
+   */
+  void setHeartbeat(boolean on);
+
+  /** Returns the bytes that this link has carried. */
+  LinkTraffic traffic();
+
   /** Returns the address of the other end. */
   InetSocketAddress remoteAddress();
 }
