--- /dev/null
+++ b/src/main/java/org/tanagerbank/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Decides what to do with the pieces of an answer. Pure decision code. */
+package org.tanagerbank.answer;
--- a/src/main/java/org/tanagerbank/proto/LinkProto.java
+++ b/src/main/java/org/tanagerbank/proto/LinkProto.java
@@ -12581,6 +12581,29 @@
      * @return The data.
      */
     com.google.protobuf.ByteString getData();
+
+    /**
+     * <pre>
+     * Set on the first chunk of an attempt, so that a long answer can begin before its End: the HTTP
+     * status and the type of the whole answer. 0 and empty when the sender does not know them yet.
+     * </pre>
+     *
+     * <code>uint32 http_status = 5;</code>
+     * @return The httpStatus.
+     */
+    int getHttpStatus();
+
+    /**
+     * <code>string content_type = 6;</code>
+     * @return The contentType.
+     */
+    java.lang.String getContentType();
+    /**
+     * <code>string content_type = 6;</code>
+     * @return The bytes for contentType.
+     */
+    com.google.protobuf.ByteString
+        getContentTypeBytes();
   }
   /**
    * Protobuf type {@code tanagerbank.link.Chunk}
@@ -12605,6 +12628,7 @@
     }
     private Chunk() {
       data_ = com.google.protobuf.ByteString.EMPTY;
+      contentType_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -12684,6 +12708,61 @@
       return data_;
     }
 
+    public static final int HTTP_STATUS_FIELD_NUMBER = 5;
+    private int httpStatus_ = 0;
+    /**
+     * <pre>
+     * Set on the first chunk of an attempt, so that a long answer can begin before its End: the HTTP
+     * status and the type of the whole answer. 0 and empty when the sender does not know them yet.
+     * </pre>
+     *
+     * <code>uint32 http_status = 5;</code>
+     * @return The httpStatus.
+     */
+    @java.lang.Override
+    public int getHttpStatus() {
+      return httpStatus_;
+    }
+
+    public static final int CONTENT_TYPE_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object contentType_ = "";
+    /**
+     * <code>string content_type = 6;</code>
+     * @return The contentType.
+     */
+    @java.lang.Override
+    public java.lang.String getContentType() {
+      java.lang.Object ref = contentType_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        contentType_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string content_type = 6;</code>
+     * @return The bytes for contentType.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getContentTypeBytes() {
+      java.lang.Object ref = contentType_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        contentType_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12710,6 +12789,12 @@
       if (!data_.isEmpty()) {
         output.writeBytes(4, data_);
       }
+      if (httpStatus_ != 0) {
+        output.writeUInt32(5, httpStatus_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentType_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, contentType_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12735,6 +12820,13 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBytesSize(4, data_);
       }
+      if (httpStatus_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, httpStatus_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentType_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, contentType_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12761,6 +12853,10 @@
           != other.getPosition()) return false;
       if (!getData()
           .equals(other.getData())) return false;
+      if (getHttpStatus()
+          != other.getHttpStatus()) return false;
+      if (!getContentType()
+          .equals(other.getContentType())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12783,6 +12879,10 @@
           getPosition());
       hash = (37 * hash) + DATA_FIELD_NUMBER;
       hash = (53 * hash) + getData().hashCode();
+      hash = (37 * hash) + HTTP_STATUS_FIELD_NUMBER;
+      hash = (53 * hash) + getHttpStatus();
+      hash = (37 * hash) + CONTENT_TYPE_FIELD_NUMBER;
+      hash = (53 * hash) + getContentType().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -12928,6 +13028,8 @@
         attempt_ = 0;
         position_ = 0L;
         data_ = com.google.protobuf.ByteString.EMPTY;
+        httpStatus_ = 0;
+        contentType_ = "";
         return this;
       }
 
@@ -12977,6 +13079,12 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.data_ = data_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.httpStatus_ = httpStatus_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.contentType_ = contentType_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -13004,6 +13112,14 @@
         if (!other.getData().isEmpty()) {
           setData(other.getData());
         }
+        if (other.getHttpStatus() != 0) {
+          setHttpStatus(other.getHttpStatus());
+        }
+        if (!other.getContentType().isEmpty()) {
+          contentType_ = other.contentType_;
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13052,6 +13168,16 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 34
+              case 40: {
+                httpStatus_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                contentType_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13298,6 +13424,125 @@
         return this;
       }
 
+      private int httpStatus_ ;
+      /**
+       * <pre>
+       * Set on the first chunk of an attempt, so that a long answer can begin before its End: the HTTP
+       * status and the type of the whole answer. 0 and empty when the sender does not know them yet.
+       * </pre>
+       *
+       * <code>uint32 http_status = 5;</code>
+       * @return The httpStatus.
+       */
+      @java.lang.Override
+      public int getHttpStatus() {
+        return httpStatus_;
+      }
+      /**
+       * <pre>
+       * Set on the first chunk of an attempt, so that a long answer can begin before its End: the HTTP
+       * status and the type of the whole answer. 0 and empty when the sender does not know them yet.
+       * </pre>
+       *
+       * <code>uint32 http_status = 5;</code>
+       * @param value The httpStatus to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHttpStatus(int value) {
+
+        httpStatus_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Set on the first chunk of an attempt, so that a long answer can begin before its End: the HTTP
+       * status and the type of the whole answer. 0 and empty when the sender does not know them yet.
+       * </pre>
+       *
+       * <code>uint32 http_status = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHttpStatus() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        httpStatus_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object contentType_ = "";
+      /**
+       * <code>string content_type = 6;</code>
+       * @return The contentType.
+       */
+      public java.lang.String getContentType() {
+        java.lang.Object ref = contentType_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          contentType_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string content_type = 6;</code>
+       * @return The bytes for contentType.
+       */
+      public com.google.protobuf.ByteString
+          getContentTypeBytes() {
+        java.lang.Object ref = contentType_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          contentType_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string content_type = 6;</code>
+       * @param value The contentType to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentType(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        contentType_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string content_type = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentType() {
+        contentType_ = getDefaultInstance().getContentType();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string content_type = 6;</code>
+       * @param value The bytes for contentType to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentTypeBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        contentType_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.link.Chunk)
     }
 
@@ -25498,50 +25743,51 @@
       "questRef\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022" +
       "\017\n\007message\030\004 \001(\t\022\032\n\022retry_after_millis\030\005" +
       " \001(\r\022\021\n\tin_flight\030\006 \001(\r\022\020\n\010moved_to\030\007 \001(" +
-      "\t\"g\n\005Chunk\022-\n\007request\030\001 \001(\0132\034.tanagerban" +
-      "k.link.RequestRef\022\017\n\007attempt\030\002 \001(\r\022\020\n\010po" +
-      "sition\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"\306\001\n\003End\022-\n\007re" +
-      "quest\030\001 \001(\0132\034.tanagerbank.link.RequestRe" +
-      "f\022\017\n\007attempt\030\002 \001(\r\022\023\n\013total_bytes\030\003 \001(\004\022" +
-      "\023\n\013http_status\030\004 \001(\r\022\024\n\014content_type\030\005 \001" +
-      "(\t\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\rreused_toke" +
-      "ns\030\007 \001(\r\022\021\n\tin_flight\030\010 \001(\r\"\263\001\n\006Failed\022-" +
+      "\t\"\222\001\n\005Chunk\022-\n\007request\030\001 \001(\0132\034.tanagerba" +
+      "nk.link.RequestRef\022\017\n\007attempt\030\002 \001(\r\022\020\n\010p" +
+      "osition\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\022\023\n\013http_stat" +
+      "us\030\005 \001(\r\022\024\n\014content_type\030\006 \001(\t\"\306\001\n\003End\022-" +
       "\n\007request\030\001 \001(\0132\034.tanagerbank.link.Reque" +
-      "stRef\022\017\n\007attempt\030\002 \001(\r\022.\n\007verdict\030\003 \001(\0162" +
-      "\035.tanagerbank.link.VerdictCode\022\014\n\004code\030\004" +
-      " \001(\t\022\017\n\007message\030\005 \001(\t\022\032\n\022retry_after_mil" +
-      "lis\030\006 \001(\r\"H\n\006Cancel\022-\n\007request\030\001 \001(\0132\034.t" +
-      "anagerbank.link.RequestRef\022\017\n\007attempt\030\002 " +
-      "\001(\r\"K\n\005Query\022-\n\007request\030\001 \001(\0132\034.tanagerb" +
-      "ank.link.RequestRef\022\023\n\013incarnation\030\002 \001(\004" +
-      "\"\337\001\n\007Outcome\022-\n\007request\030\001 \001(\0132\034.tanagerb" +
-      "ank.link.RequestRef\022.\n\005state\030\002 \001(\0162\037.tan" +
-      "agerbank.link.Outcome.State\022\027\n\017available" +
-      "_bytes\030\003 \001(\004\"\\\n\005State\022\025\n\021STATE_UNSPECIFI" +
-      "ED\020\000\022\n\n\006SEALED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FINISHE" +
-      "D\020\003\022\025\n\021OTHER_INCARNATION\020\004\"W\n\006Credit\022-\n\007" +
-      "request\030\001 \001(\0132\034.tanagerbank.link.Request" +
-      "Ref\022\017\n\007attempt\030\002 \001(\r\022\r\n\005bytes\030\003 \001(\004\"\025\n\004P" +
-      "ing\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(" +
-      "\004\"g\n\nLoadReport\022\020\n\010sequence\030\001 \001(\004\022\021\n\tin_" +
-      "flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\021\n\taccepti" +
-      "ng\030\004 \001(\010\022\020\n\010revision\030\005 \001(\004\"5\n\tLoadReply\022" +
-      "(\n\004mean\030\001 \001(\0132\032.tanagerbank.link.MeanLoa" +
-      "d\"\\\n\010LoadSums\022\r\n\005scope\030\001 \001(\t\022\020\n\010sequence" +
-      "\030\002 \001(\004\022/\n\010services\030\003 \003(\0132\035.tanagerbank.l" +
-      "ink.ServiceLoad\"I\n\013ServiceLoad\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\004\022\026\n\016live_upstr" +
-      "eams\030\003 \001(\r\"S\n\nConfigPush\022\020\n\010revision\030\001 \001" +
-      "(\004\022\022\n\npublish_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t\022\021\n\t" +
-      "unchanged\030\004 \001(\010\"$\n\013ConfigFetch\022\025\n\rhave_r" +
-      "evision\030\001 \001(\004\"\036\n\007Leaving\022\023\n\013incarnation\030" +
-      "\001 \001(\004\"5\n\013SpillNotice\022\021\n\tchat_hash\030\001 \001(\004\022" +
-      "\023\n\013upstream_id\030\002 \001(\t\"S\n\020QuarantineNotice" +
-      "\022\023\n\013fingerprint\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\031" +
-      "\n\021expires_at_millis\030\003 \001(\004*N\n\013VerdictCode" +
-      "\022\027\n\023VERDICT_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\020" +
-      "\n\014MAY_HAVE_RUN\020\002\022\007\n\003RAN\020\003B\"\n\025org.tanager" +
-      "bank.protoB\tLinkProtob\006proto3"
+      "stRef\022\017\n\007attempt\030\002 \001(\r\022\023\n\013total_bytes\030\003 " +
+      "\001(\004\022\023\n\013http_status\030\004 \001(\r\022\024\n\014content_type" +
+      "\030\005 \001(\t\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\rreused_" +
+      "tokens\030\007 \001(\r\022\021\n\tin_flight\030\010 \001(\r\"\263\001\n\006Fail" +
+      "ed\022-\n\007request\030\001 \001(\0132\034.tanagerbank.link.R" +
+      "equestRef\022\017\n\007attempt\030\002 \001(\r\022.\n\007verdict\030\003 " +
+      "\001(\0162\035.tanagerbank.link.VerdictCode\022\014\n\004co" +
+      "de\030\004 \001(\t\022\017\n\007message\030\005 \001(\t\022\032\n\022retry_after" +
+      "_millis\030\006 \001(\r\"H\n\006Cancel\022-\n\007request\030\001 \001(\013" +
+      "2\034.tanagerbank.link.RequestRef\022\017\n\007attemp" +
+      "t\030\002 \001(\r\"K\n\005Query\022-\n\007request\030\001 \001(\0132\034.tana" +
+      "gerbank.link.RequestRef\022\023\n\013incarnation\030\002" +
+      " \001(\004\"\337\001\n\007Outcome\022-\n\007request\030\001 \001(\0132\034.tana" +
+      "gerbank.link.RequestRef\022.\n\005state\030\002 \001(\0162\037" +
+      ".tanagerbank.link.Outcome.State\022\027\n\017avail" +
+      "able_bytes\030\003 \001(\004\"\\\n\005State\022\025\n\021STATE_UNSPE" +
+      "CIFIED\020\000\022\n\n\006SEALED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FIN" +
+      "ISHED\020\003\022\025\n\021OTHER_INCARNATION\020\004\"W\n\006Credit" +
+      "\022-\n\007request\030\001 \001(\0132\034.tanagerbank.link.Req" +
+      "uestRef\022\017\n\007attempt\030\002 \001(\r\022\r\n\005bytes\030\003 \001(\004\"" +
+      "\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030" +
+      "\001 \001(\004\"g\n\nLoadReport\022\020\n\010sequence\030\001 \001(\004\022\021\n" +
+      "\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\021\n\tacc" +
+      "epting\030\004 \001(\010\022\020\n\010revision\030\005 \001(\004\"5\n\tLoadRe" +
+      "ply\022(\n\004mean\030\001 \001(\0132\032.tanagerbank.link.Mea" +
+      "nLoad\"\\\n\010LoadSums\022\r\n\005scope\030\001 \001(\t\022\020\n\010sequ" +
+      "ence\030\002 \001(\004\022/\n\010services\030\003 \003(\0132\035.tanagerba" +
+      "nk.link.ServiceLoad\"I\n\013ServiceLoad\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\004\022\026\n\016live_u" +
+      "pstreams\030\003 \001(\r\"S\n\nConfigPush\022\020\n\010revision" +
+      "\030\001 \001(\004\022\022\n\npublish_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t" +
+      "\022\021\n\tunchanged\030\004 \001(\010\"$\n\013ConfigFetch\022\025\n\rha" +
+      "ve_revision\030\001 \001(\004\"\036\n\007Leaving\022\023\n\013incarnat" +
+      "ion\030\001 \001(\004\"5\n\013SpillNotice\022\021\n\tchat_hash\030\001 " +
+      "\001(\004\022\023\n\013upstream_id\030\002 \001(\t\"S\n\020QuarantineNo" +
+      "tice\022\023\n\013fingerprint\030\001 \001(\004\022\017\n\007service\030\002 \001" +
+      "(\t\022\031\n\021expires_at_millis\030\003 \001(\004*N\n\013Verdict" +
+      "Code\022\027\n\023VERDICT_UNSPECIFIED\020\000\022\013\n\007NOT_RUN" +
+      "\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\007\n\003RAN\020\003B\"\n\025org.tan" +
+      "agerbank.protoB\tLinkProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25594,7 +25840,7 @@
     internal_static_tanagerbank_link_Chunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_link_Chunk_descriptor,
-        new java.lang.String[] { "Request", "Attempt", "Position", "Data", });
+        new java.lang.String[] { "Request", "Attempt", "Position", "Data", "HttpStatus", "ContentType", });
     internal_static_tanagerbank_link_End_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_tanagerbank_link_End_fieldAccessorTable = new
