--- /dev/null
+++ b/src/main/java/org/tanagerbank/bench/Attempt.java
@@ -0,0 +1,37 @@
+package org.tanagerbank.bench;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.routing.MeanEstimate;
+
+/** A request on its way through entries and engines. Not thread-safe. */
+final class Attempt {
+  /** The answer of a sidecar that did not run a request. */
+  record Refusal(ErrorCode code, String movedTo, int inFlight) {}
+
+  final BenchRequest request;
+  ImmutableSet<String> excluded = ImmutableSet.of();
+  Optional<String> movedTo = Optional.empty();
+  boolean hintUsed;
+
+  /** A home that joined lately and has never served the chat. */
+  Optional<String> skipped = Optional.empty();
+
+  MeanEstimate mean;
+  FakeEngine engine;
+  Upstream upstream;
+  Upstream home;
+
+  /** The number of sends; replies to an earlier send are ignored. */
+  int number;
+
+  Attempt(BenchRequest request) {
+    this.request = request;
+  }
+
+  void exclude(String id) {
+    excluded = ImmutableSet.<String>builder().addAll(excluded).add(id).build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
@@ -0,0 +1,259 @@
+package org.tanagerbank.bench;
+
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.declaration.ServiceKind;
+import org.tanagerbank.declaration.ServiceSpec;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.routing.AdmissionDecision;
+import org.tanagerbank.routing.HomeDirectory;
+import org.tanagerbank.routing.MeanEstimate;
+import org.tanagerbank.routing.Rendezvous;
+import org.tanagerbank.routing.RouteDecision;
+import org.tanagerbank.routing.SlotTable;
+
+/**
+ * The production decision classes at every entry and sidecar, joined by simulated links.
+ *
+ * <p>Not thread-safe.
+ */
+final class TanagerbankPolicy extends RoutedPolicy {
+  private final ServiceSpec spec;
+  private final List<BenchEntry> entries = new ArrayList<>();
+  private final Map<FakeEngine, BenchSidecar> sidecars = new HashMap<>();
+  private final ControlBytes bytes = new ControlBytes();
+  private final SplittableRandom random;
+  private final Cache<List<Upstream>, SlotTable> tables =
+      CacheBuilder.newBuilder().maximumSize(64).build();
+
+  TanagerbankPolicy(Fleet fleet) {
+    super(fleet);
+    this.spec = spec(settings);
+    this.random = new SplittableRandom(settings.seed() + 202);
+    ImmutableMap.Builder<String, String> zoneByEntry = ImmutableMap.builder();
+    for (int e = 0; e < settings.entries(); e++) {
+      zoneByEntry.put("entry-" + e, fleet.zones.get(zoneOfEntry(e)).name());
+    }
+    for (int e = 0; e < settings.entries(); e++) {
+      entries.add(new BenchEntry(this, e, spec, this::tableOf, bytes));
+    }
+    entries.forEach(e -> e.setEntries(zoneByEntry.buildOrThrow()));
+  }
+
+  private static ServiceSpec spec(BenchSettings settings) {
+    return new ServiceSpec(
+        BenchSettings.SERVICE,
+        ServiceKind.ENGINE,
+        ImmutableList.of("draft-1"),
+        ImmutableList.of(),
+        BenchSettings.LOAD_MULTIPLE,
+        new ServiceSpec.Weights(settings.reuseWeight(), settings.skewWeight()),
+        30_000,
+        0,
+        BenchSettings.MAX_IN_FLIGHT,
+        ImmutableMap.of("default", 1),
+        new ServiceSpec.Objectives(1200, 51, 0.95),
+        ImmutableList.of(),
+        false);
+  }
+
+  /** Entries with the same list share a table, as they would hold equal ones. */
+  private SlotTable tableOf(SlotTable old, List<Upstream> live) {
+    try {
+      return tables.get(live, () -> old.withUpstreams(live));
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  String name() {
+    return "tanagerbank";
+  }
+
+  BenchEntry entry(int index) {
+    return entries.get(index);
+  }
+
+  BenchEntry entryById(String id) {
+    return entries.get(Integer.parseInt(id.substring("entry-".length())));
+  }
+
+  @Override
+  void started(FakeEngine engine) {
+    BenchSidecar sidecar = new BenchSidecar(this, engine, spec, reportingEntry(engine), bytes);
+    sidecars.put(engine, sidecar);
+    sidecar.start(random.nextLong(BenchSidecar.REPORT_MICROS));
+  }
+
+  /** Returns the entry of the engine's zone to which it reports, or one of another zone. */
+  private BenchEntry reportingEntry(FakeEngine engine) {
+    List<String> near = new ArrayList<>();
+    List<String> all = new ArrayList<>();
+    for (int e = 0; e < entries.size(); e++) {
+      all.add("entry-" + e);
+      if (zoneOfEntry(e) == engine.zone) {
+        near.add("entry-" + e);
+      }
+    }
+    List<String> candidates = near.isEmpty() ? all : near;
+    return entryById(Rendezvous.reportingEntry(engine.upstream.id(), candidates).orElseThrow());
+  }
+
+  @Override
+  void leaving(FakeEngine engine) {
+    sidecars.get(engine).leave();
+    entries.forEach(e -> e.linkEvidence(engine));
+  }
+
+  @Override
+  void crashed(FakeEngine engine) {
+    sidecars.get(engine).stop();
+    entries.forEach(e -> e.linkEvidence(engine));
+  }
+
+  @Override
+  void viewChanged(int entry, Collection<Upstream> view) {
+    entries.get(entry).setView(view);
+  }
+
+  @Override
+  void healed() {
+    entries.forEach(BenchEntry::linksRestored);
+  }
+
+  @Override
+  void route(Attempt attempt) {
+    BenchEntry entry = entries.get(attempt.request.entry());
+    RouteDecision decision = entry.choose(attempt, random);
+    if (decision instanceof RouteDecision.Send send) {
+      attempt.home = send.home();
+      attempt.mean = entry.mean();
+      entry.router.sent(send.upstream().id(), attempt.request.workspace(), time.nowMillis());
+      entry.loadChanged();
+      bytes.submit(attempt);
+      submit(attempt, send.upstream());
+    } else {
+      fleet.refused();
+    }
+  }
+
+  @Override
+  Attempt.Refusal admit(Attempt attempt) {
+    BenchSidecar sidecar = sidecars.get(attempt.engine);
+    if (!attempt.engine.accepting) {
+      return refusal(sidecar, ErrorCode.LEAVING, "");
+    }
+    if (!ignoresHint(attempt)) {
+      HomeDirectory.Hint hint = sidecar.directory.hint(attempt.request.key(), time.nowMillis());
+      if (hint instanceof HomeDirectory.Hint.MovedTo moved) {
+        return refusal(sidecar, ErrorCode.MOVED, moved.upstreamId());
+      } else if (hint instanceof HomeDirectory.Hint.PreviousHome) {
+        return refusal(sidecar, ErrorCode.MOVED, "");
+      }
+    }
+    sidecar.meanReported(attempt.mean);
+    AdmissionDecision decision =
+        sidecar.admission.admit(attempt.request.workspace(), time.nowMillis());
+    if (decision instanceof AdmissionDecision.Reject reject) {
+      return refusal(sidecar, reject.code(), "");
+    }
+    sidecar.directory.servedHere(attempt.request.key());
+    return null;
+  }
+
+  /** Only the home, and only on the first send of a returning chat, is asked for a hint. */
+  private static boolean ignoresHint(Attempt attempt) {
+    return !attempt.request.returning()
+        || attempt.hintUsed
+        || !attempt.home.id().equals(attempt.upstream.id());
+  }
+
+  private Attempt.Refusal refusal(BenchSidecar sidecar, ErrorCode code, String movedTo) {
+    return new Attempt.Refusal(code, movedTo, sidecar.admission.inFlight());
+  }
+
+  @Override
+  void refused(Attempt attempt, Attempt.Refusal refusal) {
+    bytes.refused(attempt, refusal);
+    if (refusal.code() != ErrorCode.MOVED) {
+      attempt.exclude(attempt.upstream.id());
+      attempt.movedTo = Optional.empty();
+      return;
+    }
+    attempt.hintUsed = true;
+    if (refusal.movedTo().isEmpty()) {
+      attempt.skipped = Optional.of(attempt.upstream.id());
+    } else {
+      attempt.movedTo = Optional.of(refusal.movedTo());
+    }
+  }
+
+  @Override
+  void accepted(Attempt attempt, int inFlight) {
+    BenchEntry entry = entries.get(attempt.request.entry());
+    entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
+    boolean known = attempt.movedTo.equals(Optional.of(attempt.upstream.id()));
+    if (!attempt.home.id().equals(attempt.upstream.id()) && !known) {
+      notifyHome(attempt);
+    }
+  }
+
+  private void notifyHome(Attempt attempt) {
+    FakeEngine home = fleet.engineOf(attempt.home);
+    int zone = zoneOfEntry(attempt.request.entry());
+    bytes.spill(attempt);
+    time.after(
+        Fleet.latency(zone, home.zone),
+        () -> {
+          if (home.up && fleet.connected(zone, home.zone)) {
+            sidecars.get(home).directory.spilled(attempt.request.key(), attempt.upstream.id());
+          }
+        });
+  }
+
+  @Override
+  void endedAtEngine(BenchRequest request, FakeEngine engine) {
+    sidecars.get(engine).admission.ended(request.workspace(), time.nowMillis());
+  }
+
+  @Override
+  void settled(Attempt attempt, int inFlight) {
+    BenchEntry entry = entries.get(attempt.request.entry());
+    entry.router.ended(attempt.upstream.id(), attempt.request.workspace(), time.nowMillis());
+    if (inFlight >= 0) {
+      entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
+    }
+    entry.loadChanged();
+  }
+
+  @Override
+  boolean mayRetry(Attempt attempt) {
+    return entries.get(attempt.request.entry()).retries.tryRetry(time.nowMillis());
+  }
+
+  @Override
+  long controlBytes() {
+    return bytes.total();
+  }
+
+  @Override
+  Object decide(BenchRequest request) {
+    return entries.get(request.entry()).choose(new Attempt(request), random);
+  }
+
+  static MeanEstimate none() {
+    return new MeanEstimate(0, 0, 0);
+  }
+}
--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.function.Supplier;
+import org.tanagerbank.bench.BenchRoutingCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -15,6 +16,11 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("version", new Row("print the version", VersionCommand::new))
+          .put(
+              "bench routing",
+              new Row(
+                  "measure routing against naive policies in simulated time",
+                  BenchRoutingCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/routing/LoadExchange.java
@@ -0,0 +1,207 @@
+package org.tanagerbank.routing;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides at one entry which load sums of one service to send to which entries, and when.
+ *
+ * <p>Up to {@value #DIRECT_ENTRIES} entries send their own part to each other on every change, as
+ * fast as the byte budget allows. More entries send theirs to the aggregator of their zone; the
+ * aggregators exchange zone sums and send totals back. Pure decision code, thread-safe.
+ */
+public final class LoadExchange {
+  /** The most entries that exchange their parts directly. */
+  public static final int DIRECT_ENTRIES = 8;
+
+  /** Kinds of sums; the sender is known from the link. */
+  public enum Scope {
+    /** The sender's own part. */
+    ENTRY,
+    /** The sum of the sender's zone. */
+    ZONE,
+    /** The sum of all zones. */
+    TOTAL
+  }
+
+  /** A message to be sent now. */
+  public record Message(
+      ImmutableList<String> receivers, Scope scope, long inFlight, int liveUpstreams) {}
+
+  /** The time by which direct sums lag: pacing under load, and two hops. */
+  private static final long DIRECT_LAG_MILLIS = 40;
+
+  /** The time by which totals lag: three paced hops. */
+  private static final long TREE_LAG_MILLIS = 600;
+
+  private static final double DIRECT_BYTES_PER_SECOND = 1_400;
+  private static final double BYTES_PER_MESSAGE = 34;
+  private static final double TREE_SENDS_PER_SECOND = 5;
+
+  private final String selfId;
+  private final String service;
+  private final LoadAggregator entries = new LoadAggregator();
+  private final LoadAggregator zones = new LoadAggregator();
+  private final Pacer ownPacer = new Pacer();
+  private final Pacer zonePacer = new Pacer();
+  private final Pacer totalPacer = new Pacer();
+  private ImmutableSortedMap<String, String> zoneOfEntry = ImmutableSortedMap.of();
+  private LoadAggregator.Sum own = new LoadAggregator.Sum(0, 0, 0);
+  private LoadAggregator.Sum total = new LoadAggregator.Sum(0, 0, 0);
+
+  /** Creates the exchange of an entry for a service. */
+  public LoadExchange(String selfId, String service) {
+    this.selfId = selfId;
+    this.service = service;
+  }
+
+  /** Takes the live entries, this one included, with their zones. */
+  public synchronized void setEntries(Map<String, String> zoneByEntryId) {
+    zoneOfEntry
+        .keySet()
+        .forEach(
+            id -> {
+              if (!zoneByEntryId.containsKey(id)) {
+                entries.remove(id);
+              }
+            });
+    zoneOfEntry
+        .values()
+        .forEach(
+            zone -> {
+              if (!zoneByEntryId.containsValue(zone)) {
+                zones.remove(zone);
+              }
+            });
+    zoneOfEntry = ImmutableSortedMap.copyOf(zoneByEntryId);
+    double perSend = Math.max(1, zoneByEntryId.size() - 1) * BYTES_PER_MESSAGE;
+    ownPacer.rate(isDirect() ? DIRECT_BYTES_PER_SECOND / perSend : TREE_SENDS_PER_SECOND);
+    zonePacer.rate(TREE_SENDS_PER_SECOND);
+    totalPacer.rate(TREE_SENDS_PER_SECOND);
+    ownPacer.sendSoon();
+  }
+
+  /**
+   * Takes this entry's requests in flight at live upstreams, and the sidecars that report to it.
+   */
+  public synchronized void ownChanged(long inFlight, int reportingSidecars, long nowMillis) {
+    own = new LoadAggregator.Sum(inFlight, reportingSidecars, nowMillis);
+  }
+
+  /** Takes a sum that another entry sent. */
+  public synchronized void received(
+      String fromEntry, Scope scope, long inFlight, int liveUpstreams, long nowMillis) {
+    if (scope == Scope.ENTRY) {
+      entries.report(fromEntry, inFlight, liveUpstreams, nowMillis);
+    } else if (scope == Scope.ZONE) {
+      String zone = zoneOfEntry.get(fromEntry);
+      if (zone != null) {
+        zones.report(zone, inFlight, liveUpstreams, nowMillis);
+      }
+    } else {
+      total = new LoadAggregator.Sum(inFlight, liveUpstreams, nowMillis);
+    }
+  }
+
+  /** Returns the messages to send now. Called after each change and at {@link #nextSendMillis}. */
+  public synchronized List<Message> due(long nowMillis) {
+    List<Message> messages = new ArrayList<>();
+    if (isDirect()) {
+      if (ownPacer.due(key(own), nowMillis)) {
+        messages.add(message(others(), Scope.ENTRY, own));
+      }
+      return messages;
+    }
+    String zone = zoneOfEntry.get(selfId);
+    Optional<String> aggregator = aggregatorOf(zone);
+    if (!aggregator.equals(Optional.of(selfId))) {
+      if (aggregator.isPresent() && ownPacer.due(key(own), nowMillis)) {
+        messages.add(message(ImmutableList.of(aggregator.get()), Scope.ENTRY, own));
+      }
+      return messages;
+    }
+    LoadAggregator.Sum zoneSum = plus(entries.sum(nowMillis), own);
+    if (zonePacer.due(key(zoneSum), nowMillis)) {
+      messages.add(message(otherAggregators(zone), Scope.ZONE, zoneSum));
+    }
+    total = plus(zones.sum(nowMillis), zoneSum);
+    if (totalPacer.due(key(total), nowMillis)) {
+      messages.add(message(entriesOf(zone), Scope.TOTAL, total));
+    }
+    return messages;
+  }
+
+  /** Returns the time at which {@link #due} is to be called although nothing changed. */
+  public synchronized long nextSendMillis(long nowMillis) {
+    if (isDirect()) {
+      return ownPacer.next(key(own), nowMillis);
+    }
+    return nowMillis + (long) (1000 / TREE_SENDS_PER_SECOND);
+  }
+
+  /** Returns the estimate of the mean load, if one is known. */
+  public synchronized Optional<MeanEstimate> mean(long nowMillis) {
+    if (isDirect()) {
+      return aged(plus(entries.sum(nowMillis), own), nowMillis, DIRECT_LAG_MILLIS).mean();
+    }
+    return aged(total, nowMillis, TREE_LAG_MILLIS).mean();
+  }
+
+  private boolean isDirect() {
+    return zoneOfEntry.size() <= DIRECT_ENTRIES;
+  }
+
+  private LoadAggregator.Sum aged(LoadAggregator.Sum sum, long nowMillis, long lagMillis) {
+    long lag = zoneOfEntry.size() <= 1 ? 0 : lagMillis;
+    return new LoadAggregator.Sum(
+        sum.inFlight(), sum.liveUpstreams(), Math.min(sum.takenAtMillis(), nowMillis - lag));
+  }
+
+  private static LoadAggregator.Sum plus(LoadAggregator.Sum a, LoadAggregator.Sum b) {
+    return new LoadAggregator.Sum(
+        a.inFlight() + b.inFlight(), a.liveUpstreams() + b.liveUpstreams(), a.takenAtMillis());
+  }
+
+  private static long key(LoadAggregator.Sum sum) {
+    return sum.inFlight() * 100_003 + sum.liveUpstreams();
+  }
+
+  private static Message message(
+      ImmutableList<String> receivers, Scope scope, LoadAggregator.Sum sum) {
+    return new Message(receivers, scope, sum.inFlight(), sum.liveUpstreams());
+  }
+
+  private ImmutableList<String> others() {
+    return zoneOfEntry.keySet().stream()
+        .filter(id -> !id.equals(selfId))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private ImmutableList<String> entriesOf(String zone) {
+    return zoneOfEntry.entrySet().stream()
+        .filter(e -> e.getValue().equals(zone) && !e.getKey().equals(selfId))
+        .map(Map.Entry::getKey)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private Optional<String> aggregatorOf(String zone) {
+    return Rendezvous.aggregator(
+        service,
+        zoneOfEntry.entrySet().stream()
+            .filter(e -> e.getValue().equals(zone))
+            .map(Map.Entry::getKey)
+            .toList());
+  }
+
+  private ImmutableList<String> otherAggregators(String zone) {
+    return zoneOfEntry.values().stream()
+        .distinct()
+        .filter(z -> !z.equals(zone))
+        .flatMap(z -> aggregatorOf(z).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+}
