--- a/src/main/java/org/tanagerbank/bench/BenchEntry.java
+++ b/src/main/java/org/tanagerbank/bench/BenchEntry.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -23,6 +24,8 @@
 final class BenchEntry {
   final SlotRouter router;
   final RetryBudget retries = new RetryBudget();
+  private static final long LINK_IDLE_MILLIS = 60_000;
+
   private final TanagerbankPolicy policy;
   private final SimulatedTime time;
   private final int zone;
@@ -31,6 +34,7 @@
   private final LoadExchange exchange;
   private final LoadAggregator sidecars = new LoadAggregator();
   private final Map<FakeEngine, Long> gone = new HashMap<>();
+  private final Map<Upstream, Long> linked = new LinkedHashMap<>();
   private Map<String, String> allEntries = Map.of();
   private Collection<Upstream> view = List.of();
   private int reporting;
@@ -78,9 +82,24 @@
     }
   }
 
+  /**
+   * Merges the list with the links in use: an upstream that is missing from the list but answers on
+   * its link stays.
+   */
   private void updateUpstreams() {
+    Map<String, Upstream> merged = new TreeMap<>();
+    linked.forEach(
+        (upstream, usedAt) -> {
+          boolean open = time.nowMillis() - usedAt < LINK_IDLE_MILLIS;
+          if (open && policy.fleet.connected(zone, policy.fleet.engineOf(upstream).zone)) {
+            merged.put(upstream.id(), upstream);
+          }
+        });
+    for (Upstream upstream : view) {
+      merged.merge(upstream.id(), upstream, (a, b) -> a.incarnation() > b.incarnation() ? a : b);
+    }
     List<Upstream> live =
-        view.stream()
+        merged.values().stream()
             .filter(u -> gone.getOrDefault(policy.fleet.engineOf(u), 0L) < u.incarnation())
             .toList();
     router.setUpstreams(live, time.nowMillis());
@@ -110,6 +129,11 @@
     }
   }
 
+  /** Notes that an upstream answered on its link. */
+  void answered(Upstream upstream) {
+    linked.put(upstream, time.nowMillis());
+  }
+
   RouteDecision choose(Attempt attempt, SplittableRandom random) {
     BenchRequest request = attempt.request;
     if (attempt.number == 0) {
@@ -121,7 +145,12 @@
       excluded = ImmutableSet.<String>builder().addAll(excluded).add(attempt.skipped.get()).build();
     }
     return router.choose(
-        new RouteRequest(request.workspace(), request.key(), excluded, attempt.movedTo),
+        new RouteRequest(
+            request.workspace(),
+            request.key(),
+            excluded,
+            attempt.movedTo,
+            request.returning() && attempt.skipped.isEmpty()),
         time.nowMillis(),
         random);
   }
--- a/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
+++ b/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
@@ -155,15 +155,17 @@
     if (!attempt.engine.accepting) {
       return refusal(sidecar, ErrorCode.LEAVING, "");
     }
+    sidecar.meanReported(attempt.mean);
     if (!ignoresHint(attempt)) {
-      HomeDirectory.Hint hint = sidecar.directory.hint(attempt.request.key(), time.nowMillis());
+      HomeDirectory.Hint hint =
+          sidecar.directory.hint(
+              attempt.request.key(), sidecar.admission.isBusy(), time.nowMillis());
       if (hint instanceof HomeDirectory.Hint.MovedTo moved) {
         return refusal(sidecar, ErrorCode.MOVED, moved.upstreamId());
-      } else if (hint instanceof HomeDirectory.Hint.PreviousHome) {
+      } else if (hint instanceof HomeDirectory.Hint.Elsewhere) {
         return refusal(sidecar, ErrorCode.MOVED, "");
       }
     }
-    sidecar.meanReported(attempt.mean);
     AdmissionDecision decision =
         sidecar.admission.admit(attempt.request.workspace(), time.nowMillis());
     if (decision instanceof AdmissionDecision.Reject reject) {
@@ -203,6 +205,7 @@
   @Override
   void accepted(Attempt attempt, int inFlight) {
     BenchEntry entry = entries.get(attempt.request.entry());
+    entry.answered(attempt.upstream);
     entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
     boolean known = attempt.movedTo.equals(Optional.of(attempt.upstream.id()));
     if (!attempt.home.id().equals(attempt.upstream.id()) && !known) {
--- a/src/main/java/org/tanagerbank/routing/BoundedAdmission.java
+++ b/src/main/java/org/tanagerbank/routing/BoundedAdmission.java
@@ -95,6 +95,11 @@
     endTimes.addLast(nowMillis);
   }
 
+  /** Returns whether one more request would put the upstream above the mean as last reported. */
+  public synchronized boolean isBusy() {
+    return mean.liveUpstreams() > 1 && inFlight + 1 > mean.mean();
+  }
+
   @Override
   public synchronized int inFlight() {
     return inFlight;
--- a/src/main/java/org/tanagerbank/routing/HomeDirectory.java
+++ b/src/main/java/org/tanagerbank/routing/HomeDirectory.java
@@ -22,11 +22,11 @@
     record MovedTo(String upstreamId) implements Hint {}
 
     /**
-     * At the chat's previous home: this sidecar is new and has never served the chat. It is
-     * answered with code {@code MOVED} and no upstream, and the entry goes on to the next
-     * candidate, which was the home before this sidecar joined.
+     * Not here: this sidecar has no trace of the chat, and is new or busier than the mean. It is
+     * answered with code {@code MOVED} and no upstream. The entry goes on to the candidate that was
+     * the home before this sidecar joined, or to one with less load; no cached prefix is lost.
      */
-    record PreviousHome() implements Hint {}
+    record Elsewhere() implements Hint {}
   }
 
   /**
@@ -36,7 +36,7 @@
   static final long NEW_MILLIS = 600_000;
 
   private static final Hint HERE = new Hint.Here();
-  private static final Hint PREVIOUS = new Hint.PreviousHome();
+  private static final Hint ELSEWHERE = new Hint.Elsewhere();
   private static final String SELF = "";
 
   private final long startedAtMillis;
@@ -69,11 +69,11 @@
     lastServedAt.put(chat.hash(), SELF);
   }
 
-  /** Returns where a returning chat should run. */
-  public synchronized Hint hint(ChatKey chat, long nowMillis) {
+  /** Returns where a returning chat should run; busy means more in flight than the mean. */
+  public synchronized Hint hint(ChatKey chat, boolean busy, long nowMillis) {
     String at = lastServedAt.get(chat.hash());
     if (at == null) {
-      return nowMillis - startedAtMillis < NEW_MILLIS ? PREVIOUS : HERE;
+      return busy || nowMillis - startedAtMillis < NEW_MILLIS ? ELSEWHERE : HERE;
     }
     return at.equals(SELF) ? HERE : new Hint.MovedTo(at);
   }
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -1,7 +1,6 @@
 package org.tanagerbank.routing;
 
 import com.google.common.collect.ImmutableSet;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +23,13 @@
   public static final int MAX_UPSTREAMS_PER_REQUEST = 4;
 
   private static final long RETRY_MILLIS = 500;
-  private static final int SCAN = 64;
+  private static final int SCAN = 16;
+
+  /** An upstream that is missing from a list for less than this was not restarted. */
+  private static final long BRIEF_ABSENCE_MILLIS = 10_000;
+
+  /** The load below which a home takes a new chat, as a multiple of the mean. */
+  private static final double NEW_CHAT_MULTIPLE = 0.9;
 
   /** The table, and the loads by member index. */
   private record View(SlotTable table, UpstreamLoad[] loads, Map<String, Integer> indexes) {}
@@ -76,6 +81,7 @@
     old.indexes.forEach(
         (id, i) -> {
           if (!indexes.containsKey(id)) {
+            old.loads[i].departedAtMillis = nowMillis;
             departed.put(id, old.loads[i]);
           }
         });
@@ -95,13 +101,17 @@
     if (!started) {
       return new UpstreamLoad(upstream.incarnation(), Long.MIN_VALUE / 2, nowMillis);
     }
+    boolean sameProcess = earlier != null && earlier.incarnation == upstream.incarnation();
+    if (sameProcess && nowMillis - earlier.departedAtMillis < BRIEF_ABSENCE_MILLIS) {
+      return earlier;
+    }
     long usableFrom = nowMillis;
     if (earlier != null) {
       usableFrom =
           dampers.computeIfAbsent(upstream.id(), id -> new FlapDamper()).returned(nowMillis);
     }
     UpstreamLoad load = new UpstreamLoad(upstream.incarnation(), usableFrom, usableFrom);
-    if (earlier != null && earlier.incarnation == upstream.incarnation()) {
+    if (sameProcess) {
       load.own = earlier.own;
     }
     return load;
@@ -160,8 +170,9 @@
     }
     Choice choice = new Choice(now, request, nowMillis);
     int index = choice.moved();
+    index = index >= 0 ? index : choice.forNewChat();
     index = index >= 0 ? index : choice.ranked();
-    index = index >= 0 ? index : choice.random(random);
+    index = index >= 0 ? index : choice.leastLoaded(random);
     if (index < 0) {
       return new RouteDecision.Refuse(ErrorCode.OVERLOADED, RETRY_MILLIS);
     }
@@ -185,6 +196,7 @@
     private final ImmutableSet<String> excluded;
     private final Optional<String> movedTo;
     private final long nowMillis;
+    private final boolean returning;
     private final long chatHash;
     private final int slot;
     private final double meanWithNew;
@@ -194,6 +206,7 @@
       this.now = now;
       this.excluded = request.excluded();
       this.movedTo = request.movedTo();
+      this.returning = request.returning();
       this.nowMillis = nowMillis;
       this.chatHash = request.chat().hash();
       this.slot = SlotTable.slotOf(chatHash);
@@ -207,6 +220,34 @@
       return index != null && isUsable(index) && isBelow(index, spec.loadMultiple()) ? index : -1;
     }
 
+    /**
+     * Returns where a chat without cached prefix runs: at its home when that is idle enough, else
+     * at the least loaded candidate, so that such chats even out the load.
+     */
+    int forNewChat() {
+      if (returning || isHomeNew()) {
+        return -1;
+      }
+      int best = -1;
+      for (int rank = 0; rank < SlotTable.RANKS; rank++) {
+        int index = now.table.indexAt(slot, rank);
+        if (index >= 0 && isUsable(index) && isWithinShare(index)) {
+          if (rank == 0 && isBelow(index, NEW_CHAT_MULTIPLE)) {
+            return index;
+          }
+          best = best < 0 || compare(index, best) < 0 ? index : best;
+        }
+      }
+      return best >= 0 && isBelow(best, spec.loadMultiple()) ? best : -1;
+    }
+
+    /** Returns whether the home refused the chat because it is new and holds nothing of it. */
+    private boolean isHomeNew() {
+      int home = now.table.indexAt(slot, 0);
+      return excluded.contains(now.table.member(home).id())
+          && nowMillis - now.loads[home].joinedAtMillis < HomeDirectory.NEW_MILLIS;
+    }
+
     /** Returns the first candidate of the slot that can be used and is below its bound. */
     int ranked() {
       double early = 1 + (spec.loadMultiple() - 1) * (1 - spec.weights().skewShare() / 2);
@@ -215,8 +256,9 @@
         if (index < 0) {
           return -1;
         }
+        boolean started = rank == 0 ? hasStarted(index) : isWithinShare(index);
         double multiple = rank == 0 ? early : spec.loadMultiple();
-        if (isUsable(index) && hasStarted(index) && isBelow(index, multiple)) {
+        if (isUsable(index) && started && isBelow(index, multiple)) {
           return index;
         }
       }
@@ -224,20 +266,24 @@
     }
 
     /**
-     * Returns the less loaded of two random usable upstreams, or any usable one that is below the
-     * hard limit. The sidecars hold the bound, so an old report alone refuses nothing.
+     * Returns the least loaded of some upstreams that were not tried, those in slow start or damped
+     * included: the bound counts them, so without them the others would have to refuse. The
+     * sidecars hold the bound, so an old report alone refuses nothing.
      */
-    int random(RandomGenerator random) {
+    int leastLoaded(RandomGenerator random) {
       int capacity = now.loads.length;
       int start = random.nextInt(capacity);
-      List<Integer> found = new ArrayList<>(2);
-      for (int i = 0; i < Math.min(capacity, SCAN) && found.size() < 2; i++) {
+      int best = -1;
+      int seen = 0;
+      for (int i = 0; i < capacity && seen < SCAN; i++) {
         int index = (start + i) % capacity;
-        if (now.loads[index] != null && isUsable(index) && estimate(index) < hardLimit) {
-          found.add(index);
+        if (now.loads[index] != null) {
+          seen++;
+          boolean allowed = !isExcluded(index) && estimate(index) < hardLimit;
+          best = allowed && (best < 0 || compare(index, best) < 0) ? index : best;
         }
       }
-      return found.stream().min((a, b) -> compare(a, b)).orElse(-1);
+      return best;
     }
 
     private int compare(int a, int b) {
@@ -250,8 +296,18 @@
     }
 
     private boolean isUsable(int index) {
-      return now.loads[index].usableFromMillis <= nowMillis
-          && !excluded.contains(now.table.member(index).id());
+      return now.loads[index].usableFromMillis <= nowMillis && !isExcluded(index);
+    }
+
+    private boolean isExcluded(int index) {
+      return excluded.contains(now.table.member(index).id());
+    }
+
+    /** Returns whether an upstream in slow start has less than its share of the mean load. */
+    private boolean isWithinShare(int index) {
+      double age = nowMillis - now.loads[index].joinedAtMillis;
+      return age >= spec.slowStartMillis()
+          || estimate(index) <= age / spec.slowStartMillis() * mean.mean();
     }
 
     /** Returns whether an upstream's growing share already includes this chat. */
