Report load changes to all entries of small services; spill by load after two refusals

Cause: under churn the entries sent spilled requests to engines at their bound although engines in slow start stood nearly idle, because candidates of the slot were tried four times before load counted, on loads known from old answers. Ruled out: a wrong mean (the estimate was within 0.1 of the true one).

--- a/src/main/java/org/tanagerbank/bench/BenchEntry.java
+++ b/src/main/java/org/tanagerbank/bench/BenchEntry.java
@@ -28,7 +28,7 @@
 
   private final TanagerbankPolicy policy;
   private final SimulatedTime time;
-  private final int zone;
+  final int zone;
   private final String id;
   private final ControlBytes bytes;
   private final LoadExchange exchange;
@@ -120,6 +120,11 @@
     }
   }
 
+  /** Takes the in-flight count that a sidecar reported because it changed. */
+  void loadReported(FakeEngine engine, int inFlight) {
+    router.loadReported(engine.upstream.id(), inFlight, time.nowMillis());
+  }
+
   /** Takes the report of a sidecar for which this is the reporting entry. */
   void sidecarReported(FakeEngine engine, int inFlight, long incarnation) {
     if (gone.getOrDefault(engine, 0L) < incarnation) {
--- a/src/main/java/org/tanagerbank/bench/BenchSidecar.java
+++ b/src/main/java/org/tanagerbank/bench/BenchSidecar.java
@@ -4,6 +4,7 @@
 import org.tanagerbank.routing.BoundedAdmission;
 import org.tanagerbank.routing.HomeDirectory;
 import org.tanagerbank.routing.MeanEstimate;
+import org.tanagerbank.routing.ReportPacer;
 
 /** The decision classes of one sidecar incarnation. Not thread-safe. */
 final class BenchSidecar {
@@ -17,6 +18,8 @@
   private final BenchEntry reportingEntry;
   private final ControlBytes bytes;
   private final long incarnation;
+  private final ReportPacer reportPacer = new ReportPacer();
+  private int live;
   private boolean stopped;
 
   BenchSidecar(
@@ -52,6 +55,22 @@
     }
   }
 
+  /** Reports a change to every entry that has a link, as often as the byte budget allows. */
+  void loadChanged() {
+    if (!stopped && reportPacer.due(admission.inFlight(), live, now())) {
+      int inFlight = admission.inFlight();
+      boolean late = policy.settings.scenario() == BenchScenario.LAG;
+      long lag = late ? policy.settings.reportLagMillis() * 1000 : 0;
+      for (BenchEntry entry : policy.entries()) {
+        bytes.reportOnChange(inFlight);
+        if (policy.fleet.connected(entry.zone, engine.zone)) {
+          long latency = Fleet.latency(entry.zone, engine.zone);
+          policy.time.after(lag + latency, () -> entry.loadReported(engine, inFlight));
+        }
+      }
+    }
+  }
+
   private void report() {
     int inFlight = admission.inFlight();
     boolean late = policy.settings.scenario() == BenchScenario.LAG;
@@ -68,6 +87,7 @@
 
   /** Takes the mean that came with a request, aged by the time that the sender stated. */
   void meanReported(MeanEstimate mean) {
+    live = mean.liveUpstreams();
     admission.meanReported(mean, now());
   }
 
--- a/src/main/java/org/tanagerbank/bench/ControlBytes.java
+++ b/src/main/java/org/tanagerbank/bench/ControlBytes.java
@@ -50,6 +50,17 @@
     total += 2L * size(Frame.newBuilder().setLoadSums(sums));
   }
 
+  /** Counts a report to one entry that gets no reply. */
+  void reportOnChange(int inFlight) {
+    LoadReport.Builder report =
+        LoadReport.newBuilder()
+            .setSequence(sequence)
+            .setInFlight(inFlight)
+            .setAccepting(true)
+            .setRevision(1_000_000);
+    total += size(Frame.newBuilder().setLoadReport(report));
+  }
+
   /** Counts a report and the reply that shows the sidecar that its entry is alive. */
   void report(int inFlight) {
     LoadReport.Builder report =
--- a/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
+++ b/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
@@ -82,8 +82,8 @@
     return "tanagerbank";
   }
 
-  BenchEntry entry(int index) {
-    return entries.get(index);
+  List<BenchEntry> entries() {
+    return entries;
   }
 
   BenchEntry entryById(String id) {
@@ -172,6 +172,7 @@
       return refusal(sidecar, reject.code(), "");
     }
     sidecar.directory.servedHere(attempt.request.key());
+    sidecar.loadChanged();
     return null;
   }
 
@@ -228,7 +229,9 @@
 
   @Override
   void endedAtEngine(BenchRequest request, FakeEngine engine) {
-    sidecars.get(engine).admission.ended(request.workspace(), time.nowMillis());
+    BenchSidecar sidecar = sidecars.get(engine);
+    sidecar.admission.ended(request.workspace(), time.nowMillis());
+    sidecar.loadChanged();
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -171,7 +171,7 @@
     Choice choice = new Choice(now, request, nowMillis);
     int index = choice.moved();
     index = index >= 0 ? index : choice.forNewChat();
-    index = index >= 0 ? index : choice.ranked();
+    index = index >= 0 || choice.refusedTwice() ? index : choice.ranked();
     index = index >= 0 ? index : choice.leastLoaded(random);
     if (index < 0) {
       return new RouteDecision.Refuse(ErrorCode.OVERLOADED, RETRY_MILLIS);
@@ -248,6 +248,14 @@
           && nowMillis - now.loads[home].joinedAtMillis < HomeDirectory.NEW_MILLIS;
     }
 
+    /**
+     * Returns whether two upstreams refused the request. A third candidate of the slot holds no
+     * prefix that is worth another refusal, so the rest goes by load.
+     */
+    boolean refusedTwice() {
+      return excluded.size() >= 2;
+    }
+
     /** Returns the first candidate of the slot that can be used and is below its bound. */
     int ranked() {
       double early = 1 + (spec.loadMultiple() - 1) * (1 - spec.weights().skewShare() / 2);
