--- a/src/main/java/org/tanagerbank/bench/BenchEntry.java
+++ b/src/main/java/org/tanagerbank/bench/BenchEntry.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -23,14 +24,17 @@
 final class BenchEntry {
   final SlotRouter router;
   final RetryBudget retries = new RetryBudget();
+  private static final long LINK_IDLE_MILLIS = 60_000;
+
   private final TanagerbankPolicy policy;
   private final SimulatedTime time;
-  private final int zone;
+  final int zone;
   private final String id;
   private final ControlBytes bytes;
   private final LoadExchange exchange;
   private final LoadAggregator sidecars = new LoadAggregator();
   private final Map<FakeEngine, Long> gone = new HashMap<>();
+  private final Map<Upstream, Long> linked = new LinkedHashMap<>();
   private Map<String, String> allEntries = Map.of();
   private Collection<Upstream> view = List.of();
   private int reporting;
@@ -78,9 +82,24 @@
     }
   }
 
+  /**
+   * Merges the list with the links in use: an upstream that is missing from the list but answers on
+   * its link stays.
+   */
   private void updateUpstreams() {
+    Map<String, Upstream> merged = new TreeMap<>();
+    linked.forEach(
+        (upstream, usedAt) -> {
+          boolean open = time.nowMillis() - usedAt < LINK_IDLE_MILLIS;
+          if (open && policy.fleet.connected(zone, policy.fleet.engineOf(upstream).zone)) {
+            merged.put(upstream.id(), upstream);
+          }
+        });
+    for (Upstream upstream : view) {
+      merged.merge(upstream.id(), upstream, (a, b) -> a.incarnation() > b.incarnation() ? a : b);
+    }
     List<Upstream> live =
-        view.stream()
+        merged.values().stream()
             .filter(u -> gone.getOrDefault(policy.fleet.engineOf(u), 0L) < u.incarnation())
             .toList();
     router.setUpstreams(live, time.nowMillis());
@@ -101,6 +120,11 @@
     }
   }
 
+  /** Takes the in-flight count that a sidecar reported because it changed. */
+  void loadReported(FakeEngine engine, int inFlight) {
+    router.loadReported(engine.upstream.id(), inFlight, time.nowMillis());
+  }
+
   /** Takes the report of a sidecar for which this is the reporting entry. */
   void sidecarReported(FakeEngine engine, int inFlight, long incarnation) {
     if (gone.getOrDefault(engine, 0L) < incarnation) {
@@ -110,6 +134,11 @@
     }
   }
 
+  /** Notes that an upstream answered on its link. */
+  void answered(Upstream upstream) {
+    linked.put(upstream, time.nowMillis());
+  }
+
   RouteDecision choose(Attempt attempt, SplittableRandom random) {
     BenchRequest request = attempt.request;
     if (attempt.number == 0) {
@@ -121,7 +150,12 @@
       excluded = ImmutableSet.<String>builder().addAll(excluded).add(attempt.skipped.get()).build();
     }
     return router.choose(
-        new RouteRequest(request.workspace(), request.key(), excluded, attempt.movedTo),
+        new RouteRequest(
+            request.workspace(),
+            request.key(),
+            excluded,
+            attempt.movedTo,
+            request.returning() && attempt.skipped.isEmpty()),
         time.nowMillis(),
         random);
   }
--- a/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
+++ b/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
@@ -82,8 +82,8 @@
     return "tanagerbank";
   }
 
-  BenchEntry entry(int index) {
-    return entries.get(index);
+  List<BenchEntry> entries() {
+    return entries;
   }
 
   BenchEntry entryById(String id) {
@@ -155,21 +155,24 @@
     if (!attempt.engine.accepting) {
       return refusal(sidecar, ErrorCode.LEAVING, "");
     }
+    sidecar.meanReported(attempt.mean);
     if (!ignoresHint(attempt)) {
-      HomeDirectory.Hint hint = sidecar.directory.hint(attempt.request.key(), time.nowMillis());
+      HomeDirectory.Hint hint =
+          sidecar.directory.hint(
+              attempt.request.key(), sidecar.admission.isBusy(), time.nowMillis());
       if (hint instanceof HomeDirectory.Hint.MovedTo moved) {
         return refusal(sidecar, ErrorCode.MOVED, moved.upstreamId());
-      } else if (hint instanceof HomeDirectory.Hint.PreviousHome) {
+      } else if (hint instanceof HomeDirectory.Hint.Elsewhere) {
         return refusal(sidecar, ErrorCode.MOVED, "");
       }
     }
-    sidecar.meanReported(attempt.mean);
     AdmissionDecision decision =
         sidecar.admission.admit(attempt.request.workspace(), time.nowMillis());
     if (decision instanceof AdmissionDecision.Reject reject) {
       return refusal(sidecar, reject.code(), "");
     }
     sidecar.directory.servedHere(attempt.request.key());
+    sidecar.loadChanged();
     return null;
   }
 
@@ -203,6 +206,7 @@
   @Override
   void accepted(Attempt attempt, int inFlight) {
     BenchEntry entry = entries.get(attempt.request.entry());
+    entry.answered(attempt.upstream);
     entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
     boolean known = attempt.movedTo.equals(Optional.of(attempt.upstream.id()));
     if (!attempt.home.id().equals(attempt.upstream.id()) && !known) {
@@ -225,7 +229,9 @@
 
   @Override
   void endedAtEngine(BenchRequest request, FakeEngine engine) {
-    sidecars.get(engine).admission.ended(request.workspace(), time.nowMillis());
+    BenchSidecar sidecar = sidecars.get(engine);
+    sidecar.admission.ended(request.workspace(), time.nowMillis());
+    sidecar.loadChanged();
   }
 
   @Override
