--- /dev/null
+++ b/src/main/java/org/tanagerbank/ledger/Submission.java
@@ -0,0 +1,27 @@
+package org.tanagerbank.ledger;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import org.tanagerbank.contract.RequestId;
+
+/**
+ * A Submit as the ledger sees it.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param id the request id
+ * @param attempt the attempt number, from 1
+ * @param incarnation the sidecar incarnation that the request is bound to
+ * @param nonIdempotent whether the request must not run twice
+ * @param key the idempotency key, if there is one
+ */
+public record Submission(
+    RequestId id, int attempt, long incarnation, boolean nonIdempotent, Optional<KeyUse> key) {
+  public Submission {
+    checkNotNull(id);
+    checkArgument(attempt > 0, "attempt must be positive: %s", attempt);
+    checkNotNull(key);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/ledger/RequestLedgerTest.java
@@ -0,0 +1,209 @@
+package org.tanagerbank.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.Fingerprint;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.contract.Verdict;
+
+/** Guards against a request that runs twice, or runs after its caller was told that it did not. */
+final class RequestLedgerTest {
+  private static final long INCARNATION = 7;
+  private static final LedgerLimits LIMITS = new LedgerLimits(4, 1_000, 3, 10_000, 2);
+
+  private final RequestLedger<String> ledger = new RequestLedger<>(INCARNATION, LIMITS);
+  private int runs;
+
+  private static RequestId id(long sequence) {
+    return new RequestId("entry-1", 1, sequence);
+  }
+
+  private static KeyUse issued(String key, String body) {
+    return KeyUse.issued(key, 5_000, Fingerprint.of("s", body.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static KeyUse made(String key) {
+    return KeyUse.made("w", key, Fingerprint.of("s", new byte[0]));
+  }
+
+  private SubmitDecision<String> submit(RequestId id, int attempt, KeyUse key, long now) {
+    return ledger.submit(
+        new Submission(id, attempt, INCARNATION, key != null, Optional.ofNullable(key)),
+        () -> Gate.Pass.admit("run-" + ++runs),
+        now);
+  }
+
+  private SubmitDecision<String> refuse(RequestId id, int attempt, KeyUse key, ErrorCode code) {
+    return ledger.submit(
+        new Submission(id, attempt, INCARNATION, key != null, Optional.ofNullable(key)),
+        () -> Gate.Pass.refuse(code, 100),
+        0);
+  }
+
+  private static void assertRefused(SubmitDecision<String> decision, ErrorCode code) {
+    assertThat(((SubmitDecision.Refuse<String>) decision).code()).isEqualTo(code);
+  }
+
+  private static void assertFailed(
+      SubmitDecision<String> decision, ErrorCode code, Verdict verdict) {
+    assertThat(decision).isEqualTo(new SubmitDecision.Fail<String>(code, verdict));
+  }
+
+  @Test
+  void repeatedSubmitAttaches() {
+    assertThat(submit(id(1), 1, null, 0)).isEqualTo(new SubmitDecision.Run<>("run-1"));
+    assertThat(submit(id(1), 2, null, 0)).isEqualTo(new SubmitDecision.Attach<>("run-1"));
+    ledger.finish(id(1), 1);
+    assertThat(submit(id(1), 3, null, 2)).isEqualTo(new SubmitDecision.Attach<>("run-1"));
+    assertThat(ledger.query(id(1), INCARNATION, 2)).isEqualTo(new QueryOutcome.Finished<>("run-1"));
+  }
+
+  @Test
+  void queryAndRefusalSeal() {
+    assertThat(ledger.query(id(1), INCARNATION, 0)).isEqualTo(new QueryOutcome.Sealed<>());
+    assertRefused(submit(id(1), 1, null, 0), ErrorCode.SEALED);
+    assertRefused(refuse(id(2), 1, null, ErrorCode.OVERLOADED), ErrorCode.OVERLOADED);
+    assertRefused(submit(id(2), 2, null, 0), ErrorCode.SEALED);
+    assertThat(runs).isEqualTo(0);
+  }
+
+  @Test
+  void movedSealsTheAttemptOnly() {
+    refuse(id(1), 1, null, ErrorCode.MOVED);
+    assertRefused(submit(id(1), 1, null, 0), ErrorCode.MOVED);
+    assertThat(submit(id(1), 2, null, 0)).isInstanceOf(SubmitDecision.Run.class);
+    refuse(id(2), 1, null, ErrorCode.MOVED);
+    assertThat(ledger.query(id(2), INCARNATION, 0)).isEqualTo(new QueryOutcome.Sealed<>());
+    assertRefused(submit(id(2), 2, null, 0), ErrorCode.SEALED);
+  }
+
+  @Test
+  void otherIncarnationIsRefused() {
+    Submission first = new Submission(id(1), 1, INCARNATION - 1, false, Optional.empty());
+    assertRefused(ledger.submit(first, () -> Gate.Pass.admit("x"), 0), ErrorCode.WRONG_INCARNATION);
+    Submission resumed = new Submission(id(2), 2, INCARNATION - 1, false, Optional.empty());
+    assertFailed(
+        ledger.submit(resumed, () -> Gate.Pass.admit("x"), 0),
+        ErrorCode.UPSTREAM_LOST,
+        Verdict.MAY_HAVE_RUN);
+    assertThat(ledger.query(id(3), INCARNATION - 1, 0))
+        .isEqualTo(new QueryOutcome.OtherIncarnation<>());
+  }
+
+  @Test
+  void evictedIdIsForgottenAndNotUnknown() {
+    for (int i = 1; i <= 6; i++) {
+      submit(id(i), 1, null, 0);
+      ledger.finish(id(i), 0);
+    }
+    ledger.evict(0);
+    assertThat(ledger.size()).isEqualTo(4);
+    assertFailed(submit(id(1), 2, null, 0), ErrorCode.FORGOTTEN, Verdict.MAY_HAVE_RUN);
+    assertThat(ledger.query(id(2), INCARNATION, 0))
+        .isEqualTo(new QueryOutcome.Fail<String>(ErrorCode.FORGOTTEN, Verdict.MAY_HAVE_RUN));
+    ledger.evict(2_000);
+    assertThat(ledger.size()).isEqualTo(0);
+    assertFailed(submit(id(6), 1, null, 2_000), ErrorCode.FORGOTTEN, Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void runningRequestIsNotEvicted() {
+    submit(id(1), 1, null, 0);
+    for (int i = 2; i <= 20; i++) {
+      ledger.query(id(i), INCARNATION, 0);
+      ledger.evict(5_000);
+    }
+    assertThat(submit(id(1), 2, null, 5_000)).isEqualTo(new SubmitDecision.Attach<>("run-1"));
+  }
+
+  @Test
+  void furtherEntryIncarnationIsNotRun() {
+    submit(new RequestId("a", 1, 1), 1, null, 0);
+    submit(new RequestId("b", 1, 1), 1, null, 0);
+    assertFailed(
+        submit(new RequestId("c", 1, 1), 1, null, 0), ErrorCode.FORGOTTEN, Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void keyResolvesToItsFirstRun() {
+    submit(id(1), 1, issued("k", "body"), 0);
+    assertThat(submit(id(2), 1, issued("k", "body"), 0))
+        .isEqualTo(new SubmitDecision.Attach<>("run-1"));
+    assertThat(ledger.query(id(2), INCARNATION, 0)).isEqualTo(new QueryOutcome.Running<>("run-1"));
+    assertRefused(submit(id(3), 1, issued("k", "other body"), 0), ErrorCode.KEY_REUSED);
+    assertRefused(submit(id(3), 2, issued("k", "body"), 0), ErrorCode.SEALED);
+  }
+
+  @Test
+  void keyOfAnotherWorkspaceIsAnotherKey() {
+    submit(id(1), 1, made("k"), 0);
+    KeyUse other = KeyUse.made("w2", "k", Fingerprint.of("s", new byte[0]));
+    assertThat(submit(id(2), 1, other, 0)).isEqualTo(new SubmitDecision.Run<>("run-2"));
+  }
+
+  @Test
+  void refusalSealsTheKey() {
+    assertRefused(refuse(id(1), 1, issued("k", "b"), ErrorCode.OVERLOADED), ErrorCode.OVERLOADED);
+    assertRefused(submit(id(2), 1, issued("k", "b"), 0), ErrorCode.SEALED);
+  }
+
+  @Test
+  void expiredKeyIsRefusedUnlessKnown() {
+    submit(id(1), 1, issued("k", "b"), 0);
+    ledger.finish(id(1), 1);
+    assertFailed(submit(id(2), 1, issued("k", "b"), 5_001), ErrorCode.ANSWER_EXPIRED, Verdict.RAN);
+    assertFailed(
+        submit(id(3), 1, issued("j", "b"), 5_000), ErrorCode.KEY_EXPIRED, Verdict.MAY_HAVE_RUN);
+    ledger.evict(5_002);
+    // The clock is set back after the record of the key was evicted.
+    assertFailed(
+        submit(id(4), 1, issued("k", "b"), 10), ErrorCode.KEY_EXPIRED, Verdict.MAY_HAVE_RUN);
+    assertThat(runs).isEqualTo(1);
+  }
+
+  @Test
+  void keyRecordOutlivesRequestRecord() {
+    submit(id(1), 1, made("k"), 0);
+    ledger.finish(id(1), 0);
+    ledger.evict(9_000);
+    assertThat(ledger.size()).isEqualTo(0);
+    assertFailed(submit(id(2), 1, made("k"), 9_000), ErrorCode.ANSWER_EXPIRED, Verdict.RAN);
+  }
+
+  @Test
+  void keysAreBounded() {
+    for (int i = 1; i <= 3; i++) {
+      submit(id(i), 1, issued("k" + i, "b"), 0);
+    }
+    for (int i = 4; i <= 6; i++) {
+      assertRefused(submit(id(i), 1, issued("k" + i, "b"), 0), ErrorCode.OVERLOADED);
+    }
+    // Not even a refusal can be recorded any more, so it is no promise.
+    assertFailed(
+        submit(id(7), 1, issued("k7", "b"), 0), ErrorCode.OVERLOADED, Verdict.MAY_HAVE_RUN);
+    assertThat(submit(id(8), 1, issued("k1", "b"), 0)).isInstanceOf(SubmitDecision.Attach.class);
+    assertThat(ledger.keyCount()).isEqualTo(6);
+  }
+
+  @Test
+  void malformedKeyIsRefused() {
+    assertRefused(submit(id(1), 1, made("x".repeat(256)), 0), ErrorCode.KEY_TOO_LONG);
+    assertRefused(submit(id(2), 1, made("a b"), 0), ErrorCode.KEY_MALFORMED);
+    assertRefused(submit(id(3), 1, made(""), 0), ErrorCode.KEY_MALFORMED);
+  }
+
+  @Test
+  void failedRunIsNotRunAgain() {
+    submit(id(1), 1, made("k"), 0);
+    ledger.fail(id(1), ErrorCode.ENGINE_CRASHED, Verdict.MAY_HAVE_RUN, 1);
+    assertFailed(submit(id(2), 1, made("k"), 2), ErrorCode.ENGINE_CRASHED, Verdict.MAY_HAVE_RUN);
+    submit(id(3), 1, null, 2);
+    ledger.fail(id(3), ErrorCode.ENGINE_ERROR, Verdict.NOT_RUN, 3);
+    assertRefused(submit(id(3), 2, null, 4), ErrorCode.ENGINE_ERROR);
+    assertThat(ledger.query(id(3), INCARNATION, 4)).isEqualTo(new QueryOutcome.Sealed<>());
+  }
+}
