Add the entry daemon and its command

Cause: callers need one HTTP address from which requests reach the sidecars and answers come back. Ruled out: one lock around the requests in progress (each request has its own queue of events); sending before the Hello of the other end, because the list may name an incarnation that is gone. Before: no entry. Link gains closeCause, so that idle, silent and broken links are told apart.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -15,6 +15,7 @@
 
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
+          .put("entry", new Row("serve callers and route their requests", EntryCommand::new))
           .put("version", new Row("print the version", VersionCommand::new))
           .put(
               "bench routing",
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/ActiveRequest.java
@@ -0,0 +1,270 @@
+package org.tanagerbank.entry;
+
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.Fingerprint;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.link.Link;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.RequestRef;
+import org.tanagerbank.proto.LinkProto.Submit;
+
+/**
+ * One caller's request in progress: carries out what its {@link RequestFlow} decides.
+ *
+ * <p>Events may come from any thread; they are worked off one at a time, in order, by whichever
+ * thread finds the request idle. No lock is held meanwhile. Thread-safe.
+ */
+final class ActiveRequest {
+  private final RequestId id;
+  private final RequestRef ref;
+  private final Intake.Checked checked;
+  private final RequestFlow flow;
+  private final CallerResponse response;
+  private final RequestContext context;
+  private final Queue<Runnable> inbox = new ArrayDeque<>();
+  private boolean busy;
+  private Ride ride;
+  private String code = "OK";
+  private String verdict = "RAN";
+  private boolean over;
+
+  ActiveRequest(
+      RequestId id,
+      Intake.Checked checked,
+      RequestFlow flow,
+      CallerResponse response,
+      RequestContext context) {
+    this.id = id;
+    this.ref = Frames.ref(id);
+    this.checked = checked;
+    this.flow = flow;
+    this.response = response;
+    this.context = context;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  String service() {
+    return checked.service().name();
+  }
+
+  /** Takes an event. */
+  void post(FlowEvent event) {
+    run(() -> apply(event));
+  }
+
+  /** Returns whether the response was handed to the caller's connection in full. */
+  boolean isFlushed() {
+    return response.isFlushed();
+  }
+
+  private void run(Runnable task) {
+    synchronized (inbox) {
+      inbox.add(task);
+      if (busy) {
+        return;
+      }
+      busy = true;
+    }
+    for (Runnable head = poll(); head != null; head = poll()) {
+      try {
+        head.run();
+      } catch (RuntimeException e) {
+        EventLog.emit(LogEvent.ENTRY_REQUEST_FAILED, e, "request", id);
+        abandon();
+      }
+    }
+  }
+
+  private Runnable poll() {
+    synchronized (inbox) {
+      Runnable head = inbox.poll();
+      busy = head != null;
+      return head;
+    }
+  }
+
+  private void apply(FlowEvent event) {
+    if (over) {
+      return;
+    }
+    List<FlowAction> actions = flow.on(event, context.now());
+    actions.forEach(this::perform);
+    if (event instanceof FlowEvent.CallerGone && flow.isDone()) {
+      code = "CANCELLED";
+      verdict = "MAY_HAVE_RUN";
+    }
+    if (flow.isDone()) {
+      over = true;
+      getOff();
+      context.ended(this, code, verdict, flow.upstreamsTried());
+    }
+  }
+
+  /** Ends the request after a fault of this program; the caller gets no wrong answer. */
+  private void abandon() {
+    if (!over) {
+      over = true;
+      getOff();
+      response.fail(
+          TanagerException.mayHaveRun(ErrorCode.INTERNAL, "the entry failed; see its log"));
+      context.ended(this, ErrorCode.INTERNAL.name(), "MAY_HAVE_RUN", flow.upstreamsTried());
+    }
+  }
+
+  private void perform(FlowAction action) {
+    if (action instanceof FlowAction.Submit a) {
+      board(new Ride(a.step(), a.upstream(), a.incarnation(), submitFrame(a), 0));
+    } else if (action instanceof FlowAction.Query a) {
+      board(
+          new Ride(
+              a.step(), a.upstream(), 0, Frames.query(ref, a.incarnation()), a.timeoutMillis()));
+    } else if (action instanceof FlowAction.Claim a) {
+      context.claim(checked, a, this::post);
+    } else if (action instanceof FlowAction.Cancel a) {
+      send(Frames.cancel(ref, a.attempt()));
+    } else if (action instanceof FlowAction.Credit a) {
+      send(Frames.credit(ref, a.attempt(), a.bytes()));
+    } else if (action instanceof FlowAction.Spill a) {
+      context.tell(a.home(), Frames.spill(checked.chat(), a.servedBy()));
+    } else {
+      respond(action);
+    }
+  }
+
+  private void respond(FlowAction action) {
+    if (action instanceof FlowAction.Begin a) {
+      response.begin(a.httpStatus(), a.contentType());
+    } else if (action instanceof FlowAction.Deliver a) {
+      response.deliver(a.data());
+    } else if (action instanceof FlowAction.Finish) {
+      response.finish();
+    } else if (action instanceof FlowAction.Reply a) {
+      response.reply(a.httpStatus(), a.contentType(), a.body());
+    } else if (action instanceof FlowAction.Fail a) {
+      TanagerException error = a.error();
+      code = error.code().name();
+      verdict = error.verdict().name();
+      response.fail(error);
+    }
+  }
+
+  private void board(Ride next) {
+    getOff();
+    ride = next;
+    next.board();
+  }
+
+  private void getOff() {
+    if (ride != null) {
+      ride.link.leave(ride);
+      ride = null;
+    }
+  }
+
+  private void send(Frame frame) {
+    if (ride != null && ride.open != null) {
+      ride.open.send(frame);
+    }
+  }
+
+  private Frame submitFrame(FlowAction.Submit a) {
+    byte[] body = checked.http().body();
+    String service = checked.service().name();
+    return Frame.newBuilder()
+        .setSubmit(
+            Submit.newBuilder()
+                .setRequest(ref)
+                .setAttempt(a.attempt())
+                .setIncarnation(a.incarnation())
+                .setService(service)
+                .setModel(checked.model())
+                .setWorkspace(checked.workspace())
+                .setChatHash(checked.chat().hash())
+                .setPriority(checked.priority())
+                .setNonIdempotent(checked.nonIdempotent())
+                .setIdempotencyKey(checked.key().orElse(""))
+                .setFingerprint(Fingerprint.of(service, body).value())
+                .setStreamed(checked.streamed())
+                .setResumePosition(a.resumePosition())
+                .setCreditBytes(a.creditBytes())
+                .setMean(context.mean(service))
+                .setMethod(checked.http().method())
+                .setPath(checked.path())
+                .setContentType(checked.http().header("content-type", ""))
+                .setBody(UnsafeByteOperations.unsafeWrap(body))
+                .setIgnoreHint(a.ignoreHint()))
+        .build();
+  }
+
+  /** One step of this request on a link. */
+  private final class Ride implements Passenger {
+    private final int step;
+    private final UpstreamLink link;
+    private final long wanted;
+    private final Frame frame;
+    private final long timeoutMillis;
+    private Link open;
+
+    Ride(int step, Upstream upstream, long wanted, Frame frame, long timeoutMillis) {
+      this.step = step;
+      this.link = context.link(upstream);
+      this.wanted = wanted;
+      this.frame = frame;
+      this.timeoutMillis = timeoutMillis;
+    }
+
+    void board() {
+      if (timeoutMillis > 0) {
+        context.schedule(timeoutMillis, () -> post(new FlowEvent.TimedOut(step)));
+      }
+      link.board(this);
+    }
+
+    @Override
+    public void ready(Link on, long incarnation) {
+      run(() -> sendOver(on, incarnation));
+    }
+
+    private void sendOver(Link on, long incarnation) {
+      if (!flow.isCurrent(step)) {
+        return;
+      }
+      if (wanted != 0 && wanted != incarnation) {
+        apply(new FlowEvent.WrongIncarnation(step));
+        return;
+      }
+      if (frame.hasSubmit()) {
+        apply(new FlowEvent.Submitted(step, incarnation));
+      }
+      open = on;
+      on.send(frame.hasSubmit() ? forIncarnation(incarnation) : frame);
+    }
+
+    private Frame forIncarnation(long incarnation) {
+      return Frame.newBuilder()
+          .setSubmit(frame.getSubmit().toBuilder().setIncarnation(incarnation))
+          .build();
+    }
+
+    @Override
+    public void unreachable() {
+      post(new FlowEvent.Unreachable(step));
+    }
+
+    @Override
+    public void lost() {
+      post(new FlowEvent.LinkLost(step));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/EntryStatus.java
@@ -0,0 +1,81 @@
+package org.tanagerbank.entry;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.LongSupplier;
+import org.tanagerbank.adoption.AdoptedConfig;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.membership.Members;
+import org.tanagerbank.proto.LinkProto.MeanLoad;
+
+/** Builds the status of an entry for operators. Thread-safe. */
+final class EntryStatus {
+  private final EntrySettings settings;
+  private final Fleet fleet;
+  private final LoadBoard loads;
+  private final LinkPool links;
+  private final RequestDesk desk;
+  private final LongSupplier clock;
+
+  EntryStatus(
+      EntrySettings settings,
+      Fleet fleet,
+      LoadBoard loads,
+      LinkPool links,
+      RequestDesk desk,
+      LongSupplier clock) {
+    this.settings = settings;
+    this.fleet = fleet;
+    this.loads = loads;
+    this.links = links;
+    this.desk = desk;
+    this.clock = clock;
+  }
+
+  ObjectNode json() {
+    Members members = fleet.members();
+    ObjectNode root =
+        Json.object()
+            .put("id", settings.id())
+            .put("role", "entry")
+            .put("incarnation", settings.incarnation())
+            .put("zone", settings.zone().name())
+            .put("region", settings.zone().region())
+            .put("revision", fleet.config().map(AdoptedConfig::revision).orElse(0L))
+            .put("draining", desk.isLeaving())
+            .put("inFlight", desk.inFlight());
+    ObjectNode services = root.putObject("services");
+    fleet
+        .config()
+        .ifPresent(c -> c.declaration().services().keySet().forEach(n -> service(services, n)));
+    ObjectNode absent = root.putObject("absent");
+    members.absent().forEach((id, reason) -> absent.put(id, reason.name()));
+    ArrayNode entries = root.putArray("entries");
+    fleet.entriesOfRegion().forEach(e -> entries.add(e.id()));
+    return root;
+  }
+
+  private void service(ObjectNode services, String name) {
+    MeanLoad mean = loads.mean(name, clock.getAsLong());
+    ObjectNode service =
+        services
+            .putObject(name)
+            .put("meanLoad", mean.getMilliRequests() / 1_000.0)
+            .put("reportingUpstreams", mean.getLiveUpstreams());
+    ArrayNode upstreams = service.putArray("upstreams");
+    for (Upstream upstream : fleet.upstreams(name)) {
+      ObjectNode row =
+          upstreams
+              .addObject()
+              .put("id", upstream.id())
+              .put("zone", upstream.zone().name())
+              .put("incarnation", upstream.incarnation())
+              .put("state", "live")
+              .put("linkOpen", links.isOpen(upstream.id()));
+      loads
+          .lastReport(name, upstream.id())
+          .ifPresentOrElse(load -> row.put("lastLoad", load), () -> row.putNull("lastLoad"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/Fleet.java
@@ -0,0 +1,132 @@
+package org.tanagerbank.entry;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.tanagerbank.adoption.AdoptedConfig;
+import org.tanagerbank.declaration.ServiceSpec;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.machine.Zone;
+import org.tanagerbank.membership.Members;
+import org.tanagerbank.membership.MembershipSettings;
+import org.tanagerbank.membership.MembershipView;
+import org.tanagerbank.membership.PeerHello;
+import org.tanagerbank.routing.SlotRouter;
+
+/**
+ * The instances that this entry may use, and one router per service of the configuration in force.
+ *
+ * <p>Events about instances are rare and share one lock; the request path only reads the current
+ * {@link Members} and the routers, without a lock. Thread-safe.
+ */
+final class Fleet {
+  private final Zone zone;
+  private final MembershipView view = new MembershipView(MembershipSettings.DEFAULT);
+  private final Map<String, SlotRouter> routers = new ConcurrentHashMap<>();
+  private final Map<String, Upstream> lastKnown = new ConcurrentHashMap<>();
+  private volatile Members members;
+  private volatile Optional<AdoptedConfig> config = Optional.empty();
+
+  Fleet(Zone zone) {
+    this.zone = zone;
+    this.members = view.members(0);
+  }
+
+  /** Returns the configuration in force. */
+  Optional<AdoptedConfig> config() {
+    return config;
+  }
+
+  /** Returns the instances to use. */
+  Members members() {
+    return members;
+  }
+
+  /** Returns the router of a service of the configuration in force. */
+  Optional<SlotRouter> router(String service) {
+    return Optional.ofNullable(routers.get(service));
+  }
+
+  /** Returns the usable upstreams of a service in the region of this entry. */
+  ImmutableList<Upstream> upstreams(String service) {
+    return members.upstreamsOf(service).stream()
+        .filter(u -> u.zone().region().equals(zone.region()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns an upstream as last known, whether or not it may be given new work. */
+  Optional<Upstream> lastKnown(String upstreamId) {
+    return Optional.ofNullable(lastKnown.get(upstreamId));
+  }
+
+  /** Returns the live entries of the region, this one included. */
+  ImmutableList<InstanceInfo> entriesOfRegion() {
+    return members.entries().values().stream()
+        .flatMap(List::stream)
+        .filter(e -> e.zone().region().equals(zone.region()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Takes a new configuration. */
+  synchronized void configure(AdoptedConfig adopted, long now) {
+    config = Optional.of(adopted);
+    for (ServiceSpec spec : adopted.declaration().services().values()) {
+      SlotRouter router = routers.get(spec.name());
+      if (router == null) {
+        router = new SlotRouter(spec, zone);
+        router.setUpstreams(upstreams(spec.name()), now);
+        routers.put(spec.name(), router);
+      } else {
+        router.configure(spec, now);
+      }
+    }
+    routers.keySet().retainAll(adopted.declaration().services().keySet());
+  }
+
+  /** Takes the platform's list. */
+  void listRead(List<InstanceInfo> rows, long now) {
+    change(v -> v.listRead(rows, now), now);
+  }
+
+  /** Takes a Hello and returns whether it comes from the current incarnation. */
+  synchronized boolean hello(PeerHello hello, long now) {
+    boolean current = view.hello(hello, now);
+    refresh(now);
+    return current;
+  }
+
+  /** Takes an event about an instance. */
+  synchronized void change(Consumer<MembershipView> event, long now) {
+    event.accept(view);
+    refresh(now);
+  }
+
+  /** Takes in what has changed by the passing of time alone. */
+  synchronized void refresh(long now) {
+    Members next = view.members(now);
+    if (next.equals(members)) {
+      return;
+    }
+    Members last = members;
+    members = next;
+    next.upstreams().values().forEach(list -> list.forEach(u -> lastKnown.put(u.id(), u)));
+    routers.forEach(
+        (service, router) -> {
+          if (!next.upstreamsOf(service).equals(last.upstreamsOf(service))) {
+            router.setUpstreams(upstreams(service), now);
+            EventLog.emit(
+                LogEvent.UPSTREAMS_CHANGED,
+                "service",
+                service,
+                "usable",
+                next.upstreamsOf(service).size());
+          }
+        });
+  }
+}
--- a/src/main/java/org/tanagerbank/entry/FlowRequest.java
+++ b/src/main/java/org/tanagerbank/entry/FlowRequest.java
@@ -11,6 +11,7 @@
  *
  * @param workspace the caller's workspace
  * @param chat names the chat
+ * @param returning whether the request shows earlier turns of the chat
  * @param streamed whether the caller wants the answer piece by piece
  * @param nonIdempotent whether the request must not run twice
  * @param deterministic whether a new run gives the same bytes, so that it can continue an answer
@@ -20,6 +21,7 @@
 public record FlowRequest(
     String workspace,
     ChatKey chat,
+    boolean returning,
     boolean streamed,
     boolean nonIdempotent,
     boolean deterministic,
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/Frames.java
@@ -0,0 +1,139 @@
+package org.tanagerbank.entry;
+
+import java.util.Arrays;
+import org.tanagerbank.contract.ChatKey;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.contract.Verdict;
+import org.tanagerbank.proto.LinkProto.Cancel;
+import org.tanagerbank.proto.LinkProto.Credit;
+import org.tanagerbank.proto.LinkProto.Failed;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.Outcome;
+import org.tanagerbank.proto.LinkProto.Query;
+import org.tanagerbank.proto.LinkProto.Refused;
+import org.tanagerbank.proto.LinkProto.RequestRef;
+import org.tanagerbank.proto.LinkProto.SpillNotice;
+import org.tanagerbank.proto.LinkProto.VerdictCode;
+
+/** Builds the frames that an entry sends and reads those about requests. Stateless. */
+final class Frames {
+  private Frames() {}
+
+  static RequestRef ref(RequestId id) {
+    return RequestRef.newBuilder()
+        .setEntryId(id.entryId())
+        .setEntryIncarnation(id.entryIncarnation())
+        .setSequence(id.sequence())
+        .build();
+  }
+
+  static Frame query(RequestRef ref, long incarnation) {
+    return Frame.newBuilder()
+        .setQuery(Query.newBuilder().setRequest(ref).setIncarnation(incarnation))
+        .build();
+  }
+
+  static Frame cancel(RequestRef ref, int attempt) {
+    return Frame.newBuilder()
+        .setCancel(Cancel.newBuilder().setRequest(ref).setAttempt(attempt))
+        .build();
+  }
+
+  static Frame credit(RequestRef ref, int attempt, long bytes) {
+    return Frame.newBuilder()
+        .setCredit(Credit.newBuilder().setRequest(ref).setAttempt(attempt).setBytes(bytes))
+        .build();
+  }
+
+  static Frame spill(ChatKey chat, String servedBy) {
+    return Frame.newBuilder()
+        .setSpillNotice(SpillNotice.newBuilder().setChatHash(chat.hash()).setUpstreamId(servedBy))
+        .build();
+  }
+
+  /** Returns the request that a frame is about; the default value when it is about none. */
+  static RequestRef refOf(Frame frame) {
+    return switch (frame.getBodyCase()) {
+      case ACCEPTED -> frame.getAccepted().getRequest();
+      case REFUSED -> frame.getRefused().getRequest();
+      case CHUNK -> frame.getChunk().getRequest();
+      case END -> frame.getEnd().getRequest();
+      case FAILED -> frame.getFailed().getRequest();
+      case OUTCOME -> frame.getOutcome().getRequest();
+      default -> RequestRef.getDefaultInstance();
+    };
+  }
+
+  /** Returns the event that a frame about a request means. */
+  static FlowEvent event(String upstreamId, Frame frame) {
+    return switch (frame.getBodyCase()) {
+      case ACCEPTED ->
+          new FlowEvent.Accepted(
+              frame.getAccepted().getAttempt(), frame.getAccepted().getInFlight());
+      case REFUSED -> refused(frame.getRefused());
+      case CHUNK ->
+          new FlowEvent.Piece(
+              frame.getChunk().getAttempt(),
+              frame.getChunk().getPosition(),
+              frame.getChunk().getData(),
+              frame.getChunk().getHttpStatus(),
+              frame.getChunk().getContentType());
+      case END ->
+          new FlowEvent.Ended(
+              frame.getEnd().getAttempt(),
+              frame.getEnd().getTotalBytes(),
+              frame.getEnd().getHttpStatus(),
+              frame.getEnd().getContentType(),
+              frame.getEnd().getInFlight());
+      case FAILED -> failed(upstreamId, frame.getFailed());
+      case OUTCOME -> new FlowEvent.Outcome(upstreamId, state(frame.getOutcome()));
+      default -> throw new IllegalArgumentException("not about a request: " + frame.getBodyCase());
+    };
+  }
+
+  private static FlowEvent refused(Refused r) {
+    return new FlowEvent.Refused(
+        r.getAttempt(),
+        code(r.getCode()),
+        r.getMessage(),
+        Integer.toUnsignedLong(r.getRetryAfterMillis()),
+        r.getInFlight(),
+        r.getMovedTo());
+  }
+
+  private static FlowEvent failed(String upstreamId, Failed f) {
+    return new FlowEvent.Failed(
+        upstreamId,
+        f.getAttempt(),
+        verdict(f.getVerdict()),
+        code(f.getCode()),
+        f.getMessage(),
+        Integer.toUnsignedLong(f.getRetryAfterMillis()));
+  }
+
+  /** Returns the verdict; one that is not known means that nobody can tell. */
+  private static Verdict verdict(VerdictCode code) {
+    return switch (code) {
+      case NOT_RUN -> Verdict.NOT_RUN;
+      case RAN -> Verdict.RAN;
+      default -> Verdict.MAY_HAVE_RUN;
+    };
+  }
+
+  private static FlowEvent.Outcome.State state(Outcome outcome) {
+    return switch (outcome.getState()) {
+      case SEALED -> FlowEvent.Outcome.State.SEALED;
+      case RUNNING, FINISHED -> FlowEvent.Outcome.State.ATTACHABLE;
+      default -> FlowEvent.Outcome.State.OTHER_INCARNATION;
+    };
+  }
+
+  /** Returns the code of a name; a name that this version does not know is an internal error. */
+  static ErrorCode code(String name) {
+    return Arrays.stream(ErrorCode.values())
+        .filter(c -> c.name().equals(name))
+        .findFirst()
+        .orElse(ErrorCode.INTERNAL);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/RequestContext.java
@@ -0,0 +1,30 @@
+package org.tanagerbank.entry;
+
+import java.util.function.Consumer;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.MeanLoad;
+
+/** What a request in progress needs from its entry. Implementations are thread-safe. */
+interface RequestContext {
+  /** Returns the time. */
+  long now();
+
+  /** Returns the link to an upstream's sidecar. */
+  UpstreamLink link(Upstream upstream);
+
+  /** Sends a frame to a sidecar if a link to it is open; it is a hint that may be lost. */
+  void tell(Upstream upstream, Frame frame);
+
+  /** Claims the key of a request and passes the result on as an event. */
+  void claim(Intake.Checked request, FlowAction.Claim claim, Consumer<FlowEvent> result);
+
+  /** Runs an action after a time. */
+  void schedule(long delayMillis, Runnable action);
+
+  /** Returns the estimate of a service's mean load. */
+  MeanLoad mean(String service);
+
+  /** Notes that a request is over. */
+  void ended(ActiveRequest request, String code, String verdict, int upstreamsTried);
+}
--- a/src/main/java/org/tanagerbank/entry/RequestFlow.java
+++ b/src/main/java/org/tanagerbank/entry/RequestFlow.java
@@ -204,7 +204,7 @@
   private void unreachable(long now, List<FlowAction> out) {
     if (stage == Stage.SETTLING || resumed) {
       lost(upstreamLost("the upstream cannot be reached"), now, out);
-    } else if (isBound()) {
+    } else if (stage != Stage.CLAIMING && isBound()) {
       // An earlier copy of the request may have run there under the same key.
       finish(upstreamLost("the upstream that the key is bound to cannot be reached"), now, out);
     } else {
@@ -234,7 +234,7 @@
       finish(error, now, out);
     } else if (e.code() == ErrorCode.MOVED) {
       choice.ended(now);
-      choice.moved(e.movedTo());
+      choice.moved(upstream, e.movedTo());
       retry(error, now, out);
     } else {
       notRun(error, now, out);
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/RequestServices.java
@@ -0,0 +1,127 @@
+package org.tanagerbank.entry;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.link.Link;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.MeanLoad;
+
+/** Gives requests the parts of the entry that they work with. Thread-safe. */
+final class RequestServices implements RequestContext {
+  private final LinkPool links;
+  private final LoadBoard loads;
+  private final ClaimLog claims;
+  private final Fleet fleet;
+  private final RequestDesk desk;
+  private final ScheduledExecutorService timers;
+  private final LongSupplier clock;
+
+  RequestServices(
+      LinkPool links,
+      LoadBoard loads,
+      ClaimLog claims,
+      Fleet fleet,
+      RequestDesk desk,
+      ScheduledExecutorService timers,
+      LongSupplier clock) {
+    this.links = links;
+    this.loads = loads;
+    this.claims = claims;
+    this.fleet = fleet;
+    this.desk = desk;
+    this.timers = timers;
+    this.clock = clock;
+  }
+
+  @Override
+  public long now() {
+    return clock.getAsLong();
+  }
+
+  @Override
+  public UpstreamLink link(Upstream upstream) {
+    return links.to(upstream.id(), upstream.address());
+  }
+
+  @Override
+  public void tell(Upstream upstream, Frame frame) {
+    links.send(upstream.id(), upstream.address(), frame);
+  }
+
+  @Override
+  public void schedule(long delayMillis, Runnable action) {
+    var unused = timers.schedule(action, delayMillis, MILLISECONDS);
+  }
+
+  @Override
+  public MeanLoad mean(String service) {
+    return loads.mean(service, clock.getAsLong());
+  }
+
+  @Override
+  public void ended(ActiveRequest request, String code, String verdict, int upstreamsTried) {
+    desk.ended(request, code, verdict, upstreamsTried);
+  }
+
+  /** Finds out the incarnation of the upstream and then claims the key for it. */
+  @Override
+  public void claim(Intake.Checked request, FlowAction.Claim claim, Consumer<FlowEvent> result) {
+    UpstreamLink link = link(claim.upstream());
+    link.board(
+        new Passenger() {
+          @Override
+          public void ready(Link on, long incarnation) {
+            link.leave(this);
+            append(request, claim, incarnation, result);
+          }
+
+          @Override
+          public void unreachable() {
+            result.accept(new FlowEvent.Unreachable(claim.step()));
+          }
+
+          @Override
+          public void lost() {
+            // Nothing was sent on the link for this claim.
+          }
+        });
+  }
+
+  private void append(
+      Intake.Checked request,
+      FlowAction.Claim claim,
+      long incarnation,
+      Consumer<FlowEvent> result) {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    String nonce = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+    String hash =
+        ClaimCodec.keyHash(
+            request.workspace(), request.service().name(), request.key().orElseThrow());
+    claims.claim(
+        new ClaimIndex.Claim(nonce, hash, claim.upstream().id(), incarnation, claim.supersedes()),
+        new ClaimLog.Listener() {
+          @Override
+          public void bound(ClaimIndex.Binding binding) {
+            Optional<Upstream> upstream =
+                binding.upstreamId().equals(claim.upstream().id())
+                    ? Optional.of(claim.upstream())
+                    : fleet.lastKnown(binding.upstreamId());
+            result.accept(
+                new FlowEvent.Claimed(
+                    claim.step(), upstream, binding.incarnation(), binding.offset()));
+          }
+
+          @Override
+          public void failed(TanagerException error) {
+            result.accept(new FlowEvent.ClaimFailed(claim.step(), error));
+          }
+        });
+  }
+}
--- a/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
@@ -48,7 +48,13 @@
 
   /** Refusals with which the ledger of a sidecar seals the key of a non-idempotent request. */
   private static final ImmutableSet<ErrorCode> SEALS_KEY =
-      ImmutableSet.of(ErrorCode.SEALED, ErrorCode.OVERLOADED, ErrorCode.LEAVING);
+      ImmutableSet.of(
+          ErrorCode.SEALED,
+          ErrorCode.OVERLOADED,
+          ErrorCode.LEAVING,
+          ErrorCode.NO_UPSTREAM,
+          ErrorCode.NO_CONFIGURATION,
+          ErrorCode.SUSPECT_WAITING);
 
   private final FlowRequest request;
   private final ServiceRouter router;
@@ -59,6 +65,7 @@
   private Optional<String> movedTo = Optional.empty();
   private Optional<Upstream> home = Optional.empty();
   private Optional<Upstream> open = Optional.empty();
+  private Optional<String> passedOver = Optional.empty();
   private boolean moved;
   private boolean homeUnavailable;
   private int freeMoves;
@@ -84,12 +91,10 @@
 
   /** Returns the next upstream; when empty, {@link #refusal} says why. */
   Optional<Upstream> next(long now) {
-    RouteDecision decision =
-        router.choose(
-            new RouteRequest(
-                request.workspace(), request.chat(), ImmutableSet.copyOf(excluded), movedTo),
-            now,
-            random);
+    RouteDecision decision = choose(passedOver, now);
+    if (decision instanceof RouteDecision.Refuse && passedOver.isPresent()) {
+      decision = choose(Optional.empty(), now);
+    }
     if (decision instanceof RouteDecision.Refuse refuse) {
       if (refusal == null || refusal.code() == ErrorCode.MOVED) {
         refusal =
@@ -106,6 +111,17 @@
         : Optional.of(send.upstream());
   }
 
+  private RouteDecision choose(Optional<String> without, long now) {
+    ImmutableSet.Builder<String> all = ImmutableSet.builder();
+    all.addAll(excluded);
+    without.ifPresent(all::add);
+    boolean returning = request.returning() && passedOver.isEmpty();
+    return router.choose(
+        new RouteRequest(request.workspace(), request.chat(), all.build(), movedTo, returning),
+        now,
+        random);
+  }
+
   /** Returns the error to end with when there is no next upstream. */
   TanagerException refusal() {
     return refusal;
@@ -135,10 +151,14 @@
     }
   }
 
-  /** Notes that the home named the holder of the chat's cache. */
-  void moved(String holder) {
-    movedTo = Optional.of(holder);
+  /**
+   * Notes that an upstream pointed to the holder of the chat's cache, or to the next candidate when
+   * the holder is empty. The upstream itself may still be chosen later.
+   */
+  void moved(Upstream from, String holder) {
     moved = true;
+    movedTo = holder.isEmpty() ? Optional.empty() : Optional.of(holder);
+    passedOver = holder.isEmpty() ? Optional.of(from.id()) : Optional.empty();
   }
 
   /** Returns whether an upstream pointed to another one. */
--- /dev/null
+++ b/src/main/java/org/tanagerbank/entry/UpstreamLink.java
@@ -0,0 +1,178 @@
+package org.tanagerbank.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tanagerbank.link.Link;
+import org.tanagerbank.link.LinkClient;
+import org.tanagerbank.link.LinkHandler;
+import org.tanagerbank.proto.LinkProto.Frame;
+
+/**
+ * The link to one sidecar, opened when something wants to use it.
+ *
+ * <p>A link is used once the Hello of the other end has arrived, so that it is known to which
+ * incarnation it leads. The heartbeat is on while anything waits for the link or is in flight on
+ * it. Guarded by its own monitor, which is not held while others are called; thread-safe.
+ */
+final class UpstreamLink implements LinkHandler {
+  /** Told of what links to sidecars show. */
+  interface Listener {
+    /** A link is open; the frame to introduce this process with is returned. */
+    Frame opened(Link link);
+
+    /** A frame arrived. */
+    void received(UpstreamLink from, Link link, Frame frame);
+
+    /** A link that was open is gone; the incarnation is 0 when no Hello had arrived. */
+    void closed(UpstreamLink from, long incarnation, Link link);
+
+    /** A link could not be opened. */
+    void unreachable(UpstreamLink from);
+  }
+
+  private final String upstreamId;
+  private final InetSocketAddress address;
+  private final LinkClient client;
+  private final Listener listener;
+  private final Set<Passenger> waiting = new HashSet<>();
+  private final Set<Passenger> riding = new HashSet<>();
+  private boolean opening;
+  private Link link;
+  private long incarnation;
+
+  UpstreamLink(String upstreamId, InetSocketAddress address, LinkClient client, Listener listener) {
+    this.upstreamId = upstreamId;
+    this.address = address;
+    this.client = client;
+    this.listener = listener;
+  }
+
+  String upstreamId() {
+    return upstreamId;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Calls the passenger once the link is ready or cannot be opened. */
+  void board(Passenger passenger) {
+    Link ready;
+    boolean open = false;
+    synchronized (this) {
+      ready = incarnation != 0 ? link : null;
+      if (ready != null) {
+        riding.add(passenger);
+        ready.setHeartbeat(true);
+      } else {
+        waiting.add(passenger);
+        open = link == null && !opening;
+        opening |= open;
+      }
+    }
+    if (ready != null) {
+      passenger.ready(ready, incarnation);
+    } else if (open) {
+      open();
+    }
+  }
+
+  /** Notes that a passenger has nothing in flight any more. */
+  synchronized void leave(Passenger passenger) {
+    waiting.remove(passenger);
+    riding.remove(passenger);
+    if (link != null && waiting.isEmpty() && riding.isEmpty()) {
+      link.setHeartbeat(false);
+    }
+  }
+
+  /** Returns the open link, if there is one that is ready. */
+  synchronized Optional<Link> ready() {
+    return incarnation != 0 ? Optional.of(link) : Optional.empty();
+  }
+
+  private void open() {
+    var unused =
+        client
+            .open(address, this)
+            .whenComplete(
+                (opened, failure) -> {
+                  if (failure != null) {
+                    List<Passenger> stranded;
+                    synchronized (this) {
+                      opening = false;
+                      stranded = drain(waiting);
+                    }
+                    listener.unreachable(this);
+                    stranded.forEach(Passenger::unreachable);
+                  }
+                });
+  }
+
+  @Override
+  public void opened(Link opened) {
+    synchronized (this) {
+      opening = false;
+      link = opened;
+      // A process that is paused accepts connections but never says Hello.
+      opened.setHeartbeat(true);
+    }
+    opened.send(listener.opened(opened));
+  }
+
+  /** Notes the incarnation that the Hello named, which makes the link ready. */
+  void greeted(Link on, long peerIncarnation) {
+    List<Passenger> boarding;
+    synchronized (this) {
+      if (on != link) {
+        return;
+      }
+      incarnation = peerIncarnation;
+      boarding = drain(waiting);
+      riding.addAll(boarding);
+      on.setHeartbeat(!riding.isEmpty());
+    }
+    boarding.forEach(p -> p.ready(on, peerIncarnation));
+  }
+
+  @Override
+  public void received(Link on, Frame frame) {
+    listener.received(this, on, frame);
+  }
+
+  @Override
+  public void closed(Link on, String reason) {
+    List<Passenger> stranded;
+    List<Passenger> lost;
+    long last;
+    synchronized (this) {
+      if (on != link) {
+        return;
+      }
+      last = incarnation;
+      link = null;
+      incarnation = 0;
+      stranded = drain(waiting);
+      lost = drain(riding);
+    }
+    listener.closed(this, last, on);
+    stranded.forEach(Passenger::unreachable);
+    lost.forEach(Passenger::lost);
+  }
+
+  private static List<Passenger> drain(Set<Passenger> set) {
+    List<Passenger> all = new ArrayList<>(set);
+    set.clear();
+    return all;
+  }
+
+  /** Does something with the open link, if there is one that is ready. */
+  void ifReady(Consumer<Link> action) {
+    ready().ifPresent(action);
+  }
+}
--- a/src/main/java/org/tanagerbank/link/Link.java
+++ b/src/main/java/org/tanagerbank/link/Link.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.link;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.tanagerbank.proto.LinkProto.Frame;
 
 /** One open connection between two processes of the system. Thread-safe. */
@@ -23,6 +24,11 @@
   /** Returns the bytes that this link has carried. */
   LinkTraffic traffic();
 
+  /** Returns why the link is gone; empty while it is open. */
+  default Optional<CloseCause> closeCause() {
+    return Optional.empty();
+  }
+
   /** Returns the address of the other end. */
   InetSocketAddress remoteAddress();
 }
--- a/src/main/java/org/tanagerbank/link/LinkChannel.java
+++ b/src/main/java/org/tanagerbank/link/LinkChannel.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.EncoderException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tanagerbank.contract.TanagerException;
@@ -41,6 +42,7 @@
   private long pingNonce;
   private boolean ticking;
   private String closeReason = "closed by the other end";
+  private volatile Optional<CloseCause> closeCause = Optional.empty();
 
   LinkChannel(LinkHandler handler, LinkTimings timings, long idleMillis, LinkTraffic traffic) {
     this.handler = handler;
@@ -93,6 +95,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     heartbeat.set(false);
+    closeCause = Optional.of(closeCause.orElse(CloseCause.REMOTE));
     guarded(() -> handler.closed(this, closeReason));
   }
 
@@ -116,9 +119,9 @@
           rejected.code(),
           "detail",
           rejected.getMessage());
-      closeWith(rejected.code() + ": " + rejected.getMessage());
+      closeWith(CloseCause.FAULT, rejected.code() + ": " + rejected.getMessage());
     } else {
-      closeWith("connection failed: " + root.getMessage());
+      closeWith(CloseCause.FAULT, "connection failed: " + root.getMessage());
     }
   }
 
@@ -138,7 +141,7 @@
 
   @Override
   public void close() {
-    channel.eventLoop().execute(() -> closeWith("closed by this end"));
+    channel.eventLoop().execute(() -> closeWith(CloseCause.LOCAL, "closed by this end"));
   }
 
   @Override
@@ -153,6 +156,11 @@
     }
   }
 
+  @Override
+  public Optional<CloseCause> closeCause() {
+    return closeCause;
+  }
+
   @Override
   public LinkTraffic traffic() {
     return traffic;
@@ -186,7 +194,7 @@
     long quiet = now - Math.max(lastReceivedMillis, heartbeatSinceMillis);
     if (quiet >= timings.silence()) {
       EventLog.emit(LogEvent.LINK_SILENT, "remote", remoteAddress(), "quietMillis", quiet);
-      closeWith("silent for " + quiet + " ms");
+      closeWith(CloseCause.SILENT, "silent for " + quiet + " ms");
       return;
     }
     // A frame within the last interval is evidence enough, so busy links carry no pings.
@@ -212,14 +220,15 @@
     }
     long unused = nowMillis() - lastUsedMillis;
     if (unused >= idleMillis && !heartbeat.get()) {
-      closeWith("idle for " + unused + " ms");
+      closeWith(CloseCause.IDLE, "idle for " + unused + " ms");
     } else {
       scheduleIdleCheck(Math.max(idleMillis - unused, timings.ping()));
     }
   }
 
-  private void closeWith(String reason) {
-    if (channel.isActive()) {
+  private void closeWith(CloseCause cause, String reason) {
+    if (channel.isActive() && closeCause.isEmpty()) {
+      closeCause = Optional.of(cause);
       closeReason = reason;
       channel.close();
     }
@@ -230,7 +239,7 @@
       call.run();
     } catch (RuntimeException e) {
       EventLog.emit(LogEvent.LINK_HANDLER_FAILED, e, "remote", remoteAddress());
-      closeWith("handler failed: " + e);
+      closeWith(CloseCause.FAULT, "handler failed: " + e);
     }
   }
 
