Add the config commands

Cause: operators control the system only through check, publish, show, history and diff of the declaration.

Ruled out: a text with comments added by show (it could not be published again as it was); a revision printed as 0 when it only cannot be told from the retained log (show, diff and publish fail then, history still lists). The membership view is now recomputed only when an event can have changed it; link events are frequent and a view of 12,000 instances is costly.

Before: no command. They found that a misspelt kind also drew the fault "needs the field models"; fields that depend on the kind are now left alone.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -15,6 +15,11 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("version", new Row("print the version", VersionCommand::new))
+          .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
+          .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
+          .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
+          .put("config history", new Row("list publishes", ConfigHistoryCommand::new))
+          .put("config diff", new Row("compare two revisions", ConfigDiffCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/ConfigFile.java
@@ -0,0 +1,34 @@
+package org.tanagerbank.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.declaration.Fault;
+
+/** Reads a declaration from a file or standard input. Thread-safe. */
+final class ConfigFile {
+  private static final String STANDARD_INPUT = "-";
+
+  private ConfigFile() {}
+
+  static String read(String name) {
+    try {
+      byte[] data =
+          name.equals(STANDARD_INPUT)
+              ? System.in.readAllBytes()
+              : Files.readAllBytes(Path.of(name));
+      return new String(data, StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw TanagerException.failure(
+          ErrorCode.INVALID_SETTINGS, "cannot read " + name + ": " + e.getMessage(), e);
+    }
+  }
+
+  static void printFaults(PrintStream out, String name, Iterable<Fault> faults) {
+    faults.forEach(fault -> out.println(name + ":" + fault));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/ConfigHistoryCommand.java
@@ -0,0 +1,53 @@
+package org.tanagerbank.cli;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.config.ConfigHistory;
+import org.tanagerbank.config.ConfigLog;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.platform.LogService;
+
+/** Lists the publishes that the log retains, the latest last. Not thread-safe. */
+final class ConfigHistoryCommand extends LogCommand {
+  private static final String FORMAT = "%-8s %-24s %-9s %-8s %-16s %s%n";
+
+  @Option(name = "--limit", metaVar = "N", usage = "how many of the latest to list")
+  private int limit = 100;
+
+  @Override
+  public void check(List<String> faults) {
+    super.check(faults);
+    if (limit < 1) {
+      faults.add("--limit: must be at least 1");
+    }
+  }
+
+  @Override
+  int run(LogService service, PrintStream out, PrintStream err) throws InterruptedException {
+    ConfigHistory history = ConfigHistory.list(new ConfigLog(service, timeoutMillis()));
+    List<ConfigHistory.Entry> all = history.entries();
+    List<ConfigHistory.Entry> latest = all.subList(Math.max(0, all.size() - limit), all.size());
+    if (isJson()) {
+      out.println(
+          Json.object()
+              .put("inForce", history.inForce().revision())
+              .set("publishes", Json.tree(latest)));
+      return OK;
+    }
+    out.printf(FORMAT, "OFFSET", "TIME", "OUTCOME", "BASE", "OPERATOR", "PUBLISH ID");
+    latest.forEach(
+        e ->
+            out.printf(
+                FORMAT,
+                e.offset(),
+                Instant.ofEpochMilli(e.timeMillis()),
+                e.outcome().name().toLowerCase(Locale.ROOT),
+                e.base(),
+                e.operator(),
+                e.publishId()));
+    return OK;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/ConfigPublishCommand.java
@@ -0,0 +1,115 @@
+package org.tanagerbank.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.List;
+import java.util.UUID;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.adoption.AcceptedText;
+import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.config.ConfigPublisher;
+import org.tanagerbank.config.PublishResult;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.platform.LogService;
+
+/** Publishes a declaration and prints what became of it. Not thread-safe. */
+final class ConfigPublishCommand extends LogCommand {
+  private static final int MAX_NAME_LENGTH = 128;
+
+  @Option(name = "--file", metaVar = "F", usage = "the declaration; - is standard input")
+  private String file = "";
+
+  @Option(
+      name = "--base",
+      metaVar = "REVISION",
+      usage = "the revision that the text changes; 0 for the first text")
+  private long base = -1;
+
+  @Option(name = "--operator", metaVar = "NAME", usage = "who publishes")
+  private String operator = "";
+
+  @Option(
+      name = "--publish-id",
+      metaVar = "ID",
+      usage = "id of this publish, to repeat one whose result is not known; default: a new one")
+  private String publishId = "";
+
+  @Override
+  public void check(List<String> faults) {
+    super.check(faults);
+    if (file.isEmpty()) {
+      faults.add("--file: is required");
+    }
+    if (base < 0) {
+      faults.add("--base: is required and must not be negative; config show prints the revision");
+    }
+    if (operator.isBlank()) {
+      faults.add("--operator: is required");
+    }
+    checkLength("--operator", operator, faults);
+    checkLength("--publish-id", publishId, faults);
+  }
+
+  private static void checkLength(String flag, String value, List<String> faults) {
+    if (value.length() > MAX_NAME_LENGTH) {
+      faults.add(flag + ": must have at most " + MAX_NAME_LENGTH + " characters");
+    }
+  }
+
+  @Override
+  int run(LogService service, PrintStream out, PrintStream err) throws InterruptedException {
+    String id = publishId.isEmpty() ? UUID.randomUUID().toString() : publishId;
+    Publish publish = new Publish(id, base, operator, ConfigFile.read(file));
+    PublishResult result = new ConfigPublisher(service, timeoutMillis()).publish(publish);
+    if (isJson()) {
+      out.println(json(id, result));
+    } else {
+      print(id, result, out, err);
+    }
+    boolean done =
+        result instanceof PublishResult.Accepted || result instanceof PublishResult.Repeat;
+    return done ? OK : FAILED;
+  }
+
+  private void print(String id, PublishResult result, PrintStream out, PrintStream err) {
+    if (result instanceof PublishResult.Accepted accepted) {
+      out.println("accepted: revision " + accepted.revision() + ", publish id " + id);
+    } else if (result instanceof PublishResult.Repeat repeat) {
+      out.println("repeat: " + id + " was accepted earlier as revision " + repeat.revision());
+    } else if (result instanceof PublishResult.Lost lost) {
+      err.println("lost: base " + base + " is not in force; " + describe(lost.winner()));
+    } else if (result instanceof PublishResult.Invalid invalid) {
+      ConfigFile.printFaults(err, file, invalid.faults());
+    }
+  }
+
+  /** Returns a line that says which revision is in force and who published it. */
+  static String describe(AcceptedText text) {
+    if (text.revision() == 0) {
+      return "nothing has been published yet (revision 0)";
+    }
+    return "revision "
+        + text.revision()
+        + " is in force, published by "
+        + text.operator()
+        + " at "
+        + Instant.ofEpochMilli(text.publishedAtMillis())
+        + ", publish id "
+        + text.publishId();
+  }
+
+  private static ObjectNode json(String id, PublishResult result) {
+    ObjectNode json = Json.object().put("publishId", id);
+    if (result instanceof PublishResult.Accepted accepted) {
+      json.put("result", "accepted").put("revision", accepted.revision());
+    } else if (result instanceof PublishResult.Repeat repeat) {
+      json.put("result", "repeat").put("revision", repeat.revision());
+    } else if (result instanceof PublishResult.Lost lost) {
+      json.put("result", "lost").set("winner", ConfigShowCommand.json(lost.winner()));
+    } else if (result instanceof PublishResult.Invalid invalid) {
+      json.put("result", "invalid").set("faults", Json.tree(invalid.faults()));
+    }
+    return json;
+  }
+}
--- a/src/main/java/org/tanagerbank/config/ConfigHistory.java
+++ b/src/main/java/org/tanagerbank/config/ConfigHistory.java
@@ -54,8 +54,21 @@
    * Reads the log.
    *
    * @param wanted the revisions whose texts are kept
+   * @throws org.tanagerbank.contract.TanagerException if the revision in force does not follow from
+   *     the retained log
    */
   public static ConfigHistory read(ConfigLog log, List<Long> wanted) throws InterruptedException {
+    ConfigHistory history = list(log, wanted);
+    log.requireState();
+    return history;
+  }
+
+  /** Reads the log for its publishes only; the revision in force may remain unknown. */
+  public static ConfigHistory list(ConfigLog log) throws InterruptedException {
+    return list(log, List.of());
+  }
+
+  private static ConfigHistory list(ConfigLog log, List<Long> wanted) throws InterruptedException {
     TreeMap<Long, Entry> entries = new TreeMap<>();
     List<AcceptedText> texts = new ArrayList<>();
     log.readToEnd(
@@ -105,7 +118,7 @@
     return entries;
   }
 
-  /** Returns the text in force. */
+  /** Returns the text in force, {@link AcceptedText#NONE} when there is none or it is unknown. */
   public AcceptedText inForce() {
     return inForce;
   }
--- a/src/main/java/org/tanagerbank/config/ConfigLog.java
+++ b/src/main/java/org/tanagerbank/config/ConfigLog.java
@@ -58,6 +58,15 @@
   /** Reads to the end, and requires that the revision in force is known then. */
   void readState(Consumer<RecordDecision> listener) throws InterruptedException {
     readToEnd(listener);
+    requireState();
+  }
+
+  /**
+   * Requires that the revision in force follows from what was read.
+   *
+   * @throws TanagerException with code {@code NO_CONFIGURATION} if it does not
+   */
+  void requireState() {
     if (!replica.isFollowing()) {
       throw TanagerException.notRun(
           ErrorCode.NO_CONFIGURATION,
--- a/src/main/java/org/tanagerbank/declaration/ServiceReader.java
+++ b/src/main/java/org/tanagerbank/declaration/ServiceReader.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import org.tanagerbank.declaration.NodeReader.Member;
 import org.yaml.snakeyaml.nodes.ScalarNode;
@@ -31,15 +32,15 @@
     }
     Map<String, Member> fields =
         reader.fields(service.value(), "service " + name, Schema.SERVICE_FIELDS);
-    ServiceKind kind = kind(service, fields);
+    Optional<ServiceKind> kind = kind(service, fields);
     List<ScalarNode> models = reader.names(fields.get(Schema.MODELS));
     List<ScalarNode> dependsOn = reader.names(fields.get(Schema.DEPENDS_ON));
     List<ScalarNode> paths = paths(fields.get(Schema.PATHS));
-    checkKind(service, kind, models, fields);
+    kind.ifPresent(k -> checkKind(service, k, models, fields));
     ServiceSpec spec =
         new ServiceSpec(
             name,
-            kind,
+            kind.orElse(ServiceKind.ENGINE),
             values(models),
             values(dependsOn),
             reader.number(fields, Schema.LOAD_MULTIPLE),
@@ -54,25 +55,23 @@
     return new Section(spec, models, dependsOn);
   }
 
-  private ServiceKind kind(Member service, Map<String, Member> fields) {
+  /** Without a valid kind, nothing is said about the fields that depend on it. */
+  private Optional<ServiceKind> kind(Member service, Map<String, Member> fields) {
     Member member = fields.get(Schema.KIND);
     if (member == null) {
       reader.fault(service.key(), "service " + service.name() + " needs the field kind");
-      return ServiceKind.ENGINE;
+      return Optional.empty();
     }
     String text = member.value() instanceof ScalarNode scalar ? scalar.getValue() : "";
     if (!Schema.kinds().contains(text)) {
       reader.fault(member.value(), "kind must be engine or plain");
-      return ServiceKind.ENGINE;
+      return Optional.empty();
     }
-    return ServiceKind.valueOf(Ascii.toUpperCase(text));
+    return Optional.of(ServiceKind.valueOf(Ascii.toUpperCase(text)));
   }
 
   private void checkKind(
       Member service, ServiceKind kind, List<ScalarNode> models, Map<String, Member> fields) {
-    if (!fields.containsKey(Schema.KIND)) {
-      return;
-    }
     if (kind == ServiceKind.ENGINE && !fields.containsKey(Schema.MODELS)) {
       reader.fault(service.key(), "engine service " + service.name() + " needs the field models");
     } else if (kind == ServiceKind.ENGINE && models.isEmpty()) {
--- a/src/main/java/org/tanagerbank/membership/Member.java
+++ b/src/main/java/org/tanagerbank/membership/Member.java
@@ -26,7 +26,6 @@
   private boolean leaving;
   private boolean listed;
   private InstanceState listState;
-  private long listIncarnation;
   private int openLinks;
   private long heardAt = NEVER;
   private boolean linkDown;
@@ -36,18 +35,27 @@
   private long waitUntil = NEVER;
   private long touchedAt;
 
+  /** All that the view shows of an instance. */
+  record Face(
+      Optional<Absence> absence,
+      InstanceKind kind,
+      String service,
+      Zone zone,
+      InetSocketAddress address,
+      InetSocketAddress httpAddress,
+      long incarnation) {}
+
   Member(MembershipSettings settings, String id) {
     this.settings = settings;
     this.id = id;
   }
 
-  /** Takes in a row of the list and returns whether it may have changed what is usable. */
-  boolean row(InstanceInfo row, long now) {
+  /** Takes in a row of the list. */
+  void row(InstanceInfo row, long now) {
     touchedAt = now;
-    boolean stale = row.incarnation() != 0 && older(row.incarnation());
+    boolean stale = row.incarnation() != 0 && isOlder(row.incarnation());
     boolean restarted = !stale && isNewStart(row);
     boolean back = !listed;
-    boolean news = back || restarted || row.state() != listState || differs(row);
     if (!stale) {
       kind = row.kind();
       service = row.service();
@@ -66,8 +74,6 @@
     }
     listed = true;
     listState = row.state();
-    listIncarnation = row.incarnation();
-    return news;
   }
 
   /**
@@ -87,26 +93,14 @@
     return row.incarnation() != 0 || !listed || listState != InstanceState.LEAVING;
   }
 
-  private boolean differs(InstanceInfo row) {
-    return row.incarnation() != listIncarnation
-        || !row.address().equals(address)
-        || !row.httpAddress().equals(httpAddress)
-        || !row.service().equals(service)
-        || !row.zone().equals(zone);
-  }
-
-  /** Notes that the list no longer has this instance and returns whether that is news. */
-  boolean unlisted() {
-    boolean news = listed;
+  /** Notes that the list no longer has this instance. */
+  void unlisted() {
+    away |= listed && openLinks == 0;
     listed = false;
-    away |= news && openLinks == 0;
-    return news;
   }
 
-  boolean hello(PeerHello hello, long now) {
-    if (older(hello.incarnation())) {
-      return false;
-    }
+  /** Takes in the Hello of a link that has opened; its incarnation is not older. */
+  void hello(PeerHello hello, long now) {
     kind = hello.kind();
     service = hello.service();
     zone = hello.zone();
@@ -119,19 +113,17 @@
     }
     incarnation = hello.incarnation();
     answered(now);
+    openLinks++;
     if (hello.leaving()) {
       leave();
     }
-    return true;
   }
 
-  /** Takes in evidence that an incarnation is alive and returns whether it is the current one. */
-  boolean heard(long from, long now) {
-    if (from != incarnation) {
-      return false;
+  /** Takes in evidence that an incarnation is alive. */
+  void heard(long from, long now) {
+    if (from == incarnation) {
+      answered(now);
     }
-    answered(now);
-    return true;
   }
 
   private void answered(long now) {
@@ -144,12 +136,6 @@
     }
   }
 
-  void linkOpened(long from, long now) {
-    if (heard(from, now)) {
-      openLinks++;
-    }
-  }
-
   void linkClosed(long from) {
     if (from == incarnation && openLinks > 0) {
       openLinks--;
@@ -178,18 +164,16 @@
     failures++;
   }
 
-  boolean leaving(long from, long now) {
-    if (from != incarnation && older(from)) {
-      return false;
+  void leaving(long from, long now) {
+    if (isOlder(from)) {
+      return;
     }
     if (from != incarnation && incarnation != 0) {
       restart(from, now);
     }
     incarnation = from;
     touchedAt = now;
-    boolean news = !leaving;
     leave();
-    return news;
   }
 
   private void leave() {
@@ -222,7 +206,7 @@
     }
   }
 
-  private boolean older(long other) {
+  boolean isOlder(long other) {
     return Long.compareUnsigned(other, incarnation) < 0;
   }
 
@@ -269,6 +253,12 @@
     return !listed && !answers(now) && now - touchedAt > settings.flapWindowMillis();
   }
 
+  Face face(long now) {
+    return kind == null
+        ? null
+        : new Face(absence(now), kind, service, zone, address, httpAddress, incarnation);
+  }
+
   String id() {
     return id;
   }
--- a/src/main/java/org/tanagerbank/membership/MembershipView.java
+++ b/src/main/java/org/tanagerbank/membership/MembershipView.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.tanagerbank.machine.InstanceInfo;
 import org.tanagerbank.machine.InstanceKind;
 import org.tanagerbank.machine.Upstream;
@@ -51,20 +52,19 @@
    * once links have shown it.
    */
   public void listRead(List<InstanceInfo> rows, long now) {
-    boolean changed = false;
     Set<String> seen = new HashSet<>();
     for (InstanceInfo row : rows) {
       seen.add(row.id());
-      changed |= member(row.id()).row(row, now);
+      apply(member(row.id()), now, m -> m.row(row, now));
     }
     listSuspect = isSuspect(seen);
-    if (!listSuspect) {
-      for (Member member : members.values()) {
-        changed |= !seen.contains(member.id()) && member.unlisted();
-      }
-      members.values().removeIf(m -> m.isForgettable(now));
+    if (listSuspect) {
+      return;
     }
-    if (changed) {
+    members.values().stream()
+        .filter(m -> !seen.contains(m.id()))
+        .forEach(m -> apply(m, now, Member::unlisted));
+    if (members.values().removeIf(m -> m.isForgettable(now))) {
       view = null;
     }
   }
@@ -93,40 +93,26 @@
    */
   public boolean hello(PeerHello hello, long now) {
     Member member = member(hello.id());
-    if (!member.hello(hello, now)) {
+    if (member.isOlder(hello.incarnation())) {
       return false;
     }
-    member.linkOpened(hello.incarnation(), now);
-    view = null;
+    apply(member, now, m -> m.hello(hello, now));
     return true;
   }
 
   /** Takes in a load report or any other frame that shows that an incarnation is alive. */
   public void heard(String id, long incarnation, long now) {
-    Member member = members.get(id);
-    if (member != null) {
-      Optional<Absence> before = member.absence(now);
-      if (member.heard(incarnation, now) && !before.equals(member.absence(now))) {
-        view = null;
-      }
-    }
+    applyIfKnown(id, now, m -> m.heard(incarnation, now));
   }
 
   /** Takes in that an incarnation accepts no new work: a Leaving frame or a LEAVING refusal. */
   public void leaving(String id, long incarnation, long now) {
-    Member member = members.get(id);
-    if (member != null && member.leaving(incarnation, now)) {
-      view = null;
-    }
+    applyIfKnown(id, now, m -> m.leaving(incarnation, now));
   }
 
   /** Takes in that a link was closed in order, for example because it was idle. */
   public void linkClosed(String id, long incarnation, long now) {
-    Member member = members.get(id);
-    if (member != null) {
-      member.linkClosed(incarnation);
-      view = null;
-    }
+    applyIfKnown(id, now, m -> m.linkClosed(incarnation));
   }
 
   /**
@@ -135,18 +121,31 @@
    * @param incarnation the incarnation at the other end; 0 when the link never opened
    */
   public void linkFailed(String id, long incarnation, long now) {
-    linkDown(id, incarnation, true, now);
+    applyIfKnown(id, now, m -> m.linkDown(incarnation, true, now));
   }
 
   /** Takes in that an open link went silent. */
   public void linkSilent(String id, long incarnation, long now) {
-    linkDown(id, incarnation, false, now);
+    applyIfKnown(id, now, m -> m.linkDown(incarnation, false, now));
   }
 
-  private void linkDown(String id, long incarnation, boolean gone, long now) {
+  private void applyIfKnown(String id, long now, Consumer<Member> event) {
     Member member = members.get(id);
     if (member != null) {
-      member.linkDown(incarnation, gone, now);
+      apply(member, now, event);
+    }
+  }
+
+  /**
+   * Lets an event happen and drops the computed view only when it can have changed: links open and
+   * close far more often than instances come and go, and a view of 12,000 is costly to compute.
+   */
+  private void apply(Member member, long now, Consumer<Member> event) {
+    Member.Face before = member.face(now);
+    event.accept(member);
+    if (member.face(now).equals(before)) {
+      viewUntil = Math.min(viewUntil, member.nextChange(now));
+    } else {
       view = null;
     }
   }
