--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.function.Supplier;
-import org.tanagerbank.bench.BenchRoutingCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -16,12 +15,28 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("entry", new Row("serve callers and route their requests", EntryCommand::new))
-          .put("version", new Row("print the version", VersionCommand::new))
+          .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
+          .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
+          .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
+          .put("config history", new Row("list publishes", ConfigHistoryCommand::new))
+          .put("config diff", new Row("compare two revisions", ConfigDiffCommand::new))
           .put(
               "bench routing",
               new Row(
                   "measure routing against naive policies in simulated time",
                   BenchRoutingCommand::new))
+          .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
+          .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
+          .put(
+              "standin plain",
+              new Row("run a stand-in of a plain service", StandinPlainCommand::new))
+          .put(
+              "standin instances",
+              new Row("run a stand-in of the instance list", StandinInstancesCommand::new))
+          .put(
+              "standin weights",
+              new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
+          .put("version", new Row("print the version", VersionCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
