Add the stand-in commands and the tests of the stand-ins

Cause: the demo and the process tests start stand-ins by command, and tests of other packages rely on what the stand-ins answer.

Ruled out: an exit status of 0 after SIGTERM, which would need the shutdown hook to halt the virtual machine; the process ends with the signal's status.

The first run failed in rateLimitTellsWhenTheNextTokenComes: a rounding error made the wait 2 ms where 1 ms is right; RateLimit now allows for it.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -15,6 +15,17 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("version", new Row("print the version", VersionCommand::new))
+          .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
+          .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
+          .put(
+              "standin plain",
+              new Row("run a stand-in of a plain service", StandinPlainCommand::new))
+          .put(
+              "standin instances",
+              new Row("run a stand-in of the instance list", StandinInstancesCommand::new))
+          .put(
+              "standin weights",
+              new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/StandinInstancesCommand.java
@@ -0,0 +1,34 @@
+package org.tanagerbank.cli;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.standin.InstanceListStandin;
+import org.tanagerbank.standin.Standin;
+
+/** Runs the stand-in of the platform's instance list. Not thread-safe. */
+final class StandinInstancesCommand extends StandinCommand {
+  @Option(name = "--lag-millis", usage = "how old the served list is")
+  private long lagMillis;
+
+  @Option(
+      name = "--probe-millis",
+      usage = "time between probes that drop instances which refuse connections; 0 for none")
+  private long probeMillis;
+
+  StandinInstancesCommand() {
+    super("standin-instances");
+  }
+
+  @Override
+  public void check(List<String> faults) {
+    super.check(faults);
+    checkAtLeast(faults, "--lag-millis", lagMillis, 0);
+    checkAtLeast(faults, "--probe-millis", probeMillis, 0);
+  }
+
+  @Override
+  Standin create(InetSocketAddress bind) {
+    return InstanceListStandin.create(bind, lagMillis, probeMillis);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/StandinLogCommand.java
@@ -0,0 +1,55 @@
+package org.tanagerbank.cli;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.standin.LogSettings;
+import org.tanagerbank.standin.LogStandin;
+import org.tanagerbank.standin.Standin;
+
+/** Runs the stand-in of the platform's log. Not thread-safe. */
+final class StandinLogCommand extends StandinCommand {
+  private static final LogSettings DEFAULTS = LogSettings.defaults();
+
+  @Option(name = "--retention-millis", usage = "age at which records expire")
+  private long retentionMillis = DEFAULTS.retentionMillis();
+
+  @Option(name = "--retention-records", usage = "how many records of a stream are kept")
+  private int retentionRecords = DEFAULTS.retentionRecords();
+
+  @Option(name = "--appends-per-second", usage = "append rate above which appends get 429")
+  private int appendsPerSecond = DEFAULTS.appendsPerSecond();
+
+  @Option(name = "--slow-millis", usage = "delay of every answer")
+  private long slowMillis = DEFAULTS.slowMillis();
+
+  @Option(name = "--outage", usage = "begin with an outage; POST /admin ends it")
+  private boolean outage;
+
+  @Option(name = "--lose-answers", usage = "how many answers to appends are lost")
+  private int loseAnswers;
+
+  StandinLogCommand() {
+    super("standin-log");
+  }
+
+  @Override
+  public void check(List<String> faults) {
+    super.check(faults);
+    checkAtLeast(faults, "--retention-millis", retentionMillis, 1);
+    checkAtLeast(faults, "--retention-records", retentionRecords, 1);
+    checkAtLeast(faults, "--appends-per-second", appendsPerSecond, 1);
+    checkAtLeast(faults, "--slow-millis", slowMillis, 0);
+    checkAtLeast(faults, "--lose-answers", loseAnswers, 0);
+  }
+
+  @Override
+  Standin create(InetSocketAddress bind) {
+    LogStandin log =
+        LogStandin.create(
+            bind, new LogSettings(retentionMillis, retentionRecords, appendsPerSecond, slowMillis));
+    log.setOutage(outage);
+    log.loseNextAnswers(loseAnswers);
+    return log;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/StandinPlainCommand.java
@@ -0,0 +1,34 @@
+package org.tanagerbank.cli;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.standin.PlainStandin;
+import org.tanagerbank.standin.Standin;
+
+/** Runs the stand-in of a plain service. Not thread-safe. */
+final class StandinPlainCommand extends StandinCommand {
+  @Option(name = "--delay-millis", usage = "how long a call takes")
+  private long delayMillis;
+
+  @Option(name = "--lose-answers", usage = "how many calls run but lose their answer")
+  private int loseAnswers;
+
+  StandinPlainCommand() {
+    super("standin-plain");
+  }
+
+  @Override
+  public void check(List<String> faults) {
+    super.check(faults);
+    checkAtLeast(faults, "--delay-millis", delayMillis, 0);
+    checkAtLeast(faults, "--lose-answers", loseAnswers, 0);
+  }
+
+  @Override
+  Standin create(InetSocketAddress bind) {
+    PlainStandin plain = PlainStandin.create(bind, delayMillis);
+    plain.loseNextAnswers(loseAnswers);
+    return plain;
+  }
+}
--- a/src/main/java/org/tanagerbank/standin/PlainStandin.java
+++ b/src/main/java/org/tanagerbank/standin/PlainStandin.java
@@ -62,6 +62,16 @@
     return http.address();
   }
 
+  /** Sets how many of the next calls run but get no answer. */
+  public synchronized void loseNextAnswers(int count) {
+    loseAnswers = count;
+  }
+
+  /** Makes the service drop every connection without running the call, or ends that. */
+  public synchronized void setDown(boolean value) {
+    down = value;
+  }
+
   private void handle(HttpMessage request, HttpExchange exchange) {
     switch (request.method() + " " + request.pathOnly()) {
       case "POST /admin" -> exchange.respond(admin(Json.parseObject(request.body())));
--- a/src/main/java/org/tanagerbank/standin/RateLimit.java
+++ b/src/main/java/org/tanagerbank/standin/RateLimit.java
@@ -8,6 +8,9 @@
 final class RateLimit {
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Keeps rounding errors from adding a millisecond to the wait. */
+  private static final double EPSILON = 1e-9;
+
   private final double perSecond;
   private final double capacity;
   private double tokens;
@@ -25,10 +28,10 @@
     double gained = Math.max(0, nowMillis - atMillis) * perSecond / MILLIS_PER_SECOND;
     tokens = Math.min(capacity, tokens + gained);
     atMillis = Math.max(atMillis, nowMillis);
-    if (tokens >= 1) {
+    if (tokens >= 1 - EPSILON) {
       tokens--;
       return 0;
     }
-    return Math.max(1, (long) Math.ceil((1 - tokens) * MILLIS_PER_SECOND / perSecond));
+    return Math.max(1, (long) Math.ceil((1 - EPSILON - tokens) * MILLIS_PER_SECOND / perSecond));
   }
 }
--- /dev/null
+++ b/src/test/java/org/tanagerbank/standin/BatchTest.java
@@ -0,0 +1,162 @@
+package org.tanagerbank.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.contract.TanagerException;
+
+/** Guards against engines that run too much at once, out of order, or with a wrong cache. */
+final class BatchTest {
+  private final CacheEvents events = new CacheEvents(() -> 0, 0, 0);
+  private final PrefixCache cache = new PrefixCache(10 * PromptBlocks.BLOCK_TOKENS, events);
+  private boolean full;
+
+  private final Job.Sink sink =
+      new Job.Sink() {
+        @Override
+        public void token(String text) {
+          throw new AssertionError("the batch calls no sink");
+        }
+
+        @Override
+        public void finished(int promptTokens, int cachedTokens, int completionTokens) {
+          throw new AssertionError("the batch calls no sink");
+        }
+
+        @Override
+        public void cancelled(TanagerException reason) {
+          throw new AssertionError("the batch calls no sink");
+        }
+
+        @Override
+        public void crashed() {
+          throw new AssertionError("the batch calls no sink");
+        }
+
+        @Override
+        public boolean isFull() {
+          return full;
+        }
+      };
+
+  private static ImmutableList<ChatMessage> words(int count) {
+    return ImmutableList.of(new ChatMessage("user", "w ".repeat(count - 1)));
+  }
+
+  private Job job(int priority, int promptTokens, int answerTokens) {
+    PromptBlocks prompt = PromptBlocks.of(words(promptTokens));
+    ImmutableList<String> answer = StandinAnswer.tokens("m", words(1), answerTokens);
+    return new Job(new Job.Spec("", "", priority, prompt, prompt.hashes(), answer, 0, false), sink);
+  }
+
+  @Property(seed = "4712")
+  void admitsByPriorityThenArrivalWithinTheLimit(
+      @ForAll @Size(max = 20) List<@IntRange(max = 3) Integer> priorities,
+      @ForAll @IntRange(min = 1, max = 5) int limit) {
+    Batch batch = new Batch(limit, 1_000, cache);
+    List<Job> expected = new ArrayList<>();
+    priorities.forEach(p -> expected.add(job(p, 1, 1)));
+    expected.forEach(batch::add);
+    expected.sort((a, b) -> b.spec.priority() - a.spec.priority());
+    List<Job> admitted = new ArrayList<>();
+    while (!batch.isEmpty()) {
+      admitted.addAll(batch.admit());
+      assertThat(batch.running()).isAtMost(limit);
+      batch.step();
+    }
+    assertThat(admitted).containsExactlyElementsIn(expected).inOrder();
+  }
+
+  @Test
+  void prefillTakesStepsByUncachedTokensAndThenOneTokenAStep() {
+    Batch batch = new Batch(4, 32, cache);
+    Job job = job(0, 96, 2);
+    batch.add(job);
+    batch.admit();
+    for (int step = 0; step < 3; step++) {
+      assertThat(batch.step().tokens()).isEmpty();
+    }
+    assertThat(batch.step().tokens()).containsExactly(job);
+    assertThat(batch.step().finished()).containsExactly(job);
+    Job again = job(0, 97, 1);
+    batch.add(again);
+    batch.admit();
+    assertThat(again.cachedTokens).isEqualTo(96);
+    assertThat(again.prefillLeft).isEqualTo(1);
+  }
+
+  @Test
+  void fullReceiverPausesOnlyItsOwnJob() {
+    Batch batch = new Batch(4, 1_000, cache);
+    Job job = job(0, 1, 2);
+    batch.add(job);
+    batch.admit();
+    batch.step();
+    full = true;
+    assertThat(batch.step().tokens()).isEmpty();
+    full = false;
+    assertThat(batch.step().tokens()).containsExactly(job);
+    assertThat(batch.remove(j -> true)).containsExactly(job);
+    assertThat(batch.isEmpty()).isTrue();
+  }
+
+  @Test
+  void cacheDropsLeastRecentlyUsedFromTheEndOfItsPrompt() {
+    PromptBlocks old = PromptBlocks.of(ImmutableList.of(new ChatMessage("a", "x ".repeat(100))));
+    PromptBlocks young = PromptBlocks.of(words(96));
+    cache.insert(old.hashes());
+    cache.insert(young.hashes());
+    assertThat(cache.match(young.hashes())).isEqualTo(6);
+    assertThat(cache.match(old.hashes())).isEqualTo(4);
+    assertThat(cache.tokens()).isEqualTo(160);
+    List<String> types = events.json(1).get("events").findValuesAsText("type");
+    assertThat(Collections.frequency(types, "stored")).isEqualTo(12);
+    assertThat(Collections.frequency(types, "removed")).isEqualTo(2);
+  }
+
+  @Test
+  void cacheEventsComeLateAndWithGaps() {
+    long[] now = {1_000};
+    CacheEvents late = new CacheEvents(() -> now[0], 500, 3);
+    for (int i = 0; i < 4; i++) {
+      late.add("stored", i);
+    }
+    assertThat(late.json(1).get("events")).isEmpty();
+    now[0] += 500;
+    assertThat(late.json(2).get("events").findValuesAsText("number")).containsExactly("2", "4");
+    assertThat(late.json(2).get("next").asInt()).isEqualTo(5);
+  }
+
+  @Test
+  void recordsExpireByAge() {
+    LogStream stream = new LogStream(100, 1_000);
+    for (int time = 0; time < 1_000; time += 10) {
+      stream.append(new byte[1], time);
+    }
+    stream.expire(1_000);
+    assertThat(stream.first()).isEqualTo(91);
+    assertThat(stream.read(91, 3)).hasSize(3);
+    stream.expire(5_000);
+    assertThat(stream.first()).isEqualTo(101);
+    assertThat(stream.append(new byte[1], 5_000)).isEqualTo(101);
+  }
+
+  @Test
+  void rateLimitTellsWhenTheNextTokenComes() {
+    RateLimit limit = new RateLimit(4, 0);
+    for (int i = 0; i < 4; i++) {
+      assertThat(limit.take(0)).isEqualTo(0);
+    }
+    assertThat(limit.take(0)).isEqualTo(250);
+    assertThat(limit.take(249)).isEqualTo(1);
+    assertThat(limit.take(250)).isEqualTo(0);
+  }
+}
