Add the demo and the process tests of the whole path

Cause: the whole path needs a run that anyone can repeat and that fails when an answer is wrong. Ruled out: imitating the distances between zones on loopback, which would measure the imitation. Before: no demo.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.function.Supplier;
+import org.tanagerbank.bench.BenchRoutingCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -15,6 +16,7 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("entry", new Row("serve callers and route their requests", EntryCommand::new))
+          .put("sidecar", new Row("run beside one upstream", SidecarCommand::new))
           .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
           .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
           .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
@@ -25,6 +27,7 @@
               new Row(
                   "measure routing against naive policies in simulated time",
                   BenchRoutingCommand::new))
+          .put("demo", new Row("run the whole path on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
           .put(
@@ -37,17 +40,6 @@
               "standin weights",
               new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
           .put("version", new Row("print the version", VersionCommand::new))
-          .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
-          .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
-          .put(
-              "standin plain",
-              new Row("run a stand-in of a plain service", StandinPlainCommand::new))
-          .put(
-              "standin instances",
-              new Row("run a stand-in of the instance list", StandinInstancesCommand::new))
-          .put(
-              "standin weights",
-              new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/DemoCommand.java
@@ -0,0 +1,83 @@
+package org.tanagerbank.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.demo.Demo;
+import org.tanagerbank.demo.DemoResult;
+import org.tanagerbank.demo.Deployment;
+
+/** Runs the whole path on loopback in one process. Not thread-safe. */
+final class DemoCommand implements Command {
+  @Option(name = "--deployment", usage = "shape to run", metaVar = "register|consortium")
+  private Deployment deployment = Deployment.REGISTER;
+
+  @Option(name = "--chats", usage = "number of chats", metaVar = "N")
+  private int chats = 300;
+
+  @Option(name = "--turns", usage = "requests of each chat", metaVar = "N")
+  private int turns = 5;
+
+  @Option(name = "--seed", usage = "determines the content of all requests", metaVar = "N")
+  private long seed = 1;
+
+  @Option(name = "--json", usage = "print one JSON object instead of a table")
+  private boolean json;
+
+  @Override
+  public void check(List<String> faults) {
+    if (chats < 1) {
+      faults.add("--chats: must be at least 1, not " + chats);
+    }
+    if (turns < 1) {
+      faults.add("--turns: must be at least 1, not " + turns);
+    }
+  }
+
+  @Override
+  public int run(PrintStream out, PrintStream err) throws InterruptedException {
+    Demo demo = new Demo(deployment, chats, turns, seed);
+    Thread hook = new Thread(() -> interrupt(demo), "demo-drain");
+    Runtime.getRuntime().addShutdownHook(hook);
+    DemoResult result = demo.run(err);
+    print(result, out);
+    return result.isRight() ? OK : FAILED;
+  }
+
+  private static void interrupt(Demo demo) {
+    try {
+      demo.interrupt();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void print(DemoResult result, PrintStream out) {
+    if (json) {
+      try {
+        out.println(new ObjectMapper().writeValueAsString(result));
+      } catch (JsonProcessingException e) {
+        throw new IllegalStateException(e);
+      }
+      return;
+    }
+    row(out, "deployment", result.deployment());
+    row(out, "requests", result.requests());
+    row(out, "whole answers", result.wholeAnswers());
+    row(out, "wrong answers", result.wrongAnswers());
+    row(out, "failures by code", result.failures());
+    row(out, "resends after NOT_RUN", result.resends());
+    row(out, "cache reuse", String.format(Locale.ROOT, "%.3f", result.cacheReuse()));
+    row(out, "load skew (largest / mean)", String.format(Locale.ROOT, "%.3f", result.loadSkew()));
+    double control = result.controlBytesPerEntryPerSecond();
+    row(out, "control bytes/s per entry", String.format(Locale.ROOT, "%.0f", control));
+    row(out, "seconds", String.format(Locale.ROOT, "%.1f", result.seconds()));
+  }
+
+  private static void row(PrintStream out, String name, Object value) {
+    out.printf("%-28s %s%n", name, value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/demo/DemoFleet.java
@@ -0,0 +1,182 @@
+package org.tanagerbank.demo;
+
+import com.google.common.base.Joiner;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Lists;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.config.ConfigPublisher;
+import org.tanagerbank.config.PublishResult;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.Lifecycle;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.entry.Entry;
+import org.tanagerbank.entry.EntrySettings;
+import org.tanagerbank.http.AsyncHttpCaller;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.InstanceKind;
+import org.tanagerbank.machine.InstanceState;
+import org.tanagerbank.machine.Zone;
+import org.tanagerbank.platform.HttpInstanceList;
+import org.tanagerbank.platform.HttpLogService;
+import org.tanagerbank.sidecar.Sidecar;
+import org.tanagerbank.sidecar.SidecarSettings;
+import org.tanagerbank.standin.EngineSettings;
+import org.tanagerbank.standin.EngineStandin;
+import org.tanagerbank.standin.InstanceListStandin;
+import org.tanagerbank.standin.LogSettings;
+import org.tanagerbank.standin.LogStandin;
+import org.tanagerbank.standin.PlainStandin;
+import org.tanagerbank.standin.Standin;
+
+/**
+ * A whole deployment on loopback in one process: stand-ins, sidecars and entries.
+ *
+ * <p>Not thread-safe; started and stopped by one thread.
+ */
+final class DemoFleet implements Lifecycle {
+  private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+  private static final long PLATFORM_TIMEOUT_MILLIS = 5_000;
+  private static final long LIST_LAG_MILLIS = 200;
+  private static final long PLAIN_DELAY_MILLIS = 5;
+
+  /** The caches hold fewer chats than there are, so that the choice of engine shows. */
+  private static final int CACHE_TOKENS = 65_536;
+
+  private final Deployment deployment;
+  private final long incarnation = System.currentTimeMillis();
+  private final AsyncHttpCaller caller = AsyncHttpCaller.create(CONNECT_TIMEOUT_MILLIS);
+  private final LogStandin log = LogStandin.create(anyPort(), LogSettings.defaults());
+  private final InstanceListStandin list =
+      InstanceListStandin.create(anyPort(), LIST_LAG_MILLIS, 0);
+  private final List<Lifecycle> started = new ArrayList<>();
+  private final List<Sidecar> engineSidecars = new ArrayList<>();
+  private final List<Sidecar> plainSidecars = new ArrayList<>();
+  private final List<Entry> entries = new ArrayList<>();
+
+  DemoFleet(Deployment deployment) {
+    this.deployment = deployment;
+  }
+
+  @Override
+  public void start() {
+    begin(caller);
+    begin(log);
+    begin(list);
+    publish();
+    startService(deployment.engineService(), deployment.engines(), true);
+    startService(deployment.plainService(), deployment.plainInstances(), false);
+    deployment.zones().forEach(this::startEntry);
+  }
+
+  /** Stops entries and sidecars as a platform would, and then the stand-ins. */
+  @Override
+  public void stop() {
+    Lists.reverse(started).forEach(Lifecycle::stop);
+  }
+
+  AsyncHttpCaller caller() {
+    return caller;
+  }
+
+  ImmutableList<Sidecar> engineSidecars() {
+    return ImmutableList.copyOf(engineSidecars);
+  }
+
+  ImmutableList<Entry> entries() {
+    return ImmutableList.copyOf(entries);
+  }
+
+  ImmutableList<InetSocketAddress> entryAddresses() {
+    return entries.stream().map(Entry::httpAddress).collect(ImmutableList.toImmutableList());
+  }
+
+  private void publish() {
+    HttpLogService client =
+        HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS);
+    ConfigPublisher publisher = new ConfigPublisher(client, PLATFORM_TIMEOUT_MILLIS);
+    Publish publish =
+        new Publish(UUID.randomUUID().toString(), 0, "demo", deployment.declaration());
+    try {
+      PublishResult result = publisher.publish(publish);
+      if (!(result instanceof PublishResult.Accepted)) {
+        throw TanagerException.notRun(ErrorCode.INVALID_DECLARATION, result.toString());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw TanagerException.failure(ErrorCode.CANCELLED, "interrupted while publishing", e);
+    }
+  }
+
+  private void startService(String service, int count, boolean engine) {
+    for (int i = 0; i < count; i++) {
+      Zone zone = deployment.zones().get(i % deployment.zones().size());
+      Standin upstream =
+          engine
+              ? EngineStandin.create(
+                  anyPort(), EngineSettings.defaults().cacheTokens(CACHE_TOKENS))
+              : PlainStandin.create(anyPort(), PLAIN_DELAY_MILLIS);
+      begin(upstream);
+      String id = Joiner.on('-').join(service, i);
+      Sidecar sidecar = Sidecar.create(sidecarSettings(id, service, zone, upstream));
+      begin(sidecar);
+      (engine ? engineSidecars : plainSidecars).add(sidecar);
+      list.register(
+          row(id, InstanceKind.SIDECAR, service, zone, sidecar.linkAddress(), sidecar.httpAddress()));
+    }
+  }
+
+  private SidecarSettings sidecarSettings(
+      String id, String service, Zone zone, Standin upstream) {
+    return new SidecarSettings(
+        id,
+        incarnation,
+        service,
+        zone,
+        anyPort(),
+        anyPort(),
+        upstream.address(),
+        log.address(),
+        list.address(),
+        0);
+  }
+
+  private void startEntry(Zone zone) {
+    String id = "entry-" + zone.name();
+    EntrySettings settings =
+        new EntrySettings(
+            id, zone, incarnation, anyPort(), anyPort(), EntrySettings.MAX_BODY_BYTES, 0);
+    Entry entry =
+        Entry.create(
+            settings,
+            HttpInstanceList.create(caller, list.address(), PLATFORM_TIMEOUT_MILLIS),
+            HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS));
+    begin(entry);
+    entries.add(entry);
+    list.register(
+        row(id, InstanceKind.ENTRY, "", zone, entry.linkAddress(), entry.httpAddress()));
+  }
+
+  private InstanceInfo row(
+      String id,
+      InstanceKind kind,
+      String service,
+      Zone zone,
+      InetSocketAddress link,
+      InetSocketAddress http) {
+    return new InstanceInfo(id, kind, service, zone, link, http, incarnation, InstanceState.LIVE);
+  }
+
+  private void begin(Lifecycle part) {
+    part.start();
+    started.add(part);
+  }
+
+  private static InetSocketAddress anyPort() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+  }
+}
--- a/src/main/java/org/tanagerbank/entry/Entry.java
+++ b/src/main/java/org/tanagerbank/entry/Entry.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tanagerbank.adoption.AdoptedConfig;
 import org.tanagerbank.config.LogConfigSettings;
 import org.tanagerbank.config.LogConfigSource;
@@ -164,6 +165,18 @@
     return server.address();
   }
 
+  /** Returns the bytes of control traffic that all links have carried, in both directions. */
+  public long controlBytes() {
+    return Stream.of(client.traffic(), server.traffic())
+        .mapToLong(t -> t.controlSent() + t.controlReceived())
+        .sum();
+  }
+
+  /** Returns the number of usable upstreams of a service. */
+  public int upstreamCount(String service) {
+    return fleet.upstreams(service).size();
+  }
+
   /** Returns what this entry knows about the fleet. */
   Fleet fleet() {
     return fleet;
--- /dev/null
+++ b/src/test/java/org/tanagerbank/fleet/FleetIT.java
@@ -0,0 +1,293 @@
+package org.tanagerbank.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.http.AsyncHttpCaller;
+import org.tanagerbank.load.LoadDriver;
+import org.tanagerbank.load.LoadPlan;
+import org.tanagerbank.load.LoadResult;
+
+/**
+ * Runs the whole path as separate processes of the built binary.
+ *
+ * <p>Guards against answers that are wrong, doubled or cut short when a sidecar and an entry are
+ * killed, and against a planned stop that cuts off work.
+ */
+final class FleetIT {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String MODEL = "draft";
+  private static final int ENGINES = 3;
+  private static final String DECLARATION =
+      """
+      services:
+        pool:
+          kind: engine
+          models: [draft]
+          deterministic: true
+          slowStartSeconds: 1
+        register:
+          kind: plain
+          dependsOn: [pool]
+          nonIdempotentPaths: [/entries]
+      """;
+
+  private final ProcessFleet fleet = new ProcessFleet();
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final AsyncHttpCaller caller = AsyncHttpCaller.create(2_000);
+  private final List<String> entries = new ArrayList<>();
+  private final List<String> engines = new ArrayList<>();
+  private String log;
+  private String instances;
+  private String plain;
+
+  @BeforeEach
+  void startFleet() throws Exception {
+    caller.start();
+    log = fleet.start("log", "standin", "log").path("address").asText();
+    instances =
+        fleet.start("instances", "standin", "instances", "--probe-millis", "200")
+            .path("address")
+            .asText();
+    for (int i = 0; i < ENGINES; i++) {
+      String engine = fleet.start("engine-" + i, "standin", "engine").path("address").asText();
+      engines.add(engine);
+      startSidecar("pool-" + i, "pool", "zone-" + i, engine);
+    }
+    plain = fleet.start("plain", "standin", "plain").path("address").asText();
+    startSidecar("register-0", "register", "zone-0", plain);
+    startEntry("entry-0", "zone-0");
+    startEntry("entry-1", "zone-1");
+    Path file = Files.writeString(Path.of("target/process-logs/declaration.yaml"), DECLARATION);
+    int status =
+        fleet.run(
+            "publish",
+            "config",
+            "publish",
+            "--file",
+            file.toString(),
+            "--base",
+            "0",
+            "--log",
+            log,
+            "--operator",
+            "test");
+    assertThat(status).isEqualTo(0);
+    for (String entry : entries) {
+      ProcessFleet.await(entry + " knows all upstreams", () -> liveUpstreams(entry) == ENGINES + 1);
+    }
+  }
+
+  @AfterEach
+  void stopFleet() {
+    fleet.close();
+    caller.stop();
+    timer.shutdownNow();
+  }
+
+  @Test
+  void killedSidecarAndEntryLoseNoAnswerSilently() throws Exception {
+    LoadDriver driver = driver(entries, 60, 6, 24);
+    CompletableFuture<LoadResult> run = CompletableFuture.supplyAsync(() -> result(driver), timer);
+    ProcessFleet.await("a third of the requests ended", () -> driver.ended() > 120);
+    fleet.kill("pool-1");
+    fleet.kill("entry-1");
+    LoadResult result = run.get();
+    assertThat(result.wrongAnswers()).isEqualTo(0);
+    assertWithMessage("%s", result.failures())
+        .that(ImmutableSet.of("CONNECTION_FAILED"))
+        .containsAtLeastElementsIn(result.failures().keySet());
+    assertThat(result.wholeAnswers() + failures(result)).isEqualTo(result.requests());
+
+    LoadResult after = result(driver(entries.subList(0, 1), 30, 2, 12));
+    assertThat(after.wholeAnswers()).isEqualTo(60);
+    assertThat(after.wrongAnswers()).isEqualTo(0);
+  }
+
+  @Test
+  void plannedStopOfSidecarAndEntryCutsNothingOff() throws Exception {
+    LoadDriver driver = driver(entries.subList(0, 1), 60, 6, 24);
+    CompletableFuture<LoadResult> run = CompletableFuture.supplyAsync(() -> result(driver), timer);
+    ProcessFleet.await("a third of the requests ended", () -> driver.ended() > 120);
+    fleet.stop("pool-1");
+    LoadResult result = run.get();
+    assertThat(result.failures()).isEmpty();
+    assertThat(result.wrongAnswers()).isEqualTo(0);
+    assertThat(result.wholeAnswers()).isEqualTo(360);
+
+    CompletableFuture<HttpResponse<String>> last =
+        CompletableFuture.supplyAsync(
+            () -> ProcessFleet.http("POST", entries.get(0), "/v1/chat/completions", longChat()));
+    ProcessFleet.await("the request is in flight", () -> inFlight(entries.get(0)) == 1);
+    fleet.stop("entry-0");
+    assertThat(last.get().statusCode()).isEqualTo(200);
+    JsonNode answer = MAPPER.readTree(last.get().body());
+    assertThat(answer.path("usage").path("completion_tokens").asInt()).isEqualTo(400);
+  }
+
+  @Test
+  void issuedKeyRunsOnceThroughTwoEntries() throws Exception {
+    HttpResponse<String> issued =
+        ProcessFleet.http(
+            "POST", entries.get(0), "/v1/request-keys", "{\"service\":\"register\"}");
+    assertThat(issued.statusCode()).isEqualTo(200);
+    String key = MAPPER.readTree(issued.body()).path("key").asText();
+    List<String> bodies = new ArrayList<>();
+    for (String entry : entries) {
+      HttpResponse<String> answer =
+          ProcessFleet.http(
+              "POST",
+              entry,
+              "/services/register/entries",
+              "{\"finding\":\"roof\"}",
+              "Idempotency-Key",
+              key,
+              "Content-Type",
+              "application/json");
+      assertWithMessage("%s", answer.body()).that(answer.statusCode()).isEqualTo(200);
+      bodies.add(answer.body());
+    }
+    assertThat(bodies.get(1)).isEqualTo(bodies.get(0));
+    JsonNode executions =
+        MAPPER.readTree(ProcessFleet.http("GET", plain, "/admin/executions", "").body());
+    assertThat(executions.path("total").asInt()).isEqualTo(1);
+
+    HttpResponse<String> reused =
+        ProcessFleet.http(
+            "POST",
+            entries.get(1),
+            "/services/register/entries",
+            "{\"finding\":\"wall\"}",
+            "Idempotency-Key",
+            key);
+    assertThat(reused.statusCode()).isEqualTo(422);
+    assertThat(reused.body()).contains("KEY_REUSED");
+  }
+
+  private void startSidecar(String id, String service, String zone, String upstream) {
+    JsonNode ready =
+        fleet.start(
+            id,
+            "sidecar",
+            "--id",
+            id,
+            "--service",
+            service,
+            "--zone",
+            zone,
+            "--region",
+            "region",
+            "--upstream",
+            upstream,
+            "--log",
+            log,
+            "--instances",
+            instances);
+    register(id, "sidecar", service, zone, ready);
+  }
+
+  private void startEntry(String id, String zone) {
+    JsonNode ready =
+        fleet.start(
+            id, "entry", "--id", id, "--zone", zone, "--region", "region", "--log", log,
+            "--instances", instances);
+    register(id, "entry", "", zone, ready);
+    entries.add(ready.path("http").asText());
+  }
+
+  private void register(String id, String kind, String service, String zone, JsonNode ready) {
+    String row =
+        MAPPER
+            .createObjectNode()
+            .put("id", id)
+            .put("kind", kind)
+            .put("service", service)
+            .put("zone", zone)
+            .put("region", "region")
+            .put("address", ready.path("link").asText())
+            .put("httpAddress", ready.path("http").asText())
+            .put("incarnation", ready.path("incarnation").asLong())
+            .put("state", "live")
+            .toString();
+    HttpResponse<String> answer = ProcessFleet.http("PUT", instances, "/instances/" + id, row);
+    assertWithMessage("%s", answer.body()).that(answer.statusCode()).isLessThan(300);
+  }
+
+  private LoadDriver driver(List<String> targets, int chats, int turns, int concurrency) {
+    ImmutableList<InetSocketAddress> addresses =
+        targets.stream()
+            .map(t -> t.split(":"))
+            .map(t -> new InetSocketAddress(t[0], Integer.parseInt(t[1])))
+            .collect(ImmutableList.toImmutableList());
+    LoadPlan plan =
+        new LoadPlan(
+            addresses,
+            ImmutableList.of("w0", "w1", "w2"),
+            MODEL,
+            chats,
+            turns,
+            concurrency,
+            20,
+            true,
+            true,
+            100,
+            7);
+    return LoadDriver.create(caller, timer, plan);
+  }
+
+  private static LoadResult result(LoadDriver driver) {
+    try {
+      return driver.run();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static long failures(LoadResult result) {
+    return result.failures().values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  private static String longChat() {
+    return """
+        {"model":"draft","max_tokens":400,"messages":[{"role":"user","content":"a long answer"}]}
+        """;
+  }
+
+  private static JsonNode status(String entry) {
+    try {
+      return MAPPER.readTree(ProcessFleet.http("GET", entry, "/status", "").body());
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static int liveUpstreams(String entry) {
+    int live = 0;
+    for (JsonNode service : status(entry).path("services")) {
+      live += service.path("upstreams").size();
+    }
+    return live;
+  }
+
+  private static int inFlight(String entry) {
+    return status(entry).path("inFlight").asInt();
+  }
+}
