--- a/src/main/java/org/tanagerbank/http/HttpService.java
+++ b/src/main/java/org/tanagerbank/http/HttpService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.protocol.HttpContext;
@@ -29,11 +30,14 @@
  * An event-driven HTTP/1.1 server.
  *
  * <p>A few I/O threads serve all connections; handlers run on them and must not block. A connection
- * whose caller closes it, even only for sending, counts as gone. Thread-safe.
+ * whose caller closes it, even only for sending, counts as gone. {@link #stop} breaks off what is
+ * in flight; a graceful shutdown waits for its exchanges first. Thread-safe.
  */
 public final class HttpService implements Lifecycle {
   private static final int IO_THREADS = Math.max(2, Math.min(4, availableProcessors()));
   private static final int BACKLOG = 4_096;
+  private static final int MAX_HEADER_LINE_BYTES = 16 << 10;
+  private static final int MAX_HEADERS = 200;
   private static final TimeValue SHUTDOWN_LIMIT = TimeValue.ofMilliseconds(500);
 
   private final InetSocketAddress bind;
@@ -73,6 +77,11 @@
     server =
         AsyncServerBootstrap.bootstrap()
             .setIOReactorConfig(config)
+            .setHttp1Config(
+                Http1Config.custom()
+                    .setMaxLineLength(MAX_HEADER_LINE_BYTES)
+                    .setMaxHeaderCount(MAX_HEADERS)
+                    .build())
             .setIOSessionListener(sessions)
             .setIOSessionDecorator(s -> new ReadHookSession(s, HttpService::readUnlessClosed))
             .setExceptionCallback(HttpService::onException)
--- a/src/main/java/org/tanagerbank/http/ResponseBody.java
+++ b/src/main/java/org/tanagerbank/http/ResponseBody.java
@@ -89,6 +89,11 @@
     Guarded.run("abort action", action);
   }
 
+  /** Drops what is written, for a response that has no body, like that to HEAD. */
+  synchronized void completeWithoutBody() {
+    state = State.COMPLETE;
+  }
+
   /** Returns whether the connection should ask for output: 1 for yes, 0 for no. */
   synchronized int available() {
     return !queue.isEmpty() || state == State.ENDING ? 1 : 0;
--- a/src/main/java/org/tanagerbank/http/ServerExchange.java
+++ b/src/main/java/org/tanagerbank/http/ServerExchange.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.message.MessageSupport;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
@@ -148,6 +149,9 @@
     HttpHeaders.write(headers, head);
     try {
       channel.sendResponse(head, new BasicEntityDetails(length, null), context);
+      if (!MessageSupport.canResponseHaveBody(request.getMethod(), head)) {
+        responseBody.completeWithoutBody();
+      }
     } catch (HttpException | IOException e) {
       responseBody.failed();
     }
--- a/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
+++ b/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -180,6 +181,48 @@
     assertThat(aborted.await(20, TimeUnit.SECONDS)).isTrue();
   }
 
+  @Test
+  void cancelEndsACallThatWaitsForCredit() throws Exception {
+    Collector collector = new Collector();
+    HttpCall call = caller.send(server.address(), message("GET", "/many", ""), 1, collector);
+    collector.awaitData();
+    call.cancel();
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("may have run");
+  }
+
+  @Test
+  void connectionThatIsNotMadeHasNotRun() throws Exception {
+    List<SocketChannel> fillers = new ArrayList<>();
+    try (ServerSocket socket = new ServerSocket(0, 1, server.address().getAddress())) {
+      InetSocketAddress full = (InetSocketAddress) socket.getLocalSocketAddress();
+      // Nobody accepts these, and with a full backlog the kernel answers no further connects.
+      for (int i = 0; i < 4; i++) {
+        fillers.add(SocketChannel.open());
+        fillers.get(i).configureBlocking(false);
+        fillers.get(i).connect(full);
+      }
+      Collector timedOut = new Collector();
+      caller.send(full, message("POST", "/echo", "x"), 1, timedOut);
+      Collector cancelled = new Collector();
+      caller.send(full, message("POST", "/echo", "x"), 1, cancelled).cancel();
+      assertThat(cancelled.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("not run");
+      assertThat(timedOut.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("not run");
+    } finally {
+      for (SocketChannel filler : fillers) {
+        filler.close();
+      }
+    }
+  }
+
+  @Test
+  void responseWithoutBodyLeavesTheConnectionUsable() {
+    for (int i = 0; i < 3; i++) {
+      HttpReply reply = exchange(message("HEAD", "/echo", ""));
+      assertThat(reply.status()).isEqualTo(200);
+      assertThat(reply.body()).isEmpty();
+    }
+  }
+
   @Test
   void abortedStreamIsAFailure() throws Exception {
     Collector collector = new Collector();
