Add the sidecar: serves chats and plain calls of one upstream over links

Cause: entries need one process beside each upstream that admits requests by its exact count, keeps the ledger, relays answers under credit and recognises crashes of the engine.

Before: no sidecar.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -15,6 +15,7 @@
 
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
+          .put("sidecar", new Row("run the sidecar of one upstream", SidecarCommand::new))
           .put("version", new Row("print the version", VersionCommand::new))
           .put(
               "bench routing",
--- a/src/main/java/org/tanagerbank/ledger/Core.java
+++ b/src/main/java/org/tanagerbank/ledger/Core.java
@@ -31,8 +31,9 @@
     return new Core<>(run, true, null, null, 0);
   }
 
-  static <R> Core<R> sealed(long now) {
-    return new Core<>(null, false, ErrorCode.SEALED, Verdict.NOT_RUN, now);
+  /** Returns the state of a refused request; a later copy is refused with the same code. */
+  static <R> Core<R> sealed(ErrorCode code, long now) {
+    return new Core<>(null, false, code, Verdict.NOT_RUN, now);
   }
 
   /** Ends the run; returns false when it had ended before. */
--- a/src/main/java/org/tanagerbank/ledger/IdShard.java
+++ b/src/main/java/org/tanagerbank/ledger/IdShard.java
@@ -85,11 +85,14 @@
       return core.onSubmit();
     }
     Slot<R> slot = requests.get().slots.get(s.id().sequence());
-    if (slot != null && slot.core != null) {
-      return slot.core.onSubmit();
+    if (slot == null || slot.core == null) {
+      put(requests.get(), s.id(), now).core = core;
+      return core.onSubmit();
     }
-    put(requests.get(), s.id(), now).core = core;
-    return core.onSubmit();
+    // The id was sealed, but its key ran under another id, so this is no promise to its caller.
+    return slot.core.isSealed() && !core.isSealed()
+        ? new SubmitDecision.Fail<>(ErrorCode.SEALED, Verdict.MAY_HAVE_RUN)
+        : slot.core.onSubmit();
   }
 
   /** Seals the id of a Submit that is refused for a reason of its own. */
@@ -99,13 +102,15 @@
       return forgotten();
     }
     Slot<R> slot = requests.get().slots.get(id.sequence());
-    if (slot != null && slot.core != null) {
+    if (slot != null && slot.core != null && !slot.core.isSealed()) {
       return slot.core.onSubmit();
     }
     if (slot == null && isEvicted(requests.get(), id)) {
       return forgotten();
     }
-    put(requests.get(), id, now).core = Core.sealed(now);
+    if (slot == null || slot.core == null) {
+      put(requests.get(), id, now).core = Core.sealed(code, now);
+    }
     return new SubmitDecision.Refuse<>(code, 0, "");
   }
 
@@ -122,7 +127,7 @@
     if (slot == null && isEvicted(requests.get(), id)) {
       return new QueryOutcome.Fail<>(ErrorCode.FORGOTTEN, Verdict.MAY_HAVE_RUN);
     }
-    put(requests.get(), id, now).core = Core.sealed(now);
+    put(requests.get(), id, now).core = Core.sealed(ErrorCode.SEALED, now);
     return new QueryOutcome.Sealed<>();
   }
 
@@ -166,7 +171,7 @@
       slot.movedAttempt = s.attempt();
       slot.movedAt = now;
     } else {
-      slot.core = Core.sealed(now);
+      slot.core = Core.sealed(pass.code(), now);
     }
     return new SubmitDecision.Refuse<>(pass.code(), pass.retryAfterMillis(), pass.detail());
   }
--- a/src/main/java/org/tanagerbank/ledger/KeyShard.java
+++ b/src/main/java/org/tanagerbank/ledger/KeyShard.java
@@ -99,7 +99,7 @@
     } else if (decision instanceof SubmitDecision.Refuse<R> refusal
         && refusal.code() != ErrorCode.MOVED
         && s.nonIdempotent()) {
-      record(s, use, hash, Core.sealed(now), now);
+      record(s, use, hash, Core.sealed(ErrorCode.SEALED, now), now);
     }
     return decision;
   }
--- a/src/main/java/org/tanagerbank/ledger/RequestLedger.java
+++ b/src/main/java/org/tanagerbank/ledger/RequestLedger.java
@@ -42,7 +42,8 @@
     IdShard<R> ids = idShard(s.id());
     ids.evict(nowMillis);
     if (s.incarnation() != incarnation) {
-      return onOtherIncarnation(s, ids, nowMillis);
+      // The other incarnation may have run an earlier copy, of which nothing is known here.
+      return new SubmitDecision.Fail<>(ErrorCode.UPSTREAM_LOST, Verdict.MAY_HAVE_RUN);
     }
     if (s.key().isEmpty()) {
       return ids.submit(s, gate, nowMillis);
@@ -55,6 +56,11 @@
     return keyShard(use.hash()).submit(s, use, gate, ids, nowMillis);
   }
 
+  /** Seals a request that is refused before it is looked at, unless it has a state. */
+  public SubmitDecision<R> refuse(RequestId id, ErrorCode code, long nowMillis) {
+    return idShard(id).refuse(id, code, nowMillis);
+  }
+
   /** Answers a Query for a request sent to an incarnation; an unknown request is sealed. */
   public QueryOutcome<R> query(RequestId id, long boundIncarnation, long nowMillis) {
     return boundIncarnation == incarnation
@@ -99,17 +105,6 @@
     return keys.get();
   }
 
-  /**
-   * Refuses a request bound to another incarnation. A first attempt cannot have run elsewhere under
-   * this id; a later one may resume a run of the other incarnation.
-   */
-  private SubmitDecision<R> onOtherIncarnation(Submission s, IdShard<R> ids, long now) {
-    if (s.attempt() > 1 || (s.key().isPresent() && s.nonIdempotent())) {
-      return new SubmitDecision.Fail<>(ErrorCode.UPSTREAM_LOST, Verdict.MAY_HAVE_RUN);
-    }
-    return ids.refuse(s.id(), ErrorCode.WRONG_INCARNATION, now);
-  }
-
   private IdShard<R> idShard(RequestId id) {
     int hash = id.entryId().hashCode() * 31 + Long.hashCode(id.entryIncarnation());
     return idShards.get(Math.floorMod(hash ^ (hash >>> 16), SHARDS));
--- /dev/null
+++ b/src/main/java/org/tanagerbank/sidecar/Frames.java
@@ -0,0 +1,88 @@
+package org.tanagerbank.sidecar;
+
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.contract.Verdict;
+import org.tanagerbank.proto.LinkProto.Accepted;
+import org.tanagerbank.proto.LinkProto.End;
+import org.tanagerbank.proto.LinkProto.Failed;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.Outcome;
+import org.tanagerbank.proto.LinkProto.QuarantineNotice;
+import org.tanagerbank.proto.LinkProto.Refused;
+import org.tanagerbank.proto.LinkProto.RequestRef;
+import org.tanagerbank.proto.LinkProto.VerdictCode;
+import org.tanagerbank.quarantine.Condemnation;
+
+/** Builds the frames that a sidecar sends. Stateless. */
+final class Frames {
+  private Frames() {}
+
+  static RequestId idOf(RequestRef ref) {
+    return new RequestId(ref.getEntryId(), ref.getEntryIncarnation(), ref.getSequence());
+  }
+
+  static Frame accepted(RequestRef ref, int attempt, int inFlight) {
+    return Frame.newBuilder()
+        .setAccepted(
+            Accepted.newBuilder().setRequest(ref).setAttempt(attempt).setInFlight(inFlight))
+        .build();
+  }
+
+  static Frame refused(
+      RequestRef ref, int attempt, ErrorCode code, String movedTo, long retryMillis, int inFlight) {
+    return Frame.newBuilder()
+        .setRefused(
+            Refused.newBuilder()
+                .setRequest(ref)
+                .setAttempt(attempt)
+                .setCode(code.name())
+                .setMessage("the sidecar refused the request: " + code)
+                .setMovedTo(movedTo)
+                .setRetryAfterMillis((int) Math.min(Integer.MAX_VALUE, retryMillis))
+                .setInFlight(inFlight))
+        .build();
+  }
+
+  static Frame failed(
+      RequestRef ref, int attempt, ErrorCode code, Verdict verdict, String message) {
+    return Frame.newBuilder()
+        .setFailed(
+            Failed.newBuilder()
+                .setRequest(ref)
+                .setAttempt(attempt)
+                .setVerdict(verdictOf(verdict))
+                .setCode(code.name())
+                .setMessage(message))
+        .build();
+  }
+
+  static Frame end(End.Builder end) {
+    return Frame.newBuilder().setEnd(end).build();
+  }
+
+  static Frame outcome(RequestRef ref, Outcome.State state, long availableBytes) {
+    return Frame.newBuilder()
+        .setOutcome(
+            Outcome.newBuilder().setRequest(ref).setState(state).setAvailableBytes(availableBytes))
+        .build();
+  }
+
+  static Frame quarantined(String service, Condemnation condemned) {
+    return Frame.newBuilder()
+        .setQuarantineNotice(
+            QuarantineNotice.newBuilder()
+                .setService(service)
+                .setFingerprint(condemned.fingerprint().value())
+                .setExpiresAtMillis(condemned.expiresAtMillis()))
+        .build();
+  }
+
+  private static VerdictCode verdictOf(Verdict verdict) {
+    return switch (verdict) {
+      case NOT_RUN -> VerdictCode.NOT_RUN;
+      case MAY_HAVE_RUN -> VerdictCode.MAY_HAVE_RUN;
+      case RAN -> VerdictCode.RAN;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarHttp.java
@@ -0,0 +1,53 @@
+package org.tanagerbank.sidecar;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.http.HttpErrors;
+import org.tanagerbank.http.HttpExchange;
+import org.tanagerbank.http.HttpHandler;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.Json;
+
+/** Serves metrics, health and status over HTTP. Thread-safe. */
+final class SidecarHttp implements HttpHandler {
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final SidecarStatus status;
+  private final SidecarMetrics metrics;
+
+  SidecarHttp(SidecarStatus status, SidecarMetrics metrics) {
+    this.status = status;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void handle(HttpMessage request, HttpExchange exchange) {
+    if (!request.method().equals("GET")) {
+      throw TanagerException.notRun(ErrorCode.METHOD_NOT_ALLOWED, request.method());
+    }
+    switch (request.pathOnly()) {
+      case "/metrics" ->
+          exchange.respond(
+              new HttpReply(
+                  OK,
+                  ImmutableMap.of("content-type", SidecarMetrics.CONTENT_TYPE),
+                  metrics.text()));
+      case "/health/live" -> exchange.respond(health(OK, "live"));
+      case "/health/ready" ->
+          exchange.respond(
+              status.isReady() ? health(OK, "ready") : health(UNAVAILABLE, "not ready"));
+      case "/status" -> exchange.respond(HttpErrors.json(OK, status.json()));
+      default ->
+          throw TanagerException.notRun(ErrorCode.NOT_FOUND, "no such path: " + request.pathOnly());
+    }
+  }
+
+  private static HttpReply health(int code, String text) {
+    ObjectNode body = Json.object().put("status", text);
+    return HttpErrors.json(code, body);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
@@ -0,0 +1,66 @@
+package org.tanagerbank.sidecar;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.DoubleSupplier;
+
+/** The Prometheus metrics of a sidecar. Thread-safe. */
+final class SidecarMetrics {
+  static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter submits =
+      Counter.builder()
+          .name("tanagerbank_sidecar_submits_total")
+          .help("Submits received, by what was decided.")
+          .labelNames("decision")
+          .register(registry);
+  private final Counter runs =
+      Counter.builder()
+          .name("tanagerbank_sidecar_runs_total")
+          .help("Runs ended, by outcome.")
+          .labelNames("outcome")
+          .register(registry);
+  private final Counter crashes =
+      Counter.builder()
+          .name("tanagerbank_sidecar_upstream_crashes_total")
+          .help("Crashes of the upstream.")
+          .register(registry);
+
+  void submitted(String decision) {
+    submits.labelValues(decision).inc();
+  }
+
+  void ended(String outcome) {
+    runs.labelValues(outcome).inc();
+  }
+
+  void crashed() {
+    crashes.inc();
+  }
+
+  /** Adds a value that is read when metrics are collected. */
+  void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name("tanagerbank_sidecar_" + name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  byte[] text() {
+    try {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      new PrometheusTextFormatWriter(true).write(out, registry.scrape());
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
