Add the fuzzing of the safety rules

Cause: the promises on NOT_RUN, at most one run and whole answers hold only if entry flow, ledger, quarantine and admission work together under any order of frames, failures and resends.

Ruled out: a model of the entry in test code, because the production request flow is pure decision code and can be joined by messages directly; TCP-like delivery, because a network that also repeats frames and lets them reach later incarnations finds more.

Before: no such check.

--- /dev/null
+++ b/src/test/java/org/tanagerbank/safety/AnyRouter.java
@@ -0,0 +1,59 @@
+package org.tanagerbank.safety;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.declaration.ServiceSpec;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.routing.MeanEstimate;
+import org.tanagerbank.routing.RouteDecision;
+import org.tanagerbank.routing.RouteRequest;
+import org.tanagerbank.routing.ServiceRouter;
+
+/** Chooses any upstream that is not excluded: safety must not depend on the choice. */
+final class AnyRouter implements ServiceRouter {
+  private final World world;
+
+  AnyRouter(World world) {
+    this.world = world;
+  }
+
+  @Override
+  public RouteDecision choose(RouteRequest request, long nowMillis, RandomGenerator random) {
+    List<Upstream> left =
+        IntStream.range(0, World.SIDECARS)
+            .mapToObj(world::upstream)
+            .filter(u -> !request.excluded().contains(u.id()))
+            .toList();
+    if (left.isEmpty()) {
+      return new RouteDecision.Refuse(ErrorCode.NO_UPSTREAM, 0);
+    }
+    Upstream any = left.get(random.nextInt(left.size()));
+    Upstream chosen =
+        left.stream()
+            .filter(u -> request.movedTo().equals(Optional.of(u.id())))
+            .findFirst()
+            .orElse(any);
+    return new RouteDecision.Send(chosen, chosen);
+  }
+
+  @Override
+  public void configure(ServiceSpec spec, long nowMillis) {}
+
+  @Override
+  public void setUpstreams(List<Upstream> live, long nowMillis) {}
+
+  @Override
+  public void loadReported(String upstreamId, int inFlight, long nowMillis) {}
+
+  @Override
+  public void meanReported(MeanEstimate mean, long nowMillis) {}
+
+  @Override
+  public void sent(String upstreamId, String workspace, long nowMillis) {}
+
+  @Override
+  public void ended(String upstreamId, String workspace, long nowMillis) {}
+}
