--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -34,6 +34,11 @@
           .put(
               "standin weights",
               new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
+          .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
+          .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
+          .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
+          .put("config history", new Row("list publishes", ConfigHistoryCommand::new))
+          .put("config diff", new Row("compare two revisions", ConfigDiffCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
