Follow the request flow of the entry in the safety fuzzing

Cause: FlowRequest has one more field since the entry tells returning chats apart. Ruled out: nothing else changed. Conclusion: the simulated chats are new ones.

--- a/src/test/java/org/tanagerbank/safety/SimEntry.java
+++ b/src/test/java/org/tanagerbank/safety/SimEntry.java
@@ -70,6 +70,7 @@
         new FlowRequest(
             "w",
             new ChatKey(ask.body()),
+            false,
             ask.streamed(),
             ask.nonIdempotent(),
             false,
