--- a/src/main/java/org/tanagerbank/demo/Demo.java
+++ b/src/main/java/org/tanagerbank/demo/Demo.java
@@ -15,7 +15,6 @@
 import org.tanagerbank.load.LoadDriver;
 import org.tanagerbank.load.LoadPlan;
 import org.tanagerbank.load.LoadResult;
-import org.tanagerbank.sidecar.Sidecar;
 
 /**
  * Runs a whole deployment on loopback with a few hundred returning chats and checks every answer.
@@ -38,8 +37,7 @@
   private final int turns;
   private final long seed;
   private final DemoFleet fleet;
-  private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(TIMER_THREADS);
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
   private final CountDownLatch ended = new CountDownLatch(1);
   private volatile LoadDriver driver;
 
@@ -148,9 +146,7 @@
   }
 
   private boolean isReady(Entry entry) {
-    HttpMessage probe =
-        new HttpMessage(
-            "GET", "/health/ready", ImmutableMap.of(), new byte[0]);
+    HttpMessage probe = new HttpMessage("GET", "/health/ready", ImmutableMap.of(), new byte[0]);
     boolean answers =
         fleet.caller().exchange(entry.httpAddress(), probe, PROBE_TIMEOUT_MILLIS).status() == 200;
     return answers && entry.upstreamCount(deployment.engineService()) == deployment.engines();
--- a/src/main/java/org/tanagerbank/demo/DemoFleet.java
+++ b/src/main/java/org/tanagerbank/demo/DemoFleet.java
@@ -96,8 +96,7 @@
   }
 
   private void publish() {
-    HttpLogService client =
-        HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS);
+    HttpLogService client = HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS);
     ConfigPublisher publisher = new ConfigPublisher(client, PLATFORM_TIMEOUT_MILLIS);
     Publish publish =
         new Publish(UUID.randomUUID().toString(), 0, "demo", deployment.declaration());
@@ -117,8 +116,7 @@
       Zone zone = deployment.zones().get(i % deployment.zones().size());
       Standin upstream =
           engine
-              ? EngineStandin.create(
-                  anyPort(), EngineSettings.defaults().cacheTokens(CACHE_TOKENS))
+              ? EngineStandin.create(anyPort(), EngineSettings.defaults().cacheTokens(CACHE_TOKENS))
               : PlainStandin.create(anyPort(), PLAIN_DELAY_MILLIS);
       begin(upstream);
       String id = Joiner.on('-').join(service, i);
@@ -126,12 +124,17 @@
       begin(sidecar);
       (engine ? engineSidecars : plainSidecars).add(sidecar);
       list.register(
-          row(id, InstanceKind.SIDECAR, service, zone, sidecar.linkAddress(), sidecar.httpAddress()));
+          row(
+              id,
+              InstanceKind.SIDECAR,
+              service,
+              zone,
+              sidecar.linkAddress(),
+              sidecar.httpAddress()));
     }
   }
 
-  private SidecarSettings sidecarSettings(
-      String id, String service, Zone zone, Standin upstream) {
+  private SidecarSettings sidecarSettings(String id, String service, Zone zone, Standin upstream) {
     return new SidecarSettings(
         id,
         incarnation,
@@ -157,8 +160,7 @@
             HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS));
     begin(entry);
     entries.add(entry);
-    list.register(
-        row(id, InstanceKind.ENTRY, "", zone, entry.linkAddress(), entry.httpAddress()));
+    list.register(row(id, InstanceKind.ENTRY, "", zone, entry.linkAddress(), entry.httpAddress()));
   }
 
   private InstanceInfo row(
--- a/src/main/java/org/tanagerbank/demo/DemoResult.java
+++ b/src/main/java/org/tanagerbank/demo/DemoResult.java
@@ -14,7 +14,7 @@
  * @param loadSkew largest over mean of the engines' time-averaged requests in flight
  * @param controlBytesPerEntryPerSecond link bytes that are no request or answer, both directions
  * @param failures requests that ended with an error, by code
- * @param resends requests that callers sent again after they were told that they were not run
+ * @param resends requests that callers sent again after NOT_RUN, by code
  * @param seconds how long the chats took
  */
 @JsonPropertyOrder({
@@ -35,7 +35,7 @@
     double loadSkew,
     double controlBytesPerEntryPerSecond,
     Map<String, Long> failures,
-    long resends,
+    Map<String, Long> resends,
     double seconds) {
   /** Returns whether every answer was whole and the caller's own. */
   public boolean isRight() {
--- a/src/main/java/org/tanagerbank/load/LoadDriver.java
+++ b/src/main/java/org/tanagerbank/load/LoadDriver.java
@@ -38,7 +38,7 @@
   private final LongAdder requests = new LongAdder();
   private final LongAdder whole = new LongAdder();
   private final LongAdder wrong = new LongAdder();
-  private final LongAdder resends = new LongAdder();
+  private final Map<String, LongAdder> resends = new ConcurrentHashMap<>();
   private final LongAdder promptTokens = new LongAdder();
   private final LongAdder reusedTokens = new LongAdder();
   private final Map<String, LongAdder> failures = new ConcurrentHashMap<>();
@@ -113,7 +113,7 @@
 
   private void ended(ChatScript chat, byte[] body, int resent, TurnResult turn) {
     if (!turn.whole() && turn.notRun() && resent < plan.maxResends() && !stopping.get()) {
-      resends.increment();
+      increment(resends, turn.errorCode());
       long base = Math.max(MIN_RESEND_MILLIS, turn.retryAfterMillis());
       long delay = base + ThreadLocalRandom.current().nextLong(base);
       timer.schedule(() -> send(chat, body, resent + 1), delay, TimeUnit.MILLISECONDS);
@@ -139,22 +139,30 @@
     } else if (turn.whole() || turn.cutShort() || !expected.startsWith(turn.text())) {
       wrong.increment();
     } else {
-      failures.computeIfAbsent(turn.errorCode(), c -> new LongAdder()).increment();
+      increment(failures, turn.errorCode());
     }
   }
 
   private LoadResult result(double seconds) {
-    ImmutableSortedMap.Builder<String, Long> byCode = ImmutableSortedMap.naturalOrder();
-    failures.forEach((code, count) -> byCode.put(code, count.sum()));
     return new LoadResult(
         requests.sum(),
         whole.sum(),
         wrong.sum(),
-        byCode.buildOrThrow(),
-        resends.sum(),
+        sums(failures),
+        sums(resends),
         promptTokens.sum(),
         reusedTokens.sum(),
         seconds,
         latencies);
   }
+
+  private static void increment(Map<String, LongAdder> counts, String code) {
+    counts.computeIfAbsent(code, c -> new LongAdder()).increment();
+  }
+
+  private static ImmutableSortedMap<String, Long> sums(Map<String, LongAdder> counts) {
+    ImmutableSortedMap.Builder<String, Long> sums = ImmutableSortedMap.naturalOrder();
+    counts.forEach((code, count) -> sums.put(code, count.sum()));
+    return sums.buildOrThrow();
+  }
 }
--- a/src/main/java/org/tanagerbank/load/LoadResult.java
+++ b/src/main/java/org/tanagerbank/load/LoadResult.java
@@ -10,7 +10,7 @@
  * @param wrongAnswers whole answers that were not the caller's own, and answers cut short without
  *     error
  * @param failures requests that ended with an error, by error code
- * @param resends requests sent again after {@code NOT_RUN}
+ * @param resends requests sent again after {@code NOT_RUN}, by error code
  * @param promptTokens prompt tokens of all whole answers
  * @param reusedTokens prompt tokens found in engines' caches
  * @param seconds how long the run took
@@ -21,7 +21,7 @@
     long wholeAnswers,
     long wrongAnswers,
     ImmutableSortedMap<String, Long> failures,
-    long resends,
+    ImmutableSortedMap<String, Long> resends,
     long promptTokens,
     long reusedTokens,
     double seconds,
--- a/src/main/java/org/tanagerbank/sidecar/Sidecar.java
+++ b/src/main/java/org/tanagerbank/sidecar/Sidecar.java
@@ -170,6 +170,11 @@
     return linkServer.address();
   }
 
+  /** Returns the number of requests in flight at the upstream. */
+  public int inFlight() {
+    return gate.inFlight();
+  }
+
   /** Returns where the sidecar serves HTTP. */
   public InetSocketAddress httpAddress() {
     return http.address();
--- a/src/test/java/org/tanagerbank/fleet/FleetIT.java
+++ b/src/test/java/org/tanagerbank/fleet/FleetIT.java
@@ -63,7 +63,8 @@
     caller.start();
     log = fleet.start("log", "standin", "log").path("address").asText();
     instances =
-        fleet.start("instances", "standin", "instances", "--probe-millis", "200")
+        fleet
+            .start("instances", "standin", "instances", "--probe-millis", "200")
             .path("address")
             .asText();
     for (int i = 0; i < ENGINES; i++) {
@@ -145,8 +146,7 @@
   @Test
   void issuedKeyRunsOnceThroughTwoEntries() throws Exception {
     HttpResponse<String> issued =
-        ProcessFleet.http(
-            "POST", entries.get(0), "/v1/request-keys", "{\"service\":\"register\"}");
+        ProcessFleet.http("POST", entries.get(0), "/v1/request-keys", "{\"service\":\"register\"}");
     assertThat(issued.statusCode()).isEqualTo(200);
     String key = MAPPER.readTree(issued.body()).path("key").asText();
     List<String> bodies = new ArrayList<>();
@@ -206,8 +206,18 @@
   private void startEntry(String id, String zone) {
     JsonNode ready =
         fleet.start(
-            id, "entry", "--id", id, "--zone", zone, "--region", "region", "--log", log,
-            "--instances", instances);
+            id,
+            "entry",
+            "--id",
+            id,
+            "--zone",
+            zone,
+            "--region",
+            "region",
+            "--log",
+            log,
+            "--instances",
+            instances);
     register(id, "entry", "", zone, ready);
     entries.add(ready.path("http").asText());
   }
