Keep the connect timeout from ending silent responses

Cause: HttpCore makes the connect timeout the socket timeout of the connection. In a trial with a connect timeout of 2 s a stream that waited for credit failed with a SocketTimeoutException after 2 s; long polls would have failed too.

Ruled out: a long connect timeout, because it decides how soon a call to a machine that is gone is known not to have run.

Conclusion: each write ends the socket timeout, so a response may be silent for any time. The message for a port in use no longer repeats itself.

--- a/src/main/java/org/tanagerbank/http/AsyncHttpCaller.java
+++ b/src/main/java/org/tanagerbank/http/AsyncHttpCaller.java
@@ -21,7 +21,7 @@
  * An event-driven HTTP/1.1 client with a connection pool for each server.
  *
  * <p>A few I/O threads serve all calls; listeners run on them and must not block. Response bodies
- * are read only as far as credit was given, plus at most one I/O buffer. Thread-safe.
+ * are read only as far as credit was given, plus at most 16 KiB. Thread-safe.
  */
 public final class AsyncHttpCaller implements HttpCaller, Lifecycle {
   private static final int IO_THREADS =
--- a/src/main/java/org/tanagerbank/http/HttpService.java
+++ b/src/main/java/org/tanagerbank/http/HttpService.java
@@ -139,9 +139,11 @@
 
   private TanagerException listenFailure(Throwable cause) {
     String where = bind.getHostString() + ":" + bind.getPort();
-    if (cause instanceof BindException) {
+    if (cause instanceof BindException && String.valueOf(cause.getMessage()).contains("in use")) {
       return TanagerException.failure(
-          ErrorCode.PORT_IN_USE, "cannot listen on " + where + ": " + cause.getMessage(), cause);
+          ErrorCode.PORT_IN_USE,
+          "cannot listen on " + where + ": the port is in use by another process",
+          cause);
     }
     return TanagerException.failure(
         ErrorCode.INTERNAL, "cannot listen on " + where + ": " + cause, cause);
--- a/src/main/java/org/tanagerbank/http/ReadHookSession.java
+++ b/src/main/java/org/tanagerbank/http/ReadHookSession.java
@@ -11,7 +11,12 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 
-/** A connection whose reads pass through a hook; all else goes to the connection itself. */
+/**
+ * A connection whose reads pass through a hook.
+ *
+ * <p>Each write ends the socket timeout: HttpCore makes the connect timeout of a client the socket
+ * timeout of the connection, which would break off every response that is silent for that long.
+ */
 final class ReadHookSession implements IOSession {
   /** Reads from a connection in place of the plain read. */
   @FunctionalInterface
@@ -34,6 +39,7 @@
 
   @Override
   public int write(ByteBuffer source) throws IOException {
+    session.setSocketTimeout(Timeout.DISABLED);
     return session.write(source);
   }
 
--- a/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
+++ b/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
@@ -148,6 +148,22 @@
     assertThat(new String(collector.body(), UTF_8)).isEqualTo("data: one\n\ndata: two\n\n");
   }
 
+  @Test
+  void connectTimeoutDoesNotEndASilentResponse() throws Exception {
+    AsyncHttpCaller hasty = AsyncHttpCaller.create(50);
+    hasty.start();
+    Collector collector = new Collector();
+    hasty.send(server.address(), message("GET", "/stream", ""), 1_000, collector);
+    BodyWriter out = stream.get(20, TimeUnit.SECONDS);
+    long begun = System.nanoTime();
+    Collector.await(
+        "the connect timeout has passed several times and the reactor has looked at it",
+        () -> System.nanoTime() - begun > TimeUnit.MILLISECONDS.toNanos(1_500));
+    out.end();
+    assertThat(collector.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end");
+    hasty.stop();
+  }
+
   @Test
   void slowReaderHoldsTheWriterBack() throws Exception {
     Collector collector = new Collector();
