Test the slow faults and let a slow engine become fast at once

Cause: a step that was planned with a large slow factor still waited its whole time after the factor was set back.

Ruled out: a shorter tick that counts towards the slow step; an idle engine should not wake up.

--- a/src/main/java/org/tanagerbank/standin/EngineCore.java
+++ b/src/main/java/org/tanagerbank/standin/EngineCore.java
@@ -25,6 +25,10 @@
   private final ExecutionCounts executions = new ExecutionCounts();
   private final Deque<Load> loads = new ArrayDeque<>();
   private boolean stepPlanned;
+
+  /** The number of the planned step; a step with an older number was planned again since. */
+  private long planned;
+
   private double slowFactor;
   private int loseAnswers;
   private long downUntil;
@@ -107,6 +111,10 @@
 
   synchronized void setSlowFactor(double factor) {
     slowFactor = Math.max(1, factor);
+    if (stepPlanned) {
+      stepPlanned = false;
+      planStep(stepTime());
+    }
   }
 
   synchronized void loseNextAnswers(int count) {
@@ -166,16 +174,20 @@
   private void planStep(long millis) {
     if (!stepPlanned) {
       stepPlanned = true;
-      timer.after(Math.max(1, millis), this::step);
+      long number = ++planned;
+      timer.after(Math.max(1, millis), () -> step(number));
     }
   }
 
-  private void step() {
+  private void step(long number) {
     long begun = now();
     ImmutableList<Job> admitted;
     Batch.Step step = null;
     boolean crash;
     synchronized (this) {
+      if (number != planned) {
+        return;
+      }
       stepPlanned = false;
       if (begun < frozenUntil) {
         planStep(frozenUntil - begun);
--- a/src/test/java/org/tanagerbank/platform/PlatformClientsTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformClientsTest.java
@@ -112,6 +112,16 @@
     assertThat(client.append("s", bytes("x"))).isEqualTo(1);
   }
 
+  @Test
+  void slowLogTakesTheRecordOfAnAppendThatTimesOut() {
+    admin(log.address(), "{\"slowMillis\":1000000}");
+    HttpLogService hasty = HttpLogService.create(caller, log.address(), 100);
+    assertThat(failure(() -> hasty.append("s", bytes("x"))).verdict())
+        .isEqualTo(Verdict.MAY_HAVE_RUN);
+    admin(log.address(), "{\"slowMillis\":0}");
+    assertThat(client.read("s", 1, 10, 60_000).records()).hasSize(1);
+  }
+
   @Test
   void stoppedLogRefusesWithoutRunning() {
     InetSocketAddress address = log.address();
--- a/src/test/java/org/tanagerbank/standin/EngineStandinTest.java
+++ b/src/test/java/org/tanagerbank/standin/EngineStandinTest.java
@@ -240,9 +240,19 @@
     assertThat(frozen.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end");
   }
 
+  @Test
+  void slowEngineGoesOnWhenItIsFastAgain() throws Exception {
+    call(post("/admin", Json.object().put("slowFactor", 1_000_000)));
+    Collector slow = stream(chat("a"), 3);
+    assertThat(slow.head.get(20, TimeUnit.SECONDS)).isEqualTo(200);
+    assertThat(get("/load").get("waiting").asInt()).isEqualTo(1);
+    call(post("/admin", Json.object().put("slowFactor", 1)));
+    assertThat(slow.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end");
+  }
+
   @Test
   void lostAnswerHasRunAndIsCountedByIdAndKey() {
-    call(post("/admin", Json.object().put("loseAnswers", 1).put("slowFactor", 2)));
+    call(post("/admin", Json.object().put("loseAnswers", 1)));
     String[] headers = {"X-Request-Id", "r1", "Idempotency-Key", "k1"};
     TanagerException lost =
         assertThrows(TanagerException.class, () -> complete(chat("a"), 3, headers));
@@ -297,6 +307,8 @@
         Json.parseObject(caller.exchange(plain.address(), counts, 20_000).body());
     assertThat(executions.at("/bodies/" + PlainStandin.bodyHash(new byte[] {1})).asInt())
         .isEqualTo(2);
+    plain.setDown(true);
+    assertThrows(TanagerException.class, () -> caller.exchange(plain.address(), request, 20_000));
     plain.stop();
   }
 }
