Test the request flow, claims and intake of the entry

Cause: the flow and the claim rule carry the promises to callers (whole answer, NOT_RUN is true, at most once) and had no tests of their own. Ruled out: testing them over sockets, which reaches few orders of events. Before: no tests of them. A run of the daemon (trial) found a request served with status 500 while a configuration was being taken in: configuration and routers are now replaced together.

--- a/src/main/java/org/tanagerbank/entry/Fleet.java
+++ b/src/main/java/org/tanagerbank/entry/Fleet.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,10 +29,12 @@
 final class Fleet {
   private final Zone zone;
   private final MembershipView view = new MembershipView(MembershipSettings.DEFAULT);
-  private final Map<String, SlotRouter> routers = new ConcurrentHashMap<>();
   private final Map<String, Upstream> lastKnown = new ConcurrentHashMap<>();
   private volatile Members members;
-  private volatile Optional<AdoptedConfig> config = Optional.empty();
+  private volatile Optional<InForce> inForce = Optional.empty();
+
+  /** A configuration and the router of each of its services. */
+  record InForce(AdoptedConfig config, ImmutableMap<String, SlotRouter> routers) {}
 
   Fleet(Zone zone) {
     this.zone = zone;
@@ -40,7 +43,12 @@
 
   /** Returns the configuration in force. */
   Optional<AdoptedConfig> config() {
-    return config;
+    return inForce.map(InForce::config);
+  }
+
+  /** Returns the configuration in force with its routers. */
+  Optional<InForce> inForce() {
+    return inForce;
   }
 
   /** Returns the instances to use. */
@@ -50,7 +58,7 @@
 
   /** Returns the router of a service of the configuration in force. */
   Optional<SlotRouter> router(String service) {
-    return Optional.ofNullable(routers.get(service));
+    return inForce.map(f -> f.routers().get(service));
   }
 
   /** Returns the usable upstreams of a service in the region of this entry. */
@@ -75,18 +83,20 @@
 
   /** Takes a new configuration. */
   synchronized void configure(AdoptedConfig adopted, long now) {
-    config = Optional.of(adopted);
+    ImmutableMap.Builder<String, SlotRouter> routers = ImmutableMap.builder();
     for (ServiceSpec spec : adopted.declaration().services().values()) {
-      SlotRouter router = routers.get(spec.name());
-      if (router == null) {
-        router = new SlotRouter(spec, zone);
-        router.setUpstreams(upstreams(spec.name()), now);
-        routers.put(spec.name(), router);
-      } else {
-        router.configure(spec, now);
-      }
+      SlotRouter router =
+          router(spec.name())
+              .orElseGet(
+                  () -> {
+                    SlotRouter made = new SlotRouter(spec, zone);
+                    made.setUpstreams(upstreams(spec.name()), now);
+                    return made;
+                  });
+      router.configure(spec, now);
+      routers.put(spec.name(), router);
     }
-    routers.keySet().retainAll(adopted.declaration().services().keySet());
+    inForce = Optional.of(new InForce(adopted, routers.buildOrThrow()));
   }
 
   /** Takes the platform's list. */
@@ -116,17 +126,14 @@
     Members last = members;
     members = next;
     next.upstreams().values().forEach(list -> list.forEach(u -> lastKnown.put(u.id(), u)));
-    routers.forEach(
-        (service, router) -> {
-          if (!next.upstreamsOf(service).equals(last.upstreamsOf(service))) {
-            router.setUpstreams(upstreams(service), now);
-            EventLog.emit(
-                LogEvent.UPSTREAMS_CHANGED,
-                "service",
-                service,
-                "usable",
-                next.upstreamsOf(service).size());
-          }
-        });
+    inForce.ifPresent(f -> f.routers().forEach((name, r) -> update(name, r, last, now)));
+  }
+
+  private void update(String service, SlotRouter router, Members last, long now) {
+    ImmutableList<Upstream> usable = members.upstreamsOf(service);
+    if (!usable.equals(last.upstreamsOf(service))) {
+      router.setUpstreams(upstreams(service), now);
+      EventLog.emit(LogEvent.UPSTREAMS_CHANGED, "service", service, "usable", usable.size());
+    }
   }
 }
--- a/src/main/java/org/tanagerbank/entry/RequestDesk.java
+++ b/src/main/java/org/tanagerbank/entry/RequestDesk.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
-import org.tanagerbank.adoption.AdoptedConfig;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.Fingerprint;
 import org.tanagerbank.contract.RequestId;
@@ -113,11 +112,11 @@
   /** Serves a request for a model or a plain service. */
   void serve(HttpMessage http, HttpExchange exchange) {
     checkServing();
-    AdoptedConfig config = fleet.config().orElseThrow();
+    Fleet.InForce inForce = fleet.inForce().orElseThrow();
     long number = sequence.incrementAndGet();
-    Intake.Checked checked = Intake.check(http, config.declaration(), number);
+    Intake.Checked checked = Intake.check(http, inForce.config().declaration(), number);
     ServiceSpec service = checked.service();
-    ServiceRouter router = fleet.router(service.name()).orElseThrow();
+    ServiceRouter router = inForce.routers().get(service.name());
     checkDependencies(service);
     checkQuarantine(checked);
     budget.requested(clock.getAsLong());
--- /dev/null
+++ b/src/test/java/org/tanagerbank/entry/FlowWorld.java
@@ -0,0 +1,384 @@
+package org.tanagerbank.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.tanagerbank.contract.ChatKey;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.contract.Verdict;
+import org.tanagerbank.declaration.ServiceSpec;
+import org.tanagerbank.ledger.Gate;
+import org.tanagerbank.ledger.LedgerLimits;
+import org.tanagerbank.ledger.QueryOutcome;
+import org.tanagerbank.ledger.RequestLedger;
+import org.tanagerbank.ledger.Submission;
+import org.tanagerbank.ledger.SubmitDecision;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.machine.Zone;
+import org.tanagerbank.routing.MeanEstimate;
+import org.tanagerbank.routing.RetryBudget;
+import org.tanagerbank.routing.RouteDecision;
+import org.tanagerbank.routing.RouteRequest;
+import org.tanagerbank.routing.ServiceRouter;
+
+/**
+ * One request flow against the real ledgers of a few sidecars, over links that break anywhere, with
+ * frames that arrive late, engines that crash and sidecars that restart.
+ */
+final class FlowWorld {
+  private static final RequestId ID = new RequestId("entry", 1, 1);
+  private static final int SIDECARS = 3;
+
+  /** One execution of the request; each execution has an answer of its own. */
+  final class Run {
+    final byte[] answer = new byte[random.nextInt(600)];
+    int produced;
+    boolean ended;
+
+    Run() {
+      if (request.deterministic()) {
+        new Random(7).nextBytes(answer);
+      } else {
+        random.nextBytes(answer);
+      }
+    }
+  }
+
+  private static final class Delivery {
+    final int attempt;
+    final Run run;
+    final int linkEpoch;
+    long position;
+    long credit;
+
+    Delivery(FlowAction.Submit submit, Run run, int linkEpoch) {
+      this.attempt = submit.attempt();
+      this.run = run;
+      this.linkEpoch = linkEpoch;
+      this.position = submit.resumePosition();
+      this.credit = submit.creditBytes();
+    }
+  }
+
+  private final class Sidecar {
+    final String id;
+    long incarnation = 1;
+    RequestLedger<Run> ledger = new RequestLedger<>(1, LedgerLimits.DEFAULT);
+    Run run;
+    Delivery delivery;
+    int linkEpoch;
+    int stepOnLink = -1;
+    final Deque<Runnable> arriving = new ArrayDeque<>();
+    final Deque<FlowEvent> answering = new ArrayDeque<>();
+
+    Sidecar(String id) {
+      this.id = id;
+    }
+
+    void submit(FlowAction.Submit s, long bound, int epoch) {
+      Submission submission =
+          new Submission(ID, s.attempt(), bound, request.nonIdempotent(), Optional.empty());
+      SubmitDecision<Run> decision = ledger.submit(submission, () -> gate(s), now);
+      if (decision instanceof SubmitDecision.Run<Run> started) {
+        runs.add(started.run());
+        run = started.run();
+        attach(s, run, epoch);
+      } else if (decision instanceof SubmitDecision.Attach<Run> known) {
+        attach(s, known.run(), epoch);
+      } else if (decision instanceof SubmitDecision.Refuse<Run> r) {
+        say(epoch, new FlowEvent.Refused(s.attempt(), r.code(), "", 0, 1, r.detail()));
+      } else if (decision instanceof SubmitDecision.Fail<Run> f) {
+        say(epoch, new FlowEvent.Failed(id, s.attempt(), f.verdict(), f.code(), "", 0));
+      }
+    }
+
+    private Gate.Pass<Run> gate(FlowAction.Submit s) {
+      int dice = random.nextInt(6);
+      if (dice == 0) {
+        return Gate.Pass.refuse(ErrorCode.OVERLOADED, 0);
+      }
+      return dice == 1 && !s.ignoreHint()
+          ? Gate.Pass.moved(random.nextBoolean() ? "" : sidecars.get(0).id)
+          : Gate.Pass.admit(new Run());
+    }
+
+    private void attach(FlowAction.Submit s, Run to, int epoch) {
+      delivery = new Delivery(s, to, epoch);
+      say(epoch, new FlowEvent.Accepted(s.attempt(), 1));
+    }
+
+    void query(long bound, int epoch) {
+      QueryOutcome<Run> outcome = ledger.query(ID, bound, now);
+      if (outcome instanceof QueryOutcome.Sealed) {
+        say(epoch, new FlowEvent.Outcome(id, FlowEvent.Outcome.State.SEALED));
+      } else if (outcome instanceof QueryOutcome.OtherIncarnation) {
+        say(epoch, new FlowEvent.Outcome(id, FlowEvent.Outcome.State.OTHER_INCARNATION));
+      } else {
+        say(epoch, new FlowEvent.Outcome(id, FlowEvent.Outcome.State.ATTACHABLE));
+      }
+    }
+
+    private void say(int epoch, FlowEvent event) {
+      if (epoch == linkEpoch) {
+        answering.add(event);
+      }
+    }
+
+    void work() {
+      if (run == null || run.ended) {
+        deliver();
+      } else if (random.nextInt(25) == 0) {
+        run.ended = true;
+        ledger.fail(ID, ErrorCode.ENGINE_CRASHED, Verdict.MAY_HAVE_RUN, now);
+        if (delivery != null) {
+          say(
+              delivery.linkEpoch,
+              new FlowEvent.Failed(
+                  id, delivery.attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ENGINE_CRASHED, "", 0));
+          delivery = null;
+        }
+      } else {
+        run.produced = Math.min(run.answer.length, run.produced + random.nextInt(80));
+        if (run.produced == run.answer.length) {
+          run.ended = true;
+          ledger.finish(ID, now);
+        }
+        deliver();
+      }
+    }
+
+    private void deliver() {
+      Delivery d = delivery;
+      if (d == null) {
+        return;
+      }
+      int size = (int) Math.min(d.credit, d.run.produced - d.position);
+      if (size > 0) {
+        ByteString data = ByteString.copyFrom(d.run.answer, (int) d.position, size);
+        say(d.linkEpoch, new FlowEvent.Piece(d.attempt, d.position, data, 200, "text/plain"));
+        d.position += size;
+        d.credit -= size;
+      }
+      if (d.run.ended && d.position == d.run.answer.length) {
+        say(d.linkEpoch, new FlowEvent.Ended(d.attempt, d.position, 200, "text/plain", 0));
+        delivery = null;
+      }
+    }
+
+    void breakLink() {
+      linkEpoch++;
+      answering.clear();
+      // What was sent before may still arrive: at once, late, or never.
+      late.addAll(arriving);
+      arriving.clear();
+      int step = stepOnLink;
+      stepOnLink = -1;
+      event(new FlowEvent.LinkLost(step));
+    }
+
+    void restart() {
+      incarnation++;
+      ledger = new RequestLedger<>(incarnation, LedgerLimits.DEFAULT);
+      run = null;
+      delivery = null;
+      breakLink();
+    }
+  }
+
+  /** Takes the first upstream that is not excluded, and keeps the count of requests sent. */
+  static final class NaiveRouter implements ServiceRouter {
+    private final ImmutableList<Upstream> upstreams;
+    int inFlight;
+
+    NaiveRouter(ImmutableList<Upstream> upstreams) {
+      this.upstreams = upstreams;
+    }
+
+    @Override
+    public RouteDecision choose(RouteRequest r, long nowMillis, RandomGenerator random) {
+      return upstreams.stream()
+          .filter(u -> !r.excluded().contains(u.id()))
+          .filter(u -> r.movedTo().isEmpty() || r.movedTo().get().equals(u.id()))
+          .findFirst()
+          .<RouteDecision>map(u -> new RouteDecision.Send(u, upstreams.get(0)))
+          .orElse(new RouteDecision.Refuse(ErrorCode.OVERLOADED, 1));
+    }
+
+    @Override
+    public void sent(String upstreamId, String workspace, long nowMillis) {
+      inFlight++;
+    }
+
+    @Override
+    public void ended(String upstreamId, String workspace, long nowMillis) {
+      inFlight--;
+    }
+
+    @Override
+    public void configure(ServiceSpec spec, long nowMillis) {}
+
+    @Override
+    public void setUpstreams(List<Upstream> live, long nowMillis) {}
+
+    @Override
+    public void loadReported(String upstreamId, int load, long nowMillis) {}
+
+    @Override
+    public void meanReported(MeanEstimate mean, long nowMillis) {}
+  }
+
+  final FlowRequest request;
+  final List<Run> runs = new ArrayList<>();
+  ByteString delivered = ByteString.EMPTY;
+  Optional<TanagerException> error = Optional.empty();
+  boolean whole;
+  int responses;
+  final NaiveRouter router;
+  private final Random random;
+  private final RequestFlow flow;
+  private final List<Sidecar> sidecars = new ArrayList<>();
+  private final List<Runnable> late = new ArrayList<>();
+  private long untaken;
+  private long now = 1_000_000;
+  private int timerStep = -1;
+
+  FlowWorld(long seed) {
+    random = new Random(seed);
+    request =
+        new FlowRequest(
+            "w",
+            new ChatKey(random.nextLong()),
+            true,
+            random.nextBoolean(),
+            random.nextBoolean(),
+            random.nextInt(4) == 0,
+            true,
+            new FlowRequest.KeyBinding.None());
+    Zone zone = new Zone("z", "r");
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
+    ImmutableList.Builder<Upstream> all = ImmutableList.builder();
+    for (int i = 0; i < SIDECARS; i++) {
+      sidecars.add(new Sidecar("up-" + i));
+      all.add(new Upstream("up-" + i, 1, "s", zone, address, 1));
+    }
+    router = new NaiveRouter(all.build());
+    flow = new RequestFlow(request, router, new RetryBudget(), new SplittableRandom(seed));
+  }
+
+  /** Runs the request to its end and then lets everything late arrive. */
+  void run() {
+    event(new FlowEvent.Start());
+    for (int i = 0; i < 20_000 && !flow.isDone(); i++) {
+      now += random.nextInt(20);
+      something();
+    }
+    for (int i = 0; i < 100; i++) {
+      sidecars.forEach(Sidecar::work);
+    }
+    sidecars.forEach(s -> s.arriving.forEach(Runnable::run));
+    late.forEach(Runnable::run);
+  }
+
+  /** Returns how the request ended, for the distribution over all trials. */
+  String ending() {
+    String code = error.map(e -> e.verdict() + " " + e.code()).orElse(whole ? "whole" : "gone");
+    return runs.size() + " runs, " + code;
+  }
+
+  boolean isDone() {
+    return flow.isDone();
+  }
+
+  private void something() {
+    Sidecar sidecar = sidecars.get(random.nextInt(SIDECARS));
+    int dice = random.nextInt(100);
+    if (dice < 30 && !sidecar.arriving.isEmpty()) {
+      sidecar.arriving.pollFirst().run();
+    } else if (dice < 60 && !sidecar.answering.isEmpty()) {
+      event(sidecar.answering.pollFirst());
+    } else if (dice < 85) {
+      sidecar.work();
+    } else if (dice < 90) {
+      long taken = untaken;
+      untaken = 0;
+      event(new FlowEvent.Taken(taken));
+    } else if (dice < 92) {
+      sidecar.breakLink();
+    } else if (dice == 92 && random.nextInt(10) == 0) {
+      sidecar.restart();
+    } else if (dice == 93 && !late.isEmpty()) {
+      late.remove(random.nextInt(late.size())).run();
+    } else if (dice == 94 && random.nextInt(10) == 0) {
+      event(new FlowEvent.CallerGone());
+    } else if (dice == 95 && timerStep >= 0 && random.nextInt(10) == 0) {
+      event(new FlowEvent.TimedOut(timerStep));
+    }
+  }
+
+  private void event(FlowEvent event) {
+    flow.on(event, now).forEach(this::perform);
+  }
+
+  private void perform(FlowAction action) {
+    if (action instanceof FlowAction.Submit s) {
+      submit(s, of(s.upstream()));
+    } else if (action instanceof FlowAction.Query q) {
+      timerStep = q.step();
+      Sidecar to = of(q.upstream());
+      if (random.nextInt(20) == 0) {
+        event(new FlowEvent.Unreachable(q.step()));
+        return;
+      }
+      int epoch = to.linkEpoch;
+      to.stepOnLink = q.step();
+      to.arriving.add(() -> to.query(q.incarnation(), epoch));
+    } else if (action instanceof FlowAction.Credit c) {
+      Sidecar to = of(c.upstream());
+      if (to.delivery != null && to.delivery.attempt == c.attempt()) {
+        to.delivery.credit += c.bytes();
+      }
+    } else if (action instanceof FlowAction.Deliver d) {
+      delivered = delivered.concat(d.data());
+      untaken += d.data().size();
+    } else if (action instanceof FlowAction.Finish) {
+      whole = true;
+      responses++;
+    } else if (action instanceof FlowAction.Reply r) {
+      delivered = r.body();
+      whole = true;
+      responses++;
+    } else if (action instanceof FlowAction.Fail f) {
+      error = Optional.of(f.error());
+      responses++;
+    }
+  }
+
+  private void submit(FlowAction.Submit s, Sidecar to) {
+    if (random.nextInt(15) == 0) {
+      event(new FlowEvent.Unreachable(s.step()));
+    } else if (s.incarnation() != 0 && s.incarnation() != to.incarnation) {
+      event(new FlowEvent.WrongIncarnation(s.step()));
+    } else {
+      long bound = to.incarnation;
+      int epoch = to.linkEpoch;
+      to.stepOnLink = s.step();
+      event(new FlowEvent.Submitted(s.step(), bound));
+      to.arriving.add(() -> to.submit(s, bound, epoch));
+    }
+  }
+
+  private Sidecar of(Upstream upstream) {
+    return sidecars.stream().filter(s -> s.id.equals(upstream.id())).findFirst().orElseThrow();
+  }
+}
