--- a/src/test/java/org/tanagerbank/safety/SimEntry.java
+++ b/src/test/java/org/tanagerbank/safety/SimEntry.java
@@ -10,6 +10,8 @@
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.RequestId;
 import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.entry.ClaimIndex.Binding;
+import org.tanagerbank.entry.ClaimIndex.Claim;
 import org.tanagerbank.entry.FlowAction;
 import org.tanagerbank.entry.FlowEvent;
 import org.tanagerbank.entry.FlowRequest;
@@ -40,6 +42,7 @@
   private final World world;
   private final int slot;
   private final Map<RequestId, Active> active = new LinkedHashMap<>();
+  private SimLog.Reader claims;
   private RetryBudget budget = new RetryBudget();
   private long incarnation = 1;
   private long sequence;
@@ -48,6 +51,7 @@
   SimEntry(World world, int slot) {
     this.world = world;
     this.slot = slot;
+    this.claims = world.log.new Reader();
   }
 
   String id() {
@@ -60,6 +64,7 @@
     sequence = 0;
     active.clear();
     budget = new RetryBudget();
+    claims = world.log.new Reader();
     frozen = false;
   }
 
@@ -162,13 +167,13 @@
       submit(a, s);
     } else if (action instanceof FlowAction.Query q) {
       a.step = q.step();
-      a.sidecar = World.slotOf(q.upstream());
+      a.sidecar = World.slotOf(q.upstream().id());
       a.timeoutAt = world.now + q.timeoutMillis();
       world.toSidecar(a.sidecar, s -> s.query(a.post.id, q.incarnation()));
     } else if (action instanceof FlowAction.Claim c) {
       claim(a, c);
     } else if (action instanceof FlowAction.Cancel c) {
-      world.toSidecar(World.slotOf(c.upstream()), s -> s.cancel(a.post.id, c.attempt()));
+      world.toSidecar(World.slotOf(c.upstream().id()), s -> s.cancel(a.post.id, c.attempt()));
     } else if (action instanceof FlowAction.Deliver d) {
       a.post.received = a.post.received.concat(d.data());
       on(a, new FlowEvent.Taken(d.data().size()));
@@ -184,7 +189,7 @@
 
   private void submit(Active a, FlowAction.Submit s) {
     a.step = s.step();
-    a.sidecar = World.slotOf(s.upstream());
+    a.sidecar = World.slotOf(s.upstream().id());
     a.attempt = s.attempt();
     a.position = s.resumePosition();
     a.timeoutAt = Long.MAX_VALUE;
@@ -203,23 +208,29 @@
   private void claim(Active a, FlowAction.Claim c) {
     a.step = c.step();
     a.sidecar = -1;
-    int chosen = World.slotOf(c.upstream());
-    Optional<SimLog.Claim> own =
-        world.log.append(a.post.ask.key(), chosen, c.upstream().incarnation(), c.supersedes());
-    // A claim whose answer is lost, and that cannot be read back, is in the log all the same.
-    if (own.isEmpty() || world.log.loseAnswers) {
+    Claim own =
+        new Claim(
+            a.post.id.toString(),
+            a.post.ask.key(),
+            c.upstream().id(),
+            c.upstream().incarnation(),
+            c.supersedes());
+    Optional<Binding> bound = claims.claim(own);
+    if (bound.isEmpty()) {
       TanagerException error = TanagerException.notRun(ErrorCode.LOG_UNAVAILABLE, "", 1_000);
       world.claimResult(a.post.id, new FlowEvent.ClaimFailed(c.step(), error));
       return;
     }
-    SimLog.Claim bound = world.lacks(Rule.CLAIM_ORDER) ? own.get() : world.log.binding(own.get());
+    boolean ignoresOrder = world.lacks(Rule.CLAIM_ORDER);
+    String upstreamId = ignoresOrder ? own.upstreamId() : bound.get().upstreamId();
+    long at = ignoresOrder ? own.incarnation() : bound.get().incarnation();
     world.claimResult(
         a.post.id,
         new FlowEvent.Claimed(
             c.step(),
-            Optional.of(world.upstream(bound.sidecar())),
-            bound.incarnation(),
-            bound.offset()));
+            Optional.of(world.upstream(World.slotOf(upstreamId))),
+            at,
+            bound.get().offset()));
   }
 
   private static FlowEvent withAttempt(FlowEvent event, int attempt) {
--- a/src/test/java/org/tanagerbank/safety/SimLog.java
+++ b/src/test/java/org/tanagerbank/safety/SimLog.java
@@ -1,42 +1,47 @@
 package org.tanagerbank.safety;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.tanagerbank.entry.ClaimIndex;
+import org.tanagerbank.entry.ClaimIndex.Binding;
+import org.tanagerbank.entry.ClaimIndex.Claim;
 
 /** The claims on the log, in log order. */
 final class SimLog {
-  /** A claim; its offset is its position in the log, from 1. */
-  record Claim(long offset, String key, int sidecar, long incarnation, long supersedes) {}
-
   private final List<Claim> claims = new ArrayList<>();
   boolean outage;
   boolean loseAnswers;
 
-  /** Appends a claim and returns its offset, or nothing in an outage. */
-  Optional<Claim> append(String key, int sidecar, long incarnation, long supersedes) {
-    if (outage) {
-      return Optional.empty();
+  /** One entry's view of the stream. */
+  final class Reader {
+    private final ClaimIndex index = new ClaimIndex();
+    private int read;
+
+    /** Returns what the key is bound to after the claim, or nothing when that cannot be known. */
+    Optional<Binding> claim(Claim claim) {
+      Optional<Binding> known =
+          index.binding(claim.key()).filter(b -> b.offset() != claim.supersedes());
+      if (known.isPresent()) {
+        return known;
+      }
+      if (!outage) {
+        claims.add(claim);
+      }
+      // With a lost answer and no reading back, the claim is on the log but its writer gives up.
+      if (outage || loseAnswers) {
+        return Optional.empty();
+      }
+      for (; read < claims.size(); read++) {
+        index.apply(read + 1, 0, ImmutableList.of(claims.get(read)));
+      }
+      return index.binding(claim.key());
     }
-    Claim made = new Claim(claims.size() + 1, key, sidecar, incarnation, supersedes);
-    claims.add(made);
-    return Optional.of(made);
   }
 
   @Override
   public String toString() {
     return claims.toString();
   }
-
-  /** Returns the claim that binds the key, as read up to a reader's own record. */
-  Claim binding(Claim own) {
-    Claim bound = null;
-    for (Claim claim : claims.subList(0, (int) own.offset())) {
-      boolean ofKey = claim.key().equals(own.key());
-      if (ofKey && (bound == null || claim.supersedes() == bound.offset())) {
-        bound = claim;
-      }
-    }
-    return bound;
-  }
 }
--- a/src/test/java/org/tanagerbank/safety/World.java
+++ b/src/test/java/org/tanagerbank/safety/World.java
@@ -61,8 +61,8 @@
     return "s" + slot;
   }
 
-  static int slotOf(Upstream upstream) {
-    return upstream.id().charAt(1) - '0';
+  static int slotOf(String upstreamId) {
+    return upstreamId.charAt(1) - '0';
   }
 
   Upstream upstream(int slot) {
