Test the entry end to end with sidecars and stand-ins

Cause: sockets, HTTP and the control plane need a run with all parts. Ruled out: fakes of the sidecar, because the real one is there.

--- /dev/null
+++ b/src/test/java/org/tanagerbank/entry/EntryTest.java
@@ -0,0 +1,186 @@
+package org.tanagerbank.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.Json;
+
+/** Guards the path from a caller to an engine and back against faults that need real sockets. */
+final class EntryTest {
+  private SmallFleet fleet;
+
+  @AfterEach
+  void close() {
+    fleet.close();
+  }
+
+  private static String text(HttpReply reply) {
+    return new String(reply.body(), UTF_8);
+  }
+
+  private static String code(HttpReply reply) {
+    return Json.parseObject(reply.body()).path("error").path("code").asText();
+  }
+
+  @Test
+  void answersAreWhole() {
+    fleet = new SmallFleet(1, 2);
+    HttpReply whole = fleet.chat(0, "hello", 20, false, "x-workspace", "w", "x-chat-id", "c");
+    assertThat(whole.status()).isEqualTo(200);
+    assertThat(Json.parseObject(whole.body()).path("usage").path("completion_tokens").asInt())
+        .isEqualTo(20);
+    HttpReply streamed = fleet.chat(0, "hello", 20, true, "x-workspace", "w", "x-chat-id", "c");
+    assertThat(streamed.headers().get("content-type")).startsWith("text/event-stream");
+    assertThat(text(streamed)).contains("data: [DONE]");
+    assertThat(fleet.executions("engine")).isEqualTo(2);
+    HttpReply plain = fleet.call(0, "POST", "/services/register-app/a/b?x=1", "{}");
+    assertThat(plain.status()).isEqualTo(200);
+    assertThat(text(plain)).contains("/a/b?x=1");
+  }
+
+  @Test
+  void badRequestsAreTyped() {
+    fleet = new SmallFleet(1, 1);
+    assertThat(code(fleet.call(0, "GET", "/nowhere", ""))).isEqualTo("NOT_FOUND");
+    assertThat(code(fleet.call(0, "POST", "/v1/chat/completions", "{")))
+        .isEqualTo("MALFORMED_JSON");
+    HttpReply large = fleet.chat(0, "x".repeat(200_000), 1, false);
+    assertThat(large.status()).isEqualTo(413);
+    HttpReply metrics = fleet.call(0, "GET", "/metrics", "");
+    assertThat(text(metrics)).contains("code=\"MALFORMED_JSON\"");
+    HttpReply status = fleet.call(0, "GET", "/status", "");
+    assertThat(Json.parseObject(status.body()).path("services").has("model-pool")).isTrue();
+  }
+
+  /** A caller that repeats a request with its key through another entry gets the first answer. */
+  @Test
+  void issuedKeyRunsOnce() {
+    fleet = new SmallFleet(2, 2);
+    String key = issue(0);
+    HttpReply first = fleet.chat(0, "a", 5, false, "idempotency-key", key);
+    HttpReply second = fleet.chat(1, "a", 5, false, "idempotency-key", key);
+    assertThat(first.status()).isEqualTo(200);
+    assertThat(text(second)).isEqualTo(text(first));
+    assertThat(fleet.executions("engine")).isEqualTo(1);
+    HttpReply other = fleet.chat(1, "b", 5, false, "idempotency-key", key);
+    assertThat(other.status()).isEqualTo(422);
+    assertThat(code(other)).isEqualTo("KEY_REUSED");
+  }
+
+  private String issue(int entry) {
+    HttpReply reply = fleet.call(entry, "POST", "/v1/request-keys", "{\"service\":\"model-pool\"}");
+    return Json.parseObject(reply.body()).path("key").asText();
+  }
+
+  @Test
+  void keyMadeByTheCallerRunsOnceThroughAllEntries() throws Exception {
+    fleet = new SmallFleet(2, 3);
+    ExecutorService callers = Executors.newFixedThreadPool(8);
+    try {
+      List<Future<HttpReply>> replies = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        int entry = i % 2;
+        replies.add(
+            callers.submit(
+                () -> {
+                  String chat = "chat-" + Thread.currentThread().getId();
+                  return fleet.chat(
+                      entry,
+                      "a",
+                      30,
+                      false,
+                      "idempotency-key",
+                      "my-key",
+                      "x-non-idempotent",
+                      "true",
+                      "x-chat-id",
+                      chat);
+                }));
+      }
+      Set<String> bodies = new HashSet<>();
+      for (Future<HttpReply> reply : replies) {
+        assertThat(reply.get().status()).isEqualTo(200);
+        bodies.add(text(reply.get()));
+      }
+      assertThat(bodies).hasSize(1);
+      assertThat(fleet.executions("engine")).isEqualTo(1);
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  @Test
+  void logOutageStopsOnlyMadeKeys() {
+    fleet = new SmallFleet(1, 1);
+    fleet.log.setOutage(true);
+    HttpReply made =
+        fleet.chat(0, "a", 5, false, "idempotency-key", "k", "x-non-idempotent", "true");
+    assertThat(code(made)).isEqualTo("LOG_UNAVAILABLE");
+    assertThat(Json.parseObject(made.body()).path("error").path("verdict").asText())
+        .isEqualTo("NOT_RUN");
+    HttpReply issued =
+        fleet.chat(0, "a", 5, false, "idempotency-key", issue(0), "x-non-idempotent", "true");
+    assertThat(issued.status()).isEqualTo(200);
+    assertThat(fleet.chat(0, "b", 5, false).status()).isEqualTo(200);
+  }
+
+  @Test
+  void killedSidecarLosesNoIdempotentRequest() throws Exception {
+    fleet = new SmallFleet(1, 3);
+    ExecutorService callers = Executors.newFixedThreadPool(12);
+    try {
+      List<Future<HttpReply>> replies = new ArrayList<>();
+      for (int i = 0; i < 12; i++) {
+        String chat = "c" + i;
+        replies.add(callers.submit(() -> fleet.chat(0, chat, 400, false, "x-chat-id", chat)));
+      }
+      SmallFleet.await(() -> fleet.executions("engine") == 12);
+      fleet.kill("engine-1");
+      for (Future<HttpReply> reply : replies) {
+        assertThat(text(reply.get())).contains("\"completion_tokens\":400");
+      }
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  @Test
+  void plannedStopFinishesAnswersInFlight() throws Exception {
+    fleet = new SmallFleet(1, 1);
+    ExecutorService callers = Executors.newSingleThreadExecutor();
+    try {
+      Future<HttpReply> reply = callers.submit(() -> fleet.chat(0, "a", 500, true));
+      SmallFleet.await(() -> fleet.executions("engine") == 1);
+      fleet.entries.get(0).drain();
+      assertThat(text(reply.get())).contains("[DONE]");
+      HttpReply refused = fleet.chat(0, "b", 1, false);
+      assertThat(code(refused)).isEqualTo("LEAVING");
+      assertThat(refused.headers()).containsKey("retry-after");
+      assertThat(fleet.get(fleet.entries.get(0).httpAddress(), "/health/ready")).isEqualTo(503);
+      assertThat(fleet.get(fleet.entries.get(0).httpAddress(), "/health/live")).isEqualTo(200);
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  /** An entry that starts while the log is down takes the configuration of its peers. */
+  @Test
+  void entryStartsFromItsPeersWhileTheLogIsDown() {
+    fleet = new SmallFleet(1, 1);
+    fleet.log.setOutage(true);
+    Entry late = fleet.addEntry("entry-late");
+    SmallFleet.await(() -> late.fleet().config().isPresent());
+    SmallFleet.await(() -> !late.fleet().upstreams("model-pool").isEmpty());
+    assertThat(fleet.chat(1, "a", 3, false).status()).isEqualTo(200);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/entry/SmallFleet.java
@@ -0,0 +1,210 @@
+package org.tanagerbank.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.tanagerbank.adoption.ConfigRecord;
+import org.tanagerbank.adoption.ConfigRecordCodec;
+import org.tanagerbank.contract.Lifecycle;
+import org.tanagerbank.http.AsyncHttpCaller;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.InstanceKind;
+import org.tanagerbank.machine.InstanceState;
+import org.tanagerbank.machine.Zone;
+import org.tanagerbank.platform.HttpInstanceList;
+import org.tanagerbank.platform.HttpLogService;
+import org.tanagerbank.sidecar.Sidecar;
+import org.tanagerbank.sidecar.SidecarSettings;
+import org.tanagerbank.standin.EngineSettings;
+import org.tanagerbank.standin.EngineStandin;
+import org.tanagerbank.standin.InstanceListStandin;
+import org.tanagerbank.standin.LogSettings;
+import org.tanagerbank.standin.LogStandin;
+import org.tanagerbank.standin.PlainStandin;
+import org.tanagerbank.standin.Standin;
+
+/** Entries, sidecars and stand-ins in one process, over loopback. */
+final class SmallFleet implements AutoCloseable {
+  static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+  static final Zone ZONE = new Zone("hala-a", "mazowsze");
+  static final String DECLARATION =
+      """
+      services:
+        model-pool:
+          kind: engine
+          models: [draft-1]
+        register-app:
+          kind: plain
+          nonIdempotentPaths: [/register/entries]
+      """;
+
+  private static final long WAIT_MILLIS = 30_000;
+  private static final long CALL_MILLIS = 30_000;
+
+  final LogStandin log = LogStandin.create(ANY, LogSettings.defaults());
+  final InstanceListStandin list = InstanceListStandin.create(ANY, 0, 0);
+  final List<Entry> entries = new ArrayList<>();
+  final Map<String, Standin> upstreams = new LinkedHashMap<>();
+  final Map<String, Sidecar> sidecars = new LinkedHashMap<>();
+  private final Deque<Lifecycle> started = new ArrayDeque<>();
+  private final AsyncHttpCaller caller = AsyncHttpCaller.create(2_000);
+  private long incarnation = 100;
+  private long revision;
+
+  SmallFleet(int entryCount, int engines) {
+    start(caller);
+    start(log);
+    start(list);
+    publish(DECLARATION);
+    for (int i = 0; i < entryCount; i++) {
+      addEntry("entry-" + i);
+    }
+    for (int i = 0; i < engines; i++) {
+      addSidecar(
+          "engine-" + i,
+          "model-pool",
+          EngineStandin.create(ANY, EngineSettings.defaults().stepMillis(1)));
+    }
+    addSidecar("plain-0", "register-app", PlainStandin.create(ANY, 1));
+    await(() -> entries.stream().allMatch(e -> isUsable(e, engines)));
+  }
+
+  private boolean isUsable(Entry entry, int engines) {
+    return entry.fleet().upstreams("model-pool").size() == engines
+        && entry.fleet().config().isPresent()
+        && sidecars.values().stream().allMatch(s -> get(s.httpAddress(), "/health/ready") == 200);
+  }
+
+  private void start(Lifecycle part) {
+    part.start();
+    started.push(part);
+  }
+
+  void publish(String text) {
+    HttpLogService service = HttpLogService.create(caller, log.address(), 2_000);
+    revision =
+        service.append(
+            ConfigRecord.STREAM,
+            ConfigRecordCodec.encode(
+                new ConfigRecord.Publish("publish-" + revision, revision, "test", text)));
+  }
+
+  Entry addEntry(String id) {
+    Entry entry =
+        Entry.create(
+            new EntrySettings(id, ZONE, ++incarnation, ANY, ANY, 100_000, 0),
+            HttpInstanceList.create(caller, list.address(), 2_000),
+            HttpLogService.create(caller, log.address(), 2_000));
+    start(entry);
+    entries.add(entry);
+    register(id, InstanceKind.ENTRY, "", entry.linkAddress());
+    return entry;
+  }
+
+  void addSidecar(String id, String service, Standin upstream) {
+    start(upstream);
+    upstreams.put(id, upstream);
+    startSidecar(id, service);
+  }
+
+  void startSidecar(String id, String service) {
+    Sidecar sidecar =
+        Sidecar.create(
+            new SidecarSettings(
+                id,
+                ++incarnation,
+                service,
+                ZONE,
+                ANY,
+                ANY,
+                upstreams.get(id).address(),
+                log.address(),
+                list.address(),
+                0));
+    start(sidecar);
+    sidecars.put(id, sidecar);
+    register(id, InstanceKind.SIDECAR, service, sidecar.linkAddress());
+  }
+
+  private void register(String id, InstanceKind kind, String service, InetSocketAddress address) {
+    list.register(
+        new InstanceInfo(
+            id, kind, service, ZONE, address, address, incarnation, InstanceState.LIVE));
+  }
+
+  /** Ends a sidecar without notice. */
+  void kill(String sidecarId) {
+    Sidecar sidecar = sidecars.remove(sidecarId);
+    started.remove(sidecar);
+    sidecar.stop();
+  }
+
+  int get(InetSocketAddress address, String path) {
+    HttpMessage message = new HttpMessage("GET", path, ImmutableMap.of(), new byte[0]);
+    return caller.exchange(address, message, CALL_MILLIS).status();
+  }
+
+  /** Sends a request to an entry; headers are names and values in turn. */
+  HttpReply call(int entry, String method, String path, String body, String... headers) {
+    ImmutableMap.Builder<String, String> map = ImmutableMap.builder();
+    map.put("content-type", "application/json");
+    for (int i = 0; i < headers.length; i += 2) {
+      map.put(headers[i], headers[i + 1]);
+    }
+    return caller.exchange(
+        entries.get(entry).httpAddress(),
+        new HttpMessage(method, path, map.buildOrThrow(), body.getBytes(StandardCharsets.UTF_8)),
+        CALL_MILLIS);
+  }
+
+  /** Asks for a chat completion. */
+  HttpReply chat(int entry, String text, int tokens, boolean stream, String... headers) {
+    ObjectNode body =
+        Json.object().put("model", "draft-1").put("max_tokens", tokens).put("stream", stream);
+    body.putArray("messages").addObject().put("role", "user").put("content", text);
+    return call(entry, "POST", "/v1/chat/completions", body.toString(), headers);
+  }
+
+  /** Returns the executions that all upstreams of a kind counted. */
+  long executions(String prefix) {
+    long sum = 0;
+    for (Map.Entry<String, Standin> upstream : upstreams.entrySet()) {
+      if (upstream.getKey().startsWith(prefix)) {
+        HttpMessage message =
+            new HttpMessage("GET", "/admin/executions", ImmutableMap.of(), new byte[0]);
+        HttpReply reply = caller.exchange(upstream.getValue().address(), message, CALL_MILLIS);
+        sum += Json.parseObject(reply.body()).path("total").asLong();
+      }
+    }
+    return sum;
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition not met in time");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() {
+    while (!started.isEmpty()) {
+      started.pop().stop();
+    }
+  }
+}
