Tell sidecars a mean that counts the requests just sent; free NOT_RUN moves from the retry budget

Cause: (1) the mean that rides on a Submit was as old as the last tick, so a burst at an idle service was told a mean of zero and refused after one request per engine (EntryTest.killedSidecarLosesNoIdempotentRequest hung on it, 1 run of 1); (2) refusals that run nothing used up the retry budget, 303 of 349 resends in the register demo, and lost streams then had none left (FleetIT). Ruled out: the workspace limit; no refusal had that code. Before: register demo 349 resends, 32 s.

--- a/src/main/java/org/tanagerbank/entry/Entry.java
+++ b/src/main/java/org/tanagerbank/entry/Entry.java
@@ -36,7 +36,7 @@
  */
 public final class Entry implements Lifecycle {
   private static final int TIMER_THREADS = 2;
-  private static final long TICK_MILLIS = 25;
+  private static final long TICK_MILLIS = 5;
   private static final long LIST_POLL_MILLIS = 1_000;
   private static final long DRAIN_POLL_MILLIS = 10;
 
--- a/src/main/java/org/tanagerbank/entry/LoadBoard.java
+++ b/src/main/java/org/tanagerbank/entry/LoadBoard.java
@@ -177,9 +177,20 @@
     }
   }
 
-  /** Returns the estimate of a service's mean load; with no live upstreams when there is none. */
+  /**
+   * Returns the estimate of a service's mean load; with no live upstreams when there is none.
+   *
+   * <p>The requests that this entry has sent so far are counted in. With those of the last tick
+   * only, a burst that began at an idle service was refused, because every sidecar was told a mean
+   * of zero.
+   */
   MeanLoad mean(String name, long now) {
     Service known = services.get(name);
+    if (known != null) {
+      fleet
+          .router(name)
+          .ifPresent(r -> known.exchange.ownChanged(r.inFlightAtLive(), known.reporting(now), now));
+    }
     Optional<MeanEstimate> mean = known == null ? Optional.empty() : known.exchange.mean(now);
     return mean.map(
             m ->
--- a/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
@@ -24,9 +24,6 @@
   /** Upstreams that a request is sent to at most. */
   static final int MAX_UPSTREAMS = 4;
 
-  /** Moves after a NOT_RUN refusal that cost no retry budget, because nothing ran. */
-  private static final int FREE_MOVES = 2;
-
   private static final long BUDGET_RETRY_MILLIS = 1_000;
 
   /** Refusals that every upstream would repeat, or that must not be evaded by moving. */
@@ -68,7 +65,6 @@
   private Optional<String> passedOver = Optional.empty();
   private boolean moved;
   private boolean homeUnavailable;
-  private int freeMoves;
   private TanagerException refusal;
 
   UpstreamChoice(
@@ -169,8 +165,8 @@
   /** Returns nothing when a retry is permitted, and otherwise the error to end with. */
   Optional<TanagerException> permitRetry(TanagerException error, long now) {
     refusal = error;
-    if (error.verdict() == Verdict.NOT_RUN && freeMoves < FREE_MOVES) {
-      freeMoves++;
+    if (error.verdict() == Verdict.NOT_RUN) {
+      // Nothing ran, so trying elsewhere adds no load; MAX_UPSTREAMS bounds the messages.
       return Optional.empty();
     }
     return budget.tryRetry(now)
