--- a/src/test/java/org/tanagerbank/platform/PlatformClientsTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformClientsTest.java
@@ -198,6 +198,10 @@
     assertThat(weights.load("draft-1", "v1")).isEqualTo(1_000);
     TanagerException refused = failure(() -> weights.load("draft-1", "v1"));
     assertThat(refused.retryAfterMillis()).isAtLeast(500_000);
+    admin(store.address(), "{\"outage\":true,\"loadsPerSecond\":1000}");
+    assertThat(failure(() -> weights.load("draft-1", "v1")).retryAfterMillis()).isEqualTo(1_000);
+    admin(store.address(), "{\"outage\":false}");
+    assertThat(weights.load("draft-1", "v1")).isEqualTo(1_000);
     store.stop();
   }
 }
