Test the sidecar's parts; pause log reads in an outage

Cause: plain calls, reporting link, quarantine stream, back-pressure and cancel had no tests, and a log outage was logged as a failed task ten times a second.

Ruled out: polling the quarantine stream every 5 s (12,000 sidecars would make 2,400 reads/s); the wait is 30 s, and after a failure a second passes.

--- a/src/main/java/org/tanagerbank/sidecar/QuarantineFeed.java
+++ b/src/main/java/org/tanagerbank/sidecar/QuarantineFeed.java
@@ -34,6 +34,8 @@
 
   private static final int MAX_PENDING = 1_000;
   private static final int PAGE_RECORDS = 500;
+  private static final long BEYOND_END = Long.MAX_VALUE / 2;
+  private static final long RETRY_MILLIS = 1_000;
   private static final int HEX = 16;
   private static final String CRASH = "crash";
 
@@ -44,6 +46,9 @@
   private final Consumer<Condemnation> onCondemned;
   private final Deque<byte[]> pending = new ArrayDeque<>();
   private long from = 1;
+  private long readAgainAt;
+  private long appendAgainAt;
+  private boolean outage;
 
   QuarantineFeed(
       String service,
@@ -68,13 +73,17 @@
     }
   }
 
-  /** Appends what waits. Blocks; does nothing while the log is unavailable. */
+  /** Appends what waits. Blocks; pauses in an outage. */
   void flush() {
+    if (clock.getAsLong() < appendAgainAt) {
+      return;
+    }
     byte[] head = peek();
     while (head != null) {
       try {
         log.append(STREAM, head);
       } catch (TanagerException e) {
+        appendAgainAt = clock.getAsLong() + RETRY_MILLIS;
         return;
       }
       remove(head);
@@ -82,22 +91,42 @@
     }
   }
 
-  /** Reads new records, and waits up to a time for the first. Blocks. */
+  /** Reads new records, and waits up to a time for the first. Blocks; pauses in an outage. */
   void read(long waitMillis) {
+    if (clock.getAsLong() < readAgainAt) {
+      return;
+    }
     try {
       LogPage page = log.read(STREAM, from, PAGE_RECORDS, waitMillis);
       page.records().forEach(this::take);
       from = Math.max(from, page.next());
+      setOutage(false);
     } catch (TanagerException e) {
-      if (e.code() == ErrorCode.RECORDS_EXPIRED) {
-        // A read from beyond the end tells where the log begins.
-        from = log.read(STREAM, Long.MAX_VALUE, 1, 0).firstRetained();
-      } else {
-        throw e;
+      if (e.code() != ErrorCode.RECORDS_EXPIRED || !skipExpired()) {
+        readAgainAt = clock.getAsLong() + RETRY_MILLIS;
+        setOutage(true);
       }
     }
   }
 
+  /** Goes on at the oldest record kept, which a read from beyond the end tells. */
+  private boolean skipExpired() {
+    try {
+      from = log.read(STREAM, BEYOND_END, 1, 0).firstRetained();
+      return true;
+    } catch (TanagerException e) {
+      return false;
+    }
+  }
+
+  private void setOutage(boolean now) {
+    if (now != outage) {
+      outage = now;
+      LogEvent event = now ? LogEvent.LOG_OUTAGE_BEGAN : LogEvent.LOG_OUTAGE_ENDED;
+      EventLog.emit(event, "stream", STREAM);
+    }
+  }
+
   private synchronized byte[] peek() {
     return pending.peekFirst();
   }
--- a/src/main/java/org/tanagerbank/sidecar/Sidecar.java
+++ b/src/main/java/org/tanagerbank/sidecar/Sidecar.java
@@ -44,7 +44,10 @@
   private static final long LIST_MILLIS = 1_000;
   private static final long TIDY_MILLIS = 1_000;
   private static final long LOG_MILLIS = 100;
-  private static final long LOG_WAIT_MILLIS = 5_000;
+
+  /** Long, because all sidecars of the fleet wait on this stream and it seldom has a record. */
+  private static final long LOG_WAIT_MILLIS = 30_000;
+
   private static final long DRAIN_CHECK_MILLIS = 20;
   private static final long MAX_ANSWER_BYTES = 64L << 20;
   private static final long MAX_ANSWER_AGE_MILLIS = 120_000;
--- a/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
@@ -57,7 +57,7 @@
   byte[] text() {
     try {
       ByteArrayOutputStream out = new ByteArrayOutputStream();
-      new PrometheusTextFormatWriter(true).write(out, registry.scrape());
+      new PrometheusTextFormatWriter(false).write(out, registry.scrape());
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- /dev/null
+++ b/src/test/java/org/tanagerbank/sidecar/SidecarServiceTest.java
@@ -0,0 +1,185 @@
+package org.tanagerbank.sidecar;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.http.AsyncHttpCaller;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpReply;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.link.Link;
+import org.tanagerbank.link.LinkHandler;
+import org.tanagerbank.link.LinkServer;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.InstanceKind;
+import org.tanagerbank.machine.InstanceState;
+import org.tanagerbank.machine.Zone;
+import org.tanagerbank.proto.LinkProto.Cancel;
+import org.tanagerbank.proto.LinkProto.ConfigPush;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.proto.LinkProto.RequestRef;
+import org.tanagerbank.proto.LinkProto.Submit;
+import org.tanagerbank.standin.EngineSettings;
+import org.tanagerbank.standin.PlainStandin;
+
+/** Guards what a sidecar does besides chats: plain calls, reports, metrics, cancelling, stops. */
+final class SidecarServiceTest {
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+  private final AsyncHttpCaller http = AsyncHttpCaller.create(2_000);
+
+  @BeforeEach
+  void start() {
+    http.start();
+  }
+
+  @AfterEach
+  void stop() {
+    http.stop();
+  }
+
+  private HttpReply get(InetSocketAddress address, String path) {
+    return http.exchange(
+        address, new HttpMessage("GET", path, ImmutableMap.of(), new byte[0]), 10_000);
+  }
+
+  private ObjectNode json(InetSocketAddress address, String path) {
+    return Json.parseObject(get(address, path).body());
+  }
+
+  /** Reads a JSON document until it is as wanted. */
+  private ObjectNode awaitJson(InetSocketAddress from, String path, Predicate<ObjectNode> wanted) {
+    ObjectNode read = json(from, path);
+    while (!wanted.test(read)) {
+      read = json(from, path);
+    }
+    return read;
+  }
+
+  @Test
+  void plainCallPassesThrough() {
+    PlainStandin plain = PlainStandin.create(ANY, 0);
+    try (SidecarFixture fixture = new SidecarFixture(plain, "register-app")) {
+      EntryPeer entry = fixture.entry();
+      entry.configure(1, SidecarFixture.DECLARATION);
+      awaitJson(fixture.sidecar.httpAddress(), "/status", s -> s.path("accepting").asBoolean());
+      Submit.Builder call =
+          fixture
+              .submit("register-app", "a body")
+              .setMethod("PUT")
+              .setPath("/register/entries?x=1")
+              .setNonIdempotent(true);
+      entry.submit(call);
+      assertThat(entry.outcome(call.getRequest(), 1).getEnd().getHttpStatus()).isEqualTo(200);
+      String echo = entry.bytes(call.getRequest(), 1).toStringUtf8();
+      assertThat(echo).contains("\"method\":\"PUT\"");
+      assertThat(echo).contains("\"path\":\"/register/entries?x=1\"");
+      assertThat(echo).contains(PlainStandin.bodyHash("a body".getBytes(StandardCharsets.UTF_8)));
+    }
+  }
+
+  @Test
+  void reportsToAnEntryAndTakesItsConfiguration() throws Exception {
+    BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
+    LinkServer entry = LinkServer.create(ANY, new ReportTaker(frames));
+    entry.start();
+    try (SidecarFixture fixture = new SidecarFixture(EngineSettings.defaults())) {
+      fixture.instances.register(
+          new InstanceInfo(
+              "entry-1",
+              InstanceKind.ENTRY,
+              "",
+              new Zone("zone-a", "region"),
+              entry.address(),
+              ANY,
+              1,
+              InstanceState.LIVE));
+      assertThat(frames.take().getHello().getService()).isEqualTo("model-pool");
+      Frame report = frames.take();
+      while (!report.getLoadReport().getAccepting()) {
+        report = frames.take();
+      }
+      assertThat(report.getLoadReport().getRevision()).isEqualTo(4);
+      ObjectNode status = json(fixture.sidecar.httpAddress(), "/status");
+      assertThat(status.path("reportingEntry").asText()).isEqualTo("entry-1");
+      assertThat(get(fixture.sidecar.httpAddress(), "/health/ready").status()).isEqualTo(200);
+    } finally {
+      entry.stop();
+    }
+  }
+
+  private record ReportTaker(BlockingQueue<Frame> frames) implements LinkHandler {
+    @Override
+    public void opened(Link link) {
+      link.send(
+          Frame.newBuilder()
+              .setConfigPush(
+                  ConfigPush.newBuilder().setRevision(4).setText(SidecarFixture.DECLARATION))
+              .build());
+    }
+
+    @Override
+    public void received(Link link, Frame frame) {
+      frames.add(frame);
+    }
+
+    @Override
+    public void closed(Link link, String reason) {}
+  }
+
+  @Test
+  void startCancelsTheWorkOfAPredecessor() {
+    try (SidecarFixture fixture = new SidecarFixture(EngineSettings.defaults())) {
+      InetSocketAddress engine = fixture.engine.address();
+      byte[] body = fixture.chat("left over", 50_000, false).getBody().toByteArray();
+      Thread leftOver =
+          new Thread(
+              () ->
+                  http.exchange(
+                      engine,
+                      new HttpMessage("POST", "/v1/chat/completions", ImmutableMap.of(), body),
+                      60_000));
+      leftOver.start();
+      awaitJson(engine, "/load", load -> load.path("running").asInt() > 0);
+      fixture.servingEntry();
+      awaitJson(engine, "/load", load -> load.path("running").asInt() == 0);
+    }
+  }
+
+  @Test
+  void cancelStopsTheEngine() {
+    try (SidecarFixture fixture = new SidecarFixture(EngineSettings.defaults())) {
+      EntryPeer entry = fixture.servingEntry();
+      Submit.Builder chat = fixture.chat("long", 50_000, true);
+      RequestRef ref = chat.getRequest();
+      entry.submit(chat);
+      awaitJson(fixture.engine.address(), "/load", load -> load.path("running").asInt() > 0);
+      entry.send(Frame.newBuilder().setCancel(Cancel.newBuilder().setRequest(ref).setAttempt(1)));
+      awaitJson(fixture.engine.address(), "/load", load -> load.path("running").asInt() == 0);
+      awaitJson(fixture.sidecar.httpAddress(), "/status", s -> s.path("inFlight").asInt() == 0);
+    }
+  }
+
+  @Test
+  void metricsNameWhatWasDecided() {
+    try (SidecarFixture fixture = new SidecarFixture(EngineSettings.defaults())) {
+      InetSocketAddress address = fixture.sidecar.httpAddress();
+      assertThat(get(address, "/health/ready").status()).isEqualTo(503);
+      assertThat(get(address, "/health/live").status()).isEqualTo(200);
+      fixture.servingEntry();
+      String text = new String(get(address, "/metrics").body(), StandardCharsets.UTF_8);
+      assertThat(text).contains("tanagerbank_sidecar_submits_total{decision=\"run\"} 1.0");
+      assertThat(text).contains("tanagerbank_sidecar_accepting 1.0");
+      assertThat(get(address, "/nowhere").status()).isEqualTo(404);
+    }
+  }
+}
