--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -15,14 +15,19 @@
 
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
-          .put("sidecar", new Row("run the sidecar of one upstream", SidecarCommand::new))
           .put("entry", new Row("serve callers and route their requests", EntryCommand::new))
-          .put("version", new Row("print the version", VersionCommand::new))
+          .put("sidecar", new Row("run beside one upstream", SidecarCommand::new))
+          .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
+          .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
+          .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
+          .put("config history", new Row("list publishes", ConfigHistoryCommand::new))
+          .put("config diff", new Row("compare two revisions", ConfigDiffCommand::new))
           .put(
               "bench routing",
               new Row(
                   "measure routing against naive policies in simulated time",
                   BenchRoutingCommand::new))
+          .put("demo", new Row("run the whole path on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
           .put(
@@ -34,11 +39,7 @@
           .put(
               "standin weights",
               new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
-          .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
-          .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
-          .put("config show", new Row("print an accepted declaration", ConfigShowCommand::new))
-          .put("config history", new Row("list publishes", ConfigHistoryCommand::new))
-          .put("config diff", new Row("compare two revisions", ConfigDiffCommand::new))
+          .put("version", new Row("print the version", VersionCommand::new))
           .buildOrThrow();
 
   private CommandTable() {}
