--- a/src/main/java/org/tanagerbank/bench/Attempt.java
+++ b/src/main/java/org/tanagerbank/bench/Attempt.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.bench;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.tanagerbank.contract.ErrorCode;
@@ -16,14 +17,17 @@
   Optional<String> movedTo = Optional.empty();
   boolean hintUsed;
 
-  /** A home that joined lately and has never served the chat. */
-  Optional<String> skipped = Optional.empty();
-
   MeanEstimate mean;
   FakeEngine engine;
+  boolean accepted;
   Upstream upstream;
   Upstream home;
 
+  /** The directory holder that named the upstream in movedTo. */
+  Upstream namedBy;
+
+  ImmutableList<Upstream> holders = ImmutableList.of();
+
   /** The number of sends; replies to an earlier send are ignored. */
   int number;
 
--- a/src/main/java/org/tanagerbank/bench/BenchEntry.java
+++ b/src/main/java/org/tanagerbank/bench/BenchEntry.java
@@ -1,6 +1,5 @@
 package org.tanagerbank.bench;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -145,17 +144,13 @@
       retries.requested(time.nowMillis());
     }
     router.meanReported(mean(), time.nowMillis());
-    ImmutableSet<String> excluded = attempt.excluded;
-    if (attempt.skipped.isPresent()) {
-      excluded = ImmutableSet.<String>builder().addAll(excluded).add(attempt.skipped.get()).build();
-    }
     return router.choose(
         new RouteRequest(
             request.workspace(),
             request.key(),
-            excluded,
+            attempt.excluded,
             attempt.movedTo,
-            request.returning() && attempt.skipped.isEmpty()),
+            request.returning()),
         time.nowMillis(),
         random);
   }
@@ -167,7 +162,7 @@
   /** Publishes this entry's part when it is due. */
   void loadChanged() {
     reporting = sidecars.sum(time.nowMillis()).liveUpstreams();
-    exchange.ownChanged(router.inFlightAtLive(), reporting, time.nowMillis());
+    exchange.ownChanged(router.acceptedAtLive(), reporting, time.nowMillis());
     exchange.due(time.nowMillis()).forEach(this::send);
     long next = exchange.nextSendMillis(time.nowMillis());
     if (next < wakeAtMillis) {
--- a/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
+++ b/src/main/java/org/tanagerbank/bench/TanagerbankPolicy.java
@@ -139,9 +139,9 @@
     RouteDecision decision = entry.choose(attempt, random);
     if (decision instanceof RouteDecision.Send send) {
       attempt.home = send.home();
+      attempt.holders = entry.router.directoryHolders(attempt.request.key());
       attempt.mean = entry.mean();
       entry.router.sent(send.upstream().id(), attempt.request.workspace(), time.nowMillis());
-      entry.loadChanged();
       bytes.submit(attempt);
       submit(attempt, send.upstream());
     } else {
@@ -176,11 +176,12 @@
     return null;
   }
 
-  /** Only the home, and only on the first send of a returning chat, is asked for a hint. */
-  private static boolean ignoresHint(Attempt attempt) {
+  /** Only directory holders are asked for a hint, and only until one has named an upstream. */
+  private boolean ignoresHint(Attempt attempt) {
     return !attempt.request.returning()
+        || attempt.movedTo.isPresent()
         || attempt.hintUsed
-        || !attempt.home.id().equals(attempt.upstream.id());
+        || !attempt.holders.contains(attempt.upstream);
   }
 
   private Attempt.Refusal refusal(BenchSidecar sidecar, ErrorCode code, String movedTo) {
@@ -193,13 +194,15 @@
     if (refusal.code() != ErrorCode.MOVED) {
       attempt.exclude(attempt.upstream.id());
       attempt.movedTo = Optional.empty();
+      attempt.namedBy = null;
       return;
     }
-    attempt.hintUsed = true;
     if (refusal.movedTo().isEmpty()) {
-      attempt.skipped = Optional.of(attempt.upstream.id());
+      attempt.exclude(attempt.upstream.id());
     } else {
+      attempt.hintUsed = true;
       attempt.movedTo = Optional.of(refusal.movedTo());
+      attempt.namedBy = attempt.upstream;
     }
   }
 
@@ -207,15 +210,18 @@
   void accepted(Attempt attempt, int inFlight) {
     BenchEntry entry = entries.get(attempt.request.entry());
     entry.answered(attempt.upstream);
-    entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
-    boolean known = attempt.movedTo.equals(Optional.of(attempt.upstream.id()));
-    if (!attempt.home.id().equals(attempt.upstream.id()) && !known) {
-      notifyHome(attempt);
+    attempt.accepted = true;
+    entry.router.accepted(attempt.upstream.id(), inFlight, time.nowMillis());
+    entry.loadChanged();
+    if (!attempt.home.id().equals(attempt.upstream.id())) {
+      attempt.holders.stream()
+          .filter(h -> !h.equals(attempt.upstream) && !h.equals(attempt.namedBy))
+          .forEach(h -> notifyHolder(attempt, h));
     }
   }
 
-  private void notifyHome(Attempt attempt) {
-    FakeEngine home = fleet.engineOf(attempt.home);
+  private void notifyHolder(Attempt attempt, Upstream holder) {
+    FakeEngine home = fleet.engineOf(holder);
     int zone = zoneOfEntry(attempt.request.entry());
     bytes.spill(attempt);
     time.after(
@@ -237,9 +243,15 @@
   @Override
   void settled(Attempt attempt, int inFlight) {
     BenchEntry entry = entries.get(attempt.request.entry());
-    entry.router.ended(attempt.upstream.id(), attempt.request.workspace(), time.nowMillis());
+    String upstream = attempt.upstream.id();
+    if (attempt.accepted) {
+      entry.router.ended(upstream, attempt.request.workspace(), time.nowMillis());
+    } else {
+      entry.router.notAccepted(upstream, attempt.request.workspace(), time.nowMillis());
+    }
+    attempt.accepted = false;
     if (inFlight >= 0) {
-      entry.router.loadReported(attempt.upstream.id(), inFlight, time.nowMillis());
+      entry.router.loadReported(upstream, inFlight, time.nowMillis());
     }
     entry.loadChanged();
   }
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.routing;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
+import org.tanagerbank.contract.ChatKey;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.declaration.ServiceSpec;
 import org.tanagerbank.machine.Upstream;
@@ -22,12 +24,24 @@
   /** The most upstreams to which one request is sent. */
   public static final int MAX_UPSTREAMS_PER_REQUEST = 4;
 
+  /** The candidates that are told where a chat is served; one may fail without loss. */
+  private static final int DIRECTORY_COPIES = 2;
+
   private static final long RETRY_MILLIS = 500;
   private static final int SCAN = 16;
 
   /** An upstream that is missing from a list for less than this was not restarted. */
   private static final long BRIEF_ABSENCE_MILLIS = 10_000;
 
+  /** The refusals after which candidates of the slot are not preferred any more. */
+  private static final int RANKED_TRIES = 2;
+
+  /**
+   * The part of the slow start after which an upstream takes its full share of chats that have no
+   * cached prefix. Until then the others are nearer to their bound, because the mean counts it.
+   */
+  private static final double NEW_CHATS_RAMP = Double.parseDouble(System.getProperty("ls", "0.1"));
+
   /** The load below which a home takes a new chat, as a multiple of the mean. */
   private static final double NEW_CHAT_MULTIPLE = 0.9;
 
@@ -43,7 +57,7 @@
   private volatile View view = new View(SlotTable.empty(), new UpstreamLoad[0], Map.of());
   private volatile MeanEstimate mean = new MeanEstimate(0, 0, 0);
   private boolean started;
-  private int inFlightAtLive;
+  private int acceptedAtLive;
 
   /** Creates a router of an entry in a zone, without upstreams. */
   public SlotRouter(ServiceSpec spec, Zone ownZone) {
@@ -69,13 +83,13 @@
     SlotTable table = tables.apply(old.table, live);
     UpstreamLoad[] loads = new UpstreamLoad[table.capacity()];
     Map<String, Integer> indexes = new HashMap<>();
-    int inFlight = 0;
+    int accepted = 0;
     for (int i = 0; i < loads.length; i++) {
       Upstream member = table.member(i);
       if (member != null) {
         loads[i] = loadOf(old, member, nowMillis);
         indexes.put(member.id(), i);
-        inFlight += loads[i].own;
+        accepted += loads[i].accepted;
       }
     }
     old.indexes.forEach(
@@ -87,7 +101,7 @@
         });
     dampers.entrySet().removeIf(e -> e.getValue().isSettled(nowMillis));
     departed.values().removeIf(l -> l.own == 0 && nowMillis - l.joinedAtMillis > 600_000);
-    inFlightAtLive = inFlight;
+    acceptedAtLive = accepted;
     started = started || !live.isEmpty();
     view = new View(table, loads, indexes);
   }
@@ -113,6 +127,7 @@
     UpstreamLoad load = new UpstreamLoad(upstream.incarnation(), usableFrom, usableFrom);
     if (sameProcess) {
       load.own = earlier.own;
+      load.accepted = earlier.accepted;
     }
     return load;
   }
@@ -130,29 +145,44 @@
     mean = newMean;
   }
 
-  /** Returns the number of requests that this entry has in flight at live upstreams. */
-  public synchronized int inFlightAtLive() {
-    return inFlightAtLive;
+  /**
+   * Returns the number of this entry's requests that live upstreams have accepted and not ended.
+   */
+  public synchronized int acceptedAtLive() {
+    return acceptedAtLive;
   }
 
   @Override
   public synchronized void sent(String upstreamId, String workspace, long nowMillis) {
     shares.started(workspace);
-    change(upstreamId, 1);
+    change(upstreamId, 1, 0);
+  }
+
+  @Override
+  public synchronized void accepted(String upstreamId, int inFlight, long nowMillis) {
+    change(upstreamId, 0, 1);
+    loadReported(upstreamId, inFlight, nowMillis);
+  }
+
+  @Override
+  public synchronized void notAccepted(String upstreamId, String workspace, long nowMillis) {
+    shares.ended(workspace);
+    change(upstreamId, -1, 0);
   }
 
   @Override
   public synchronized void ended(String upstreamId, String workspace, long nowMillis) {
     shares.ended(workspace);
-    change(upstreamId, -1);
+    change(upstreamId, -1, -1);
   }
 
-  private void change(String upstreamId, int delta) {
+  private void change(String upstreamId, int sent, int accepted) {
     Integer index = view.indexes.get(upstreamId);
     UpstreamLoad load = index != null ? view.loads[index] : departed.get(upstreamId);
-    if (load != null && load.own + delta >= 0) {
-      load.own += delta;
-      inFlightAtLive += index != null ? delta : 0;
+    if (load != null && load.own + sent >= 0 && load.accepted + accepted >= 0) {
+      load.own += sent;
+      load.accepted += accepted;
+      acceptedAtLive += index != null ? accepted : 0;
     }
   }
 
@@ -169,9 +199,9 @@
       return new RouteDecision.Refuse(ErrorCode.WORKSPACE_LIMIT, RETRY_MILLIS);
     }
     Choice choice = new Choice(now, request, nowMillis);
-    int index = choice.moved();
-    index = index >= 0 ? index : choice.forNewChat();
-    index = index >= 0 || choice.refusedTwice() ? index : choice.ranked();
+    int index = choice.holder();
+    index = index >= 0 ? index : choice.directory();
+    index = index >= 0 ? index : choice.ranked();
     index = index >= 0 ? index : choice.leastLoaded(random);
     if (index < 0) {
       return new RouteDecision.Refuse(ErrorCode.OVERLOADED, RETRY_MILLIS);
@@ -180,6 +210,20 @@
         now.table.member(index), now.table.member(now.table.indexAt(choice.slot, 0)));
   }
 
+  @Override
+  public ImmutableList<Upstream> directoryHolders(ChatKey chat) {
+    View now = view;
+    int slot = SlotTable.slotOf(chat.hash());
+    ImmutableList.Builder<Upstream> holders = ImmutableList.builder();
+    for (int rank = 0; rank < DIRECTORY_COPIES; rank++) {
+      int index = now.table.indexAt(slot, rank);
+      if (index >= 0) {
+        holders.add(now.table.member(index));
+      }
+    }
+    return holders.build();
+  }
+
   private boolean exceedsShare(String workspace) {
     int limit = spec.maxInFlightPerUpstream();
     if (mean.mean() < WorkspaceShares.NEAR * limit) {
@@ -215,67 +259,51 @@
     }
 
     /** Returns the upstream that the home named, when it can be used. */
-    int moved() {
+    int holder() {
       Integer index = movedTo.isEmpty() ? null : now.indexes.get(movedTo.get());
       return index != null && isUsable(index) && isBelow(index, spec.loadMultiple()) ? index : -1;
     }
 
     /**
-     * Returns where a chat without cached prefix runs: at its home when that is idle enough, else
-     * at the least loaded candidate, so that such chats even out the load.
+     * Returns the sidecar to ask where a returning chat was served last: the home, or the next
+     * candidate when the home is too new to know. Load does not count here, because skipping the
+     * home would lose the cached prefix.
      */
-    int forNewChat() {
-      if (returning || isHomeNew()) {
+    int directory() {
+      if (!returning || movedTo.isPresent()) {
         return -1;
       }
-      int best = -1;
-      for (int rank = 0; rank < SlotTable.RANKS; rank++) {
-        int index = now.table.indexAt(slot, rank);
-        if (index >= 0 && isUsable(index) && isWithinShare(index)) {
-          if (rank == 0 && isBelow(index, NEW_CHAT_MULTIPLE)) {
-            return index;
-          }
-          best = best < 0 || compare(index, best) < 0 ? index : best;
-        }
+      int home = now.table.indexAt(slot, 0);
+      if (isUsable(home) && hasStarted(home)) {
+        return home;
       }
-      return best >= 0 && isBelow(best, spec.loadMultiple()) ? best : -1;
+      int next = now.table.indexAt(slot, 1);
+      return next >= 0 && isNew(home) && isUsable(next) ? next : -1;
     }
 
-    /** Returns whether the home refused the chat because it is new and holds nothing of it. */
-    private boolean isHomeNew() {
-      int home = now.table.indexAt(slot, 0);
-      return excluded.contains(now.table.member(home).id())
-          && nowMillis - now.loads[home].joinedAtMillis < HomeDirectory.NEW_MILLIS;
+    private boolean isNew(int index) {
+      return nowMillis - now.loads[index].joinedAtMillis < HomeDirectory.NEW_MILLIS;
     }
 
     /**
-     * Returns whether two upstreams refused the request. A third candidate of the slot holds no
-     * prefix that is worth another refusal, so the rest goes by load.
+     * Returns the least loaded candidate of the slot, so that chats without a usable prefix even
+     * out the load. A home that is idle enough comes first; of equal loads the order decides.
      */
-    boolean refusedTwice() {
-      return excluded.size() >= 2;
-    }
-
-    /** Returns the first candidate of the slot that can be used and is below its bound. */
     int ranked() {
-      double early = 1 + (spec.loadMultiple() - 1) * (1 - spec.weights().skewShare() / 2);
+      if (excluded.size() > RANKED_TRIES) {
+        return -1;
+      }
+      int best = -1;
       for (int rank = 0; rank < SlotTable.RANKS; rank++) {
         int index = now.table.indexAt(slot, rank);
-        if (index < 0) {
-          return -1;
-        }
-        boolean started = rank == 0 ? hasStarted(index) : isWithinShare(index);
-        double multiple = rank == 0 ? early : spec.loadMultiple();
-        if (isUsable(index) && started && (asksHome(rank) || isBelow(index, multiple))) {
-          return index;
+        if (index >= 0 && isUsable(index) && isWithinShare(index)) {
+          if (rank == 0 && isBelow(index, NEW_CHAT_MULTIPLE)) {
+            return index;
+          }
+          best = best < 0 || compare(index, best) < 0 ? index : best;
         }
       }
-      return -1;
-    }
-
-    /** A returning chat asks its home first, which alone knows whether it was moved. */
-    private boolean asksHome(int rank) {
-      return rank == 0 && returning && movedTo.isEmpty();
+      return best >= 0 && isBelow(best, spec.loadMultiple()) ? best : -1;
     }
 
     /**
@@ -319,8 +347,8 @@
     /** Returns whether an upstream in slow start has less than its share of the mean load. */
     private boolean isWithinShare(int index) {
       double age = nowMillis - now.loads[index].joinedAtMillis;
-      return age >= spec.slowStartMillis()
-          || estimate(index) <= age / spec.slowStartMillis() * mean.mean();
+      double share = age / (NEW_CHATS_RAMP * spec.slowStartMillis());
+      return share >= 1 || estimate(index) <= share * mean.mean();
     }
 
     /** Returns whether an upstream's growing share already includes this chat. */
--- a/src/main/java/org/tanagerbank/routing/UpstreamLoad.java
+++ b/src/main/java/org/tanagerbank/routing/UpstreamLoad.java
@@ -15,6 +15,7 @@
   final long joinedAtMillis;
   final long usableFromMillis;
   volatile int own;
+  int accepted;
   long departedAtMillis;
   private volatile int othersReported;
   private volatile long reportedAtMillis = Long.MIN_VALUE / 2;
