--- a/src/main/java/org/tanagerbank/bench/Attempt.java
+++ b/src/main/java/org/tanagerbank/bench/Attempt.java
@@ -15,7 +15,11 @@
   final BenchRequest request;
   ImmutableSet<String> excluded = ImmutableSet.of();
   Optional<String> movedTo = Optional.empty();
-  boolean hintUsed;
+
+  /** How many times a sidecar may still answer with a hint; bounds redirections. */
+  int hintsLeft = 3;
+
+  boolean asksHint;
 
   MeanEstimate mean;
   FakeEngine engine;
--- a/src/main/java/org/tanagerbank/bench/BenchRoutingCommand.java
+++ b/src/main/java/org/tanagerbank/bench/BenchRoutingCommand.java
@@ -60,6 +60,11 @@
   @Option(name = "--cache-tokens", usage = "prompt tokens that an engine's cache holds")
   private long cacheTokens = 400_000;
 
+  @Option(
+      name = "--churn-seconds",
+      usage = "time between changes of the fleet in scenarios churn and disagreement")
+  private double churnSeconds = 12;
+
   @Option(name = "--report-lag-millis", usage = "age of sidecars' load reports in scenario lag")
   private long reportLagMillis = 3_000;
 
@@ -90,6 +95,7 @@
     range(faults, "--reuse-weight", reuseWeight, 0, 1e6);
     range(faults, "--skew-weight", skewWeight, 0, 1e6);
     range(faults, "--cache-tokens", (double) cacheTokens, 1, 1e12);
+    range(faults, "--churn-seconds", churnSeconds, 0.1, 86_400);
     range(faults, "--report-lag-millis", (double) reportLagMillis, 0, 60_000);
     range(faults, "--sums-lag-millis", (double) sumsLagMillis, 0, 60_000);
     if (reuseWeight == 0 && skewWeight == 0) {
@@ -129,6 +135,7 @@
         reuseWeight,
         skewWeight,
         cacheTokens,
+        churnSeconds,
         reportLagMillis,
         sumsLagMillis);
   }
@@ -159,6 +166,7 @@
     object.put("load", settings.load());
     object.put("reuseWeight", settings.reuseWeight());
     object.put("skewWeight", settings.skewWeight());
+    object.put("churnSeconds", settings.churnSeconds());
     object.put("loadMultiple", BenchSettings.LOAD_MULTIPLE);
     object.put("results", results);
     try {
--- a/src/main/java/org/tanagerbank/bench/BenchSettings.java
+++ b/src/main/java/org/tanagerbank/bench/BenchSettings.java
@@ -18,6 +18,7 @@
  * @param reuseWeight the declaration's weight of cache reuse
  * @param skewWeight the declaration's weight of even load
  * @param cacheTokens the prompt tokens that an engine's cache holds
+ * @param churnSeconds the time between changes of the fleet in scenarios churn and disagreement
  * @param reportLagMillis how old load reports of sidecars are on arrival in scenario lag
  * @param sumsLagMillis how old load sums of entries are on arrival in scenario lag
  */
@@ -35,6 +36,7 @@
     double reuseWeight,
     double skewWeight,
     long cacheTokens,
+    double churnSeconds,
     long reportLagMillis,
     long sumsLagMillis) {
   /** The declared multiple of the mean load. */
--- a/src/main/java/org/tanagerbank/routing/RouteDecision.java
+++ b/src/main/java/org/tanagerbank/routing/RouteDecision.java
@@ -10,8 +10,10 @@
    *
    * @param upstream where to send it
    * @param home the chat's home, which differs from the upstream when the chat is served elsewhere
+   * @param asksHint whether the sidecar may answer that the chat is cached elsewhere; otherwise the
+   *     submit sets {@code ignore_hint}
    */
-  record Send(Upstream upstream, Upstream home) implements RouteDecision {}
+  record Send(Upstream upstream, Upstream home, boolean asksHint) implements RouteDecision {}
 
   /**
    * Refuse the request at once; it was not run.
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -21,12 +21,15 @@
  * read an immutable view without a lock; everything that changes state holds this object's lock.
  */
 public final class SlotRouter implements ServiceRouter {
-  /** The most upstreams to which one request is sent. */
-  public static final int MAX_UPSTREAMS_PER_REQUEST = 4;
+  /** The most upstreams to which one request is sent, of which two may only answer as directory. */
+  public static final int MAX_UPSTREAMS_PER_REQUEST = 6;
 
   /** The candidates that are told where a chat is served; one may fail without loss. */
   private static final int DIRECTORY_COPIES = 2;
 
+  /** The candidates that are asked where a chat was served. */
+  private static final int DIRECTORY_ASKS = 3;
+
   private static final long RETRY_MILLIS = 500;
   private static final int SCAN = 16;
 
@@ -34,13 +37,13 @@
   private static final long BRIEF_ABSENCE_MILLIS = 10_000;
 
   /** The refusals after which candidates of the slot are not preferred any more. */
-  private static final int RANKED_TRIES = 2;
+  private static final int RANKED_TRIES = 3;
 
   /**
    * The part of the slow start after which an upstream takes its full share of chats that have no
    * cached prefix. Until then the others are nearer to their bound, because the mean counts it.
    */
-  private static final double NEW_CHATS_RAMP = Double.parseDouble(System.getProperty("ls", "0.1"));
+  private static final double NEW_CHATS_RAMP = 0.1;
 
   /** The load below which a home takes a new chat, as a multiple of the mean. */
   private static final double NEW_CHAT_MULTIPLE = 0.9;
@@ -201,13 +204,14 @@
     Choice choice = new Choice(now, request, nowMillis);
     int index = choice.holder();
     index = index >= 0 ? index : choice.directory();
+    boolean asksHint = index >= 0 && request.returning();
     index = index >= 0 ? index : choice.ranked();
     index = index >= 0 ? index : choice.leastLoaded(random);
     if (index < 0) {
       return new RouteDecision.Refuse(ErrorCode.OVERLOADED, RETRY_MILLIS);
     }
     return new RouteDecision.Send(
-        now.table.member(index), now.table.member(now.table.indexAt(choice.slot, 0)));
+        now.table.member(index), now.table.member(now.table.indexAt(choice.slot, 0)), asksHint);
   }
 
   @Override
@@ -261,24 +265,33 @@
     /** Returns the upstream that the home named, when it can be used. */
     int holder() {
       Integer index = movedTo.isEmpty() ? null : now.indexes.get(movedTo.get());
-      return index != null && isUsable(index) && isBelow(index, spec.loadMultiple()) ? index : -1;
+      return index != null && !isExcluded(index) && isBelow(index, spec.loadMultiple())
+          ? index
+          : -1;
     }
 
     /**
-     * Returns the sidecar to ask where a returning chat was served last: the home, or the next
-     * candidate when the home is too new to know. Load does not count here, because skipping the
-     * home would lose the cached prefix.
+     * Returns the sidecar to ask where a returning chat was served last: the home or, while the
+     * candidates asked are too new to know, the next one, which was the home before they joined.
+     * Load does not count here, because skipping the home would lose the cached prefix.
      */
     int directory() {
       if (!returning || movedTo.isPresent()) {
         return -1;
       }
-      int home = now.table.indexAt(slot, 0);
-      if (isUsable(home) && hasStarted(home)) {
-        return home;
+      for (int rank = 0; rank < DIRECTORY_ASKS; rank++) {
+        int index = now.table.indexAt(slot, rank);
+        if (index < 0) {
+          return -1;
+        }
+        if (isUsable(index) && hasStarted(index)) {
+          return index;
+        }
+        if (!isNew(index)) {
+          return -1;
+        }
       }
-      int next = now.table.indexAt(slot, 1);
-      return next >= 0 && isNew(home) && isUsable(next) ? next : -1;
+      return -1;
     }
 
     private boolean isNew(int index) {
