Compare the membership view with a simple oracle

Ruled out: an oracle that repeats the damping; it says which upstreams may and must be used, and damping has an example of its own.

Before: no test. The first run failed: a return was counted when the list showed an upstream that was still leaving, so it waited as flapping one restart too early.

--- a/src/main/java/org/tanagerbank/membership/Member.java
+++ b/src/main/java/org/tanagerbank/membership/Member.java
@@ -10,7 +10,7 @@
 import org.tanagerbank.machine.Zone;
 
 /** What is known about one instance. Not thread-safe; owned by {@link MembershipView}. */
-final class Member {
+class Member {
   /** A time in the past of every event, so that no evidence is younger than it. */
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -64,7 +64,7 @@
       httpAddress = row.httpAddress();
       if (restarted) {
         restart(row.incarnation(), now);
-      } else if (back && away && !linkDown) {
+      } else if (back && away && !linkDown && !leaving) {
         countReturn(now);
       }
       if (row.state() == InstanceState.LEAVING && isLeavingNews(row)) {
@@ -176,7 +176,7 @@
     leave();
   }
 
-  private void leave() {
+  void leave() {
     leaving = true;
     away = true;
   }
--- a/src/main/java/org/tanagerbank/membership/MembershipView.java
+++ b/src/main/java/org/tanagerbank/membership/MembershipView.java
@@ -25,9 +25,10 @@
  * instance takes a higher one); the result depends on the events and their times only. The view
  * does not ping: it is told what the links show.
  *
- * <p>Not thread-safe. The result of {@link #members} is immutable and may be shared.
+ * <p>Not thread-safe. Subclasses exist only in tests, which take out one rule each. The result of
+ * {@link #members} is immutable and may be shared.
  */
-public final class MembershipView {
+public class MembershipView {
   /**
    * A list may lose this many instances at once whatever their share, so small fleets can shrink.
    */
@@ -69,7 +70,7 @@
     }
   }
 
-  private boolean isSuspect(Set<String> seen) {
+  boolean isSuspect(Set<String> seen) {
     long known = 0;
     long lost = 0;
     for (Member member : members.values()) {
@@ -215,6 +216,10 @@
   }
 
   private Member member(String id) {
-    return members.computeIfAbsent(id, i -> new Member(settings, i));
+    return members.computeIfAbsent(id, this::newMember);
+  }
+
+  Member newMember(String id) {
+    return new Member(settings, id);
   }
 }
