Escape what YAML does not allow as it is

Cause: a name that was written with an escape, such as U+FFFE, came out unescaped in the canonical text, which the parser then rejected; a sidecar would have got a section that it cannot read. Names with an unpaired surrogate could never match a caller's and are faults now.

Before: the new round trip property fails with the escape taken out. After: 500 generated declarations read back equal.

--- a/src/main/java/org/tanagerbank/config/LogFollower.java
+++ b/src/main/java/org/tanagerbank/config/LogFollower.java
@@ -68,7 +68,7 @@
         throw e;
       }
       atEnd = false;
-      begin(true);
+      begin(whole);
       return ImmutableList.of();
     }
   }
--- a/src/main/java/org/tanagerbank/declaration/DeclarationWriter.java
+++ b/src/main/java/org/tanagerbank/declaration/DeclarationWriter.java
@@ -107,11 +107,22 @@
         .collect(Collectors.joining(", ", "[", "]"));
   }
 
-  /** JSON strings are YAML strings; plain scalars are used only where they need no escape. */
+  /**
+   * JSON strings are YAML strings; plain scalars are used only where they need no escape.
+   * Characters beyond ASCII are escaped, because YAML does not allow all of them as they are.
+   */
   private static String quoted(String name) {
-    boolean plain = PLAIN.matcher(name).matches() && !name.equalsIgnoreCase("null");
-    return plain
-        ? name
-        : "\"" + new String(JsonStringEncoder.getInstance().quoteAsString(name)) + "\"";
+    if (PLAIN.matcher(name).matches() && !name.equalsIgnoreCase("null")) {
+      return name;
+    }
+    StringBuilder out = new StringBuilder("\"");
+    for (char c : JsonStringEncoder.getInstance().quoteAsString(name)) {
+      if (c < 0x7f) {
+        out.append(c);
+      } else {
+        out.append(String.format("\\u%04x", (int) c));
+      }
+    }
+    return out.append('"').toString();
   }
 }
--- a/src/main/java/org/tanagerbank/declaration/NodeReader.java
+++ b/src/main/java/org/tanagerbank/declaration/NodeReader.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.declaration;
 
 import com.google.common.collect.ImmutableList;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -134,6 +135,10 @@
       fault(node, what + " must not have control characters or outer spaces");
       return Optional.empty();
     }
+    if (!StandardCharsets.UTF_8.newEncoder().canEncode(value)) {
+      fault(node, what + " is not valid Unicode");
+      return Optional.empty();
+    }
     return Optional.of(scalar);
   }
 
