--- a/src/main/java/org/tanagerbank/cli/Arguments.java
+++ b/src/main/java/org/tanagerbank/cli/Arguments.java
@@ -22,12 +22,10 @@
 final class Arguments {
   private static final String PREFIX = "TANAGERBANK_";
 
-  private final Command command;
   private final CmdLineParser parser;
   private final List<String> faults = new ArrayList<>();
 
   private Arguments(Command command) {
-    this.command = command;
     this.parser =
         new CmdLineParser(
             command, ParserProperties.defaults().withUsageWidth(100).withOptionSorter(null));
--- a/src/main/java/org/tanagerbank/demo/Demo.java
+++ b/src/main/java/org/tanagerbank/demo/Demo.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,6 +32,7 @@
   private static final long READY_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final long PROBE_TIMEOUT_MILLIS = 2_000;
   private static final long PROBE_PAUSE_MILLIS = 50;
+  private static final int HTTP_OK = 200;
 
   private final Deployment deployment;
   private final int chats;
@@ -134,8 +136,8 @@
 
   private void awaitReady() throws InterruptedException {
     long end = System.nanoTime() + READY_LIMIT_NANOS;
-    for (Entry entry : fleet.entries()) {
-      while (!isReady(entry)) {
+    for (InetSocketAddress address : fleet.httpAddresses()) {
+      while (!isReady(address)) {
         if (System.nanoTime() > end) {
           throw TanagerException.notRun(
               ErrorCode.NO_UPSTREAM, "the fleet did not become ready within 20 s");
@@ -145,10 +147,11 @@
     }
   }
 
-  private boolean isReady(Entry entry) {
+  private boolean isReady(InetSocketAddress address) {
     HttpMessage probe = new HttpMessage("GET", "/health/ready", ImmutableMap.of(), new byte[0]);
-    boolean answers =
-        fleet.caller().exchange(entry.httpAddress(), probe, PROBE_TIMEOUT_MILLIS).status() == 200;
-    return answers && entry.upstreamCount(deployment.engineService()) == deployment.engines();
+    int status = fleet.caller().exchange(address, probe, PROBE_TIMEOUT_MILLIS).status();
+    return status == HTTP_OK
+        && fleet.entries().stream()
+            .allMatch(e -> e.upstreamCount(deployment.engineService()) == deployment.engines());
   }
 }
--- a/src/main/java/org/tanagerbank/demo/DemoFleet.java
+++ b/src/main/java/org/tanagerbank/demo/DemoFleet.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.stream.Stream;
 import org.tanagerbank.adoption.ConfigRecord.Publish;
 import org.tanagerbank.config.ConfigPublisher;
 import org.tanagerbank.config.PublishResult;
@@ -95,6 +96,16 @@
     return entries.stream().map(Entry::httpAddress).collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns where entries and sidecars serve their health. */
+  ImmutableList<InetSocketAddress> httpAddresses() {
+    return Stream.concat(
+            entries.stream().map(Entry::httpAddress),
+            Stream.of(engineSidecars, plainSidecars)
+                .flatMap(List::stream)
+                .map(Sidecar::httpAddress))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private void publish() {
     HttpLogService client = HttpLogService.create(caller, log.address(), PLATFORM_TIMEOUT_MILLIS);
     ConfigPublisher publisher = new ConfigPublisher(client, PLATFORM_TIMEOUT_MILLIS);
--- a/src/main/java/org/tanagerbank/load/LoadDriver.java
+++ b/src/main/java/org/tanagerbank/load/LoadDriver.java
@@ -116,7 +116,8 @@
       increment(resends, turn.errorCode());
       long base = Math.max(MIN_RESEND_MILLIS, turn.retryAfterMillis());
       long delay = base + ThreadLocalRandom.current().nextLong(base);
-      timer.schedule(() -> send(chat, body, resent + 1), delay, TimeUnit.MILLISECONDS);
+      var unused =
+          timer.schedule(() -> send(chat, body, resent + 1), delay, TimeUnit.MILLISECONDS);
       return;
     }
     count(chat, turn);
