Report load changes to all entries with a link

Cause: the routing measurements rest on sidecars that tell each change of load to every entry that has a link, as often as ReportPacer allows; the sidecar reported to one entry only, at most four times a second. The home directory is asked with the admission's own notion of a busy upstream.

Ruled out: sending from the thread that ends a run, which holds its monitor.

--- a/src/main/java/org/tanagerbank/sidecar/AdmissionGate.java
+++ b/src/main/java/org/tanagerbank/sidecar/AdmissionGate.java
@@ -11,7 +11,6 @@
 import org.tanagerbank.proto.LinkProto.Submit;
 import org.tanagerbank.quarantine.Quarantine;
 import org.tanagerbank.quarantine.Standing;
-import org.tanagerbank.routing.Admission;
 import org.tanagerbank.routing.AdmissionDecision;
 import org.tanagerbank.routing.BoundedAdmission;
 import org.tanagerbank.routing.HomeDirectory;
@@ -35,11 +34,11 @@
   private final Quarantine quarantine;
   private final HomeDirectory homes;
   private ServiceSpec spec;
-  private Admission admission;
+  private BoundedAdmission admission;
   private boolean leaving;
   private boolean healthy;
   private boolean suspectRunning;
-  private double meanRequests;
+  private int liveUpstreams = 1;
 
   AdmissionGate(String service, Quarantine quarantine, long nowMillis) {
     this.service = service;
@@ -60,9 +59,12 @@
   /** Takes an estimate of the mean load of the service. */
   synchronized void meanReported(MeanLoad mean, long nowMillis) {
     if (admission != null && mean.getLiveUpstreams() > 0) {
-      meanRequests = mean.getMilliRequests() / MILLI;
+      liveUpstreams = mean.getLiveUpstreams();
       admission.meanReported(
-          new MeanEstimate(meanRequests, mean.getLiveUpstreams(), nowMillis - mean.getAgeMillis()),
+          new MeanEstimate(
+              mean.getMilliRequests() / MILLI,
+              mean.getLiveUpstreams(),
+              nowMillis - mean.getAgeMillis()),
           nowMillis);
     }
   }
@@ -124,6 +126,11 @@
     return admission == null ? 0 : admission.inFlight();
   }
 
+  /** Returns the number of live upstreams of the service as last heard. */
+  synchronized int liveUpstreams() {
+    return liveUpstreams;
+  }
+
   /** Returns whether requests can be admitted at all. */
   synchronized boolean isAccepting() {
     return spec != null && healthy && !leaving;
@@ -140,7 +147,7 @@
     ChatKey key = new ChatKey(s.getChatHash());
     // A key is bound to this sidecar, so its request cannot follow the chat's cache.
     if (chat && !s.getIgnoreHint() && s.getIdempotencyKey().isEmpty()) {
-      HomeDirectory.Hint hint = homes.hint(key, admission.inFlight() > meanRequests, nowMillis);
+      HomeDirectory.Hint hint = homes.hint(key, admission.isBusy(), nowMillis);
       if (hint instanceof HomeDirectory.Hint.MovedTo moved) {
         return Pass.moved(moved.upstreamId());
       }
--- a/src/main/java/org/tanagerbank/sidecar/EntryFrames.java
+++ b/src/main/java/org/tanagerbank/sidecar/EntryFrames.java
@@ -152,6 +152,7 @@
       metrics.submitted("run");
       attach(session, s, start.run());
       start.run().started(upstream.send(s, start.run()));
+      runs.started();
     } else if (decision instanceof SubmitDecision.Attach<ServedRequest> known) {
       metrics.submitted("attach");
       attach(session, s, known.run());
--- a/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
+++ b/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
@@ -19,7 +19,6 @@
 import org.tanagerbank.machine.InstanceState;
 import org.tanagerbank.platform.InstanceList;
 import org.tanagerbank.proto.LinkProto.Frame;
-import org.tanagerbank.proto.LinkProto.LoadReport;
 import org.tanagerbank.routing.Rendezvous;
 
 /**
@@ -38,14 +37,13 @@
   private final LinkClient client;
   private final LinkHandler frames;
   private final AdmissionGate gate;
-  private final ConfigHolder config;
+  private final LoadSpread spread;
   private final LongSupplier clock;
   private final Map<String, Long> unreachableUntil = new HashMap<>();
   private ImmutableList<InstanceInfo> entries = ImmutableList.of();
   private String entryId = "";
   private Link link;
   private boolean opening;
-  private long sequence;
   private int reportedInFlight;
   private boolean reportedAccepting;
   private long reportedAt;
@@ -56,14 +54,14 @@
       LinkClient client,
       LinkHandler frames,
       AdmissionGate gate,
-      ConfigHolder config,
+      LoadSpread spread,
       LongSupplier clock) {
     this.settings = settings;
     this.instances = instances;
     this.client = client;
     this.frames = frames;
     this.gate = gate;
-    this.config = config;
+    this.spread = spread;
     this.clock = clock;
   }
 
@@ -170,16 +168,7 @@
     reportedInFlight = inFlight;
     reportedAccepting = accepting;
     reportedAt = now;
-    sequence++;
-    link.send(
-        Frame.newBuilder()
-            .setLoadReport(
-                LoadReport.newBuilder()
-                    .setSequence(sequence)
-                    .setInFlight(inFlight)
-                    .setAccepting(accepting)
-                    .setRevision(config.revision()))
-            .build());
+    link.send(spread.report(inFlight));
   }
 
   /** Passes everything on, and notices the loss of the link. */
--- a/src/main/java/org/tanagerbank/sidecar/Runs.java
+++ b/src/main/java/org/tanagerbank/sidecar/Runs.java
@@ -30,6 +30,7 @@
   private final LongSupplier clock;
   private final Set<ServedRequest> running = ConcurrentHashMap.newKeySet();
   private volatile Consumer<ServedRequest> abortListener = run -> {};
+  private volatile Runnable loadListener = () -> {};
 
   Runs(
       RequestLedger<ServedRequest> ledger,
@@ -51,6 +52,16 @@
     abortListener = listener;
   }
 
+  /** Sets who is told that the number of requests in flight has changed. */
+  void onLoadChanged(Runnable listener) {
+    loadListener = listener;
+  }
+
+  /** Notes that an admitted run was started. */
+  void started() {
+    loadListener.run();
+  }
+
   void add(ServedRequest run) {
     running.add(run);
   }
@@ -98,6 +109,7 @@
   private void remove(ServedRequest run, long now) {
     if (running.remove(run)) {
       gate.ended(run.workspace(), now);
+      loadListener.run();
     }
   }
 }
--- a/src/main/java/org/tanagerbank/sidecar/Sidecar.java
+++ b/src/main/java/org/tanagerbank/sidecar/Sidecar.java
@@ -69,6 +69,7 @@
   private final EntryFrames frames;
   private final QuarantineFeed feed;
   private final UpstreamMonitor monitor;
+  private final LoadSpread spread;
   private final ReportingLink reporting;
   private final LinkServer linkServer;
   private final HttpService http;
@@ -91,6 +92,7 @@
             this::announce);
     monitor =
         new UpstreamMonitor(settings, upstream, gate, runs, this::isEngine, this::crashed, clock);
+    spread = new LoadSpread(gate, config, frames::broadcast, clock);
     reporting =
         new ReportingLink(
             settings,
@@ -98,7 +100,7 @@
             linkClient,
             frames,
             gate,
-            config,
+            spread,
             clock);
     linkServer = LinkServer.create(settings.linkAddress(), frames);
     SidecarStatus status =
@@ -123,7 +125,10 @@
     linkServer.start();
     http.start();
     every(PROBE_MILLIS, this::probe);
+    // Off the threads of links and calls, which may hold the monitor of a run.
+    runs.onLoadChanged(() -> timers.execute(guarded(spread::tick)));
     every(REPORT_MILLIS, reporting::tick);
+    every(REPORT_MILLIS, spread::tick);
     every(LIST_MILLIS, reporting::refresh);
     every(TIDY_MILLIS, runs::tidy);
     every(LOG_MILLIS, feed::flush);
