Follow the router's hints, acceptance counts and directory holders

Ruled out: excluding an upstream that only has no trace of a chat for good; in a fleet of one engine its request would be refused. Conclusion: adapted; AnyRouter of the safety test gains the new methods only.

--- a/src/main/java/org/tanagerbank/entry/ActiveRequest.java
+++ b/src/main/java/org/tanagerbank/entry/ActiveRequest.java
@@ -137,7 +137,7 @@
     } else if (action instanceof FlowAction.Credit a) {
       send(Frames.credit(ref, a.attempt(), a.bytes()));
     } else if (action instanceof FlowAction.Spill a) {
-      context.tell(a.home(), Frames.spill(checked.chat(), a.servedBy()));
+      context.tell(a.holder(), Frames.spill(checked.chat(), a.servedBy()));
     } else {
       respond(action);
     }
--- a/src/main/java/org/tanagerbank/entry/FlowAction.java
+++ b/src/main/java/org/tanagerbank/entry/FlowAction.java
@@ -38,8 +38,8 @@
   /** Allow the sidecar to send more bytes. */
   record Credit(Upstream upstream, int attempt, long bytes) implements FlowAction {}
 
-  /** Tell the home sidecar which upstream served the chat in its place. */
-  record Spill(Upstream home, String servedBy) implements FlowAction {}
+  /** Tell a sidecar that keeps the chat's directory entry which upstream serves the chat. */
+  record Spill(Upstream holder, String servedBy) implements FlowAction {}
 
   /** Begin the response; its body follows in pieces. */
   record Begin(int httpStatus, String contentType) implements FlowAction {}
--- a/src/main/java/org/tanagerbank/entry/LoadBoard.java
+++ b/src/main/java/org/tanagerbank/entry/LoadBoard.java
@@ -162,7 +162,7 @@
       Map<List<String>, Map<LoadExchange.Scope, LoadSums.Builder>> due,
       long now) {
     Service service = service(name);
-    service.exchange.ownChanged(router.inFlightAtLive(), service.reporting(now), now);
+    service.exchange.ownChanged(router.acceptedAtLive(), service.reporting(now), now);
     service.exchange.mean(now).ifPresent(mean -> router.meanReported(mean, now));
     for (LoadExchange.Message message : service.exchange.due(now)) {
       if (!message.receivers().isEmpty()) {
--- a/src/main/java/org/tanagerbank/entry/RequestFlow.java
+++ b/src/main/java/org/tanagerbank/entry/RequestFlow.java
@@ -112,7 +112,9 @@
 
   private void onFrame(FlowEvent event, long now, List<FlowAction> out) {
     if (event instanceof FlowEvent.Accepted e && isLive(e.attempt())) {
-      choice.loadReported(upstream, e.inFlight(), now);
+      choice
+          .accepted(e.inFlight(), now)
+          .forEach(holder -> out.add(new FlowAction.Spill(holder, upstream.id())));
     } else if (event instanceof FlowEvent.Refused e && isLive(e.attempt())) {
       choice.loadReported(upstream, e.inFlight(), now);
       refused(e, now, out);
@@ -195,7 +197,7 @@
     step++;
     attempt++;
     long credit = response.attempt(attempt);
-    boolean ignoreHint = choice.wasMoved() || !(request.key() instanceof KeyBinding.None);
+    boolean ignoreHint = choice.ignoresHint() || !(request.key() instanceof KeyBinding.None);
     out.add(
         new FlowAction.Submit(
             step, upstream, incarnation, attempt, response.position(), credit, ignoreHint));
@@ -233,8 +235,7 @@
     } else if (request.key() instanceof KeyBinding.Issued || UpstreamChoice.isFinal(e.code())) {
       finish(error, now, out);
     } else if (e.code() == ErrorCode.MOVED) {
-      choice.ended(now);
-      choice.moved(upstream, e.movedTo());
+      choice.moved(upstream, e.movedTo(), now);
       retry(error, now, out);
     } else {
       notRun(error, now, out);
@@ -257,7 +258,6 @@
       return;
     }
     choice.loadReported(upstream, e.inFlight(), now);
-    choice.spillHome(upstream).ifPresent(h -> out.add(new FlowAction.Spill(h, upstream.id())));
     done(now);
   }
 
@@ -343,7 +343,7 @@
   /** The attempt may have run, and no more of its answer will come. */
   private void lost(TanagerException error, long now, List<FlowAction> out) {
     mayHaveRun = true;
-    choice.failed(upstream, error.code(), now);
+    choice.failed(upstream, now);
     if (request.nonIdempotent() || isBound()) {
       finish(error, now, out);
     } else {
@@ -353,7 +353,7 @@
 
   /** The attempt did not run and will not run. */
   private void notRun(TanagerException error, long now, List<FlowAction> out) {
-    choice.failed(upstream, error.code(), now);
+    choice.failed(upstream, now);
     retry(error, now, out);
   }
 
--- a/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.entry;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.Optional;
@@ -27,6 +28,9 @@
   /** Moves after a NOT_RUN refusal that cost no retry budget, because nothing ran. */
   private static final int FREE_MOVES = 2;
 
+  /** How many times a sidecar may point elsewhere; each answer costs the caller a round trip. */
+  private static final int MAX_HINTS = 3;
+
   private static final long BUDGET_RETRY_MILLIS = 1_000;
 
   /** Refusals that every upstream would repeat, or that must not be evaded by moving. */
@@ -62,12 +66,14 @@
   private final RandomGenerator random;
   private final Set<String> tried = new HashSet<>();
   private final Set<String> excluded = new HashSet<>();
+  private final Set<String> withoutTrace = new HashSet<>();
   private Optional<String> movedTo = Optional.empty();
+  private Optional<Upstream> namedBy = Optional.empty();
   private Optional<Upstream> home = Optional.empty();
   private Optional<Upstream> open = Optional.empty();
-  private Optional<String> passedOver = Optional.empty();
-  private boolean moved;
-  private boolean homeUnavailable;
+  private boolean accepted;
+  private boolean asksHint;
+  private int hintsLeft = MAX_HINTS;
   private int freeMoves;
   private TanagerException refusal;
 
@@ -91,9 +97,12 @@
 
   /** Returns the next upstream; when empty, {@link #refusal} says why. */
   Optional<Upstream> next(long now) {
-    RouteDecision decision = choose(passedOver, now);
-    if (decision instanceof RouteDecision.Refuse && passedOver.isPresent()) {
-      decision = choose(Optional.empty(), now);
+    RouteDecision decision = choose(now);
+    if (decision instanceof RouteDecision.Refuse && !withoutTrace.isEmpty()) {
+      // Those that only have no trace of the chat can still run the request.
+      withoutTrace.clear();
+      hintsLeft = 0;
+      decision = choose(now);
     }
     if (decision instanceof RouteDecision.Refuse refuse) {
       if (refusal == null || refusal.code() == ErrorCode.MOVED) {
@@ -104,20 +113,20 @@
       return Optional.empty();
     }
     RouteDecision.Send send = (RouteDecision.Send) decision;
-    home = home.isEmpty() ? Optional.of(send.home()) : home;
+    home = Optional.of(send.home());
+    asksHint = send.asksHint();
     String id = send.upstream().id();
     return tried.size() >= MAX_UPSTREAMS && !tried.contains(id)
         ? Optional.empty()
         : Optional.of(send.upstream());
   }
 
-  private RouteDecision choose(Optional<String> without, long now) {
-    ImmutableSet.Builder<String> all = ImmutableSet.builder();
-    all.addAll(excluded);
-    without.ifPresent(all::add);
-    boolean returning = request.returning() && passedOver.isEmpty();
+  private RouteDecision choose(long now) {
+    ImmutableSet<String> without =
+        ImmutableSet.<String>builder().addAll(excluded).addAll(withoutTrace).build();
     return router.choose(
-        new RouteRequest(request.workspace(), request.chat(), all.build(), movedTo, returning),
+        new RouteRequest(
+            request.workspace(), request.chat(), without, movedTo, request.returning()),
         now,
         random);
   }
@@ -134,41 +143,77 @@
     router.sent(upstream.id(), request.workspace(), now);
   }
 
+  /**
+   * Notes that the upstream accepted the request, and returns the upstreams to tell that it serves
+   * the chat in place of the home.
+   */
+  ImmutableList<Upstream> accepted(int inFlight, long now) {
+    if (accepted || open.isEmpty()) {
+      return ImmutableList.of();
+    }
+    accepted = true;
+    Upstream by = open.get();
+    router.accepted(by.id(), inFlight, now);
+    if (!request.cached() || home.isEmpty() || home.get().id().equals(by.id())) {
+      return ImmutableList.of();
+    }
+    return router.directoryHolders(request.chat()).stream()
+        .filter(holder -> !holder.id().equals(by.id()) && !isNamer(holder))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private boolean isNamer(Upstream holder) {
+    return namedBy.isPresent() && namedBy.get().id().equals(holder.id());
+  }
+
   /** Notes that the upstream that has the request is finished with it. */
   void ended(long now) {
-    open.ifPresent(u -> router.ended(u.id(), request.workspace(), now));
+    if (open.isPresent() && accepted) {
+      router.ended(open.get().id(), request.workspace(), now);
+    } else if (open.isPresent()) {
+      router.notAccepted(open.get().id(), request.workspace(), now);
+    }
     open = Optional.empty();
+    accepted = false;
   }
 
   /** Notes that an upstream refused or failed the request and must not get it again. */
-  void failed(Upstream upstream, ErrorCode code, long now) {
+  void failed(Upstream upstream, long now) {
     ended(now);
     excluded.add(upstream.id());
-    boolean full = code == ErrorCode.OVERLOADED;
-    homeUnavailable |= !full && home.map(Upstream::id).equals(Optional.of(upstream.id()));
-    if (movedTo.equals(Optional.of(upstream.id()))) {
-      movedTo = Optional.empty();
-    }
+    hintsLeft = 0;
+    movedTo = Optional.empty();
   }
 
   /**
-   * Notes that an upstream pointed to the holder of the chat's cache, or to the next candidate when
-   * the holder is empty. The upstream itself may still be chosen later.
+   * Notes that an upstream named the holder of the chat's cache, or that it has no trace of the
+   * chat when the holder is empty. It did not refuse to run the request.
    */
-  void moved(Upstream from, String holder) {
-    moved = true;
-    movedTo = holder.isEmpty() ? Optional.empty() : Optional.of(holder);
-    passedOver = holder.isEmpty() ? Optional.of(from.id()) : Optional.empty();
+  void moved(Upstream from, String holder, long now) {
+    ended(now);
+    tried.remove(from.id());
+    hintsLeft--;
+    if (holder.isEmpty()) {
+      withoutTrace.add(from.id());
+      namedBy.ifPresent(n -> withoutTrace.add(n.id()));
+      movedTo = Optional.empty();
+    } else {
+      movedTo = Optional.of(holder);
+      namedBy = Optional.of(from);
+    }
   }
 
-  /** Returns whether an upstream pointed to another one. */
-  boolean wasMoved() {
-    return moved;
+  /** Returns whether the next sidecar must run or refuse the request, not point elsewhere. */
+  boolean ignoresHint() {
+    return !asksHint || hintsLeft <= 0;
   }
 
   /** Returns nothing when a retry is permitted, and otherwise the error to end with. */
   Optional<TanagerException> permitRetry(TanagerException error, long now) {
     refusal = error;
+    if (error.code() == ErrorCode.MOVED) {
+      return Optional.empty();
+    }
     if (error.verdict() == Verdict.NOT_RUN && freeMoves < FREE_MOVES) {
       freeMoves++;
       return Optional.empty();
@@ -183,15 +228,6 @@
                 "no retry left after " + error.code() + ": " + error.getMessage()));
   }
 
-  /** Returns the home to tell that an upstream served the chat because the home was full. */
-  Optional<Upstream> spillHome(Upstream servedBy) {
-    boolean elsewhere = home.isPresent() && !home.get().id().equals(servedBy.id());
-    boolean knownToHome = movedTo.equals(Optional.of(servedBy.id()));
-    return request.cached() && elsewhere && !knownToHome && !homeUnavailable
-        ? home
-        : Optional.empty();
-  }
-
   void loadReported(Upstream upstream, int inFlight, long now) {
     router.loadReported(upstream.id(), inFlight, now);
   }
--- a/src/test/java/org/tanagerbank/entry/FlowWorld.java
+++ b/src/test/java/org/tanagerbank/entry/FlowWorld.java
@@ -211,7 +211,7 @@
           .filter(u -> !r.excluded().contains(u.id()))
           .filter(u -> r.movedTo().isEmpty() || r.movedTo().get().equals(u.id()))
           .findFirst()
-          .<RouteDecision>map(u -> new RouteDecision.Send(u, upstreams.get(0)))
+          .<RouteDecision>map(u -> new RouteDecision.Send(u, upstreams.get(0), true))
           .orElse(new RouteDecision.Refuse(ErrorCode.OVERLOADED, 1));
     }
 
@@ -220,6 +220,19 @@
       inFlight++;
     }
 
+    @Override
+    public void accepted(String upstreamId, int load, long nowMillis) {}
+
+    @Override
+    public void notAccepted(String upstreamId, String workspace, long nowMillis) {
+      inFlight--;
+    }
+
+    @Override
+    public ImmutableList<Upstream> directoryHolders(ChatKey chat) {
+      return upstreams;
+    }
+
     @Override
     public void ended(String upstreamId, String workspace, long nowMillis) {
       inFlight--;
--- a/src/test/java/org/tanagerbank/safety/AnyRouter.java
+++ b/src/test/java/org/tanagerbank/safety/AnyRouter.java
@@ -1,9 +1,11 @@
 package org.tanagerbank.safety;
 
+import com.google.common.collect.ImmutableList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import org.tanagerbank.contract.ChatKey;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.declaration.ServiceSpec;
 import org.tanagerbank.machine.Upstream;
@@ -36,7 +38,7 @@
             .filter(u -> request.movedTo().equals(Optional.of(u.id())))
             .findFirst()
             .orElse(any);
-    return new RouteDecision.Send(chosen, chosen);
+    return new RouteDecision.Send(chosen, chosen, true);
   }
 
   @Override
@@ -54,6 +56,17 @@
   @Override
   public void sent(String upstreamId, String workspace, long nowMillis) {}
 
+  @Override
+  public ImmutableList<Upstream> directoryHolders(ChatKey chat) {
+    return ImmutableList.of();
+  }
+
+  @Override
+  public void accepted(String upstreamId, int inFlight, long nowMillis) {}
+
+  @Override
+  public void notAccepted(String upstreamId, String workspace, long nowMillis) {}
+
   @Override
   public void ended(String upstreamId, String workspace, long nowMillis) {}
 }
