--- a/src/main/java/org/tanagerbank/cli/SidecarCommand.java
+++ b/src/main/java/org/tanagerbank/cli/SidecarCommand.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.http.Json;
@@ -28,7 +27,7 @@
   @Option(
       name = "--incarnation",
       metaVar = "N",
-      usage = "number that differs for each start; default: the start time in milliseconds")
+      usage = "number that rises with each start; default: the start time in milliseconds")
   private long incarnation;
 
   @Option(name = "--link-address", metaVar = "IP:PORT", usage = "where to accept links")
@@ -68,6 +67,9 @@
             "--log", log,
             "--instances", instances)
         .forEach((flag, value) -> checkAddress(flag, value, faults));
+    if (incarnation < 0) {
+      faults.add("--incarnation: must not be negative");
+    }
     if (drainLimitMillis < 0) {
       faults.add("--drain-limit-millis: must not be negative");
     }
@@ -115,10 +117,7 @@
 
   private static void checkAddress(String flag, String value, List<String> faults) {
     try {
-      InetSocketAddress parsed = SocketAddresses.parse(value);
-      if (parsed.getPort() < 0) {
-        faults.add(flag + ": no port in " + value);
-      }
+      SocketAddresses.parse(value);
     } catch (IllegalArgumentException e) {
       faults.add(flag + ": must be ip:port, not \"" + value + "\"");
     }
--- a/src/main/java/org/tanagerbank/sidecar/Runs.java
+++ b/src/main/java/org/tanagerbank/sidecar/Runs.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.contract.ErrorCode;
-import org.tanagerbank.contract.Fingerprint;
 import org.tanagerbank.contract.Verdict;
 import org.tanagerbank.ledger.AnswerShelf;
 import org.tanagerbank.ledger.RequestLedger;
@@ -70,10 +69,6 @@
     return ImmutableSet.copyOf(running);
   }
 
-  ImmutableSet<Fingerprint> fingerprints() {
-    return running.stream().map(ServedRequest::fingerprint).collect(ImmutableSet.toImmutableSet());
-  }
-
   /** Evicts old records and answers, and cancels runs that nobody wants any more. */
   void tidy() {
     long now = clock.getAsLong();
--- a/src/main/java/org/tanagerbank/sidecar/Sidecar.java
+++ b/src/main/java/org/tanagerbank/sidecar/Sidecar.java
@@ -49,6 +49,10 @@
   private static final long LOG_WAIT_MILLIS = 30_000;
 
   private static final long DRAIN_CHECK_MILLIS = 20;
+
+  /** Idle time before a drained sidecar stops; links write out what they still hold. */
+  private static final long FLUSH_MILLIS = 500;
+
   private static final long MAX_ANSWER_BYTES = 64L << 20;
   private static final long MAX_ANSWER_AGE_MILLIS = 120_000;
   private static final int MAX_HTTP_BODY_BYTES = 1 << 16;
@@ -73,6 +77,7 @@
   private final ReportingLink reporting;
   private final LinkServer linkServer;
   private final HttpService http;
+  private int idleChecks;
 
   private Sidecar(SidecarSettings settings) {
     this.settings = settings;
@@ -204,7 +209,9 @@
   }
 
   private void countDownWhenIdle(CountDownLatch drained) {
-    if (gate.inFlight() == 0 && !frames.isDelivering()) {
+    boolean idle = gate.inFlight() == 0 && !frames.isDelivering();
+    idleChecks = idle ? idleChecks + 1 : 0;
+    if (idleChecks * DRAIN_CHECK_MILLIS >= FLUSH_MILLIS) {
       drained.countDown();
     }
   }
--- a/src/test/java/org/tanagerbank/sidecar/SidecarFixture.java
+++ b/src/test/java/org/tanagerbank/sidecar/SidecarFixture.java
@@ -43,8 +43,12 @@
     this(EngineStandin.create(ANY, settings), "model-pool");
   }
 
-  /** Starts a sidecar of a service in front of a stand-in that is not started yet. */
   SidecarFixture(Standin upstream, String service) {
+    this(upstream, service, 0);
+  }
+
+  /** Starts a sidecar of a service in front of a stand-in that is not started yet. */
+  SidecarFixture(Standin upstream, String service, long drainLimitMillis) {
     engine = upstream instanceof EngineStandin e ? e : null;
     standins.addAll(List.of(upstream, log, instances));
     standins.forEach(Standin::start);
@@ -61,7 +65,7 @@
                 upstream.address(),
                 log.address(),
                 instances.address(),
-                0));
+                drainLimitMillis));
     sidecar.start();
   }
 
--- a/src/test/java/org/tanagerbank/sidecar/SidecarServiceTest.java
+++ b/src/test/java/org/tanagerbank/sidecar/SidecarServiceTest.java
@@ -25,10 +25,13 @@
 import org.tanagerbank.machine.Zone;
 import org.tanagerbank.proto.LinkProto.Cancel;
 import org.tanagerbank.proto.LinkProto.ConfigPush;
+import org.tanagerbank.proto.LinkProto.Failed;
 import org.tanagerbank.proto.LinkProto.Frame;
 import org.tanagerbank.proto.LinkProto.RequestRef;
 import org.tanagerbank.proto.LinkProto.Submit;
+import org.tanagerbank.proto.LinkProto.VerdictCode;
 import org.tanagerbank.standin.EngineSettings;
+import org.tanagerbank.standin.EngineStandin;
 import org.tanagerbank.standin.PlainStandin;
 
 /** Guards what a sidecar does besides chats: plain calls, reports, metrics, cancelling, stops. */
@@ -169,6 +172,39 @@
     }
   }
 
+  @Test
+  void lostAnswerOfAHealthyUpstreamMayHaveRun() {
+    PlainStandin plain = PlainStandin.create(ANY, 0);
+    try (SidecarFixture fixture = new SidecarFixture(plain, "register-app")) {
+      EntryPeer entry = fixture.entry();
+      entry.configure(1, SidecarFixture.DECLARATION);
+      awaitJson(fixture.sidecar.httpAddress(), "/status", s -> s.path("accepting").asBoolean());
+      byte[] lose = "{\"loseAnswers\":1}".getBytes(StandardCharsets.UTF_8);
+      http.exchange(
+          plain.address(), new HttpMessage("POST", "/admin", ImmutableMap.of(), lose), 10_000);
+      Submit.Builder call = fixture.submit("register-app", "x").setPath("/a");
+      entry.submit(call);
+      Failed failed = entry.outcome(call.getRequest(), 1).getFailed();
+      assertThat(failed.getCode()).isEqualTo("ENGINE_ERROR");
+      assertThat(failed.getVerdict()).isEqualTo(VerdictCode.MAY_HAVE_RUN);
+    }
+  }
+
+  @Test
+  void drainLimitCutsOff() throws Exception {
+    EngineStandin engine = EngineStandin.create(ANY, EngineSettings.defaults());
+    try (SidecarFixture fixture = new SidecarFixture(engine, "model-pool", 50)) {
+      EntryPeer entry = fixture.servingEntry();
+      Submit.Builder chat = fixture.chat("endless", 100_000, true);
+      entry.submit(chat);
+      entry.accepted(chat.getRequest());
+      fixture.sidecar.drain();
+      Failed failed = entry.outcome(chat.getRequest(), 1).getFailed();
+      assertThat(failed.getCode()).isEqualTo("UPSTREAM_LOST");
+      assertThat(failed.getVerdict()).isEqualTo(VerdictCode.MAY_HAVE_RUN);
+    }
+  }
+
   @Test
   void metricsNameWhatWasDecided() {
     try (SidecarFixture fixture = new SidecarFixture(EngineSettings.defaults())) {
