--- a/src/main/java/org/tanagerbank/entry/ActiveRequest.java
+++ b/src/main/java/org/tanagerbank/entry/ActiveRequest.java
@@ -36,6 +36,7 @@
   private String code = "OK";
   private String verdict = "RAN";
   private boolean over;
+  private boolean firstSend;
 
   ActiveRequest(
       RequestId id,
@@ -100,6 +101,9 @@
       return;
     }
     List<FlowAction> actions = flow.on(event, context.now());
+    if (!(event instanceof FlowEvent.Submitted || event instanceof FlowEvent.Taken)) {
+      setFirstSend(false);
+    }
     actions.forEach(this::perform);
     if (event instanceof FlowEvent.CallerGone && flow.isDone()) {
       code = "CANCELLED";
@@ -112,10 +116,18 @@
     }
   }
 
+  private void setFirstSend(boolean now) {
+    if (firstSend != now) {
+      firstSend = now;
+      context.firstSend(service(), now ? 1 : -1);
+    }
+  }
+
   /** Ends the request after a fault of this program; the caller gets no wrong answer. */
   private void abandon() {
     if (!over) {
       over = true;
+      setFirstSend(false);
       getOff();
       response.fail(
           TanagerException.mayHaveRun(ErrorCode.INTERNAL, "the entry failed; see its log"));
@@ -125,6 +137,7 @@
 
   private void perform(FlowAction action) {
     if (action instanceof FlowAction.Submit a) {
+      setFirstSend(a.attempt() == 1);
       board(new Ride(a.step(), a.upstream(), a.incarnation(), submitFrame(a), 0));
     } else if (action instanceof FlowAction.Query a) {
       board(
--- a/src/main/java/org/tanagerbank/entry/LoadBoard.java
+++ b/src/main/java/org/tanagerbank/entry/LoadBoard.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tanagerbank.machine.InstanceInfo;
 import org.tanagerbank.proto.LinkProto.LoadReport;
@@ -37,6 +38,7 @@
   private static final class Service {
     private final LoadExchange exchange;
     private final Map<String, Report> reports = new HashMap<>();
+    private final AtomicInteger firstSends = new AtomicInteger();
 
     Service(LoadExchange exchange) {
       this.exchange = exchange;
@@ -50,6 +52,10 @@
       reports.remove(sidecarId);
     }
 
+    void refresh(SlotRouter router, long now) {
+      exchange.ownChanged(router.acceptedAtLive() + firstSends.get(), reporting(now), now);
+    }
+
     synchronized int reporting(long now) {
       reports.values().removeIf(r -> now - r.atMillis() > REPORT_EXPIRY_MILLIS);
       return reports.size();
@@ -77,6 +83,11 @@
         });
   }
 
+  /** Notes that a request begins (1) or ends (-1) to wait for the answer to its first Submit. */
+  void firstSend(String service, int change) {
+    service(service).firstSends.addAndGet(change);
+  }
+
   /** Takes a sidecar's report. */
   void reported(String service, String sidecarId, LoadReport report, long now) {
     service(service).report(sidecarId, new Report(report.getInFlight(), now));
@@ -162,7 +173,7 @@
       Map<List<String>, Map<LoadExchange.Scope, LoadSums.Builder>> due,
       long now) {
     Service service = service(name);
-    service.exchange.ownChanged(router.acceptedAtLive(), service.reporting(now), now);
+    service.refresh(router, now);
     service.exchange.mean(now).ifPresent(mean -> router.meanReported(mean, now));
     for (LoadExchange.Message message : service.exchange.due(now)) {
       if (!message.receivers().isEmpty()) {
@@ -177,9 +188,19 @@
     }
   }
 
-  /** Returns the estimate of a service's mean load; with no live upstreams when there is none. */
+  /**
+   * Returns the estimate of a service's mean load; with no live upstreams when there is none.
+   *
+   * <p>The requests that this entry has sent so far are counted in. With those of the last tick
+   * only, a burst that began at an idle service was refused, because every sidecar was told a mean
+   * of zero. Requests that are sent again count only when accepted: after a crash many are on their
+   * way at once, and would raise the mean above what the live upstreams have.
+   */
   MeanLoad mean(String name, long now) {
     Service known = services.get(name);
+    if (known != null) {
+      fleet.router(name).ifPresent(r -> known.refresh(r, now));
+    }
     Optional<MeanEstimate> mean = known == null ? Optional.empty() : known.exchange.mean(now);
     return mean.map(
             m ->
--- a/src/main/java/org/tanagerbank/entry/RequestContext.java
+++ b/src/main/java/org/tanagerbank/entry/RequestContext.java
@@ -22,6 +22,9 @@
   /** Runs an action after a time. */
   void schedule(long delayMillis, Runnable action);
 
+  /** Notes that a request begins (1) or ends (-1) to wait for the answer to its first Submit. */
+  void firstSend(String service, int change);
+
   /** Returns the estimate of a service's mean load. */
   MeanLoad mean(String service);
 
--- a/src/main/java/org/tanagerbank/entry/RequestServices.java
+++ b/src/main/java/org/tanagerbank/entry/RequestServices.java
@@ -60,6 +60,11 @@
     var unused = timers.schedule(action, delayMillis, MILLISECONDS);
   }
 
+  @Override
+  public void firstSend(String service, int change) {
+    loads.firstSend(service, change);
+  }
+
   @Override
   public MeanLoad mean(String service) {
     return loads.mean(service, clock.getAsLong());
--- a/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
@@ -25,9 +25,6 @@
   /** Upstreams that a request is sent to at most. */
   static final int MAX_UPSTREAMS = 4;
 
-  /** Moves after a NOT_RUN refusal that cost no retry budget, because nothing ran. */
-  private static final int FREE_MOVES = 2;
-
   /** How many times a sidecar may point elsewhere; each answer costs the caller a round trip. */
   private static final int MAX_HINTS = 3;
 
@@ -74,7 +71,6 @@
   private boolean accepted;
   private boolean asksHint;
   private int hintsLeft = MAX_HINTS;
-  private int freeMoves;
   private TanagerException refusal;
 
   UpstreamChoice(
@@ -211,11 +207,8 @@
   /** Returns nothing when a retry is permitted, and otherwise the error to end with. */
   Optional<TanagerException> permitRetry(TanagerException error, long now) {
     refusal = error;
-    if (error.code() == ErrorCode.MOVED) {
-      return Optional.empty();
-    }
-    if (error.verdict() == Verdict.NOT_RUN && freeMoves < FREE_MOVES) {
-      freeMoves++;
+    if (error.verdict() == Verdict.NOT_RUN) {
+      // Nothing ran, so trying elsewhere adds no load; MAX_UPSTREAMS bounds the messages.
       return Optional.empty();
     }
     return budget.tryRetry(now)
