--- a/src/main/java/org/tanagerbank/routing/BoundedAdmission.java
+++ b/src/main/java/org/tanagerbank/routing/BoundedAdmission.java
@@ -18,7 +18,7 @@
   static final long TRANSIT_MILLIS = 5;
 
   /** The number of standard deviations by which the total load may fall unnoticed. */
-  static final double DEVIATIONS = Double.parseDouble(System.getProperty("z", "3.5"));
+  static final double DEVIATIONS = 3;
 
   private static final long RATE_WINDOW_MILLIS = 10_000;
   private static final long RETRY_MILLIS = 500;
@@ -75,10 +75,7 @@
     long ownEnds = endTimes.stream().filter(t -> nowMillis - t <= window).count();
     double endsPerMilli = (endTimes.size() + 1.0) / RATE_WINDOW_MILLIS;
     double othersEnds = endsPerMilli * window * (live - 1);
-    double margin =
-        Math.max(
-            Double.parseDouble(System.getProperty("mm", "1")),
-            DEVIATIONS * Math.sqrt(2 * othersEnds));
+    double margin = Math.max(1, DEVIATIONS * Math.sqrt(2 * othersEnds));
     double total = mean.mean() * live - ownEnds - margin;
     return (Math.max(total, inFlight) + 1) / live;
   }
--- a/src/main/java/org/tanagerbank/routing/LoadExchange.java
+++ b/src/main/java/org/tanagerbank/routing/LoadExchange.java
@@ -42,6 +42,12 @@
   private static final double BYTES_PER_MESSAGE = 34;
   private static final double TREE_SENDS_PER_SECOND = 5;
 
+  /**
+   * The time by which a fall of the live upstreams is held back. Other entries take up to this long
+   * to drop the requests of a crashed upstream, and the mean must not look higher meanwhile.
+   */
+  private static final long LOWER_LIVE_MILLIS = 25;
+
   private final String selfId;
   private final String service;
   private final LoadAggregator entries = new LoadAggregator();
@@ -50,6 +56,7 @@
   private final Pacer zonePacer = new Pacer();
   private final Pacer totalPacer = new Pacer();
   private ImmutableSortedMap<String, String> zoneOfEntry = ImmutableSortedMap.of();
+  private long lowerLiveAtMillis = Long.MAX_VALUE;
   private LoadAggregator.Sum own = new LoadAggregator.Sum(0, 0, 0);
   private LoadAggregator.Sum total = new LoadAggregator.Sum(0, 0, 0);
 
@@ -89,7 +96,16 @@
    * Takes this entry's requests in flight at live upstreams, and the sidecars that report to it.
    */
   public synchronized void ownChanged(long inFlight, int reportingSidecars, long nowMillis) {
-    own = new LoadAggregator.Sum(inFlight, reportingSidecars, nowMillis);
+    int live = reportingSidecars;
+    if (live >= own.liveUpstreams()) {
+      lowerLiveAtMillis = Long.MAX_VALUE;
+    } else if (nowMillis < lowerLiveAtMillis) {
+      lowerLiveAtMillis = Math.min(lowerLiveAtMillis, nowMillis + LOWER_LIVE_MILLIS);
+      live = own.liveUpstreams();
+    } else {
+      lowerLiveAtMillis = Long.MAX_VALUE;
+    }
+    own = new LoadAggregator.Sum(inFlight, live, nowMillis);
   }
 
   /** Takes a sum that another entry sent. */
@@ -138,7 +154,8 @@
   /** Returns the time at which {@link #due} is to be called although nothing changed. */
   public synchronized long nextSendMillis(long nowMillis) {
     if (isDirect()) {
-      return ownPacer.next(key(own), nowMillis);
+      long lower = Math.max(nowMillis + 1, lowerLiveAtMillis);
+      return Math.min(lower, ownPacer.next(key(own), nowMillis));
     }
     return nowMillis + (long) (1000 / TREE_SENDS_PER_SECOND);
   }
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -24,8 +24,8 @@
   /** The most upstreams to which one request is sent, of which two may only answer as directory. */
   public static final int MAX_UPSTREAMS_PER_REQUEST = 6;
 
-  /** The candidates that are told where a chat is served; one may fail without loss. */
-  private static final int DIRECTORY_COPIES = 2;
+  /** The candidates that are told where a chat is served; two may fail without loss. */
+  private static final int DIRECTORY_COPIES = 3;
 
   /** The candidates that are asked where a chat was served. */
   private static final int DIRECTORY_ASKS = 3;
@@ -276,10 +276,12 @@
      * Load does not count here, because skipping the home would lose the cached prefix.
      */
     int directory() {
-      if (!returning || movedTo.isPresent()) {
+      if (!returning) {
         return -1;
       }
-      for (int rank = 0; rank < DIRECTORY_ASKS; rank++) {
+      // A home that named an upstream which is gone knows no better; the next holder may.
+      int first = movedTo.isPresent() ? 1 : 0;
+      for (int rank = first; rank < DIRECTORY_ASKS; rank++) {
         int index = now.table.indexAt(slot, rank);
         if (index < 0) {
           return -1;
