--- a/src/main/java/org/tanagerbank/bench/PolicyResult.java
+++ b/src/main/java/org/tanagerbank/bench/PolicyResult.java
@@ -23,4 +23,18 @@
     double refusedShare,
     long requests,
     double controlBytesPerEntryPerSecond,
-    double nanosPerDecision) {}
+    double nanosPerDecision) {
+  /** Returns the result without the time of a decision, which differs between runs. */
+  PolicyResult withoutNanos() {
+    return new PolicyResult(
+        policy,
+        cacheReuse,
+        worstLoadRatio,
+        loadRatioP99,
+        worstLoadRatioWholeService,
+        refusedShare,
+        requests,
+        controlBytesPerEntryPerSecond,
+        0);
+  }
+}
--- a/src/main/java/org/tanagerbank/routing/LoadExchange.java
+++ b/src/main/java/org/tanagerbank/routing/LoadExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Decides at one entry which load sums of one service to send to which entries, and when.
@@ -58,6 +59,10 @@
   private ImmutableSortedMap<String, String> zoneOfEntry = ImmutableSortedMap.of();
   private long lowerLiveAtMillis = Long.MAX_VALUE;
   private LoadAggregator.Sum own = new LoadAggregator.Sum(0, 0, 0);
+  private ImmutableList<String> others = ImmutableList.of();
+  private ImmutableList<String> zoneNeighbours = ImmutableList.of();
+  private ImmutableList<String> otherAggregators = ImmutableList.of();
+  private Optional<String> aggregator = Optional.empty();
   private LoadAggregator.Sum total = new LoadAggregator.Sum(0, 0, 0);
 
   /** Creates the exchange of an entry for a service. */
@@ -85,6 +90,16 @@
               }
             });
     zoneOfEntry = ImmutableSortedMap.copyOf(zoneByEntryId);
+    String zone = zoneOfEntry.get(selfId);
+    others = entriesWhere(e -> !e.getKey().equals(selfId));
+    zoneNeighbours = entriesWhere(e -> e.getValue().equals(zone) && !e.getKey().equals(selfId));
+    aggregator = aggregatorOf(zone);
+    otherAggregators =
+        zoneOfEntry.values().stream()
+            .distinct()
+            .filter(z -> !z.equals(zone))
+            .flatMap(z -> aggregatorOf(z).stream())
+            .collect(ImmutableList.toImmutableList());
     double perSend = Math.max(1, zoneByEntryId.size() - 1) * BYTES_PER_MESSAGE;
     ownPacer.rate(isDirect() ? DIRECT_BYTES_PER_SECOND / perSend : TREE_SENDS_PER_SECOND);
     zonePacer.rate(TREE_SENDS_PER_SECOND);
@@ -128,12 +143,10 @@
     List<Message> messages = new ArrayList<>();
     if (isDirect()) {
       if (ownPacer.due(key(own), nowMillis)) {
-        messages.add(message(others(), Scope.ENTRY, own));
+        messages.add(message(others, Scope.ENTRY, own));
       }
       return messages;
     }
-    String zone = zoneOfEntry.get(selfId);
-    Optional<String> aggregator = aggregatorOf(zone);
     if (!aggregator.equals(Optional.of(selfId))) {
       if (aggregator.isPresent() && ownPacer.due(key(own), nowMillis)) {
         messages.add(message(ImmutableList.of(aggregator.get()), Scope.ENTRY, own));
@@ -142,11 +155,11 @@
     }
     LoadAggregator.Sum zoneSum = plus(entries.sum(nowMillis), own);
     if (zonePacer.due(key(zoneSum), nowMillis)) {
-      messages.add(message(otherAggregators(zone), Scope.ZONE, zoneSum));
+      messages.add(message(otherAggregators, Scope.ZONE, zoneSum));
     }
     total = plus(zones.sum(nowMillis), zoneSum);
     if (totalPacer.due(key(total), nowMillis)) {
-      messages.add(message(entriesOf(zone), Scope.TOTAL, total));
+      messages.add(message(zoneNeighbours, Scope.TOTAL, total));
     }
     return messages;
   }
@@ -192,33 +205,14 @@
     return new Message(receivers, scope, sum.inFlight(), sum.liveUpstreams());
   }
 
-  private ImmutableList<String> others() {
-    return zoneOfEntry.keySet().stream()
-        .filter(id -> !id.equals(selfId))
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  private ImmutableList<String> entriesOf(String zone) {
+  private ImmutableList<String> entriesWhere(Predicate<Map.Entry<String, String>> condition) {
     return zoneOfEntry.entrySet().stream()
-        .filter(e -> e.getValue().equals(zone) && !e.getKey().equals(selfId))
+        .filter(condition)
         .map(Map.Entry::getKey)
         .collect(ImmutableList.toImmutableList());
   }
 
   private Optional<String> aggregatorOf(String zone) {
-    return Rendezvous.aggregator(
-        service,
-        zoneOfEntry.entrySet().stream()
-            .filter(e -> e.getValue().equals(zone))
-            .map(Map.Entry::getKey)
-            .toList());
-  }
-
-  private ImmutableList<String> otherAggregators(String zone) {
-    return zoneOfEntry.values().stream()
-        .distinct()
-        .filter(z -> !z.equals(zone))
-        .flatMap(z -> aggregatorOf(z).stream())
-        .collect(ImmutableList.toImmutableList());
+    return Rendezvous.aggregator(service, entriesWhere(e -> e.getValue().equals(zone)));
   }
 }
--- /dev/null
+++ b/src/test/java/org/tanagerbank/routing/RoutingPartsTest.java
@@ -0,0 +1,98 @@
+package org.tanagerbank.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.contract.ChatKey;
+
+/** Guards the sums, the retry budget, the home directory and the damping of flapping upstreams. */
+final class RoutingPartsTest {
+  private static final ChatKey CHAT = new ChatKey(5);
+
+  @Test
+  void silentPartsStopCounting() {
+    LoadAggregator sums = new LoadAggregator();
+    sums.report("a", 6, 2, 0);
+    sums.report("b", 2, 2, 1_500);
+    assertThat(sums.sum(1_500).mean().orElseThrow().mean()).isEqualTo(2.0);
+    assertThat(sums.sum(2_001)).isEqualTo(new LoadAggregator.Sum(2, 2, 2_001));
+  }
+
+  @Test
+  void exchangeHoldsBackFallOfLiveCount() {
+    LoadExchange exchange = new LoadExchange("e1", "s");
+    exchange.setEntries(Map.of("e1", "z1", "e2", "z2"));
+    exchange.received("e2", LoadExchange.Scope.ENTRY, 4, 2, 0);
+    exchange.ownChanged(4, 2, 0);
+    exchange.ownChanged(2, 1, 10);
+    assertThat(exchange.mean(10).orElseThrow().liveUpstreams()).isEqualTo(4);
+    exchange.ownChanged(2, 1, 40);
+    assertThat(exchange.mean(40).orElseThrow().mean()).isEqualTo(2.0);
+  }
+
+  @Test
+  void treeOfManyEntriesSumsAllZones() {
+    TreeMap<String, String> zones = new TreeMap<>();
+    TreeMap<String, LoadExchange> entries = new TreeMap<>();
+    for (int i = 0; i < 30; i++) {
+      zones.put("e" + i, "z" + i % 3);
+    }
+    zones.keySet().forEach(id -> entries.put(id, new LoadExchange(id, "s")));
+    entries.values().forEach(e -> e.setEntries(zones));
+    for (long now = 0; now < 2_000; now += 100) {
+      for (Map.Entry<String, LoadExchange> e : entries.entrySet()) {
+        e.getValue().ownChanged(3, 1, now);
+        for (LoadExchange.Message m : e.getValue().due(now)) {
+          for (String to : m.receivers()) {
+            entries.get(to).received(e.getKey(), m.scope(), m.inFlight(), m.liveUpstreams(), now);
+          }
+        }
+      }
+    }
+    entries
+        .values()
+        .forEach(e -> assertThat(e.mean(2_000).orElseThrow().liveUpstreams()).isEqualTo(30));
+  }
+
+  @Test
+  void retriesAreTenPercentPlusTen() {
+    RetryBudget budget = new RetryBudget();
+    for (int i = 0; i < 100; i++) {
+      budget.requested(1_000);
+    }
+    int allowed = 0;
+    for (int i = 0; i < 100; i++) {
+      allowed += budget.tryRetry(2_000) ? 1 : 0;
+    }
+    assertThat(allowed).isEqualTo(20);
+    assertThat(budget.tryRetry(13_000)).isTrue();
+  }
+
+  @Test
+  void directoryFollowsTheLastUpstreamAndIsBounded() {
+    HomeDirectory directory = new HomeDirectory(2, -HomeDirectory.NEW_MILLIS);
+    directory.spilled(CHAT, "u3");
+    assertThat(directory.hint(CHAT, true, 0)).isEqualTo(new HomeDirectory.Hint.MovedTo("u3"));
+    directory.servedHere(CHAT);
+    assertThat(directory.hint(CHAT, true, 0)).isEqualTo(new HomeDirectory.Hint.Here());
+    directory.servedHere(new ChatKey(6));
+    directory.servedHere(new ChatKey(7));
+    assertThat(directory.hint(CHAT, true, 0)).isEqualTo(new HomeDirectory.Hint.Elsewhere());
+    assertThat(directory.hint(CHAT, false, 0)).isEqualTo(new HomeDirectory.Hint.Here());
+  }
+
+  @Test
+  void thirdReturnWaitsAndTheWaitDoublesToFiveMinutes() {
+    FlapDamper damper = new FlapDamper();
+    assertThat(damper.returned(0)).isEqualTo(0);
+    assertThat(damper.returned(1)).isEqualTo(1);
+    assertThat(damper.returned(2)).isEqualTo(10_002);
+    assertThat(damper.returned(3)).isEqualTo(20_003);
+    for (int i = 0; i < 10; i++) {
+      damper.returned(4);
+    }
+    assertThat(damper.returned(5)).isEqualTo(300_005);
+  }
+}
