--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -30,6 +30,8 @@
   /** The candidates that are asked where a chat was served. */
   private static final int DIRECTORY_ASKS = 3;
 
+  private static final double HALF = 0.5;
+
   private static final long RETRY_MILLIS = 500;
   private static final int SCAN = 16;
 
@@ -265,15 +267,14 @@
     /** Returns the upstream that the home named, when it can be used. */
     int holder() {
       Integer index = movedTo.isEmpty() ? null : now.indexes.get(movedTo.get());
-      return index != null && !isExcluded(index) && isBelow(index, spec.loadMultiple())
-          ? index
-          : -1;
+      return index != null && !isExcluded(index) && isBelow(index, earlyMultiple()) ? index : -1;
     }
 
     /**
      * Returns the sidecar to ask where a returning chat was served last: the home or, while the
      * candidates asked are too new to know, the next one, which was the home before they joined.
-     * Load does not count here, because skipping the home would lose the cached prefix.
+     * Load counts here only when the declaration gives even load more weight than reuse, because
+     * skipping the home loses the cached prefix wherever it is.
      */
     int directory() {
       if (!returning) {
@@ -287,7 +288,8 @@
           return -1;
         }
         if (isUsable(index) && hasStarted(index)) {
-          return index;
+          boolean skewFirst = spec.weights().skewShare() > HALF;
+          return skewFirst && !isBelow(index, earlyMultiple()) ? -1 : index;
         }
         if (!isNew(index)) {
           return -1;
@@ -296,6 +298,11 @@
       return -1;
     }
 
+    /** Returns the multiple of the mean from which a returning chat is steered away. */
+    private double earlyMultiple() {
+      return 1 + (spec.loadMultiple() - 1) * (1 - spec.weights().skewShare() / 2);
+    }
+
     private boolean isNew(int index) {
       return nowMillis - now.loads[index].joinedAtMillis < HomeDirectory.NEW_MILLIS;
     }
