--- a/src/main/java/org/tanagerbank/routing/LoadExchange.java
+++ b/src/main/java/org/tanagerbank/routing/LoadExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Decides at one entry which load sums of one service to send to which entries, and when.
@@ -42,6 +43,12 @@
   private static final double BYTES_PER_MESSAGE = 34;
   private static final double TREE_SENDS_PER_SECOND = 5;
 
+  /**
+   * The time by which a fall of the live upstreams is held back. Other entries take up to this long
+   * to drop the requests of a crashed upstream, and the mean must not look higher meanwhile.
+   */
+  private static final long LOWER_LIVE_MILLIS = 25;
+
   private final String selfId;
   private final String service;
   private final LoadAggregator entries = new LoadAggregator();
@@ -50,7 +57,12 @@
   private final Pacer zonePacer = new Pacer();
   private final Pacer totalPacer = new Pacer();
   private ImmutableSortedMap<String, String> zoneOfEntry = ImmutableSortedMap.of();
+  private long lowerLiveAtMillis = Long.MAX_VALUE;
   private LoadAggregator.Sum own = new LoadAggregator.Sum(0, 0, 0);
+  private ImmutableList<String> others = ImmutableList.of();
+  private ImmutableList<String> zoneNeighbours = ImmutableList.of();
+  private ImmutableList<String> otherAggregators = ImmutableList.of();
+  private Optional<String> aggregator = Optional.empty();
   private LoadAggregator.Sum total = new LoadAggregator.Sum(0, 0, 0);
 
   /** Creates the exchange of an entry for a service. */
@@ -78,6 +90,16 @@
               }
             });
     zoneOfEntry = ImmutableSortedMap.copyOf(zoneByEntryId);
+    String zone = zoneOfEntry.get(selfId);
+    others = entriesWhere(e -> !e.getKey().equals(selfId));
+    zoneNeighbours = entriesWhere(e -> e.getValue().equals(zone) && !e.getKey().equals(selfId));
+    aggregator = aggregatorOf(zone);
+    otherAggregators =
+        zoneOfEntry.values().stream()
+            .distinct()
+            .filter(z -> !z.equals(zone))
+            .flatMap(z -> aggregatorOf(z).stream())
+            .collect(ImmutableList.toImmutableList());
     double perSend = Math.max(1, zoneByEntryId.size() - 1) * BYTES_PER_MESSAGE;
     ownPacer.rate(isDirect() ? DIRECT_BYTES_PER_SECOND / perSend : TREE_SENDS_PER_SECOND);
     zonePacer.rate(TREE_SENDS_PER_SECOND);
@@ -89,7 +111,16 @@
    * Takes this entry's requests in flight at live upstreams, and the sidecars that report to it.
    */
   public synchronized void ownChanged(long inFlight, int reportingSidecars, long nowMillis) {
-    own = new LoadAggregator.Sum(inFlight, reportingSidecars, nowMillis);
+    int live = reportingSidecars;
+    if (live >= own.liveUpstreams()) {
+      lowerLiveAtMillis = Long.MAX_VALUE;
+    } else if (nowMillis < lowerLiveAtMillis) {
+      lowerLiveAtMillis = Math.min(lowerLiveAtMillis, nowMillis + LOWER_LIVE_MILLIS);
+      live = own.liveUpstreams();
+    } else {
+      lowerLiveAtMillis = Long.MAX_VALUE;
+    }
+    own = new LoadAggregator.Sum(inFlight, live, nowMillis);
   }
 
   /** Takes a sum that another entry sent. */
@@ -112,12 +143,10 @@
     List<Message> messages = new ArrayList<>();
     if (isDirect()) {
       if (ownPacer.due(key(own), nowMillis)) {
-        messages.add(message(others(), Scope.ENTRY, own));
+        messages.add(message(others, Scope.ENTRY, own));
       }
       return messages;
     }
-    String zone = zoneOfEntry.get(selfId);
-    Optional<String> aggregator = aggregatorOf(zone);
     if (!aggregator.equals(Optional.of(selfId))) {
       if (aggregator.isPresent() && ownPacer.due(key(own), nowMillis)) {
         messages.add(message(ImmutableList.of(aggregator.get()), Scope.ENTRY, own));
@@ -126,11 +155,11 @@
     }
     LoadAggregator.Sum zoneSum = plus(entries.sum(nowMillis), own);
     if (zonePacer.due(key(zoneSum), nowMillis)) {
-      messages.add(message(otherAggregators(zone), Scope.ZONE, zoneSum));
+      messages.add(message(otherAggregators, Scope.ZONE, zoneSum));
     }
     total = plus(zones.sum(nowMillis), zoneSum);
     if (totalPacer.due(key(total), nowMillis)) {
-      messages.add(message(entriesOf(zone), Scope.TOTAL, total));
+      messages.add(message(zoneNeighbours, Scope.TOTAL, total));
     }
     return messages;
   }
@@ -138,7 +167,8 @@
   /** Returns the time at which {@link #due} is to be called although nothing changed. */
   public synchronized long nextSendMillis(long nowMillis) {
     if (isDirect()) {
-      return ownPacer.next(key(own), nowMillis);
+      long lower = Math.max(nowMillis + 1, lowerLiveAtMillis);
+      return Math.min(lower, ownPacer.next(key(own), nowMillis));
     }
     return nowMillis + (long) (1000 / TREE_SENDS_PER_SECOND);
   }
@@ -175,33 +205,14 @@
     return new Message(receivers, scope, sum.inFlight(), sum.liveUpstreams());
   }
 
-  private ImmutableList<String> others() {
-    return zoneOfEntry.keySet().stream()
-        .filter(id -> !id.equals(selfId))
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  private ImmutableList<String> entriesOf(String zone) {
+  private ImmutableList<String> entriesWhere(Predicate<Map.Entry<String, String>> condition) {
     return zoneOfEntry.entrySet().stream()
-        .filter(e -> e.getValue().equals(zone) && !e.getKey().equals(selfId))
+        .filter(condition)
         .map(Map.Entry::getKey)
         .collect(ImmutableList.toImmutableList());
   }
 
   private Optional<String> aggregatorOf(String zone) {
-    return Rendezvous.aggregator(
-        service,
-        zoneOfEntry.entrySet().stream()
-            .filter(e -> e.getValue().equals(zone))
-            .map(Map.Entry::getKey)
-            .toList());
-  }
-
-  private ImmutableList<String> otherAggregators(String zone) {
-    return zoneOfEntry.values().stream()
-        .distinct()
-        .filter(z -> !z.equals(zone))
-        .flatMap(z -> aggregatorOf(z).stream())
-        .collect(ImmutableList.toImmutableList());
+    return Rendezvous.aggregator(service, entriesWhere(e -> e.getValue().equals(zone)));
   }
 }
--- a/src/main/java/org/tanagerbank/routing/SlotRouter.java
+++ b/src/main/java/org/tanagerbank/routing/SlotRouter.java
@@ -24,12 +24,14 @@
   /** The most upstreams to which one request is sent, of which two may only answer as directory. */
   public static final int MAX_UPSTREAMS_PER_REQUEST = 6;
 
-  /** The candidates that are told where a chat is served; one may fail without loss. */
-  private static final int DIRECTORY_COPIES = 2;
+  /** The candidates that are told where a chat is served; two may fail without loss. */
+  private static final int DIRECTORY_COPIES = 3;
 
   /** The candidates that are asked where a chat was served. */
   private static final int DIRECTORY_ASKS = 3;
 
+  private static final double HALF = 0.5;
+
   private static final long RETRY_MILLIS = 500;
   private static final int SCAN = 16;
 
@@ -265,27 +267,29 @@
     /** Returns the upstream that the home named, when it can be used. */
     int holder() {
       Integer index = movedTo.isEmpty() ? null : now.indexes.get(movedTo.get());
-      return index != null && !isExcluded(index) && isBelow(index, spec.loadMultiple())
-          ? index
-          : -1;
+      return index != null && !isExcluded(index) && isBelow(index, earlyMultiple()) ? index : -1;
     }
 
     /**
      * Returns the sidecar to ask where a returning chat was served last: the home or, while the
      * candidates asked are too new to know, the next one, which was the home before they joined.
-     * Load does not count here, because skipping the home would lose the cached prefix.
+     * Load counts here only when the declaration gives even load more weight than reuse, because
+     * skipping the home loses the cached prefix wherever it is.
      */
     int directory() {
-      if (!returning || movedTo.isPresent()) {
+      if (!returning) {
         return -1;
       }
-      for (int rank = 0; rank < DIRECTORY_ASKS; rank++) {
+      // A home that named an upstream which is gone knows no better; the next holder may.
+      int first = movedTo.isPresent() ? 1 : 0;
+      for (int rank = first; rank < DIRECTORY_ASKS; rank++) {
         int index = now.table.indexAt(slot, rank);
         if (index < 0) {
           return -1;
         }
         if (isUsable(index) && hasStarted(index)) {
-          return index;
+          boolean skewFirst = spec.weights().skewShare() > HALF;
+          return skewFirst && !isBelow(index, earlyMultiple()) ? -1 : index;
         }
         if (!isNew(index)) {
           return -1;
@@ -294,6 +298,11 @@
       return -1;
     }
 
+    /** Returns the multiple of the mean from which a returning chat is steered away. */
+    private double earlyMultiple() {
+      return 1 + (spec.loadMultiple() - 1) * (1 - spec.weights().skewShare() / 2);
+    }
+
     private boolean isNew(int index) {
       return nowMillis - now.loads[index].joinedAtMillis < HomeDirectory.NEW_MILLIS;
     }
