Tell NOT_RUN for a keyed request only when no copy under its key can have run

Cause: a POST with a key whose Submit was lost was told SEALED/NOT_RUN, and one in a log outage LOG_UNAVAILABLE/NOT_RUN, although an earlier POST with the same key and body had run. Refusals made at the entry (leaving, no upstream, quarantined) had the same fault. The oracle had exempted the code SEALED and did not look at made keys.

--- a/src/main/java/org/tanagerbank/contract/ErrorCode.java
+++ b/src/main/java/org/tanagerbank/contract/ErrorCode.java
@@ -1,5 +1,9 @@
 package org.tanagerbank.contract;
 
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.EnumSet;
+
 /**
  * The error codes that callers, operators and other processes see.
  *
@@ -59,6 +63,9 @@
   PORT_IN_USE(500),
   INTERNAL(500);
 
+  private static final ImmutableSet<ErrorCode> REQUEST_FAULTS =
+      Sets.immutableEnumSet(EnumSet.range(BAD_REQUEST, RESUME_OUT_OF_RANGE));
+
   private final int httpStatus;
 
   ErrorCode(int httpStatus) {
@@ -69,4 +76,12 @@
   public int httpStatus() {
     return httpStatus;
   }
+
+  /**
+   * Returns whether the fault lies in the request as it was sent, so that no request with this
+   * content can have run under its key.
+   */
+  public boolean isRequestFault() {
+    return REQUEST_FAULTS.contains(this);
+  }
 }
--- a/src/main/java/org/tanagerbank/contract/TanagerException.java
+++ b/src/main/java/org/tanagerbank/contract/TanagerException.java
@@ -49,6 +49,12 @@
     return new TanagerException(code, Verdict.NOT_RUN, 0, message, cause);
   }
 
+  /** Returns the same exception for a request that may have run, whatever the verdict was. */
+  public TanagerException asMayHaveRun() {
+    return new TanagerException(
+        code, Verdict.MAY_HAVE_RUN, retryAfterMillis, getMessage(), getCause());
+  }
+
   /** Returns the error code. */
   public ErrorCode code() {
     return code;
--- a/src/main/java/org/tanagerbank/entry/EntryHttp.java
+++ b/src/main/java/org/tanagerbank/entry/EntryHttp.java
@@ -32,7 +32,7 @@
   public void handle(HttpMessage http, HttpExchange exchange) {
     String path = http.pathOnly();
     if (path.equals(Intake.CHAT_PATH) || path.startsWith(Intake.SERVICES_PREFIX)) {
-      counted(() -> desk.serve(http, exchange));
+      counted(() -> serve(http, exchange));
     } else if (path.equals("/v1/request-keys")) {
       counted(
           () -> {
@@ -44,6 +44,16 @@
     }
   }
 
+  private void serve(HttpMessage http, HttpExchange exchange) {
+    try {
+      desk.serve(http, exchange);
+    } catch (TanagerException e) {
+      boolean keyed = !http.header("idempotency-key", "").isEmpty();
+      // A refusal here says nothing about an earlier copy of the request under the same key.
+      throw keyed && !e.code().isRequestFault() ? e.asMayHaveRun() : e;
+    }
+  }
+
   private void counted(Runnable call) {
     try {
       call.run();
--- a/src/main/java/org/tanagerbank/entry/RequestFlow.java
+++ b/src/main/java/org/tanagerbank/entry/RequestFlow.java
@@ -48,6 +48,7 @@
   private boolean sent;
   private boolean resumed;
   private boolean mayHaveRun;
+  private boolean keySealed;
   private boolean callerGone;
   private long claimOffset;
   private int fruitlessLosses;
@@ -225,6 +226,8 @@
 
   private void refused(FlowEvent.Refused e, long now, List<FlowAction> out) {
     TanagerException error = TanagerException.notRun(e.code(), e.message(), e.retryAfterMillis());
+    // A made key that one upstream sealed may have been bound to another one since.
+    keySealed = request.key() instanceof KeyBinding.Issued && UpstreamChoice.sealsKey(e.code());
     if (e.code() == ErrorCode.WRONG_INCARNATION) {
       wrongIncarnation(now, out);
     } else if (resumed) {
@@ -372,13 +375,10 @@
   }
 
   private void finish(TanagerException error, long now, List<FlowAction> out) {
-    boolean understated = mayHaveRun && error.verdict() == Verdict.NOT_RUN;
-    response.fail(
-        understated
-            ? TanagerException.of(
-                error.code(), Verdict.MAY_HAVE_RUN, error.retryAfterMillis(), error.getMessage())
-            : error,
-        out);
+    // The same request may have been sent before under its key; only a sealed key rules it out.
+    boolean keyMayHaveRun = isBound() && !keySealed && !error.code().isRequestFault();
+    boolean understated = error.verdict() == Verdict.NOT_RUN && (mayHaveRun || keyMayHaveRun);
+    response.fail(understated ? error.asMayHaveRun() : error, out);
     stage = Stage.DONE;
     choice.ended(now);
   }
--- a/src/test/java/org/tanagerbank/entry/EntryTest.java
+++ b/src/test/java/org/tanagerbank/entry/EntryTest.java
@@ -129,8 +129,9 @@
     HttpReply made =
         fleet.chat(0, "a", 5, false, "idempotency-key", "k", "x-non-idempotent", "true");
     assertThat(code(made)).isEqualTo("LOG_UNAVAILABLE");
+    // An earlier copy under the same key may have run, and without the log nobody can tell.
     assertThat(Json.parseObject(made.body()).path("error").path("verdict").asText())
-        .isEqualTo("NOT_RUN");
+        .isEqualTo("MAY_HAVE_RUN");
     HttpReply issued =
         fleet.chat(0, "a", 5, false, "idempotency-key", issue(0), "x-non-idempotent", "true");
     assertThat(issued.status()).isEqualTo(200);
--- a/src/test/java/org/tanagerbank/safety/Oracle.java
+++ b/src/test/java/org/tanagerbank/safety/Oracle.java
@@ -1,23 +1,14 @@
 package org.tanagerbank.safety;
 
-import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.RequestId;
 import org.tanagerbank.contract.Verdict;
 
 /** Records what engines executed and what callers were told, and finds contradictions. */
 final class Oracle {
-  /**
-   * Refusals that promise nothing about other POSTs with the same issued key: the key stands for
-   * another body, or only this request id was sealed.
-   */
-  private static final ImmutableSet<ErrorCode> SPEAKS_OF_THE_POST =
-      ImmutableSet.of(ErrorCode.KEY_REUSED, ErrorCode.SEALED);
-
   /** One start of a request at an engine; the serial makes its answer differ from all others. */
   record Execution(int serial, RequestId request, Post.Ask ask) {
     /** Returns the answer that this execution gives. */
@@ -60,8 +51,9 @@
     if (told && own > 0) {
       return fault(post, "was told NOT_RUN but ran");
     }
-    boolean issued = post.ask.binding() == Post.Binding.ISSUED;
-    if (told && issued && ofKey > 0 && !SPEAKS_OF_THE_POST.contains(post.error.code())) {
+    // A key and a body stand for one request, however often it is sent.
+    boolean bound = post.ask.binding() != Post.Binding.NONE;
+    if (told && bound && executions.stream().anyMatch(e -> isSameRequest(e, post))) {
       return fault(post, "was told NOT_RUN but its key ran");
     }
     if (post.succeeded && executions.stream().noneMatch(e -> gives(e, post))) {
@@ -70,6 +62,10 @@
     return Optional.empty();
   }
 
+  private static boolean isSameRequest(Execution e, Post post) {
+    return e.ask().key().equals(post.ask.key()) && e.ask().body() == post.ask.body();
+  }
+
   private static boolean gives(Execution e, Post post) {
     boolean sameKey = e.ask().key().equals(post.ask.key());
     boolean own = e.request().equals(post.id) || (sameKey && !post.ask.key().isEmpty());
