Extrapolate falling load totals at large sizes

Cause: at 380 entries and 12,000 upstreams totals are about 0.6 s old, and while the load fell 4% in that time sidecars admitted over the bound. Ruled out: chance (the margin covers it) and a wrong live count (it was exact).

--- a/src/main/java/org/tanagerbank/routing/LoadExchange.java
+++ b/src/main/java/org/tanagerbank/routing/LoadExchange.java
@@ -39,6 +39,9 @@
   /** The time by which totals lag: three paced hops. */
   private static final long TREE_LAG_MILLIS = 600;
 
+  /** The least time over which the trend of totals is taken. */
+  private static final long TREND_MILLIS = 400;
+
   private static final double DIRECT_BYTES_PER_SECOND = 2_000;
   private static final double BYTES_PER_MESSAGE = 34;
   private static final double TREE_SENDS_PER_SECOND = 5;
@@ -63,6 +66,7 @@
   private ImmutableList<String> zoneNeighbours = ImmutableList.of();
   private ImmutableList<String> otherAggregators = ImmutableList.of();
   private Optional<String> aggregator = Optional.empty();
+  private LoadAggregator.Sum earlierTotal = new LoadAggregator.Sum(0, 0, 0);
   private LoadAggregator.Sum total = new LoadAggregator.Sum(0, 0, 0);
 
   /** Creates the exchange of an entry for a service. */
@@ -134,8 +138,24 @@
         zones.report(zone, inFlight, liveUpstreams, nowMillis);
       }
     } else {
-      total = new LoadAggregator.Sum(inFlight, liveUpstreams, nowMillis);
+      totalChanged(new LoadAggregator.Sum(inFlight, liveUpstreams, nowMillis));
+    }
+  }
+
+  private void totalChanged(LoadAggregator.Sum next) {
+    if (next.takenAtMillis() - earlierTotal.takenAtMillis() >= 2 * TREND_MILLIS) {
+      earlierTotal = total;
     }
+    total = next;
+  }
+
+  /** Returns the total, lowered by as much as it falls in the time by which it lags. */
+  private LoadAggregator.Sum extrapolatedTotal() {
+    long span = total.takenAtMillis() - earlierTotal.takenAtMillis();
+    long fall = Math.max(0, earlierTotal.inFlight() - total.inFlight());
+    long lowered = span <= 0 ? 0 : (long) (fall * 1.5 * TREE_LAG_MILLIS / span);
+    return new LoadAggregator.Sum(
+        Math.max(0, total.inFlight() - lowered), total.liveUpstreams(), total.takenAtMillis());
   }
 
   /** Returns the messages to send now. Called after each change and at {@link #nextSendMillis}. */
@@ -157,7 +177,7 @@
     if (zonePacer.due(key(zoneSum), nowMillis)) {
       messages.add(message(otherAggregators, Scope.ZONE, zoneSum));
     }
-    total = plus(zones.sum(nowMillis), zoneSum);
+    totalChanged(plus(zones.sum(nowMillis), zoneSum));
     if (totalPacer.due(key(total), nowMillis)) {
       messages.add(message(zoneNeighbours, Scope.TOTAL, total));
     }
@@ -178,7 +198,7 @@
     if (isDirect()) {
       return aged(plus(entries.sum(nowMillis), own), nowMillis, DIRECT_LAG_MILLIS).mean();
     }
-    return aged(total, nowMillis, TREE_LAG_MILLIS).mean();
+    return aged(extrapolatedTotal(), nowMillis, TREE_LAG_MILLIS).mean();
   }
 
   private boolean isDirect() {
