Test the load tool's own checks

Cause: the demo, the process tests and the measurements rely on LoadDriver to notice wrong answers, and nothing tested that it does. LoadDriverTest runs it against a small HTTP server that gives another chat's answer, cuts a stream without its end mark, refuses once with NOT_RUN, or fails with MAY_HAVE_RUN.

An exception of the HTTP client while sending, on the timer's thread, would be dropped by the executor and the run would never end. It now counts as a failed connection. This was found by reading; no run has shown it.

--- a/src/main/java/org/tanagerbank/load/LoadDriver.java
+++ b/src/main/java/org/tanagerbank/load/LoadDriver.java
@@ -108,7 +108,12 @@
             body);
     int target = (int) (nextTarget.getAndIncrement() % plan.targets().size());
     TurnReader reader = new TurnReader(latencies, r -> ended(chat, body, resent, r));
-    reader.bind(caller.send(plan.targets().get(target), message, CREDIT_BYTES, reader));
+    try {
+      reader.bind(caller.send(plan.targets().get(target), message, CREDIT_BYTES, reader));
+    } catch (RuntimeException e) {
+      // The timer would drop the exception, and the run would wait for this chat without end.
+      reader.onFailure(e, false);
+    }
   }
 
   private void ended(ChatScript chat, byte[] body, int resent, TurnResult turn) {
--- /dev/null
+++ b/src/test/java/org/tanagerbank/load/LoadDriverTest.java
@@ -0,0 +1,116 @@
+package org.tanagerbank.load;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.http.AsyncHttpCaller;
+import org.tanagerbank.http.BodyWriter;
+import org.tanagerbank.http.HttpErrors;
+import org.tanagerbank.http.HttpExchange;
+import org.tanagerbank.http.HttpMessage;
+import org.tanagerbank.http.HttpService;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.http.ServerSentEvents;
+import org.tanagerbank.standin.ChatMessage;
+import org.tanagerbank.standin.StandinAnswer;
+
+/**
+ * Guards against a load tool that reports a broken system as sound: one that takes another chat's
+ * answer or a cut stream for whole, or that sends again what may have run.
+ */
+final class LoadDriverTest {
+  private static final int MAX_TOKENS = 6;
+
+  private final List<String> received = new CopyOnWriteArrayList<>();
+
+  @Test
+  void answerOfAnotherChatIsWrong() throws InterruptedException {
+    LoadResult result = run((own, exchange) -> stream(exchange, "another chat's answer", true));
+    assertThat(result.wholeAnswers()).isEqualTo(0);
+    assertThat(result.wrongAnswers()).isEqualTo(2);
+  }
+
+  @Test
+  void streamWithoutEndMarkIsWrong() throws InterruptedException {
+    LoadResult result = run((own, exchange) -> stream(exchange, own, false));
+    assertThat(result.wholeAnswers()).isEqualTo(0);
+    assertThat(result.wrongAnswers()).isEqualTo(1);
+  }
+
+  @Test
+  void refusedRequestIsSentAgainUnchanged() throws InterruptedException {
+    TanagerException full = TanagerException.notRun(ErrorCode.OVERLOADED, "full", 1);
+    LoadResult result =
+        run(
+            (own, exchange) -> {
+              if (received.size() == 1) {
+                exchange.respond(HttpErrors.reply(full));
+              } else {
+                stream(exchange, own, true);
+              }
+            });
+    assertThat(result.wholeAnswers()).isEqualTo(2);
+    assertThat(result.resends()).containsExactly("OVERLOADED", 1L);
+    assertThat(received).hasSize(3);
+    assertThat(received.get(1)).isEqualTo(received.get(0));
+  }
+
+  @Test
+  void requestThatMayHaveRunIsNotSentAgain() throws InterruptedException {
+    TanagerException lost = TanagerException.mayHaveRun(ErrorCode.UPSTREAM_LOST, "lost");
+    LoadResult result = run((own, exchange) -> exchange.respond(HttpErrors.reply(lost)));
+    assertThat(result.failures()).containsExactly("UPSTREAM_LOST", 1L);
+    assertThat(received).hasSize(1);
+  }
+
+  /** Runs one chat of two turns against a server, which is given the answer that is due. */
+  private LoadResult run(BiConsumer<String, HttpExchange> server) throws InterruptedException {
+    InetSocketAddress bind = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    HttpService service = HttpService.create(bind, 1 << 20, (m, e) -> handle(server, m, e));
+    AsyncHttpCaller caller = AsyncHttpCaller.create(5_000);
+    ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    service.start();
+    caller.start();
+    try {
+      ImmutableList<InetSocketAddress> targets = ImmutableList.of(service.address());
+      ImmutableList<String> workspaces = ImmutableList.of("w");
+      LoadPlan plan =
+          new LoadPlan(targets, workspaces, "draft", 1, 2, 1, MAX_TOKENS, true, false, 3, 11);
+      return LoadDriver.create(caller, timer, plan).run();
+    } finally {
+      timer.shutdownNow();
+      caller.stop();
+      service.stop();
+    }
+  }
+
+  private void handle(
+      BiConsumer<String, HttpExchange> server, HttpMessage request, HttpExchange exchange) {
+    ObjectNode body = Json.parseObject(request.body());
+    received.add(body.toString());
+    var messages = ChatMessage.read(body.path("messages"));
+    server.accept(StandinAnswer.text("draft", messages, MAX_TOKENS), exchange);
+  }
+
+  private static void stream(HttpExchange exchange, String text, boolean endMark) {
+    BodyWriter out = exchange.beginStream(200, ServerSentEvents.HEADERS);
+    ObjectNode piece = Json.object();
+    piece.putArray("choices").addObject().putObject("delta").put("content", text);
+    out.write(ServerSentEvents.data(piece.toString()));
+    if (endMark) {
+      out.write(ServerSentEvents.data(ServerSentEvents.DONE));
+    }
+    out.end();
+  }
+}
