Add the command bench overhead

Cause: the cost of entry and sidecar to an answer was not measured. The command sends the same kind of load to the engine and to the entry in turn, at each number of open streams, and prints p50 and p95 of the first token and between tokens, the differences, CPU time per 1,000 tokens and resident memory of each process, and wrong or failed answers. bin/measure-overhead starts the processes and ends them by id.

Entry and sidecar export the process metrics of the Prometheus library. Dependency: io.prometheus:prometheus-metrics-instrumentation-jvm 1.3.8.

Ruled out: /metrics on the engine stand-in, because the engine's use is the same on both paths and says nothing about the hops.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -27,6 +27,9 @@
               new Row(
                   "measure routing against naive policies in simulated time",
                   BenchRoutingCommand::new))
+          .put(
+              "bench overhead",
+              new Row("measure what entry and sidecar add to an answer", BenchOverheadCommand::new))
           .put("demo", new Row("run the whole path on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
--- a/src/main/java/org/tanagerbank/entry/EntryMetrics.java
+++ b/src/main/java/org/tanagerbank/entry/EntryMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.ProcessMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -30,6 +31,10 @@
           .labelNames("service")
           .register(registry);
 
+  EntryMetrics() {
+    ProcessMetrics.builder().register(registry);
+  }
+
   /** Counts a request that has ended. */
   void ended(String service, String code, String verdict, int upstreamsTried) {
     requests.labelValues(service, code, verdict).inc();
--- a/src/main/java/org/tanagerbank/load/Latencies.java
+++ b/src/main/java/org/tanagerbank/load/Latencies.java
@@ -24,6 +24,12 @@
     betweenTokens.recordValue(micros(nanos));
   }
 
+  /** Adds all times of another run. */
+  void add(Latencies other) {
+    firstToken.add(other.firstToken);
+    betweenTokens.add(other.betweenTokens);
+  }
+
   /** Returns the time to the first token at a percentile, in microseconds. */
   public long firstTokenMicros(double percentile) {
     return firstToken.getValueAtPercentile(percentile);
--- a/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.ProcessMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -32,6 +33,10 @@
           .help("Crashes of the upstream.")
           .register(registry);
 
+  SidecarMetrics() {
+    ProcessMetrics.builder().register(registry);
+  }
+
   void submitted(String decision) {
     submits.labelValues(decision).inc();
   }
