Read accepted requests in the load board

Cause: routing renamed inFlightAtLive to acceptedAtLive, because requests that are still on their way may be refused and no longer count. Before/after: compilation error at two lines; src/main compiles.

--- a/src/main/java/org/tanagerbank/entry/LoadBoard.java
+++ b/src/main/java/org/tanagerbank/entry/LoadBoard.java
@@ -162,7 +162,7 @@
       Map<List<String>, Map<LoadExchange.Scope, LoadSums.Builder>> due,
       long now) {
     Service service = service(name);
-    service.exchange.ownChanged(router.inFlightAtLive(), service.reporting(now), now);
+    service.exchange.ownChanged(router.acceptedAtLive(), service.reporting(now), now);
     service.exchange.mean(now).ifPresent(mean -> router.meanReported(mean, now));
     for (LoadExchange.Message message : service.exchange.due(now)) {
       if (!message.receivers().isEmpty()) {
@@ -189,7 +189,7 @@
     if (known != null) {
       fleet
           .router(name)
-          .ifPresent(r -> known.exchange.ownChanged(r.inFlightAtLive(), known.reporting(now), now));
+          .ifPresent(r -> known.exchange.ownChanged(r.acceptedAtLive(), known.reporting(now), now));
     }
     Optional<MeanEstimate> mean = known == null ? Optional.empty() : known.exchange.mean(now);
     return mean.map(
