--- /dev/null
+++ b/src/main/java/org/tanagerbank/bench/SlopeHeap.java
@@ -0,0 +1,209 @@
+package org.tanagerbank.bench;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tanagerbank.contract.ChatKey;
+import org.tanagerbank.contract.Fingerprint;
+import org.tanagerbank.contract.RequestId;
+import org.tanagerbank.declaration.DeclarationParser;
+import org.tanagerbank.declaration.ServiceSpec;
+import org.tanagerbank.entry.ClaimIndex;
+import org.tanagerbank.entry.ClaimIndex.Claim;
+import org.tanagerbank.ledger.AnswerBuffer;
+import org.tanagerbank.ledger.Gate;
+import org.tanagerbank.ledger.KeyUse;
+import org.tanagerbank.ledger.LedgerLimits;
+import org.tanagerbank.ledger.RequestLedger;
+import org.tanagerbank.ledger.Submission;
+import org.tanagerbank.link.Link;
+import org.tanagerbank.link.LinkClient;
+import org.tanagerbank.link.LinkHandler;
+import org.tanagerbank.link.LinkServer;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.membership.MembershipSettings;
+import org.tanagerbank.membership.MembershipView;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.routing.HomeDirectory;
+import org.tanagerbank.routing.SlotRouter;
+
+/** Measures the heap that the state of entries and sidecars takes. Stateless. */
+final class SlopeHeap {
+  static final LedgerLimits LIMITS =
+      new LedgerLimits(1 << 20, 600_000, 1 << 20, 86_400_000, 65_536);
+
+  private static final long[] UPSTREAMS = {100, 300, 1_000, 3_000};
+  private static final long[] MANY = {2_000, 8_000, 32_000};
+  private static final long[] LINKS = {100, 250, 500};
+
+  /** The pieces and bytes of a mean answer: 460 tokens at 10,000 requests/s, one event each. */
+  private static final int ANSWER_PIECES = 460;
+
+  private static final int PIECE_BYTES = 200;
+  private static final int CAPACITY = 1 << 20;
+  private static final long DEADLINE_NANOS = 20_000_000_000L;
+
+  private SlopeHeap() {}
+
+  static void measure(SlopeMeter meter, long seed) {
+    meter.heap("membership-view", "upstream", UPSTREAMS, 8, SlopeHeap::view);
+    List<Upstream> upstreams = SlopeFixtures.upstreams(3_000);
+    meter.heap("slot-router", "upstream", UPSTREAMS, 4, n -> router(upstreams.subList(0, (int) n)));
+    meter.heap("home-directory-here", "chat", MANY, 4, n -> homes(n, false));
+    meter.heap("home-directory-spilled", "chat", MANY, 4, n -> homes(n, true));
+    meter.heap("ledger-record", "record", MANY, 4, n -> ledger(n, false));
+    meter.heap("ledger-key", "record with a caller's key", MANY, 2, n -> ledger(n, true));
+    meter.heap("retained-answer", "answer", new long[] {10, 30, 100}, 2, SlopeHeap::answers);
+    meter.heap("claim-index", "claim", MANY, 2, SlopeHeap::claims);
+    meter.heap(
+        "declaration",
+        "workspace",
+        new long[] {1_000, 10_000, 34_000},
+        2,
+        n -> DeclarationParser.parseValid(SlopeFixtures.declaration(n, seed)));
+    meter.cost("idle-link", SlopeMeter.BYTES, "link with both ends", LINKS, SlopeHeap::links);
+  }
+
+  private static Object view(long size) {
+    MembershipView view = new MembershipView(MembershipSettings.DEFAULT);
+    view.listRead(SlopeFixtures.parse(SlopeFixtures.list(size)), 1_000);
+    SlopeMeter.use(view.members(1_000));
+    return view;
+  }
+
+  static ServiceSpec spec() {
+    return DeclarationParser.parseValid(SlopeFixtures.declaration(0, 1))
+        .service(SlopeFixtures.SERVICE)
+        .orElseThrow();
+  }
+
+  static SlotRouter router(List<Upstream> upstreams) {
+    SlotRouter router = new SlotRouter(spec(), SlopeFixtures.ZONE);
+    router.setUpstreams(upstreams, 1_000);
+    return router;
+  }
+
+  private static Object homes(long size, boolean spilled) {
+    HomeDirectory homes = new HomeDirectory(CAPACITY, 0);
+    for (long i = 0; i < size; i++) {
+      ChatKey chat = ChatKey.of("office-1", "chat-" + i);
+      if (spilled) {
+        homes.spilled(chat, SlopeFixtures.id("worker", i % 300));
+      } else {
+        homes.servedHere(chat);
+      }
+    }
+    return homes;
+  }
+
+  static Submission submission(long sequence, boolean keyed) {
+    RequestId id =
+        new RequestId(
+            SlopeFixtures.id("entry", sequence % 95), SlopeFixtures.INCARNATION, sequence);
+    Optional<KeyUse> key =
+        keyed
+            ? Optional.of(
+                KeyUse.made("office-1", "invoice-2026-" + sequence, new Fingerprint(sequence)))
+            : Optional.empty();
+    return new Submission(id, 1, SlopeFixtures.INCARNATION, keyed, key);
+  }
+
+  private static Object ledger(long size, boolean keyed) {
+    RequestLedger<Object> ledger = new RequestLedger<>(SlopeFixtures.INCARNATION, LIMITS);
+    for (long i = 1; i <= size; i++) {
+      Submission submission = submission(i, keyed);
+      SlopeMeter.use(ledger.submit(submission, () -> Gate.Pass.admit(new Object()), 1_000));
+      ledger.finish(submission.id(), 1_000);
+      ledger.dropAnswer(submission.id());
+    }
+    return ledger;
+  }
+
+  private static Object answers(long size) {
+    List<AnswerBuffer> answers = new ArrayList<>();
+    for (long i = 0; i < size; i++) {
+      AnswerBuffer answer = new AnswerBuffer(CAPACITY);
+      for (int piece = 0; piece < ANSWER_PIECES; piece++) {
+        answer.append(new byte[PIECE_BYTES]);
+      }
+      answer.end();
+      answers.add(answer);
+    }
+    return answers;
+  }
+
+  private static Object claims(long size) {
+    ClaimIndex index = new ClaimIndex();
+    for (int i = 1; i <= size; i++) {
+      index.apply(i, 1_000, List.of(claim(i)));
+    }
+    return index;
+  }
+
+  static Claim claim(int number) {
+    return new Claim(
+        "n-" + number,
+        String.format("%032x", 0x9e3779b97f4a7c15L * number),
+        SlopeFixtures.id("worker", number % 300),
+        SlopeFixtures.INCARNATION,
+        0);
+  }
+
+  private static double links(long count) {
+    AtomicInteger accepted = new AtomicInteger();
+    LinkServer server =
+        LinkServer.create(new InetSocketAddress("127.0.0.1", 0), new Silent(accepted));
+    LinkClient client = LinkClient.create();
+    server.start();
+    client.start();
+    try {
+      // The first links load classes and fill pools that all links share.
+      open(client, server, 10);
+      await(accepted, 10);
+      long before = SlopeMeter.usedHeap();
+      List<Link> links = open(client, server, count);
+      await(accepted, 10 + count);
+      double used = SlopeMeter.usedHeap() - before;
+      links.forEach(Link::close);
+      return used;
+    } finally {
+      client.stop();
+      server.stop();
+    }
+  }
+
+  private static List<Link> open(LinkClient client, LinkServer server, long count) {
+    List<Link> links = new ArrayList<>();
+    for (long i = 0; i < count; i++) {
+      links.add(client.open(server.address(), new Silent(new AtomicInteger())).join());
+    }
+    return links;
+  }
+
+  private static void await(AtomicInteger accepted, long count) {
+    long start = System.nanoTime();
+    while (accepted.get() < count && System.nanoTime() - start < DEADLINE_NANOS) {
+      Thread.onSpinWait();
+    }
+  }
+
+  /** Counts the links that open and sends nothing. */
+  private record Silent(AtomicInteger count) implements LinkHandler {
+    @Override
+    public void opened(Link link) {
+      count.incrementAndGet();
+    }
+
+    @Override
+    public void received(Link link, Frame frame) {
+      // No frame is sent on these links.
+    }
+
+    @Override
+    public void closed(Link link, String reason) {
+      // The links are closed by the measurement itself.
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/bench/SlopeTime.java
@@ -0,0 +1,234 @@
+package org.tanagerbank.bench;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.adoption.ConfigRecordCodec;
+import org.tanagerbank.adoption.ConfigReplica;
+import org.tanagerbank.contract.ChatKey;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.declaration.DeclarationParser;
+import org.tanagerbank.entry.ClaimIndex;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.ledger.Gate;
+import org.tanagerbank.ledger.RequestLedger;
+import org.tanagerbank.ledger.Submission;
+import org.tanagerbank.machine.InstanceInfo;
+import org.tanagerbank.machine.Upstream;
+import org.tanagerbank.membership.MembershipSettings;
+import org.tanagerbank.membership.MembershipView;
+import org.tanagerbank.platform.LogPage;
+import org.tanagerbank.platform.LogRecord;
+import org.tanagerbank.proto.LinkProto.Frame;
+import org.tanagerbank.routing.LoadExchange;
+import org.tanagerbank.routing.RouteRequest;
+import org.tanagerbank.routing.SlotRouter;
+import org.tanagerbank.routing.SlotTable;
+
+/** Measures the processor time of control work and decisions. Stateless. */
+final class SlopeTime {
+  private static final long[] UPSTREAMS = {300, 1_200, 3_000};
+  private static final long[] REPORTERS = {8, 32, 128};
+  private static final long[] ROWS = {95, 3_095, 12_380};
+  private static final long[] WORKSPACES = {1_000, 10_000, 34_000};
+  private static final int ENTRIES_OF_ZONE = 38;
+  private static final int ENTRIES_OF_REGION = 95;
+  private static final int CHATS = 10_000;
+  private static final int REPORT_MILLIS = 500;
+
+  private static final Object SERVED = new Object();
+
+  private SlopeTime() {}
+
+  static void measure(SlopeMeter meter, long seed) {
+    meter.time("decision", "upstream", UPSTREAMS, n -> decision(n, seed));
+    meter.time("slot-table-join", "upstream", UPSTREAMS, SlopeTime::join);
+    meter.time("slot-table-leave", "upstream", UPSTREAMS, SlopeTime::leave);
+    meter.time("slot-table-zone", "upstream", UPSTREAMS, SlopeTime::zoneLost);
+    meter.time("load-report-taken", "reporting sidecar", REPORTERS, SlopeTime::report);
+    meter.time("load-reply-made", "reporting sidecar", REPORTERS, SlopeTime::reply);
+    meter.time("load-tick", "entry of the region", new long[] {10, 38, 95}, SlopeTime::tick);
+    meter.time("list-parse", "row", ROWS, SlopeTime::listParse);
+    meter.time("list-merge", "row", ROWS, SlopeTime::listMerge);
+    meter.time("declaration-parse", "workspace", WORKSPACES, n -> parse(n, seed));
+    meter.time("config-adopt", "workspace", WORKSPACES, n -> adopt(n, seed));
+    meter.time("ledger-submit-finish", "request", new long[] {1}, n -> ledger(false));
+    meter.time("ledger-keyed", "request", new long[] {1}, n -> ledger(true));
+    meter.time("claim", "claim", new long[] {1, 10, 100}, SlopeTime::claims);
+  }
+
+  private static Runnable decision(long size, long seed) {
+    SlotRouter router = SlopeHeap.router(SlopeFixtures.upstreams(size));
+    SplittableRandom random = new SplittableRandom(seed);
+    RouteRequest[] requests = new RouteRequest[CHATS];
+    for (int i = 0; i < CHATS; i++) {
+      ChatKey chat = ChatKey.of("office-1", "chat-" + random.nextLong());
+      requests[i] =
+          new RouteRequest("office-1", chat, ImmutableSet.of(), Optional.empty(), i % 2 == 0);
+    }
+    int[] next = {0};
+    return () -> SlopeMeter.use(router.choose(requests[next[0]++ % CHATS], 1_000_000, random));
+  }
+
+  private static Runnable join(long size) {
+    List<Upstream> all = SlopeFixtures.upstreams(size);
+    SlotTable before = SlotTable.empty().withUpstreams(all.subList(1, all.size()));
+    return () -> SlopeMeter.use(before.withUpstreams(all));
+  }
+
+  private static Runnable leave(long size) {
+    List<Upstream> all = SlopeFixtures.upstreams(size);
+    SlotTable before = SlotTable.empty().withUpstreams(all);
+    return () -> SlopeMeter.use(before.withUpstreams(all.subList(1, all.size())));
+  }
+
+  /** Times the loss of the upstreams of one zone, 2 in 5 of those of a region, as one change. */
+  private static Runnable zoneLost(long size) {
+    List<Upstream> all = SlopeFixtures.upstreams(size);
+    SlotTable before = SlotTable.empty().withUpstreams(all);
+    List<Upstream> left = all.subList(all.size() * 2 / 5, all.size());
+    return () -> SlopeMeter.use(before.withUpstreams(left));
+  }
+
+  /** The load state of one service at an entry; it does what the entry does with a report. */
+  private static final class Board {
+    private final SlotRouter router = SlopeHeap.router(SlopeFixtures.upstreams(300));
+    private final MembershipView view = new MembershipView(MembershipSettings.DEFAULT);
+    private final LoadExchange exchange = exchange(ENTRIES_OF_REGION);
+    private final Map<String, Long> heardAt = new HashMap<>();
+    private final List<InstanceInfo> rows = SlopeFixtures.parse(SlopeFixtures.list(3_000));
+    private final byte[] frame = SlopeBytes.report(6).build().toByteArray();
+    private long now = 1_000;
+    private int next;
+
+    Board() {
+      view.listRead(rows, now);
+    }
+
+    void report(int reporters) {
+      InstanceInfo from = rows.get(next++ % reporters);
+      now += next % reporters == 0 ? REPORT_MILLIS : 0;
+      Frame read = parsed();
+      heardAt.put(from.id(), now);
+      router.loadReported(from.id(), read.getLoadReport().getInFlight(), now);
+      view.heard(from.id(), from.incarnation(), now);
+      SlopeMeter.use(view.members(now));
+    }
+
+    private Frame parsed() {
+      try {
+        return Frame.parseFrom(frame);
+      } catch (InvalidProtocolBufferException e) {
+        throw TanagerException.failure(ErrorCode.INTERNAL, "the frame cannot be read", e);
+      }
+    }
+
+    void reply() {
+      int reporting = (int) heardAt.values().stream().filter(at -> now - at < 5_000).count();
+      exchange.ownChanged(router.acceptedAtLive(), reporting, now);
+      SlopeMeter.use(exchange.mean(now));
+      SlopeMeter.use(SlopeBytes.reply().build().toByteArray());
+    }
+  }
+
+  private static LoadExchange exchange(long entries) {
+    LoadExchange exchange = new LoadExchange(SlopeFixtures.id("entry", 1), SlopeFixtures.SERVICE);
+    Map<String, String> zones = new HashMap<>();
+    for (int i = 0; i < entries; i++) {
+      zones.put(SlopeFixtures.id("entry", i), "zone-" + i / ENTRIES_OF_ZONE);
+    }
+    exchange.setEntries(zones);
+    return exchange;
+  }
+
+  private static Runnable report(long reporters) {
+    Board board = new Board();
+    return () -> board.report((int) reporters);
+  }
+
+  private static Runnable reply(long reporters) {
+    Board board = new Board();
+    for (int i = 0; i < reporters; i++) {
+      board.report((int) reporters);
+    }
+    return board::reply;
+  }
+
+  private static Runnable tick(long entries) {
+    LoadExchange exchange = exchange(entries);
+    long[] now = {1_000};
+    return () -> {
+      now[0] += 5;
+      exchange.ownChanged(now[0] / 500, 3, now[0]);
+      SlopeMeter.use(exchange.mean(now[0]));
+      SlopeMeter.use(exchange.due(now[0]));
+    };
+  }
+
+  private static Runnable listParse(long size) {
+    byte[] list = SlopeFixtures.list(size);
+    return () -> SlopeMeter.use(SlopeFixtures.parse(list));
+  }
+
+  private static Runnable listMerge(long size) {
+    List<InstanceInfo> rows = SlopeFixtures.parse(SlopeFixtures.list(size));
+    MembershipView view = new MembershipView(MembershipSettings.DEFAULT);
+    long[] now = {1_000};
+    return () -> {
+      now[0] += 1_000;
+      view.listRead(rows, now[0]);
+      SlopeMeter.use(view.members(now[0]));
+    };
+  }
+
+  private static Runnable parse(long workspaces, long seed) {
+    String text = SlopeFixtures.declaration(workspaces, seed);
+    return () -> SlopeMeter.use(DeclarationParser.parse(text));
+  }
+
+  private static Runnable adopt(long workspaces, long seed) {
+    byte[] data =
+        ConfigRecordCodec.encode(
+            new Publish("publish-1", 0, "operator-1", SlopeFixtures.declaration(workspaces, seed)));
+    LogPage page = new LogPage(1, 2, ImmutableList.of(new LogRecord(1, 1_000, data)));
+    return () -> {
+      ConfigReplica replica = new ConfigReplica();
+      replica.begin(1);
+      SlopeMeter.use(replica.read(page));
+    };
+  }
+
+  /** Times one request; the ledger evicts ended ones as in operation. */
+  private static Runnable ledger(boolean keyed) {
+    RequestLedger<Object> ledger = new RequestLedger<>(SlopeFixtures.INCARNATION, SlopeHeap.LIMITS);
+    long[] next = {0};
+    return () -> {
+      long now = next[0]++;
+      Submission submission = SlopeHeap.submission(next[0], keyed);
+      SlopeMeter.use(ledger.submit(submission, () -> Gate.Pass.admit(SERVED), now * 100));
+      ledger.finish(submission.id(), now * 100);
+      ledger.dropAnswer(submission.id());
+    };
+  }
+
+  /** Times reading a record of claims and applying them, as each entry does with each record. */
+  private static Runnable claims(long count) {
+    byte[] data = Json.bytes(SlopeBytes.claims(count));
+    long[] offset = {0};
+    return () -> {
+      SlopeMeter.use(Json.parseObject(data));
+      ClaimIndex index = new ClaimIndex();
+      for (int i = 0; i < count; i++) {
+        index.apply(++offset[0], 1_000, List.of(SlopeHeap.claim(i)));
+      }
+      SlopeMeter.use(index);
+    };
+  }
+}
--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.function.Supplier;
 import org.tanagerbank.bench.BenchRoutingCommand;
+import org.tanagerbank.bench.SlopeCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -27,6 +28,9 @@
               new Row(
                   "measure routing against naive policies in simulated time",
                   BenchRoutingCommand::new))
+          .put(
+              "bench slopes",
+              new Row("measure what one more upstream, chat or record costs", SlopeCommand::new))
           .put("demo", new Row("run the whole path on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
