Try an interrupted request again for a bounded time; use plain names in the entry

Cause: after a sidecar was killed, idempotent requests that had lost their attempt found all other upstreams at a bound computed from a mean that still counted the dead one, and ended OVERLOADED/MAY_HAVE_RUN with half an answer (FleetIT, EntryTest.killedSidecarLosesNoIdempotentRequest). Renamed: Passenger to LinkUser, Ride to LinkUse, RequestDesk to RequestHandler, AnswerShelf to AnswerStore, FRAME_WITHOUT_SENSE to FRAME_UNEXPECTED.

--- a/src/main/java/org/tanagerbank/entry/ActiveRequest.java
+++ b/src/main/java/org/tanagerbank/entry/ActiveRequest.java
@@ -32,7 +32,7 @@
   private final RequestContext context;
   private final Queue<Runnable> inbox = new ArrayDeque<>();
   private boolean busy;
-  private Ride ride;
+  private LinkUse linkUse;
   private String code = "OK";
   private String verdict = "RAN";
   private boolean over;
@@ -111,7 +111,7 @@
     }
     if (flow.isDone()) {
       over = true;
-      getOff();
+      leaveLink();
       context.ended(this, code, verdict, flow.upstreamsTried());
     }
   }
@@ -128,7 +128,7 @@
     if (!over) {
       over = true;
       setFirstSend(false);
-      getOff();
+      leaveLink();
       response.fail(
           TanagerException.mayHaveRun(ErrorCode.INTERNAL, "the entry failed; see its log"));
       context.ended(this, ErrorCode.INTERNAL.name(), "MAY_HAVE_RUN", flow.upstreamsTried());
@@ -138,11 +138,13 @@
   private void perform(FlowAction action) {
     if (action instanceof FlowAction.Submit a) {
       setFirstSend(a.attempt() == 1);
-      board(new Ride(a.step(), a.upstream(), a.incarnation(), submitFrame(a), 0));
+      join(new LinkUse(a.step(), a.upstream(), a.incarnation(), submitFrame(a), 0));
     } else if (action instanceof FlowAction.Query a) {
-      board(
-          new Ride(
+      join(
+          new LinkUse(
               a.step(), a.upstream(), 0, Frames.query(ref, a.incarnation()), a.timeoutMillis()));
+    } else if (action instanceof FlowAction.Pause a) {
+      context.schedule(a.millis(), () -> post(new FlowEvent.TimedOut(a.step())));
     } else if (action instanceof FlowAction.Claim a) {
       context.claim(checked, a, this::post);
     } else if (action instanceof FlowAction.Cancel a) {
@@ -173,22 +175,22 @@
     }
   }
 
-  private void board(Ride next) {
-    getOff();
-    ride = next;
-    next.board();
+  private void join(LinkUse next) {
+    leaveLink();
+    linkUse = next;
+    next.join();
   }
 
-  private void getOff() {
-    if (ride != null) {
-      ride.link.leave(ride);
-      ride = null;
+  private void leaveLink() {
+    if (linkUse != null) {
+      linkUse.link.leave(linkUse);
+      linkUse = null;
     }
   }
 
   private void send(Frame frame) {
-    if (ride != null) {
-      ride.send(frame);
+    if (linkUse != null) {
+      linkUse.send(frame);
     }
   }
 
@@ -222,7 +224,7 @@
   }
 
   /** One step of this request on a link. */
-  private final class Ride implements Passenger {
+  private final class LinkUse implements LinkUser {
     private final int step;
     private final UpstreamLink link;
     private final long wanted;
@@ -231,7 +233,7 @@
     private final List<Frame> following = new ArrayList<>();
     private Link open;
 
-    Ride(int step, Upstream upstream, long wanted, Frame frame, long timeoutMillis) {
+    LinkUse(int step, Upstream upstream, long wanted, Frame frame, long timeoutMillis) {
       this.step = step;
       this.link = context.link(upstream);
       this.wanted = wanted;
@@ -239,11 +241,11 @@
       this.timeoutMillis = timeoutMillis;
     }
 
-    void board() {
+    void join() {
       if (timeoutMillis > 0) {
         context.schedule(timeoutMillis, () -> post(new FlowEvent.TimedOut(step)));
       }
-      link.board(this);
+      link.join(this);
     }
 
     @Override
@@ -268,7 +270,7 @@
       following.clear();
     }
 
-    /** Sends a frame after the one that this ride is for, which may still wait for the link. */
+    /** Sends a frame after the one that this linkUse is for, which may still wait for the link. */
     void send(Frame next) {
       if (open != null) {
         open.send(next);
--- a/src/main/java/org/tanagerbank/entry/Entry.java
+++ b/src/main/java/org/tanagerbank/entry/Entry.java
@@ -46,7 +46,7 @@
   private final Fleet fleet;
   private final LoadBoard loads;
   private final ControlFrames control;
-  private final RequestDesk desk;
+  private final RequestHandler requests;
   private final LinkClient client = LinkClient.create();
   private final LinkPool links;
   private final LinkServer server;
@@ -67,17 +67,17 @@
     QuarantineBoard quarantine = new QuarantineBoard();
     control = new ControlFrames(settings, fleet, loads, quarantine, clock);
     EntryMetrics metrics = new EntryMetrics();
-    desk = new RequestDesk(settings, fleet, quarantine, metrics, clock);
-    links = new LinkPool(client, fleet, control, desk::received, clock);
+    requests = new RequestHandler(settings, fleet, quarantine, metrics, clock);
+    links = new LinkPool(client, fleet, control, requests::received, clock);
     claims = new ClaimLog(log, clock);
     server = LinkServer.create(settings.linkAddress(), control);
     RequestServices services =
-        new RequestServices(links, loads, claims, fleet, desk, timers, clock);
-    desk.connect(services);
-    EntryStatus status = new EntryStatus(settings, fleet, loads, links, desk, clock);
-    EntryHttp handler = new EntryHttp(desk, new KeyIssuer(fleet, services), status, metrics);
+        new RequestServices(links, loads, claims, fleet, requests, timers, clock);
+    requests.connect(services);
+    EntryStatus status = new EntryStatus(settings, fleet, loads, links, requests, clock);
+    EntryHttp handler = new EntryHttp(requests, new KeyIssuer(fleet, services), status, metrics);
     http = HttpService.create(settings.httpAddress(), settings.maxBodyBytes(), handler);
-    metrics.inFlight(desk::inFlight);
+    metrics.inFlight(requests::inFlight);
     metrics.links(client.traffic(), server.traffic());
     configSource =
         new LogConfigSource(
@@ -138,15 +138,15 @@
    * drain limit.
    */
   public void drain() throws InterruptedException {
-    desk.leave();
+    requests.leave();
     control.leave();
     long limit = settings.drainLimitMillis();
     long end = clock.getAsLong() + limit;
-    EventLog.emit(LogEvent.PROCESS_STOPPING, "inFlight", desk.inFlight());
-    List<ActiveRequest> unfinished = desk.unfinished();
+    EventLog.emit(LogEvent.PROCESS_STOPPING, "inFlight", requests.inFlight());
+    List<ActiveRequest> unfinished = requests.unfinished();
     while (!unfinished.isEmpty() && (limit == 0 || clock.getAsLong() < end)) {
       Thread.sleep(DRAIN_POLL_MILLIS);
-      unfinished = desk.unfinished();
+      unfinished = requests.unfinished();
     }
     if (!unfinished.isEmpty()) {
       EventLog.emit(
--- a/src/main/java/org/tanagerbank/entry/EntryHttp.java
+++ b/src/main/java/org/tanagerbank/entry/EntryHttp.java
@@ -16,13 +16,13 @@
   private static final int UNAVAILABLE = 503;
   private static final String NO_SERVICE = "none";
 
-  private final RequestDesk desk;
+  private final RequestHandler requests;
   private final KeyIssuer keys;
   private final EntryStatus status;
   private final EntryMetrics metrics;
 
-  EntryHttp(RequestDesk desk, KeyIssuer keys, EntryStatus status, EntryMetrics metrics) {
-    this.desk = desk;
+  EntryHttp(RequestHandler requests, KeyIssuer keys, EntryStatus status, EntryMetrics metrics) {
+    this.requests = requests;
     this.keys = keys;
     this.status = status;
     this.metrics = metrics;
@@ -36,7 +36,7 @@
     } else if (path.equals("/v1/request-keys")) {
       counted(
           () -> {
-            desk.checkServing();
+            requests.checkServing();
             keys.issue(http, exchange);
           });
     } else {
@@ -46,7 +46,7 @@
 
   private void serve(HttpMessage http, HttpExchange exchange) {
     try {
-      desk.serve(http, exchange);
+      requests.serve(http, exchange);
     } catch (TanagerException e) {
       boolean keyed = !http.header("idempotency-key", "").isEmpty();
       // A refusal here says nothing about an earlier copy of the request under the same key.
@@ -66,7 +66,7 @@
   private HttpReply operations(HttpMessage http, String path) {
     return switch (path) {
       case "/health/live" -> health(http, true, "live");
-      case "/health/ready" -> health(http, desk.isServing(), "ready");
+      case "/health/ready" -> health(http, requests.isServing(), "ready");
       case "/status" -> {
         Intake.requireMethod(http, "GET");
         yield HttpErrors.json(OK, status.json());
--- a/src/main/java/org/tanagerbank/entry/EntryStatus.java
+++ b/src/main/java/org/tanagerbank/entry/EntryStatus.java
@@ -15,7 +15,7 @@
   private final Fleet fleet;
   private final LoadBoard loads;
   private final LinkPool links;
-  private final RequestDesk desk;
+  private final RequestHandler requests;
   private final LongSupplier clock;
 
   EntryStatus(
@@ -23,13 +23,13 @@
       Fleet fleet,
       LoadBoard loads,
       LinkPool links,
-      RequestDesk desk,
+      RequestHandler requests,
       LongSupplier clock) {
     this.settings = settings;
     this.fleet = fleet;
     this.loads = loads;
     this.links = links;
-    this.desk = desk;
+    this.requests = requests;
     this.clock = clock;
   }
 
@@ -43,8 +43,8 @@
             .put("zone", settings.zone().name())
             .put("region", settings.zone().region())
             .put("revision", fleet.config().map(AdoptedConfig::revision).orElse(0L))
-            .put("draining", desk.isLeaving())
-            .put("inFlight", desk.inFlight());
+            .put("draining", requests.isLeaving())
+            .put("inFlight", requests.inFlight());
     ObjectNode services = root.putObject("services");
     fleet
         .config()
--- a/src/main/java/org/tanagerbank/entry/FlowAction.java
+++ b/src/main/java/org/tanagerbank/entry/FlowAction.java
@@ -29,6 +29,9 @@
   record Query(int step, Upstream upstream, long incarnation, long timeoutMillis)
       implements FlowAction {}
 
+  /** Report a timeout of the step after a time. */
+  record Pause(int step, long millis) implements FlowAction {}
+
   /** Append a claim of the request's key for an upstream; 0 supersedes no earlier claim. */
   record Claim(int step, Upstream upstream, long supersedes) implements FlowAction {}
 
--- a/src/main/java/org/tanagerbank/entry/FlowRequest.java
+++ b/src/main/java/org/tanagerbank/entry/FlowRequest.java
@@ -28,6 +28,11 @@
     boolean cached,
     KeyBinding key) {
 
+  /** Returns whether a key binds the request to one upstream incarnation. */
+  boolean isBound() {
+    return !(key instanceof KeyBinding.None);
+  }
+
   /** How an idempotency key binds a request to an upstream. */
   public sealed interface KeyBinding {
     /** The request may go to any upstream. */
--- a/src/main/java/org/tanagerbank/entry/KeyIssuer.java
+++ b/src/main/java/org/tanagerbank/entry/KeyIssuer.java
@@ -58,7 +58,7 @@
     new Issue(service, router, exchange).next();
   }
 
-  private final class Issue implements Passenger {
+  private final class Issue implements LinkUser {
     private final String service;
     private final ServiceRouter router;
     private final HttpExchange exchange;
@@ -84,7 +84,7 @@
         upstream = send.upstream();
         tried.add(upstream.id());
         link = context.link(upstream);
-        link.board(this);
+        link.join(this);
       } else if (decision instanceof RouteDecision.Refuse refuse) {
         exchange.respond(
             HttpErrors.reply(
--- a/src/main/java/org/tanagerbank/entry/LinkPool.java
+++ b/src/main/java/org/tanagerbank/entry/LinkPool.java
@@ -47,7 +47,7 @@
     this.clock = clock;
   }
 
-  /** Returns the link to an instance, which is opened when something boards it. */
+  /** Returns the link to an instance, which is opened when it is first used. */
   UpstreamLink to(String instanceId, InetSocketAddress address) {
     return links.compute(
         instanceId,
@@ -60,8 +60,8 @@
   /** Sends a frame once a link is open; drops it when none can be opened. */
   void send(String instanceId, InetSocketAddress address, Frame frame) {
     UpstreamLink link = to(instanceId, address);
-    link.board(
-        new Passenger() {
+    link.join(
+        new LinkUser() {
           @Override
           public void ready(Link on, long incarnation) {
             on.send(frame);
--- a/src/main/java/org/tanagerbank/entry/Passenger.java
+++ b/src/main/java/org/tanagerbank/entry/LinkUser.java
@@ -8,7 +8,7 @@
  * <p>First exactly one of {@link #ready} and {@link #unreachable} is called, and after {@code
  * ready} possibly {@link #lost}. No lock is held during a call.
  */
-interface Passenger {
+interface LinkUser {
   /** The link is open and leads to an incarnation. */
   void ready(Link link, long incarnation);
 
--- a/src/main/java/org/tanagerbank/entry/RequestFlow.java
+++ b/src/main/java/org/tanagerbank/entry/RequestFlow.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.entry;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static org.tanagerbank.entry.LossTracker.upstreamLost;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -26,20 +27,22 @@
   /** How long a query about a request whose link is gone may take before it counts as lost. */
   static final long SETTLE_MILLIS = 3_000;
 
-  /** Links lost without any progress of the answer before the request counts as lost. */
-  private static final int MAX_FRUITLESS_LOSSES = 4;
+  /** The time between two tries of a request that was interrupted and finds no room. */
+  private static final long RECOVERY_PAUSE_MILLIS = 100;
 
   private enum Stage {
     NEW,
     CLAIMING,
     SUBMITTED,
     SETTLING,
+    PAUSED,
     DONE
   }
 
   private final FlowRequest request;
   private final ResponseAssembly response;
   private final UpstreamChoice choice;
+  private final LossTracker losses = new LossTracker();
   private Stage stage = Stage.NEW;
   private int step;
   private int attempt;
@@ -47,12 +50,9 @@
   private long incarnation;
   private boolean sent;
   private boolean resumed;
-  private boolean mayHaveRun;
   private boolean keySealed;
   private boolean callerGone;
   private long claimOffset;
-  private int fruitlessLosses;
-  private long positionAtLoss = -1;
 
   /** Creates the flow of a request that draws its retries from a budget. */
   public RequestFlow(
@@ -171,7 +171,17 @@
                 submit(chosen, 0, now, out);
               }
             },
-            () -> finish(choice.refusal(), now, out));
+            () -> pauseOrFinish(choice.refusal(), now, out));
+  }
+
+  private void pauseOrFinish(TanagerException refusal, long now, List<FlowAction> out) {
+    if (refusal.code() == ErrorCode.OVERLOADED && losses.mayWait(now) && !callerGone) {
+      stage = Stage.PAUSED;
+      step++;
+      out.add(new FlowAction.Pause(step, RECOVERY_PAUSE_MILLIS));
+    } else {
+      finish(refusal, now, out);
+    }
   }
 
   private void claimed(FlowEvent.Claimed e, long now, List<FlowAction> out) {
@@ -207,7 +217,7 @@
   private void unreachable(long now, List<FlowAction> out) {
     if (stage == Stage.SETTLING || resumed) {
       lost(upstreamLost("the upstream cannot be reached"), now, out);
-    } else if (stage != Stage.CLAIMING && isBound()) {
+    } else if (stage != Stage.CLAIMING && request.isBound()) {
       // An earlier copy of the request may have run there under the same key.
       finish(upstreamLost("the upstream that the key is bound to cannot be reached"), now, out);
     } else {
@@ -216,7 +226,7 @@
   }
 
   private void wrongIncarnation(long now, List<FlowAction> out) {
-    if (resumed || isBound()) {
+    if (resumed || request.isBound()) {
       lost(upstreamLost("the upstream has been restarted"), now, out);
     } else {
       String message = "the upstream was restarted";
@@ -233,9 +243,7 @@
     } else if (resumed) {
       // The ledger knew the run a moment ago; only a verdict of its own could now deny it.
       lost(TanagerException.mayHaveRun(e.code(), e.message()), now, out);
-    } else if (isBound() && !UpstreamChoice.sealsKey(e.code())) {
-      finish(error, now, out);
-    } else if (request.key() instanceof KeyBinding.Issued || UpstreamChoice.isFinal(e.code())) {
+    } else if (choice.endsRequest(e.code())) {
       finish(error, now, out);
     } else if (e.code() == ErrorCode.MOVED) {
       choice.moved(upstream, e.movedTo(), now);
@@ -271,7 +279,7 @@
       finish(error, now, out);
     } else if (e.verdict() == Verdict.MAY_HAVE_RUN) {
       lost(error, now, out);
-    } else if (isBound()) {
+    } else if (request.isBound()) {
       finish(error, now, out);
     } else {
       notRun(error, now, out);
@@ -283,10 +291,7 @@
       unreachable(now, out);
       return;
     }
-    boolean progress = response.position() > positionAtLoss;
-    positionAtLoss = response.position();
-    fruitlessLosses = progress ? 1 : fruitlessLosses + 1;
-    if (fruitlessLosses > MAX_FRUITLESS_LOSSES) {
+    if (losses.linkLost(response.position())) {
       lost(upstreamLost("links to the upstream keep breaking"), now, out);
       return;
     }
@@ -302,9 +307,9 @@
         attach(out);
       }
       case SEALED -> {
-        TanagerException error =
-            TanagerException.notRun(ErrorCode.SEALED, "the request did not reach the upstream");
-        if (isBound()) {
+        String message = "the request did not reach the upstream";
+        TanagerException error = TanagerException.notRun(ErrorCode.SEALED, message);
+        if (request.isBound()) {
           finish(error, now, out);
         } else {
           notRun(error, now, out);
@@ -319,6 +324,9 @@
   private void timedOut(long now, List<FlowAction> out) {
     if (stage == Stage.SETTLING) {
       lost(upstreamLost("the upstream did not answer a query"), now, out);
+    } else if (stage == Stage.PAUSED) {
+      choice.allowRefusedAgain();
+      next(now, out);
     }
   }
 
@@ -345,9 +353,9 @@
 
   /** The attempt may have run, and no more of its answer will come. */
   private void lost(TanagerException error, long now, List<FlowAction> out) {
-    mayHaveRun = true;
-    choice.failed(upstream, now);
-    if (request.nonIdempotent() || isBound()) {
+    losses.attemptLost(now);
+    choice.lost(upstream, now);
+    if (request.nonIdempotent() || request.isBound()) {
       finish(error, now, out);
     } else {
       retry(error, now, out);
@@ -376,8 +384,9 @@
 
   private void finish(TanagerException error, long now, List<FlowAction> out) {
     // The same request may have been sent before under its key; only a sealed key rules it out.
-    boolean keyMayHaveRun = isBound() && !keySealed && !error.code().isRequestFault();
-    boolean understated = error.verdict() == Verdict.NOT_RUN && (mayHaveRun || keyMayHaveRun);
+    boolean keyMayHaveRun = request.isBound() && !keySealed && !error.code().isRequestFault();
+    boolean understated =
+        error.verdict() == Verdict.NOT_RUN && (losses.mayHaveRun() || keyMayHaveRun);
     response.fail(understated ? error.asMayHaveRun() : error, out);
     stage = Stage.DONE;
     choice.ended(now);
@@ -387,12 +396,4 @@
     stage = Stage.DONE;
     choice.ended(now);
   }
-
-  private boolean isBound() {
-    return !(request.key() instanceof KeyBinding.None);
-  }
-
-  private static TanagerException upstreamLost(String message) {
-    return TanagerException.mayHaveRun(ErrorCode.UPSTREAM_LOST, message);
-  }
 }
--- a/src/main/java/org/tanagerbank/entry/RequestDesk.java
+++ b/src/main/java/org/tanagerbank/entry/RequestHandler.java
@@ -30,7 +30,7 @@
  *
  * <p>Thread-safe; requests are independent of each other.
  */
-final class RequestDesk {
+final class RequestHandler {
   private static final long LEAVING_RETRY_MILLIS = 1_000;
   private static final long CONFIGURATION_RETRY_MILLIS = 2_000;
   private static final long DEPENDENCY_RETRY_MILLIS = 2_000;
@@ -47,7 +47,7 @@
   private volatile boolean leaving;
   private RequestContext context;
 
-  RequestDesk(
+  RequestHandler(
       EntrySettings settings,
       Fleet fleet,
       QuarantineBoard quarantine,
--- a/src/main/java/org/tanagerbank/entry/RequestServices.java
+++ b/src/main/java/org/tanagerbank/entry/RequestServices.java
@@ -19,7 +19,7 @@
   private final LoadBoard loads;
   private final ClaimLog claims;
   private final Fleet fleet;
-  private final RequestDesk desk;
+  private final RequestHandler requests;
   private final ScheduledExecutorService timers;
   private final LongSupplier clock;
 
@@ -28,14 +28,14 @@
       LoadBoard loads,
       ClaimLog claims,
       Fleet fleet,
-      RequestDesk desk,
+      RequestHandler requests,
       ScheduledExecutorService timers,
       LongSupplier clock) {
     this.links = links;
     this.loads = loads;
     this.claims = claims;
     this.fleet = fleet;
-    this.desk = desk;
+    this.requests = requests;
     this.timers = timers;
     this.clock = clock;
   }
@@ -72,15 +72,15 @@
 
   @Override
   public void ended(ActiveRequest request, String code, String verdict, int upstreamsTried) {
-    desk.ended(request, code, verdict, upstreamsTried);
+    requests.ended(request, code, verdict, upstreamsTried);
   }
 
   /** Finds out the incarnation of the upstream and then claims the key for it. */
   @Override
   public void claim(Intake.Checked request, FlowAction.Claim claim, Consumer<FlowEvent> result) {
     UpstreamLink link = link(claim.upstream());
-    link.board(
-        new Passenger() {
+    link.join(
+        new LinkUser() {
           @Override
           public void ready(Link on, long incarnation) {
             link.leave(this);
--- a/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamChoice.java
@@ -9,6 +9,7 @@
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.contract.Verdict;
+import org.tanagerbank.entry.FlowRequest.KeyBinding;
 import org.tanagerbank.machine.Upstream;
 import org.tanagerbank.routing.RetryBudget;
 import org.tanagerbank.routing.RouteDecision;
@@ -63,6 +64,7 @@
   private final RandomGenerator random;
   private final Set<String> tried = new HashSet<>();
   private final Set<String> excluded = new HashSet<>();
+  private final Set<String> lost = new HashSet<>();
   private final Set<String> withoutTrace = new HashSet<>();
   private Optional<String> movedTo = Optional.empty();
   private Optional<Upstream> namedBy = Optional.empty();
@@ -91,6 +93,15 @@
     return SEALS_KEY.contains(code);
   }
 
+  /**
+   * Returns whether a refusal ends this request, because trying elsewhere is no use or no right.
+   */
+  boolean endsRequest(ErrorCode code) {
+    return isFinal(code)
+        || request.key() instanceof KeyBinding.Issued
+        || (request.isBound() && !sealsKey(code));
+  }
+
   /** Returns the next upstream; when empty, {@link #refusal} says why. */
   Optional<Upstream> next(long now) {
     RouteDecision decision = choose(now);
@@ -173,6 +184,19 @@
     accepted = false;
   }
 
+  /** Notes that an upstream may have run the request without giving its whole answer. */
+  void lost(Upstream upstream, long now) {
+    lost.add(upstream.id());
+    failed(upstream, now);
+  }
+
+  /** Allows upstreams that only refused the request to be chosen again. */
+  void allowRefusedAgain() {
+    excluded.retainAll(lost);
+    tried.clear();
+    refusal = null;
+  }
+
   /** Notes that an upstream refused or failed the request and must not get it again. */
   void failed(Upstream upstream, long now) {
     ended(now);
--- a/src/main/java/org/tanagerbank/entry/UpstreamLink.java
+++ b/src/main/java/org/tanagerbank/entry/UpstreamLink.java
@@ -38,8 +38,8 @@
   private final InetSocketAddress address;
   private final LinkClient client;
   private final Listener listener;
-  private final Set<Passenger> waiting = new HashSet<>();
-  private final Set<Passenger> riding = new HashSet<>();
+  private final Set<LinkUser> waiting = new HashSet<>();
+  private final Set<LinkUser> active = new HashSet<>();
   private boolean opening;
   private Link link;
   private long incarnation;
@@ -59,33 +59,33 @@
     return address;
   }
 
-  /** Calls the passenger once the link is ready or cannot be opened. */
-  void board(Passenger passenger) {
+  /** Calls the user once the link is ready or cannot be opened. */
+  void join(LinkUser user) {
     Link ready;
     boolean open = false;
     synchronized (this) {
       ready = incarnation != 0 ? link : null;
       if (ready != null) {
-        riding.add(passenger);
+        active.add(user);
         ready.setHeartbeat(true);
       } else {
-        waiting.add(passenger);
+        waiting.add(user);
         open = link == null && !opening;
         opening |= open;
       }
     }
     if (ready != null) {
-      passenger.ready(ready, incarnation);
+      user.ready(ready, incarnation);
     } else if (open) {
       open();
     }
   }
 
-  /** Notes that a passenger has nothing in flight any more. */
-  synchronized void leave(Passenger passenger) {
-    waiting.remove(passenger);
-    riding.remove(passenger);
-    if (link != null && waiting.isEmpty() && riding.isEmpty()) {
+  /** Notes that a user has nothing in flight any more. */
+  synchronized void leave(LinkUser user) {
+    waiting.remove(user);
+    active.remove(user);
+    if (link != null && waiting.isEmpty() && active.isEmpty()) {
       link.setHeartbeat(false);
     }
   }
@@ -107,13 +107,13 @@
             .whenComplete(
                 (opened, failure) -> {
                   if (failure != null) {
-                    List<Passenger> stranded;
+                    List<LinkUser> unreached;
                     synchronized (this) {
                       opening = false;
-                      stranded = drain(waiting);
+                      unreached = drain(waiting);
                     }
                     listener.unreachable(this);
-                    stranded.forEach(Passenger::unreachable);
+                    unreached.forEach(LinkUser::unreachable);
                   }
                 });
   }
@@ -131,17 +131,17 @@
 
   /** Notes the incarnation that the Hello named, which makes the link ready. */
   void greeted(Link on, long peerIncarnation) {
-    List<Passenger> boarding;
+    List<LinkUser> ready;
     synchronized (this) {
       if (on != link) {
         return;
       }
       incarnation = peerIncarnation;
-      boarding = drain(waiting);
-      riding.addAll(boarding);
-      on.setHeartbeat(!riding.isEmpty());
+      ready = drain(waiting);
+      active.addAll(ready);
+      on.setHeartbeat(!active.isEmpty());
     }
-    boarding.forEach(p -> p.ready(on, peerIncarnation));
+    ready.forEach(p -> p.ready(on, peerIncarnation));
   }
 
   @Override
@@ -151,8 +151,8 @@
 
   @Override
   public void closed(Link on, String reason) {
-    List<Passenger> stranded;
-    List<Passenger> lost;
+    List<LinkUser> unreached;
+    List<LinkUser> lost;
     long last;
     synchronized (this) {
       if (on != link) {
@@ -161,16 +161,16 @@
       last = incarnation;
       link = null;
       incarnation = 0;
-      stranded = drain(waiting);
-      lost = drain(riding);
+      unreached = drain(waiting);
+      lost = drain(active);
     }
     listener.closed(this, last, on);
-    stranded.forEach(Passenger::unreachable);
-    lost.forEach(Passenger::lost);
+    unreached.forEach(LinkUser::unreachable);
+    lost.forEach(LinkUser::lost);
   }
 
-  private static List<Passenger> drain(Set<Passenger> set) {
-    List<Passenger> all = new ArrayList<>(set);
+  private static List<LinkUser> drain(Set<LinkUser> set) {
+    List<LinkUser> all = new ArrayList<>(set);
     set.clear();
     return all;
   }
--- a/src/main/java/org/tanagerbank/ledger/AnswerShelf.java
+++ b/src/main/java/org/tanagerbank/ledger/AnswerStore.java
@@ -10,7 +10,7 @@
  *
  * <p>Guarded by its own monitor; thread-safe.
  */
-public final class AnswerShelf {
+public final class AnswerStore {
   private final long maxBytes;
   private final long maxAgeMillis;
   private final Deque<Kept> kept = new ArrayDeque<>();
@@ -18,8 +18,8 @@
 
   private record Kept(RequestId id, long bytes, long finishedAt) {}
 
-  /** Creates an empty shelf. */
-  public AnswerShelf(long maxBytes, long maxAgeMillis) {
+  /** Creates an empty answers. */
+  public AnswerStore(long maxBytes, long maxAgeMillis) {
     this.maxBytes = maxBytes;
     this.maxAgeMillis = maxAgeMillis;
   }
--- a/src/main/java/org/tanagerbank/sidecar/ControlFrames.java
+++ b/src/main/java/org/tanagerbank/sidecar/ControlFrames.java
@@ -75,7 +75,7 @@
 
   /** Logs a frame that makes no sense; the link stays up. */
   static void reject(Link link, String detail) {
-    EventLog.emit(LogEvent.FRAME_WITHOUT_SENSE, "remote", link.remoteAddress(), "detail", detail);
+    EventLog.emit(LogEvent.FRAME_UNEXPECTED, "remote", link.remoteAddress(), "detail", detail);
   }
 
   private void heard(QuarantineNotice notice) {
--- a/src/main/java/org/tanagerbank/sidecar/Runs.java
+++ b/src/main/java/org/tanagerbank/sidecar/Runs.java
@@ -9,7 +9,7 @@
 import java.util.function.LongSupplier;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.Verdict;
-import org.tanagerbank.ledger.AnswerShelf;
+import org.tanagerbank.ledger.AnswerStore;
 import org.tanagerbank.ledger.RequestLedger;
 import org.tanagerbank.quarantine.Quarantine;
 
@@ -22,7 +22,7 @@
   private static final long UNATTENDED_MILLIS = 10_000;
 
   private final RequestLedger<ServedRequest> ledger;
-  private final AnswerShelf shelf;
+  private final AnswerStore answers;
   private final AdmissionGate gate;
   private final Quarantine quarantine;
   private final SidecarMetrics metrics;
@@ -33,13 +33,13 @@
 
   Runs(
       RequestLedger<ServedRequest> ledger,
-      AnswerShelf shelf,
+      AnswerStore answers,
       AdmissionGate gate,
       Quarantine quarantine,
       SidecarMetrics metrics,
       LongSupplier clock) {
     this.ledger = ledger;
-    this.shelf = shelf;
+    this.answers = answers;
     this.gate = gate;
     this.quarantine = quarantine;
     this.metrics = metrics;
@@ -72,7 +72,7 @@
   /** Evicts old records and answers, and cancels runs that nobody wants any more. */
   void tidy() {
     long now = clock.getAsLong();
-    shelf.evict(now).forEach(ledger::dropAnswer);
+    answers.evict(now).forEach(ledger::dropAnswer);
     ledger.evict(now);
     ImmutableList.copyOf(running).forEach(run -> run.cancelUnattended(UNATTENDED_MILLIS, now));
   }
@@ -81,7 +81,7 @@
   public int finished(ServedRequest run) {
     long now = clock.getAsLong();
     ledger.finish(run.id(), now);
-    shelf.add(run.id(), run.retainedBytes(), now).forEach(ledger::dropAnswer);
+    answers.add(run.id(), run.retainedBytes(), now).forEach(ledger::dropAnswer);
     quarantine.survived(run.fingerprint());
     remove(run, now);
     metrics.ended("finished");
--- a/src/main/java/org/tanagerbank/sidecar/Sidecar.java
+++ b/src/main/java/org/tanagerbank/sidecar/Sidecar.java
@@ -15,7 +15,7 @@
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.http.AsyncHttpCaller;
 import org.tanagerbank.http.HttpService;
-import org.tanagerbank.ledger.AnswerShelf;
+import org.tanagerbank.ledger.AnswerStore;
 import org.tanagerbank.ledger.LedgerLimits;
 import org.tanagerbank.ledger.RequestLedger;
 import org.tanagerbank.link.LinkClient;
@@ -61,7 +61,7 @@
   private final LongSupplier clock = System::currentTimeMillis;
   private final SidecarMetrics metrics = new SidecarMetrics();
   private final Quarantine quarantine = new Quarantine();
-  private final AnswerShelf shelf = new AnswerShelf(MAX_ANSWER_BYTES, MAX_ANSWER_AGE_MILLIS);
+  private final AnswerStore answers = new AnswerStore(MAX_ANSWER_BYTES, MAX_ANSWER_AGE_MILLIS);
   private final AsyncHttpCaller caller = AsyncHttpCaller.create(CONNECT_TIMEOUT_MILLIS);
   private final LinkClient linkClient = LinkClient.create();
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(6);
@@ -85,7 +85,7 @@
     gate = new AdmissionGate(settings.service(), quarantine, clock.getAsLong());
     config = new ConfigHolder(settings.service(), spec -> gate.configure(spec, clock.getAsLong()));
     control = new ControlFrames(settings, config, gate, quarantine, clock);
-    runs = new Runs(ledger, shelf, gate, quarantine, metrics, clock);
+    runs = new Runs(ledger, answers, gate, quarantine, metrics, clock);
     UpstreamCalls upstream = new UpstreamCalls(caller, settings.upstream());
     frames = new EntryFrames(ledger, gate, runs, upstream, control, metrics, clock, timers);
     feed =
@@ -109,7 +109,7 @@
             clock);
     linkServer = LinkServer.create(settings.linkAddress(), frames);
     SidecarStatus status =
-        new SidecarStatus(settings, config, gate, ledger, shelf, quarantine, reporting);
+        new SidecarStatus(settings, config, gate, ledger, answers, quarantine, reporting);
     status.register(metrics);
     http =
         HttpService.create(
--- a/src/main/java/org/tanagerbank/sidecar/SidecarStatus.java
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarStatus.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.ledger.AnswerShelf;
+import org.tanagerbank.ledger.AnswerStore;
 import org.tanagerbank.ledger.RequestLedger;
 import org.tanagerbank.quarantine.Quarantine;
 
@@ -13,7 +13,7 @@
  * @param config its configuration
  * @param gate its admission
  * @param ledger its ledger
- * @param shelf its finished answers
+ * @param answers its finished answers
  * @param quarantine its suspects
  * @param reporting its link to the entry it reports to
  */
@@ -22,7 +22,7 @@
     ConfigHolder config,
     AdmissionGate gate,
     RequestLedger<ServedRequest> ledger,
-    AnswerShelf shelf,
+    AnswerStore answers,
     Quarantine quarantine,
     ReportingLink reporting) {
 
@@ -42,7 +42,7 @@
         .put("inFlight", gate.inFlight())
         .put("ledgerRecords", ledger.size())
         .put("ledgerKeys", ledger.keyCount())
-        .put("answerBytes", shelf.bytes())
+        .put("answerBytes", answers.bytes())
         .put("suspects", quarantine.suspectCount())
         .put("reportingEntry", reporting.entryId());
   }
@@ -52,7 +52,7 @@
     metrics.gauge("in_flight_requests", "Requests in flight at the upstream.", gate::inFlight);
     metrics.gauge("ledger_records", "Request ids kept in the ledger.", ledger::size);
     metrics.gauge("ledger_keys", "Idempotency keys kept in the ledger.", ledger::keyCount);
-    metrics.gauge("answer_bytes", "Bytes of finished answers kept.", shelf::bytes);
+    metrics.gauge("answer_bytes", "Bytes of finished answers kept.", answers::bytes);
     metrics.gauge("suspects", "Requests that must run alone.", quarantine::suspectCount);
     metrics.gauge("config_revision", "Revision of the configuration.", config::revision);
     metrics.gauge(
--- a/src/test/java/org/tanagerbank/entry/FlowWorld.java
+++ b/src/test/java/org/tanagerbank/entry/FlowWorld.java
@@ -356,6 +356,8 @@
       int epoch = to.linkEpoch;
       to.stepOnLink = q.step();
       to.arriving.add(() -> to.query(q.incarnation(), epoch));
+    } else if (action instanceof FlowAction.Pause p) {
+      timerStep = p.step();
     } else if (action instanceof FlowAction.Credit c) {
       Sidecar to = of(c.upstream());
       if (to.delivery != null && to.delivery.attempt == c.attempt()) {
--- a/src/test/java/org/tanagerbank/fleet/FleetIT.java
+++ b/src/test/java/org/tanagerbank/fleet/FleetIT.java
@@ -53,7 +53,7 @@
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
   private final AsyncHttpCaller caller = AsyncHttpCaller.create(2_000);
   private final List<String> entries = new ArrayList<>();
-  private final List<String> engines = new ArrayList<>();
+  private final List<String> sidecars = new ArrayList<>();
   private String log;
   private String instances;
   private String plain;
@@ -69,7 +69,6 @@
             .asText();
     for (int i = 0; i < ENGINES; i++) {
       String engine = fleet.start("engine-" + i, "standin", "engine").path("address").asText();
-      engines.add(engine);
       startSidecar("pool-" + i, "pool", "zone-" + i, engine);
     }
     plain = fleet.start("plain", "standin", "plain").path("address").asText();
@@ -91,6 +90,11 @@
             "--operator",
             "test");
     assertThat(status).isEqualTo(0);
+    for (String sidecar : sidecars) {
+      ProcessFleet.await(
+          sidecar + " is ready",
+          () -> ProcessFleet.http("GET", sidecar, "/health/ready", "").statusCode() == 200);
+    }
     for (String entry : entries) {
       ProcessFleet.await(entry + " knows all upstreams", () -> liveUpstreams(entry) == ENGINES + 1);
     }
@@ -201,6 +205,7 @@
             "--instances",
             instances);
     register(id, "sidecar", service, zone, ready);
+    sidecars.add(ready.path("http").asText());
   }
 
   private void startEntry(String id, String zone) {
--- a/src/test/java/org/tanagerbank/safety/SimEntry.java
+++ b/src/test/java/org/tanagerbank/safety/SimEntry.java
@@ -170,6 +170,9 @@
       a.sidecar = World.slotOf(q.upstream().id());
       a.timeoutAt = world.now + q.timeoutMillis();
       world.toSidecar(a.sidecar, s -> s.query(a.post.id, q.incarnation()));
+    } else if (action instanceof FlowAction.Pause p) {
+      a.step = p.step();
+      a.timeoutAt = world.now + p.millis();
     } else if (action instanceof FlowAction.Claim c) {
       claim(a, c);
     } else if (action instanceof FlowAction.Cancel c) {
