Give an interrupted request a new id when it is tried again at upstreams that refused it

Cause: a sidecar seals the id of a request that it refuses, as a late copy must not run. An interrupted request that waited for room came back under the same id and was refused OVERLOADED for good, with engines idle. Seen in a diagnostic run of FleetIT: two requests ended OVERLOADED although the fleet was empty and the run took just as much longer as the limit of the wait. Ruled out: the limit itself (6 s failed 2 of 3 runs as 3 s had), a stuck mean (status showed two live upstreams and the right mean 0.4 s after the kill). Before: OVERLOADED in 2 of 3 runs of the kill test. The safety fuzzing keeps the old id in its model, which only makes the second round fail there.

--- a/src/main/java/org/tanagerbank/entry/ActiveRequest.java
+++ b/src/main/java/org/tanagerbank/entry/ActiveRequest.java
@@ -24,13 +24,13 @@
  * thread finds the request idle. No lock is held meanwhile. Thread-safe.
  */
 final class ActiveRequest {
-  private final RequestId id;
-  private final RequestRef ref;
   private final Intake.Checked checked;
   private final RequestFlow flow;
   private final CallerResponse response;
   private final RequestContext context;
   private final Queue<Runnable> inbox = new ArrayDeque<>();
+  private volatile RequestId id;
+  private volatile RequestRef ref;
   private boolean busy;
   private LinkUse linkUse;
   private String code = "OK";
@@ -56,6 +56,12 @@
     return id;
   }
 
+  /** Gives the request a new id; frames of the old one no longer reach it. */
+  void renew(RequestId newId) {
+    id = newId;
+    ref = Frames.ref(newId);
+  }
+
   String service() {
     return checked.service().name();
   }
@@ -144,6 +150,9 @@
           new LinkUse(
               a.step(), a.upstream(), 0, Frames.query(ref, a.incarnation()), a.timeoutMillis()));
     } else if (action instanceof FlowAction.Pause a) {
+      leaveLink();
+      // The sidecars that refused the request have sealed its id and would refuse it for good.
+      context.renew(this);
       context.schedule(a.millis(), () -> post(new FlowEvent.TimedOut(a.step())));
     } else if (action instanceof FlowAction.Claim a) {
       context.claim(checked, a, this::post);
--- a/src/main/java/org/tanagerbank/entry/RequestContext.java
+++ b/src/main/java/org/tanagerbank/entry/RequestContext.java
@@ -19,6 +19,9 @@
   /** Claims the key of a request and passes the result on as an event. */
   void claim(Intake.Checked request, FlowAction.Claim claim, Consumer<FlowEvent> result);
 
+  /** Gives a request a new id, under which sidecars do not know it. */
+  void renew(ActiveRequest request);
+
   /** Runs an action after a time. */
   void schedule(long delayMillis, Runnable action);
 
--- a/src/main/java/org/tanagerbank/entry/RequestHandler.java
+++ b/src/main/java/org/tanagerbank/entry/RequestHandler.java
@@ -147,6 +147,15 @@
     request.post(new FlowEvent.Start());
   }
 
+  /** Gives a request a new id, under which sidecars do not know it. */
+  void renew(ActiveRequest request) {
+    long old = request.id().sequence();
+    long number = sequence.incrementAndGet();
+    active.put(number, request);
+    request.renew(new RequestId(settings.id(), settings.incarnation(), number));
+    active.remove(old);
+  }
+
   private void checkDependencies(ServiceSpec service) {
     for (String dependency : service.dependsOn()) {
       if (fleet.upstreams(dependency).isEmpty()) {
--- a/src/main/java/org/tanagerbank/entry/RequestServices.java
+++ b/src/main/java/org/tanagerbank/entry/RequestServices.java
@@ -55,6 +55,11 @@
     links.send(upstream.id(), upstream.address(), frame);
   }
 
+  @Override
+  public void renew(ActiveRequest request) {
+    requests.renew(request);
+  }
+
   @Override
   public void schedule(long delayMillis, Runnable action) {
     var unused = timers.schedule(action, delayMillis, MILLISECONDS);
