--- a/src/main/java/org/tanagerbank/cli/DemoCommand.java
+++ b/src/main/java/org/tanagerbank/cli/DemoCommand.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.demo.Demo;
 import org.tanagerbank.demo.DemoResult;
@@ -27,6 +28,8 @@
   @Option(name = "--json", usage = "print one JSON object instead of a table")
   private boolean json;
 
+  private final CountDownLatch printed = new CountDownLatch(1);
+
   @Override
   public void check(List<String> faults) {
     if (chats < 1) {
@@ -42,14 +45,22 @@
     Demo demo = new Demo(deployment, chats, turns, seed);
     Thread hook = new Thread(() -> interrupt(demo), "demo-drain");
     Runtime.getRuntime().addShutdownHook(hook);
-    DemoResult result = demo.run(err);
-    print(result, out);
+    DemoResult result;
+    try {
+      result = demo.run(err);
+      print(result, out);
+      out.flush();
+    } finally {
+      printed.countDown();
+    }
     return result.isRight() ? OK : FAILED;
   }
 
-  private static void interrupt(Demo demo) {
+  /** Lets requests in flight end and the table be printed before the process goes. */
+  private void interrupt(Demo demo) {
     try {
       demo.interrupt();
+      printed.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
