--- a/src/main/java/org/tanagerbank/demo/DemoResult.java
+++ b/src/main/java/org/tanagerbank/demo/DemoResult.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.demo;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import java.util.Map;
 
@@ -38,6 +39,7 @@
     Map<String, Long> resends,
     double seconds) {
   /** Returns whether every answer was whole and the caller's own. */
+  @JsonIgnore
   public boolean isRight() {
     return requests > 0 && wholeAnswers == requests && wrongAnswers == 0;
   }
