Correct the comment on the entry's connect timeout

The constant keeps its value and takes its usual name. Before and after: same behaviour; the tree compiles with all checks, and the command line and page tests pass.

--- a/src/main/java/org/tanagerbank/cli/EntryCommand.java
+++ b/src/main/java/org/tanagerbank/cli/EntryCommand.java
@@ -17,11 +17,8 @@
 final class EntryCommand implements Command {
   private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
 
-  /**
-   * The HTTP client also breaks off connections that carry nothing for its connect timeout, so this
-   * is longer than the 10 s for which a read of the log waits. Calls have limits of their own.
-   */
-  private static final long CONNECTION_TIMEOUT_MILLIS = 20_000;
+  /** The time within which a connection to the platform must open; calls have their own limits. */
+  private static final long CONNECT_TIMEOUT_MILLIS = 20_000;
 
   @Option(name = "--id", metaVar = "ID", usage = "instance id, unique in the fleet")
   private String id = "";
@@ -95,7 +92,7 @@
 
   @Override
   public int run(PrintStream out, PrintStream err) throws InterruptedException {
-    AsyncHttpCaller caller = AsyncHttpCaller.create(CONNECTION_TIMEOUT_MILLIS);
+    AsyncHttpCaller caller = AsyncHttpCaller.create(CONNECT_TIMEOUT_MILLIS);
     caller.start();
     Entry entry =
         Entry.create(
