--- a/src/main/java/org/tanagerbank/adoption/AnchorTracker.java
+++ b/src/main/java/org/tanagerbank/adoption/AnchorTracker.java
@@ -1,7 +1,7 @@
 package org.tanagerbank.adoption;
 
 import java.util.ArrayDeque;
-import org.tanagerbank.platform.LogRecord;
+import org.tanagerbank.backing.LogRecord;
 
 /**
  * Tracks the latest point of the log from which a reader without any state could start: offset 1,
--- a/src/main/java/org/tanagerbank/adoption/ConfigReplica.java
+++ b/src/main/java/org/tanagerbank/adoption/ConfigReplica.java
@@ -7,10 +7,10 @@
 import org.tanagerbank.adoption.ConfigRecord.Publish;
 import org.tanagerbank.adoption.ConfigRecord.Snapshot;
 import org.tanagerbank.adoption.RecordDecision.Outcome;
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogRecord;
 import org.tanagerbank.declaration.DeclarationParser;
 import org.tanagerbank.declaration.ParsedDeclaration;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogRecord;
 
 /**
  * One reader's copy of the configuration, decided from the log's records in their order.
--- a/src/main/java/org/tanagerbank/platform/InstanceRows.java
+++ b/src/main/java/org/tanagerbank/backing/InstanceRows.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.backing;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/org/tanagerbank/platform/LogRecord.java
+++ b/src/main/java/org/tanagerbank/backing/LogRecord.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.backing;
 
 /**
  * One record of a stream of the platform's log. The data array must not be changed.
--- a/src/main/java/org/tanagerbank/platform/LogService.java
+++ b/src/main/java/org/tanagerbank/backing/LogService.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.backing;
 
 import org.tanagerbank.contract.TanagerException;
 
--- a/src/main/java/org/tanagerbank/platform/SocketAddresses.java
+++ b/src/main/java/org/tanagerbank/backing/SocketAddresses.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.backing;
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
--- a/src/main/java/org/tanagerbank/bench/SlopeFixtures.java
+++ b/src/main/java/org/tanagerbank/bench/SlopeFixtures.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import org.tanagerbank.backing.InstanceRows;
 import org.tanagerbank.http.Json;
 import org.tanagerbank.machine.InstanceInfo;
 import org.tanagerbank.machine.InstanceKind;
 import org.tanagerbank.machine.InstanceState;
 import org.tanagerbank.machine.Upstream;
 import org.tanagerbank.machine.Zone;
-import org.tanagerbank.platform.InstanceRows;
 
 /** Instances and declarations of a given size. Stateless. */
 final class SlopeFixtures {
--- a/src/main/java/org/tanagerbank/cli/BenchOverheadCommand.java
+++ b/src/main/java/org/tanagerbank/cli/BenchOverheadCommand.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.http.AsyncHttpCaller;
@@ -19,7 +20,6 @@
 import org.tanagerbank.load.OverheadPlan;
 import org.tanagerbank.load.OverheadRow;
 import org.tanagerbank.load.PathFigures;
-import org.tanagerbank.platform.SocketAddresses;
 
 /** Measures what entry and sidecar add to an answer. Starts no process. Not thread-safe. */
 final class BenchOverheadCommand implements Command {
--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -17,6 +17,7 @@
   static final ImmutableMap<String, Row> ROWS =
       ImmutableMap.<String, Row>builder()
           .put("entry", new Row("serve callers and route their requests", EntryCommand::new))
+          .put("gateway", new Row("serve callers and call upstreams directly", GatewayCommand::new))
           .put("sidecar", new Row("run beside one upstream", SidecarCommand::new))
           .put("config check", new Row("check a declaration", ConfigCheckCommand::new))
           .put("config publish", new Row("publish a declaration", ConfigPublishCommand::new))
--- a/src/main/java/org/tanagerbank/cli/ConfigDiffCommand.java
+++ b/src/main/java/org/tanagerbank/cli/ConfigDiffCommand.java
@@ -6,12 +6,12 @@
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.adoption.AcceptedText;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.config.ConfigHistory;
 import org.tanagerbank.config.ConfigLog;
 import org.tanagerbank.declaration.Declaration;
 import org.tanagerbank.declaration.DeclarationDiff;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.platform.LogService;
 
 /** Prints what differs between two accepted texts, field by field. Not thread-safe. */
 final class ConfigDiffCommand extends LogCommand {
--- a/src/main/java/org/tanagerbank/cli/ConfigHistoryCommand.java
+++ b/src/main/java/org/tanagerbank/cli/ConfigHistoryCommand.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Locale;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.config.ConfigHistory;
 import org.tanagerbank.config.ConfigLog;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.platform.LogService;
 
 /** Lists the publishes that the log retains, the latest last. Not thread-safe. */
 final class ConfigHistoryCommand extends LogCommand {
--- a/src/main/java/org/tanagerbank/cli/ConfigPublishCommand.java
+++ b/src/main/java/org/tanagerbank/cli/ConfigPublishCommand.java
@@ -8,10 +8,10 @@
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.adoption.AcceptedText;
 import org.tanagerbank.adoption.ConfigRecord.Publish;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.config.ConfigPublisher;
 import org.tanagerbank.config.PublishResult;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.platform.LogService;
 
 /** Publishes a declaration and prints what became of it. Not thread-safe. */
 final class ConfigPublishCommand extends LogCommand {
--- a/src/main/java/org/tanagerbank/cli/ConfigShowCommand.java
+++ b/src/main/java/org/tanagerbank/cli/ConfigShowCommand.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.adoption.AcceptedText;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.config.ConfigHistory;
 import org.tanagerbank.config.ConfigLog;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Prints an accepted text: the text alone on standard output, so that it can be edited and
--- a/src/main/java/org/tanagerbank/cli/EntryCommand.java
+++ b/src/main/java/org/tanagerbank/cli/EntryCommand.java
@@ -4,14 +4,14 @@
 import java.io.PrintStream;
 import java.util.List;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.HttpInstanceList;
+import org.tanagerbank.backing.HttpLogService;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.entry.Entry;
 import org.tanagerbank.entry.EntrySettings;
 import org.tanagerbank.http.AsyncHttpCaller;
 import org.tanagerbank.http.Json;
 import org.tanagerbank.machine.Zone;
-import org.tanagerbank.platform.HttpInstanceList;
-import org.tanagerbank.platform.HttpLogService;
-import org.tanagerbank.platform.SocketAddresses;
 
 /** Runs an entry until the process is told to stop. Not thread-safe. */
 final class EntryCommand implements Command {
--- a/src/main/java/org/tanagerbank/cli/LogCommand.java
+++ b/src/main/java/org/tanagerbank/cli/LogCommand.java
@@ -3,10 +3,10 @@
 import java.io.PrintStream;
 import java.util.List;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.HttpLogService;
+import org.tanagerbank.backing.LogService;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.http.AsyncHttpCaller;
-import org.tanagerbank.platform.HttpLogService;
-import org.tanagerbank.platform.LogService;
-import org.tanagerbank.platform.SocketAddresses;
 
 /** A command that talks to the platform's log. Not thread-safe. */
 abstract class LogCommand implements Command {
--- a/src/main/java/org/tanagerbank/cli/SidecarCommand.java
+++ b/src/main/java/org/tanagerbank/cli/SidecarCommand.java
@@ -4,9 +4,9 @@
 import java.io.PrintStream;
 import java.util.List;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.http.Json;
 import org.tanagerbank.machine.Zone;
-import org.tanagerbank.platform.SocketAddresses;
 import org.tanagerbank.sidecar.Sidecar;
 import org.tanagerbank.sidecar.SidecarSettings;
 
--- a/src/main/java/org/tanagerbank/config/ConfigLog.java
+++ b/src/main/java/org/tanagerbank/config/ConfigLog.java
@@ -4,9 +4,9 @@
 import java.util.function.Consumer;
 import org.tanagerbank.adoption.ConfigReplica;
 import org.tanagerbank.adoption.RecordDecision;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Reads the configuration log for one operator command. Not thread-safe.
--- a/src/main/java/org/tanagerbank/config/ConfigPublisher.java
+++ b/src/main/java/org/tanagerbank/config/ConfigPublisher.java
@@ -7,12 +7,12 @@
 import org.tanagerbank.adoption.ConfigReplica;
 import org.tanagerbank.adoption.RecordDecision;
 import org.tanagerbank.adoption.RecordDecision.Outcome;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.contract.Verdict;
 import org.tanagerbank.declaration.DeclarationParser;
 import org.tanagerbank.declaration.ParsedDeclaration;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Publishes a declaration: appends a record and reads the log up to it to learn the result.
--- a/src/main/java/org/tanagerbank/config/LogConfigSource.java
+++ b/src/main/java/org/tanagerbank/config/LogConfigSource.java
@@ -20,11 +20,11 @@
 import org.tanagerbank.adoption.ConfigSource;
 import org.tanagerbank.adoption.RecordDecision;
 import org.tanagerbank.adoption.SnapshotPolicy;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.Lifecycle;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Follows stream {@code config} of the log and gives the configuration in force.
--- a/src/main/java/org/tanagerbank/config/LogFollower.java
+++ b/src/main/java/org/tanagerbank/config/LogFollower.java
@@ -5,10 +5,10 @@
 import org.tanagerbank.adoption.ConfigReplica;
 import org.tanagerbank.adoption.RecordDecision;
 import org.tanagerbank.adoption.SnapshotPolicy;
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Feeds a replica from the log, one read at a time.
--- /dev/null
+++ b/src/main/java/org/tanagerbank/direct/HttpConnection.java
@@ -0,0 +1,216 @@
+package org.tanagerbank.direct;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.Consumer;
+
+/**
+ * One HTTP/1.1 connection to an upstream, used for one exchange at a time.
+ *
+ * <p>A connection on which anything unexpected arrives is closed and never used again: bytes after
+ * a whole response, a response to no request, a response before the whole request was written.
+ * Confined to the event loop of its channel.
+ */
+public final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private final ResponseDecoder decoder;
+  private final Consumer<HttpConnection> onIdle;
+  private final Consumer<HttpConnection> onClosed;
+  private Channel channel;
+  private ExchangeListener listener;
+  private boolean headSeen;
+  private boolean informational;
+  private boolean isReset;
+  private boolean keepAlive;
+  private boolean written;
+  private boolean endPending;
+  private long idleSinceMillis;
+  private long keepAliveMillis;
+
+  HttpConnection(
+      ResponseDecoder decoder, Consumer<HttpConnection> onIdle, Consumer<HttpConnection> onClosed) {
+    this.decoder = decoder;
+    this.onIdle = onIdle;
+    this.onClosed = onClosed;
+  }
+
+  void opened(Channel opened, long nowMillis) {
+    channel = opened;
+    idleSinceMillis = nowMillis;
+  }
+
+  /** Sends a request; the listener is told its response. */
+  public void send(FullHttpRequest request, ExchangeListener responseListener) {
+    checkState(listener == null, "an exchange is in progress");
+    listener = responseListener;
+    headSeen = false;
+    informational = false;
+    endPending = false;
+    written = false;
+    decoder.expectHead(request.method().equals(HttpMethod.HEAD));
+    channel
+        .writeAndFlush(request)
+        .addListener(
+            f -> {
+              written = f.isSuccess();
+              if (!f.isSuccess()) {
+                channel.close();
+              }
+            });
+  }
+
+  /** Ends the exchange in progress without telling its listener, and closes the connection. */
+  public void cancel() {
+    listener = null;
+    close();
+  }
+
+  /** Stops or resumes reading, for callers that read more slowly than the upstream sends. */
+  public void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
+  /** Closes the connection. */
+  public void close() {
+    channel.close();
+  }
+
+  /** Closes the connection with a reset, so that the upstream notices at its next write. */
+  public void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
+  boolean isOpen() {
+    return channel.isActive() && !isReset;
+  }
+
+  long idleMillis(long nowMillis) {
+    return nowMillis - idleSinceMillis;
+  }
+
+  /** Returns the idle time after which the upstream closes, or 0 when it did not say. */
+  long keepAliveMillis() {
+    return keepAliveMillis;
+  }
+
+  void idleFrom(long nowMillis) {
+    idleSinceMillis = nowMillis;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    if (listener == null || endPending) {
+      dropUnexpected();
+      return;
+    }
+    if (message.decoderResult().isFailure()) {
+      fail(ExchangeFailure.MALFORMED);
+      return;
+    }
+    if (message instanceof HttpResponse response) {
+      onHead(response);
+    }
+    if (message instanceof HttpContent content) {
+      onContent(content);
+    }
+  }
+
+  private void onHead(HttpResponse response) {
+    informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    if (informational) {
+      return;
+    }
+    headSeen = true;
+    keepAlive = HttpUtil.isKeepAlive(response);
+    keepAliveMillis = KeepAlive.timeoutMillis(response.headers());
+    listener.head(response.status().code(), response.headers());
+  }
+
+  private void onContent(HttpContent content) {
+    if (informational) {
+      return;
+    }
+    if (listener != null && content.content().isReadable()) {
+      listener.data(content.content());
+    }
+    if (content instanceof LastHttpContent) {
+      if (isReset) {
+        fail(ExchangeFailure.CUT_OFF);
+      } else {
+        // Completed at the end of the read, when bytes after the response would have been seen.
+        endPending = true;
+      }
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (endPending) {
+      complete();
+    }
+    ctx.fireChannelReadComplete();
+  }
+
+  private void complete() {
+    endPending = false;
+    boolean clean = !decoder.hasLeftover() && written && channel.isActive();
+    ExchangeListener ended = listener;
+    listener = null;
+    channel.config().setAutoRead(true);
+    if (clean && keepAlive) {
+      onIdle.accept(this);
+    } else {
+      channel.close();
+    }
+    if (ended != null) {
+      ended.end();
+    }
+  }
+
+  private void dropUnexpected() {
+    keepAlive = false;
+    if (listener == null) {
+      channel.close();
+    }
+  }
+
+  private void fail(ExchangeFailure failure) {
+    ExchangeListener failed = listener;
+    listener = null;
+    channel.close();
+    if (failed != null) {
+      failed.failed(failure);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    // A reset: whatever ends with the connection from here on is not whole.
+    isReset = true;
+    ctx.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (endPending) {
+      complete();
+    }
+    onClosed.accept(this);
+    if (listener != null) {
+      fail(headSeen ? ExchangeFailure.CUT_OFF : ExchangeFailure.NO_RESPONSE);
+    }
+    ctx.fireChannelInactive();
+  }
+}
--- a/src/main/java/org/tanagerbank/entry/ClaimLog.java
+++ b/src/main/java/org/tanagerbank/entry/ClaimLog.java
@@ -13,6 +13,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogRecord;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.Lifecycle;
 import org.tanagerbank.contract.TanagerException;
@@ -21,9 +24,6 @@
 import org.tanagerbank.entry.ClaimIndex.Claim;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogRecord;
-import org.tanagerbank.platform.LogService;
 
 /**
  * Appends claims in batches to stream {@code claims} and follows the stream.
--- a/src/main/java/org/tanagerbank/entry/Entry.java
+++ b/src/main/java/org/tanagerbank/entry/Entry.java
@@ -14,6 +14,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tanagerbank.adoption.AdoptedConfig;
+import org.tanagerbank.backing.InstanceList;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.config.LogConfigSettings;
 import org.tanagerbank.config.LogConfigSource;
 import org.tanagerbank.contract.Lifecycle;
@@ -25,8 +27,6 @@
 import org.tanagerbank.link.LinkServer;
 import org.tanagerbank.machine.InstanceInfo;
 import org.tanagerbank.machine.InstanceKind;
-import org.tanagerbank.platform.InstanceList;
-import org.tanagerbank.platform.LogService;
 import org.tanagerbank.proto.LinkProto.Frame;
 
 /**
--- /dev/null
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -0,0 +1,209 @@
+package org.tanagerbank.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.tanagerbank.caller.CallerExchange;
+import org.tanagerbank.caller.CallerRequest;
+import org.tanagerbank.caller.CallerServer;
+import org.tanagerbank.contract.Lifecycle;
+import org.tanagerbank.direct.Dialect;
+import org.tanagerbank.dispatch.ConfigState;
+import org.tanagerbank.dispatch.Dispatcher;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.feed.FleetStore;
+import org.tanagerbank.feed.Scheduler;
+import org.tanagerbank.feed.TopicFollower;
+
+/**
+ * An instance that serves callers and sends their requests directly to upstreams.
+ *
+ * <p>All work is done by one event loop. {@link #start}, {@link #drain} and {@link #stop} are
+ * called from other threads, in this order.
+ */
+public final class Gateway implements Lifecycle {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final int STATUS_READY = 200;
+  private static final int STATUS_NOT_READY = 503;
+
+  /** A new configuration is looked for no more often, which bounds calls while many are written. */
+  private static final long CONFIG_PACE_MILLIS = 100;
+
+  /** Each read that waits this long in vain proves that the configuration is the newest. */
+  private static final long CONFIG_WAIT_MILLIS = 1_200;
+
+  /** Upstreams report about as often; a leaving one must be known within two seconds. */
+  private static final long UPSTREAM_PACE_MILLIS = 800;
+
+  private static final long UPSTREAM_WAIT_MILLIS = 400;
+
+  /** Without word from the store for this long, callers are better served elsewhere. */
+  private static final long READY_AGE_MILLIS = 2_600;
+
+  private static final long TICK_MILLIS = 250;
+
+  private final GatewaySettings settings;
+  private final LongSupplier clockMillis = () -> System.nanoTime() / NANOS_PER_MILLI;
+  private final LongSupplier storeClockMillis =
+      new SuspendAwareClock(clockMillis, System::currentTimeMillis);
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final ConfigState config;
+  private final Dispatcher dispatcher;
+  private final UpstreamFeed upstreamFeed;
+  private final TopicFollower configFollower;
+  private final TopicFollower upstreamFollower;
+  private final CallerServer callers;
+  private final CallerServer readiness;
+  private volatile boolean draining;
+  private boolean wasReady;
+
+  private Gateway(
+      GatewaySettings settings, Dialect dialect, Function<EventLoop, FleetStore> storeFactory) {
+    this.settings = settings;
+    config = new ConfigState(settings.revokeMillis(), settings.configMillis());
+    dispatcher =
+        Dispatcher.create(
+            loop,
+            clockMillis,
+            storeClockMillis,
+            dialect,
+            config,
+            settings.dispatch(),
+            new SplittableRandom());
+    FleetStore store = storeFactory.apply(loop);
+    upstreamFeed = new UpstreamFeed(store, dispatcher, clockMillis);
+    Scheduler scheduler = this::schedule;
+    configFollower =
+        TopicFollower.create(
+            store.configTopic(),
+            new ConfigFeed(store, config, dispatcher::configIsCurrent),
+            scheduler,
+            storeClockMillis,
+            CONFIG_PACE_MILLIS,
+            CONFIG_WAIT_MILLIS);
+    upstreamFollower =
+        TopicFollower.create(
+            store.upstreamTopic(),
+            upstreamFeed,
+            scheduler,
+            clockMillis,
+            UPSTREAM_PACE_MILLIS,
+            UPSTREAM_WAIT_MILLIS);
+    dispatcher.onDoubt(configFollower::refresh);
+    callers =
+        CallerServer.create(
+            group,
+            settings.callerAddress(),
+            config::limits,
+            dispatcher,
+            status -> EventLog.emit(LogEvent.REQUEST_REJECTED, "status", status),
+            clockMillis);
+    readiness =
+        CallerServer.create(
+            group,
+            settings.readyAddress(),
+            config::limits,
+            this::answerReadiness,
+            status -> {},
+            clockMillis);
+  }
+
+  /** Returns a gateway that serves after {@link #start}. */
+  public static Gateway create(
+      GatewaySettings settings, Dialect dialect, Function<EventLoop, FleetStore> storeFactory) {
+    return new Gateway(settings, dialect, storeFactory);
+  }
+
+  @Override
+  public void start() {
+    readiness.start();
+    callers.start();
+    loop.execute(configFollower::start);
+    loop.execute(upstreamFollower::start);
+    var unused =
+        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    EventLog.emit(
+        LogEvent.PROCESS_STARTED,
+        "instance",
+        settings.instanceId(),
+        "callers",
+        settings.callerAddress());
+  }
+
+  private void schedule(Runnable task, long delayMillis) {
+    var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    upstreamFeed.apply();
+    dispatcher.closeExpiredConnections();
+    noteReadiness(isReady());
+  }
+
+  private boolean isReady() {
+    return !draining
+        && config.config().isPresent()
+        && upstreamFeed.hasSnapshot()
+        && config.ageMillis(storeClockMillis.getAsLong()) < READY_AGE_MILLIS;
+  }
+
+  private void noteReadiness(boolean ready) {
+    if (ready != wasReady) {
+      wasReady = ready;
+      EventLog.emit(
+          ready ? LogEvent.GATEWAY_READY : LogEvent.GATEWAY_NOT_READY,
+          "instance",
+          settings.instanceId(),
+          "draining",
+          draining,
+          "configAgeMillis",
+          config.ageMillis(storeClockMillis.getAsLong()));
+    }
+  }
+
+  private void answerReadiness(CallerRequest request, CallerExchange exchange) {
+    request.body().release();
+    int status = isReady() ? STATUS_READY : STATUS_NOT_READY;
+    exchange.respond(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+  }
+
+  /**
+   * Stops taking new work and waits for requests in flight, no longer than the grace time allows.
+   *
+   * @throws InterruptedException if interrupted while waiting
+   */
+  public void drain() throws InterruptedException {
+    EventLog.emit(LogEvent.PROCESS_STOPPING, "instance", settings.instanceId());
+    draining = true;
+    loop.execute(callers::beginDrain);
+    DrainPlan plan = DrainPlan.begin(clockMillis.getAsLong(), settings.graceMillis());
+    while (true) {
+      int handling = loop.submit(callers::handling).syncUninterruptibly().getNow();
+      DrainPlan.Step step = plan.next(clockMillis.getAsLong(), handling);
+      if (step == DrainPlan.Step.CLOSE_IDLE) {
+        loop.execute(callers::closeIdle);
+      }
+      if (step == DrainPlan.Step.END) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(DrainPlan.CHECK_MILLIS);
+    }
+  }
+
+  @Override
+  public void stop() {
+    loop.execute(configFollower::stop);
+    loop.execute(upstreamFollower::stop);
+    callers.stop();
+    readiness.stop();
+    group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    EventLog.emit(LogEvent.PROCESS_STOPPED, "instance", settings.instanceId());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
@@ -0,0 +1,24 @@
+package org.tanagerbank.gateway;
+
+import java.net.InetSocketAddress;
+import org.tanagerbank.dispatch.DispatchSettings;
+
+/**
+ * What a gateway is set to. Immutable.
+ *
+ * @param instanceId the name of the instance
+ * @param callerAddress where to serve callers
+ * @param readyAddress where to answer whether the instance is ready
+ * @param revokeMillis the time after which a key that was taken away must not work
+ * @param configMillis the time after which a new configuration must be in force
+ * @param graceMillis the time that a planned stop may take
+ * @param dispatch what the dispatcher is set to
+ */
+public record GatewaySettings(
+    String instanceId,
+    InetSocketAddress callerAddress,
+    InetSocketAddress readyAddress,
+    long revokeMillis,
+    long configMillis,
+    long graceMillis,
+    DispatchSettings dispatch) {}
--- a/src/main/java/org/tanagerbank/order/OrderLease.java
+++ b/src/main/java/org/tanagerbank/order/OrderLease.java
@@ -2,10 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogRecord;
 import org.tanagerbank.order.OrderRecord.Claim;
 import org.tanagerbank.order.OrderRecord.Late;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogRecord;
 
 /**
  * The right of one sidecar incarnation to give orders to its engine, decided from stream {@code
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
@@ -0,0 +1,132 @@
+package org.tanagerbank.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.EngineLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Service;
+import org.tanagerbank.route.WeightedService;
+import org.tanagerbank.route.Workspace;
+
+/** Decodes the operator's configuration. Stateless and thread-safe. */
+final class ConfigDecoder {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int DEFAULT_MAX_CONNECTIONS = 100;
+
+  private ConfigDecoder() {}
+
+  /**
+   * Decodes a configuration.
+   *
+   * @throws IOException if the bytes are not a configuration
+   */
+  static RoutingConfig decode(byte[] json) throws IOException {
+    JsonNode root = MAPPER.readTree(json);
+    if (!root.path("version").isIntegralNumber()) {
+      throw new IOException("the configuration has no version");
+    }
+    return new RoutingConfig(
+        root.path("version").longValue(),
+        RouteTable.of(routes(root.path("routes"))),
+        services(root.path("services")),
+        keys(root.path("tenants")),
+        root.path("tenants").isArray(),
+        limits(root.path("limits")));
+  }
+
+  private static Stream<JsonNode> stream(JsonNode list) {
+    return StreamSupport.stream(list.spliterator(), false);
+  }
+
+  private static List<Route> routes(JsonNode list) {
+    List<Route> routes = new ArrayList<>();
+    for (JsonNode node : list) {
+      routes.add(route(node));
+    }
+    return routes;
+  }
+
+  private static Route route(JsonNode node) {
+    // A route names one service, or a split over several.
+    ImmutableList<WeightedService> services =
+        node.path("split").isArray() && !node.path("split").isEmpty()
+            ? stream(node.path("split"))
+                .map(s -> new WeightedService(s.path("service").asText(), s.path("weight").asInt()))
+                .collect(ImmutableList.toImmutableList())
+            : ImmutableList.of(new WeightedService(node.path("service").asText(), 1));
+    long timeoutMillis = Math.max(1, node.path("timeout-ms").asLong());
+    return new Route(
+        node.path("name").asText(),
+        Ascii.toLowerCase(node.path("host").asText()),
+        node.path("path-prefix").asText(),
+        kind(node.path("type").asText()),
+        timeoutMillis,
+        // "slo-ms" is the time to the first byte for streams and to the whole answer otherwise.
+        node.path("slo-ms").asLong(timeoutMillis),
+        Math.max(1, node.path("attempts").asInt(1)),
+        node.path("priority").asInt(),
+        node.path("public").asBoolean(),
+        node.path("resumable").asBoolean(),
+        services);
+  }
+
+  private static RequestKind kind(String type) {
+    return switch (type) {
+      case "idempotent" -> RequestKind.IDEMPOTENT;
+      case "stream" -> RequestKind.STREAM;
+      default -> RequestKind.NON_IDEMPOTENT;
+    };
+  }
+
+  private static ImmutableMap<String, Service> services(JsonNode list) {
+    Map<String, Service> services = new HashMap<>();
+    for (JsonNode node : list) {
+      String name = node.path("name").asText();
+      int connections = node.path("max-conns").asInt(DEFAULT_MAX_CONNECTIONS);
+      services.put(name, new Service(name, connections, engine(node.path("engine"))));
+    }
+    return ImmutableMap.copyOf(services);
+  }
+
+  private static Optional<EngineLimits> engine(JsonNode node) {
+    int slots = node.path("slots").asInt();
+    long memory = node.path("kv-capacity").asLong();
+    return slots > 0 && memory > 0
+        ? Optional.of(new EngineLimits(slots, memory))
+        : Optional.empty();
+  }
+
+  private static ImmutableMap<String, Workspace> keys(JsonNode tenants) {
+    Map<String, Workspace> keys = new HashMap<>();
+    for (JsonNode tenant : tenants) {
+      Workspace workspace =
+          new Workspace(tenant.path("name").asText(), tenant.path("priority").asInt());
+      stream(tenant.path("api-keys")).forEach(k -> keys.put(k.asText(), workspace));
+    }
+    return ImmutableMap.copyOf(keys);
+  }
+
+  private static CallerLimits limits(JsonNode node) {
+    CallerLimits initial = CallerLimits.INITIAL;
+    return new CallerLimits(
+        node.path("max-header-bytes").asInt(initial.maxHeaderBytes()),
+        node.path("max-body-bytes").asInt(initial.maxBodyBytes()),
+        node.path("header-timeout-ms").asLong(initial.headerTimeoutMillis()),
+        node.path("idle-timeout-ms").asLong(initial.idleTimeoutMillis()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -0,0 +1,113 @@
+package org.tanagerbank.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.tanagerbank.backing.SocketAddresses;
+import org.tanagerbank.platform.NodeSettings.Bounds;
+import org.tanagerbank.platform.NodeSettings.Reading;
+
+/**
+ * Reads the settings file of a process, rendered as JSON by the deploy file's template.
+ *
+ * <p>Collects all faults; fields that are not known are ignored. Not thread-safe.
+ */
+public final class NodeSettingsReader {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final List<String> faults = new ArrayList<>();
+  private final JsonNode root;
+
+  private NodeSettingsReader(JsonNode root) {
+    this.root = root;
+  }
+
+  /** Reads a settings file. */
+  public static Reading read(Path file) {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      return fault("cannot read the settings file: " + e.getMessage());
+    }
+  }
+
+  /** Reads the text of a settings file. */
+  public static Reading parse(String text) {
+    try {
+      JsonNode root = new ObjectMapper().readTree(text);
+      return root.isObject()
+          ? new NodeSettingsReader(root).settings()
+          : fault("the settings file must hold a JSON object");
+    } catch (IOException e) {
+      return fault("the settings file is not JSON: " + e.getMessage());
+    }
+  }
+
+  private static Reading fault(String message) {
+    return new Reading(null, ImmutableList.of(message));
+  }
+
+  private Reading settings() {
+    JsonNode ports = root.path("port-range");
+    if (!ports.path(0).isIntegralNumber() || !ports.path(1).isIntegralNumber()) {
+      faults.add("port-range: must be two ports");
+    }
+    NodeSettings settings =
+        new NodeSettings(
+            text("node"),
+            text("ip"),
+            text("zone"),
+            ports.path(0).asInt(),
+            ports.path(1).asInt(),
+            address("listen", "front"),
+            address("listen", "ready"),
+            address("platform", "addr"),
+            bounds());
+    return new Reading(faults.isEmpty() ? settings : null, ImmutableList.copyOf(faults));
+  }
+
+  private Bounds bounds() {
+    return new Bounds(
+        (long) number("drain-ms"),
+        (long) number("config-ms"),
+        (long) number("revoke-ms"),
+        (long) (number("grace-s") * MILLIS_PER_SECOND),
+        (long) number("stable-ms"),
+        number("retry-ratio"),
+        (long) (number("retry-window-s") * MILLIS_PER_SECOND),
+        number("retry-slack"),
+        number("cap-x"));
+  }
+
+  private String text(String field) {
+    JsonNode value = root.path(field);
+    if (!value.isTextual() || value.textValue().isEmpty()) {
+      faults.add(field + ": must be a non-empty text");
+    }
+    return value.asText();
+  }
+
+  private double number(String field) {
+    JsonNode value = root.path("bounds").path(field);
+    if (!value.isNumber() || value.doubleValue() < 0) {
+      faults.add("bounds." + field + ": must be a number that is not negative");
+    }
+    return value.asDouble();
+  }
+
+  private InetSocketAddress address(String table, String field) {
+    String value = root.path(table).path(field).asText();
+    try {
+      return SocketAddresses.parse(value);
+    } catch (IllegalArgumentException e) {
+      faults.add(table + "." + field + ": must be ip:port, not \"" + value + "\"");
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/PlatformDialect.java
@@ -0,0 +1,212 @@
+package org.tanagerbank.platform;
+
+import com.google.common.base.Ascii;
+import com.google.common.base.CharMatcher;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.tanagerbank.direct.Dialect;
+import org.tanagerbank.direct.LoadReport;
+import org.tanagerbank.direct.UpstreamCall;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
+
+/** The headers of the users' platform. Immutable and thread-safe. */
+public final class PlatformDialect implements Dialect {
+  private static final String REQUEST_ID = "Request-Id";
+  private static final String DEADLINE = "Deadline-Ms";
+  private static final String AUTHORIZATION = "Authorization";
+  private static final String SCHEME = "Bearer ";
+  private static final String MODEL = "Model";
+  private static final String TOKEN_COUNTS = "Token-Counts";
+  private static final String PROMPT_PREFIX = "Prompt-Prefix";
+  private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final String EXPECT_INSTANCE = "Expect-Instance";
+  private static final String TENANT = "Tenant";
+  private static final String PRIORITY = "Request-Priority";
+
+  /** The upstream's signature of a response. */
+  private static final String STAMP = "Server-Stamp";
+
+  private static final String NOT_EXECUTED = "Not-Executed";
+  private static final String LOAD = "Server-Load";
+  private static final String CONTENT_ENCODING = "Content-Encoding";
+  private static final int STATUS_MISDIRECTED = 421;
+  private static final int HEXADECIMAL = 16;
+
+  /** Headers that concern one connection or the framing of a body, in lower case. */
+  private static final ImmutableSet<String> PER_CONNECTION =
+      ImmutableSet.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length",
+          "http2-settings");
+
+  /** Headers that only the system may set, in lower case. */
+  private static final ImmutableSet<String> SET_BY_ROUTER =
+      ImmutableSet.of(
+          "authorization",
+          "deadline-ms",
+          "expect-instance",
+          "expect-version",
+          "tenant",
+          "request-priority",
+          "hold",
+          "pin-ms",
+          "kv-backup",
+          "kv-from",
+          "kv-fetch");
+
+  /** Headers that reach the other side even when a Connection header names them. */
+  private static final ImmutableSet<String> ALWAYS_FORWARDED =
+      ImmutableSet.of(
+          "host",
+          "request-id",
+          "model",
+          "token-counts",
+          "prompt-prefix",
+          "last-event-id",
+          "server-stamp",
+          "content-type");
+
+  private static final Splitter COMMAS = Splitter.on(',').trimResults().omitEmptyStrings();
+
+  @Override
+  public String requestId(HttpHeaders request) {
+    return request.get(REQUEST_ID, "");
+  }
+
+  @Override
+  public OptionalLong timeLeftMillis(HttpHeaders request) {
+    Long value = Longs.tryParse(request.get(DEADLINE, "").trim());
+    return value == null ? OptionalLong.empty() : OptionalLong.of(value);
+  }
+
+  @Override
+  public Optional<String> key(HttpHeaders request) {
+    String value = request.get(AUTHORIZATION, "");
+    return value.regionMatches(/* ignoreCase= */ true, 0, SCHEME, 0, SCHEME.length())
+        ? Optional.of(value.substring(SCHEME.length()).trim())
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<Prompt> prompt(HttpHeaders request) {
+    // "Token-Counts" holds the prompt tokens and the most output tokens.
+    List<String> counts = COMMAS.splitToList(request.get(TOKEN_COUNTS, ""));
+    Integer promptTokens = counts.isEmpty() ? null : Ints.tryParse(counts.get(0));
+    Integer outputTokens = counts.size() < 2 ? null : Ints.tryParse(counts.get(1));
+    if (promptTokens == null || outputTokens == null || promptTokens < 0 || outputTokens < 0) {
+      return Optional.empty();
+    }
+    ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
+    for (String part : COMMAS.split(request.get(PROMPT_PREFIX, ""))) {
+      int colon = part.indexOf(':');
+      Integer tokens = colon < 0 ? null : Ints.tryParse(part.substring(colon + 1));
+      Long id = colon < 0 ? null : parseId(part.substring(0, colon));
+      if (tokens == null || id == null || tokens < 0) {
+        return Optional.empty();
+      }
+      parts.add(new PromptPart(id, tokens));
+    }
+    return Optional.of(
+        new Prompt(request.get(MODEL, ""), parts.build(), promptTokens, outputTokens));
+  }
+
+  private static Long parseId(String hexadecimal) {
+    try {
+      return Long.parseUnsignedLong(hexadecimal, HEXADECIMAL);
+    } catch (NumberFormatException e) {
+      return null;
+    }
+  }
+
+  @Override
+  public HttpHeaders toUpstream(HttpHeaders request, UpstreamCall call) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    Set<String> dropped = namedByConnection(request);
+    for (Map.Entry<String, String> header : request) {
+      String name = Ascii.toLowerCase(header.getKey());
+      if (!dropped.contains(name) && !SET_BY_ROUTER.contains(name)) {
+        headers.add(header.getKey(), header.getValue());
+      }
+    }
+    headers.set(EXPECT_INSTANCE, call.upstreamId());
+    headers.set(DEADLINE, Long.toString(call.timeLeftMillis()));
+    call.workspace().ifPresent(w -> headers.set(TENANT, w));
+    call.priority().ifPresent(p -> headers.set(PRIORITY, Integer.toString(p)));
+    call.lastEventId().ifPresent(e -> headers.set(LAST_EVENT_ID, e));
+    return headers;
+  }
+
+  @Override
+  public HttpHeaders toCaller(HttpHeaders response) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    Set<String> dropped = namedByConnection(response);
+    for (Map.Entry<String, String> header : response) {
+      if (!dropped.contains(Ascii.toLowerCase(header.getKey()))) {
+        headers.add(header.getKey(), header.getValue());
+      }
+    }
+    return headers;
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders headers) {
+    Set<String> names = new HashSet<>(PER_CONNECTION);
+    for (String value : headers.getAll("Connection")) {
+      for (String name : COMMAS.split(value)) {
+        names.add(Ascii.toLowerCase(name));
+      }
+    }
+    names.removeAll(ALWAYS_FORWARDED);
+    return names;
+  }
+
+  @Override
+  public boolean answers(HttpHeaders response, String requestId) {
+    return response.get(REQUEST_ID, "").equals(requestId);
+  }
+
+  @Override
+  public boolean saysNotRun(int status, HttpHeaders response) {
+    return status == STATUS_MISDIRECTED || response.contains(NOT_EXECUTED);
+  }
+
+  @Override
+  public boolean isGenuine(HttpHeaders response) {
+    return response.contains(STAMP) && !response.contains(CONTENT_ENCODING);
+  }
+
+  @Override
+  public Optional<LoadReport> load(HttpHeaders response) {
+    List<String> numbers = COMMAS.splitToList(response.get(LOAD, ""));
+    if (numbers.size() != 3
+        || !numbers.stream().allMatch(CharMatcher.inRange('0', '9')::matchesAllOf)) {
+      return Optional.empty();
+    }
+    Integer running = Ints.tryParse(numbers.get(0));
+    Integer waiting = Ints.tryParse(numbers.get(1));
+    Integer slots = Ints.tryParse(numbers.get(2));
+    return running == null || waiting == null || slots == null
+        ? Optional.empty()
+        : Optional.of(new LoadReport(running, waiting, slots));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/PlatformStore.java
@@ -0,0 +1,61 @@
+package org.tanagerbank.platform;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.feed.FleetStore;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.KeyedTopic;
+import org.tanagerbank.route.RoutingConfig;
+
+/** What the users' platform keeps for the fleet. Confined to the event loop of its client. */
+public final class PlatformStore implements FleetStore {
+  /** The operator writes its configuration here, under {@link #CONFIG_KEY}. */
+  private static final String OPERATOR_TOPIC = "keyed.op";
+
+  private static final String CONFIG_KEY = "config";
+
+  /** Upstreams report here, each under its id. */
+  private static final String UPSTREAM_TOPIC = "keyed.servers";
+
+  private static final String OWN_TOPIC_PREFIX = "keyed.tanagerbank-";
+
+  private final StoreClient client;
+
+  private PlatformStore(StoreClient client) {
+    this.client = client;
+  }
+
+  /** Returns the store that a client reaches. */
+  public static PlatformStore create(StoreClient client) {
+    return new PlatformStore(client);
+  }
+
+  @Override
+  public KeyedTopic configTopic() {
+    return client.keyedTopic(OPERATOR_TOPIC);
+  }
+
+  @Override
+  public KeyedTopic upstreamTopic() {
+    return client.keyedTopic(UPSTREAM_TOPIC);
+  }
+
+  @Override
+  public KeyedTopic fleetTopic(String name) {
+    return client.keyedTopic(OWN_TOPIC_PREFIX + name);
+  }
+
+  @Override
+  public Optional<RoutingConfig> config(KeyedRecord keyed) throws IOException {
+    if (!keyed.key().equals(CONFIG_KEY) || keyed.value().isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(ConfigDecoder.decode(keyed.value().get()));
+  }
+
+  @Override
+  public Optional<DirectUpstream> upstream(KeyedRecord keyed) {
+    return keyed.value().flatMap(v -> UpstreamDecoder.decode(keyed.key(), v));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -0,0 +1,179 @@
+package org.tanagerbank.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Base64;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.tanagerbank.backing.SocketAddresses;
+import org.tanagerbank.direct.ConnectionPool;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.KeyedTopic;
+import org.tanagerbank.feed.ReadResult;
+import org.tanagerbank.feed.ReadResult.Records;
+import org.tanagerbank.feed.ReadResult.Trimmed;
+import org.tanagerbank.feed.ReadResult.Unavailable;
+
+/** The client of the platform's metadata store. Confined to one event loop. */
+public final class StoreClient {
+  /** Answers take milliseconds; a slow store is waited for this long beyond the asked wait. */
+  private static final long CALL_TIMEOUT_MILLIS = 1_500;
+
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_GONE = 410;
+  private static final int PAGE_HEAD_BYTES = 2 * Long.BYTES;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final EventLoop loop;
+  private final String host;
+  private final ConnectionPool connections;
+
+  private StoreClient(EventLoop loop, String host, ConnectionPool connections) {
+    this.loop = loop;
+    this.host = host;
+    this.connections = connections;
+  }
+
+  /** Returns a client that opens connections on demand. */
+  public static StoreClient create(
+      EventLoop loop, InetSocketAddress address, LongSupplier clockMillis) {
+    return new StoreClient(
+        loop, SocketAddresses.format(address), ConnectionPool.create(loop, address, clockMillis));
+  }
+
+  /** Returns a keyed topic, whose records stand in its only partition. */
+  public KeyedTopic keyedTopic(String name) {
+    return new Topic(name);
+  }
+
+  private final class Topic implements KeyedTopic {
+    private final String query;
+
+    private Topic(String name) {
+      query = "?topic=" + name + "&part=0";
+    }
+
+    @Override
+    public void newest(Consumer<ReadResult> callback) {
+      newestPage("", ImmutableList.builder(), callback);
+    }
+
+    private void newestPage(
+        String after, ImmutableList.Builder<KeyedRecord> records, Consumer<ReadResult> callback) {
+      String position = after.isEmpty() ? "" : "&after=" + after;
+      send(
+          request(HttpMethod.GET, "/-/log-newest" + query + position, Unpooled.EMPTY_BUFFER),
+          0,
+          reply -> onNewestPage(reply, records, callback));
+    }
+
+    private void onNewestPage(
+        StoreReply reply,
+        ImmutableList.Builder<KeyedRecord> records,
+        Consumer<ReadResult> callback) {
+      if (reply.status() != STATUS_OK) {
+        callback.accept(unavailable(reply));
+        return;
+      }
+      try {
+        JsonNode page = MAPPER.readTree(reply.body());
+        String last = "";
+        for (JsonNode item : page.path("items")) {
+          last = item.path("key").asText();
+          byte[] value = Base64.getDecoder().decode(item.path("value").asText());
+          records.add(new KeyedRecord(last, Optional.of(value)));
+        }
+        if (page.path("more").asBoolean() && !last.isEmpty()) {
+          newestPage(last, records, callback);
+        } else {
+          // Pages are no snapshot: what changed meanwhile is read again from "end" of the last.
+          callback.accept(new Records(records.build(), page.path("end").asLong()));
+        }
+      } catch (IOException | IllegalArgumentException e) {
+        callback.accept(new Unavailable("unreadable answer: " + e.getMessage()));
+      }
+    }
+
+    @Override
+    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
+      String path = "/-/log-read" + query + "&from=" + from + "&wait-ms=" + waitMillis;
+      send(
+          request(HttpMethod.GET, path, Unpooled.EMPTY_BUFFER),
+          waitMillis,
+          reply -> callback.accept(page(reply, from)));
+    }
+
+    @Override
+    public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
+      ByteBuf body = RecordCodec.encode(keyed);
+      send(
+          request(HttpMethod.POST, "/-/log-append" + query, body),
+          0,
+          reply -> callback.accept(reply.status() == STATUS_OK));
+    }
+  }
+
+  private static ReadResult page(StoreReply reply, long from) {
+    if (reply.status() == STATUS_GONE) {
+      return new Trimmed();
+    }
+    if (reply.status() != STATUS_OK || reply.body().length < PAGE_HEAD_BYTES) {
+      return unavailable(reply);
+    }
+    ByteBuffer bytes = ByteBuffer.wrap(reply.body());
+    // The end of the partition, which may be ahead of the records in this answer.
+    bytes.getLong();
+    // The first record that is still kept.
+    long first = bytes.getLong();
+    if (first > from) {
+      return new Trimmed();
+    }
+    ImmutableList<Optional<KeyedRecord>> records = RecordCodec.decode(bytes);
+    return new Records(
+        records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()),
+        from + records.size());
+  }
+
+  private static Unavailable unavailable(StoreReply reply) {
+    return new Unavailable(reply.reason());
+  }
+
+  private FullHttpRequest request(HttpMethod method, String path, ByteBuf body) {
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, body);
+    request.headers().set(HttpHeaderNames.HOST, host);
+    if (body.isReadable()) {
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    }
+    return request;
+  }
+
+  private void send(FullHttpRequest request, long waitMillis, Consumer<StoreReply> callback) {
+    StoreCall call = new StoreCall(callback);
+    connections.acquire(
+        connection -> call.sendOn(connection, request),
+        () -> {
+          request.release();
+          call.fail("no connection");
+        });
+    // The callback runs once, also when the timeout passes after the answer.
+    var unused =
+        loop.schedule(
+            () -> call.fail("no answer in time"),
+            waitMillis + CALL_TIMEOUT_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+}
--- a/src/main/java/org/tanagerbank/routing/RetryBudget.java
+++ b/src/main/java/org/tanagerbank/routing/RetryBudget.java
@@ -1,19 +1,54 @@
 package org.tanagerbank.routing;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 /**
  * Limits the retries of an entry to a share of its recent requests, so that failures cannot
  * multiply load.
  *
- * <p>Allows 10% of the requests of the last 10 s, plus 10. Pure decision code, thread-safe.
+ * <p>Allows a ratio of the requests of a sliding window, plus a floor. Pure decision code,
+ * thread-safe.
  */
 public final class RetryBudget {
-  private static final int SECONDS = 10;
-  private static final double RATIO = 0.1;
-  private static final int FLOOR = 10;
+  private static final int DEFAULT_SECONDS = 10;
+  private static final double DEFAULT_RATIO = 0.1;
+  private static final double DEFAULT_FLOOR = 10;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final double ratio;
+  private final int seconds;
+  private final long[] second;
+  private final int[] requests;
+  private final int[] retries;
+  private double floor;
+
+  /** Returns a budget of 10% of the requests of the last 10 s, plus 10. */
+  public RetryBudget() {
+    this(DEFAULT_RATIO, DEFAULT_SECONDS * MILLIS_PER_SECOND, DEFAULT_FLOOR);
+  }
 
-  private final long[] second = new long[SECONDS];
-  private final int[] requests = new int[SECONDS];
-  private final int[] retries = new int[SECONDS];
+  /**
+   * Returns a budget.
+   *
+   * @param ratio the retries allowed for each request
+   * @param windowMillis the length of the sliding window, counted in whole seconds
+   * @param floor the retries allowed in a window without requests
+   */
+  public RetryBudget(double ratio, long windowMillis, double floor) {
+    checkArgument(ratio >= 0 && floor >= 0, "ratio %s, floor %s", ratio, floor);
+    checkArgument(windowMillis >= MILLIS_PER_SECOND, "window %s", windowMillis);
+    this.ratio = ratio;
+    this.floor = floor;
+    this.seconds = (int) (windowMillis / MILLIS_PER_SECOND);
+    this.second = new long[seconds];
+    this.requests = new int[seconds];
+    this.retries = new int[seconds];
+  }
+
+  /** Changes the retries allowed in a window without requests. */
+  public synchronized void setFloor(double retriesPerWindow) {
+    floor = retriesPerWindow;
+  }
 
   /** Notes a request that came from a caller. */
   public synchronized void requested(long nowMillis) {
@@ -23,15 +58,15 @@
   /** Takes one retry from the budget, or returns false when none is left. */
   public synchronized boolean tryRetry(long nowMillis) {
     int bucket = bucket(nowMillis);
-    long now = Math.floorDiv(nowMillis, 1000L);
+    long now = Math.floorDiv(nowMillis, MILLIS_PER_SECOND);
     int asked = 0;
     int used = 0;
-    for (int i = 0; i < SECONDS; i++) {
-      boolean recent = now - second[i] < SECONDS;
+    for (int i = 0; i < seconds; i++) {
+      boolean recent = now - second[i] < seconds;
       asked += recent ? requests[i] : 0;
       used += recent ? retries[i] : 0;
     }
-    if (used >= asked * RATIO + FLOOR) {
+    if (used >= asked * ratio + floor) {
       return false;
     }
     retries[bucket]++;
@@ -39,8 +74,8 @@
   }
 
   private int bucket(long nowMillis) {
-    long now = Math.floorDiv(nowMillis, 1000L);
-    int bucket = (int) Math.floorMod(now, (long) SECONDS);
+    long now = Math.floorDiv(nowMillis, MILLIS_PER_SECOND);
+    int bucket = (int) Math.floorMod(now, (long) seconds);
     if (second[bucket] != now) {
       second[bucket] = now;
       requests[bucket] = 0;
--- a/src/main/java/org/tanagerbank/routing/SlotTable.java
+++ b/src/main/java/org/tanagerbank/routing/SlotTable.java
@@ -177,12 +177,15 @@
   }
 
   /** Returns the hash of an upstream id. */
-  static long idHash(String id) {
+  public static long idHash(String id) {
     return Hashing.murmur3_128(0x736c).hashString(id, StandardCharsets.UTF_8).asLong();
   }
 
-  // The finalizer of MurmurHash3; Guava's functions allocate, and a build draws 79 million times.
-  static long mix(long value) {
+  /**
+   * Returns a value with its bits mixed by the finalizer of MurmurHash3. Guava's functions
+   * allocate, and a build draws 79 million times.
+   */
+  public static long mix(long value) {
     long z = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
     z = (z ^ (z >>> 33)) * 0xc4ceb9fe1a85ec53L;
     return z ^ (z >>> 33);
--- a/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
+++ b/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.tanagerbank.backing.InstanceList;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -17,7 +18,6 @@
 import org.tanagerbank.machine.InstanceInfo;
 import org.tanagerbank.machine.InstanceKind;
 import org.tanagerbank.machine.InstanceState;
-import org.tanagerbank.platform.InstanceList;
 import org.tanagerbank.proto.LinkProto.Frame;
 import org.tanagerbank.routing.Rendezvous;
 
--- a/src/main/java/org/tanagerbank/standin/InstanceListStandin.java
+++ b/src/main/java/org/tanagerbank/standin/InstanceListStandin.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.tanagerbank.backing.InstanceRows;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.http.HttpErrors;
@@ -22,7 +23,6 @@
 import org.tanagerbank.http.HttpService;
 import org.tanagerbank.http.Json;
 import org.tanagerbank.machine.InstanceInfo;
-import org.tanagerbank.platform.InstanceRows;
 
 /**
  * Stand-in for the platform's instance list, which serves the list as it was some time ago.
--- a/src/main/java/org/tanagerbank/standin/LogStandin.java
+++ b/src/main/java/org/tanagerbank/standin/LogStandin.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.tanagerbank.backing.LogRecord;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.http.HttpErrors;
@@ -21,7 +22,6 @@
 import org.tanagerbank.http.HttpService;
 import org.tanagerbank.http.Json;
 import org.tanagerbank.http.QueryString;
-import org.tanagerbank.platform.LogRecord;
 
 /**
  * Stand-in for the platform's log.
--- a/src/main/java/org/tanagerbank/standin/LogStream.java
+++ b/src/main/java/org/tanagerbank/standin/LogStream.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.tanagerbank.platform.LogRecord;
+import org.tanagerbank.backing.LogRecord;
 
 /**
  * The records of one stream within their retention.
--- a/src/test/java/org/tanagerbank/adoption/ConfigWorld.java
+++ b/src/test/java/org/tanagerbank/adoption/ConfigWorld.java
@@ -10,9 +10,9 @@
 import java.util.function.Supplier;
 import org.tanagerbank.adoption.ConfigRecord.Publish;
 import org.tanagerbank.adoption.ConfigRecord.Snapshot;
+import org.tanagerbank.backing.LogRecord;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.declaration.DeclarationParser;
-import org.tanagerbank.platform.LogRecord;
 
 /**
  * Readers and publishers over one log, and the oracle that decides from the list of all records.
--- a/src/test/java/org/tanagerbank/adoption/InMemoryLog.java
+++ b/src/test/java/org/tanagerbank/adoption/InMemoryLog.java
@@ -3,12 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogRecord;
+import org.tanagerbank.backing.LogService;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.contract.Verdict;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogRecord;
-import org.tanagerbank.platform.LogService;
 
 /** One stream of a log with outages, lost answers and expiry on request. Thread-safe. */
 public final class InMemoryLog implements LogService {
--- a/src/test/java/org/tanagerbank/adoption/SnapshotPolicyProperties.java
+++ b/src/test/java/org/tanagerbank/adoption/SnapshotPolicyProperties.java
@@ -12,8 +12,8 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.adoption.ConfigRecord.Publish;
-import org.tanagerbank.platform.LogPage;
-import org.tanagerbank.platform.LogRecord;
+import org.tanagerbank.backing.LogPage;
+import org.tanagerbank.backing.LogRecord;
 
 /** Guards against a retained log in which a process that starts finds no place to start from. */
 final class SnapshotPolicyProperties {
--- a/src/test/java/org/tanagerbank/platform/PlatformClientsTest.java
+++ b/src/test/java/org/tanagerbank/backing/PlatformClientsTest.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.backing;
 
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
--- a/src/test/java/org/tanagerbank/cli/StandinCommandTest.java
+++ b/src/test/java/org/tanagerbank/cli/StandinCommandTest.java
@@ -13,9 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.http.Collector;
 import org.tanagerbank.http.Json;
-import org.tanagerbank.platform.SocketAddresses;
 
 /** Guards against stand-ins that cannot be found, or that fail without a clear message. */
 final class StandinCommandTest {
--- a/src/test/java/org/tanagerbank/config/LogConfigSourceTest.java
+++ b/src/test/java/org/tanagerbank/config/LogConfigSourceTest.java
@@ -15,7 +15,7 @@
 import org.tanagerbank.adoption.ConfigRecord.Snapshot;
 import org.tanagerbank.adoption.ConfigRecordCodec;
 import org.tanagerbank.adoption.InMemoryLog;
-import org.tanagerbank.platform.LogRecord;
+import org.tanagerbank.backing.LogRecord;
 
 /** Guards against a source that misses a change, goes back, or serves without a configuration. */
 final class LogConfigSourceTest {
--- a/src/test/java/org/tanagerbank/order/LeaseWorld.java
+++ b/src/test/java/org/tanagerbank/order/LeaseWorld.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tanagerbank.adoption.InMemoryLog;
-import org.tanagerbank.platform.LogPage;
+import org.tanagerbank.backing.LogPage;
 
 /**
  * Sidecar incarnations of one engine in simulated time. Each call of an incarnation takes three
