Tell peers of placements and prefer the engine with least left to read

Placement takes, among engines expected to be in time, the one with the fewest prompt tokens left to read.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.cli;
 
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import org.kohsuke.args4j.Option;
@@ -16,8 +17,8 @@
 
 /** Runs a gateway on the users' platform until the process is told to stop. Not thread-safe. */
 final class GatewayCommand implements Command {
-  /** Each instance takes this share of the fleet's retries beyond the ratio. */
-  private static final double RETRY_FLOOR_SHARE = 0.15;
+  /** Left unused of the fleet's retries beyond the ratio, because instances count on their own. */
+  private static final double RETRY_FLOOR_SHARE = 0.7;
 
   /** Stays below the ratio of the platform, because instances count on their own. */
   private static final double RETRY_RATIO_SHARE = 0.7;
@@ -72,6 +73,7 @@
     return new GatewaySettings(
         node.instanceId(),
         node.callerAddress(),
+        new InetSocketAddress(node.ip(), node.firstPeerPort()),
         node.readyAddress(),
         bounds.revokeMillis(),
         bounds.configMillis(),
--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -11,6 +11,7 @@
 import org.tanagerbank.direct.ExchangeFailure;
 import org.tanagerbank.direct.ExchangeListener;
 import org.tanagerbank.direct.HttpConnection;
+import org.tanagerbank.engine.Prompt;
 
 /**
  * One attempt to have a request answered by one upstream.
@@ -48,10 +49,11 @@
   void start() {
     upstream.began();
     upstream.health().sent(dispatcher.nowMillis());
-    upstream
-        .engine()
-        .ifPresent(
-            e -> run.prompt().ifPresent(p -> e.sent(run.requestId(), p, dispatcher.nowMillis())));
+    if (upstream.engine().isPresent() && run.prompt().isPresent()) {
+      Prompt prompt = run.prompt().get();
+      upstream.engine().get().sent(run.requestId(), prompt, dispatcher.nowMillis());
+      dispatcher.placed(upstream, prompt);
+    }
     upstream.connections().acquire(this::connected, this::notConnected);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -7,11 +7,11 @@
  * @param loadMultiple an upstream holds at most this many times the mean of its service
  * @param retryRatio the share of the requests of a window that may be sent once more
  * @param retryWindowMillis the length of that window
- * @param retryFloor the retries of this instance that are allowed beyond that share
+ * @param fleetRetryFloor the retries of the whole fleet that are allowed beyond that share
  */
 public record DispatchSettings(
     String zone,
     double loadMultiple,
     double retryRatio,
     long retryWindowMillis,
-    double retryFloor) {}
+    double fleetRetryFloor) {}
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -16,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tanagerbank.caller.CallerExchange;
@@ -23,8 +25,11 @@
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.direct.Dialect;
 import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.peer.PeerListener;
+import org.tanagerbank.peer.PlacementNote;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Workspace;
@@ -34,7 +39,7 @@
  * Decides what happens to each request of a caller: which route it takes, whether its key allows
  * it, and then starts its run. Confined to the event loop.
  */
-public final class Dispatcher implements CallerHandler {
+public final class Dispatcher implements CallerHandler, PeerListener {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** The store answers within milliseconds unless it is slow or away. */
@@ -43,6 +48,9 @@
   /** Bounds the requests that wait for the store at once. */
   private static final int MAX_WAITING = 200;
 
+  /** An instance that hears of no others must not take the whole fleet's retries. */
+  private static final int MIN_FLEET_SIZE = 4;
+
   private static final String OUTDATED = "keys cannot be checked: configuration too old";
 
   /** A request that waits for the store; compared by identity. */
@@ -65,6 +73,8 @@
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Set<Waiting> waiting = new LinkedHashSet<>();
   private Runnable askStore = () -> {};
+  private BiConsumer<String, Prompt> onPlaced = (upstream, prompt) -> {};
+  private int fleetSize = 1;
 
   private Dispatcher(
       EventLoop loop,
@@ -106,6 +116,57 @@
     upstreams.update(reports, config.config());
   }
 
+  /** Sets what is told of each request that is sent to an engine. */
+  public void onPlaced(BiConsumer<String, Prompt> action) {
+    onPlaced = action;
+  }
+
+  /** Returns the requests that this instance has at each upstream where it has any. */
+  public ImmutableMap<String, Integer> inFlight() {
+    return upstreams.inFlight();
+  }
+
+  void placed(UpstreamHandle upstream, Prompt prompt) {
+    onPlaced.accept(upstream.upstream().id(), prompt);
+  }
+
+  @Override
+  public void peerWork(String instanceId, ImmutableMap<String, Integer> inFlight) {
+    upstreams
+        .all()
+        .forEach(u -> u.setPeerInFlight(instanceId, inFlight.getOrDefault(u.upstream().id(), 0)));
+  }
+
+  @Override
+  public void peerPlaced(PlacementNote note) {
+    upstreams
+        .find(note.upstreamId())
+        .flatMap(UpstreamHandle::engine)
+        .ifPresent(e -> e.peerSent(note.prompt(), clockMillis.getAsLong()));
+  }
+
+  @Override
+  public void peerConfig(long version) {
+    if (config.config().map(RoutingConfig::version).orElse(Long.MAX_VALUE) < version) {
+      askStore.run();
+    }
+  }
+
+  @Override
+  public void peerLost(String instanceId) {
+    upstreams.all().forEach(u -> u.setPeerInFlight(instanceId, 0));
+  }
+
+  @Override
+  public void fleetSize(int instances) {
+    fleetSize = instances;
+    retryBudgets.values().forEach(b -> b.setFloor(retryFloor()));
+  }
+
+  private double retryFloor() {
+    return settings.fleetRetryFloor() / Math.max(MIN_FLEET_SIZE, fleetSize);
+  }
+
   /** Closes idle connections to upstreams that would soon close them. */
   public void closeExpiredConnections() {
     upstreams.closeExpired();
@@ -232,8 +293,7 @@
     return retryBudgets.computeIfAbsent(
         service,
         unused ->
-            new RetryBudget(
-                settings.retryRatio(), settings.retryWindowMillis(), settings.retryFloor()));
+            new RetryBudget(settings.retryRatio(), settings.retryWindowMillis(), retryFloor()));
   }
 
   EventLoop loop() {
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -13,10 +13,9 @@
 /**
  * Chooses the upstream of a request.
  *
- * <p>Among engines, the one that is expected to give the first token soonest, counting the work of
- * reading a prompt again; a session that no engine has cached begins at its home, which all
- * instances agree on. Among plain upstreams, the least loaded. Stateless decision code,
- * thread-safe.
+ * <p>Among engines that are expected to answer in time, the one that has the least of the prompt
+ * still to read; a prompt that none has cached begins at its home, which all instances agree on.
+ * Among plain upstreams, the least loaded. Stateless decision code, thread-safe.
  */
 final class Placement {
   /** Requests that an upstream may hold beyond a multiple of the mean; the rule allows 3. */
@@ -25,11 +24,17 @@
   /** Stays below the multiple of the platform, because views of peers' requests lag. */
   private static final double LOAD_MARGIN = 0.8;
 
-  /** The share of the reading time by which the home of a session is preferred. */
-  private static final double HOME_PREFERENCE = 0.6;
+  /** An engine is expected to answer in time below this share of the objective. */
+  private static final double ON_TIME_SHARE = 0.7;
 
-  /** What reading a prompt costs other requests of the engine, beside its own delay. */
-  private static final double READING_WEIGHT = 1.0;
+  /** What one more running request costs the others of an engine, in prompt tokens to read. */
+  private static final double TOKENS_PER_REQUEST = 20;
+
+  /** How strongly the home of a prompt is preferred, in prompt tokens to read. */
+  private static final double HOME_TOKENS = 200;
+
+  /** Larger than every cost of an engine that answers in time. */
+  private static final double LATE = 1e9;
 
   private static final double OTHER_ZONE_MILLIS = 0.5;
 
@@ -40,22 +45,18 @@
    *
    * @param upstreams the upstreams of the service that are not leaving and were not tried yet
    */
-  static Optional<UpstreamHandle> choose(
-      List<UpstreamHandle> upstreams,
-      Optional<Prompt> prompt,
-      String zone,
-      double loadMultiple,
-      long nowMillis) {
+  static Optional<UpstreamHandle> choose(List<UpstreamHandle> upstreams, PlacementRequest request) {
+    long nowMillis = request.nowMillis();
     ImmutableList<UpstreamHandle> healthy =
         upstreams.stream()
             .filter(u -> !u.health().isAvoided(nowMillis))
             .collect(ImmutableList.toImmutableList());
     List<UpstreamHandle> usable = healthy.isEmpty() ? upstreams : healthy;
-    List<UpstreamHandle> bounded = withinLoad(usable, loadMultiple, nowMillis);
+    List<UpstreamHandle> bounded = withinLoad(usable, request.loadMultiple(), nowMillis);
     ToDoubleFunction<UpstreamHandle> cost =
-        prompt.isPresent()
-            ? engineCost(bounded, prompt.get(), nowMillis)
-            : u -> plainCost(u, zone, nowMillis);
+        request.prompt().isPresent()
+            ? u -> engineCost(u, request, request.prompt().get())
+            : u -> plainCost(u, request.zone(), nowMillis);
     return bounded.stream().min(Comparator.comparingDouble(cost));
   }
 
@@ -70,28 +71,30 @@
     return within.isEmpty() ? upstreams : within;
   }
 
-  private static ToDoubleFunction<UpstreamHandle> engineCost(
-      List<UpstreamHandle> upstreams, Prompt prompt, long nowMillis) {
-    Optional<UpstreamHandle> home =
-        upstreams.stream()
-            .max(
-                Comparator.comparingLong(
-                    u -> SlotTable.mix(SlotTable.idHash(u.upstream().id()) ^ prompt.sessionId())));
-    return u -> engineCost(u, home.get() == u, prompt, nowMillis);
-  }
-
-  private static double engineCost(
-      UpstreamHandle handle, boolean isHome, Prompt prompt, long nowMillis) {
+  /**
+   * Cost in tokens. Engines that are expected to miss the objective come after all others, by the
+   * time to their first token.
+   */
+  private static double engineCost(UpstreamHandle handle, PlacementRequest request, Prompt prompt) {
     if (handle.engine().isEmpty()) {
-      return handle.fleetInFlight(nowMillis);
+      return handle.fleetInFlight(request.nowMillis());
     }
     EngineModel engine = handle.engine().get();
-    double reading = engine.readMillis(prompt);
-    double preference = isHome ? HOME_PREFERENCE * reading : 0;
-    return engine.firstTokenMillis(prompt, nowMillis)
-        + READING_WEIGHT * reading
-        - preference
-        + handle.upstream().coldMillis() / 10.0;
+    double first =
+        engine.firstTokenMillis(prompt, request.nowMillis())
+            + handle.upstream().coldMillis() / 10.0;
+    if (first > ON_TIME_SHARE * request.objectiveMillis()) {
+      return LATE + first;
+    }
+    return engine.freshTokens(prompt)
+        + TOKENS_PER_REQUEST * handle.fleetInFlight(request.nowMillis())
+        + HOME_TOKENS * distanceFromHome(handle, prompt);
+  }
+
+  /** Returns a number from 0 to 1 that all instances agree on, lowest at the home of a prompt. */
+  private static double distanceFromHome(UpstreamHandle handle, Prompt prompt) {
+    long draw = SlotTable.mix(SlotTable.idHash(handle.upstream().id()) ^ prompt.groupId());
+    return (draw >>> 11) * 0x1.0p-53;
   }
 
   private static double plainCost(UpstreamHandle handle, String zone, long nowMillis) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestRun.java
@@ -85,10 +85,12 @@
     Optional<UpstreamHandle> chosen =
         Placement.choose(
             candidates,
-            prompt,
-            dispatcher.settings().zone(),
-            dispatcher.settings().loadMultiple(),
-            dispatcher.nowMillis());
+            new PlacementRequest(
+                prompt,
+                route.objectiveMillis(),
+                dispatcher.settings().zone(),
+                dispatcher.settings().loadMultiple(),
+                dispatcher.nowMillis()));
     if (chosen.isEmpty()) {
       giveUp("no upstream of the service is left");
       return;
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.tanagerbank.direct.ConnectionPool;
 import org.tanagerbank.direct.DirectUpstream;
@@ -16,7 +18,7 @@
   private final UpstreamHealth health = new UpstreamHealth();
   private DirectUpstream upstream;
   private int inFlight;
-  private int peersInFlight;
+  private final Map<String, Integer> peersInFlight = new HashMap<>();
   private int reportedOthers;
   private long reportedAt = Long.MIN_VALUE / 2;
   private boolean gone;
@@ -62,14 +64,20 @@
     reportedAt = nowMillis;
   }
 
-  void setPeersInFlight(int requests) {
-    peersInFlight = requests;
+  /** Notes the requests that another instance has there. */
+  void setPeerInFlight(String instanceId, int requests) {
+    if (requests == 0) {
+      peersInFlight.remove(instanceId);
+    } else {
+      peersInFlight.put(instanceId, requests);
+    }
   }
 
   /** Returns the requests of all instances that are believed to be there. */
   int fleetInFlight(long nowMillis) {
     boolean reportFresh = nowMillis - reportedAt < LOAD_REPORT_MILLIS;
-    return inFlight + (reportFresh ? Math.max(reportedOthers, peersInFlight) : peersInFlight);
+    int peers = peersInFlight.values().stream().mapToInt(Integer::intValue).sum();
+    return inFlight + (reportFresh ? Math.max(reportedOthers, peers) : peers);
   }
 
   int ownInFlight() {
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -1,6 +1,9 @@
 package org.tanagerbank.dispatch;
 
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import io.netty.channel.EventLoop;
 import java.util.Collection;
 import java.util.HashMap;
@@ -98,6 +101,13 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the requests that this instance has at each upstream where it has any. */
+  ImmutableMap<String, Integer> inFlight() {
+    return byId.values().stream()
+        .filter(u -> u.ownInFlight() > 0)
+        .collect(toImmutableMap(u -> u.upstream().id(), UpstreamHandle::ownInFlight));
+  }
+
   void closeExpired() {
     byId.values().forEach(u -> u.connections().closeExpired());
   }
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -55,8 +55,12 @@
 
   /** Returns the time that reading the part of a prompt that is not cached takes. */
   public double readMillis(Prompt prompt) {
-    int fresh = Math.max(1, prompt.promptTokens() - cache.cachedTokens(prompt));
-    return fresh / PREFILL_TOKENS_PER_MILLI;
+    return freshTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+  }
+
+  /** Returns how many tokens of a prompt are not cached. */
+  public int freshTokens(Prompt prompt) {
+    return Math.max(1, prompt.promptTokens() - cache.cachedTokens(prompt));
   }
 
   /** Notes that a request was sent to the engine. */
--- a/src/main/java/org/tanagerbank/engine/Prompt.java
+++ b/src/main/java/org/tanagerbank/engine/Prompt.java
@@ -13,9 +13,9 @@
 public record Prompt(
     String model, ImmutableList<PromptPart> parts, int promptTokens, int maxOutputTokens) {
 
-  /** Returns the id of the last shared part, which is the same for all requests of a session. */
-  public long sessionId() {
-    return parts.isEmpty() ? 0 : parts.get(parts.size() - 1).id();
+  /** Returns the id of the first part, which the requests of several sessions share. */
+  public long groupId() {
+    return parts.isEmpty() ? 0 : parts.get(0).id();
   }
 
   /** Returns the tokens that the request needs in an engine's memory. */
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -20,6 +20,9 @@
 import org.tanagerbank.feed.FleetStore;
 import org.tanagerbank.feed.Scheduler;
 import org.tanagerbank.feed.TopicFollower;
+import org.tanagerbank.peer.PeerAddress;
+import org.tanagerbank.peer.PeerService;
+import org.tanagerbank.route.RoutingConfig;
 
 /**
  * An instance that serves callers and sends their requests directly to upstreams.
@@ -46,6 +49,7 @@
   /** Without word from the store for this long, callers are better served elsewhere. */
   private static final long READY_AGE_MILLIS = 2_600;
 
+  private static final String PEER_TOPIC = "gateways";
   private static final long TICK_MILLIS = 250;
 
   private final GatewaySettings settings;
@@ -57,6 +61,7 @@
   private final ConfigState config;
   private final Dispatcher dispatcher;
   private final UpstreamFeed upstreamFeed;
+  private final PeerService peers;
   private final TopicFollower configFollower;
   private final TopicFollower upstreamFollower;
   private final CallerServer callers;
@@ -97,6 +102,17 @@
             UPSTREAM_PACE_MILLIS,
             UPSTREAM_WAIT_MILLIS);
     dispatcher.onDoubt(configFollower::refresh);
+    peers =
+        PeerService.create(
+            loop,
+            clockMillis,
+            new PeerAddress(
+                settings.instanceId(), settings.peerAddress(), System.currentTimeMillis()),
+            store.fleetTopic(PEER_TOPIC),
+            dispatcher,
+            dispatcher::inFlight,
+            () -> config.config().map(RoutingConfig::version).orElse(0L));
+    dispatcher.onPlaced(peers::placed);
     callers =
         CallerServer.create(
             group,
@@ -125,6 +141,7 @@
   public void start() {
     readiness.start();
     callers.start();
+    peers.start();
     loop.execute(configFollower::start);
     loop.execute(upstreamFollower::start);
     var unused =
@@ -202,6 +219,7 @@
     loop.execute(configFollower::stop);
     loop.execute(upstreamFollower::stop);
     callers.stop();
+    peers.stop();
     readiness.stop();
     group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     EventLog.emit(LogEvent.PROCESS_STOPPED, "instance", settings.instanceId());
--- a/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
@@ -8,6 +8,7 @@
  *
  * @param instanceId the name of the instance
  * @param callerAddress where to serve callers
+ * @param peerAddress where to receive digests of other instances
  * @param readyAddress where to answer whether the instance is ready
  * @param revokeMillis the time after which a key that was taken away must not work
  * @param configMillis the time after which a new configuration must be in force
@@ -17,6 +18,7 @@
 public record GatewaySettings(
     String instanceId,
     InetSocketAddress callerAddress,
+    InetSocketAddress peerAddress,
     InetSocketAddress readyAddress,
     long revokeMillis,
     long configMillis,
--- /dev/null
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -0,0 +1,119 @@
+package org.tanagerbank.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.InetAddresses;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
+import org.tanagerbank.proto.PeerProto;
+
+/** Writes and reads digests as protobuf messages. Stateless and thread-safe. */
+final class DigestCodec {
+  private static final int MAX_PORT = 65_535;
+
+  private DigestCodec() {}
+
+  static byte[] encode(PeerDigest digest) {
+    PeerProto.Digest.Builder message =
+        PeerProto.Digest.newBuilder()
+            .setSender(address(digest.sender()))
+            .setNumber(digest.number())
+            .setConfigVersion(digest.configVersion());
+    digest
+        .inFlight()
+        .forEach(
+            (id, n) ->
+                message.addWork(
+                    PeerProto.UpstreamWork.newBuilder().setUpstreamId(id).setInFlight(n)));
+    digest.placements().forEach(p -> message.addPlacements(placement(p)));
+    digest.peers().forEach(p -> message.addPeers(address(p)));
+    return message.build().toByteArray();
+  }
+
+  static byte[] encode(PeerAddress address) {
+    return address(address).toByteArray();
+  }
+
+  /**
+   * Decodes an address.
+   *
+   * @throws InvalidProtocolBufferException if the bytes are not an address
+   */
+  static PeerAddress decodeAddress(byte[] bytes) throws InvalidProtocolBufferException {
+    return address(PeerProto.Address.parseFrom(bytes));
+  }
+
+  /**
+   * Decodes a digest.
+   *
+   * @throws InvalidProtocolBufferException if the bytes are not a digest
+   */
+  static PeerDigest decode(byte[] bytes) throws InvalidProtocolBufferException {
+    PeerProto.Digest message = PeerProto.Digest.parseFrom(bytes);
+    ImmutableMap.Builder<String, Integer> inFlight = ImmutableMap.builder();
+    message.getWorkList().forEach(w -> inFlight.put(w.getUpstreamId(), w.getInFlight()));
+    ImmutableList.Builder<PeerAddress> peers = ImmutableList.builder();
+    for (PeerProto.Address peer : message.getPeersList()) {
+      peers.add(address(peer));
+    }
+    return new PeerDigest(
+        address(message.getSender()),
+        message.getNumber(),
+        message.getConfigVersion(),
+        inFlight.buildKeepingLast(),
+        message.getPlacementsList().stream()
+            .map(DigestCodec::placement)
+            .collect(ImmutableList.toImmutableList()),
+        peers.build());
+  }
+
+  private static PeerProto.Address address(PeerAddress address) {
+    return PeerProto.Address.newBuilder()
+        .setInstanceId(address.instanceId())
+        .setIp(InetAddresses.toAddrString(address.address().getAddress()))
+        .setPort(address.address().getPort())
+        .setIncarnation(address.incarnation())
+        .build();
+  }
+
+  private static PeerAddress address(PeerProto.Address message)
+      throws InvalidProtocolBufferException {
+    boolean valid =
+        InetAddresses.isInetAddress(message.getIp())
+            && message.getPort() > 0
+            && message.getPort() <= MAX_PORT
+            && !message.getInstanceId().isEmpty();
+    if (!valid) {
+      throw new InvalidProtocolBufferException("not an address: " + message.getIp());
+    }
+    return new PeerAddress(
+        message.getInstanceId(),
+        new InetSocketAddress(InetAddresses.forString(message.getIp()), message.getPort()),
+        message.getIncarnation());
+  }
+
+  private static PeerProto.Placement placement(PlacementNote note) {
+    PeerProto.Placement.Builder message =
+        PeerProto.Placement.newBuilder()
+            .setNumber(note.number())
+            .setUpstreamId(note.upstreamId())
+            .setPromptTokens(note.prompt().promptTokens());
+    for (PromptPart part : note.prompt().parts()) {
+      message.addPartIds(part.id());
+      message.addPartTokens(part.tokens());
+    }
+    return message.build();
+  }
+
+  private static PlacementNote placement(PeerProto.Placement message) {
+    ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
+    int count = Math.min(message.getPartIdsCount(), message.getPartTokensCount());
+    for (int i = 0; i < count; i++) {
+      parts.add(new PromptPart(message.getPartIds(i), message.getPartTokens(i)));
+    }
+    Prompt prompt = new Prompt("", parts.build(), message.getPromptTokens(), 0);
+    return new PlacementNote(message.getNumber(), message.getUpstreamId(), prompt);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -0,0 +1,279 @@
+package org.tanagerbank.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.Lifecycle;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.KeyedTopic;
+import org.tanagerbank.feed.ReadResult;
+import org.tanagerbank.feed.ReadResult.Records;
+
+/**
+ * Exchanges digests with the other instances of the fleet over UDP.
+ *
+ * <p>Instances find each other in a topic of the store and by what digests tell. A lost digest does
+ * no harm: the next one holds the whole state. {@link #start} and {@link #stop} may be called from
+ * any thread; all else happens on the event loop.
+ */
+public final class PeerService implements Lifecycle {
+  /** The least time between digests; longer with many peers, so that the work stays bounded. */
+  private static final long MIN_PACE_MILLIS = 40;
+
+  private static final long PACE_PER_PEER_MILLIS = 10;
+
+  /** Digests are sent at least this often, so that peers know the sender lives. */
+  private static final long IDLE_MILLIS = 400;
+
+  /** How often a digest names the peers that the sender knows. */
+  private static final int DIGESTS_PER_PEER_LIST = 25;
+
+  private static final int MAX_PEERS_TOLD = 20;
+  private static final long STORE_RETRY_MILLIS = 700;
+
+  private final EventLoop loop;
+  private final LongSupplier clockMillis;
+  private final PeerAddress self;
+  private final KeyedTopic directory;
+  private final PeerListener listener;
+  private final Supplier<ImmutableMap<String, Integer>> work;
+  private final Supplier<Long> configVersion;
+  private final PeerTable table;
+  private final PlacementLog placements = new PlacementLog();
+
+  /** The newest placement taken over, by instance id and incarnation. */
+  private final Map<String, Long> lastPlacement = new HashMap<>();
+
+  private Channel channel;
+  private ImmutableMap<String, Integer> lastWork = ImmutableMap.of();
+  private long number;
+  private long sentAt;
+  private int liveBefore = -1;
+  private boolean stopped;
+
+  private PeerService(
+      EventLoop loop,
+      LongSupplier clockMillis,
+      PeerAddress self,
+      KeyedTopic directory,
+      PeerListener listener,
+      Supplier<ImmutableMap<String, Integer>> work,
+      Supplier<Long> configVersion) {
+    this.loop = loop;
+    this.clockMillis = clockMillis;
+    this.self = self;
+    this.directory = directory;
+    this.listener = listener;
+    this.work = work;
+    this.configVersion = configVersion;
+    this.table = new PeerTable(self.instanceId());
+  }
+
+  /**
+   * Returns a service that exchanges digests after {@link #start}.
+   *
+   * @param directory the topic in which instances find each other
+   * @param work returns the requests that this instance has at each upstream
+   * @param configVersion returns the version of the configuration in force
+   */
+  public static PeerService create(
+      EventLoop loop,
+      LongSupplier clockMillis,
+      PeerAddress self,
+      KeyedTopic directory,
+      PeerListener listener,
+      Supplier<ImmutableMap<String, Integer>> work,
+      Supplier<Long> configVersion) {
+    return new PeerService(loop, clockMillis, self, directory, listener, work, configVersion);
+  }
+
+  @Override
+  public void start() {
+    var bound =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver())
+            .bind(self.address())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw TanagerException.failure(
+          ErrorCode.PORT_IN_USE, "cannot listen on " + self.address(), bound.cause());
+    }
+    channel = bound.channel();
+    loop.execute(this::register);
+    schedule(this::tick, MIN_PACE_MILLIS);
+  }
+
+  @Override
+  public void stop() {
+    stopped = true;
+    if (channel != null) {
+      channel.close().awaitUninterruptibly();
+    }
+  }
+
+  /** Notes that this instance sent a request to an engine. */
+  public void placed(String upstreamId, Prompt prompt) {
+    placements.placed(upstreamId, prompt);
+  }
+
+  private void schedule(Runnable task, long delayMillis) {
+    var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Writes before it reads, so that of two instances that start at once the later sees both. */
+  private void register() {
+    KeyedRecord entry = new KeyedRecord(self.instanceId(), Optional.of(DigestCodec.encode(self)));
+    directory.append(entry, done -> retryUnless(done, this::register, this::findPeers));
+  }
+
+  private void findPeers() {
+    directory.newest(
+        result -> retryUnless(result instanceof Records, this::findPeers, () -> learn(result)));
+  }
+
+  private void retryUnless(boolean done, Runnable again, Runnable next) {
+    if (done) {
+      next.run();
+    } else if (!stopped) {
+      schedule(again, STORE_RETRY_MILLIS);
+    }
+  }
+
+  private void learn(ReadResult result) {
+    if (result instanceof Records page) {
+      page.records().forEach(r -> r.value().ifPresent(this::learn));
+    }
+  }
+
+  private void learn(byte[] address) {
+    try {
+      table.learned(DigestCodec.decodeAddress(address), clockMillis.getAsLong());
+    } catch (InvalidProtocolBufferException e) {
+      EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "store", "error", e.getMessage());
+    }
+  }
+
+  private void tick() {
+    if (stopped) {
+      return;
+    }
+    long now = clockMillis.getAsLong();
+    table.newlySilent(now).forEach(this::lost);
+    noteFleetSize();
+    ImmutableMap<String, Integer> current = work.get();
+    boolean news = placements.hasNews() || !current.equals(lastWork);
+    if (news || now - sentAt >= IDLE_MILLIS) {
+      send(current, now);
+    }
+    schedule(this::tick, Math.max(MIN_PACE_MILLIS, table.live().size() * PACE_PER_PEER_MILLIS));
+  }
+
+  private void lost(String instanceId) {
+    lastPlacement.keySet().removeIf(k -> k.startsWith(instanceId + " "));
+    listener.peerLost(instanceId);
+    EventLog.emit(LogEvent.PEER_LOST, "peer", instanceId);
+  }
+
+  private void noteFleetSize() {
+    int live = table.live().size();
+    if (live != liveBefore) {
+      liveBefore = live;
+      listener.fleetSize(live + 1);
+    }
+  }
+
+  private void send(ImmutableMap<String, Integer> current, long now) {
+    ImmutableList<PeerAddress> targets = table.targets(now);
+    if (targets.isEmpty()) {
+      return;
+    }
+    lastWork = current;
+    sentAt = now;
+    number++;
+    boolean namesPeers = number % DIGESTS_PER_PEER_LIST == 1;
+    PeerDigest digest =
+        new PeerDigest(
+            self,
+            number,
+            configVersion.get(),
+            current,
+            placements.next(),
+            namesPeers ? somePeers() : ImmutableList.of());
+    byte[] bytes = DigestCodec.encode(digest);
+    for (PeerAddress target : targets) {
+      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target.address()));
+    }
+    channel.flush();
+  }
+
+  private ImmutableList<PeerAddress> somePeers() {
+    return table.live().stream().limit(MAX_PEERS_TOLD).collect(ImmutableList.toImmutableList());
+  }
+
+  private void receive(byte[] bytes) {
+    try {
+      take(DigestCodec.decode(bytes));
+    } catch (InvalidProtocolBufferException e) {
+      EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "datagram", "error", e.getMessage());
+    }
+  }
+
+  private void take(PeerDigest digest) {
+    long now = clockMillis.getAsLong();
+    digest.peers().forEach(p -> table.learned(p, now));
+    if (!table.heard(digest.sender(), digest.number(), now)) {
+      return;
+    }
+    String sender = digest.sender().instanceId();
+    String incarnation = sender + " " + digest.sender().incarnation();
+    long known = lastPlacement.getOrDefault(incarnation, 0L);
+    if (!lastPlacement.containsKey(incarnation)) {
+      EventLog.emit(
+          LogEvent.PEER_FOUND, "peer", sender, "incarnation", digest.sender().incarnation());
+    }
+    long newest = known;
+    for (PlacementNote note : digest.placements()) {
+      if (note.number() > known) {
+        listener.peerPlaced(note);
+        newest = Math.max(newest, note.number());
+      }
+    }
+    lastPlacement.put(incarnation, newest);
+    listener.peerWork(sender, digest.inFlight());
+    listener.peerConfig(digest.configVersion());
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      receive(ByteBufUtil.getBytes(packet.content()));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // A peer whose port is closed makes sends fail; its silence is noticed anyway.
+    }
+  }
+}
