Model the engines of upstreams that are known before the configuration

A gateway that read the upstreams before the configuration made handles without an engine model, so every session looked cached everywhere and went anywhere. Ruled out before: peers' digests (complete in the logs) and homes by the last prompt part, which belongs to a single request.

The model is now made when the size of the engine is first known; the home of a session is the last part that requests share; memory counts a request's own tokens only.

--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -30,8 +30,8 @@
   /** What one more running request costs the others of an engine, in prompt tokens to read. */
   private static final double TOKENS_PER_REQUEST = 20;
 
-  /** How strongly the home of a prompt is preferred, in prompt tokens to read. */
-  private static final double HOME_TOKENS = 200;
+  /** The share of the tokens of a session by which its home is preferred over other engines. */
+  private static final double HOME_SHARE = 0.6;
 
   /** Larger than every cost of an engine that answers in time. */
   private static final double LATE = 1e9;
@@ -88,13 +88,17 @@
     }
     return engine.freshTokens(prompt)
         + TOKENS_PER_REQUEST * handle.fleetInFlight(request.nowMillis())
-        + HOME_TOKENS * distanceFromHome(handle, prompt);
+        - HOME_SHARE * prompt.sharedTokens() * nearness(handle, prompt);
   }
 
-  /** Returns a number from 0 to 1 that all instances agree on, lowest at the home of a prompt. */
-  private static double distanceFromHome(UpstreamHandle handle, Prompt prompt) {
-    long draw = SlotTable.mix(SlotTable.idHash(handle.upstream().id()) ^ prompt.groupId());
-    return (draw >>> 11) * 0x1.0p-53;
+  /**
+   * Returns a number from 0 to 1 that all instances agree on, highest at the home of a session. The
+   * power sets the home well apart from the next engines.
+   */
+  private static double nearness(UpstreamHandle handle, Prompt prompt) {
+    long draw = SlotTable.mix(SlotTable.idHash(handle.upstream().id()) ^ prompt.sessionId());
+    double uniform = (draw >>> 11) * 0x1.0p-53;
+    return uniform * uniform * uniform * uniform;
   }
 
   private static double plainCost(UpstreamHandle handle, String zone, long nowMillis) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestRun.java
@@ -111,6 +111,12 @@
         upstream.fleetInFlight(dispatcher.nowMillis()),
         "candidates",
         candidates.size(),
+        "session",
+        prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
+        "freshTokens",
+        upstream.freshTokens(prompt),
+        "firstTokenMillis",
+        upstream.firstTokenMillis(prompt, dispatcher.nowMillis()),
         "timeLeftMillis",
         timeLeftMillis());
     attempt = new Attempt(this, dispatcher, upstream);
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -7,6 +7,8 @@
 import org.tanagerbank.direct.DirectUpstream;
 import org.tanagerbank.direct.LoadReport;
 import org.tanagerbank.engine.EngineModel;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.route.EngineLimits;
 
 /** One upstream with what this instance knows of it. Confined to the event loop. */
 final class UpstreamHandle {
@@ -14,7 +16,7 @@
   private static final long LOAD_REPORT_MILLIS = 300;
 
   private final ConnectionPool connections;
-  private final Optional<EngineModel> engine;
+  private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
   private DirectUpstream upstream;
   private int inFlight;
@@ -23,11 +25,9 @@
   private long reportedAt = Long.MIN_VALUE / 2;
   private boolean gone;
 
-  UpstreamHandle(
-      DirectUpstream upstream, ConnectionPool connections, Optional<EngineModel> engine) {
+  UpstreamHandle(DirectUpstream upstream, ConnectionPool connections) {
     this.upstream = upstream;
     this.connections = connections;
-    this.engine = engine;
   }
 
   DirectUpstream upstream() {
@@ -38,6 +38,13 @@
     upstream = report;
   }
 
+  /** Notes the size of the engine; its model begins when the size is first known. */
+  void setEngineLimits(EngineLimits limits) {
+    if (engine.isEmpty()) {
+      engine = Optional.of(EngineModel.create(limits));
+    }
+  }
+
   ConnectionPool connections() {
     return connections;
   }
@@ -46,6 +53,18 @@
     return engine;
   }
 
+  /** Returns how many tokens of a prompt the engine would have to read, or 0 for no engine. */
+  int freshTokens(Optional<Prompt> prompt) {
+    return engine.isPresent() && prompt.isPresent() ? engine.get().freshTokens(prompt.get()) : 0;
+  }
+
+  /** Returns the expected time to the first token, or 0 for no engine. */
+  long firstTokenMillis(Optional<Prompt> prompt, long nowMillis) {
+    return engine.isPresent() && prompt.isPresent()
+        ? Math.round(engine.get().firstTokenMillis(prompt.get(), nowMillis))
+        : 0;
+  }
+
   UpstreamHealth health() {
     return health;
   }
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -16,9 +16,9 @@
 import java.util.stream.Collectors;
 import org.tanagerbank.direct.ConnectionPool;
 import org.tanagerbank.direct.DirectUpstream;
-import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 
@@ -43,8 +43,9 @@
         logDraining(known.upstream(), report);
         known.update(report);
       } else {
-        replace(known, report, config);
+        replace(known, report);
       }
+      engineLimits(config, report.service()).ifPresent(byId.get(report.id())::setEngineLimits);
     }
     for (String id : new HashSet<>(byId.keySet())) {
       if (!ids.contains(id)) {
@@ -60,18 +61,17 @@
     }
   }
 
-  private void replace(
-      UpstreamHandle known, DirectUpstream report, Optional<RoutingConfig> config) {
+  private static Optional<EngineLimits> engineLimits(
+      Optional<RoutingConfig> config, String service) {
+    return config.map(c -> c.services().get(service)).flatMap(Service::engine);
+  }
+
+  private void replace(UpstreamHandle known, DirectUpstream report) {
     if (known != null) {
       known.leave();
     }
-    Optional<EngineModel> engine =
-        config
-            .map(c -> c.services().get(report.service()))
-            .flatMap(Service::engine)
-            .map(EngineModel::create);
     ConnectionPool connections = ConnectionPool.create(loop, report.address(), clockMillis);
-    byId.put(report.id(), new UpstreamHandle(report, connections, engine));
+    byId.put(report.id(), new UpstreamHandle(report, connections));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -32,7 +32,7 @@
   private double readingUntilMillis;
   private long runningTokens;
 
-  private record Work(long memoryTokens) {}
+  private record Work(long ownTokens) {}
 
   private EngineModel(EngineLimits limits) {
     this.limits = limits;
@@ -68,8 +68,8 @@
     checkArgument(!requestId.isEmpty(), "request id must not be empty");
     readingUntilMillis = Math.max(readingUntilMillis, nowMillis) + readMillis(prompt);
     noteRead(prompt);
-    Work previous = running.put(requestId, new Work(prompt.memoryTokens()));
-    runningTokens += prompt.memoryTokens() - (previous == null ? 0 : previous.memoryTokens());
+    Work previous = running.put(requestId, new Work(prompt.ownTokens()));
+    runningTokens += prompt.ownTokens() - (previous == null ? 0 : previous.ownTokens());
   }
 
   /** Notes the parts of a prompt that a peer sent to the engine. */
@@ -87,7 +87,7 @@
   public void ended(String requestId) {
     Work work = running.remove(requestId);
     if (work != null) {
-      runningTokens -= work.memoryTokens();
+      runningTokens -= work.ownTokens();
     }
   }
 
@@ -100,7 +100,7 @@
   private double crowdingMillis(Prompt prompt) {
     double slotsUsed = (double) running.size() / limits.slots();
     double memoryUsed =
-        (double) (runningTokens + prompt.memoryTokens()) / Math.max(1, limits.memoryTokens());
+        (double) (runningTokens + prompt.ownTokens()) / Math.max(1, limits.memoryTokens());
     double used = Math.max(slotsUsed, memoryUsed);
     return used < 0.9 ? 0 : (used - 0.9) * 5_000;
   }
