--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.dispatch.DispatchSettings;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.gateway.Gateway;
 import org.tanagerbank.gateway.GatewaySettings;
 import org.tanagerbank.platform.NodeSettings;
@@ -41,6 +43,7 @@
 
   @Override
   public int run(PrintStream out, PrintStream err) throws InterruptedException {
+    EventLog.installQueued(out);
     Gateway gateway =
         Gateway.create(
             settings(),
@@ -53,13 +56,24 @@
     Thread serving = Thread.currentThread();
     Signal.handle(new Signal("TERM"), signal -> serving.interrupt());
     Signal.handle(new Signal("INT"), signal -> serving.interrupt());
-    Signal.handle(new Signal("HUP"), signal -> {});
+    Signal.handle(new Signal("HUP"), signal -> reload());
     awaitInterrupt();
     gateway.drain();
     gateway.stop();
+    EventLog.close();
     return OK;
   }
 
+  /** Reads the settings again and says whether they changed; a new start uses them. */
+  private void reload() {
+    NodeSettings.Reading reading = NodeSettingsReader.read(Path.of(nodeFile));
+    if (reading.settings() == null) {
+      EventLog.emit(LogEvent.SETTINGS_INVALID, "faults", String.join("; ", reading.faults()));
+    } else {
+      EventLog.emit(LogEvent.SETTINGS_RELOADED, "changed", !reading.settings().equals(node));
+    }
+  }
+
   private static void awaitInterrupt() {
     try {
       Thread.currentThread().join();
--- a/src/main/java/org/tanagerbank/events/EventLog.java
+++ b/src/main/java/org/tanagerbank/events/EventLog.java
@@ -5,10 +5,12 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
+import java.io.PrintStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
+import java.util.logging.Handler;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -24,10 +26,26 @@
 
   private EventLog() {}
 
-  /** Sets up the log output of the process. */
+  /** Sets up the log output of the process, on standard error. */
   public static void install() {
+    install(new ConsoleHandler());
+  }
+
+  /**
+   * Sets up a log output that never blocks: lines beyond the budget of their event or the size of
+   * the queue are counted and left out.
+   */
+  public static void installQueued(PrintStream out) {
+    install(QueuedHandler.start(out, System::nanoTime));
+  }
+
+  /** Writes what is queued, as far as it is read at once; for the end of a process. */
+  public static void close() {
+    LogManager.getLogManager().reset();
+  }
+
+  private static void install(Handler handler) {
     LogManager.getLogManager().reset();
-    ConsoleHandler handler = new ConsoleHandler();
     handler.setFormatter(new LineFormatter());
     Logger.getLogger("").addHandler(handler);
   }
@@ -48,6 +66,11 @@
     LOGGER.at(event.level()).withCause(cause).log("%s", new Line(event, fields));
   }
 
+  /** Returns the record of an event, for a handler that writes one itself. */
+  static LogRecord record(LogEvent event, Object... fields) {
+    return new LogRecord(event.level(), new Line(event, fields).toString());
+  }
+
   private record Line(LogEvent event, Object[] fields) {
     @Override
     public String toString() {
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchPartsTest.java
@@ -0,0 +1,178 @@
+package org.tanagerbank.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.WeightedService;
+
+/**
+ * Guards against requests that run twice, keys that outlive their removal, events that are cut in
+ * two and upstreams that are tried although they fail.
+ */
+final class DispatchPartsTest {
+  private static Route route(RequestKind kind, int attempts, boolean resumable) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        1_000,
+        100,
+        attempts,
+        0,
+        false,
+        resumable,
+        ImmutableList.of(new WeightedService("s", 1)));
+  }
+
+  private static boolean retries(Route route, Outcome outcome, int sent) {
+    return RetryPolicy.retries(route, outcome, sent, 0, 500, () -> true);
+  }
+
+  @Test
+  void requestThatMayHaveRunIsRepeatedOnlyWhenAllowed() {
+    Outcome lost = Outcome.lost("reset");
+    assertThat(retries(route(RequestKind.IDEMPOTENT, 2, false), lost, 1)).isTrue();
+    assertThat(retries(route(RequestKind.NON_IDEMPOTENT, 2, false), lost, 1)).isFalse();
+    assertThat(retries(route(RequestKind.STREAM, 2, false), lost, 1)).isFalse();
+    assertThat(retries(route(RequestKind.STREAM, 2, true), lost, 1)).isTrue();
+  }
+
+  @Test
+  void failureThatAnUpstreamReportsIsRepeatedOnlyWhenAllowed() {
+    assertThat(retries(route(RequestKind.IDEMPOTENT, 2, false), Outcome.failed(500), 1)).isTrue();
+    assertThat(retries(route(RequestKind.NON_IDEMPOTENT, 2, false), Outcome.failed(500), 1))
+        .isFalse();
+  }
+
+  @Test
+  void requestThatDidNotRunGoesElsewhereWithinItsAttempts() {
+    Outcome refused = Outcome.refused(503, false);
+    assertThat(retries(route(RequestKind.NON_IDEMPOTENT, 2, false), refused, 1)).isTrue();
+    assertThat(retries(route(RequestKind.NON_IDEMPOTENT, 2, false), refused, 2)).isFalse();
+  }
+
+  @Test
+  void emptyBudgetEndsRetriesButNotAttemptsThatReachedNobody() {
+    Route route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    assertThat(RetryPolicy.retries(route, Outcome.refused(503, false), 0, 0, 500, () -> false))
+        .isFalse();
+    assertThat(RetryPolicy.retries(route, Outcome.notConnected(), 0, 1, 500, () -> false)).isTrue();
+    assertThat(RetryPolicy.retries(route, Outcome.notConnected(), 0, 4, 500, () -> false))
+        .isFalse();
+  }
+
+  @Test
+  void requestWithoutTimeIsNotRepeated() {
+    Route route = route(RequestKind.IDEMPOTENT, 3, false);
+    assertThat(RetryPolicy.retries(route, Outcome.lost("x"), 1, 0, 5, () -> true)).isFalse();
+  }
+
+  private static RoutingConfig config(long version) {
+    return new RoutingConfig(
+        version,
+        RouteTable.of(ImmutableList.of()),
+        ImmutableMap.of(),
+        ImmutableMap.of(),
+        true,
+        CallerLimits.INITIAL);
+  }
+
+  @Test
+  void configurationNeverReverts() {
+    ConfigState state = new ConfigState(5_000, 2_000);
+    assertThat(state.adopt(config(7))).isTrue();
+    assertThat(state.adopt(config(4))).isFalse();
+    assertThat(state.adopt(config(7))).isFalse();
+    assertThat(state.config().get().version()).isEqualTo(7);
+  }
+
+  @Test
+  void keysWorkOnlyWhileTheirRemovalWouldBeKnown() {
+    ConfigState state = new ConfigState(5_000, 2_000);
+    state.adopt(config(7));
+    assertThat(state.allowsKeys(0)).isFalse();
+    state.currentAsOf(1_000);
+    state.currentAsOf(500);
+    assertThat(state.allowsKeys(5_000)).isTrue();
+    assertThat(state.isCertain(2_900)).isTrue();
+    assertThat(state.isCertain(3_100)).isFalse();
+    assertThat(state.allowsKeys(6_000)).isFalse();
+  }
+
+  @Test
+  void upstreamThatFailsOftenIsAvoidedAndTriedNowAndThen() {
+    UpstreamHealth health = new UpstreamHealth();
+    for (int i = 0; i < 4; i++) {
+      health.failed();
+    }
+    health.sent(0);
+    assertThat(health.isAvoided(500)).isTrue();
+    assertThat(health.isAvoided(1_500)).isFalse();
+    health.sent(1_500);
+    assertThat(health.isAvoided(1_600)).isTrue();
+    for (int i = 0; i < 4; i++) {
+      health.succeeded();
+    }
+    assertThat(health.isAvoided(1_700)).isFalse();
+  }
+
+  @Test
+  void upstreamThatCannotBeReachedIsAvoidedBriefly() {
+    UpstreamHealth health = new UpstreamHealth();
+    health.notConnected(0);
+    assertThat(health.isAvoided(100)).isTrue();
+    assertThat(health.isAvoided(600)).isFalse();
+  }
+
+  /** However a stream is cut into pieces, only whole events come out, and nothing is lost. */
+  @Property(tries = 300, seed = "31337")
+  void eventsComeOutWhole(@ForAll long seed) {
+    Random random = new Random(seed);
+    StringBuilder stream = new StringBuilder();
+    for (int i = 1; i <= 8; i++) {
+      String end = random.nextBoolean() ? "\n" : "\r\n";
+      stream.append("id: ").append(i).append(end).append("data: x").append(i);
+      stream.append(end).append(end);
+    }
+    EventSplitter splitter = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
+    StringBuilder out = new StringBuilder();
+    byte[] bytes = stream.toString().getBytes(UTF_8);
+    for (int at = 0; at < bytes.length; ) {
+      int length = Math.min(bytes.length - at, 1 + random.nextInt(30));
+      ByteBuf piece = Unpooled.copiedBuffer(bytes, at, length);
+      at += length;
+      ByteBuf events = splitter.take(piece);
+      piece.release();
+      out.append(events.toString(UTF_8));
+      events.release();
+      assertThat(out.length() == 0 || out.charAt(out.length() - 1) == '\n').isTrue();
+    }
+    assertThat(out.toString()).isEqualTo(stream.toString());
+    assertThat(splitter.lastEventId()).hasValue("8");
+    splitter.release();
+  }
+
+  @Test
+  void eventThatIsCutOffDoesNotComeOut() {
+    EventSplitter splitter = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
+    ByteBuf events = splitter.take(Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\nda", UTF_8));
+    assertThat(events.toString(UTF_8)).isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(splitter.lastEventId()).hasValue("1");
+    splitter.release();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -0,0 +1,72 @@
+package org.tanagerbank.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.EngineLimits;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Service;
+
+/** Guards against upstreams that are used with the wrong knowledge, or after they left. */
+final class UpstreamsTest {
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final Upstreams upstreams = new Upstreams(group.next(), () -> 0);
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully();
+  }
+
+  private static DirectUpstream report(String id, long started, boolean draining) {
+    return new DirectUpstream(
+        id, "s", new InetSocketAddress("127.0.0.1", 1), "z", 64, draining, 0, started, 1);
+  }
+
+  private static final Optional<RoutingConfig> CONFIG =
+      Optional.of(
+          new RoutingConfig(
+              1,
+              RouteTable.of(ImmutableList.of()),
+              ImmutableMap.of("s", new Service("s", 100, Optional.of(new EngineLimits(64, 1_000)))),
+              ImmutableMap.of(),
+              false,
+              CallerLimits.INITIAL));
+
+  /** The store's upstreams may be read before its configuration. */
+  @Test
+  void engineIsModelledAlsoWhenItWasKnownBeforeTheConfiguration() {
+    upstreams.update(ImmutableList.of(report("a", 1, false)), Optional.empty());
+    upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    assertThat(upstreams.find("a").get().engine()).isPresent();
+  }
+
+  @Test
+  void restartUnderTheSameIdForgetsWhatWasCached() {
+    upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    UpstreamHandle before = upstreams.find("a").get();
+    upstreams.update(ImmutableList.of(report("a", 2, false)), CONFIG);
+    assertThat(upstreams.find("a").get()).isNotEqualTo(before);
+    assertThat(before.isGone()).isTrue();
+  }
+
+  @Test
+  void drainingAndGoneUpstreamsAreNoCandidates() {
+    upstreams.update(
+        ImmutableList.of(report("a", 1, false), report("b", 1, false), report("c", 1, false)),
+        CONFIG);
+    upstreams.update(ImmutableList.of(report("a", 1, true), report("b", 1, false)), CONFIG);
+    assertThat(upstreams.candidates("s", ImmutableSet.of())).hasSize(1);
+    assertThat(upstreams.candidates("s", ImmutableSet.of("b"))).isEmpty();
+    assertThat(upstreams.candidates("t", ImmutableSet.of())).isEmpty();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -0,0 +1,205 @@
+package org.tanagerbank.gateway;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.dispatch.DispatchSettings;
+import org.tanagerbank.platform.PlatformDialect;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.WeightedService;
+import org.tanagerbank.route.Workspace;
+
+/** A gateway on loopback before two scripted upstreams, and a caller that speaks raw bytes. */
+final class GatewayFixture implements AutoCloseable {
+  static final String SIGNED = "Server-Stamp: s1\r\n";
+  private static final int CALLER_TIMEOUT_MILLIS = 20_000;
+  private static final int ROUTE_TIMEOUT_MILLIS = 3_000;
+  private static final CallerLimits LIMITS = new CallerLimits(2_000, 5_000, 1_000, 60_000);
+
+  private final ImmutableList<ScriptedUpstream> upstreams;
+  private final Gateway gateway;
+  private final InetSocketAddress callers;
+  private MemoryStore store;
+
+  GatewayFixture(Function<String, String> script) throws IOException, InterruptedException {
+    upstreams = ImmutableList.of(new ScriptedUpstream(script), new ScriptedUpstream(script));
+    callers = freeTcpAddress();
+    GatewaySettings settings =
+        new GatewaySettings(
+            "g-1",
+            callers,
+            freeUdpAddress(),
+            freeTcpAddress(),
+            5_000,
+            2_000,
+            8_000,
+            new DispatchSettings("z", 2, 0.2, 10_000, 50));
+    gateway =
+        Gateway.create(
+            settings,
+            new PlatformDialect(),
+            loop -> {
+              store = new MemoryStore(loop, config(), reports());
+              return store;
+            });
+    gateway.start();
+    awaitReady(settings.readyAddress());
+  }
+
+  private ImmutableMap<String, DirectUpstream> reports() {
+    return IntStream.range(0, upstreams.size())
+        .boxed()
+        .collect(ImmutableMap.toImmutableMap(i -> "i-" + i, this::report));
+  }
+
+  private DirectUpstream report(int index) {
+    return new DirectUpstream(
+        "i-" + index, "s", upstreams.get(index).address(), "z", 8, false, 0, 1, 1);
+  }
+
+  private static RoutingConfig config() {
+    return new RoutingConfig(
+        1,
+        RouteTable.of(
+            ImmutableList.of(
+                route("/safe/", RequestKind.IDEMPOTENT, 2, false),
+                route("/once/", RequestKind.NON_IDEMPOTENT, 2, false),
+                route("/stream/", RequestKind.STREAM, 2, false),
+                route("/resume/", RequestKind.STREAM, 2, true))),
+        ImmutableMap.of(),
+        ImmutableMap.of("key", new Workspace("w", 0)),
+        true,
+        LIMITS);
+  }
+
+  private static Route route(String prefix, RequestKind kind, int attempts, boolean resumable) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        ROUTE_TIMEOUT_MILLIS,
+        500,
+        attempts,
+        0,
+        false,
+        resumable,
+        ImmutableList.of(new WeightedService("s", 1)));
+  }
+
+  private static InetSocketAddress freeTcpAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+    }
+  }
+
+  private static InetSocketAddress freeUdpAddress() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(socket.getLocalAddress(), socket.getLocalPort());
+    }
+  }
+
+  private static void awaitReady(InetSocketAddress address)
+      throws IOException, InterruptedException {
+    String answer = "";
+    while (!answer.startsWith("HTTP/1.1 200")) {
+      Thread.yield();
+      answer = exchange(address, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    }
+  }
+
+  /** Returns a request with a key. */
+  static String request(String method, String path, String id, String more) {
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nRequest-Id: "
+        + id
+        + "\r\n"
+        + more
+        + "\r\n";
+  }
+
+  /** Sends bytes and returns all that comes back until the connection ends. */
+  String send(String bytes) throws IOException {
+    return exchange(callers, bytes);
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket(callers.getAddress(), callers.getPort());
+    socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  private static String exchange(InetSocketAddress address, String bytes) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+      socket.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+      socket.getOutputStream().flush();
+      return readToEnd(socket.getInputStream());
+    }
+  }
+
+  /** Reads to the end, and says at the end of the text when that was a reset. */
+  static String readToEnd(InputStream in) {
+    StringBuilder text = new StringBuilder();
+    try {
+      for (int b = in.read(); b >= 0; b = in.read()) {
+        text.append((char) b);
+      }
+    } catch (IOException e) {
+      text.append(ScriptedUpstream.RESET);
+    }
+    return text.toString();
+  }
+
+  /** Reads up to the end of a text that is expected. */
+  static String readUntil(InputStream in, String end) throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      text.append((char) b);
+      if (text.toString().endsWith(end)) {
+        break;
+      }
+    }
+    return text.toString();
+  }
+
+  Gateway gateway() {
+    return gateway;
+  }
+
+  MemoryStore store() {
+    return store;
+  }
+
+  /** Returns the texts of the requests that reached the upstreams. */
+  ImmutableList<String> arrivals() {
+    return upstreams.stream()
+        .flatMap(u -> u.requests().stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Override
+  public void close() throws IOException {
+    gateway.stop();
+    for (ScriptedUpstream upstream : upstreams) {
+      upstream.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
@@ -0,0 +1,55 @@
+package org.tanagerbank.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.gateway.DrainPlan.Step;
+
+/** Guards against planned stops that cut callers off, and against time that is not counted. */
+final class GatewayPartsTest {
+  private long steady;
+  private long wall = 1_000_000;
+
+  @Test
+  void suspensionIsCounted() {
+    SuspendAwareClock clock = new SuspendAwareClock(() -> steady, () -> wall);
+    steady += 100;
+    wall += 8_100;
+    assertThat(clock.getAsLong()).isEqualTo(8_100);
+  }
+
+  @Test
+  void timeOfDayThatJumpsBackDoesNotTurnTheClockBack() {
+    SuspendAwareClock clock = new SuspendAwareClock(() -> steady, () -> wall);
+    steady += 100;
+    wall -= 5_000;
+    assertThat(clock.getAsLong()).isEqualTo(100);
+    steady += 100;
+    wall += 100;
+    assertThat(clock.getAsLong()).isEqualTo(200);
+  }
+
+  @Test
+  void slowDriftOfTheTimeOfDayIsNoSuspension() {
+    SuspendAwareClock clock = new SuspendAwareClock(() -> steady, () -> wall);
+    steady += 1_000;
+    wall += 1_050;
+    assertThat(clock.getAsLong()).isEqualTo(1_000);
+  }
+
+  @Test
+  void stopServesOnUntilTheInstanceIsOutOfRotation() {
+    DrainPlan plan = DrainPlan.begin(0, 8_000);
+    assertThat(plan.next(100, 0)).isEqualTo(Step.WAIT);
+    assertThat(plan.next(2_000, 3)).isEqualTo(Step.WAIT);
+    assertThat(plan.next(2_500, 0)).isEqualTo(Step.CLOSE_IDLE);
+  }
+
+  @Test
+  void stopWaitsForRequestsInFlightWithinTheGraceTime() {
+    DrainPlan plan = DrainPlan.begin(0, 8_000);
+    assertThat(plan.next(5_000, 1)).isEqualTo(Step.CLOSE_IDLE);
+    assertThat(plan.next(5_100, 0)).isEqualTo(Step.END);
+    assertThat(plan.next(7_300, 1)).isEqualTo(Step.END);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/gateway/MemoryStore.java
@@ -0,0 +1,93 @@
+package org.tanagerbank.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.feed.FleetStore;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.KeyedTopic;
+import org.tanagerbank.feed.ReadResult;
+import org.tanagerbank.feed.ReadResult.Records;
+import org.tanagerbank.feed.ReadResult.Unavailable;
+import org.tanagerbank.route.RoutingConfig;
+
+/** A store that holds one configuration and a fixed set of upstreams. Thread-safe. */
+final class MemoryStore implements FleetStore {
+  private final EventLoop loop;
+  private final RoutingConfig config;
+  private final ImmutableMap<String, DirectUpstream> upstreams;
+  private volatile boolean away;
+
+  MemoryStore(
+      EventLoop loop, RoutingConfig config, ImmutableMap<String, DirectUpstream> upstreams) {
+    this.loop = loop;
+    this.config = config;
+    this.upstreams = upstreams;
+  }
+
+  /** From now on no call is answered. */
+  void goAway() {
+    away = true;
+  }
+
+  private final class Topic implements KeyedTopic {
+    private final ImmutableList<KeyedRecord> records;
+
+    private Topic(ImmutableList<KeyedRecord> records) {
+      this.records = records;
+    }
+
+    @Override
+    public void newest(Consumer<ReadResult> callback) {
+      answer(records, 0, callback);
+    }
+
+    @Override
+    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
+      answer(ImmutableList.of(), waitMillis, callback);
+    }
+
+    private void answer(
+        ImmutableList<KeyedRecord> page, long delayMillis, Consumer<ReadResult> callback) {
+      ReadResult result = away ? new Unavailable("away") : new Records(page, records.size());
+      var unused = loop.schedule(() -> callback.accept(result), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
+      loop.execute(() -> callback.accept(true));
+    }
+  }
+
+  @Override
+  public KeyedTopic configTopic() {
+    return new Topic(ImmutableList.of(new KeyedRecord("config", Optional.of(new byte[] {1}))));
+  }
+
+  @Override
+  public KeyedTopic upstreamTopic() {
+    return new Topic(
+        upstreams.keySet().stream()
+            .map(id -> new KeyedRecord(id, Optional.of(new byte[] {1})))
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  @Override
+  public KeyedTopic fleetTopic(String name) {
+    return new Topic(ImmutableList.of());
+  }
+
+  @Override
+  public Optional<RoutingConfig> config(KeyedRecord keyed) {
+    return Optional.of(config);
+  }
+
+  @Override
+  public Optional<DirectUpstream> upstream(KeyedRecord keyed) {
+    return Optional.ofNullable(upstreams.get(keyed.key()));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/gateway/ScriptedUpstream.java
@@ -0,0 +1,110 @@
+package org.tanagerbank.gateway;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+
+/**
+ * An upstream that answers each request with scripted bytes, as faulty ones do. Thread-safe.
+ *
+ * <p>The script gets the text of a request and returns what to send; {@link #RESET} and {@link
+ * #CLOSE} at the end of it break the connection.
+ */
+final class ScriptedUpstream implements AutoCloseable {
+  static final String RESET = "<reset>";
+  static final String CLOSE = "<close>";
+  static final String SILENCE = "<silence>";
+
+  private final ServerSocket listening;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+  private final Function<String, String> script;
+
+  ScriptedUpstream(Function<String, String> script) throws IOException {
+    this.script = script;
+    listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    threads.execute(this::accept);
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(listening.getInetAddress(), listening.getLocalPort());
+  }
+
+  /** Returns the texts of all requests so far. */
+  List<String> requests() {
+    return requests;
+  }
+
+  /** Returns the id of a request. */
+  static String requestId(String request) {
+    int start = request.indexOf("Request-Id: ") + "Request-Id: ".length();
+    return request.substring(start, request.indexOf('\r', start));
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listening.accept();
+        threads.execute(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The test is over.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      for (String request = read(in); !request.isEmpty(); request = read(in)) {
+        requests.add(request);
+        String answer = script.apply(request);
+        boolean resets = answer.endsWith(RESET);
+        String bytes = answer.replace(RESET, "").replace(CLOSE, "").replace(SILENCE, "");
+        socket.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+        socket.getOutputStream().flush();
+        if (resets) {
+          socket.setSoLinger(true, 0);
+        }
+        if (resets || answer.endsWith(CLOSE)) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      // The gateway closed the connection.
+    }
+  }
+
+  private static String read(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().endsWith("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        return "";
+      }
+      text.append((char) b);
+    }
+    int length = text.indexOf("content-length: ");
+    if (length >= 0) {
+      int start = length + "content-length: ".length();
+      int bytes = Integer.parseInt(text.substring(start, text.indexOf("\r", start)));
+      text.append(new String(in.readNBytes(bytes), ISO_8859_1));
+    }
+    return text.toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listening.close();
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
@@ -0,0 +1,100 @@
+package org.tanagerbank.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
+
+/** Guards against digests that are late, lost, repeated or foreign. */
+final class PeerPartsTest {
+  private static PeerAddress address(String id, long incarnation) {
+    return new PeerAddress(id, new InetSocketAddress("10.0.0.1", 7340), incarnation);
+  }
+
+  private static Prompt prompt(long id) {
+    return new Prompt("", ImmutableList.of(new PromptPart(id, 10)), 20, 0);
+  }
+
+  @Test
+  void digestSurvivesItsEncoding() throws InvalidProtocolBufferException {
+    PeerDigest digest =
+        new PeerDigest(
+            address("a", 5),
+            9,
+            12,
+            ImmutableMap.of("i-1", 3),
+            ImmutableList.of(new PlacementNote(4, "i-1", prompt(-7))),
+            ImmutableList.of(address("b", 6)));
+    assertThat(DigestCodec.decode(DigestCodec.encode(digest))).isEqualTo(digest);
+  }
+
+  @Test
+  void foreignBytesAreNoDigest() {
+    assertThrows(
+        InvalidProtocolBufferException.class, () -> DigestCodec.decode(new byte[] {1, 2, 3}));
+    assertThrows(InvalidProtocolBufferException.class, () -> DigestCodec.decode(new byte[0]));
+  }
+
+  @Test
+  void lateAndRepeatedDigestsDoNotCount() {
+    PeerTable table = new PeerTable("self");
+    assertThat(table.heard(address("a", 5), 2, 0)).isTrue();
+    assertThat(table.heard(address("a", 5), 2, 1)).isFalse();
+    assertThat(table.heard(address("a", 5), 1, 1)).isFalse();
+    assertThat(table.heard(address("a", 6), 1, 2)).isTrue();
+    assertThat(table.heard(address("a", 5), 3, 3)).isFalse();
+  }
+
+  @Test
+  void ownDigestThatComesBackDoesNotCount() {
+    PeerTable table = new PeerTable("self");
+    assertThat(table.heard(address("self", 5), 1, 0)).isFalse();
+    assertThat(table.live()).isEmpty();
+  }
+
+  @Test
+  void silentPeerIsToldOnceAndProbedUntilItIsHeardAgain() {
+    PeerTable table = new PeerTable("self");
+    table.heard(address("a", 5), 1, 0);
+    assertThat(table.newlySilent(1_000)).isEmpty();
+    assertThat(table.newlySilent(2_000)).containsExactly("a");
+    assertThat(table.newlySilent(2_001)).isEmpty();
+    assertThat(table.targets(2_002)).hasSize(1);
+    assertThat(table.targets(2_003)).isEmpty();
+    assertThat(table.targets(3_100)).hasSize(1);
+    table.heard(address("a", 5), 2, 3_200);
+    assertThat(table.live()).hasSize(1);
+  }
+
+  /** Each placement reaches a peer that loses fewer than three digests in a row. */
+  @Property(tries = 200, seed = "31337")
+  void placementsSurviveLostDigests(@ForAll long seed) {
+    Random random = new Random(seed);
+    PlacementLog log = new PlacementLog();
+    Set<Long> heard = new HashSet<>();
+    int lostInARow = 0;
+    for (int i = 0; i < 50; i++) {
+      if (i < 45) {
+        log.placed("i-1", prompt(i));
+      }
+      ImmutableList<PlacementNote> notes = log.next();
+      boolean lost = lostInARow < 2 && random.nextBoolean();
+      lostInARow = lost ? lostInARow + 1 : 0;
+      if (!lost) {
+        notes.forEach(n -> heard.add(n.number()));
+      }
+    }
+    assertThat(heard).hasSize(45);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -0,0 +1,106 @@
+package org.tanagerbank.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.route.EngineLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Workspace;
+
+/** Guards against records of the store that are misread, and against foreign ones that are used. */
+final class DecodersTest {
+  private static final String REPORT =
+      "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z\",\"slots\":64,"
+          + "\"state\":\"ready\",\"cold-left-ms\":5,\"seq\":4,\"born\":1234}";
+
+  private static final String CONFIG =
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"A.example\",\"path-prefix\":\"/p/\","
+          + "\"type\":\"stream\",\"timeout-ms\":6000,\"slo-ms\":600,\"priority\":1,"
+          + "\"split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+          + "\"attempts\":2,\"public\":false,\"resumable\":true}],"
+          + "\"services\":[{\"name\":\"s\",\"max-conns\":360,"
+          + "\"engine\":{\"slots\":64,\"kv-capacity\":314968}}],"
+          + "\"limits\":{\"max-header-bytes\":100,\"max-body-bytes\":200,"
+          + "\"header-timeout-ms\":300,\"idle-timeout-ms\":400},"
+          + "\"tenants\":[{\"name\":\"w\",\"api-keys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+  private static Optional<DirectUpstream> upstream(String json) {
+    return UpstreamDecoder.decode("i-1", json.getBytes(UTF_8));
+  }
+
+  @Test
+  void reportIsRead() {
+    DirectUpstream upstream = upstream(REPORT).get();
+    assertThat(upstream.service()).isEqualTo("s");
+    assertThat(upstream.address().getPort()).isEqualTo(8080);
+    assertThat(upstream.isDraining()).isFalse();
+    assertThat(upstream.startedAtMillis()).isEqualTo(1234);
+    assertThat(upstream.reportNumber()).isEqualTo(4);
+  }
+
+  @Test
+  void reportOfAnotherWriterNamesNoUpstream() {
+    assertThat(upstream("not json")).isEmpty();
+    assertThat(upstream("[]")).isEmpty();
+    assertThat(upstream("{}")).isEmpty();
+    assertThat(upstream(REPORT.replace("\"ready\"", "\"resting\""))).isEmpty();
+    assertThat(upstream(REPORT.replace("64", "\"64\""))).isEmpty();
+    assertThat(upstream(REPORT.replace("10.0.0.9:8080", "elsewhere"))).isEmpty();
+    assertThat(upstream(REPORT.replace("1234", "12.5"))).isEmpty();
+    assertThat(upstream(REPORT.replace("\"service\":\"s\"", "\"service\":3"))).isEmpty();
+  }
+
+  @Test
+  void configurationIsRead() throws IOException {
+    RoutingConfig config = ConfigDecoder.decode(CONFIG.getBytes(UTF_8));
+    Route route = config.routes().find("a.example", "/p/x").get();
+    assertThat(config.version()).isEqualTo(7);
+    assertThat(route.kind()).isEqualTo(RequestKind.STREAM);
+    assertThat(route.mayRepeat()).isTrue();
+    assertThat(route.services()).hasSize(2);
+    assertThat(config.workspace("k2")).hasValue(new Workspace("w", 1));
+    assertThat(config.workspace("k3")).isEmpty();
+    assertThat(config.services().get("s").engine()).hasValue(new EngineLimits(64, 314968));
+    assertThat(config.limits().maxBodyBytes()).isEqualTo(200);
+  }
+
+  @Test
+  void bytesWithoutVersionAreNoConfiguration() {
+    assertThrows(IOException.class, () -> ConfigDecoder.decode("{}".getBytes(UTF_8)));
+    assertThrows(IOException.class, () -> ConfigDecoder.decode("{\"ver".getBytes(UTF_8)));
+  }
+
+  @Test
+  void recordSurvivesItsEncoding() {
+    KeyedRecord entry = new KeyedRecord("key", Optional.of(new byte[] {1, 2, 3}));
+    ByteBuffer bytes = RecordCodec.encode(entry).nioBuffer();
+    KeyedRecord read = RecordCodec.decode(bytes).get(0).get();
+    assertThat(read.key()).isEqualTo("key");
+    assertThat(read.value().get()).isEqualTo(new byte[] {1, 2, 3});
+  }
+
+  @Test
+  void recordWithoutValueIsRemoval() {
+    ByteBuffer bytes = RecordCodec.encode(new KeyedRecord("key", Optional.empty())).nioBuffer();
+    assertThat(RecordCodec.decode(bytes).get(0).get().value()).isEmpty();
+  }
+
+  @Test
+  void recordThatIsCutOffIsLeftOutAndOneWithoutKeyIsCounted() {
+    byte[] bytes = {0, 0, 0, 1, 0, 0, 0, 0, 3, 1, 'k', 'v', 0, 0, 0, 9, 1};
+    ImmutableList<Optional<KeyedRecord>> records = RecordCodec.decode(ByteBuffer.wrap(bytes));
+    assertThat(records).hasSize(2);
+    assertThat(records.get(0)).isEmpty();
+    assertThat(records.get(1).get().key()).isEqualTo("k");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/platform/NodeSettingsReaderTest.java
@@ -0,0 +1,50 @@
+package org.tanagerbank.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a start with settings that are missing or wrong, and against unclear messages. */
+final class NodeSettingsReaderTest {
+  private static final String COMPLETE =
+      "{\"node\":\"n\",\"ip\":\"10.1.0.40\",\"zone\":\"z\",\"port-range\":[7340,7355],"
+          + "\"listen\":{\"front\":\"10.1.0.40:8227\",\"ready\":\"10.1.0.40:8220\"},"
+          + "\"platform\":{\"addr\":\"10.200.1.7:8223\"},\"new-field\":1,"
+          + "\"bounds\":{\"drain-ms\":2000,\"config-ms\":2000,\"revoke-ms\":5000,\"grace-s\":8,"
+          + "\"stable-ms\":3000,\"retry-ratio\":0.2,\"retry-window-s\":10,\"retry-slack\":54,"
+          + "\"cap-x\":2}}";
+
+  @Test
+  void completeSettingsAreRead() {
+    NodeSettings settings = NodeSettingsReader.parse(COMPLETE).settings();
+    assertThat(settings.instanceId()).isEqualTo("n");
+    assertThat(settings.callerAddress().getPort()).isEqualTo(8227);
+    assertThat(settings.firstPeerPort()).isEqualTo(7340);
+    assertThat(settings.bounds().graceMillis()).isEqualTo(8_000);
+    assertThat(settings.bounds().retryRatio()).isEqualTo(0.2);
+  }
+
+  @Test
+  void allFaultsAreToldAtOnce() {
+    NodeSettings.Reading reading =
+        NodeSettingsReader.parse(
+            COMPLETE
+                .replace("\"node\":\"n\",", "")
+                .replace("10.1.0.40:8227", "here")
+                .replace("\"cap-x\":2", "\"cap-x\":\"two\""));
+    assertThat(reading.settings()).isNull();
+    assertThat(reading.faults())
+        .containsExactly(
+            "node: must be a non-empty text",
+            "listen.front: must be ip:port, not \"here\"",
+            "bounds.cap-x: must be a number that is not negative");
+  }
+
+  @Test
+  void fileThatIsMissingOrNoObjectIsOneFault() {
+    assertThat(NodeSettingsReader.read(Path.of("no-such-file")).faults()).hasSize(1);
+    assertThat(NodeSettingsReader.parse("[1]").faults()).hasSize(1);
+    assertThat(NodeSettingsReader.parse("{").faults()).hasSize(1);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/platform/PlatformDialectTest.java
@@ -0,0 +1,139 @@
+package org.tanagerbank.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.direct.LoadReport;
+import org.tanagerbank.direct.UpstreamCall;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
+
+/** Guards against headers that are forged, lost, or passed on to the wrong side. */
+final class PlatformDialectTest {
+  private final PlatformDialect dialect = new PlatformDialect();
+
+  private static HttpHeaders headers(String... namesAndValues) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    for (int i = 0; i < namesAndValues.length; i += 2) {
+      headers.add(namesAndValues[i], namesAndValues[i + 1]);
+    }
+    return headers;
+  }
+
+  private static UpstreamCall call(Optional<String> workspace) {
+    return new UpstreamCall("i-1", 750, workspace, OptionalInt.empty(), Optional.empty());
+  }
+
+  @Test
+  void headersThatOnlyTheRouterSetsAreReplaced() {
+    HttpHeaders sent =
+        headers(
+            "Request-Id",
+            "r",
+            "Tenant",
+            "forged",
+            "Hold",
+            "h",
+            "Pin-Ms",
+            "9",
+            "Kv-From",
+            "x",
+            "Kv-Backup",
+            "y",
+            "kv-fetch",
+            "z",
+            "Request-Priority",
+            "0",
+            "Expect-Instance",
+            "i-9",
+            "Authorization",
+            "Bearer k",
+            "Deadline-Ms",
+            "6000");
+    HttpHeaders passed = dialect.toUpstream(sent, call(Optional.of("w")));
+    assertThat(passed.names())
+        .containsExactly("Request-Id", "Expect-Instance", "Deadline-Ms", "Tenant");
+    assertThat(passed.get("Tenant")).isEqualTo("w");
+    assertThat(passed.get("Expect-Instance")).isEqualTo("i-1");
+    assertThat(passed.get("Deadline-Ms")).isEqualTo("750");
+  }
+
+  @Test
+  void publicRequestHasNoWorkspace() {
+    HttpHeaders passed = dialect.toUpstream(headers("Tenant", "forged"), call(Optional.empty()));
+    assertThat(passed.contains("Tenant")).isFalse();
+  }
+
+  @Test
+  void connectionHeaderRemovesWhatItNamesButNotTheRequestItself() {
+    HttpHeaders sent =
+        headers(
+            "Connection", "X-Hop, Model , keep-alive", "X-Hop", "1", "Model", "m", "X-End", "2");
+    HttpHeaders passed = dialect.toUpstream(sent, call(Optional.empty()));
+    assertThat(passed.contains("X-Hop")).isFalse();
+    assertThat(passed.get("Model")).isEqualTo("m");
+    assertThat(passed.get("X-End")).isEqualTo("2");
+  }
+
+  @Test
+  void responseKeepsItsSignatureAndLosesItsFraming() {
+    HttpHeaders passed =
+        dialect.toCaller(
+            headers(
+                "Server-Stamp", "s", "Transfer-Encoding", "chunked", "Keep-Alive", "timeout=3"));
+    assertThat(passed.names()).containsExactly("Server-Stamp");
+  }
+
+  @Test
+  void promptIsReadWithItsParts() {
+    HttpHeaders sent =
+        headers(
+            "Model", "m", "Token-Counts", "1460,80", "Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+    Prompt prompt = dialect.prompt(sent).get();
+    assertThat(prompt.promptTokens()).isEqualTo(1460);
+    assertThat(prompt.maxOutputTokens()).isEqualTo(80);
+    assertThat(prompt.parts())
+        .containsExactly(new PromptPart(0x5c1e07a2L, 800), new PromptPart(0x91bd3f06L, 410))
+        .inOrder();
+  }
+
+  @Test
+  void promptThatCannotBeReadIsNone() {
+    assertThat(dialect.prompt(headers("Token-Counts", "x,80"))).isEmpty();
+    assertThat(dialect.prompt(headers("Token-Counts", "1,2", "Prompt-Prefix", "zz:800"))).isEmpty();
+    assertThat(dialect.prompt(headers())).isEmpty();
+  }
+
+  @Test
+  void keyNeedsItsScheme() {
+    assertThat(dialect.key(headers("Authorization", "Bearer abc"))).hasValue("abc");
+    assertThat(dialect.key(headers("Authorization", "Basic abc"))).isEmpty();
+  }
+
+  @Test
+  void onlyStatedRefusalsAreTakenForNotRun() {
+    assertThat(dialect.saysNotRun(503, headers("Not-Executed", "1"))).isTrue();
+    assertThat(dialect.saysNotRun(421, headers())).isTrue();
+    assertThat(dialect.saysNotRun(503, headers())).isFalse();
+    assertThat(dialect.saysNotRun(429, headers())).isFalse();
+  }
+
+  @Test
+  void encodedBodyIsNotGenuine() {
+    assertThat(dialect.isGenuine(headers("Server-Stamp", "s"))).isTrue();
+    assertThat(dialect.isGenuine(headers("Server-Stamp", "s", "Content-Encoding", "gzip")))
+        .isFalse();
+    assertThat(dialect.isGenuine(headers())).isFalse();
+  }
+
+  @Test
+  void loadIsReadOnlyWhenComplete() {
+    assertThat(dialect.load(headers("Server-Load", "3,1,8"))).hasValue(new LoadReport(3, 1, 8));
+    assertThat(dialect.load(headers("Server-Load", "3,1"))).isEmpty();
+    assertThat(dialect.load(headers("Server-Load", "3,-1,8"))).isEmpty();
+  }
+}
