--- /dev/null
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -0,0 +1,187 @@
+package org.tanagerbank.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.tanagerbank.platform.StoreStandin;
+
+/**
+ * Runs the gateway as a process of its own before stand-ins of the platform's store and an
+ * upstream. Guards against a binary that does not start, serve, reload and stop as a platform asks.
+ */
+@Timeout(120)
+final class GatewayIT {
+  /** Extra flags of the virtual machine, for the script that lists the classes of a gateway. */
+  private static final String FLAGS = System.getProperty("tanagerbank.gateway.flags", "");
+
+  @TempDir private Path folder;
+  private StoreStandin store;
+  private ScriptedUpstream upstream;
+  private Process process;
+  private int callerPort;
+  private int readyPort;
+
+  @BeforeEach
+  void start() throws IOException {
+    store = new StoreStandin();
+    upstream = new ScriptedUpstream(GatewayIT::answer);
+    callerPort = freePort();
+    readyPort = freePort();
+    store.put("keyed.op", "config", Optional.of(config().getBytes(UTF_8)));
+    store.put("keyed.servers", "i-1", Optional.of(report().getBytes(UTF_8)));
+    Files.writeString(folder.resolve("node.json"), settings());
+    process = launch();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    process.destroyForcibly();
+    upstream.close();
+    store.close();
+  }
+
+  private Process launch() throws IOException {
+    File logs = new File("target/process-logs");
+    logs.mkdirs();
+    List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+    FLAGS.lines().flatMap(l -> List.of(l.split(" ")).stream()).forEach(command::add);
+    command.removeIf(String::isEmpty);
+    command.addAll(List.of("-Xmx48m", "-jar", "target/tanagerbank-all.jar", "gateway"));
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.environment().put("TANAGERBANK_NODE_FILE", folder.resolve("node.json").toString());
+    builder.redirectError(new File(logs, "gateway.err"));
+    builder.redirectOutput(new File(logs, "gateway.log"));
+    return builder.start();
+  }
+
+  private static String answer(String request) {
+    String id = ScriptedUpstream.requestId(request);
+    String head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n";
+    if (request.startsWith("GET")) {
+      return head + "Server-Load: 1,0,8\r\nContent-Length: 5\r\n\r\nhello";
+    }
+    String event = "id: 1\ndata: x\n\n";
+    return head
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + Integer.toHexString(event.length())
+        + "\r\n"
+        + event
+        + "\r\n0\r\n\r\n";
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static int freeUdpPort() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private String settings() throws IOException {
+    int peerPort = freeUdpPort();
+    return "{\"node\":\"g-1\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"port-range\":["
+        + peerPort
+        + ","
+        + peerPort
+        + "],\"listen\":{\"front\":\"127.0.0.1:"
+        + callerPort
+        + "\",\"ready\":\"127.0.0.1:"
+        + readyPort
+        + "\"},\"platform\":{\"addr\":\"127.0.0.1:"
+        + store.address().getPort()
+        + "\"},\"bounds\":{\"drain-ms\":2000,\"config-ms\":2000,\"revoke-ms\":5000,"
+        + "\"grace-s\":8,\"stable-ms\":3000,\"retry-ratio\":0.2,\"retry-window-s\":10,"
+        + "\"retry-slack\":54,\"cap-x\":2}}";
+  }
+
+  private String report() {
+    return "{\"service\":\"s\",\"addr\":\"127.0.0.1:"
+        + upstream.address().getPort()
+        + "\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\",\"seq\":1}";
+  }
+
+  private static String config() {
+    return "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/p/\","
+        + "\"type\":\"idempotent\",\"timeout-ms\":5000,\"slo-ms\":500,\"service\":\"s\","
+        + "\"attempts\":2},{\"name\":\"q\",\"host\":\"h\",\"path-prefix\":\"/q/\","
+        + "\"type\":\"stream\",\"timeout-ms\":5000,\"slo-ms\":500,\"service\":\"s\","
+        + "\"attempts\":1}],\"services\":[{\"name\":\"s\",\"max-conns\":10,"
+        + "\"engine\":{\"slots\":8,\"kv-capacity\":10000}}],"
+        + "\"tenants\":[{\"name\":\"w\",\"api-keys\":[\"key\"]}]}";
+  }
+
+  private String send(int port, String request) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(request.getBytes(ISO_8859_1));
+      return GatewayFixture.readToEnd(socket.getInputStream());
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private String get(String path) {
+    return GatewayFixture.request("GET", path, "r1", "Connection: close\r\n");
+  }
+
+  private void awaitReady() {
+    while (!send(readyPort, get("/ready")).startsWith("HTTP/1.1 200")) {
+      assertThat(process.isAlive()).isTrue();
+      Thread.yield();
+    }
+  }
+
+  @Test
+  void servesReloadsAndStops() throws IOException, InterruptedException {
+    awaitReady();
+    assertThat(send(callerPort, get("/p/x"))).endsWith("hello");
+    String stream =
+        GatewayFixture.request(
+                "POST",
+                "/q/x",
+                "r2",
+                "Connection: close\r\nModel: m\r\nToken-Counts: 1460,80\r\n"
+                    + "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\nContent-Length: 3\r\n")
+            + "abc";
+    assertThat(send(callerPort, stream)).contains("data: x");
+    assertThat(send(callerPort, get("/none/x"))).startsWith("HTTP/1.1 404");
+    assertThat(send(callerPort, "nonsense\r\n\r\n")).startsWith("HTTP/1.1 400");
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    process.destroy();
+    assertThat(process.waitFor()).isEqualTo(0);
+    String log = Files.readString(Path.of("target/process-logs/gateway.log"));
+    assertThat(log).contains("SETTINGS_RELOADED");
+    assertThat(log).contains("PROCESS_STOPPED");
+  }
+
+  @Test
+  void keyThatIsTakenAwayStopsWorking() {
+    awaitReady();
+    assertThat(send(callerPort, get("/p/x"))).startsWith("HTTP/1.1 200");
+    String without = config().replace("\"version\":1", "\"version\":3").replace("\"key\"", "");
+    store.put("keyed.op", "config", Optional.of(without.getBytes(UTF_8)));
+    while (!send(callerPort, get("/p/x")).startsWith("HTTP/1.1 401")) {
+      assertThat(process.isAlive()).isTrue();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -0,0 +1,110 @@
+package org.tanagerbank.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.KeyedTopic;
+import org.tanagerbank.feed.ReadResult;
+import org.tanagerbank.feed.ReadResult.Records;
+import org.tanagerbank.feed.ReadResult.Trimmed;
+import org.tanagerbank.feed.ReadResult.Unavailable;
+
+/** Guards against pages, removals, lost history and refusals of the store that are misread. */
+@Timeout(60)
+final class StoreClientTest {
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private StoreStandin store;
+  private KeyedTopic topic;
+
+  @BeforeEach
+  void start() throws IOException {
+    store = new StoreStandin();
+    topic =
+        StoreClient.create(group.next(), store.address(), () -> System.nanoTime() / 1_000_000)
+            .keyedTopic("keyed.t");
+  }
+
+  @AfterEach
+  void stop() {
+    store.close();
+    group.shutdownGracefully();
+  }
+
+  private <T> T await(Consumer<Consumer<T>> call) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    group.next().execute(() -> call.accept(future::complete));
+    return future.join();
+  }
+
+  private void put(String key, String value) {
+    store.put("keyed.t", key, Optional.of(value.getBytes(UTF_8)));
+  }
+
+  private static String text(ReadResult result) {
+    return ((Records) result)
+        .records().stream()
+            .map(r -> r.key() + "=" + r.value().map(v -> new String(v, UTF_8)).orElse("-"))
+            .collect(Collectors.joining(" "));
+  }
+
+  @Test
+  void newestIsReadOverAllPages() {
+    for (int i = 0; i < 5; i++) {
+      put("k" + i, "old");
+      put("k" + i, "v" + i);
+    }
+    ReadResult result = await(topic::newest);
+    assertThat(text(result)).isEqualTo("k0=v0 k1=v1 k2=v2 k3=v3 k4=v4");
+    assertThat(((Records) result).next()).isEqualTo(10);
+  }
+
+  @Test
+  void recordsAndRemovalsAreReadInOrder() {
+    put("a", "1");
+    store.put("keyed.t", "a", Optional.empty());
+    put("b", "2");
+    ReadResult result = await(callback -> topic.read(1, 0, callback));
+    assertThat(text(result)).isEqualTo("a=- b=2");
+    assertThat(((Records) result).next()).isEqualTo(3);
+  }
+
+  @Test
+  void historyThatIsGoneIsSaidSo() {
+    put("a", "1");
+    store.trim(1);
+    assertThat(this.<ReadResult>await(callback -> topic.read(0, 0, callback)))
+        .isInstanceOf(Trimmed.class);
+  }
+
+  @Test
+  void refusalIsNoAnswer() {
+    store.setStatus(503);
+    assertThat(this.<ReadResult>await(topic::newest)).isEqualTo(new Unavailable("status 503"));
+    assertThat(this.<Boolean>await(c -> topic.append(new KeyedRecord("a", Optional.empty()), c)))
+        .isFalse();
+  }
+
+  @Test
+  void appendIsReadByOthers() {
+    KeyedRecord entry = new KeyedRecord("me", Optional.of("here".getBytes(UTF_8)));
+    assertThat(this.<Boolean>await(callback -> topic.append(entry, callback))).isTrue();
+    assertThat(text(await(topic::newest))).isEqualTo("me=here");
+  }
+
+  @Test
+  void storeThatIsNotThereIsNoAnswer() {
+    store.close();
+    assertThat(this.<ReadResult>await(topic::newest)).isInstanceOf(Unavailable.class);
+  }
+}
