Refuse late requests of a stop that could only be cut off; hold requests while starting

Ruled out: connections kept open from before, which are closed when idle.

After 2.5 s a stopping gateway takes only requests that end in time and tells others at once to come back, which other gateways serve. A gateway that has just started holds requests up to 0.7 s until configuration and upstreams are known, in place of a refusal. Test: stopRefusesLateRequestsThatItCouldOnlyCutOff.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tanagerbank.caller.CallerExchange;
@@ -45,6 +46,9 @@
   /** The store answers within milliseconds unless it is slow or away. */
   private static final long STORE_ANSWER_MILLIS = 60;
 
+  /** After a start, the configuration and the upstreams are known within this time. */
+  private static final long START_MILLIS = 700;
+
   /** Bounds the requests that wait for the store at once. */
   private static final int MAX_WAITING = 200;
 
@@ -75,6 +79,8 @@
   private Runnable askStore = () -> {};
   private BiConsumer<String, Prompt> onPlaced = (upstream, prompt) -> {};
   private int fleetSize = 1;
+  private boolean upstreamsKnown;
+  private LongPredicate admits = longest -> true;
 
   private Dispatcher(
       EventLoop loop,
@@ -114,6 +120,15 @@
   /** Takes over the upstreams that exist now. */
   public void updateUpstreams(Collection<DirectUpstream> reports) {
     upstreams.update(reports, config.config());
+    if (!upstreamsKnown) {
+      upstreamsKnown = true;
+      configIsCurrent();
+    }
+  }
+
+  /** Sets what decides whether a request that may last for some milliseconds is still taken. */
+  public void admitIf(LongPredicate predicate) {
+    admits = predicate;
   }
 
   /** Sets what is told of each request that is sent to an engine. */
@@ -177,8 +192,11 @@
     askStore = refresh;
   }
 
-  /** Goes on with the requests that waited to learn whether the configuration is the newest. */
+  /** Goes on with the requests that waited for the store to answer. */
   public void configIsCurrent() {
+    if (!isStarted()) {
+      return;
+    }
     List<Waiting> ready = new ArrayList<>(waiting);
     waiting.clear();
     ready.forEach(w -> w.proceed.run());
@@ -186,21 +204,23 @@
 
   @Override
   public void handle(CallerRequest request, CallerExchange exchange) {
-    if (config.config().isEmpty()) {
-      refuse(request, exchange, Refusal.notRun("no configuration yet"));
-      return;
-    }
-    if (config.allowsKeys(storeClockMillis.getAsLong())) {
+    if (!isStarted()) {
+      waitForStore(request, exchange, START_MILLIS);
+    } else if (config.allowsKeys(storeClockMillis.getAsLong())) {
       route(request, exchange);
-      return;
+    } else {
+      // As after a pause of this process: the store may only have to be asked again.
+      waitForStore(request, exchange, STORE_ANSWER_MILLIS);
+      askStore.run();
     }
-    waitForStore(request, exchange);
   }
 
-  /**
-   * Asks the store first, as after a pause of this process, and refuses when it does not answer.
-   */
-  private void waitForStore(CallerRequest request, CallerExchange exchange) {
+  private boolean isStarted() {
+    return upstreamsKnown && config.config().isPresent();
+  }
+
+  /** Goes on with a request when the store has answered, or after a time. */
+  private void waitForStore(CallerRequest request, CallerExchange exchange, long limitMillis) {
     if (waiting.size() >= MAX_WAITING) {
       refuse(request, exchange, Refusal.notRun(OUTDATED));
       return;
@@ -220,12 +240,15 @@
                 route(request, exchange);
               }
             },
-            STORE_ANSWER_MILLIS,
+            limitMillis,
             TimeUnit.MILLISECONDS);
-    askStore.run();
   }
 
   private void route(CallerRequest request, CallerExchange exchange) {
+    if (config.config().isEmpty()) {
+      refuse(request, exchange, Refusal.notRun("no configuration yet"));
+      return;
+    }
     RoutingConfig known = config.config().get();
     String host = request.headers().get(HttpHeaderNames.HOST, "");
     Optional<Route> route = known.routes().find(host, request.target());
@@ -248,9 +271,19 @@
       refuse(request, exchange, ifCertain(Refusal.unknownKey()));
       return;
     }
+    if (!admits.test(longestMillis(request, route))) {
+      refuse(request, exchange, Refusal.leaving());
+      return;
+    }
     new RequestRun(this, request, exchange, route, needsKey ? workspace : Optional.empty()).start();
   }
 
+  /** Returns how long a request may be kept waiting for its whole answer. */
+  long longestMillis(CallerRequest request, Route route) {
+    long limit = dialect.timeLeftMillis(request.headers()).orElse(Long.MAX_VALUE);
+    return Math.min(limit, route.timeoutMillis());
+  }
+
   /** A route or key that is missing may only be new when the configuration is not the newest. */
   private Refusal ifCertain(Refusal refusal) {
     return config.isCertain(storeClockMillis.getAsLong())
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -14,6 +14,9 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final int STATUS_TIMEOUT = 504;
 
+  /** Time to connect to another instance. */
+  private static final long ELSEWHERE_MILLIS = 20;
+
   /** Time for the platform or an upstream to come back. */
   private static final long SHORT_RETRY_MILLIS = 300;
 
@@ -25,6 +28,11 @@
     return new Refusal(STATUS_UNAUTHORIZED, 0, "unknown key");
   }
 
+  /** Another instance takes the request at once. */
+  static Refusal leaving() {
+    return new Refusal(STATUS_UNAVAILABLE, ELSEWHERE_MILLIS, "the instance is stopping");
+  }
+
   /** The request did not run and will not run. */
   static Refusal notRun(String reason) {
     return new Refusal(STATUS_UNAVAILABLE, SHORT_RETRY_MILLIS, reason);
--- a/src/main/java/org/tanagerbank/dispatch/RequestRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestRun.java
@@ -33,8 +33,6 @@
  * loop.
  */
 final class RequestRun {
-  private static final long NO_DEADLINE_MILLIS = 60_000;
-
   private final Dispatcher dispatcher;
   private final CallerRequest request;
   private final CallerExchange exchange;
@@ -68,8 +66,7 @@
     this.requestId = dispatcher.dialect().requestId(request.headers());
     this.prompt = dispatcher.dialect().prompt(request.headers());
     this.service = route.pickService(dispatcher.random());
-    long limit = dispatcher.dialect().timeLeftMillis(request.headers()).orElse(NO_DEADLINE_MILLIS);
-    this.deadline = request.arrivedMillis() + Math.min(limit, route.timeoutMillis());
+    this.deadline = request.arrivedMillis() + dispatcher.longestMillis(request, route);
   }
 
   void start() {
--- a/src/main/java/org/tanagerbank/gateway/DrainPlan.java
+++ b/src/main/java/org/tanagerbank/gateway/DrainPlan.java
@@ -1,11 +1,11 @@
 package org.tanagerbank.gateway;
 
 /**
- * When a planned stop closes connections and ends. Decision code; not thread-safe.
+ * When a planned stop refuses requests, closes connections and ends. Immutable decision code.
  *
  * <p>First callers go on as before while the platform moves new connections elsewhere; then
- * connections that wait for a request are closed; the process ends when no request is left or the
- * grace time is nearly over.
+ * requests that may last longer than the process are refused and connections that wait for a
+ * request are closed; the process ends when no request is left or the grace time is nearly over.
  */
 final class DrainPlan {
   /** How often the next step is decided. */
@@ -37,6 +37,11 @@
     return new DrainPlan(Math.min(nowMillis + ROTATION_MILLIS, end), end);
   }
 
+  /** Returns whether a request that may last for a time is still taken. */
+  boolean accepts(long nowMillis, long longestMillis) {
+    return nowMillis < rotatedOutAt || nowMillis + longestMillis < endAt;
+  }
+
   Step next(long nowMillis, int requestsInFlight) {
     if (nowMillis >= endAt) {
       return Step.END;
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -199,8 +199,10 @@
   public void drain() throws InterruptedException {
     EventLog.emit(LogEvent.PROCESS_STOPPING, "instance", settings.instanceId());
     draining = true;
-    loop.execute(callers::beginDrain);
     DrainPlan plan = DrainPlan.begin(clockMillis.getAsLong(), settings.graceMillis());
+    loop.execute(callers::beginDrain);
+    loop.execute(
+        () -> dispatcher.admitIf(longest -> plan.accepts(clockMillis.getAsLong(), longest)));
     while (true) {
       int handling = loop.submit(callers::handling).syncUninterruptibly().getNow();
       DrainPlan.Step step = plan.next(clockMillis.getAsLong(), handling);
--- a/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
@@ -45,6 +45,16 @@
     assertThat(plan.next(2_500, 0)).isEqualTo(Step.CLOSE_IDLE);
   }
 
+  /** Connections may still arrive when no other instance of the zone is ready. */
+  @Test
+  void stopRefusesLateRequestsThatItCouldOnlyCutOff() {
+    DrainPlan plan = DrainPlan.begin(0, 8_000);
+    assertThat(plan.accepts(1_000, 15_000)).isTrue();
+    assertThat(plan.accepts(4_500, 15_000)).isFalse();
+    assertThat(plan.accepts(4_500, 1_500)).isTrue();
+    assertThat(plan.accepts(7_000, 1_500)).isFalse();
+  }
+
   @Test
   void stopWaitsForRequestsInFlightWithinTheGraceTime() {
     DrainPlan plan = DrainPlan.begin(0, 8_000);
