--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -13,6 +13,7 @@
 import org.tanagerbank.platform.NodeSettings;
 import org.tanagerbank.platform.NodeSettingsReader;
 import org.tanagerbank.platform.PlatformDialect;
+import org.tanagerbank.platform.PlatformEngines;
 import org.tanagerbank.platform.PlatformStore;
 import org.tanagerbank.platform.StoreClient;
 import sun.misc.Signal;
@@ -48,6 +49,7 @@
         Gateway.create(
             settings(),
             new PlatformDialect(),
+            new PlatformEngines(),
             loop ->
                 PlatformStore.create(
                     StoreClient.create(
@@ -89,6 +91,7 @@
         node.callerAddress(),
         new InetSocketAddress(node.ip(), node.firstPeerPort()),
         node.readyAddress(),
+        node.firstStart(),
         bounds.revokeMillis(),
         bounds.configMillis(),
         bounds.graceMillis(),
--- a/src/main/java/org/tanagerbank/direct/WholeExchange.java
+++ b/src/main/java/org/tanagerbank/direct/WholeExchange.java
@@ -1,28 +1,50 @@
-package org.tanagerbank.platform;
+package org.tanagerbank.direct;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.tanagerbank.direct.ExchangeFailure;
-import org.tanagerbank.direct.ExchangeListener;
-import org.tanagerbank.direct.HttpConnection;
 
-/** One call to the store, which tells its callback one reply. Confined to one event loop. */
-final class StoreCall implements ExchangeListener {
-  private final Consumer<StoreReply> callback;
+/** A call whose small response is wanted as a whole. Confined to one event loop. */
+public final class WholeExchange implements ExchangeListener {
+  private final Consumer<WholeResponse> callback;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpConnection connection;
   private int status;
   private boolean done;
 
-  StoreCall(Consumer<StoreReply> callback) {
+  private WholeExchange(Consumer<WholeResponse> callback) {
     this.callback = callback;
   }
 
-  void sendOn(HttpConnection opened, FullHttpRequest request) {
+  /**
+   * Sends a request; the callback is told one response, at the latest when the time is over.
+   *
+   * @param request a request that this method takes ownership of
+   */
+  public static void send(
+      EventLoop loop,
+      ConnectionPool connections,
+      FullHttpRequest request,
+      long timeoutMillis,
+      Consumer<WholeResponse> callback) {
+    WholeExchange call = new WholeExchange(callback);
+    connections.acquire(
+        connection -> call.sendOn(connection, request),
+        () -> {
+          request.release();
+          call.fail("no connection");
+        });
+    // The callback runs once, also when the timeout passes after the answer.
+    var unused =
+        loop.schedule(() -> call.fail("no answer in time"), timeoutMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void sendOn(HttpConnection opened, FullHttpRequest request) {
     if (done) {
       request.release();
       opened.close();
@@ -33,7 +55,7 @@
   }
 
   /** Ends the call without an answer, unless it has ended. */
-  void fail(String reason) {
+  private void fail(String reason) {
     if (done) {
       return;
     }
@@ -41,10 +63,10 @@
       // An answer that is late must not be taken for the answer to the next call.
       connection.cancel();
     }
-    finish(StoreReply.failed(reason));
+    finish(WholeResponse.failed(reason));
   }
 
-  private void finish(StoreReply reply) {
+  private void finish(WholeResponse reply) {
     if (!done) {
       done = true;
       connection = null;
@@ -64,11 +86,11 @@
 
   @Override
   public void end() {
-    finish(StoreReply.answered(status, body.toByteArray()));
+    finish(WholeResponse.answered(status, body.toByteArray()));
   }
 
   @Override
   public void failed(ExchangeFailure failure) {
-    finish(StoreReply.failed(failure.name()));
+    finish(WholeResponse.failed(failure.name()));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -24,11 +25,15 @@
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerHandler;
 import org.tanagerbank.caller.CallerRequest;
+import org.tanagerbank.direct.ConnectionPool;
 import org.tanagerbank.direct.Dialect;
 import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.peer.CachedParts;
 import org.tanagerbank.peer.PeerListener;
 import org.tanagerbank.peer.PlacementNote;
 import org.tanagerbank.route.Route;
@@ -154,10 +159,34 @@
 
   @Override
   public void peerPlaced(PlacementNote note) {
-    upstreams
-        .find(note.upstreamId())
-        .flatMap(UpstreamHandle::engine)
-        .ifPresent(e -> e.peerSent(note.prompt(), clockMillis.getAsLong()));
+    engine(note.upstreamId()).ifPresent(e -> e.peerSent(note.prompt(), clockMillis.getAsLong()));
+  }
+
+  @Override
+  public void peerCaches(CachedParts caches) {
+    engine(caches.upstreamId()).ifPresent(e -> e.restore(caches.parts()));
+  }
+
+  private Optional<EngineModel> engine(String upstreamId) {
+    return upstreams.find(upstreamId).flatMap(UpstreamHandle::engine);
+  }
+
+  /** Returns the ids of the upstreams that are engines. */
+  public ImmutableList<String> engineIds() {
+    return upstreams.all().stream()
+        .filter(u -> u.engine().isPresent())
+        .map(u -> u.upstream().id())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the prompt parts that an engine is believed to keep and several requests share. */
+  public ImmutableList<PromptPart> cachedParts(String upstreamId) {
+    return engine(upstreamId).map(EngineModel::sharedParts).orElse(ImmutableList.of());
+  }
+
+  /** Returns the connections to an upstream. */
+  public Optional<ConnectionPool> connections(String upstreamId) {
+    return upstreams.find(upstreamId).map(UpstreamHandle::connections);
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
 import org.tanagerbank.route.EngineLimits;
@@ -83,6 +84,16 @@
     noteRead(prompt);
   }
 
+  /** Notes prompt parts that the engine keeps, of which others told. */
+  public void restore(Iterable<PromptPart> parts) {
+    cache.restore(parts);
+  }
+
+  /** Returns the prompt parts that the engine is believed to keep and several requests share. */
+  public ImmutableList<PromptPart> sharedParts() {
+    return cache.sharedParts();
+  }
+
   /** Notes that a request has ended, whatever its outcome. */
   public void ended(String requestId) {
     Work work = running.remove(requestId);
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -4,15 +4,19 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.caller.CallerExchange;
+import org.tanagerbank.caller.CallerHandler;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.caller.CallerServer;
 import org.tanagerbank.contract.Lifecycle;
 import org.tanagerbank.direct.Dialect;
+import org.tanagerbank.direct.EngineInspector;
 import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.Dispatcher;
 import org.tanagerbank.events.EventLog;
@@ -62,6 +66,7 @@
   private final Dispatcher dispatcher;
   private final UpstreamFeed upstreamFeed;
   private final PeerService peers;
+  private final CacheHandover handover;
   private final TopicFollower configFollower;
   private final TopicFollower upstreamFollower;
   private final CallerServer callers;
@@ -70,7 +75,10 @@
   private boolean wasReady;
 
   private Gateway(
-      GatewaySettings settings, Dialect dialect, Function<EventLoop, FleetStore> storeFactory) {
+      GatewaySettings settings,
+      Dialect dialect,
+      EngineInspector inspector,
+      Function<EventLoop, FleetStore> storeFactory) {
     this.settings = settings;
     config = new ConfigState(settings.revokeMillis(), settings.configMillis());
     dispatcher =
@@ -102,39 +110,43 @@
             UPSTREAM_PACE_MILLIS,
             UPSTREAM_WAIT_MILLIS);
     dispatcher.onDoubt(configFollower::refresh);
-    peers =
-        PeerService.create(
-            loop,
-            clockMillis,
-            new PeerAddress(
-                settings.instanceId(), settings.peerAddress(), System.currentTimeMillis()),
-            store.fleetTopic(PEER_TOPIC),
-            dispatcher,
-            dispatcher::inFlight,
-            () -> config.config().map(RoutingConfig::version).orElse(0L));
+    PeerAddress self =
+        new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
+    peers = peerService(store, self);
     dispatcher.onPlaced(peers::placed);
-    callers =
-        CallerServer.create(
-            group,
-            settings.callerAddress(),
-            config::limits,
-            dispatcher,
-            status -> EventLog.emit(LogEvent.REQUEST_REJECTED, "status", status),
-            clockMillis);
-    readiness =
-        CallerServer.create(
-            group,
-            settings.readyAddress(),
-            config::limits,
-            this::answerReadiness,
-            status -> {},
-            clockMillis);
+    handover = new CacheHandover(loop, dispatcher, peers, inspector, self);
+    peers.onStarted(handover::peerStarted);
+    callers = server(settings.callerAddress(), dispatcher, Gateway::noteRejected);
+    readiness = server(settings.readyAddress(), this::answerReadiness, status -> {});
+  }
+
+  private PeerService peerService(FleetStore store, PeerAddress self) {
+    return PeerService.create(
+        loop,
+        clockMillis,
+        self,
+        store.fleetTopic(PEER_TOPIC),
+        dispatcher,
+        dispatcher::inFlight,
+        () -> config.config().map(RoutingConfig::version).orElse(0L));
+  }
+
+  private CallerServer server(
+      InetSocketAddress address, CallerHandler handler, IntConsumer onRejected) {
+    return CallerServer.create(group, address, config::limits, handler, onRejected, clockMillis);
+  }
+
+  private static void noteRejected(int status) {
+    EventLog.emit(LogEvent.REQUEST_REJECTED, "status", status, "reason", "unreadable request");
   }
 
   /** Returns a gateway that serves after {@link #start}. */
   public static Gateway create(
-      GatewaySettings settings, Dialect dialect, Function<EventLoop, FleetStore> storeFactory) {
-    return new Gateway(settings, dialect, storeFactory);
+      GatewaySettings settings,
+      Dialect dialect,
+      EngineInspector inspector,
+      Function<EventLoop, FleetStore> storeFactory) {
+    return new Gateway(settings, dialect, inspector, storeFactory);
   }
 
   @Override
@@ -144,6 +156,9 @@
     peers.start();
     loop.execute(configFollower::start);
     loop.execute(upstreamFollower::start);
+    if (!settings.firstStart()) {
+      loop.execute(handover::started);
+    }
     var unused =
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     EventLog.emit(
--- a/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param callerAddress where to serve callers
  * @param peerAddress where to receive digests of other instances
  * @param readyAddress where to answer whether the instance is ready
+ * @param firstStart whether the whole system starts for the first time
  * @param revokeMillis the time after which a key that was taken away must not work
  * @param configMillis the time after which a new configuration must be in force
  * @param graceMillis the time that a planned stop may take
@@ -20,6 +21,7 @@
     InetSocketAddress callerAddress,
     InetSocketAddress peerAddress,
     InetSocketAddress readyAddress,
+    boolean firstStart,
     long revokeMillis,
     long configMillis,
     long graceMillis,
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -5,6 +5,8 @@
 import com.google.common.net.InetAddresses;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.proto.PeerProto;
@@ -29,6 +31,7 @@
                     PeerProto.UpstreamWork.newBuilder().setUpstreamId(id).setInFlight(n)));
     digest.placements().forEach(p -> message.addPlacements(placement(p)));
     digest.peers().forEach(p -> message.addPeers(address(p)));
+    digest.caches().forEach(c -> message.addCaches(cache(c)));
     return message.build().toByteArray();
   }
 
@@ -66,7 +69,13 @@
         message.getPlacementsList().stream()
             .map(DigestCodec::placement)
             .collect(ImmutableList.toImmutableList()),
-        peers.build());
+        peers.build(),
+        message.getCachesList().stream()
+            .map(
+                c ->
+                    new CachedParts(
+                        c.getUpstreamId(), parts(c.getPartIdsList(), c.getPartTokensList())))
+            .collect(ImmutableList.toImmutableList()));
   }
 
   private static PeerProto.Address address(PeerAddress address) {
@@ -108,12 +117,24 @@
   }
 
   private static PlacementNote placement(PeerProto.Placement message) {
-    ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
-    int count = Math.min(message.getPartIdsCount(), message.getPartTokensCount());
-    for (int i = 0; i < count; i++) {
-      parts.add(new PromptPart(message.getPartIds(i), message.getPartTokens(i)));
-    }
-    Prompt prompt = new Prompt("", parts.build(), message.getPromptTokens(), 0);
+    ImmutableList<PromptPart> parts = parts(message.getPartIdsList(), message.getPartTokensList());
+    Prompt prompt = new Prompt("", parts, message.getPromptTokens(), 0);
     return new PlacementNote(message.getNumber(), message.getUpstreamId(), prompt);
   }
+
+  private static PeerProto.EngineCache cache(CachedParts caches) {
+    PeerProto.EngineCache.Builder message =
+        PeerProto.EngineCache.newBuilder().setUpstreamId(caches.upstreamId());
+    for (PromptPart part : caches.parts()) {
+      message.addPartIds(part.id());
+      message.addPartTokens(part.tokens());
+    }
+    return message.build();
+  }
+
+  private static ImmutableList<PromptPart> parts(List<Long> ids, List<Integer> tokens) {
+    return IntStream.range(0, Math.min(ids.size(), tokens.size()))
+        .mapToObj(i -> new PromptPart(ids.get(i), tokens.get(i)))
+        .collect(ImmutableList.toImmutableList());
+  }
 }
--- a/src/main/java/org/tanagerbank/peer/PeerDigest.java
+++ b/src/main/java/org/tanagerbank/peer/PeerDigest.java
@@ -12,6 +12,7 @@
  * @param inFlight the requests that it has at each upstream; those without any are left out
  * @param placements its latest placements, also those of some earlier digests
  * @param peers other instances that it knows; not in every digest
+ * @param caches what engines keep; only for instances that have just started
  */
 public record PeerDigest(
     PeerAddress sender,
@@ -19,4 +20,5 @@
     long configVersion,
     ImmutableMap<String, Integer> inFlight,
     ImmutableList<PlacementNote> placements,
-    ImmutableList<PeerAddress> peers) {}
+    ImmutableList<PeerAddress> peers,
+    ImmutableList<CachedParts> caches) {}
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -10,6 +10,9 @@
   /** Called once for each placement of another instance. */
   void peerPlaced(PlacementNote placement);
 
+  /** Called with what an engine keeps, as another instance tells. */
+  void peerCaches(CachedParts caches);
+
   /** Called when an instance has a configuration in force. */
   void peerConfig(long version);
 
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Lists;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -13,15 +14,18 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.Lifecycle;
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.feed.KeyedRecord;
@@ -48,6 +52,9 @@
   /** How often a digest names the peers that the sender knows. */
   private static final int DIGESTS_PER_PEER_LIST = 25;
 
+  /** Keeps a datagram with cached parts below the size that networks pass on whole. */
+  private static final int PARTS_PER_DATAGRAM = 90;
+
   private static final int MAX_PEERS_TOLD = 20;
   private static final long STORE_RETRY_MILLIS = 700;
 
@@ -70,6 +77,7 @@
   private long sentAt;
   private int liveBefore = -1;
   private boolean stopped;
+  private Consumer<PeerAddress> onStarted = started -> {};
 
   private PeerService(
       EventLoop loop,
@@ -133,6 +141,11 @@
     }
   }
 
+  /** Sets what is told of each start of an instance when it is first heard of. */
+  public void onStarted(Consumer<PeerAddress> action) {
+    onStarted = action;
+  }
+
   /** Notes that this instance sent a request to an engine. */
   public void placed(String upstreamId, Prompt prompt) {
     placements.placed(upstreamId, prompt);
@@ -204,6 +217,22 @@
     }
   }
 
+  /** Tells instances what engines keep, in as many datagrams as it takes. */
+  public void sendCaches(ImmutableList<PeerAddress> targets, ImmutableList<CachedParts> caches) {
+    for (CachedParts cache : caches) {
+      for (List<PromptPart> parts : Lists.partition(cache.parts(), PARTS_PER_DATAGRAM)) {
+        number++;
+        CachedParts part = new CachedParts(cache.upstreamId(), ImmutableList.copyOf(parts));
+        send(digest(lastWork, ImmutableList.of(), ImmutableList.of(part)), targets);
+      }
+    }
+  }
+
+  /** Returns the instances that are heard of. */
+  public ImmutableList<PeerAddress> live() {
+    return table.live();
+  }
+
   private void send(ImmutableMap<String, Integer> current, long now) {
     ImmutableList<PeerAddress> targets = table.targets(now);
     if (targets.isEmpty()) {
@@ -212,15 +241,25 @@
     lastWork = current;
     sentAt = now;
     number++;
+    send(digest(current, placements.next(), ImmutableList.of()), targets);
+  }
+
+  private PeerDigest digest(
+      ImmutableMap<String, Integer> current,
+      ImmutableList<PlacementNote> notes,
+      ImmutableList<CachedParts> caches) {
     boolean namesPeers = number % DIGESTS_PER_PEER_LIST == 1;
-    PeerDigest digest =
-        new PeerDigest(
-            self,
-            number,
-            configVersion.get(),
-            current,
-            placements.next(),
-            namesPeers ? somePeers() : ImmutableList.of());
+    return new PeerDigest(
+        self,
+        number,
+        configVersion.get(),
+        current,
+        notes,
+        namesPeers ? somePeers() : ImmutableList.of(),
+        caches);
+  }
+
+  private void send(PeerDigest digest, ImmutableList<PeerAddress> targets) {
     byte[] bytes = DigestCodec.encode(digest);
     for (PeerAddress target : targets) {
       channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target.address()));
@@ -252,6 +291,7 @@
     if (!lastPlacement.containsKey(incarnation)) {
       EventLog.emit(
           LogEvent.PEER_FOUND, "peer", sender, "incarnation", digest.sender().incarnation());
+      onStarted.accept(digest.sender());
     }
     long newest = known;
     for (PlacementNote note : digest.placements()) {
@@ -261,6 +301,7 @@
       }
     }
     lastPlacement.put(incarnation, newest);
+    digest.caches().forEach(listener::peerCaches);
     listener.peerWork(sender, digest.inFlight());
     listener.peerConfig(digest.configVersion());
   }
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -14,6 +14,7 @@
  * @param callerAddress where callers connect
  * @param readyAddress where the platform asks for readiness
  * @param storeAddress the platform's metadata store
+ * @param firstStart whether the whole system starts for the first time
  * @param bounds the times that the platform sets
  */
 public record NodeSettings(
@@ -25,6 +26,7 @@
     InetSocketAddress callerAddress,
     InetSocketAddress readyAddress,
     InetSocketAddress storeAddress,
+    boolean firstStart,
     Bounds bounds) {
 
   /**
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -68,6 +68,8 @@
             address("listen", "front"),
             address("listen", "ready"),
             address("platform", "addr"),
+            // "bootstrap" is true only at the very first start of the system.
+            root.path("bootstrap").asBoolean(),
             bounds());
     return new Reading(faults.isEmpty() ? settings : null, ImmutableList.copyOf(faults));
   }
--- /dev/null
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngines.java
@@ -0,0 +1,59 @@
+package org.tanagerbank.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tanagerbank.direct.ConnectionPool;
+import org.tanagerbank.direct.EngineInspector;
+import org.tanagerbank.direct.WholeExchange;
+import org.tanagerbank.direct.WholeResponse;
+import org.tanagerbank.engine.PromptPart;
+
+/** Asks the engines of the users' platform what they keep. Stateless and thread-safe. */
+public final class PlatformEngines implements EngineInspector {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int STATUS_OK = 200;
+  private static final int HEXADECIMAL = 16;
+
+  /** An answer is of use only while requests have not yet been placed without it. */
+  private static final long TIMEOUT_MILLIS = 500;
+
+  @Override
+  public void cachedParts(
+      EventLoop loop,
+      ConnectionPool connections,
+      Consumer<Optional<ImmutableList<PromptPart>>> callback) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, "/-/kv-list", Unpooled.EMPTY_BUFFER);
+    request.headers().set(HttpHeaderNames.HOST, "engine");
+    WholeExchange.send(loop, connections, request, TIMEOUT_MILLIS, r -> callback.accept(decode(r)));
+  }
+
+  /** "held" lists the parts as [empty text, id in hexadecimal, tokens, model]. */
+  static Optional<ImmutableList<PromptPart>> decode(WholeResponse response) {
+    if (response.status() != STATUS_OK) {
+      return Optional.empty();
+    }
+    try {
+      ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
+      for (JsonNode entry : MAPPER.readTree(response.body()).path("held")) {
+        long id = Long.parseUnsignedLong(entry.path(1).asText(), HEXADECIMAL);
+        parts.add(new PromptPart(id, entry.path(2).asInt()));
+      }
+      return Optional.of(parts.build());
+    } catch (IOException | NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -16,11 +16,12 @@
 import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.direct.ConnectionPool;
+import org.tanagerbank.direct.WholeExchange;
+import org.tanagerbank.direct.WholeResponse;
 import org.tanagerbank.feed.KeyedRecord;
 import org.tanagerbank.feed.KeyedTopic;
 import org.tanagerbank.feed.ReadResult;
@@ -82,7 +83,7 @@
     }
 
     private void onNewestPage(
-        StoreReply reply,
+        WholeResponse reply,
         ImmutableList.Builder<KeyedRecord> records,
         Consumer<ReadResult> callback) {
       if (reply.status() != STATUS_OK) {
@@ -127,7 +128,7 @@
     }
   }
 
-  private static ReadResult page(StoreReply reply, long from) {
+  private static ReadResult page(WholeResponse reply, long from) {
     if (reply.status() == STATUS_GONE) {
       return new Trimmed();
     }
@@ -148,7 +149,7 @@
         from + records.size());
   }
 
-  private static Unavailable unavailable(StoreReply reply) {
+  private static Unavailable unavailable(WholeResponse reply) {
     return new Unavailable(reply.reason());
   }
 
@@ -161,19 +162,7 @@
     return request;
   }
 
-  private void send(FullHttpRequest request, long waitMillis, Consumer<StoreReply> callback) {
-    StoreCall call = new StoreCall(callback);
-    connections.acquire(
-        connection -> call.sendOn(connection, request),
-        () -> {
-          request.release();
-          call.fail("no connection");
-        });
-    // The callback runs once, also when the timeout passes after the answer.
-    var unused =
-        loop.schedule(
-            () -> call.fail("no answer in time"),
-            waitMillis + CALL_TIMEOUT_MILLIS,
-            TimeUnit.MILLISECONDS);
+  private void send(FullHttpRequest request, long waitMillis, Consumer<WholeResponse> callback) {
+    WholeExchange.send(loop, connections, request, waitMillis + CALL_TIMEOUT_MILLIS, callback);
   }
 }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -207,6 +207,50 @@
      */
     org.tanagerbank.proto.PeerProto.AddressOrBuilder getPeersOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> 
+        getCachesList();
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index);
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    int getCachesCount();
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+        getCachesOrBuilderList();
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -237,6 +281,7 @@
       work_ = java.util.Collections.emptyList();
       placements_ = java.util.Collections.emptyList();
       peers_ = java.util.Collections.emptyList();
+      caches_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -504,6 +549,67 @@
       return peers_.get(index);
     }
 
+    public static final int CACHES_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> caches_;
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> getCachesList() {
+      return caches_;
+    }
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+        getCachesOrBuilderList() {
+      return caches_;
+    }
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    @java.lang.Override
+    public int getCachesCount() {
+      return caches_.size();
+    }
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index) {
+      return caches_.get(index);
+    }
+    /**
+     * <pre>
+     * What engines keep; told to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+        int index) {
+      return caches_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -536,6 +642,9 @@
       for (int i = 0; i < peers_.size(); i++) {
         output.writeMessage(6, peers_.get(i));
       }
+      for (int i = 0; i < caches_.size(); i++) {
+        output.writeMessage(7, caches_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -569,6 +678,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, peers_.get(i));
       }
+      for (int i = 0; i < caches_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, caches_.get(i));
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -599,6 +712,8 @@
           .equals(other.getPlacementsList())) return false;
       if (!getPeersList()
           .equals(other.getPeersList())) return false;
+      if (!getCachesList()
+          .equals(other.getCachesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -632,6 +747,10 @@
         hash = (37 * hash) + PEERS_FIELD_NUMBER;
         hash = (53 * hash) + getPeersList().hashCode();
       }
+      if (getCachesCount() > 0) {
+        hash = (37 * hash) + CACHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCachesList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -770,6 +889,7 @@
           internalGetWorkFieldBuilder();
           internalGetPlacementsFieldBuilder();
           internalGetPeersFieldBuilder();
+          internalGetCachesFieldBuilder();
         }
       }
       @java.lang.Override
@@ -804,6 +924,13 @@
           peersBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000020);
+        if (cachesBuilder_ == null) {
+          caches_ = java.util.Collections.emptyList();
+        } else {
+          caches_ = null;
+          cachesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
         return this;
       }
 
@@ -864,6 +991,15 @@
         } else {
           result.peers_ = peersBuilder_.build();
         }
+        if (cachesBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            caches_ = java.util.Collections.unmodifiableList(caches_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.caches_ = caches_;
+        } else {
+          result.caches_ = cachesBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.tanagerbank.proto.PeerProto.Digest result) {
@@ -983,6 +1119,32 @@
             }
           }
         }
+        if (cachesBuilder_ == null) {
+          if (!other.caches_.isEmpty()) {
+            if (caches_.isEmpty()) {
+              caches_ = other.caches_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureCachesIsMutable();
+              caches_.addAll(other.caches_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.caches_.isEmpty()) {
+            if (cachesBuilder_.isEmpty()) {
+              cachesBuilder_.dispose();
+              cachesBuilder_ = null;
+              caches_ = other.caches_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              cachesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCachesFieldBuilder() : null;
+            } else {
+              cachesBuilder_.addAllMessages(other.caches_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1065,6 +1227,19 @@
                 }
                 break;
               } // case 50
+              case 58: {
+                org.tanagerbank.proto.PeerProto.EngineCache m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.EngineCache.parser(),
+                        extensionRegistry);
+                if (cachesBuilder_ == null) {
+                  ensureCachesIsMutable();
+                  caches_.add(m);
+                } else {
+                  cachesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2263,246 +2438,1308 @@
         return peersBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Digest)
-    }
-
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Digest)
-    private static final org.tanagerbank.proto.PeerProto.Digest DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Digest();
-    }
-
-    public static org.tanagerbank.proto.PeerProto.Digest getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<Digest>
-        PARSER = new com.google.protobuf.AbstractParser<Digest>() {
-      @java.lang.Override
-      public Digest parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
+      private java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> caches_ =
+        java.util.Collections.emptyList();
+      private void ensureCachesIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          caches_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.EngineCache>(caches_);
+          bitField0_ |= 0x00000040;
+         }
       }
-    };
-
-    public static com.google.protobuf.Parser<Digest> parser() {
-      return PARSER;
-    }
 
-    @java.lang.Override
-    public com.google.protobuf.Parser<Digest> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Digest getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface AddressOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Address)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string instance_id = 1;</code>
-     * @return The instanceId.
-     */
-    java.lang.String getInstanceId();
-    /**
-     * <code>string instance_id = 1;</code>
-     * @return The bytes for instanceId.
-     */
-    com.google.protobuf.ByteString
-        getInstanceIdBytes();
-
-    /**
-     * <code>string ip = 2;</code>
-     * @return The ip.
-     */
-    java.lang.String getIp();
-    /**
-     * <code>string ip = 2;</code>
-     * @return The bytes for ip.
-     */
-    com.google.protobuf.ByteString
-        getIpBytes();
-
-    /**
-     * <code>uint32 port = 3;</code>
-     * @return The port.
-     */
-    int getPort();
-
-    /**
-     * <pre>
-     * Differs for each start of the process, and rises.
-     * </pre>
-     *
-     * <code>uint64 incarnation = 4;</code>
-     * @return The incarnation.
-     */
-    long getIncarnation();
-  }
-  /**
-   * <pre>
-   * Where a gateway receives digests.
-   * </pre>
-   *
-   * Protobuf type {@code tanagerbank.peer.Address}
-   */
-  public static final class Address extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Address)
-      AddressOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 30,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        Address.class.getName());
-    }
-    // Use Address.newBuilder() to construct.
-    private Address(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private Address() {
-      instanceId_ = "";
-      ip_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.Address.class, org.tanagerbank.proto.PeerProto.Address.Builder.class);
-    }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> cachesBuilder_;
 
-    public static final int INSTANCE_ID_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object instanceId_ = "";
-    /**
-     * <code>string instance_id = 1;</code>
-     * @return The instanceId.
-     */
-    @java.lang.Override
-    public java.lang.String getInstanceId() {
-      java.lang.Object ref = instanceId_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        instanceId_ = s;
-        return s;
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> getCachesList() {
+        if (cachesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(caches_);
+        } else {
+          return cachesBuilder_.getMessageList();
+        }
       }
-    }
-    /**
-     * <code>string instance_id = 1;</code>
-     * @return The bytes for instanceId.
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public int getCachesCount() {
+        if (cachesBuilder_ == null) {
+          return caches_.size();
+        } else {
+          return cachesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index) {
+        if (cachesBuilder_ == null) {
+          return caches_.get(index);
+        } else {
+          return cachesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder setCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.set(index, value);
+          onChanged();
+        } else {
+          cachesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder setCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(index, value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addAllCaches(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.EngineCache> values) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, caches_);
+          onChanged();
+        } else {
+          cachesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder clearCaches() {
+        if (cachesBuilder_ == null) {
+          caches_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          cachesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder removeCaches(int index) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.remove(index);
+          onChanged();
+        } else {
+          cachesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder getCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+          int index) {
+        if (cachesBuilder_ == null) {
+          return caches_.get(index);  } else {
+          return cachesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+           getCachesOrBuilderList() {
+        if (cachesBuilder_ != null) {
+          return cachesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(caches_);
+        }
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder() {
+        return internalGetCachesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What engines keep; told to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache.Builder> 
+           getCachesBuilderList() {
+        return internalGetCachesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+          internalGetCachesFieldBuilder() {
+        if (cachesBuilder_ == null) {
+          cachesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder>(
+                  caches_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          caches_ = null;
+        }
+        return cachesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Digest)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Digest)
+    private static final org.tanagerbank.proto.PeerProto.Digest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Digest();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Digest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Digest>
+        PARSER = new com.google.protobuf.AbstractParser<Digest>() {
+      @java.lang.Override
+      public Digest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Digest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Digest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Digest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AddressOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Address)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string instance_id = 1;</code>
+     * @return The instanceId.
+     */
+    java.lang.String getInstanceId();
+    /**
+     * <code>string instance_id = 1;</code>
+     * @return The bytes for instanceId.
+     */
+    com.google.protobuf.ByteString
+        getInstanceIdBytes();
+
+    /**
+     * <code>string ip = 2;</code>
+     * @return The ip.
+     */
+    java.lang.String getIp();
+    /**
+     * <code>string ip = 2;</code>
+     * @return The bytes for ip.
+     */
+    com.google.protobuf.ByteString
+        getIpBytes();
+
+    /**
+     * <code>uint32 port = 3;</code>
+     * @return The port.
+     */
+    int getPort();
+
+    /**
+     * <pre>
+     * Differs for each start of the process, and rises.
+     * </pre>
+     *
+     * <code>uint64 incarnation = 4;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+  }
+  /**
+   * <pre>
+   * Where a gateway receives digests.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Address}
+   */
+  public static final class Address extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Address)
+      AddressOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Address.class.getName());
+    }
+    // Use Address.newBuilder() to construct.
+    private Address(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Address() {
+      instanceId_ = "";
+      ip_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Address.class, org.tanagerbank.proto.PeerProto.Address.Builder.class);
+    }
+
+    public static final int INSTANCE_ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object instanceId_ = "";
+    /**
+     * <code>string instance_id = 1;</code>
+     * @return The instanceId.
+     */
+    @java.lang.Override
+    public java.lang.String getInstanceId() {
+      java.lang.Object ref = instanceId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instanceId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string instance_id = 1;</code>
+     * @return The bytes for instanceId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getInstanceIdBytes() {
+      java.lang.Object ref = instanceId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instanceId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int IP_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object ip_ = "";
+    /**
+     * <code>string ip = 2;</code>
+     * @return The ip.
+     */
+    @java.lang.Override
+    public java.lang.String getIp() {
+      java.lang.Object ref = ip_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        ip_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string ip = 2;</code>
+     * @return The bytes for ip.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIpBytes() {
+      java.lang.Object ref = ip_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        ip_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PORT_FIELD_NUMBER = 3;
+    private int port_ = 0;
+    /**
+     * <code>uint32 port = 3;</code>
+     * @return The port.
+     */
+    @java.lang.Override
+    public int getPort() {
+      return port_;
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 4;
+    private long incarnation_ = 0L;
+    /**
+     * <pre>
+     * Differs for each start of the process, and rises.
+     * </pre>
+     *
+     * <code>uint64 incarnation = 4;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, instanceId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ip_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, ip_);
+      }
+      if (port_ != 0) {
+        output.writeUInt32(3, port_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(4, incarnation_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, instanceId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ip_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, ip_);
+      }
+      if (port_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, port_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, incarnation_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Address)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Address other = (org.tanagerbank.proto.PeerProto.Address) obj;
+
+      if (!getInstanceId()
+          .equals(other.getInstanceId())) return false;
+      if (!getIp()
+          .equals(other.getIp())) return false;
+      if (getPort()
+          != other.getPort()) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + INSTANCE_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getInstanceId().hashCode();
+      hash = (37 * hash) + IP_FIELD_NUMBER;
+      hash = (53 * hash) + getIp().hashCode();
+      hash = (37 * hash) + PORT_FIELD_NUMBER;
+      hash = (53 * hash) + getPort();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Address parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Address parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Address prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Where a gateway receives digests.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Address}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Address)
+        org.tanagerbank.proto.PeerProto.AddressOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Address.class, org.tanagerbank.proto.PeerProto.Address.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Address.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        instanceId_ = "";
+        ip_ = "";
+        port_ = 0;
+        incarnation_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Address getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Address.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Address build() {
+        org.tanagerbank.proto.PeerProto.Address result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Address buildPartial() {
+        org.tanagerbank.proto.PeerProto.Address result = new org.tanagerbank.proto.PeerProto.Address(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Address result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.instanceId_ = instanceId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ip_ = ip_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.port_ = port_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Address) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Address)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Address other) {
+        if (other == org.tanagerbank.proto.PeerProto.Address.getDefaultInstance()) return this;
+        if (!other.getInstanceId().isEmpty()) {
+          instanceId_ = other.instanceId_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getIp().isEmpty()) {
+          ip_ = other.ip_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getPort() != 0) {
+          setPort(other.getPort());
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                instanceId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                ip_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                port_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object instanceId_ = "";
+      /**
+       * <code>string instance_id = 1;</code>
+       * @return The instanceId.
+       */
+      public java.lang.String getInstanceId() {
+        java.lang.Object ref = instanceId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          instanceId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string instance_id = 1;</code>
+       * @return The bytes for instanceId.
+       */
+      public com.google.protobuf.ByteString
+          getInstanceIdBytes() {
+        java.lang.Object ref = instanceId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          instanceId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string instance_id = 1;</code>
+       * @param value The instanceId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstanceId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        instanceId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInstanceId() {
+        instanceId_ = getDefaultInstance().getInstanceId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance_id = 1;</code>
+       * @param value The bytes for instanceId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstanceIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        instanceId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object ip_ = "";
+      /**
+       * <code>string ip = 2;</code>
+       * @return The ip.
+       */
+      public java.lang.String getIp() {
+        java.lang.Object ref = ip_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          ip_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string ip = 2;</code>
+       * @return The bytes for ip.
+       */
+      public com.google.protobuf.ByteString
+          getIpBytes() {
+        java.lang.Object ref = ip_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          ip_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string ip = 2;</code>
+       * @param value The ip to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIp(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ip_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string ip = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIp() {
+        ip_ = getDefaultInstance().getIp();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string ip = 2;</code>
+       * @param value The bytes for ip to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIpBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ip_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private int port_ ;
+      /**
+       * <code>uint32 port = 3;</code>
+       * @return The port.
+       */
+      @java.lang.Override
+      public int getPort() {
+        return port_;
+      }
+      /**
+       * <code>uint32 port = 3;</code>
+       * @param value The port to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPort(int value) {
+
+        port_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 port = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPort() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        port_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <pre>
+       * Differs for each start of the process, and rises.
+       * </pre>
+       *
+       * <code>uint64 incarnation = 4;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <pre>
+       * Differs for each start of the process, and rises.
+       * </pre>
+       *
+       * <code>uint64 incarnation = 4;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Differs for each start of the process, and rises.
+       * </pre>
+       *
+       * <code>uint64 incarnation = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Address)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Address)
+    private static final org.tanagerbank.proto.PeerProto.Address DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Address();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Address getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Address>
+        PARSER = new com.google.protobuf.AbstractParser<Address>() {
+      @java.lang.Override
+      public Address parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Address> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Address> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Address getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface UpstreamWorkOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.UpstreamWork)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string upstream_id = 1;</code>
+     * @return The upstreamId.
+     */
+    java.lang.String getUpstreamId();
+    /**
+     * <code>string upstream_id = 1;</code>
+     * @return The bytes for upstreamId.
+     */
+    com.google.protobuf.ByteString
+        getUpstreamIdBytes();
+
+    /**
+     * <code>uint32 in_flight = 2;</code>
+     * @return The inFlight.
      */
+    int getInFlight();
+  }
+  /**
+   * Protobuf type {@code tanagerbank.peer.UpstreamWork}
+   */
+  public static final class UpstreamWork extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.UpstreamWork)
+      UpstreamWorkOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        UpstreamWork.class.getName());
+    }
+    // Use UpstreamWork.newBuilder() to construct.
+    private UpstreamWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private UpstreamWork() {
+      upstreamId_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
+    }
+
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getInstanceIdBytes() {
-      java.lang.Object ref = instanceId_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        instanceId_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.UpstreamWork.class, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder.class);
     }
 
-    public static final int IP_FIELD_NUMBER = 2;
+    public static final int UPSTREAM_ID_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object ip_ = "";
+    private volatile java.lang.Object upstreamId_ = "";
     /**
-     * <code>string ip = 2;</code>
-     * @return The ip.
+     * <code>string upstream_id = 1;</code>
+     * @return The upstreamId.
      */
     @java.lang.Override
-    public java.lang.String getIp() {
-      java.lang.Object ref = ip_;
+    public java.lang.String getUpstreamId() {
+      java.lang.Object ref = upstreamId_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        ip_ = s;
+        upstreamId_ = s;
         return s;
       }
     }
     /**
-     * <code>string ip = 2;</code>
-     * @return The bytes for ip.
+     * <code>string upstream_id = 1;</code>
+     * @return The bytes for upstreamId.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getIpBytes() {
-      java.lang.Object ref = ip_;
+        getUpstreamIdBytes() {
+      java.lang.Object ref = upstreamId_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        ip_ = b;
+        upstreamId_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int PORT_FIELD_NUMBER = 3;
-    private int port_ = 0;
-    /**
-     * <code>uint32 port = 3;</code>
-     * @return The port.
-     */
-    @java.lang.Override
-    public int getPort() {
-      return port_;
-    }
-
-    public static final int INCARNATION_FIELD_NUMBER = 4;
-    private long incarnation_ = 0L;
+    public static final int IN_FLIGHT_FIELD_NUMBER = 2;
+    private int inFlight_ = 0;
     /**
-     * <pre>
-     * Differs for each start of the process, and rises.
-     * </pre>
-     *
-     * <code>uint64 incarnation = 4;</code>
-     * @return The incarnation.
+     * <code>uint32 in_flight = 2;</code>
+     * @return The inFlight.
      */
     @java.lang.Override
-    public long getIncarnation() {
-      return incarnation_;
+    public int getInFlight() {
+      return inFlight_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -2516,20 +3753,14 @@
       return true;
     }
 
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, instanceId_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ip_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, ip_);
-      }
-      if (port_ != 0) {
-        output.writeUInt32(3, port_);
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, upstreamId_);
       }
-      if (incarnation_ != 0L) {
-        output.writeUInt64(4, incarnation_);
+      if (inFlight_ != 0) {
+        output.writeUInt32(2, inFlight_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -2540,19 +3771,12 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, instanceId_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ip_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, ip_);
-      }
-      if (port_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, port_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, upstreamId_);
       }
-      if (incarnation_ != 0L) {
+      if (inFlight_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, incarnation_);
+          .computeUInt32Size(2, inFlight_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -2564,19 +3788,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Address)) {
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.UpstreamWork)) {
         return super.equals(obj);
       }
-      org.tanagerbank.proto.PeerProto.Address other = (org.tanagerbank.proto.PeerProto.Address) obj;
+      org.tanagerbank.proto.PeerProto.UpstreamWork other = (org.tanagerbank.proto.PeerProto.UpstreamWork) obj;
 
-      if (!getInstanceId()
-          .equals(other.getInstanceId())) return false;
-      if (!getIp()
-          .equals(other.getIp())) return false;
-      if (getPort()
-          != other.getPort()) return false;
-      if (getIncarnation()
-          != other.getIncarnation()) return false;
+      if (!getUpstreamId()
+          .equals(other.getUpstreamId())) return false;
+      if (getInFlight()
+          != other.getInFlight()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2588,58 +3808,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + INSTANCE_ID_FIELD_NUMBER;
-      hash = (53 * hash) + getInstanceId().hashCode();
-      hash = (37 * hash) + IP_FIELD_NUMBER;
-      hash = (53 * hash) + getIp().hashCode();
-      hash = (37 * hash) + PORT_FIELD_NUMBER;
-      hash = (53 * hash) + getPort();
-      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getIncarnation());
+      hash = (37 * hash) + UPSTREAM_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getUpstreamId().hashCode();
+      hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
+      hash = (53 * hash) + getInFlight();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(byte[] data)
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -2647,26 +3862,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.tanagerbank.proto.PeerProto.Address parseDelimitedFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.tanagerbank.proto.PeerProto.Address parseDelimitedFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.Address parseFrom(
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -2679,7 +3894,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Address prototype) {
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.UpstreamWork prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -2695,30 +3910,26 @@
       return builder;
     }
     /**
-     * <pre>
-     * Where a gateway receives digests.
-     * </pre>
-     *
-     * Protobuf type {@code tanagerbank.peer.Address}
+     * Protobuf type {@code tanagerbank.peer.UpstreamWork}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Address)
-        org.tanagerbank.proto.PeerProto.AddressOrBuilder {
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.UpstreamWork)
+        org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_fieldAccessorTable
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.Address.class, org.tanagerbank.proto.PeerProto.Address.Builder.class);
+                org.tanagerbank.proto.PeerProto.UpstreamWork.class, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder.class);
       }
 
-      // Construct using org.tanagerbank.proto.PeerProto.Address.newBuilder()
+      // Construct using org.tanagerbank.proto.PeerProto.UpstreamWork.newBuilder()
       private Builder() {
 
       }
@@ -2732,27 +3943,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        instanceId_ = "";
-        ip_ = "";
-        port_ = 0;
-        incarnation_ = 0L;
+        upstreamId_ = "";
+        inFlight_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Address_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Address getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.Address.getDefaultInstance();
+      public org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Address build() {
-        org.tanagerbank.proto.PeerProto.Address result = buildPartial();
+      public org.tanagerbank.proto.PeerProto.UpstreamWork build() {
+        org.tanagerbank.proto.PeerProto.UpstreamWork result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -2760,56 +3969,42 @@
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Address buildPartial() {
-        org.tanagerbank.proto.PeerProto.Address result = new org.tanagerbank.proto.PeerProto.Address(this);
+      public org.tanagerbank.proto.PeerProto.UpstreamWork buildPartial() {
+        org.tanagerbank.proto.PeerProto.UpstreamWork result = new org.tanagerbank.proto.PeerProto.UpstreamWork(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.Address result) {
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.UpstreamWork result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.instanceId_ = instanceId_;
+          result.upstreamId_ = upstreamId_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.ip_ = ip_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.port_ = port_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.incarnation_ = incarnation_;
+          result.inFlight_ = inFlight_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.Address) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.Address)other);
+        if (other instanceof org.tanagerbank.proto.PeerProto.UpstreamWork) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.UpstreamWork)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Address other) {
-        if (other == org.tanagerbank.proto.PeerProto.Address.getDefaultInstance()) return this;
-        if (!other.getInstanceId().isEmpty()) {
-          instanceId_ = other.instanceId_;
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.UpstreamWork other) {
+        if (other == org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance()) return this;
+        if (!other.getUpstreamId().isEmpty()) {
+          upstreamId_ = other.upstreamId_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.getIp().isEmpty()) {
-          ip_ = other.ip_;
-          bitField0_ |= 0x00000002;
-          onChanged();
-        }
-        if (other.getPort() != 0) {
-          setPort(other.getPort());
-        }
-        if (other.getIncarnation() != 0L) {
-          setIncarnation(other.getIncarnation());
+        if (other.getInFlight() != 0) {
+          setInFlight(other.getInFlight());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -2838,279 +4033,153 @@
                 done = true;
                 break;
               case 10: {
-                instanceId_ = input.readStringRequireUtf8();
+                upstreamId_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 18: {
-                ip_ = input.readStringRequireUtf8();
+              case 16: {
+                inFlight_ = input.readUInt32();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 18
-              case 24: {
-                port_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                incarnation_ = input.readUInt64();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private java.lang.Object instanceId_ = "";
-      /**
-       * <code>string instance_id = 1;</code>
-       * @return The instanceId.
-       */
-      public java.lang.String getInstanceId() {
-        java.lang.Object ref = instanceId_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          instanceId_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string instance_id = 1;</code>
-       * @return The bytes for instanceId.
-       */
-      public com.google.protobuf.ByteString
-          getInstanceIdBytes() {
-        java.lang.Object ref = instanceId_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          instanceId_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string instance_id = 1;</code>
-       * @param value The instanceId to set.
-       * @return This builder for chaining.
-       */
-      public Builder setInstanceId(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        instanceId_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string instance_id = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearInstanceId() {
-        instanceId_ = getDefaultInstance().getInstanceId();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string instance_id = 1;</code>
-       * @param value The bytes for instanceId to set.
-       * @return This builder for chaining.
-       */
-      public Builder setInstanceIdBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        instanceId_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
 
-      private java.lang.Object ip_ = "";
+      private java.lang.Object upstreamId_ = "";
       /**
-       * <code>string ip = 2;</code>
-       * @return The ip.
+       * <code>string upstream_id = 1;</code>
+       * @return The upstreamId.
        */
-      public java.lang.String getIp() {
-        java.lang.Object ref = ip_;
+      public java.lang.String getUpstreamId() {
+        java.lang.Object ref = upstreamId_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          ip_ = s;
+          upstreamId_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string ip = 2;</code>
-       * @return The bytes for ip.
+       * <code>string upstream_id = 1;</code>
+       * @return The bytes for upstreamId.
        */
       public com.google.protobuf.ByteString
-          getIpBytes() {
-        java.lang.Object ref = ip_;
+          getUpstreamIdBytes() {
+        java.lang.Object ref = upstreamId_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          ip_ = b;
+          upstreamId_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string ip = 2;</code>
-       * @param value The ip to set.
+       * <code>string upstream_id = 1;</code>
+       * @param value The upstreamId to set.
        * @return This builder for chaining.
        */
-      public Builder setIp(
+      public Builder setUpstreamId(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        ip_ = value;
-        bitField0_ |= 0x00000002;
+        upstreamId_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string ip = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearIp() {
-        ip_ = getDefaultInstance().getIp();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder clearUpstreamId() {
+        upstreamId_ = getDefaultInstance().getUpstreamId();
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string ip = 2;</code>
-       * @param value The bytes for ip to set.
+       * <code>string upstream_id = 1;</code>
+       * @param value The bytes for upstreamId to set.
        * @return This builder for chaining.
        */
-      public Builder setIpBytes(
+      public Builder setUpstreamIdBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        ip_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private int port_ ;
-      /**
-       * <code>uint32 port = 3;</code>
-       * @return The port.
-       */
-      @java.lang.Override
-      public int getPort() {
-        return port_;
-      }
-      /**
-       * <code>uint32 port = 3;</code>
-       * @param value The port to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPort(int value) {
-
-        port_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 port = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearPort() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        port_ = 0;
+        upstreamId_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private long incarnation_ ;
+      private int inFlight_ ;
       /**
-       * <pre>
-       * Differs for each start of the process, and rises.
-       * </pre>
-       *
-       * <code>uint64 incarnation = 4;</code>
-       * @return The incarnation.
+       * <code>uint32 in_flight = 2;</code>
+       * @return The inFlight.
        */
       @java.lang.Override
-      public long getIncarnation() {
-        return incarnation_;
+      public int getInFlight() {
+        return inFlight_;
       }
       /**
-       * <pre>
-       * Differs for each start of the process, and rises.
-       * </pre>
-       *
-       * <code>uint64 incarnation = 4;</code>
-       * @param value The incarnation to set.
+       * <code>uint32 in_flight = 2;</code>
+       * @param value The inFlight to set.
        * @return This builder for chaining.
        */
-      public Builder setIncarnation(long value) {
+      public Builder setInFlight(int value) {
 
-        incarnation_ = value;
-        bitField0_ |= 0x00000008;
+        inFlight_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Differs for each start of the process, and rises.
-       * </pre>
-       *
-       * <code>uint64 incarnation = 4;</code>
+       * <code>uint32 in_flight = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearIncarnation() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        incarnation_ = 0L;
+      public Builder clearInFlight() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        inFlight_ = 0;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Address)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.UpstreamWork)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Address)
-    private static final org.tanagerbank.proto.PeerProto.Address DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.UpstreamWork)
+    private static final org.tanagerbank.proto.PeerProto.UpstreamWork DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Address();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.UpstreamWork();
     }
 
-    public static org.tanagerbank.proto.PeerProto.Address getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Address>
-        PARSER = new com.google.protobuf.AbstractParser<Address>() {
+    private static final com.google.protobuf.Parser<UpstreamWork>
+        PARSER = new com.google.protobuf.AbstractParser<UpstreamWork>() {
       @java.lang.Override
-      public Address parsePartialFrom(
+      public UpstreamWork parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3129,51 +4198,99 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Address> parser() {
+    public static com.google.protobuf.Parser<UpstreamWork> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Address> getParserForType() {
+    public com.google.protobuf.Parser<UpstreamWork> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Address getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface UpstreamWorkOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.UpstreamWork)
+  public interface PlacementOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Placement)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string upstream_id = 1;</code>
+     * <pre>
+     * Rises with each placement of one incarnation of the sender.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>string upstream_id = 2;</code>
      * @return The upstreamId.
      */
     java.lang.String getUpstreamId();
     /**
-     * <code>string upstream_id = 1;</code>
+     * <code>string upstream_id = 2;</code>
      * @return The bytes for upstreamId.
      */
     com.google.protobuf.ByteString
         getUpstreamIdBytes();
 
     /**
-     * <code>uint32 in_flight = 2;</code>
-     * @return The inFlight.
+     * <code>uint32 prompt_tokens = 3;</code>
+     * @return The promptTokens.
      */
-    int getInFlight();
+    int getPromptTokens();
+
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @return A list containing the partIds.
+     */
+    java.util.List<java.lang.Long> getPartIdsList();
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @return The count of partIds.
+     */
+    int getPartIdsCount();
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @param index The index of the element to return.
+     * @return The partIds at the given index.
+     */
+    long getPartIds(int index);
+
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @return A list containing the partTokens.
+     */
+    java.util.List<java.lang.Integer> getPartTokensList();
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @return The count of partTokens.
+     */
+    int getPartTokensCount();
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @param index The index of the element to return.
+     * @return The partTokens at the given index.
+     */
+    int getPartTokens(int index);
   }
   /**
-   * Protobuf type {@code tanagerbank.peer.UpstreamWork}
+   * <pre>
+   * A request that was sent to an engine.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Placement}
    */
-  public static final class UpstreamWork extends
+  public static final class Placement extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.UpstreamWork)
-      UpstreamWorkOrBuilder {
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Placement)
+      PlacementOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3182,34 +4299,51 @@
         /* minor= */ 30,
         /* patch= */ 2,
         /* suffix= */ "",
-        UpstreamWork.class.getName());
+        Placement.class.getName());
     }
-    // Use UpstreamWork.newBuilder() to construct.
-    private UpstreamWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use Placement.newBuilder() to construct.
+    private Placement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private UpstreamWork() {
+    private Placement() {
       upstreamId_ = "";
+      partIds_ = emptyLongList();
+      partTokens_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Placement.class, org.tanagerbank.proto.PeerProto.Placement.Builder.class);
     }
 
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <pre>
+     * Rises with each placement of one incarnation of the sender.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
     @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.UpstreamWork.class, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder.class);
+    public long getNumber() {
+      return number_;
     }
 
-    public static final int UPSTREAM_ID_FIELD_NUMBER = 1;
+    public static final int UPSTREAM_ID_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
     private volatile java.lang.Object upstreamId_ = "";
     /**
-     * <code>string upstream_id = 1;</code>
+     * <code>string upstream_id = 2;</code>
      * @return The upstreamId.
      */
     @java.lang.Override
@@ -3226,7 +4360,7 @@
       }
     }
     /**
-     * <code>string upstream_id = 1;</code>
+     * <code>string upstream_id = 2;</code>
      * @return The bytes for upstreamId.
      */
     @java.lang.Override
@@ -3244,16 +4378,76 @@
       }
     }
 
-    public static final int IN_FLIGHT_FIELD_NUMBER = 2;
-    private int inFlight_ = 0;
+    public static final int PROMPT_TOKENS_FIELD_NUMBER = 3;
+    private int promptTokens_ = 0;
     /**
-     * <code>uint32 in_flight = 2;</code>
-     * @return The inFlight.
+     * <code>uint32 prompt_tokens = 3;</code>
+     * @return The promptTokens.
      */
     @java.lang.Override
-    public int getInFlight() {
-      return inFlight_;
+    public int getPromptTokens() {
+      return promptTokens_;
+    }
+
+    public static final int PART_IDS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList partIds_ =
+        emptyLongList();
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @return A list containing the partIds.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getPartIdsList() {
+      return partIds_;
+    }
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @return The count of partIds.
+     */
+    public int getPartIdsCount() {
+      return partIds_.size();
+    }
+    /**
+     * <code>repeated fixed64 part_ids = 4;</code>
+     * @param index The index of the element to return.
+     * @return The partIds at the given index.
+     */
+    public long getPartIds(int index) {
+      return partIds_.getLong(index);
+    }
+    private int partIdsMemoizedSerializedSize = -1;
+
+    public static final int PART_TOKENS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList partTokens_ =
+        emptyIntList();
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @return A list containing the partTokens.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getPartTokensList() {
+      return partTokens_;
+    }
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @return The count of partTokens.
+     */
+    public int getPartTokensCount() {
+      return partTokens_.size();
+    }
+    /**
+     * <code>repeated uint32 part_tokens = 5;</code>
+     * @param index The index of the element to return.
+     * @return The partTokens at the given index.
+     */
+    public int getPartTokens(int index) {
+      return partTokens_.getInt(index);
     }
+    private int partTokensMemoizedSerializedSize = -1;
 
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
@@ -3269,11 +4463,29 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, upstreamId_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, upstreamId_);
       }
-      if (inFlight_ != 0) {
-        output.writeUInt32(2, inFlight_);
+      if (promptTokens_ != 0) {
+        output.writeUInt32(3, promptTokens_);
+      }
+      if (getPartIdsList().size() > 0) {
+        output.writeUInt32NoTag(34);
+        output.writeUInt32NoTag(partIdsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < partIds_.size(); i++) {
+        output.writeFixed64NoTag(partIds_.getLong(i));
+      }
+      if (getPartTokensList().size() > 0) {
+        output.writeUInt32NoTag(42);
+        output.writeUInt32NoTag(partTokensMemoizedSerializedSize);
+      }
+      for (int i = 0; i < partTokens_.size(); i++) {
+        output.writeUInt32NoTag(partTokens_.getInt(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -3284,12 +4496,41 @@
       if (size != -1) return size;
 
       size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, upstreamId_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, upstreamId_);
       }
-      if (inFlight_ != 0) {
+      if (promptTokens_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(2, inFlight_);
+          .computeUInt32Size(3, promptTokens_);
+      }
+      {
+        int dataSize = 0;
+        dataSize = 8 * getPartIdsList().size();
+        size += dataSize;
+        if (!getPartIdsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        partIdsMemoizedSerializedSize = dataSize;
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < partTokens_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(partTokens_.getInt(i));
+        }
+        size += dataSize;
+        if (!getPartTokensList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        partTokensMemoizedSerializedSize = dataSize;
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -3301,15 +4542,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.UpstreamWork)) {
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Placement)) {
         return super.equals(obj);
       }
-      org.tanagerbank.proto.PeerProto.UpstreamWork other = (org.tanagerbank.proto.PeerProto.UpstreamWork) obj;
+      org.tanagerbank.proto.PeerProto.Placement other = (org.tanagerbank.proto.PeerProto.Placement) obj;
 
+      if (getNumber()
+          != other.getNumber()) return false;
       if (!getUpstreamId()
           .equals(other.getUpstreamId())) return false;
-      if (getInFlight()
-          != other.getInFlight()) return false;
+      if (getPromptTokens()
+          != other.getPromptTokens()) return false;
+      if (!getPartIdsList()
+          .equals(other.getPartIdsList())) return false;
+      if (!getPartTokensList()
+          .equals(other.getPartTokensList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3321,53 +4568,64 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
       hash = (37 * hash) + UPSTREAM_ID_FIELD_NUMBER;
       hash = (53 * hash) + getUpstreamId().hashCode();
-      hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
-      hash = (53 * hash) + getInFlight();
+      hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptTokens();
+      if (getPartIdsCount() > 0) {
+        hash = (37 * hash) + PART_IDS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartIdsList().hashCode();
+      }
+      if (getPartTokensCount() > 0) {
+        hash = (37 * hash) + PART_TOKENS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartTokensList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(byte[] data)
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3375,26 +4633,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseDelimitedFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.Placement parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseDelimitedFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork parseFrom(
+    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3407,7 +4665,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.UpstreamWork prototype) {
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Placement prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -3423,26 +4681,30 @@
       return builder;
     }
     /**
-     * Protobuf type {@code tanagerbank.peer.UpstreamWork}
+     * <pre>
+     * A request that was sent to an engine.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Placement}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.UpstreamWork)
-        org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder {
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Placement)
+        org.tanagerbank.proto.PeerProto.PlacementOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.UpstreamWork.class, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder.class);
+                org.tanagerbank.proto.PeerProto.Placement.class, org.tanagerbank.proto.PeerProto.Placement.Builder.class);
       }
 
-      // Construct using org.tanagerbank.proto.PeerProto.UpstreamWork.newBuilder()
+      // Construct using org.tanagerbank.proto.PeerProto.Placement.newBuilder()
       private Builder() {
 
       }
@@ -3456,25 +4718,28 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
+        number_ = 0L;
         upstreamId_ = "";
-        inFlight_ = 0;
+        promptTokens_ = 0;
+        partIds_ = emptyLongList();
+        partTokens_ = emptyIntList();
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_UpstreamWork_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance();
+      public org.tanagerbank.proto.PeerProto.Placement getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.UpstreamWork build() {
-        org.tanagerbank.proto.PeerProto.UpstreamWork result = buildPartial();
+      public org.tanagerbank.proto.PeerProto.Placement build() {
+        org.tanagerbank.proto.PeerProto.Placement result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -3482,42 +4747,78 @@
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.UpstreamWork buildPartial() {
-        org.tanagerbank.proto.PeerProto.UpstreamWork result = new org.tanagerbank.proto.PeerProto.UpstreamWork(this);
+      public org.tanagerbank.proto.PeerProto.Placement buildPartial() {
+        org.tanagerbank.proto.PeerProto.Placement result = new org.tanagerbank.proto.PeerProto.Placement(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.UpstreamWork result) {
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Placement result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.upstreamId_ = upstreamId_;
+          result.number_ = number_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.inFlight_ = inFlight_;
+          result.upstreamId_ = upstreamId_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.promptTokens_ = promptTokens_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          partIds_.makeImmutable();
+          result.partIds_ = partIds_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          partTokens_.makeImmutable();
+          result.partTokens_ = partTokens_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.UpstreamWork) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.UpstreamWork)other);
+        if (other instanceof org.tanagerbank.proto.PeerProto.Placement) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Placement)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.UpstreamWork other) {
-        if (other == org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Placement other) {
+        if (other == org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
         if (!other.getUpstreamId().isEmpty()) {
           upstreamId_ = other.upstreamId_;
-          bitField0_ |= 0x00000001;
+          bitField0_ |= 0x00000002;
           onChanged();
         }
-        if (other.getInFlight() != 0) {
-          setInFlight(other.getInFlight());
+        if (other.getPromptTokens() != 0) {
+          setPromptTokens(other.getPromptTokens());
+        }
+        if (!other.partIds_.isEmpty()) {
+          if (partIds_.isEmpty()) {
+            partIds_ = other.partIds_;
+            partIds_.makeImmutable();
+            bitField0_ |= 0x00000008;
+          } else {
+            ensurePartIdsIsMutable();
+            partIds_.addAll(other.partIds_);
+          }
+          onChanged();
+        }
+        if (!other.partTokens_.isEmpty()) {
+          if (partTokens_.isEmpty()) {
+            partTokens_ = other.partTokens_;
+            partTokens_.makeImmutable();
+            bitField0_ |= 0x00000010;
+          } else {
+            ensurePartTokensIsMutable();
+            partTokens_.addAll(other.partTokens_);
+          }
+          onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -3545,16 +4846,54 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                upstreamId_ = input.readStringRequireUtf8();
+              case 8: {
+                number_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
-              case 16: {
-                inFlight_ = input.readUInt32();
+              } // case 8
+              case 18: {
+                upstreamId_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 16
+              } // case 18
+              case 24: {
+                promptTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 33: {
+                long v = input.readFixed64();
+                ensurePartIdsIsMutable();
+                partIds_.addLong(v);
+                break;
+              } // case 33
+              case 34: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensurePartIdsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  partIds_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+              case 40: {
+                int v = input.readUInt32();
+                ensurePartTokensIsMutable();
+                partTokens_.addInt(v);
+                break;
+              } // case 40
+              case 42: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensurePartTokensIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  partTokens_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3572,9 +4911,53 @@
       }
       private int bitField0_;
 
+      private long number_ ;
+      /**
+       * <pre>
+       * Rises with each placement of one incarnation of the sender.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <pre>
+       * Rises with each placement of one incarnation of the sender.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Rises with each placement of one incarnation of the sender.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
       private java.lang.Object upstreamId_ = "";
       /**
-       * <code>string upstream_id = 1;</code>
+       * <code>string upstream_id = 2;</code>
        * @return The upstreamId.
        */
       public java.lang.String getUpstreamId() {
@@ -3590,109 +4973,283 @@
         }
       }
       /**
-       * <code>string upstream_id = 1;</code>
-       * @return The bytes for upstreamId.
+       * <code>string upstream_id = 2;</code>
+       * @return The bytes for upstreamId.
+       */
+      public com.google.protobuf.ByteString
+          getUpstreamIdBytes() {
+        java.lang.Object ref = upstreamId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          upstreamId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string upstream_id = 2;</code>
+       * @param value The upstreamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUpstreamId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        upstreamId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string upstream_id = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUpstreamId() {
+        upstreamId_ = getDefaultInstance().getUpstreamId();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string upstream_id = 2;</code>
+       * @param value The bytes for upstreamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUpstreamIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        upstreamId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private int promptTokens_ ;
+      /**
+       * <code>uint32 prompt_tokens = 3;</code>
+       * @return The promptTokens.
+       */
+      @java.lang.Override
+      public int getPromptTokens() {
+        return promptTokens_;
+      }
+      /**
+       * <code>uint32 prompt_tokens = 3;</code>
+       * @param value The promptTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPromptTokens(int value) {
+
+        promptTokens_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 prompt_tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPromptTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        promptTokens_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.LongList partIds_ = emptyLongList();
+      private void ensurePartIdsIsMutable() {
+        if (!partIds_.isModifiable()) {
+          partIds_ = makeMutableCopy(partIds_);
+        }
+        bitField0_ |= 0x00000008;
+      }
+      private void ensurePartIdsIsMutable(int capacity) {
+        if (!partIds_.isModifiable()) {
+          partIds_ = makeMutableCopy(partIds_, capacity);
+        }
+        bitField0_ |= 0x00000008;
+      }
+      /**
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @return A list containing the partIds.
+       */
+      public java.util.List<java.lang.Long>
+          getPartIdsList() {
+        partIds_.makeImmutable();
+        return partIds_;
+      }
+      /**
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @return The count of partIds.
+       */
+      public int getPartIdsCount() {
+        return partIds_.size();
+      }
+      /**
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @param index The index of the element to return.
+       * @return The partIds at the given index.
+       */
+      public long getPartIds(int index) {
+        return partIds_.getLong(index);
+      }
+      /**
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @param index The index to set the value at.
+       * @param value The partIds to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ByteString
-          getUpstreamIdBytes() {
-        java.lang.Object ref = upstreamId_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          upstreamId_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      public Builder setPartIds(
+          int index, long value) {
+
+        ensurePartIdsIsMutable();
+        partIds_.setLong(index, value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
-       * <code>string upstream_id = 1;</code>
-       * @param value The upstreamId to set.
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @param value The partIds to add.
        * @return This builder for chaining.
        */
-      public Builder setUpstreamId(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        upstreamId_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder addPartIds(long value) {
+
+        ensurePartIdsIsMutable();
+        partIds_.addLong(value);
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>string upstream_id = 1;</code>
+       * <code>repeated fixed64 part_ids = 4;</code>
+       * @param values The partIds to add.
        * @return This builder for chaining.
        */
-      public Builder clearUpstreamId() {
-        upstreamId_ = getDefaultInstance().getUpstreamId();
-        bitField0_ = (bitField0_ & ~0x00000001);
+      public Builder addAllPartIds(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensurePartIdsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partIds_);
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>string upstream_id = 1;</code>
-       * @param value The bytes for upstreamId to set.
+       * <code>repeated fixed64 part_ids = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder setUpstreamIdBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        upstreamId_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder clearPartIds() {
+        partIds_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
         return this;
       }
 
-      private int inFlight_ ;
+      private com.google.protobuf.Internal.IntList partTokens_ = emptyIntList();
+      private void ensurePartTokensIsMutable() {
+        if (!partTokens_.isModifiable()) {
+          partTokens_ = makeMutableCopy(partTokens_);
+        }
+        bitField0_ |= 0x00000010;
+      }
       /**
-       * <code>uint32 in_flight = 2;</code>
-       * @return The inFlight.
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @return A list containing the partTokens.
        */
-      @java.lang.Override
-      public int getInFlight() {
-        return inFlight_;
+      public java.util.List<java.lang.Integer>
+          getPartTokensList() {
+        partTokens_.makeImmutable();
+        return partTokens_;
       }
       /**
-       * <code>uint32 in_flight = 2;</code>
-       * @param value The inFlight to set.
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @return The count of partTokens.
+       */
+      public int getPartTokensCount() {
+        return partTokens_.size();
+      }
+      /**
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @param index The index of the element to return.
+       * @return The partTokens at the given index.
+       */
+      public int getPartTokens(int index) {
+        return partTokens_.getInt(index);
+      }
+      /**
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @param index The index to set the value at.
+       * @param value The partTokens to set.
        * @return This builder for chaining.
        */
-      public Builder setInFlight(int value) {
+      public Builder setPartTokens(
+          int index, int value) {
 
-        inFlight_ = value;
-        bitField0_ |= 0x00000002;
+        ensurePartTokensIsMutable();
+        partTokens_.setInt(index, value);
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 in_flight = 2;</code>
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @param value The partTokens to add.
        * @return This builder for chaining.
        */
-      public Builder clearInFlight() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        inFlight_ = 0;
+      public Builder addPartTokens(int value) {
+
+        ensurePartTokensIsMutable();
+        partTokens_.addInt(value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @param values The partTokens to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllPartTokens(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensurePartTokensIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partTokens_);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint32 part_tokens = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPartTokens() {
+        partTokens_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.UpstreamWork)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Placement)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.UpstreamWork)
-    private static final org.tanagerbank.proto.PeerProto.UpstreamWork DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Placement)
+    private static final org.tanagerbank.proto.PeerProto.Placement DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.UpstreamWork();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Placement();
     }
 
-    public static org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.Placement getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<UpstreamWork>
-        PARSER = new com.google.protobuf.AbstractParser<UpstreamWork>() {
+    private static final com.google.protobuf.Parser<Placement>
+        PARSER = new com.google.protobuf.AbstractParser<Placement>() {
       @java.lang.Override
-      public UpstreamWork parsePartialFrom(
+      public Placement parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3711,83 +5268,67 @@
       }
     };
 
-    public static com.google.protobuf.Parser<UpstreamWork> parser() {
+    public static com.google.protobuf.Parser<Placement> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<UpstreamWork> getParserForType() {
+    public com.google.protobuf.Parser<Placement> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.UpstreamWork getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.Placement getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface PlacementOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Placement)
+  public interface EngineCacheOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.EngineCache)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <pre>
-     * Rises with each placement of one incarnation of the sender.
-     * </pre>
-     *
-     * <code>uint64 number = 1;</code>
-     * @return The number.
-     */
-    long getNumber();
-
-    /**
-     * <code>string upstream_id = 2;</code>
+     * <code>string upstream_id = 1;</code>
      * @return The upstreamId.
      */
     java.lang.String getUpstreamId();
     /**
-     * <code>string upstream_id = 2;</code>
+     * <code>string upstream_id = 1;</code>
      * @return The bytes for upstreamId.
      */
     com.google.protobuf.ByteString
         getUpstreamIdBytes();
 
     /**
-     * <code>uint32 prompt_tokens = 3;</code>
-     * @return The promptTokens.
-     */
-    int getPromptTokens();
-
-    /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @return A list containing the partIds.
      */
     java.util.List<java.lang.Long> getPartIdsList();
     /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @return The count of partIds.
      */
     int getPartIdsCount();
     /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @param index The index of the element to return.
      * @return The partIds at the given index.
      */
     long getPartIds(int index);
 
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @return A list containing the partTokens.
      */
     java.util.List<java.lang.Integer> getPartTokensList();
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @return The count of partTokens.
      */
     int getPartTokensCount();
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @param index The index of the element to return.
      * @return The partTokens at the given index.
      */
@@ -3795,15 +5336,15 @@
   }
   /**
    * <pre>
-   * A request that was sent to an engine.
+   * Prompt parts that an engine keeps and several requests share.
    * </pre>
    *
-   * Protobuf type {@code tanagerbank.peer.Placement}
+   * Protobuf type {@code tanagerbank.peer.EngineCache}
    */
-  public static final class Placement extends
+  public static final class EngineCache extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Placement)
-      PlacementOrBuilder {
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.EngineCache)
+      EngineCacheOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3812,13 +5353,13 @@
         /* minor= */ 30,
         /* patch= */ 2,
         /* suffix= */ "",
-        Placement.class.getName());
+        EngineCache.class.getName());
     }
-    // Use Placement.newBuilder() to construct.
-    private Placement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use EngineCache.newBuilder() to construct.
+    private EngineCache(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Placement() {
+    private EngineCache() {
       upstreamId_ = "";
       partIds_ = emptyLongList();
       partTokens_ = emptyIntList();
@@ -3826,37 +5367,22 @@
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_EngineCache_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_fieldAccessorTable
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.Placement.class, org.tanagerbank.proto.PeerProto.Placement.Builder.class);
-    }
-
-    public static final int NUMBER_FIELD_NUMBER = 1;
-    private long number_ = 0L;
-    /**
-     * <pre>
-     * Rises with each placement of one incarnation of the sender.
-     * </pre>
-     *
-     * <code>uint64 number = 1;</code>
-     * @return The number.
-     */
-    @java.lang.Override
-    public long getNumber() {
-      return number_;
+              org.tanagerbank.proto.PeerProto.EngineCache.class, org.tanagerbank.proto.PeerProto.EngineCache.Builder.class);
     }
 
-    public static final int UPSTREAM_ID_FIELD_NUMBER = 2;
+    public static final int UPSTREAM_ID_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object upstreamId_ = "";
     /**
-     * <code>string upstream_id = 2;</code>
+     * <code>string upstream_id = 1;</code>
      * @return The upstreamId.
      */
     @java.lang.Override
@@ -3873,7 +5399,7 @@
       }
     }
     /**
-     * <code>string upstream_id = 2;</code>
+     * <code>string upstream_id = 1;</code>
      * @return The bytes for upstreamId.
      */
     @java.lang.Override
@@ -3891,23 +5417,12 @@
       }
     }
 
-    public static final int PROMPT_TOKENS_FIELD_NUMBER = 3;
-    private int promptTokens_ = 0;
-    /**
-     * <code>uint32 prompt_tokens = 3;</code>
-     * @return The promptTokens.
-     */
-    @java.lang.Override
-    public int getPromptTokens() {
-      return promptTokens_;
-    }
-
-    public static final int PART_IDS_FIELD_NUMBER = 4;
+    public static final int PART_IDS_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
     private com.google.protobuf.Internal.LongList partIds_ =
         emptyLongList();
     /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @return A list containing the partIds.
      */
     @java.lang.Override
@@ -3916,14 +5431,14 @@
       return partIds_;
     }
     /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @return The count of partIds.
      */
     public int getPartIdsCount() {
       return partIds_.size();
     }
     /**
-     * <code>repeated fixed64 part_ids = 4;</code>
+     * <code>repeated fixed64 part_ids = 2;</code>
      * @param index The index of the element to return.
      * @return The partIds at the given index.
      */
@@ -3932,12 +5447,12 @@
     }
     private int partIdsMemoizedSerializedSize = -1;
 
-    public static final int PART_TOKENS_FIELD_NUMBER = 5;
+    public static final int PART_TOKENS_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
     private com.google.protobuf.Internal.IntList partTokens_ =
         emptyIntList();
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @return A list containing the partTokens.
      */
     @java.lang.Override
@@ -3946,14 +5461,14 @@
       return partTokens_;
     }
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @return The count of partTokens.
      */
     public int getPartTokensCount() {
       return partTokens_.size();
     }
     /**
-     * <code>repeated uint32 part_tokens = 5;</code>
+     * <code>repeated uint32 part_tokens = 3;</code>
      * @param index The index of the element to return.
      * @return The partTokens at the given index.
      */
@@ -3975,26 +5490,20 @@
 
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      getSerializedSize();
-      if (number_ != 0L) {
-        output.writeUInt64(1, number_);
-      }
+                        throws java.io.IOException {
+      getSerializedSize();
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, upstreamId_);
-      }
-      if (promptTokens_ != 0) {
-        output.writeUInt32(3, promptTokens_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, upstreamId_);
       }
       if (getPartIdsList().size() > 0) {
-        output.writeUInt32NoTag(34);
+        output.writeUInt32NoTag(18);
         output.writeUInt32NoTag(partIdsMemoizedSerializedSize);
       }
       for (int i = 0; i < partIds_.size(); i++) {
         output.writeFixed64NoTag(partIds_.getLong(i));
       }
       if (getPartTokensList().size() > 0) {
-        output.writeUInt32NoTag(42);
+        output.writeUInt32NoTag(26);
         output.writeUInt32NoTag(partTokensMemoizedSerializedSize);
       }
       for (int i = 0; i < partTokens_.size(); i++) {
@@ -4009,16 +5518,8 @@
       if (size != -1) return size;
 
       size = 0;
-      if (number_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, number_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, upstreamId_);
-      }
-      if (promptTokens_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, promptTokens_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, upstreamId_);
       }
       {
         int dataSize = 0;
@@ -4055,17 +5556,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Placement)) {
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.EngineCache)) {
         return super.equals(obj);
       }
-      org.tanagerbank.proto.PeerProto.Placement other = (org.tanagerbank.proto.PeerProto.Placement) obj;
+      org.tanagerbank.proto.PeerProto.EngineCache other = (org.tanagerbank.proto.PeerProto.EngineCache) obj;
 
-      if (getNumber()
-          != other.getNumber()) return false;
       if (!getUpstreamId()
           .equals(other.getUpstreamId())) return false;
-      if (getPromptTokens()
-          != other.getPromptTokens()) return false;
       if (!getPartIdsList()
           .equals(other.getPartIdsList())) return false;
       if (!getPartTokensList()
@@ -4081,13 +5578,8 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getNumber());
       hash = (37 * hash) + UPSTREAM_ID_FIELD_NUMBER;
       hash = (53 * hash) + getUpstreamId().hashCode();
-      hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + getPromptTokens();
       if (getPartIdsCount() > 0) {
         hash = (37 * hash) + PART_IDS_FIELD_NUMBER;
         hash = (53 * hash) + getPartIdsList().hashCode();
@@ -4101,44 +5593,44 @@
       return hash;
     }
 
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(byte[] data)
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4146,26 +5638,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.tanagerbank.proto.PeerProto.Placement parseDelimitedFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.tanagerbank.proto.PeerProto.Placement parseDelimitedFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.Placement parseFrom(
+    public static org.tanagerbank.proto.PeerProto.EngineCache parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4178,7 +5670,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Placement prototype) {
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.EngineCache prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -4195,29 +5687,29 @@
     }
     /**
      * <pre>
-     * A request that was sent to an engine.
+     * Prompt parts that an engine keeps and several requests share.
      * </pre>
      *
-     * Protobuf type {@code tanagerbank.peer.Placement}
+     * Protobuf type {@code tanagerbank.peer.EngineCache}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Placement)
-        org.tanagerbank.proto.PeerProto.PlacementOrBuilder {
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.EngineCache)
+        org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_EngineCache_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_fieldAccessorTable
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.Placement.class, org.tanagerbank.proto.PeerProto.Placement.Builder.class);
+                org.tanagerbank.proto.PeerProto.EngineCache.class, org.tanagerbank.proto.PeerProto.EngineCache.Builder.class);
       }
 
-      // Construct using org.tanagerbank.proto.PeerProto.Placement.newBuilder()
+      // Construct using org.tanagerbank.proto.PeerProto.EngineCache.newBuilder()
       private Builder() {
 
       }
@@ -4231,9 +5723,7 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        number_ = 0L;
         upstreamId_ = "";
-        promptTokens_ = 0;
         partIds_ = emptyLongList();
         partTokens_ = emptyIntList();
         return this;
@@ -4242,17 +5732,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Placement_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_EngineCache_descriptor;
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Placement getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance();
+      public org.tanagerbank.proto.PeerProto.EngineCache getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Placement build() {
-        org.tanagerbank.proto.PeerProto.Placement result = buildPartial();
+      public org.tanagerbank.proto.PeerProto.EngineCache build() {
+        org.tanagerbank.proto.PeerProto.EngineCache result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -4260,29 +5750,23 @@
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Placement buildPartial() {
-        org.tanagerbank.proto.PeerProto.Placement result = new org.tanagerbank.proto.PeerProto.Placement(this);
+      public org.tanagerbank.proto.PeerProto.EngineCache buildPartial() {
+        org.tanagerbank.proto.PeerProto.EngineCache result = new org.tanagerbank.proto.PeerProto.EngineCache(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.Placement result) {
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.EngineCache result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.number_ = number_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
           result.upstreamId_ = upstreamId_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.promptTokens_ = promptTokens_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
+        if (((from_bitField0_ & 0x00000002) != 0)) {
           partIds_.makeImmutable();
           result.partIds_ = partIds_;
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
+        if (((from_bitField0_ & 0x00000004) != 0)) {
           partTokens_.makeImmutable();
           result.partTokens_ = partTokens_;
         }
@@ -4290,32 +5774,26 @@
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.Placement) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.Placement)other);
+        if (other instanceof org.tanagerbank.proto.PeerProto.EngineCache) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.EngineCache)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Placement other) {
-        if (other == org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance()) return this;
-        if (other.getNumber() != 0L) {
-          setNumber(other.getNumber());
-        }
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.EngineCache other) {
+        if (other == org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance()) return this;
         if (!other.getUpstreamId().isEmpty()) {
           upstreamId_ = other.upstreamId_;
-          bitField0_ |= 0x00000002;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.getPromptTokens() != 0) {
-          setPromptTokens(other.getPromptTokens());
-        }
         if (!other.partIds_.isEmpty()) {
           if (partIds_.isEmpty()) {
             partIds_ = other.partIds_;
             partIds_.makeImmutable();
-            bitField0_ |= 0x00000008;
+            bitField0_ |= 0x00000002;
           } else {
             ensurePartIdsIsMutable();
             partIds_.addAll(other.partIds_);
@@ -4326,7 +5804,7 @@
           if (partTokens_.isEmpty()) {
             partTokens_ = other.partTokens_;
             partTokens_.makeImmutable();
-            bitField0_ |= 0x00000010;
+            bitField0_ |= 0x00000004;
           } else {
             ensurePartTokensIsMutable();
             partTokens_.addAll(other.partTokens_);
@@ -4359,28 +5837,18 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                number_ = input.readUInt64();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 18: {
+              case 10: {
                 upstreamId_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
-              case 24: {
-                promptTokens_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
+                bitField0_ |= 0x00000001;
                 break;
-              } // case 24
-              case 33: {
+              } // case 10
+              case 17: {
                 long v = input.readFixed64();
                 ensurePartIdsIsMutable();
                 partIds_.addLong(v);
                 break;
-              } // case 33
-              case 34: {
+              } // case 17
+              case 18: {
                 int length = input.readRawVarint32();
                 int limit = input.pushLimit(length);
                 int alloc = length > 4096 ? 4096 : length;
@@ -4390,14 +5858,14 @@
                 }
                 input.popLimit(limit);
                 break;
-              } // case 34
-              case 40: {
+              } // case 18
+              case 24: {
                 int v = input.readUInt32();
                 ensurePartTokensIsMutable();
                 partTokens_.addInt(v);
                 break;
-              } // case 40
-              case 42: {
+              } // case 24
+              case 26: {
                 int length = input.readRawVarint32();
                 int limit = input.pushLimit(length);
                 ensurePartTokensIsMutable();
@@ -4406,7 +5874,7 @@
                 }
                 input.popLimit(limit);
                 break;
-              } // case 42
+              } // case 26
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4424,53 +5892,9 @@
       }
       private int bitField0_;
 
-      private long number_ ;
-      /**
-       * <pre>
-       * Rises with each placement of one incarnation of the sender.
-       * </pre>
-       *
-       * <code>uint64 number = 1;</code>
-       * @return The number.
-       */
-      @java.lang.Override
-      public long getNumber() {
-        return number_;
-      }
-      /**
-       * <pre>
-       * Rises with each placement of one incarnation of the sender.
-       * </pre>
-       *
-       * <code>uint64 number = 1;</code>
-       * @param value The number to set.
-       * @return This builder for chaining.
-       */
-      public Builder setNumber(long value) {
-
-        number_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Rises with each placement of one incarnation of the sender.
-       * </pre>
-       *
-       * <code>uint64 number = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearNumber() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        number_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object upstreamId_ = "";
       /**
-       * <code>string upstream_id = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @return The upstreamId.
        */
       public java.lang.String getUpstreamId() {
@@ -4486,7 +5910,7 @@
         }
       }
       /**
-       * <code>string upstream_id = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @return The bytes for upstreamId.
        */
       public com.google.protobuf.ByteString
@@ -4503,7 +5927,7 @@
         }
       }
       /**
-       * <code>string upstream_id = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @param value The upstreamId to set.
        * @return This builder for chaining.
        */
@@ -4511,22 +5935,22 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         upstreamId_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string upstream_id = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @return This builder for chaining.
        */
       public Builder clearUpstreamId() {
         upstreamId_ = getDefaultInstance().getUpstreamId();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string upstream_id = 2;</code>
+       * <code>string upstream_id = 1;</code>
        * @param value The bytes for upstreamId to set.
        * @return This builder for chaining.
        */
@@ -4535,39 +5959,7 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         upstreamId_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private int promptTokens_ ;
-      /**
-       * <code>uint32 prompt_tokens = 3;</code>
-       * @return The promptTokens.
-       */
-      @java.lang.Override
-      public int getPromptTokens() {
-        return promptTokens_;
-      }
-      /**
-       * <code>uint32 prompt_tokens = 3;</code>
-       * @param value The promptTokens to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPromptTokens(int value) {
-
-        promptTokens_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 prompt_tokens = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearPromptTokens() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        promptTokens_ = 0;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
@@ -4577,16 +5969,16 @@
         if (!partIds_.isModifiable()) {
           partIds_ = makeMutableCopy(partIds_);
         }
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
       }
       private void ensurePartIdsIsMutable(int capacity) {
         if (!partIds_.isModifiable()) {
           partIds_ = makeMutableCopy(partIds_, capacity);
         }
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @return A list containing the partIds.
        */
       public java.util.List<java.lang.Long>
@@ -4595,14 +5987,14 @@
         return partIds_;
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @return The count of partIds.
        */
       public int getPartIdsCount() {
         return partIds_.size();
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @param index The index of the element to return.
        * @return The partIds at the given index.
        */
@@ -4610,7 +6002,7 @@
         return partIds_.getLong(index);
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @param index The index to set the value at.
        * @param value The partIds to set.
        * @return This builder for chaining.
@@ -4620,12 +6012,12 @@
 
         ensurePartIdsIsMutable();
         partIds_.setLong(index, value);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @param value The partIds to add.
        * @return This builder for chaining.
        */
@@ -4633,12 +6025,12 @@
 
         ensurePartIdsIsMutable();
         partIds_.addLong(value);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @param values The partIds to add.
        * @return This builder for chaining.
        */
@@ -4647,17 +6039,17 @@
         ensurePartIdsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
             values, partIds_);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated fixed64 part_ids = 4;</code>
+       * <code>repeated fixed64 part_ids = 2;</code>
        * @return This builder for chaining.
        */
       public Builder clearPartIds() {
         partIds_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
         return this;
       }
@@ -4667,10 +6059,10 @@
         if (!partTokens_.isModifiable()) {
           partTokens_ = makeMutableCopy(partTokens_);
         }
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000004;
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @return A list containing the partTokens.
        */
       public java.util.List<java.lang.Integer>
@@ -4679,14 +6071,14 @@
         return partTokens_;
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @return The count of partTokens.
        */
       public int getPartTokensCount() {
         return partTokens_.size();
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @param index The index of the element to return.
        * @return The partTokens at the given index.
        */
@@ -4694,7 +6086,7 @@
         return partTokens_.getInt(index);
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @param index The index to set the value at.
        * @param value The partTokens to set.
        * @return This builder for chaining.
@@ -4704,12 +6096,12 @@
 
         ensurePartTokensIsMutable();
         partTokens_.setInt(index, value);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @param value The partTokens to add.
        * @return This builder for chaining.
        */
@@ -4717,12 +6109,12 @@
 
         ensurePartTokensIsMutable();
         partTokens_.addInt(value);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @param values The partTokens to add.
        * @return This builder for chaining.
        */
@@ -4731,38 +6123,38 @@
         ensurePartTokensIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
             values, partTokens_);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated uint32 part_tokens = 5;</code>
+       * <code>repeated uint32 part_tokens = 3;</code>
        * @return This builder for chaining.
        */
       public Builder clearPartTokens() {
         partTokens_ = emptyIntList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Placement)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.EngineCache)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Placement)
-    private static final org.tanagerbank.proto.PeerProto.Placement DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.EngineCache)
+    private static final org.tanagerbank.proto.PeerProto.EngineCache DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Placement();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.EngineCache();
     }
 
-    public static org.tanagerbank.proto.PeerProto.Placement getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.EngineCache getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Placement>
-        PARSER = new com.google.protobuf.AbstractParser<Placement>() {
+    private static final com.google.protobuf.Parser<EngineCache>
+        PARSER = new com.google.protobuf.AbstractParser<EngineCache>() {
       @java.lang.Override
-      public Placement parsePartialFrom(
+      public EngineCache parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4781,17 +6173,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Placement> parser() {
+    public static com.google.protobuf.Parser<EngineCache> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Placement> getParserForType() {
+    public com.google.protobuf.Parser<EngineCache> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Placement getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.EngineCache getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -4817,6 +6209,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_Placement_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_EngineCache_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -4826,20 +6223,23 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020tanagerbank.peer\"\344\001\n\006Diges" +
+      "\n\npeer.proto\022\020tanagerbank.peer\"\223\002\n\006Diges" +
       "t\022)\n\006sender\030\001 \001(\0132\031.tanagerbank.peer.Add" +
       "ress\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version\030\003" +
       " \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer.Up" +
       "streamWork\022/\n\nplacements\030\005 \003(\0132\033.tanager" +
       "bank.peer.Placement\022(\n\005peers\030\006 \003(\0132\031.tan" +
-      "agerbank.peer.Address\"M\n\007Address\022\023\n\013inst" +
-      "ance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022" +
-      "\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013" +
-      "upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"n\n\t" +
-      "Placement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_id" +
-      "\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_id" +
-      "s\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\rB\"\n\025org.tana" +
-      "gerbank.protoB\tPeerProtob\006proto3"
+      "agerbank.peer.Address\022-\n\006caches\030\007 \003(\0132\035." +
+      "tanagerbank.peer.EngineCache\"M\n\007Address\022" +
+      "\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port" +
+      "\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamW" +
+      "ork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 " +
+      "\001(\r\"n\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upst" +
+      "ream_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010" +
+      "part_ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\"I\n\013E" +
+      "ngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_" +
+      "ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.ta" +
+      "nagerbank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -4850,7 +6250,7 @@
     internal_static_tanagerbank_peer_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Digest_descriptor,
-        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", });
+        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", });
     internal_static_tanagerbank_peer_Address_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
@@ -4869,6 +6269,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", });
+    internal_static_tanagerbank_peer_EngineCache_descriptor =
+      getDescriptor().getMessageTypes().get(4);
+    internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_EngineCache_descriptor,
+        new java.lang.String[] { "UpstreamId", "PartIds", "PartTokens", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/org/tanagerbank/route/RouteTable.java
+++ b/src/main/java/org/tanagerbank/route/RouteTable.java
@@ -15,11 +15,10 @@
  * the number of routes.
  */
 public final class RouteTable {
-  private final ImmutableMap<Key, Route> routes;
+  /** By host and prefix; a host holds no slash and a prefix begins with one. */
+  private final ImmutableMap<String, Route> routes;
 
-  private record Key(String host, String prefix) {}
-
-  private RouteTable(ImmutableMap<Key, Route> routes) {
+  private RouteTable(ImmutableMap<String, Route> routes) {
     this.routes = routes;
   }
 
@@ -28,8 +27,7 @@
     return new RouteTable(
         routes.stream()
             .collect(
-                toImmutableMap(
-                    r -> new Key(r.host(), r.pathPrefix()), Function.identity(), (a, b) -> b)));
+                toImmutableMap(r -> r.host() + r.pathPrefix(), Function.identity(), (a, b) -> b)));
   }
 
   /**
@@ -43,7 +41,7 @@
     int query = target.indexOf('?');
     String path = query < 0 ? target : target.substring(0, query);
     for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
-      Route route = routes.get(new Key(name, path.substring(0, slash + 1)));
+      Route route = routes.get(name + path.substring(0, slash + 1));
       if (route != null) {
         return Optional.of(route);
       }
--- a/src/test/java/org/tanagerbank/engine/EngineModelTest.java
+++ b/src/test/java/org/tanagerbank/engine/EngineModelTest.java
@@ -52,6 +52,16 @@
     assertThat(model.freshTokens(prompt(2, 202, 8_000))).isEqualTo(8_100);
   }
 
+  @Test
+  void knowledgeOfSharedPartsIsHandedOver() {
+    model.sent("r1", prompt(1, 101, 5_000), 0);
+    model.sent("r2", prompt(1, 102, 5_000), 0);
+    assertThat(model.sharedParts()).containsExactly(new PromptPart(1, 5_000));
+    EngineModel restarted = EngineModel.create(new EngineLimits(64, 20_000));
+    restarted.restore(model.sharedParts());
+    assertThat(restarted.freshTokens(prompt(1, 103, 5_000))).isEqualTo(100);
+  }
+
   @Test
   void requestThatEndedTwiceIsCountedOnce() {
     model.sent("r1", prompt(1, 101, 100), 0);
