--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.tanagerbank.direct.DirectUpstream;
@@ -45,6 +46,7 @@
             callers,
             freeUdpAddress(),
             freeTcpAddress(),
+            true,
             5_000,
             2_000,
             8_000,
@@ -53,6 +55,7 @@
         Gateway.create(
             settings,
             new PlatformDialect(),
+            (loop, connections, callback) -> callback.accept(Optional.empty()),
             loop -> {
               store = new MemoryStore(loop, config(), reports());
               return store;
--- a/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
@@ -2,6 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.gateway.DrainPlan.Step;
 
@@ -37,6 +41,16 @@
     assertThat(clock.getAsLong()).isEqualTo(1_000);
   }
 
+  /** Engines would be asked twice, or not at all, if instances disagreed on their shares. */
+  @Test
+  void eachEngineIsAnsweredForByOneInstance() {
+    ImmutableSet<String> instances = ImmutableSet.of("g-1", "g-2", "g-3");
+    ImmutableList<String> engines = ImmutableList.of("e-1", "e-2", "e-3", "e-4", "e-5", "e-6");
+    List<String> answered = new ArrayList<>();
+    instances.forEach(i -> answered.addAll(CacheHandover.share(engines, i, instances)));
+    assertThat(answered).containsExactlyElementsIn(engines);
+  }
+
   @Test
   void stopServesOnUntilTheInstanceIsOutOfRotation() {
     DrainPlan plan = DrainPlan.begin(0, 8_000);
--- a/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
@@ -35,7 +35,10 @@
             12,
             ImmutableMap.of("i-1", 3),
             ImmutableList.of(new PlacementNote(4, "i-1", prompt(-7))),
-            ImmutableList.of(address("b", 6)));
+            ImmutableList.of(address("b", 6)),
+            ImmutableList.of(
+                new CachedParts(
+                    "i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
     assertThat(DigestCodec.decode(DigestCodec.encode(digest))).isEqualTo(digest);
   }
 
