Predict with the cost of attention and the slowness of each engine

The model counts token pairs and follows the ratio of actual to expected times to the first token.

Tried and reverted: homes of sessions with one first part among few engines (0.3 or 0.4 of them, or by a continuous weight).

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -37,6 +37,7 @@
   private int status;
   private HttpHeaders headers;
   private boolean passing;
+  private boolean firstEventSeen;
   private CompositeByteBuf held;
   private EventSplitter events;
 
@@ -149,10 +150,18 @@
       piece.release();
       return;
     }
+    noteFirstEvent();
     run.begin(status, headers);
     run.write(piece, events == null ? Optional.empty() : events.lastEventId());
   }
 
+  private void noteFirstEvent() {
+    if (!firstEventSeen) {
+      firstEventSeen = true;
+      upstream.engine().ifPresent(e -> e.firstToken(run.requestId(), dispatcher.nowMillis()));
+    }
+  }
+
   @Override
   public void end() {
     if (over) {
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -53,11 +53,15 @@
             .collect(ImmutableList.toImmutableList());
     List<UpstreamHandle> usable = healthy.isEmpty() ? upstreams : healthy;
     List<UpstreamHandle> bounded = withinLoad(usable, request.loadMultiple(), nowMillis);
-    ToDoubleFunction<UpstreamHandle> cost =
-        request.prompt().isPresent()
-            ? u -> engineCost(u, request, request.prompt().get())
-            : u -> plainCost(u, request.zone(), nowMillis);
-    return bounded.stream().min(Comparator.comparingDouble(cost));
+    return bounded.stream().min(Comparator.comparingDouble(cost(request)));
+  }
+
+  private static ToDoubleFunction<UpstreamHandle> cost(PlacementRequest request) {
+    if (request.prompt().isEmpty()) {
+      return u -> plainCost(u, request.zone(), request.nowMillis());
+    }
+    Prompt prompt = request.prompt().get();
+    return u -> engineCost(u, request, prompt);
   }
 
   private static List<UpstreamHandle> withinLoad(
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -18,6 +18,18 @@
   /** Prompt tokens read in a millisecond by an engine of the size that the deployments use. */
   private static final double PREFILL_TOKENS_PER_MILLI = 38.4;
 
+  /** Reading a token takes this much longer for each token before it. */
+  private static final double MILLIS_PER_TOKEN_PAIR = 0.65e-6;
+
+  /** Shorter expectations are drowned by the network and by steps in progress. */
+  private static final double MIN_EXPECTED_MILLIS = 30;
+
+  /** The weight of one request in the moving estimate of an engine's slowness. */
+  private static final double SLOWNESS_WEIGHT = 0.15;
+
+  private static final double MIN_SLOWNESS = 0.7;
+  private static final double MAX_SLOWNESS = 8;
+
   /** The time of one batch step, which a request waits for before its prompt is read. */
   private static final double STEP_MILLIS = 6;
 
@@ -31,9 +43,17 @@
   private final Map<String, Work> running = new HashMap<>();
   private final PrefixCache cache = new PrefixCache();
   private double readingUntilMillis;
+  private double slowness = 1;
   private long runningTokens;
 
-  private record Work(long ownTokens) {}
+  /**
+   * A request at the engine.
+   *
+   * @param ownTokens what it needs of the memory beside shared parts
+   * @param sentMillis when it was sent
+   * @param expectedMillis the time to its first token that was expected of an engine of usual speed
+   */
+  private record Work(long ownTokens, long sentMillis, double expectedMillis) {}
 
   private EngineModel(EngineLimits limits) {
     this.limits = limits;
@@ -46,6 +66,10 @@
 
   /** Predicts the time to the first token of a request that is sent now. */
   public double firstTokenMillis(Prompt prompt, long nowMillis) {
+    return slowness * usualFirstTokenMillis(prompt, nowMillis);
+  }
+
+  private double usualFirstTokenMillis(Prompt prompt, long nowMillis) {
     double backlog = Math.max(0, readingUntilMillis - nowMillis);
     return backlog
         + readMillis(prompt)
@@ -56,7 +80,9 @@
 
   /** Returns the time that reading the part of a prompt that is not cached takes. */
   public double readMillis(Prompt prompt) {
-    return freshTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+    double fresh = freshTokens(prompt);
+    double attended = Math.max(fresh, prompt.promptTokens()) - fresh / 2;
+    return fresh / PREFILL_TOKENS_PER_MILLI + fresh * attended * MILLIS_PER_TOKEN_PAIR;
   }
 
   /** Returns how many tokens of a prompt are not cached. */
@@ -67,9 +93,10 @@
   /** Notes that a request was sent to the engine. */
   public void sent(String requestId, Prompt prompt, long nowMillis) {
     checkArgument(!requestId.isEmpty(), "request id must not be empty");
+    double expected = usualFirstTokenMillis(prompt, nowMillis);
     readingUntilMillis = Math.max(readingUntilMillis, nowMillis) + readMillis(prompt);
     noteRead(prompt);
-    Work previous = running.put(requestId, new Work(prompt.ownTokens()));
+    Work previous = running.put(requestId, new Work(prompt.ownTokens(), nowMillis, expected));
     runningTokens += prompt.ownTokens() - (previous == null ? 0 : previous.ownTokens());
   }
 
@@ -94,6 +121,22 @@
     return cache.sharedParts();
   }
 
+  /**
+   * Notes the first token of a request, and returns how many times as long as expected of an engine
+   * of usual speed it took.
+   */
+  public double firstToken(String requestId, long nowMillis) {
+    Work work = running.get(requestId);
+    if (work == null) {
+      return 1;
+    }
+    double expected = Math.max(MIN_EXPECTED_MILLIS, work.expectedMillis());
+    double ratio = Math.max(MIN_EXPECTED_MILLIS, nowMillis - work.sentMillis()) / expected;
+    double bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
+    slowness += SLOWNESS_WEIGHT * (bounded - slowness);
+    return ratio;
+  }
+
   /** Notes that a request has ended, whatever its outcome. */
   public void ended(String requestId) {
     Work work = running.remove(requestId);
--- a/src/test/java/org/tanagerbank/engine/EngineModelTest.java
+++ b/src/test/java/org/tanagerbank/engine/EngineModelTest.java
@@ -62,6 +62,24 @@
     assertThat(restarted.freshTokens(prompt(1, 103, 5_000))).isEqualTo(100);
   }
 
+  /** Slow worker: later requests expect what earlier ones saw. */
+  @Test
+  void slowEngineIsExpectedToBeSlow() {
+    double usual = model.firstTokenMillis(prompt(1, 1, 8_000), 0);
+    for (int i = 0; i < 10; i++) {
+      model.sent("r" + i, prompt(100 + i, 200 + i, 8_000), i * 10_000L);
+      model.firstToken("r" + i, i * 10_000L + 1_000);
+      model.ended("r" + i);
+    }
+    assertThat(model.firstTokenMillis(prompt(1, 1, 8_000), 200_000)).isGreaterThan(3 * usual);
+    for (int i = 0; i < 30; i++) {
+      model.sent("q" + i, prompt(300 + i, 400 + i, 8_000), 300_000 + i * 10_000L);
+      model.firstToken("q" + i, 300_000 + i * 10_000L + 220);
+      model.ended("q" + i);
+    }
+    assertThat(model.firstTokenMillis(prompt(1, 1, 8_000), 900_000)).isLessThan(1.5 * usual);
+  }
+
   @Test
   void requestThatEndedTwiceIsCountedOnce() {
     model.sent("r1", prompt(1, 101, 100), 0);
