Read the store by the platform's bounds; serve metrics

Reads of upstream reports pause half of the drain time, waits for a configuration last three quarters of its bound, readiness ends at 0.6 of the revocation time.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.kohsuke.args4j.Option;
 import org.tanagerbank.dispatch.DispatchSettings;
 import org.tanagerbank.events.EventLog;
@@ -26,13 +27,21 @@
   /** Stays below the ratio of the platform, because instances count on their own. */
   private static final double RETRY_RATIO_SHARE = 0.7;
 
+  private static final int MAX_PORT = 65_535;
+
   @Option(name = "--node-file", metaVar = "FILE", usage = "settings of the instance, as JSON")
   private String nodeFile = "";
 
+  @Option(name = "--metrics-port", metaVar = "PORT", usage = "where to serve metrics; 0 for none")
+  private int metricsPort;
+
   private NodeSettings node;
 
   @Override
   public void check(List<String> faults) {
+    if (metricsPort < 0 || metricsPort > MAX_PORT) {
+      faults.add("--metrics-port: must be from 0 to " + MAX_PORT);
+    }
     if (nodeFile.isEmpty()) {
       faults.add("--node-file: is required");
       return;
@@ -91,9 +100,13 @@
         node.callerAddress(),
         new InetSocketAddress(node.ip(), node.firstPeerPort()),
         node.readyAddress(),
+        metricsPort == 0
+            ? Optional.empty()
+            : Optional.of(new InetSocketAddress(node.ip(), metricsPort)),
         node.firstStart(),
         bounds.revokeMillis(),
         bounds.configMillis(),
+        bounds.drainMillis(),
         bounds.graceMillis(),
         new DispatchSettings(
             node.zone(),
--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -158,7 +158,10 @@
   private void noteFirstEvent() {
     if (!firstEventSeen) {
       firstEventSeen = true;
-      upstream.engine().ifPresent(e -> e.firstToken(run.requestId(), dispatcher.nowMillis()));
+      upstream
+          .engine()
+          .map(e -> e.firstToken(run.requestId(), dispatcher.nowMillis()))
+          .ifPresent(dispatcher.observer()::firstToken);
     }
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -78,6 +78,7 @@
   private final ConfigState config;
   private final DispatchSettings settings;
   private final RandomGenerator random;
+  private final DispatchObserver observer;
   private final Upstreams upstreams;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Set<Waiting> waiting = new LinkedHashSet<>();
@@ -94,7 +95,8 @@
       Dialect dialect,
       ConfigState config,
       DispatchSettings settings,
-      RandomGenerator random) {
+      RandomGenerator random,
+      DispatchObserver observer) {
     this.loop = loop;
     this.clockMillis = clockMillis;
     this.storeClockMillis = storeClockMillis;
@@ -102,6 +104,7 @@
     this.config = config;
     this.settings = settings;
     this.random = random;
+    this.observer = observer;
     this.upstreams = new Upstreams(loop, clockMillis);
   }
 
@@ -118,8 +121,10 @@
       Dialect dialect,
       ConfigState config,
       DispatchSettings settings,
-      RandomGenerator random) {
-    return new Dispatcher(loop, clockMillis, storeClockMillis, dialect, config, settings, random);
+      RandomGenerator random,
+      DispatchObserver observer) {
+    return new Dispatcher(
+        loop, clockMillis, storeClockMillis, dialect, config, settings, random, observer);
   }
 
   /** Takes over the upstreams that exist now. */
@@ -328,6 +333,7 @@
 
   /** Sends the router's own response. */
   void respond(String requestId, CallerExchange exchange, Refusal refusal) {
+    observer.rejected(refusal.status(), refusal.kind());
     EventLog.emit(
         LogEvent.REQUEST_REJECTED,
         "request",
@@ -374,6 +380,10 @@
     return settings;
   }
 
+  DispatchObserver observer() {
+    return observer;
+  }
+
   RandomGenerator random() {
     return random;
   }
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -20,6 +20,15 @@
   /** Time for the platform or an upstream to come back. */
   private static final long SHORT_RETRY_MILLIS = 300;
 
+  /** Returns the reason for metrics, which has few values. */
+  String kind() {
+    return switch (status) {
+      case STATUS_UNAVAILABLE -> "not run";
+      case STATUS_BAD_GATEWAY -> "may have run";
+      default -> reason;
+    };
+  }
+
   static Refusal noRoute() {
     return new Refusal(STATUS_NOT_FOUND, 0, "no route");
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestRun.java
@@ -227,6 +227,7 @@
     if (outcome.verdict() != Verdict.NOT_RUN) {
       verdict = outcome.verdict();
     }
+    dispatcher.observer().attemptFailed(outcome.verdict().name());
     EventLog.emit(
         LogEvent.REQUEST_ATTEMPT_FAILED,
         "request",
@@ -293,6 +294,7 @@
     ended = true;
     timeout.cancel(false);
     request.body().release();
+    dispatcher.observer().ended(status, dispatcher.nowMillis() - request.arrivedMillis());
     EventLog.emit(
         LogEvent.REQUEST_ENDED,
         "request",
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -4,7 +4,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -36,22 +39,25 @@
  */
 public final class Gateway implements Lifecycle {
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final int STATUS_READY = 200;
+  private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_READY = 503;
 
   /** A new configuration is looked for no more often, which bounds calls while many are written. */
   private static final long CONFIG_PACE_MILLIS = 100;
 
-  /** Each read that waits this long in vain proves that the configuration is the newest. */
-  private static final long CONFIG_WAIT_MILLIS = 1_200;
+  /**
+   * The share of the time for a new configuration that a read waits for one. A read that waits in
+   * vain proves that the configuration is the newest; twice as long must not make it doubtful.
+   */
+  private static final double CONFIG_WAIT_SHARE = 0.75;
 
-  /** Upstreams report about as often; a leaving one must be known within two seconds. */
-  private static final long UPSTREAM_PACE_MILLIS = 800;
+  /** The share of the time for a leaving upstream that passes between reads of the reports. */
+  private static final double UPSTREAM_PACE_SHARE = 0.5;
 
   private static final long UPSTREAM_WAIT_MILLIS = 400;
 
-  /** Without word from the store for this long, callers are better served elsewhere. */
-  private static final long READY_AGE_MILLIS = 2_600;
+  /** The share of the time for a revoked key after which callers are better served elsewhere. */
+  private static final double READY_AGE_SHARE = 0.6;
 
   private static final String PEER_TOPIC = "gateways";
   private static final long TICK_MILLIS = 250;
@@ -62,6 +68,7 @@
       new SuspendAwareClock(clockMillis, System::currentTimeMillis);
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
+  private final GatewayMetrics metrics = new GatewayMetrics();
   private final ConfigState config;
   private final Dispatcher dispatcher;
   private final UpstreamFeed upstreamFeed;
@@ -71,6 +78,7 @@
   private final TopicFollower upstreamFollower;
   private final CallerServer callers;
   private final CallerServer readiness;
+  private final Optional<CallerServer> metricsServer;
   private volatile boolean draining;
   private boolean wasReady;
 
@@ -89,7 +97,8 @@
             dialect,
             config,
             settings.dispatch(),
-            new SplittableRandom());
+            new SplittableRandom(),
+            metrics);
     FleetStore store = storeFactory.apply(loop);
     upstreamFeed = new UpstreamFeed(store, dispatcher, clockMillis);
     Scheduler scheduler = this::schedule;
@@ -100,14 +109,14 @@
             scheduler,
             storeClockMillis,
             CONFIG_PACE_MILLIS,
-            CONFIG_WAIT_MILLIS);
+            (long) (settings.configMillis() * CONFIG_WAIT_SHARE));
     upstreamFollower =
         TopicFollower.create(
             store.upstreamTopic(),
             upstreamFeed,
             scheduler,
             clockMillis,
-            UPSTREAM_PACE_MILLIS,
+            (long) (settings.drainMillis() * UPSTREAM_PACE_SHARE),
             UPSTREAM_WAIT_MILLIS);
     dispatcher.onDoubt(configFollower::refresh);
     PeerAddress self =
@@ -118,6 +127,24 @@
     peers.onStarted(handover::peerStarted);
     callers = server(settings.callerAddress(), dispatcher, Gateway::noteRejected);
     readiness = server(settings.readyAddress(), this::answerReadiness, status -> {});
+    metricsServer =
+        settings.metricsAddress().map(a -> server(a, this::answerMetrics, status -> {}));
+    addGauges();
+  }
+
+  private void addGauges() {
+    metrics.gauge(
+        "config_age_seconds",
+        "Time since the configuration was last known to be the newest.",
+        () -> config.ageMillis(storeClockMillis.getAsLong()) / 1_000.0);
+    metrics.gauge(
+        "config_version",
+        "Version of the configuration in force.",
+        () -> config.config().map(RoutingConfig::version).orElse(0L));
+    metrics.gauge("peers", "Other gateways that are heard of.", () -> peers.live().size());
+    metrics.gauge(
+        "engines", "Engines that the gateway knows.", () -> dispatcher.engineIds().size());
+    metrics.gauge("requests_in_flight", "Requests being handled.", callers::handling);
   }
 
   private PeerService peerService(FleetStore store, PeerAddress self) {
@@ -152,6 +179,7 @@
   @Override
   public void start() {
     readiness.start();
+    metricsServer.ifPresent(CallerServer::start);
     callers.start();
     peers.start();
     loop.execute(configFollower::start);
@@ -183,7 +211,8 @@
     return !draining
         && config.config().isPresent()
         && upstreamFeed.hasSnapshot()
-        && config.ageMillis(storeClockMillis.getAsLong()) < READY_AGE_MILLIS;
+        && config.ageMillis(storeClockMillis.getAsLong())
+            < settings.revokeMillis() * READY_AGE_SHARE;
   }
 
   private void noteReadiness(boolean ready) {
@@ -202,10 +231,17 @@
 
   private void answerReadiness(CallerRequest request, CallerExchange exchange) {
     request.body().release();
-    int status = isReady() ? STATUS_READY : STATUS_NOT_READY;
+    int status = isReady() ? STATUS_OK : STATUS_NOT_READY;
     exchange.respond(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
   }
 
+  private void answerMetrics(CallerRequest request, CallerExchange exchange) {
+    request.body().release();
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, GatewayMetrics.CONTENT_TYPE);
+    exchange.respond(STATUS_OK, headers, Unpooled.wrappedBuffer(metrics.text()));
+  }
+
   /**
    * Stops taking new work and waits for requests in flight, no longer than the grace time allows.
    *
@@ -238,6 +274,7 @@
     callers.stop();
     peers.stop();
     readiness.stop();
+    metricsServer.ifPresent(CallerServer::stop);
     group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     EventLog.emit(LogEvent.PROCESS_STOPPED, "instance", settings.instanceId());
   }
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -35,20 +35,24 @@
   private final ImmutableList<ScriptedUpstream> upstreams;
   private final Gateway gateway;
   private final InetSocketAddress callers;
+  private final InetSocketAddress metrics;
   private MemoryStore store;
 
   GatewayFixture(Function<String, String> script) throws IOException, InterruptedException {
     upstreams = ImmutableList.of(new ScriptedUpstream(script), new ScriptedUpstream(script));
     callers = freeTcpAddress();
+    metrics = freeTcpAddress();
     GatewaySettings settings =
         new GatewaySettings(
             "g-1",
             callers,
             freeUdpAddress(),
             freeTcpAddress(),
+            Optional.of(metrics),
             true,
             5_000,
             2_000,
+            2_000,
             8_000,
             new DispatchSettings("z", 2, 0.2, 10_000, 50));
     gateway =
@@ -143,6 +147,11 @@
     return exchange(callers, bytes);
   }
 
+  /** Returns the response of the metrics address. */
+  String metrics() throws IOException {
+    return exchange(metrics, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  }
+
   Socket connect() throws IOException {
     Socket socket = new Socket(callers.getAddress(), callers.getPort());
     socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
--- a/src/test/java/org/tanagerbank/gateway/GatewayIT.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -37,6 +37,7 @@
   private Process process;
   private int callerPort;
   private int readyPort;
+  private int metricsPort;
 
   @BeforeEach
   void start() throws IOException {
@@ -63,7 +64,9 @@
     List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
     FLAGS.lines().flatMap(l -> List.of(l.split(" ")).stream()).forEach(command::add);
     command.removeIf(String::isEmpty);
+    metricsPort = freePort();
     command.addAll(List.of("-Xmx48m", "-jar", "target/tanagerbank-all.jar", "gateway"));
+    command.addAll(List.of("--metrics-port", Integer.toString(metricsPort)));
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("TANAGERBANK_NODE_FILE", folder.resolve("node.json").toString());
     builder.redirectError(new File(logs, "gateway.err"));
@@ -165,6 +168,7 @@
             + "abc";
     assertThat(send(callerPort, stream)).contains("data: x");
     assertThat(send(callerPort, get("/none/x"))).startsWith("HTTP/1.1 404");
+    assertThat(send(metricsPort, get("/metrics"))).contains("tanagerbank_gateway_requests_total");
     assertThat(send(callerPort, "nonsense\r\n\r\n")).startsWith("HTTP/1.1 400");
     new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     process.destroy();
--- a/src/test/java/org/tanagerbank/gateway/GatewayTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayTest.java
@@ -272,6 +272,21 @@
     }
   }
 
+  @Test
+  void requestsAreCounted() throws Exception {
+    try (GatewayFixture fixture = new GatewayFixture(r -> ok(r, "x"))) {
+      fixture.send(get("/safe/x"));
+      fixture.send(get("/none/x"));
+      String metrics = fixture.metrics();
+      assertThat(metrics).startsWith("HTTP/1.1 200");
+      assertThat(metrics).contains("tanagerbank_gateway_requests_total{status=\"200\"} 1.0");
+      assertThat(metrics)
+          .contains("tanagerbank_gateway_rejected_total{reason=\"no route\",status=\"404\"} 1.0");
+      assertThat(metrics).contains("tanagerbank_gateway_request_seconds_count 1");
+      assertThat(metrics).contains("tanagerbank_gateway_config_version 1.0");
+    }
+  }
+
   @Test
   void unknownKeyAndRouteAreRejected() throws Exception {
     try (GatewayFixture fixture = new GatewayFixture(r -> ok(r, "x"))) {
