Avoid upstreams that hang; forget upstreams that are long gone

Cause, by reading the code against the kinds of grey upstreams: a request that a caller or its own time gave up on counted nothing against an upstream that had said nothing for a second, so a hanging one kept its share; and removed upstreams were remembered for ever.

Silence of a second when a request is cancelled counts as a failure and closes the idle connections, which may have gone silent. Tests: upstreamThatHangsIsAvoided, upstreamThatIsLongGoneIsForgotten.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -24,6 +24,9 @@
   /** Larger answers are passed on as they arrive, which rules out another attempt. */
   private static final int MAX_HELD_BYTES = 256 << 10;
 
+  /** Longer than an upstream that works takes to begin an answer. */
+  private static final long SILENT_MILLIS = 1_000;
+
   private static final int STATUS_OK_FIRST = 200;
   private static final int STATUS_OK_LAST = 299;
 
@@ -34,6 +37,7 @@
   private HttpConnection connection;
   private boolean sent;
   private boolean over;
+  private long sentMillis;
   private int status;
   private HttpHeaders headers;
   private boolean passing;
@@ -65,6 +69,7 @@
     }
     connection = opened;
     sent = true;
+    sentMillis = dispatcher.nowMillis();
     connection.send(run.toUpstream(upstream), this);
   }
 
@@ -91,12 +96,22 @@
     if (over) {
       return;
     }
+    noteSilence();
     close();
     if (connection != null) {
       connection.cancel();
     }
   }
 
+  /** An upstream that said nothing for long may hang, or its open connections lead nowhere. */
+  private void noteSilence() {
+    boolean silent = sent && headers == null;
+    if (silent && dispatcher.nowMillis() - sentMillis >= SILENT_MILLIS) {
+      upstream.health().failed();
+      upstream.connections().discardIdle();
+    }
+  }
+
   @Override
   public void head(int responseStatus, HttpHeaders responseHeaders) {
     status = responseStatus;
--- a/src/main/java/org/tanagerbank/feed/UpstreamDirectory.java
+++ b/src/main/java/org/tanagerbank/feed/UpstreamDirectory.java
@@ -21,6 +21,9 @@
   /** Upstreams that live and reach the store report within two seconds of its return. */
   private static final long RETURN_GRACE_MILLIS = 2_200;
 
+  /** Late reports of an upstream that has gone arrive within seconds. */
+  private static final long REMEMBER_MILLIS = 60_000;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   private final Map<String, Entry> entries = new HashMap<>();
@@ -31,6 +34,7 @@
   private static final class Entry {
     private DirectUpstream upstream;
     private boolean removed;
+    private long removedAt;
     private long goneAt = NEVER;
   }
 
@@ -63,6 +67,8 @@
       return;
     }
     entry.removed = true;
+    entry.removedAt = nowMillis;
+    forgetLongGone(nowMillis);
     boolean uncertain =
         !entry.upstream.isDraining() && (isLost || nowMillis - regainedAt < RETURN_GRACE_MILLIS);
     entry.goneAt = uncertain ? graceEnd(nowMillis) : Long.MIN_VALUE;
@@ -92,6 +98,10 @@
     regainedAt = nowMillis;
   }
 
+  private void forgetLongGone(long nowMillis) {
+    entries.values().removeIf(e -> e.removed && nowMillis - e.removedAt > REMEMBER_MILLIS);
+  }
+
   /** Returns the upstreams that exist, leaving ones included. */
   public ImmutableList<DirectUpstream> upstreams(long nowMillis) {
     return entries.values().stream()
--- a/src/test/java/org/tanagerbank/feed/UpstreamDirectoryTest.java
+++ b/src/test/java/org/tanagerbank/feed/UpstreamDirectoryTest.java
@@ -92,6 +92,17 @@
     assertThat(present(30)).containsExactly("a");
   }
 
+  /** Each release brings new ids; the old ones must not fill the heap. */
+  @Test
+  void upstreamThatIsLongGoneIsForgotten() {
+    say("a", 1, 5, false, 0);
+    directory.report("a", Optional.empty(), 10);
+    say("b", 1, 1, false, 20);
+    directory.report("b", Optional.empty(), 100_000);
+    say("a", 1, 5, false, 100_001);
+    assertThat(present(100_001)).containsExactly("a");
+  }
+
   @Test
   void restartUnderTheSameIdCountsItsReportsAnew() {
     say("a", 1, 50, true, 0);
--- a/src/test/java/org/tanagerbank/gateway/GatewayTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -176,6 +177,25 @@
     }
   }
 
+  /** Grey worker that hangs: requests learn to go elsewhere. */
+  @Test
+  void upstreamThatHangsIsAvoided() throws Exception {
+    AtomicReference<String> hanging = new AtomicReference<>();
+    Function<String, String> script =
+        r -> {
+          String instance = r.substring(r.indexOf("Expect-Instance: "), r.indexOf("Deadline-Ms"));
+          hanging.compareAndSet(null, instance);
+          return instance.equals(hanging.get()) ? SILENCE : ok(r, "fine");
+        };
+    try (GatewayFixture fixture = new GatewayFixture(script)) {
+      String request = request("GET", "/once/x", "r1", CLOSING + "Deadline-Ms: 1100\r\n");
+      assertThat(fixture.send(request)).startsWith("HTTP/1.1 504");
+      for (int i = 0; i < 5; i++) {
+        assertThat(fixture.send(request)).endsWith("fine");
+      }
+    }
+  }
+
   private static String events(String request, int from, int to) {
     StringBuilder text =
         new StringBuilder(head(request, 200))
