--- a/src/main/java/org/tanagerbank/cli/DemoCommand.java
+++ b/src/main/java/org/tanagerbank/cli/DemoCommand.java
@@ -2,14 +2,21 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.demo.Demo;
 import org.tanagerbank.demo.DemoResult;
 import org.tanagerbank.demo.Deployment;
+import org.tanagerbank.events.EventLog;
 
 /** Runs the whole path on loopback in one process. Not thread-safe. */
 final class DemoCommand implements Command {
@@ -42,6 +49,7 @@
 
   @Override
   public int run(PrintStream out, PrintStream err) throws InterruptedException {
+    err.println("log events go to " + logToFile());
     Demo demo = new Demo(deployment, chats, turns, seed);
     Thread hook = new Thread(() -> interrupt(demo), "demo-drain");
     Runtime.getRuntime().addShutdownHook(hook);
@@ -56,6 +64,18 @@
     return result.isRight() ? OK : FAILED;
   }
 
+  /** Keeps the terminal for the table: hundreds of events come while the processes stop. */
+  private static Path logToFile() {
+    try {
+      Path log = Files.createTempFile("tanagerbank-demo-", ".log");
+      EventLog.installQueued(
+          new PrintStream(Files.newOutputStream(log), false, StandardCharsets.UTF_8));
+      return log;
+    } catch (IOException e) {
+      throw TanagerException.failure(ErrorCode.INTERNAL, "cannot create a log file", e);
+    }
+  }
+
   /** Lets requests in flight end and the table be printed before the process goes. */
   private void interrupt(Demo demo) {
     try {
--- a/src/main/java/org/tanagerbank/entry/EntryMetrics.java
+++ b/src/main/java/org/tanagerbank/entry/EntryMetrics.java
@@ -3,19 +3,16 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.ProcessMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
+import org.tanagerbank.events.MetricsText;
 import org.tanagerbank.link.LinkTraffic;
 
 /** The Prometheus metrics of an entry. Thread-safe. */
 final class EntryMetrics {
-  static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+  static final String CONTENT_TYPE = MetricsText.CONTENT_TYPE;
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter requests =
@@ -75,12 +72,6 @@
 
   /** Returns all metrics in the Prometheus text format. */
   byte[] text() {
-    try {
-      ByteArrayOutputStream out = new ByteArrayOutputStream();
-      new PrometheusTextFormatWriter(true).write(out, registry.scrape());
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return MetricsText.of(registry);
   }
 }
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -3,17 +3,14 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 import org.tanagerbank.dispatch.DispatchObserver;
+import org.tanagerbank.events.MetricsText;
 
 /** The Prometheus metrics of a gateway; labels have few values. Thread-safe. */
 final class GatewayMetrics implements DispatchObserver {
-  static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+  static final String CONTENT_TYPE = MetricsText.CONTENT_TYPE;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -82,13 +79,6 @@
 
   /** Returns all metrics in the Prometheus text format. */
   byte[] text() {
-    try {
-      ByteArrayOutputStream out = new ByteArrayOutputStream();
-      new PrometheusTextFormatWriter(/* createdTimestampsEnabled= */ false)
-          .write(out, registry.scrape());
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return MetricsText.of(registry);
   }
 }
--- a/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/tanagerbank/sidecar/SidecarMetrics.java
@@ -2,17 +2,14 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.ProcessMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.tanagerbank.events.MetricsText;
 
 /** The Prometheus metrics of a sidecar. Thread-safe. */
 final class SidecarMetrics {
-  static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+  static final String CONTENT_TYPE = MetricsText.CONTENT_TYPE;
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter submits =
@@ -60,12 +57,6 @@
 
   /** Returns all metrics in the Prometheus text format. */
   byte[] text() {
-    try {
-      ByteArrayOutputStream out = new ByteArrayOutputStream();
-      new PrometheusTextFormatWriter(false).write(out, registry.scrape());
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return MetricsText.of(registry);
   }
 }
