Do not refresh while the store is away; split the dispatcher

Cause, by reading: a gateway that the store refuses and whose peers have a newer configuration asked the store again with each of their digests, past the delay between retries. The new test fails without the check. What peers tell moves from Dispatcher to FleetKnowledge, the retry budgets to RetryBudgets.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -1,7 +1,5 @@
 package org.tanagerbank.dispatch;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -10,11 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -25,17 +21,11 @@
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerHandler;
 import org.tanagerbank.caller.CallerRequest;
-import org.tanagerbank.direct.ConnectionPool;
 import org.tanagerbank.direct.Dialect;
 import org.tanagerbank.direct.DirectUpstream;
-import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.peer.CachedParts;
-import org.tanagerbank.peer.PeerListener;
-import org.tanagerbank.peer.PlacementNote;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Workspace;
@@ -45,7 +35,7 @@
  * Decides what happens to each request of a caller: which route it takes, whether its key allows
  * it, and then starts its run. Confined to the event loop.
  */
-public final class Dispatcher implements CallerHandler, PeerListener {
+public final class Dispatcher implements CallerHandler {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** The store answers within milliseconds unless it is slow or away. */
@@ -57,9 +47,6 @@
   /** Bounds the requests that wait for the store at once. */
   private static final int MAX_WAITING = 200;
 
-  /** An instance that hears of no others must not take the whole fleet's retries. */
-  private static final int MIN_FLEET_SIZE = 4;
-
   private static final String OUTDATED = "keys cannot be checked: configuration too old";
 
   /** A request that waits for the store; compared by identity. */
@@ -80,11 +67,11 @@
   private final RandomGenerator random;
   private final DispatchObserver observer;
   private final Upstreams upstreams;
-  private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final RetryBudgets retryBudgets;
+  private final FleetKnowledge knowledge;
   private final Set<Waiting> waiting = new LinkedHashSet<>();
   private Runnable askStore = () -> {};
   private BiConsumer<String, Prompt> onPlaced = (upstream, prompt) -> {};
-  private int fleetSize = 1;
   private boolean upstreamsKnown;
   private LongPredicate admits = longest -> true;
 
@@ -106,6 +93,9 @@
     this.random = random;
     this.observer = observer;
     this.upstreams = new Upstreams(loop, clockMillis);
+    this.retryBudgets = new RetryBudgets(settings);
+    this.knowledge =
+        new FleetKnowledge(upstreams, retryBudgets, config, clockMillis, () -> askStore.run());
   }
 
   /**
@@ -146,76 +136,15 @@
     onPlaced = action;
   }
 
-  /** Returns the requests that this instance has at each upstream where it has any. */
-  public ImmutableMap<String, Integer> inFlight() {
-    return upstreams.inFlight();
+  /** Returns what this instance and its peers know of the upstreams. */
+  public FleetKnowledge knowledge() {
+    return knowledge;
   }
 
   void placed(UpstreamHandle upstream, Prompt prompt) {
     onPlaced.accept(upstream.upstream().id(), prompt);
   }
 
-  @Override
-  public void peerWork(String instanceId, ImmutableMap<String, Integer> inFlight) {
-    upstreams
-        .all()
-        .forEach(u -> u.setPeerInFlight(instanceId, inFlight.getOrDefault(u.upstream().id(), 0)));
-  }
-
-  @Override
-  public void peerPlaced(PlacementNote note) {
-    engine(note.upstreamId()).ifPresent(e -> e.peerSent(note.prompt(), clockMillis.getAsLong()));
-  }
-
-  @Override
-  public void peerCaches(CachedParts caches) {
-    engine(caches.upstreamId()).ifPresent(e -> e.restore(caches.parts()));
-  }
-
-  private Optional<EngineModel> engine(String upstreamId) {
-    return upstreams.find(upstreamId).flatMap(UpstreamHandle::engine);
-  }
-
-  /** Returns the ids of the upstreams that are engines. */
-  public ImmutableList<String> engineIds() {
-    return upstreams.all().stream()
-        .filter(u -> u.engine().isPresent())
-        .map(u -> u.upstream().id())
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  /** Returns the prompt parts that an engine is believed to keep and several requests share. */
-  public ImmutableList<PromptPart> cachedParts(String upstreamId) {
-    return engine(upstreamId).map(EngineModel::sharedParts).orElse(ImmutableList.of());
-  }
-
-  /** Returns the connections to an upstream. */
-  public Optional<ConnectionPool> connections(String upstreamId) {
-    return upstreams.find(upstreamId).map(UpstreamHandle::connections);
-  }
-
-  @Override
-  public void peerConfig(long version) {
-    if (config.config().map(RoutingConfig::version).orElse(Long.MAX_VALUE) < version) {
-      askStore.run();
-    }
-  }
-
-  @Override
-  public void peerLost(String instanceId) {
-    upstreams.all().forEach(u -> u.setPeerInFlight(instanceId, 0));
-  }
-
-  @Override
-  public void fleetSize(int instances) {
-    fleetSize = instances;
-    retryBudgets.values().forEach(b -> b.setFloor(retryFloor()));
-  }
-
-  private double retryFloor() {
-    return settings.fleetRetryFloor() / Math.max(MIN_FLEET_SIZE, fleetSize);
-  }
-
   /** Closes idle connections to upstreams that would soon close them. */
   public void closeExpiredConnections() {
     upstreams.closeExpired();
@@ -358,10 +287,7 @@
   }
 
   RetryBudget retryBudget(String service) {
-    return retryBudgets.computeIfAbsent(
-        service,
-        unused ->
-            new RetryBudget(settings.retryRatio(), settings.retryWindowMillis(), retryFloor()));
+    return retryBudgets.budget(service);
   }
 
   EventLoop loop() {
--- a/src/main/java/org/tanagerbank/feed/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/feed/TopicFollower.java
@@ -79,10 +79,10 @@
 
   /**
    * Reads at once and without waiting, to learn whether what is known is still the newest. Does
-   * nothing while such a read is in progress.
+   * nothing while such a read is in progress, or while the store is away and is asked now and then.
    */
   public void refresh() {
-    if (!refreshing && next >= 0) {
+    if (!refreshing && !isLost && next >= 0) {
       refreshing = true;
       read(0);
     }
--- a/src/main/java/org/tanagerbank/gateway/CacheHandover.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheHandover.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.tanagerbank.direct.EngineInspector;
-import org.tanagerbank.dispatch.Dispatcher;
+import org.tanagerbank.dispatch.FleetKnowledge;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -34,19 +34,19 @@
   private static final long INSPECT_AFTER_MILLIS = 300;
 
   private final EventLoop loop;
-  private final Dispatcher dispatcher;
+  private final FleetKnowledge knowledge;
   private final PeerService peers;
   private final EngineInspector inspector;
   private final PeerAddress self;
 
   CacheHandover(
       EventLoop loop,
-      Dispatcher dispatcher,
+      FleetKnowledge knowledge,
       PeerService peers,
       EngineInspector inspector,
       PeerAddress self) {
     this.loop = loop;
-    this.dispatcher = dispatcher;
+    this.knowledge = knowledge;
     this.peers = peers;
     this.inspector = inspector;
     this.self = self;
@@ -67,8 +67,8 @@
     }
     ImmutableSet<String> older = instances(peers.live().stream().filter(p -> isOlder(p, started)));
     ImmutableList<CachedParts> caches =
-        share(dispatcher.engineIds(), self.instanceId(), older).stream()
-            .map(e -> new CachedParts(e, dispatcher.cachedParts(e)))
+        share(knowledge.engineIds(), self.instanceId(), older).stream()
+            .map(e -> new CachedParts(e, knowledge.cachedParts(e)))
             .filter(c -> !c.parts().isEmpty())
             .collect(toImmutableList());
     peers.sendCaches(ImmutableList.of(started), caches);
@@ -95,8 +95,8 @@
       return;
     }
     ImmutableSet<String> all = instances(peers.live().stream());
-    for (String engine : share(dispatcher.engineIds(), self.instanceId(), all)) {
-      dispatcher
+    for (String engine : share(knowledge.engineIds(), self.instanceId(), all)) {
+      knowledge
           .connections(engine)
           .ifPresent(c -> inspector.cachedParts(loop, c, parts -> take(engine, parts)));
     }
@@ -111,7 +111,7 @@
         parts.map(ImmutableList::size).orElse(-1));
     if (parts.isPresent()) {
       CachedParts cache = new CachedParts(engine, parts.get());
-      dispatcher.peerCaches(cache);
+      knowledge.peerCaches(cache);
       peers.sendCaches(peers.live(), ImmutableList.of(cache));
     }
   }
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -123,7 +123,7 @@
         new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
     peers = peerService(store, self);
     dispatcher.onPlaced(peers::placed);
-    handover = new CacheHandover(loop, dispatcher, peers, inspector, self);
+    handover = new CacheHandover(loop, dispatcher.knowledge(), peers, inspector, self);
     peers.onStarted(handover::peerStarted);
     callers = server(settings.callerAddress(), dispatcher, Gateway::noteRejected);
     readiness = server(settings.readyAddress(), this::answerReadiness, status -> {});
@@ -143,7 +143,9 @@
         () -> config.config().map(RoutingConfig::version).orElse(0L));
     metrics.gauge("peers", "Other gateways that are heard of.", () -> peers.live().size());
     metrics.gauge(
-        "engines", "Engines that the gateway knows.", () -> dispatcher.engineIds().size());
+        "engines",
+        "Engines that the gateway knows.",
+        () -> dispatcher.knowledge().engineIds().size());
     metrics.gauge("requests_in_flight", "Requests being handled.", callers::handling);
   }
 
@@ -153,8 +155,8 @@
         clockMillis,
         self,
         store.fleetTopic(PEER_TOPIC),
-        dispatcher,
-        dispatcher::inFlight,
+        dispatcher.knowledge(),
+        dispatcher.knowledge()::inFlight,
         () -> config.config().map(RoutingConfig::version).orElse(0L));
   }
 
--- a/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
@@ -152,6 +152,20 @@
         .inOrder();
   }
 
+  /**
+   * Peers that know more would otherwise make each of their digests a call to a store in trouble.
+   */
+  @Test
+  void storeThatIsAwayIsNotAskedMoreOftenByRefreshes() {
+    snapshotRead();
+    answer(1, new Unavailable("busy"));
+    follower.refresh();
+    follower.refresh();
+    assertThat(calls).hasSize(2);
+    runScheduled();
+    assertThat(calls).hasSize(3);
+  }
+
   @Test
   void refreshOvertakesTheReadThatWaits() {
     snapshotRead();
