--- a/src/main/java/org/tanagerbank/direct/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/direct/ConnectionPool.java
@@ -12,8 +12,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import jdk.net.ExtendedSocketOptions;
@@ -43,7 +41,6 @@
   private final InetSocketAddress address;
   private final LongSupplier clockMillis;
   private final Deque<HttpConnection> idle = new ArrayDeque<>();
-  private final Set<HttpConnection> open = new HashSet<>();
   private boolean closed;
 
   private ConnectionPool(EventLoop loop, InetSocketAddress address, LongSupplier clockMillis) {
@@ -81,7 +78,6 @@
       return;
     }
     connection.opened(connected.channel(), clockMillis.getAsLong());
-    open.add(connection);
     ready.accept(connection);
   }
 
@@ -130,11 +126,6 @@
     discardIdle();
   }
 
-  /** Returns how many connections are open. */
-  public int size() {
-    return open.size();
-  }
-
   private HttpConnection pollIdle() {
     long now = clockMillis.getAsLong();
     for (HttpConnection c = idle.pollLast(); c != null; c = idle.pollLast()) {
@@ -162,7 +153,6 @@
   }
 
   private void forget(HttpConnection connection) {
-    open.remove(connection);
     idle.remove(connection);
   }
 }
--- a/src/main/java/org/tanagerbank/direct/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/direct/HttpConnection.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -86,12 +85,6 @@
     channel.close();
   }
 
-  /** Closes the connection with a reset, so that the upstream notices at its next write. */
-  public void reset() {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
-  }
-
   boolean isOpen() {
     return channel.isActive() && !isReset;
   }
--- a/src/main/java/org/tanagerbank/dispatch/ConfigState.java
+++ b/src/main/java/org/tanagerbank/dispatch/ConfigState.java
@@ -44,11 +44,6 @@
     currentAsOf = Math.max(currentAsOf, atMillis);
   }
 
-  /** Forgets until when the configuration is known to be the newest. */
-  public void doubt() {
-    currentAsOf = Long.MIN_VALUE / 2;
-  }
-
   /** Returns the configuration in force. */
   public Optional<RoutingConfig> config() {
     return config;
