--- a/src/main/java/org/tanagerbank/feed/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/feed/TopicFollower.java
@@ -2,16 +2,19 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tanagerbank.feed.ReadResult.Records;
-import org.tanagerbank.feed.ReadResult.Trimmed;
 import org.tanagerbank.feed.ReadResult.Unavailable;
 
 /**
  * Follows a keyed topic: the newest records first, then each new one.
  *
- * <p>Reads no more often than its pace, and retries after a growing delay while the store does not
- * answer. Confined to one thread.
+ * <p>Asks another instance for what that has read, and reads the store itself when nobody can tell
+ * something fresh. Reads no more often than its pace, and retries after a growing delay while the
+ * store does not answer. What is known is never said to be newer than the store proved, whoever
+ * read it. Confined to one thread.
  */
 public final class TopicFollower {
   private static final long FIRST_RETRY_MILLIS = 100;
@@ -22,13 +25,32 @@
    */
   private static final double WHOLE_WAIT = 0.9;
 
+  /** How often another instance is asked. */
+  private static final long RELAY_PACE_MILLIS = 400;
+
+  /** What another instance says is of use up to this multiple of the wait of its reads. */
+  private static final double RELAY_AGE_WAITS = 1.3;
+
+  /** The store answers in milliseconds; one so late after a wait has been away in between. */
+  private static final long LATE_MILLIS = 600;
+
+  /** An outage that ended longer ago no longer casts doubt on records. */
+  private static final long RECENT_OUTAGE_MILLIS = 5_000;
+
+  /** Moments of one outage's end that instances name differ by less. */
+  private static final long SAME_OUTAGE_MILLIS = 1_000;
+
   private final KeyedTopic topic;
+  private final RecordRelay relay;
   private final TopicListener listener;
   private final Scheduler scheduler;
   private final LongSupplier clockMillis;
   private final long paceMillis;
   private final long waitMillis;
+  private final RecordHistory history = new RecordHistory();
   private long next = -1;
+  private long currentAsOf;
+  private long regainedAt = Long.MIN_VALUE / 2;
   private boolean isLost;
   private boolean stopped;
   private boolean refreshing;
@@ -37,12 +59,14 @@
 
   private TopicFollower(
       KeyedTopic topic,
+      RecordRelay relay,
       TopicListener listener,
       Scheduler scheduler,
       LongSupplier clockMillis,
       long paceMillis,
       long waitMillis) {
     this.topic = topic;
+    this.relay = relay;
     this.listener = listener;
     this.scheduler = scheduler;
     this.clockMillis = clockMillis;
@@ -53,18 +77,21 @@
   /**
    * Returns a follower.
    *
+   * @param relay asked before the store
    * @param paceMillis the time between the answer to a read and the next read after records came
    * @param waitMillis how long the store may hold a read that has nothing to tell
    */
   public static TopicFollower create(
       KeyedTopic topic,
+      RecordRelay relay,
       TopicListener listener,
       Scheduler scheduler,
       LongSupplier clockMillis,
       long paceMillis,
       long waitMillis) {
     checkArgument(paceMillis >= 0 && waitMillis >= 0, "pace %s, wait %s", paceMillis, waitMillis);
-    return new TopicFollower(topic, listener, scheduler, clockMillis, paceMillis, waitMillis);
+    return new TopicFollower(
+        topic, relay, listener, scheduler, clockMillis, paceMillis, waitMillis);
   }
 
   /** Begins to follow. */
@@ -88,16 +115,75 @@
     }
   }
 
+  /** Returns what this instance knows of the topic from an offset, if it can tell. */
+  public Optional<RelayedRead> known(long from) {
+    long now = clockMillis.getAsLong();
+    return next < 0
+        ? Optional.empty()
+        : history
+            .since(from)
+            .map(
+                s ->
+                    new RelayedRead(
+                        s.records(), s.next(), s.hasMore(), now - currentAsOf, now - regainedAt));
+  }
+
   private void readNext() {
+    if (stopped) {
+      return;
+    }
+    int current = ++round;
+    long askedAt = clockMillis.getAsLong();
     if (next >= 0) {
+      relay.ask(next, answer -> ifCurrent(current, () -> onRelay(answer, askedAt)));
+    } else {
+      topic.newest(result -> ifCurrent(current, () -> onSnapshot(result, askedAt)));
+    }
+  }
+
+  private void onRelay(Optional<RelayedRead> answer, long askedAt) {
+    Optional<RelayedRead> fresh = answer.filter(a -> a.ageMillis() <= waitMillis * RELAY_AGE_WAITS);
+    if (fresh.isEmpty()) {
       read(waitMillis);
-    } else if (!stopped) {
-      int current = ++round;
-      long sentAt = clockMillis.getAsLong();
-      topic.newest(result -> ifCurrent(current, () -> onSnapshot(result, sentAt)));
+      return;
+    }
+    RelayedRead page = fresh.get();
+    noteAnswer();
+    noteOutageElsewhere(page.sinceOutageMillis());
+    take(page.records(), page.next());
+    if (!page.hasMore()) {
+      current(askedAt - page.ageMillis());
+    }
+    readLater(page.hasMore() ? 0 : RELAY_PACE_MILLIS);
+  }
+
+  /**
+   * Records of an outage that only the other instance saw are as doubtful as those of an own one.
+   */
+  private void noteOutageElsewhere(long sinceMillis) {
+    long at = clockMillis.getAsLong() - sinceMillis;
+    if (sinceMillis < RECENT_OUTAGE_MILLIS && at > regainedAt + SAME_OUTAGE_MILLIS) {
+      regainedAt = at;
+      listener.regained(at);
     }
   }
 
+  /** Passes on the records that follow those known; another instance may have fewer. */
+  private void take(ImmutableList<KeyedRecord> records, long newNext) {
+    if (newNext > next) {
+      history.add(records, newNext);
+      next = newNext;
+      if (!records.isEmpty()) {
+        listener.records(records);
+      }
+    }
+  }
+
+  private void current(long atMillis) {
+    currentAsOf = Math.max(currentAsOf, atMillis);
+    listener.currentAsOf(atMillis);
+  }
+
   private void read(long wait) {
     if (!stopped) {
       int current = ++round;
@@ -129,8 +215,9 @@
     if (result instanceof Records page) {
       noteAnswer();
       next = page.next();
+      history.restart(next);
       listener.snapshot(page.records());
-      listener.currentAsOf(sentAt);
+      current(sentAt);
       readLater(paceMillis);
     } else {
       retry(result);
@@ -138,25 +225,26 @@
   }
 
   private void onRead(ReadResult result, long sentAt, long wait) {
-    if (result instanceof Trimmed) {
-      noteAnswer();
-      next = -1;
-      readNext();
+    if (result instanceof Unavailable) {
+      retry(result);
       return;
     }
+    if (clockMillis.getAsLong() - sentAt > wait + LATE_MILLIS) {
+      noteLost("late answer");
+    }
+    noteAnswer();
     if (!(result instanceof Records page)) {
-      retry(result);
+      next = -1;
+      readNext();
       return;
     }
-    noteAnswer();
-    next = page.next();
+    take(page.records(), page.next());
     if (!page.records().isEmpty()) {
-      listener.records(page.records());
-      listener.currentAsOf(sentAt);
+      current(sentAt);
       readLater(paceMillis);
       return;
     }
-    listener.currentAsOf(emptyAsOf(sentAt, wait));
+    current(emptyAsOf(sentAt, wait));
     readLater(clockMillis.getAsLong() - sentAt < paceMillis ? paceMillis : 0);
   }
 
@@ -166,19 +254,24 @@
     return waited >= wait * WHOLE_WAIT ? sentAt + (long) (wait * WHOLE_WAIT) : sentAt;
   }
 
+  private void noteLost(String reason) {
+    if (!isLost) {
+      isLost = true;
+      listener.lost(reason);
+    }
+  }
+
   private void noteAnswer() {
     retryMillis = FIRST_RETRY_MILLIS;
     if (isLost) {
       isLost = false;
-      listener.regained();
+      regainedAt = clockMillis.getAsLong();
+      listener.regained(regainedAt);
     }
   }
 
   private void retry(ReadResult result) {
-    if (!isLost) {
-      isLost = true;
-      listener.lost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
-    }
+    noteLost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
     readLater(retryMillis);
     retryMillis = Math.min(LAST_RETRY_MILLIS, retryMillis * 2);
   }
--- a/src/main/java/org/tanagerbank/feed/TopicListener.java
+++ b/src/main/java/org/tanagerbank/feed/TopicListener.java
@@ -20,6 +20,10 @@
   /** Called when the store stops answering. */
   void lost(String reason);
 
-  /** Called when the store answers again, before what it says is passed on. */
-  void regained();
+  /**
+   * Called when the store answers again, before what it says is passed on.
+   *
+   * @param atMillis since when it answers, by the local steady clock
+   */
+  void regained(long atMillis);
 }
--- a/src/main/java/org/tanagerbank/gateway/ConfigFeed.java
+++ b/src/main/java/org/tanagerbank/gateway/ConfigFeed.java
@@ -61,7 +61,7 @@
   }
 
   @Override
-  public void regained() {
+  public void regained(long atMillis) {
     EventLog.emit(LogEvent.STORE_REGAINED, "topic", "configuration");
   }
 }
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -49,17 +49,23 @@
    * The share of the time for a new configuration that a read waits for one. A read that waits in
    * vain proves that the configuration is the newest; twice as long must not make it doubtful.
    */
-  private static final double CONFIG_WAIT_SHARE = 0.75;
+  private static final double CONFIG_WAIT_SHARE = 0.5;
 
-  /** The share of the time for a leaving upstream that passes between reads of the reports. */
-  private static final double UPSTREAM_PACE_SHARE = 0.5;
+  /** The share of the time for a leaving upstream that passes between reads that bring reports. */
+  private static final double UPSTREAM_PACE_SHARE = 0.2;
 
-  private static final long UPSTREAM_WAIT_MILLIS = 400;
+  /** The share of that time that a read waits; other instances' knowledge adds to it. */
+  private static final double UPSTREAM_WAIT_SHARE = 0.5;
 
   /** The share of the time for a revoked key after which callers are better served elsewhere. */
   private static final double READY_AGE_SHARE = 0.6;
 
   private static final String PEER_TOPIC = "gateways";
+
+  /** What instances call the topics that they read for each other. */
+  private static final String CONFIG_TOPIC = "configuration";
+
+  private static final String UPSTREAM_TOPIC = "upstreams";
   private static final long TICK_MILLIS = 250;
 
   private final GatewaySettings settings;
@@ -100,11 +106,15 @@
             new SplittableRandom(),
             metrics);
     FleetStore store = storeFactory.apply(loop);
+    PeerAddress self =
+        new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
+    peers = peerService(store, self);
     upstreamFeed = new UpstreamFeed(store, dispatcher, clockMillis);
     Scheduler scheduler = this::schedule;
     configFollower =
         TopicFollower.create(
             store.configTopic(),
+            peers.relay(CONFIG_TOPIC),
             new ConfigFeed(store, config, dispatcher::configIsCurrent),
             scheduler,
             storeClockMillis,
@@ -113,15 +123,15 @@
     upstreamFollower =
         TopicFollower.create(
             store.upstreamTopic(),
+            peers.relay(UPSTREAM_TOPIC),
             upstreamFeed,
             scheduler,
             clockMillis,
             (long) (settings.drainMillis() * UPSTREAM_PACE_SHARE),
-            UPSTREAM_WAIT_MILLIS);
+            (long) (settings.drainMillis() * UPSTREAM_WAIT_SHARE));
     dispatcher.onDoubt(configFollower::refresh);
-    PeerAddress self =
-        new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
-    peers = peerService(store, self);
+    peers.serve(CONFIG_TOPIC, configFollower::known);
+    peers.serve(UPSTREAM_TOPIC, upstreamFollower::known);
     dispatcher.onPlaced(peers::placed);
     handover = new CacheHandover(loop, dispatcher.knowledge(), peers, inspector, self);
     peers.onStarted(handover::peerStarted);
--- a/src/main/java/org/tanagerbank/gateway/UpstreamFeed.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamFeed.java
@@ -74,8 +74,8 @@
   }
 
   @Override
-  public void regained() {
-    directory.regained(clockMillis.getAsLong());
+  public void regained(long atMillis) {
+    directory.regained(atMillis);
     EventLog.emit(LogEvent.STORE_REGAINED, "topic", "upstreams");
   }
 }
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -17,7 +17,7 @@
 
   private DigestCodec() {}
 
-  static byte[] encode(PeerDigest digest) {
+  static PeerProto.Digest encode(PeerDigest digest) {
     PeerProto.Digest.Builder message =
         PeerProto.Digest.newBuilder()
             .setSender(address(digest.sender()))
@@ -32,7 +32,7 @@
     digest.placements().forEach(p -> message.addPlacements(placement(p)));
     digest.peers().forEach(p -> message.addPeers(address(p)));
     digest.caches().forEach(c -> message.addCaches(cache(c)));
-    return message.build().toByteArray();
+    return message.build();
   }
 
   static byte[] encode(PeerAddress address) {
@@ -51,10 +51,9 @@
   /**
    * Decodes a digest.
    *
-   * @throws InvalidProtocolBufferException if the bytes are not a digest
+   * @throws InvalidProtocolBufferException if the message names an address that is none
    */
-  static PeerDigest decode(byte[] bytes) throws InvalidProtocolBufferException {
-    PeerProto.Digest message = PeerProto.Digest.parseFrom(bytes);
+  static PeerDigest decode(PeerProto.Digest message) throws InvalidProtocolBufferException {
     ImmutableMap.Builder<String, Integer> inFlight = ImmutableMap.builder();
     message.getWorkList().forEach(w -> inFlight.put(w.getUpstreamId(), w.getInFlight()));
     ImmutableList.Builder<PeerAddress> peers = ImmutableList.builder();
--- /dev/null
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -0,0 +1,98 @@
+package org.tanagerbank.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.RelayedRead;
+import org.tanagerbank.proto.PeerProto;
+
+/** Writes and reads the messages between instances. Stateless and thread-safe. */
+final class MessageCodec {
+  private MessageCodec() {}
+
+  static byte[] encode(PeerMessage message) {
+    PeerProto.Datagram.Builder datagram = PeerProto.Datagram.newBuilder();
+    if (message instanceof PeerDigest digest) {
+      datagram.setDigest(DigestCodec.encode(digest));
+    } else if (message instanceof TopicQuestion question) {
+      datagram.setQuestion(question(question));
+    } else if (message instanceof TopicAnswer answer) {
+      datagram.setAnswer(answer(answer));
+    }
+    return datagram.build().toByteArray();
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws InvalidProtocolBufferException if the bytes are not a message of an instance
+   */
+  static PeerMessage decode(byte[] bytes) throws InvalidProtocolBufferException {
+    PeerProto.Datagram datagram = PeerProto.Datagram.parseFrom(bytes);
+    return switch (datagram.getContentCase()) {
+      case DIGEST -> DigestCodec.decode(datagram.getDigest());
+      case QUESTION -> question(datagram.getQuestion());
+      case ANSWER -> answer(datagram.getAnswer());
+      case CONTENT_NOT_SET -> throw new InvalidProtocolBufferException("empty message");
+    };
+  }
+
+  private static PeerProto.TopicQuestion question(TopicQuestion question) {
+    return PeerProto.TopicQuestion.newBuilder()
+        .setNonce(question.nonce())
+        .setTopic(question.topic())
+        .setFrom(question.from())
+        .build();
+  }
+
+  private static TopicQuestion question(PeerProto.TopicQuestion message) {
+    return new TopicQuestion(message.getNonce(), message.getTopic(), message.getFrom());
+  }
+
+  private static PeerProto.TopicAnswer answer(TopicAnswer answer) {
+    PeerProto.TopicAnswer.Builder message =
+        PeerProto.TopicAnswer.newBuilder().setNonce(answer.nonce());
+    answer.read().ifPresent(read -> addRead(message, read));
+    return message.build();
+  }
+
+  private static void addRead(PeerProto.TopicAnswer.Builder message, RelayedRead read) {
+    message
+        .setKnown(true)
+        .setNext(read.next())
+        .setMore(read.hasMore())
+        .setAgeMillis(read.ageMillis())
+        .setSinceOutageMillis(read.sinceOutageMillis());
+    read.records().forEach(r -> message.addRecords(keyed(r)));
+  }
+
+  private static PeerProto.TopicRecord keyed(KeyedRecord keyed) {
+    PeerProto.TopicRecord.Builder message = PeerProto.TopicRecord.newBuilder().setKey(keyed.key());
+    keyed.value().ifPresent(v -> message.setValue(ByteString.copyFrom(v)));
+    return message.build();
+  }
+
+  private static TopicAnswer answer(PeerProto.TopicAnswer message) {
+    return new TopicAnswer(
+        message.getNonce(), message.getKnown() ? Optional.of(read(message)) : Optional.empty());
+  }
+
+  private static RelayedRead read(PeerProto.TopicAnswer message) {
+    return new RelayedRead(
+        message.getRecordsList().stream()
+            .map(MessageCodec::keyed)
+            .collect(ImmutableList.toImmutableList()),
+        message.getNext(),
+        message.getMore(),
+        message.getAgeMillis(),
+        message.getSinceOutageMillis());
+  }
+
+  private static KeyedRecord keyed(PeerProto.TopicRecord message) {
+    return new KeyedRecord(
+        message.getKey(),
+        message.hasValue() ? Optional.of(message.getValue().toByteArray()) : Optional.empty());
+  }
+}
--- a/src/main/java/org/tanagerbank/peer/PeerDigest.java
+++ b/src/main/java/org/tanagerbank/peer/PeerDigest.java
@@ -21,4 +21,5 @@
     ImmutableMap<String, Integer> inFlight,
     ImmutableList<PlacementNote> placements,
     ImmutableList<PeerAddress> peers,
-    ImmutableList<CachedParts> caches) {}
+    ImmutableList<CachedParts> caches)
+    implements PeerMessage {}
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -13,12 +13,14 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.tanagerbank.contract.ErrorCode;
@@ -32,6 +34,8 @@
 import org.tanagerbank.feed.KeyedTopic;
 import org.tanagerbank.feed.ReadResult;
 import org.tanagerbank.feed.ReadResult.Records;
+import org.tanagerbank.feed.RecordRelay;
+import org.tanagerbank.feed.RelayedRead;
 
 /**
  * Exchanges digests with the other instances of the fleet over UDP.
@@ -66,6 +70,7 @@
   private final Supplier<ImmutableMap<String, Integer>> work;
   private final Supplier<Long> configVersion;
   private final PeerTable table;
+  private final TopicRelay relay;
   private final PlacementLog placements = new PlacementLog();
 
   /** The newest placement taken over, by instance id and incarnation. */
@@ -95,6 +100,9 @@
     this.work = work;
     this.configVersion = configVersion;
     this.table = new PeerTable(self.instanceId());
+    this.relay =
+        new TopicRelay(
+            self.instanceId(), self.incarnation(), this::schedule, table::live, this::send);
   }
 
   /**
@@ -151,6 +159,16 @@
     placements.placed(upstreamId, prompt);
   }
 
+  /** Answers other instances' questions about a topic by what a source knows from an offset. */
+  public void serve(String topic, LongFunction<Optional<RelayedRead>> source) {
+    relay.serve(topic, source);
+  }
+
+  /** Returns a way to learn from other instances what they have read of a topic. */
+  public RecordRelay relay(String topic) {
+    return relay.topic(topic);
+  }
+
   private void schedule(Runnable task, long delayMillis) {
     var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
@@ -260,20 +278,32 @@
   }
 
   private void send(PeerDigest digest, ImmutableList<PeerAddress> targets) {
-    byte[] bytes = DigestCodec.encode(digest);
+    byte[] bytes = MessageCodec.encode(digest);
     for (PeerAddress target : targets) {
       channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target.address()));
     }
     channel.flush();
   }
 
+  private void send(InetSocketAddress target, PeerMessage message) {
+    byte[] bytes = MessageCodec.encode(message);
+    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target));
+  }
+
   private ImmutableList<PeerAddress> somePeers() {
     return table.live().stream().limit(MAX_PEERS_TOLD).collect(ImmutableList.toImmutableList());
   }
 
-  private void receive(byte[] bytes) {
+  private void receive(InetSocketAddress from, byte[] bytes) {
     try {
-      take(DigestCodec.decode(bytes));
+      PeerMessage message = MessageCodec.decode(bytes);
+      if (message instanceof PeerDigest digest) {
+        take(digest);
+      } else if (message instanceof TopicQuestion question) {
+        relay.question(from, question);
+      } else if (message instanceof TopicAnswer answer) {
+        relay.answer(answer);
+      }
     } catch (InvalidProtocolBufferException e) {
       EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "datagram", "error", e.getMessage());
     }
@@ -309,7 +339,7 @@
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-      receive(ByteBufUtil.getBytes(packet.content()));
+      receive(packet.sender(), ByteBufUtil.getBytes(packet.content()));
     }
 
     @Override
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -25,6 +25,3861 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  public interface DatagramOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Datagram)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     * @return Whether the digest field is set.
+     */
+    boolean hasDigest();
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     * @return The digest.
+     */
+    org.tanagerbank.proto.PeerProto.Digest getDigest();
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     */
+    org.tanagerbank.proto.PeerProto.DigestOrBuilder getDigestOrBuilder();
+
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     * @return Whether the question field is set.
+     */
+    boolean hasQuestion();
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     * @return The question.
+     */
+    org.tanagerbank.proto.PeerProto.TopicQuestion getQuestion();
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder getQuestionOrBuilder();
+
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     * @return Whether the answer field is set.
+     */
+    boolean hasAnswer();
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     * @return The answer.
+     */
+    org.tanagerbank.proto.PeerProto.TopicAnswer getAnswer();
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder();
+
+    org.tanagerbank.proto.PeerProto.Datagram.ContentCase getContentCase();
+  }
+  /**
+   * <pre>
+   * What stands in one datagram.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Datagram}
+   */
+  public static final class Datagram extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Datagram)
+      DatagramOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Datagram.class.getName());
+    }
+    // Use Datagram.newBuilder() to construct.
+    private Datagram(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Datagram() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Datagram_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Datagram_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Datagram.class, org.tanagerbank.proto.PeerProto.Datagram.Builder.class);
+    }
+
+    private int contentCase_ = 0;
+    @SuppressWarnings("serial")
+    private java.lang.Object content_;
+    public enum ContentCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      DIGEST(1),
+      QUESTION(2),
+      ANSWER(3),
+      CONTENT_NOT_SET(0);
+      private final int value;
+      private ContentCase(int value) {
+        this.value = value;
+      }
+      /**
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static ContentCase valueOf(int value) {
+        return forNumber(value);
+      }
+
+      public static ContentCase forNumber(int value) {
+        switch (value) {
+          case 1: return DIGEST;
+          case 2: return QUESTION;
+          case 3: return ANSWER;
+          case 0: return CONTENT_NOT_SET;
+          default: return null;
+        }
+      }
+      public int getNumber() {
+        return this.value;
+      }
+    };
+
+    public ContentCase
+    getContentCase() {
+      return ContentCase.forNumber(
+          contentCase_);
+    }
+
+    public static final int DIGEST_FIELD_NUMBER = 1;
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     * @return Whether the digest field is set.
+     */
+    @java.lang.Override
+    public boolean hasDigest() {
+      return contentCase_ == 1;
+    }
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Digest getDigest() {
+      if (contentCase_ == 1) {
+         return (org.tanagerbank.proto.PeerProto.Digest) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.Digest digest = 1;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestOrBuilder getDigestOrBuilder() {
+      if (contentCase_ == 1) {
+         return (org.tanagerbank.proto.PeerProto.Digest) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+    }
+
+    public static final int QUESTION_FIELD_NUMBER = 2;
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     * @return Whether the question field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuestion() {
+      return contentCase_ == 2;
+    }
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     * @return The question.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicQuestion getQuestion() {
+      if (contentCase_ == 2) {
+         return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder getQuestionOrBuilder() {
+      if (contentCase_ == 2) {
+         return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+    }
+
+    public static final int ANSWER_FIELD_NUMBER = 3;
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     * @return Whether the answer field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnswer() {
+      return contentCase_ == 3;
+    }
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     * @return The answer.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicAnswer getAnswer() {
+      if (contentCase_ == 3) {
+         return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder() {
+      if (contentCase_ == 3) {
+         return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (contentCase_ == 1) {
+        output.writeMessage(1, (org.tanagerbank.proto.PeerProto.Digest) content_);
+      }
+      if (contentCase_ == 2) {
+        output.writeMessage(2, (org.tanagerbank.proto.PeerProto.TopicQuestion) content_);
+      }
+      if (contentCase_ == 3) {
+        output.writeMessage(3, (org.tanagerbank.proto.PeerProto.TopicAnswer) content_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (contentCase_ == 1) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, (org.tanagerbank.proto.PeerProto.Digest) content_);
+      }
+      if (contentCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (org.tanagerbank.proto.PeerProto.TopicQuestion) content_);
+      }
+      if (contentCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (org.tanagerbank.proto.PeerProto.TopicAnswer) content_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Datagram)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Datagram other = (org.tanagerbank.proto.PeerProto.Datagram) obj;
+
+      if (!getContentCase().equals(other.getContentCase())) return false;
+      switch (contentCase_) {
+        case 1:
+          if (!getDigest()
+              .equals(other.getDigest())) return false;
+          break;
+        case 2:
+          if (!getQuestion()
+              .equals(other.getQuestion())) return false;
+          break;
+        case 3:
+          if (!getAnswer()
+              .equals(other.getAnswer())) return false;
+          break;
+        case 0:
+        default:
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      switch (contentCase_) {
+        case 1:
+          hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+          hash = (53 * hash) + getDigest().hashCode();
+          break;
+        case 2:
+          hash = (37 * hash) + QUESTION_FIELD_NUMBER;
+          hash = (53 * hash) + getQuestion().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + ANSWER_FIELD_NUMBER;
+          hash = (53 * hash) + getAnswer().hashCode();
+          break;
+        case 0:
+        default:
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Datagram parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Datagram parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Datagram parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Datagram prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What stands in one datagram.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Datagram}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Datagram)
+        org.tanagerbank.proto.PeerProto.DatagramOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Datagram_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Datagram_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Datagram.class, org.tanagerbank.proto.PeerProto.Datagram.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Datagram.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (digestBuilder_ != null) {
+          digestBuilder_.clear();
+        }
+        if (questionBuilder_ != null) {
+          questionBuilder_.clear();
+        }
+        if (answerBuilder_ != null) {
+          answerBuilder_.clear();
+        }
+        contentCase_ = 0;
+        content_ = null;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Datagram_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Datagram getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Datagram.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Datagram build() {
+        org.tanagerbank.proto.PeerProto.Datagram result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Datagram buildPartial() {
+        org.tanagerbank.proto.PeerProto.Datagram result = new org.tanagerbank.proto.PeerProto.Datagram(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Datagram result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      private void buildPartialOneofs(org.tanagerbank.proto.PeerProto.Datagram result) {
+        result.contentCase_ = contentCase_;
+        result.content_ = this.content_;
+        if (contentCase_ == 1 &&
+            digestBuilder_ != null) {
+          result.content_ = digestBuilder_.build();
+        }
+        if (contentCase_ == 2 &&
+            questionBuilder_ != null) {
+          result.content_ = questionBuilder_.build();
+        }
+        if (contentCase_ == 3 &&
+            answerBuilder_ != null) {
+          result.content_ = answerBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Datagram) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Datagram)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Datagram other) {
+        if (other == org.tanagerbank.proto.PeerProto.Datagram.getDefaultInstance()) return this;
+        switch (other.getContentCase()) {
+          case DIGEST: {
+            mergeDigest(other.getDigest());
+            break;
+          }
+          case QUESTION: {
+            mergeQuestion(other.getQuestion());
+            break;
+          }
+          case ANSWER: {
+            mergeAnswer(other.getAnswer());
+            break;
+          }
+          case CONTENT_NOT_SET: {
+            break;
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetDigestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 1;
+                break;
+              } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetQuestionFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetAnswerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 3;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int contentCase_ = 0;
+      private java.lang.Object content_;
+      public ContentCase
+          getContentCase() {
+        return ContentCase.forNumber(
+            contentCase_);
+      }
+
+      public Builder clearContent() {
+        contentCase_ = 0;
+        content_ = null;
+        onChanged();
+        return this;
+      }
+
+      private int bitField0_;
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Digest, org.tanagerbank.proto.PeerProto.Digest.Builder, org.tanagerbank.proto.PeerProto.DigestOrBuilder> digestBuilder_;
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       * @return Whether the digest field is set.
+       */
+      @java.lang.Override
+      public boolean hasDigest() {
+        return contentCase_ == 1;
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       * @return The digest.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Digest getDigest() {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 1) {
+            return (org.tanagerbank.proto.PeerProto.Digest) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+        } else {
+          if (contentCase_ == 1) {
+            return digestBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      public Builder setDigest(org.tanagerbank.proto.PeerProto.Digest value) {
+        if (digestBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(value);
+        }
+        contentCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      public Builder setDigest(
+          org.tanagerbank.proto.PeerProto.Digest.Builder builderForValue) {
+        if (digestBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      public Builder mergeDigest(org.tanagerbank.proto.PeerProto.Digest value) {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 1 &&
+              content_ != org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.Digest.newBuilder((org.tanagerbank.proto.PeerProto.Digest) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 1) {
+            digestBuilder_.mergeFrom(value);
+          } else {
+            digestBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      public Builder clearDigest() {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 1) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 1) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          digestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Digest.Builder getDigestBuilder() {
+        return internalGetDigestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestOrBuilder getDigestOrBuilder() {
+        if ((contentCase_ == 1) && (digestBuilder_ != null)) {
+          return digestBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 1) {
+            return (org.tanagerbank.proto.PeerProto.Digest) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Digest digest = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Digest, org.tanagerbank.proto.PeerProto.Digest.Builder, org.tanagerbank.proto.PeerProto.DigestOrBuilder> 
+          internalGetDigestFieldBuilder() {
+        if (digestBuilder_ == null) {
+          if (!(contentCase_ == 1)) {
+            content_ = org.tanagerbank.proto.PeerProto.Digest.getDefaultInstance();
+          }
+          digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Digest, org.tanagerbank.proto.PeerProto.Digest.Builder, org.tanagerbank.proto.PeerProto.DigestOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.Digest) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 1;
+        onChanged();
+        return digestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder> questionBuilder_;
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       * @return Whether the question field is set.
+       */
+      @java.lang.Override
+      public boolean hasQuestion() {
+        return contentCase_ == 2;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       * @return The question.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestion getQuestion() {
+        if (questionBuilder_ == null) {
+          if (contentCase_ == 2) {
+            return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+        } else {
+          if (contentCase_ == 2) {
+            return questionBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public Builder setQuestion(org.tanagerbank.proto.PeerProto.TopicQuestion value) {
+        if (questionBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          questionBuilder_.setMessage(value);
+        }
+        contentCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public Builder setQuestion(
+          org.tanagerbank.proto.PeerProto.TopicQuestion.Builder builderForValue) {
+        if (questionBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          questionBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public Builder mergeQuestion(org.tanagerbank.proto.PeerProto.TopicQuestion value) {
+        if (questionBuilder_ == null) {
+          if (contentCase_ == 2 &&
+              content_ != org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicQuestion.newBuilder((org.tanagerbank.proto.PeerProto.TopicQuestion) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 2) {
+            questionBuilder_.mergeFrom(value);
+          } else {
+            questionBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public Builder clearQuestion() {
+        if (questionBuilder_ == null) {
+          if (contentCase_ == 2) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 2) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          questionBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicQuestion.Builder getQuestionBuilder() {
+        return internalGetQuestionFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder getQuestionOrBuilder() {
+        if ((contentCase_ == 2) && (questionBuilder_ != null)) {
+          return questionBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 2) {
+            return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder> 
+          internalGetQuestionFieldBuilder() {
+        if (questionBuilder_ == null) {
+          if (!(contentCase_ == 2)) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+          }
+          questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.TopicQuestion) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 2;
+        onChanged();
+        return questionBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> answerBuilder_;
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * @return Whether the answer field is set.
+       */
+      @java.lang.Override
+      public boolean hasAnswer() {
+        return contentCase_ == 3;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * @return The answer.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswer getAnswer() {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3) {
+            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        } else {
+          if (contentCase_ == 3) {
+            return answerBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder setAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
+        if (answerBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          answerBuilder_.setMessage(value);
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder setAnswer(
+          org.tanagerbank.proto.PeerProto.TopicAnswer.Builder builderForValue) {
+        if (answerBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          answerBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder mergeAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3 &&
+              content_ != org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.newBuilder((org.tanagerbank.proto.PeerProto.TopicAnswer) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 3) {
+            answerBuilder_.mergeFrom(value);
+          } else {
+            answerBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder clearAnswer() {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 3) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          answerBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicAnswer.Builder getAnswerBuilder() {
+        return internalGetAnswerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder() {
+        if ((contentCase_ == 3) && (answerBuilder_ != null)) {
+          return answerBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 3) {
+            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> 
+          internalGetAnswerFieldBuilder() {
+        if (answerBuilder_ == null) {
+          if (!(contentCase_ == 3)) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+          }
+          answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.TopicAnswer) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 3;
+        onChanged();
+        return answerBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Datagram)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Datagram)
+    private static final org.tanagerbank.proto.PeerProto.Datagram DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Datagram();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Datagram getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Datagram>
+        PARSER = new com.google.protobuf.AbstractParser<Datagram>() {
+      @java.lang.Override
+      public Datagram parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Datagram> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Datagram> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Datagram getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TopicQuestionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.TopicQuestion)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Repeated in the answer.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    long getNonce();
+
+    /**
+     * <code>string topic = 2;</code>
+     * @return The topic.
+     */
+    java.lang.String getTopic();
+    /**
+     * <code>string topic = 2;</code>
+     * @return The bytes for topic.
+     */
+    com.google.protobuf.ByteString
+        getTopicBytes();
+
+    /**
+     * <pre>
+     * The offset of the first record that the sender lacks.
+     * </pre>
+     *
+     * <code>uint64 from = 3;</code>
+     * @return The from.
+     */
+    long getFrom();
+  }
+  /**
+   * <pre>
+   * Asks a gateway for the records of a topic of the store that it has read.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.TopicQuestion}
+   */
+  public static final class TopicQuestion extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.TopicQuestion)
+      TopicQuestionOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        TopicQuestion.class.getName());
+    }
+    // Use TopicQuestion.newBuilder() to construct.
+    private TopicQuestion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TopicQuestion() {
+      topic_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicQuestion_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.TopicQuestion.class, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder.class);
+    }
+
+    public static final int NONCE_FIELD_NUMBER = 1;
+    private long nonce_ = 0L;
+    /**
+     * <pre>
+     * Repeated in the answer.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public long getNonce() {
+      return nonce_;
+    }
+
+    public static final int TOPIC_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object topic_ = "";
+    /**
+     * <code>string topic = 2;</code>
+     * @return The topic.
+     */
+    @java.lang.Override
+    public java.lang.String getTopic() {
+      java.lang.Object ref = topic_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        topic_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string topic = 2;</code>
+     * @return The bytes for topic.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTopicBytes() {
+      java.lang.Object ref = topic_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        topic_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int FROM_FIELD_NUMBER = 3;
+    private long from_ = 0L;
+    /**
+     * <pre>
+     * The offset of the first record that the sender lacks.
+     * </pre>
+     *
+     * <code>uint64 from = 3;</code>
+     * @return The from.
+     */
+    @java.lang.Override
+    public long getFrom() {
+      return from_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (nonce_ != 0L) {
+        output.writeFixed64(1, nonce_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(topic_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, topic_);
+      }
+      if (from_ != 0L) {
+        output.writeUInt64(3, from_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (nonce_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, nonce_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(topic_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, topic_);
+      }
+      if (from_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, from_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.TopicQuestion)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.TopicQuestion other = (org.tanagerbank.proto.PeerProto.TopicQuestion) obj;
+
+      if (getNonce()
+          != other.getNonce()) return false;
+      if (!getTopic()
+          .equals(other.getTopic())) return false;
+      if (getFrom()
+          != other.getFrom()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NONCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNonce());
+      hash = (37 * hash) + TOPIC_FIELD_NUMBER;
+      hash = (53 * hash) + getTopic().hashCode();
+      hash = (37 * hash) + FROM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getFrom());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.TopicQuestion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Asks a gateway for the records of a topic of the store that it has read.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.TopicQuestion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.TopicQuestion)
+        org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.TopicQuestion.class, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.TopicQuestion.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        nonce_ = 0L;
+        topic_ = "";
+        from_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestion getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestion build() {
+        org.tanagerbank.proto.PeerProto.TopicQuestion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestion buildPartial() {
+        org.tanagerbank.proto.PeerProto.TopicQuestion result = new org.tanagerbank.proto.PeerProto.TopicQuestion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.TopicQuestion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.nonce_ = nonce_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.topic_ = topic_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.from_ = from_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.TopicQuestion) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.TopicQuestion)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.TopicQuestion other) {
+        if (other == org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance()) return this;
+        if (other.getNonce() != 0L) {
+          setNonce(other.getNonce());
+        }
+        if (!other.getTopic().isEmpty()) {
+          topic_ = other.topic_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getFrom() != 0L) {
+          setFrom(other.getFrom());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                nonce_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 18: {
+                topic_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                from_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long nonce_ ;
+      /**
+       * <pre>
+       * Repeated in the answer.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return The nonce.
+       */
+      @java.lang.Override
+      public long getNonce() {
+        return nonce_;
+      }
+      /**
+       * <pre>
+       * Repeated in the answer.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @param value The nonce to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNonce(long value) {
+
+        nonce_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Repeated in the answer.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNonce() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        nonce_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object topic_ = "";
+      /**
+       * <code>string topic = 2;</code>
+       * @return The topic.
+       */
+      public java.lang.String getTopic() {
+        java.lang.Object ref = topic_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          topic_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string topic = 2;</code>
+       * @return The bytes for topic.
+       */
+      public com.google.protobuf.ByteString
+          getTopicBytes() {
+        java.lang.Object ref = topic_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          topic_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string topic = 2;</code>
+       * @param value The topic to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTopic(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        topic_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string topic = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTopic() {
+        topic_ = getDefaultInstance().getTopic();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string topic = 2;</code>
+       * @param value The bytes for topic to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTopicBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        topic_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private long from_ ;
+      /**
+       * <pre>
+       * The offset of the first record that the sender lacks.
+       * </pre>
+       *
+       * <code>uint64 from = 3;</code>
+       * @return The from.
+       */
+      @java.lang.Override
+      public long getFrom() {
+        return from_;
+      }
+      /**
+       * <pre>
+       * The offset of the first record that the sender lacks.
+       * </pre>
+       *
+       * <code>uint64 from = 3;</code>
+       * @param value The from to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFrom(long value) {
+
+        from_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The offset of the first record that the sender lacks.
+       * </pre>
+       *
+       * <code>uint64 from = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFrom() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        from_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicQuestion)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.TopicQuestion)
+    private static final org.tanagerbank.proto.PeerProto.TopicQuestion DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.TopicQuestion();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicQuestion getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TopicQuestion>
+        PARSER = new com.google.protobuf.AbstractParser<TopicQuestion>() {
+      @java.lang.Override
+      public TopicQuestion parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TopicQuestion> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TopicQuestion> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicQuestion getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TopicAnswerOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.TopicAnswer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    long getNonce();
+
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord> 
+        getRecordsList();
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TopicRecord getRecords(int index);
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    int getRecordsCount();
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder> 
+        getRecordsOrBuilderList();
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder getRecordsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * The offset after the records.
+     * </pre>
+     *
+     * <code>uint64 next = 3;</code>
+     * @return The next.
+     */
+    long getNext();
+
+    /**
+     * <pre>
+     * Whether the sender has more records.
+     * </pre>
+     *
+     * <code>bool more = 4;</code>
+     * @return The more.
+     */
+    boolean getMore();
+
+    /**
+     * <pre>
+     * How long ago the sender knew all that the topic held.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 5;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+
+    /**
+     * <pre>
+     * How long ago the sender reached the store again after an outage.
+     * </pre>
+     *
+     * <code>uint64 since_outage_millis = 6;</code>
+     * @return The sinceOutageMillis.
+     */
+    long getSinceOutageMillis();
+
+    /**
+     * <pre>
+     * Whether the sender can tell at all; when not, the asking gateway reads the store.
+     * </pre>
+     *
+     * <code>bool known = 7;</code>
+     * @return The known.
+     */
+    boolean getKnown();
+  }
+  /**
+   * Protobuf type {@code tanagerbank.peer.TopicAnswer}
+   */
+  public static final class TopicAnswer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.TopicAnswer)
+      TopicAnswerOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        TopicAnswer.class.getName());
+    }
+    // Use TopicAnswer.newBuilder() to construct.
+    private TopicAnswer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TopicAnswer() {
+      records_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.TopicAnswer.class, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder.class);
+    }
+
+    public static final int NONCE_FIELD_NUMBER = 1;
+    private long nonce_ = 0L;
+    /**
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public long getNonce() {
+      return nonce_;
+    }
+
+    public static final int RECORDS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord> records_;
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord> getRecordsList() {
+      return records_;
+    }
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder> 
+        getRecordsOrBuilderList() {
+      return records_;
+    }
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public int getRecordsCount() {
+      return records_.size();
+    }
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicRecord getRecords(int index) {
+      return records_.get(index);
+    }
+    /**
+     * <pre>
+     * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder getRecordsOrBuilder(
+        int index) {
+      return records_.get(index);
+    }
+
+    public static final int NEXT_FIELD_NUMBER = 3;
+    private long next_ = 0L;
+    /**
+     * <pre>
+     * The offset after the records.
+     * </pre>
+     *
+     * <code>uint64 next = 3;</code>
+     * @return The next.
+     */
+    @java.lang.Override
+    public long getNext() {
+      return next_;
+    }
+
+    public static final int MORE_FIELD_NUMBER = 4;
+    private boolean more_ = false;
+    /**
+     * <pre>
+     * Whether the sender has more records.
+     * </pre>
+     *
+     * <code>bool more = 4;</code>
+     * @return The more.
+     */
+    @java.lang.Override
+    public boolean getMore() {
+      return more_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 5;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * How long ago the sender knew all that the topic held.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 5;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int SINCE_OUTAGE_MILLIS_FIELD_NUMBER = 6;
+    private long sinceOutageMillis_ = 0L;
+    /**
+     * <pre>
+     * How long ago the sender reached the store again after an outage.
+     * </pre>
+     *
+     * <code>uint64 since_outage_millis = 6;</code>
+     * @return The sinceOutageMillis.
+     */
+    @java.lang.Override
+    public long getSinceOutageMillis() {
+      return sinceOutageMillis_;
+    }
+
+    public static final int KNOWN_FIELD_NUMBER = 7;
+    private boolean known_ = false;
+    /**
+     * <pre>
+     * Whether the sender can tell at all; when not, the asking gateway reads the store.
+     * </pre>
+     *
+     * <code>bool known = 7;</code>
+     * @return The known.
+     */
+    @java.lang.Override
+    public boolean getKnown() {
+      return known_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (nonce_ != 0L) {
+        output.writeFixed64(1, nonce_);
+      }
+      for (int i = 0; i < records_.size(); i++) {
+        output.writeMessage(2, records_.get(i));
+      }
+      if (next_ != 0L) {
+        output.writeUInt64(3, next_);
+      }
+      if (more_ != false) {
+        output.writeBool(4, more_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(5, ageMillis_);
+      }
+      if (sinceOutageMillis_ != 0L) {
+        output.writeUInt64(6, sinceOutageMillis_);
+      }
+      if (known_ != false) {
+        output.writeBool(7, known_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (nonce_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, nonce_);
+      }
+      for (int i = 0; i < records_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, records_.get(i));
+      }
+      if (next_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, next_);
+      }
+      if (more_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, more_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, ageMillis_);
+      }
+      if (sinceOutageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, sinceOutageMillis_);
+      }
+      if (known_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(7, known_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.TopicAnswer)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.TopicAnswer other = (org.tanagerbank.proto.PeerProto.TopicAnswer) obj;
+
+      if (getNonce()
+          != other.getNonce()) return false;
+      if (!getRecordsList()
+          .equals(other.getRecordsList())) return false;
+      if (getNext()
+          != other.getNext()) return false;
+      if (getMore()
+          != other.getMore()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (getSinceOutageMillis()
+          != other.getSinceOutageMillis()) return false;
+      if (getKnown()
+          != other.getKnown()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NONCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNonce());
+      if (getRecordsCount() > 0) {
+        hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+        hash = (53 * hash) + getRecordsList().hashCode();
+      }
+      hash = (37 * hash) + NEXT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNext());
+      hash = (37 * hash) + MORE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getMore());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (37 * hash) + SINCE_OUTAGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSinceOutageMillis());
+      hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getKnown());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.TopicAnswer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code tanagerbank.peer.TopicAnswer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.TopicAnswer)
+        org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.TopicAnswer.class, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.TopicAnswer.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        nonce_ = 0L;
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+        } else {
+          records_ = null;
+          recordsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        next_ = 0L;
+        more_ = false;
+        ageMillis_ = 0L;
+        sinceOutageMillis_ = 0L;
+        known_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswer getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswer build() {
+        org.tanagerbank.proto.PeerProto.TopicAnswer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswer buildPartial() {
+        org.tanagerbank.proto.PeerProto.TopicAnswer result = new org.tanagerbank.proto.PeerProto.TopicAnswer(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.TopicAnswer result) {
+        if (recordsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            records_ = java.util.Collections.unmodifiableList(records_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.records_ = records_;
+        } else {
+          result.records_ = recordsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.TopicAnswer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.nonce_ = nonce_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.next_ = next_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.more_ = more_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.sinceOutageMillis_ = sinceOutageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.known_ = known_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.TopicAnswer) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.TopicAnswer)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.TopicAnswer other) {
+        if (other == org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance()) return this;
+        if (other.getNonce() != 0L) {
+          setNonce(other.getNonce());
+        }
+        if (recordsBuilder_ == null) {
+          if (!other.records_.isEmpty()) {
+            if (records_.isEmpty()) {
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureRecordsIsMutable();
+              records_.addAll(other.records_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.records_.isEmpty()) {
+            if (recordsBuilder_.isEmpty()) {
+              recordsBuilder_.dispose();
+              recordsBuilder_ = null;
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              recordsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetRecordsFieldBuilder() : null;
+            } else {
+              recordsBuilder_.addAllMessages(other.records_);
+            }
+          }
+        }
+        if (other.getNext() != 0L) {
+          setNext(other.getNext());
+        }
+        if (other.getMore() != false) {
+          setMore(other.getMore());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (other.getSinceOutageMillis() != 0L) {
+          setSinceOutageMillis(other.getSinceOutageMillis());
+        }
+        if (other.getKnown() != false) {
+          setKnown(other.getKnown());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                nonce_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 18: {
+                org.tanagerbank.proto.PeerProto.TopicRecord m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.TopicRecord.parser(),
+                        extensionRegistry);
+                if (recordsBuilder_ == null) {
+                  ensureRecordsIsMutable();
+                  records_.add(m);
+                } else {
+                  recordsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              case 24: {
+                next_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                more_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                sinceOutageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                known_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long nonce_ ;
+      /**
+       * <code>fixed64 nonce = 1;</code>
+       * @return The nonce.
+       */
+      @java.lang.Override
+      public long getNonce() {
+        return nonce_;
+      }
+      /**
+       * <code>fixed64 nonce = 1;</code>
+       * @param value The nonce to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNonce(long value) {
+
+        nonce_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 nonce = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNonce() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        nonce_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord> records_ =
+        java.util.Collections.emptyList();
+      private void ensureRecordsIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          records_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.TopicRecord>(records_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicRecord, org.tanagerbank.proto.PeerProto.TopicRecord.Builder, org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder> recordsBuilder_;
+
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord> getRecordsList() {
+        if (recordsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(records_);
+        } else {
+          return recordsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public int getRecordsCount() {
+        if (recordsBuilder_ == null) {
+          return records_.size();
+        } else {
+          return recordsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicRecord getRecords(int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);
+        } else {
+          return recordsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder setRecords(
+          int index, org.tanagerbank.proto.PeerProto.TopicRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.set(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder setRecords(
+          int index, org.tanagerbank.proto.PeerProto.TopicRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder addRecords(org.tanagerbank.proto.PeerProto.TopicRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.add(value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          int index, org.tanagerbank.proto.PeerProto.TopicRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.add(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          org.tanagerbank.proto.PeerProto.TopicRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          int index, org.tanagerbank.proto.PeerProto.TopicRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder addAllRecords(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.TopicRecord> values) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, records_);
+          onChanged();
+        } else {
+          recordsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder clearRecords() {
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          recordsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public Builder removeRecords(int index) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.remove(index);
+          onChanged();
+        } else {
+          recordsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicRecord.Builder getRecordsBuilder(
+          int index) {
+        return internalGetRecordsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder getRecordsOrBuilder(
+          int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);  } else {
+          return recordsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder> 
+           getRecordsOrBuilderList() {
+        if (recordsBuilder_ != null) {
+          return recordsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(records_);
+        }
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicRecord.Builder addRecordsBuilder() {
+        return internalGetRecordsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.TopicRecord.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicRecord.Builder addRecordsBuilder(
+          int index) {
+        return internalGetRecordsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.TopicRecord.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Records from the offset that was asked for, as many as fit; none when the sender cannot tell.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TopicRecord records = 2;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.TopicRecord.Builder> 
+           getRecordsBuilderList() {
+        return internalGetRecordsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicRecord, org.tanagerbank.proto.PeerProto.TopicRecord.Builder, org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder> 
+          internalGetRecordsFieldBuilder() {
+        if (recordsBuilder_ == null) {
+          recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TopicRecord, org.tanagerbank.proto.PeerProto.TopicRecord.Builder, org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder>(
+                  records_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          records_ = null;
+        }
+        return recordsBuilder_;
+      }
+
+      private long next_ ;
+      /**
+       * <pre>
+       * The offset after the records.
+       * </pre>
+       *
+       * <code>uint64 next = 3;</code>
+       * @return The next.
+       */
+      @java.lang.Override
+      public long getNext() {
+        return next_;
+      }
+      /**
+       * <pre>
+       * The offset after the records.
+       * </pre>
+       *
+       * <code>uint64 next = 3;</code>
+       * @param value The next to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNext(long value) {
+
+        next_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The offset after the records.
+       * </pre>
+       *
+       * <code>uint64 next = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNext() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        next_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean more_ ;
+      /**
+       * <pre>
+       * Whether the sender has more records.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @return The more.
+       */
+      @java.lang.Override
+      public boolean getMore() {
+        return more_;
+      }
+      /**
+       * <pre>
+       * Whether the sender has more records.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @param value The more to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMore(boolean value) {
+
+        more_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender has more records.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMore() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        more_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <pre>
+       * How long ago the sender knew all that the topic held.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 5;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * How long ago the sender knew all that the topic held.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 5;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long ago the sender knew all that the topic held.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sinceOutageMillis_ ;
+      /**
+       * <pre>
+       * How long ago the sender reached the store again after an outage.
+       * </pre>
+       *
+       * <code>uint64 since_outage_millis = 6;</code>
+       * @return The sinceOutageMillis.
+       */
+      @java.lang.Override
+      public long getSinceOutageMillis() {
+        return sinceOutageMillis_;
+      }
+      /**
+       * <pre>
+       * How long ago the sender reached the store again after an outage.
+       * </pre>
+       *
+       * <code>uint64 since_outage_millis = 6;</code>
+       * @param value The sinceOutageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSinceOutageMillis(long value) {
+
+        sinceOutageMillis_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long ago the sender reached the store again after an outage.
+       * </pre>
+       *
+       * <code>uint64 since_outage_millis = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSinceOutageMillis() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        sinceOutageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean known_ ;
+      /**
+       * <pre>
+       * Whether the sender can tell at all; when not, the asking gateway reads the store.
+       * </pre>
+       *
+       * <code>bool known = 7;</code>
+       * @return The known.
+       */
+      @java.lang.Override
+      public boolean getKnown() {
+        return known_;
+      }
+      /**
+       * <pre>
+       * Whether the sender can tell at all; when not, the asking gateway reads the store.
+       * </pre>
+       *
+       * <code>bool known = 7;</code>
+       * @param value The known to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKnown(boolean value) {
+
+        known_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender can tell at all; when not, the asking gateway reads the store.
+       * </pre>
+       *
+       * <code>bool known = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKnown() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        known_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicAnswer)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.TopicAnswer)
+    private static final org.tanagerbank.proto.PeerProto.TopicAnswer DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.TopicAnswer();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicAnswer getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TopicAnswer>
+        PARSER = new com.google.protobuf.AbstractParser<TopicAnswer>() {
+      @java.lang.Override
+      public TopicAnswer parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TopicAnswer> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TopicAnswer> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicAnswer getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TopicRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.TopicRecord)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <pre>
+     * Absent when the key was removed.
+     * </pre>
+     *
+     * <code>optional bytes value = 2;</code>
+     * @return Whether the value field is set.
+     */
+    boolean hasValue();
+    /**
+     * <pre>
+     * Absent when the key was removed.
+     * </pre>
+     *
+     * <code>optional bytes value = 2;</code>
+     * @return The value.
+     */
+    com.google.protobuf.ByteString getValue();
+  }
+  /**
+   * Protobuf type {@code tanagerbank.peer.TopicRecord}
+   */
+  public static final class TopicRecord extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.TopicRecord)
+      TopicRecordOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        TopicRecord.class.getName());
+    }
+    // Use TopicRecord.newBuilder() to construct.
+    private TopicRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TopicRecord() {
+      key_ = "";
+      value_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicRecord_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.TopicRecord.class, org.tanagerbank.proto.PeerProto.TopicRecord.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int KEY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int VALUE_FIELD_NUMBER = 2;
+    private com.google.protobuf.ByteString value_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Absent when the key was removed.
+     * </pre>
+     *
+     * <code>optional bytes value = 2;</code>
+     * @return Whether the value field is set.
+     */
+    @java.lang.Override
+    public boolean hasValue() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent when the key was removed.
+     * </pre>
+     *
+     * <code>optional bytes value = 2;</code>
+     * @return The value.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getValue() {
+      return value_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeBytes(2, value_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(2, value_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.TopicRecord)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.TopicRecord other = (org.tanagerbank.proto.PeerProto.TopicRecord) obj;
+
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (hasValue() != other.hasValue()) return false;
+      if (hasValue()) {
+        if (!getValue()
+            .equals(other.getValue())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      if (hasValue()) {
+        hash = (37 * hash) + VALUE_FIELD_NUMBER;
+        hash = (53 * hash) + getValue().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TopicRecord parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.TopicRecord prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code tanagerbank.peer.TopicRecord}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.TopicRecord)
+        org.tanagerbank.proto.PeerProto.TopicRecordOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicRecord_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.TopicRecord.class, org.tanagerbank.proto.PeerProto.TopicRecord.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.TopicRecord.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        key_ = "";
+        value_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TopicRecord_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicRecord getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.TopicRecord.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicRecord build() {
+        org.tanagerbank.proto.PeerProto.TopicRecord result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicRecord buildPartial() {
+        org.tanagerbank.proto.PeerProto.TopicRecord result = new org.tanagerbank.proto.PeerProto.TopicRecord(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.TopicRecord result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.key_ = key_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.value_ = value_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.TopicRecord) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.TopicRecord)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.TopicRecord other) {
+        if (other == org.tanagerbank.proto.PeerProto.TopicRecord.getDefaultInstance()) return this;
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.hasValue()) {
+          setValue(other.getValue());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                value_ = input.readBytes();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object key_ = "";
+      /**
+       * <code>string key = 1;</code>
+       * @return The key.
+       */
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return The bytes for key.
+       */
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString value_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <pre>
+       * Absent when the key was removed.
+       * </pre>
+       *
+       * <code>optional bytes value = 2;</code>
+       * @return Whether the value field is set.
+       */
+      @java.lang.Override
+      public boolean hasValue() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <pre>
+       * Absent when the key was removed.
+       * </pre>
+       *
+       * <code>optional bytes value = 2;</code>
+       * @return The value.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getValue() {
+        return value_;
+      }
+      /**
+       * <pre>
+       * Absent when the key was removed.
+       * </pre>
+       *
+       * <code>optional bytes value = 2;</code>
+       * @param value The value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValue(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        value_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent when the key was removed.
+       * </pre>
+       *
+       * <code>optional bytes value = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValue() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        value_ = getDefaultInstance().getValue();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicRecord)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.TopicRecord)
+    private static final org.tanagerbank.proto.PeerProto.TopicRecord DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.TopicRecord();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TopicRecord getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TopicRecord>
+        PARSER = new com.google.protobuf.AbstractParser<TopicRecord>() {
+      @java.lang.Override
+      public TopicRecord parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TopicRecord> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TopicRecord> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TopicRecord getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface DigestOrBuilder extends
       // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Digest)
       com.google.protobuf.MessageOrBuilder {
@@ -6189,6 +10044,26 @@
 
   }
 
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_Datagram_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_Datagram_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_TopicQuestion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_TopicAnswer_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_TopicRecord_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_Digest_descriptor;
   private static final 
@@ -6223,54 +10098,90 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020tanagerbank.peer\"\223\002\n\006Diges" +
-      "t\022)\n\006sender\030\001 \001(\0132\031.tanagerbank.peer.Add" +
-      "ress\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version\030\003" +
-      " \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer.Up" +
-      "streamWork\022/\n\nplacements\030\005 \003(\0132\033.tanager" +
-      "bank.peer.Placement\022(\n\005peers\030\006 \003(\0132\031.tan" +
-      "agerbank.peer.Address\022-\n\006caches\030\007 \003(\0132\035." +
-      "tanagerbank.peer.EngineCache\"M\n\007Address\022" +
-      "\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port" +
-      "\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamW" +
-      "ork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 " +
-      "\001(\r\"n\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upst" +
-      "ream_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010" +
-      "part_ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\"I\n\013E" +
-      "ngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_" +
-      "ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.ta" +
-      "nagerbank.protoB\tPeerProtob\006proto3"
+      "\n\npeer.proto\022\020tanagerbank.peer\"\247\001\n\010Datag" +
+      "ram\022*\n\006digest\030\001 \001(\0132\030.tanagerbank.peer.D" +
+      "igestH\000\0223\n\010question\030\002 \001(\0132\037.tanagerbank." +
+      "peer.TopicQuestionH\000\022/\n\006answer\030\003 \001(\0132\035.t" +
+      "anagerbank.peer.TopicAnswerH\000B\t\n\007content" +
+      "\";\n\rTopicQuestion\022\r\n\005nonce\030\001 \001(\006\022\r\n\005topi" +
+      "c\030\002 \001(\t\022\014\n\004from\030\003 \001(\004\"\250\001\n\013TopicAnswer\022\r\n" +
+      "\005nonce\030\001 \001(\006\022.\n\007records\030\002 \003(\0132\035.tanagerb" +
+      "ank.peer.TopicRecord\022\014\n\004next\030\003 \001(\004\022\014\n\004mo" +
+      "re\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\022\033\n\023since_ou" +
+      "tage_millis\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\"8\n\013Topi" +
+      "cRecord\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001" +
+      "B\010\n\006_value\"\223\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031." +
+      "tanagerbank.peer.Address\022\016\n\006number\030\002 \001(\004" +
+      "\022\026\n\016config_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036" +
+      ".tanagerbank.peer.UpstreamWork\022/\n\nplacem" +
+      "ents\030\005 \003(\0132\033.tanagerbank.peer.Placement\022" +
+      "(\n\005peers\030\006 \003(\0132\031.tanagerbank.peer.Addres" +
+      "s\022-\n\006caches\030\007 \003(\0132\035.tanagerbank.peer.Eng" +
+      "ineCache\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t" +
+      "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnatio" +
+      "n\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001" +
+      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"n\n\tPlacement\022\016\n\006" +
+      "number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpro" +
+      "mpt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013pa" +
+      "rt_tokens\030\005 \003(\r\"I\n\013EngineCache\022\023\n\013upstre" +
+      "am_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_to" +
+      "kens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPee" +
+      "rProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
         });
-    internal_static_tanagerbank_peer_Digest_descriptor =
+    internal_static_tanagerbank_peer_Datagram_descriptor =
       getDescriptor().getMessageTypes().get(0);
+    internal_static_tanagerbank_peer_Datagram_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_Datagram_descriptor,
+        new java.lang.String[] { "Digest", "Question", "Answer", "Content", });
+    internal_static_tanagerbank_peer_TopicQuestion_descriptor =
+      getDescriptor().getMessageTypes().get(1);
+    internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_TopicQuestion_descriptor,
+        new java.lang.String[] { "Nonce", "Topic", "From", });
+    internal_static_tanagerbank_peer_TopicAnswer_descriptor =
+      getDescriptor().getMessageTypes().get(2);
+    internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_TopicAnswer_descriptor,
+        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", });
+    internal_static_tanagerbank_peer_TopicRecord_descriptor =
+      getDescriptor().getMessageTypes().get(3);
+    internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_TopicRecord_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_tanagerbank_peer_Digest_descriptor =
+      getDescriptor().getMessageTypes().get(4);
     internal_static_tanagerbank_peer_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Digest_descriptor,
         new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", });
     internal_static_tanagerbank_peer_Address_descriptor =
-      getDescriptor().getMessageTypes().get(1);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
@@ -17,12 +17,15 @@
 final class TopicFollowerTest {
   private static final long PACE = 100;
   private static final long WAIT = 1_000;
+  private static final long LONG_AGO = 1_000_000;
 
   private final List<String> calls = new ArrayList<>();
   private final List<Consumer<ReadResult>> answers = new ArrayList<>();
   private final List<Runnable> scheduled = new ArrayList<>();
   private final List<String> told = new ArrayList<>();
   private long now;
+  private Optional<RelayedRead> relayed = Optional.empty();
+  private final RecordRelay relay = (from, callback) -> callback.accept(relayed);
   private TopicFollower follower;
 
   private final class FakeTopic implements KeyedTopic {
@@ -66,7 +69,7 @@
     }
 
     @Override
-    public void regained() {
+    public void regained(long atMillis) {
       told.add("regained");
     }
   }
@@ -76,6 +79,7 @@
     follower =
         TopicFollower.create(
             new FakeTopic(),
+            relay,
             new Recorder(),
             (task, delay) -> scheduled.add(task),
             () -> now,
@@ -181,4 +185,95 @@
     runScheduled();
     assertThat(calls).hasSize(4);
   }
+
+  private static RelayedRead relayed(int count, long next, long age, long sinceOutage) {
+    return new RelayedRead(records(count, next).records(), next, false, age, sinceOutage);
+  }
+
+  /** Many instances would otherwise cost the store as many calls. */
+  @Test
+  void freshKnowledgeOfAnotherInstanceSparesTheStore() {
+    relayed = Optional.of(relayed(2, 9, 300, LONG_AGO));
+    answer(0, records(2, 7));
+    now = 1_000;
+    runScheduled();
+    assertThat(calls).containsExactly("newest");
+    assertThat(told)
+        .containsExactly("snapshot 2", "current 0", "records 2", "current 700")
+        .inOrder();
+  }
+
+  /** A key that was revoked would otherwise work for as long as two instances ask each other. */
+  @Test
+  void staleKnowledgeOfAnotherInstanceIsNotTaken() {
+    relayed = Optional.of(relayed(2, 9, 1_301, LONG_AGO));
+    snapshotRead();
+    assertThat(calls).containsExactly("newest", "read 7 wait 1000").inOrder();
+    assertThat(told).hasSize(2);
+  }
+
+  /** Records that were read before must not be taken over as if they were new. */
+  @Test
+  void instanceThatKnowsLessAddsOnlyItsFreshness() {
+    relayed = Optional.of(relayed(1, 5, 100, LONG_AGO));
+    answer(0, records(2, 7));
+    now = 1_000;
+    runScheduled();
+    assertThat(told).containsExactly("snapshot 2", "current 0", "current 900").inOrder();
+  }
+
+  /**
+   * Entries that expired while the store was away from the reader would otherwise count as gone.
+   */
+  @Test
+  void outageThatOnlyTheReaderSawIsToldOnce() {
+    relayed = Optional.of(relayed(1, 8, 100, 500));
+    answer(0, records(2, 7));
+    now = 10_000;
+    runScheduled();
+    now = 10_400;
+    relayed = Optional.of(relayed(0, 8, 100, 900));
+    runScheduled();
+    assertThat(told.stream().filter(t -> t.equals("regained"))).hasSize(1);
+    assertThat(told.indexOf("regained")).isLessThan(told.indexOf("records 1"));
+  }
+
+  /** An outage may begin and end while one read waits. */
+  @Test
+  void answerFarBeyondTheWaitTellsOfAnOutage() {
+    snapshotRead();
+    now = 1_601;
+    answer(1, records(1, 8));
+    assertThat(told).containsAtLeast("lost late answer", "regained", "records 1").inOrder();
+  }
+
+  @Test
+  void tellsOthersWhatItReadAndHowOldThatIs() {
+    assertThat(follower.known(7)).isEmpty();
+    snapshotRead();
+    now = 50;
+    answer(1, records(3, 10));
+    now = 200;
+    RelayedRead known = follower.known(8).orElseThrow();
+    assertThat(known.records()).hasSize(2);
+    assertThat(known.next()).isEqualTo(10);
+    assertThat(known.ageMillis()).isEqualTo(200);
+    assertThat(follower.known(6)).isEmpty();
+    assertThat(follower.known(11).orElseThrow().records()).isEmpty();
+  }
+
+  /** A datagram that networks split is lost with any of its parts. */
+  @Test
+  void tellsOthersNoMoreThanFitsOneDatagram() {
+    snapshotRead();
+    answer(1, records(150, 157));
+    RelayedRead known = follower.known(7).orElseThrow();
+    assertThat(known.hasMore()).isTrue();
+    assertThat(known.records().size()).isLessThan(150);
+    assertThat(known.next()).isEqualTo(7 + known.records().size());
+    KeyedRecord large = new KeyedRecord("large", Optional.of(new byte[5_000]));
+    runScheduled();
+    answer(2, new Records(ImmutableList.of(large), 158));
+    assertThat(follower.known(157)).isEmpty();
+  }
 }
--- a/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
@@ -8,6 +8,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import net.jqwik.api.ForAll;
@@ -15,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
+import org.tanagerbank.feed.KeyedRecord;
+import org.tanagerbank.feed.RelayedRead;
 
 /** Guards against digests that are late, lost, repeated or foreign. */
 final class PeerPartsTest {
@@ -39,14 +42,26 @@
             ImmutableList.of(
                 new CachedParts(
                     "i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
-    assertThat(DigestCodec.decode(DigestCodec.encode(digest))).isEqualTo(digest);
+    assertThat(MessageCodec.decode(MessageCodec.encode(digest))).isEqualTo(digest);
+  }
+
+  @Test
+  void questionAndAnswerSurviveTheirEncoding() throws InvalidProtocolBufferException {
+    TopicQuestion question = new TopicQuestion(-3, "upstreams", 12);
+    assertThat(MessageCodec.decode(MessageCodec.encode(question))).isEqualTo(question);
+    TopicAnswer unknown = new TopicAnswer(7, Optional.empty());
+    assertThat(MessageCodec.decode(MessageCodec.encode(unknown))).isEqualTo(unknown);
+    ImmutableList<KeyedRecord> removed = ImmutableList.of(new KeyedRecord("i-1", Optional.empty()));
+    TopicAnswer known =
+        new TopicAnswer(8, Optional.of(new RelayedRead(removed, 13, true, 40, Long.MAX_VALUE)));
+    assertThat(MessageCodec.decode(MessageCodec.encode(known))).isEqualTo(known);
   }
 
   @Test
   void foreignBytesAreNoDigest() {
     assertThrows(
-        InvalidProtocolBufferException.class, () -> DigestCodec.decode(new byte[] {1, 2, 3}));
-    assertThrows(InvalidProtocolBufferException.class, () -> DigestCodec.decode(new byte[0]));
+        InvalidProtocolBufferException.class, () -> MessageCodec.decode(new byte[] {1, 2, 3}));
+    assertThrows(InvalidProtocolBufferException.class, () -> MessageCodec.decode(new byte[0]));
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
@@ -0,0 +1,110 @@
+package org.tanagerbank.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.feed.RelayedRead;
+
+/** Guards against callers that wait for ever, and against readers that grow with the fleet. */
+final class TopicRelayTest {
+  private final List<PeerMessage> sent = new ArrayList<>();
+  private final List<Runnable> scheduled = new ArrayList<>();
+  private final List<Optional<RelayedRead>> told = new ArrayList<>();
+
+  private static ImmutableList<PeerAddress> fleet(int size) {
+    return IntStream.range(0, size)
+        .mapToObj(i -> new PeerAddress("gw-" + i, new InetSocketAddress("10.0.0.1", 7_000 + i), 1))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static ImmutableList<PeerAddress> others(ImmutableList<PeerAddress> fleet, String own) {
+    return fleet.stream()
+        .filter(p -> !p.instanceId().equals(own))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static long readers(ImmutableList<PeerAddress> fleet) {
+    return fleet.stream()
+        .map(PeerAddress::instanceId)
+        .filter(own -> StoreReaders.choose(own, others(fleet, own), 0).isEmpty())
+        .count();
+  }
+
+  private static String follower(ImmutableList<PeerAddress> fleet) {
+    return fleet.stream()
+        .map(PeerAddress::instanceId)
+        .filter(own -> StoreReaders.choose(own, others(fleet, own), 0).isPresent())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private TopicRelay relay(ImmutableList<PeerAddress> fleet, String own) {
+    return new TopicRelay(
+        own,
+        0,
+        (task, delay) -> scheduled.add(task),
+        () -> others(fleet, own),
+        (target, message) -> sent.add(message));
+  }
+
+  @Test
+  void fewInstancesReadForAll() {
+    assertThat(readers(fleet(1))).isEqualTo(1);
+    assertThat(readers(fleet(4))).isEqualTo(2);
+    assertThat(readers(fleet(30))).isEqualTo(2);
+    assertThat(readers(fleet(380))).isEqualTo(10);
+  }
+
+  @Test
+  void questionsAlternateBetweenReaders() {
+    ImmutableList<PeerAddress> fleet = fleet(8);
+    String own = follower(fleet);
+    assertThat(StoreReaders.choose(own, others(fleet, own), 1))
+        .isNotEqualTo(StoreReaders.choose(own, others(fleet, own), 2));
+  }
+
+  @Test
+  void readerAsksNobody() {
+    relay(fleet(1), "gw-0").topic("t").ask(3, told::add);
+    assertThat(told).containsExactly(Optional.empty());
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void lostQuestionIsPutToAnotherReaderAndThenGivenUp() {
+    ImmutableList<PeerAddress> fleet = fleet(8);
+    relay(fleet, follower(fleet)).topic("t").ask(3, told::add);
+    scheduled.remove(0).run();
+    assertThat(told).isEmpty();
+    assertThat(sent).hasSize(2);
+    scheduled.remove(0).run();
+    assertThat(told).containsExactly(Optional.empty());
+  }
+
+  @Test
+  void answerCountsOnce() {
+    ImmutableList<PeerAddress> fleet = fleet(8);
+    TopicRelay relay = relay(fleet, follower(fleet));
+    relay.topic("t").ask(3, told::add);
+    TopicQuestion question = (TopicQuestion) sent.get(0);
+    RelayedRead read = new RelayedRead(ImmutableList.of(), 3, false, 10, 1_000);
+    relay.answer(new TopicAnswer(question.nonce(), Optional.of(read)));
+    relay.answer(new TopicAnswer(question.nonce(), Optional.of(read)));
+    scheduled.remove(0).run();
+    assertThat(told).containsExactly(Optional.of(read));
+    assertThat(sent).hasSize(1);
+  }
+
+  @Test
+  void unknownTopicIsAnsweredWithNothing() {
+    TopicRelay relay = relay(fleet(2), "gw-0");
+    relay.question(new InetSocketAddress("10.0.0.1", 7_001), new TopicQuestion(5, "other", 0));
+    assertThat(sent).containsExactly(new TopicAnswer(5, Optional.empty()));
+  }
+}
