Let engines fetch cached prompt parts from each other

A session moves when its engine leaves or is new, when its home is expected to be late, and when gateways that just restarted know little.

The placement names the engine that keeps most of the prompt, counts a fetched token as a fifth of one that is read, and prefers the home of a session only for what nobody keeps. Peers are told how much was fetched, so that their models do not expect a long reading.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -32,6 +32,7 @@
 
   private final RequestRun run;
   private final Dispatcher dispatcher;
+  private final Choice choice;
   private final UpstreamHandle upstream;
   private final ByteBufAllocator allocator = UnpooledByteBufAllocator.DEFAULT;
   private HttpConnection connection;
@@ -45,10 +46,11 @@
   private CompositeByteBuf held;
   private EventSplitter events;
 
-  Attempt(RequestRun run, Dispatcher dispatcher, UpstreamHandle upstream) {
+  Attempt(RequestRun run, Dispatcher dispatcher, Choice choice) {
     this.run = run;
     this.dispatcher = dispatcher;
-    this.upstream = upstream;
+    this.choice = choice;
+    this.upstream = choice.upstream();
   }
 
   void start() {
@@ -56,8 +58,11 @@
     upstream.health().sent(dispatcher.nowMillis());
     if (upstream.engine().isPresent() && run.prompt().isPresent()) {
       Prompt prompt = run.prompt().get();
-      upstream.engine().get().sent(run.requestId(), prompt, dispatcher.nowMillis());
-      dispatcher.placed(upstream, prompt);
+      upstream
+          .engine()
+          .get()
+          .sent(run.requestId(), prompt, choice.fetchedTokens(), dispatcher.nowMillis());
+      dispatcher.placed(choice, prompt);
     }
     upstream.connections().acquire(this::connected, this::notConnected);
   }
@@ -70,7 +75,7 @@
     connection = opened;
     sent = true;
     sentMillis = dispatcher.nowMillis();
-    connection.send(run.toUpstream(upstream), this);
+    connection.send(run.toUpstream(choice), this);
   }
 
   private void notConnected() {
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -14,7 +14,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -71,7 +70,7 @@
   private final FleetKnowledge knowledge;
   private final Set<Waiting> waiting = new LinkedHashSet<>();
   private Runnable askStore = () -> {};
-  private BiConsumer<String, Prompt> onPlaced = (upstream, prompt) -> {};
+  private PlacementListener onPlaced = (upstream, prompt, fetchedTokens) -> {};
   private boolean upstreamsKnown;
   private LongPredicate admits = longest -> true;
 
@@ -132,7 +131,7 @@
   }
 
   /** Sets what is told of each request that is sent to an engine. */
-  public void onPlaced(BiConsumer<String, Prompt> action) {
+  public void onPlaced(PlacementListener action) {
     onPlaced = action;
   }
 
@@ -141,8 +140,8 @@
     return knowledge;
   }
 
-  void placed(UpstreamHandle upstream, Prompt prompt) {
-    onPlaced.accept(upstream.upstream().id(), prompt);
+  void placed(Choice choice, Prompt prompt) {
+    onPlaced.placed(choice.upstream().upstream().id(), prompt, choice.fetchedTokens());
   }
 
   /** Closes idle connections to upstreams that would soon close them. */
--- a/src/main/java/org/tanagerbank/dispatch/FleetKnowledge.java
+++ b/src/main/java/org/tanagerbank/dispatch/FleetKnowledge.java
@@ -72,7 +72,8 @@
 
   @Override
   public void peerPlaced(PlacementNote note) {
-    engine(note.upstreamId()).ifPresent(e -> e.peerSent(note.prompt(), clockMillis.getAsLong()));
+    engine(note.upstreamId())
+        .ifPresent(e -> e.peerSent(note.prompt(), note.fetchedTokens(), clockMillis.getAsLong()));
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
@@ -14,8 +13,9 @@
  * Chooses the upstream of a request.
  *
  * <p>Among engines that are expected to answer in time, the one that has the least of the prompt
- * still to read; a prompt that none has cached begins at its home, which all instances agree on.
- * Among plain upstreams, the least loaded. Stateless decision code, thread-safe.
+ * still to read; what another engine has cached is fetched from there. What none has cached begins
+ * at its home, which all instances agree on. Among plain upstreams, the least loaded. Stateless
+ * decision code, thread-safe.
  */
 final class Placement {
   /** Requests that an upstream may hold beyond a multiple of the mean; the rule allows 3. */
@@ -30,9 +30,12 @@
   /** What one more running request costs the others of an engine, in prompt tokens to read. */
   private static final double TOKENS_PER_REQUEST = 20;
 
-  /** The share of the tokens of a session by which its home is preferred over other engines. */
+  /** The share of the tokens that no engine keeps by which the home of a session is preferred. */
   private static final double HOME_SHARE = 0.6;
 
+  /** What a token that is fetched from another engine costs, against one that is read. */
+  private static final double FETCHED_TOKEN_COST = 0.2;
+
   /** Larger than every cost of an engine that answers in time. */
   private static final double LATE = 1e9;
 
@@ -45,7 +48,7 @@
    *
    * @param upstreams the upstreams of the service that are not leaving and were not tried yet
    */
-  static Optional<UpstreamHandle> choose(List<UpstreamHandle> upstreams, PlacementRequest request) {
+  static Optional<Choice> choose(List<UpstreamHandle> upstreams, PlacementRequest request) {
     long nowMillis = request.nowMillis();
     ImmutableList<UpstreamHandle> healthy =
         upstreams.stream()
@@ -53,15 +56,16 @@
             .collect(ImmutableList.toImmutableList());
     List<UpstreamHandle> usable = healthy.isEmpty() ? upstreams : healthy;
     List<UpstreamHandle> bounded = withinLoad(usable, request.loadMultiple(), nowMillis);
-    return bounded.stream().min(Comparator.comparingDouble(cost(request)));
-  }
-
-  private static ToDoubleFunction<UpstreamHandle> cost(PlacementRequest request) {
     if (request.prompt().isEmpty()) {
-      return u -> plainCost(u, request.zone(), request.nowMillis());
+      return bounded.stream()
+          .min(Comparator.comparingDouble(u -> plainCost(u, request.zone(), nowMillis)))
+          .map(u -> new Choice(u, Optional.empty()));
     }
     Prompt prompt = request.prompt().get();
-    return u -> engineCost(u, request, prompt);
+    CacheSources sources = CacheSources.of(request.keepers(), prompt, nowMillis);
+    return bounded.stream()
+        .map(u -> new Choice(u, sources.fetchFor(u, prompt)))
+        .min(Comparator.comparingDouble(c -> engineCost(c, request, prompt, sources)));
   }
 
   private static List<UpstreamHandle> withinLoad(
@@ -79,20 +83,24 @@
    * Cost in tokens. Engines that are expected to miss the objective come after all others, by the
    * time to their first token.
    */
-  private static double engineCost(UpstreamHandle handle, PlacementRequest request, Prompt prompt) {
+  private static double engineCost(
+      Choice choice, PlacementRequest request, Prompt prompt, CacheSources sources) {
+    UpstreamHandle handle = choice.upstream();
     if (handle.engine().isEmpty()) {
       return handle.fleetInFlight(request.nowMillis());
     }
     EngineModel engine = handle.engine().get();
     double first =
-        engine.firstTokenMillis(prompt, request.nowMillis())
+        engine.firstTokenMillis(prompt, choice.fetchedTokens(), request.nowMillis())
             + handle.upstream().coldMillis() / 10.0;
     if (first > ON_TIME_SHARE * request.objectiveMillis()) {
       return LATE + first;
     }
+    int unkept = Math.max(0, prompt.sharedTokens() - sources.mostTokens());
     return engine.freshTokens(prompt)
+        - (1 - FETCHED_TOKEN_COST) * choice.fetchedTokens()
         + TOKENS_PER_REQUEST * handle.fleetInFlight(request.nowMillis())
-        - HOME_SHARE * prompt.sharedTokens() * nearness(handle, prompt);
+        - HOME_SHARE * unkept * nearness(handle, prompt);
   }
 
   /**
--- a/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
+++ b/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import org.tanagerbank.engine.Prompt;
 
@@ -10,6 +11,7 @@
  * @param objectiveMillis the time within which the first token has its full value
  * @param zone the availability zone of this instance
  * @param loadMultiple an upstream holds at most this many times the mean of its service
+ * @param keepers the upstreams that may keep parts of the prompt, leaving ones included
  * @param nowMillis the time
  */
 record PlacementRequest(
@@ -17,4 +19,5 @@
     long objectiveMillis,
     String zone,
     double loadMultiple,
+    List<UpstreamHandle> keepers,
     long nowMillis) {}
--- a/src/main/java/org/tanagerbank/dispatch/RequestRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestRun.java
@@ -79,7 +79,7 @@
 
   private void place() {
     List<UpstreamHandle> candidates = dispatcher.upstreams().candidates(service, tried);
-    Optional<UpstreamHandle> chosen =
+    Optional<Choice> chosen =
         Placement.choose(
             candidates,
             new PlacementRequest(
@@ -87,13 +87,21 @@
                 route.objectiveMillis(),
                 dispatcher.settings().zone(),
                 dispatcher.settings().loadMultiple(),
+                dispatcher.upstreams().ofService(service),
                 dispatcher.nowMillis()));
     if (chosen.isEmpty()) {
       giveUp("no upstream of the service is left");
       return;
     }
-    UpstreamHandle upstream = chosen.get();
-    tried.add(upstream.upstream().id());
+    Choice choice = chosen.get();
+    tried.add(choice.upstream().upstream().id());
+    logPlaced(choice, candidates.size());
+    attempt = new Attempt(this, dispatcher, choice);
+    attempt.start();
+  }
+
+  private void logPlaced(Choice choice, int candidates) {
+    UpstreamHandle upstream = choice.upstream();
     EventLog.emit(
         LogEvent.REQUEST_PLACED,
         "request",
@@ -107,28 +115,31 @@
         "inFlight",
         upstream.fleetInFlight(dispatcher.nowMillis()),
         "candidates",
-        candidates.size(),
+        candidates,
         "session",
         prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
         "freshTokens",
         upstream.freshTokens(prompt),
+        "fetchedTokens",
+        choice.fetchedTokens(),
+        "fetchedFrom",
+        choice.fetch().map(f -> f.source().upstream().id()).orElse(""),
         "firstTokenMillis",
-        upstream.firstTokenMillis(prompt, dispatcher.nowMillis()),
+        upstream.firstTokenMillis(prompt, choice.fetchedTokens(), dispatcher.nowMillis()),
         "timeLeftMillis",
         timeLeftMillis());
-    attempt = new Attempt(this, dispatcher, upstream);
-    attempt.start();
   }
 
   /** Returns the request as it is sent to an upstream. */
-  FullHttpRequest toUpstream(UpstreamHandle upstream) {
+  FullHttpRequest toUpstream(Choice choice) {
     UpstreamCall call =
         new UpstreamCall(
-            upstream.upstream().id(),
+            choice.upstream().upstream().id(),
             Math.max(1, timeLeftMillis()),
             workspace.map(Workspace::name),
             OptionalInt.empty(),
-            lastEventId);
+            lastEventId,
+            choice.fetch().map(f -> f.source().upstream().address()));
     HttpHeaders headers = dispatcher.dialect().toUpstream(request.headers(), call);
     if (request.body().isReadable()
         || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -59,9 +59,9 @@
   }
 
   /** Returns the expected time to the first token, or 0 for no engine. */
-  long firstTokenMillis(Optional<Prompt> prompt, long nowMillis) {
+  long firstTokenMillis(Optional<Prompt> prompt, int fetchedTokens, long nowMillis) {
     return engine.isPresent() && prompt.isPresent()
-        ? Math.round(engine.get().firstTokenMillis(prompt.get(), nowMillis))
+        ? Math.round(engine.get().firstTokenMillis(prompt.get(), fetchedTokens, nowMillis))
         : 0;
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -93,6 +93,13 @@
         .collect(Collectors.toList());
   }
 
+  /** Returns the upstreams of a service, leaving ones included. */
+  List<UpstreamHandle> ofService(String service) {
+    return byId.values().stream()
+        .filter(u -> u.upstream().service().equals(service))
+        .collect(Collectors.toList());
+  }
+
   ImmutableList<UpstreamHandle> all() {
     return ImmutableList.copyOf(byId.values());
   }
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -36,6 +36,9 @@
   /** What each running request adds to the time of a step. */
   private static final double STEP_MILLIS_PER_RUNNING = 0.05;
 
+  /** What it takes to begin a transfer of cached parts between engines. */
+  private static final double TRANSFER_SETUP_MILLIS = 2;
+
   /** The share of the memory that cached parts may take beside running requests. */
   private static final double CACHE_SHARE = 0.9;
 
@@ -66,51 +69,81 @@
 
   /** Predicts the time to the first token of a request that is sent now. */
   public double firstTokenMillis(Prompt prompt, long nowMillis) {
-    return slowness * usualFirstTokenMillis(prompt, nowMillis);
+    return firstTokenMillis(prompt, /* fetchedTokens= */ 0, nowMillis);
+  }
+
+  /**
+   * Predicts the time to the first token of a request that is sent now.
+   *
+   * @param fetchedTokens what the engine fetches from another one beyond what it has cached
+   */
+  public double firstTokenMillis(Prompt prompt, int fetchedTokens, long nowMillis) {
+    return slowness * usualFirstTokenMillis(prompt, fetchedTokens, nowMillis);
   }
 
-  private double usualFirstTokenMillis(Prompt prompt, long nowMillis) {
+  private double usualFirstTokenMillis(Prompt prompt, int fetchedTokens, long nowMillis) {
     double backlog = Math.max(0, readingUntilMillis - nowMillis);
     return backlog
-        + readMillis(prompt)
+        + readMillis(prompt, fetchedTokens)
         + STEP_MILLIS
         + STEP_MILLIS_PER_RUNNING * running.size()
         + crowdingMillis(prompt);
   }
 
-  /** Returns the time that reading the part of a prompt that is not cached takes. */
-  public double readMillis(Prompt prompt) {
-    double fresh = freshTokens(prompt);
+  /** Returns the time to fetch and read the part of a prompt that is not cached. */
+  private double readMillis(Prompt prompt, int fetchedTokens) {
+    double fresh = Math.max(1, freshTokens(prompt) - fetchedTokens);
     double attended = Math.max(fresh, prompt.promptTokens()) - fresh / 2;
-    return fresh / PREFILL_TOKENS_PER_MILLI + fresh * attended * MILLIS_PER_TOKEN_PAIR;
+    double read = fresh / PREFILL_TOKENS_PER_MILLI + fresh * attended * MILLIS_PER_TOKEN_PAIR;
+    return read + transferMillis(fetchedTokens);
+  }
+
+  private double transferMillis(int tokens) {
+    return tokens == 0
+        ? 0
+        : TRANSFER_SETUP_MILLIS + tokens * limits.transferMillisPerToken().orElse(0);
+  }
+
+  /** Returns whether the engine can fetch cached parts from others of its service. */
+  public boolean canFetch() {
+    return limits.transferMillisPerToken().isPresent();
+  }
+
+  /** Returns how many tokens at the start of a prompt are believed to be cached. */
+  public int cachedTokens(Prompt prompt) {
+    return cache.cachedTokens(prompt);
   }
 
   /** Returns how many tokens of a prompt are not cached. */
   public int freshTokens(Prompt prompt) {
-    return Math.max(1, prompt.promptTokens() - cache.cachedTokens(prompt));
+    return Math.max(1, prompt.promptTokens() - cachedTokens(prompt));
   }
 
   /** Notes that a request was sent to the engine. */
   public void sent(String requestId, Prompt prompt, long nowMillis) {
+    sent(requestId, prompt, /* fetchedTokens= */ 0, nowMillis);
+  }
+
+  /**
+   * Notes that a request was sent to the engine.
+   *
+   * @param fetchedTokens what the engine fetches from another one beyond what it has cached
+   */
+  public void sent(String requestId, Prompt prompt, int fetchedTokens, long nowMillis) {
     checkArgument(!requestId.isEmpty(), "request id must not be empty");
-    double expected = usualFirstTokenMillis(prompt, nowMillis);
-    readingUntilMillis = Math.max(readingUntilMillis, nowMillis) + readMillis(prompt);
-    noteRead(prompt);
+    double expected = usualFirstTokenMillis(prompt, fetchedTokens, nowMillis);
+    peerSent(prompt, fetchedTokens, nowMillis);
     Work previous = running.put(requestId, new Work(prompt.ownTokens(), nowMillis, expected));
     runningTokens += prompt.ownTokens() - (previous == null ? 0 : previous.ownTokens());
   }
 
-  /** Notes the parts of a prompt that a peer sent to the engine. */
-  public void noteRead(Prompt prompt) {
+  /** Notes that the engine has a prompt to read, whichever instance sent it. */
+  public void peerSent(Prompt prompt, int fetchedTokens, long nowMillis) {
+    readingUntilMillis =
+        Math.max(readingUntilMillis, nowMillis) + readMillis(prompt, fetchedTokens);
     cache.read(prompt, (long) (limits.memoryTokens() * CACHE_SHARE) - runningTokens);
   }
 
-  /** Notes that a peer's request has its prompt read by the engine. */
-  public void peerSent(Prompt prompt, long nowMillis) {
-    readingUntilMillis = Math.max(readingUntilMillis, nowMillis) + readMillis(prompt);
-    noteRead(prompt);
-  }
-
   /** Notes prompt parts that the engine keeps, of which others told. */
   public void restore(Iterable<PromptPart> parts) {
     cache.restore(parts);
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -107,7 +107,8 @@
         PeerProto.Placement.newBuilder()
             .setNumber(note.number())
             .setUpstreamId(note.upstreamId())
-            .setPromptTokens(note.prompt().promptTokens());
+            .setPromptTokens(note.prompt().promptTokens())
+            .setFetchedTokens(note.fetchedTokens());
     for (PromptPart part : note.prompt().parts()) {
       message.addPartIds(part.id());
       message.addPartTokens(part.tokens());
@@ -118,7 +119,8 @@
   private static PlacementNote placement(PeerProto.Placement message) {
     ImmutableList<PromptPart> parts = parts(message.getPartIdsList(), message.getPartTokensList());
     Prompt prompt = new Prompt("", parts, message.getPromptTokens(), 0);
-    return new PlacementNote(message.getNumber(), message.getUpstreamId(), prompt);
+    return new PlacementNote(
+        message.getNumber(), message.getUpstreamId(), prompt, message.getFetchedTokens());
   }
 
   private static PeerProto.EngineCache cache(CachedParts caches) {
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -155,8 +155,8 @@
   }
 
   /** Notes that this instance sent a request to an engine. */
-  public void placed(String upstreamId, Prompt prompt) {
-    placements.placed(upstreamId, prompt);
+  public void placed(String upstreamId, Prompt prompt, int fetchedTokens) {
+    placements.placed(upstreamId, prompt, fetchedTokens);
   }
 
   /** Answers other instances' questions about a topic by what a source knows from an offset. */
--- a/src/main/java/org/tanagerbank/peer/PlacementLog.java
+++ b/src/main/java/org/tanagerbank/peer/PlacementLog.java
@@ -29,8 +29,8 @@
   }
 
   /** Notes a placement. */
-  public void placed(String upstreamId, Prompt prompt) {
-    placements.addLast(new Told(new PlacementNote(++number, upstreamId, prompt)));
+  public void placed(String upstreamId, Prompt prompt, int fetchedTokens) {
+    placements.addLast(new Told(new PlacementNote(++number, upstreamId, prompt, fetchedTokens)));
     if (placements.size() > MAX_PLACEMENTS) {
       placements.removeFirst();
     }
--- a/src/main/java/org/tanagerbank/peer/PlacementNote.java
+++ b/src/main/java/org/tanagerbank/peer/PlacementNote.java
@@ -8,5 +8,6 @@
  * @param number rises with each placement of one incarnation of the instance
  * @param upstreamId the engine
  * @param prompt what the engine has to read
+ * @param fetchedTokens how many tokens of it the engine fetches from another one
  */
-public record PlacementNote(long number, String upstreamId, Prompt prompt) {}
+public record PlacementNote(long number, String upstreamId, Prompt prompt, int fetchedTokens) {}
--- a/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
+++ b/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.tanagerbank.route.CallerLimits;
@@ -25,6 +26,7 @@
 
 /** Decodes the operator's configuration. Stateless and thread-safe. */
 final class ConfigDecoder {
+  private static final double BITS_PER_MILLI_OF_MBPS = 1_000;
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int DEFAULT_MAX_CONNECTIONS = 100;
 
@@ -107,10 +109,18 @@
     int slots = node.path("slots").asInt();
     long memory = node.path("kv-capacity").asLong();
     return slots > 0 && memory > 0
-        ? Optional.of(new EngineLimits(slots, memory))
+        ? Optional.of(new EngineLimits(slots, memory, transferMillisPerToken(node)))
         : Optional.empty();
   }
 
+  private static OptionalDouble transferMillisPerToken(JsonNode node) {
+    double tokenBits = node.path("kv-token-bytes").asDouble() * Byte.SIZE;
+    double bitsPerMilli = node.path("link-mbps").asDouble() * BITS_PER_MILLI_OF_MBPS;
+    return tokenBits > 0 && bitsPerMilli > 0
+        ? OptionalDouble.of(tokenBits / bitsPerMilli)
+        : OptionalDouble.empty();
+  }
+
   private static ImmutableMap<String, Workspace> keys(JsonNode tenants) {
     Map<String, Workspace> keys = new HashMap<>();
     for (JsonNode tenant : tenants) {
--- a/src/main/java/org/tanagerbank/platform/PlatformDialect.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformDialect.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.tanagerbank.backing.SocketAddresses;
 import org.tanagerbank.direct.Dialect;
 import org.tanagerbank.direct.LoadReport;
 import org.tanagerbank.direct.UpstreamCall;
@@ -35,6 +36,9 @@
   private static final String TENANT = "Tenant";
   private static final String PRIORITY = "Request-Priority";
 
+  /** The address of the engine from which another one fetches cached parts. */
+  private static final String CACHE_SOURCE = "Kv-Fetch";
+
   /** The upstream's signature of a response. */
   private static final String STAMP = "Server-Stamp";
 
@@ -154,6 +158,7 @@
     call.workspace().ifPresent(w -> headers.set(TENANT, w));
     call.priority().ifPresent(p -> headers.set(PRIORITY, Integer.toString(p)));
     call.lastEventId().ifPresent(e -> headers.set(LAST_EVENT_ID, e));
+    call.cacheSource().ifPresent(a -> headers.set(CACHE_SOURCE, SocketAddresses.format(a)));
     return headers;
   }
 
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -8134,6 +8134,16 @@
      * @return The partTokens at the given index.
      */
     int getPartTokens(int index);
+
+    /**
+     * <pre>
+     * Tokens of the prompt that the engine fetches from another engine.
+     * </pre>
+     *
+     * <code>uint32 fetched_tokens = 6;</code>
+     * @return The fetchedTokens.
+     */
+    int getFetchedTokens();
   }
   /**
    * <pre>
@@ -8304,6 +8314,21 @@
     }
     private int partTokensMemoizedSerializedSize = -1;
 
+    public static final int FETCHED_TOKENS_FIELD_NUMBER = 6;
+    private int fetchedTokens_ = 0;
+    /**
+     * <pre>
+     * Tokens of the prompt that the engine fetches from another engine.
+     * </pre>
+     *
+     * <code>uint32 fetched_tokens = 6;</code>
+     * @return The fetchedTokens.
+     */
+    @java.lang.Override
+    public int getFetchedTokens() {
+      return fetchedTokens_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8342,6 +8367,9 @@
       for (int i = 0; i < partTokens_.size(); i++) {
         output.writeUInt32NoTag(partTokens_.getInt(i));
       }
+      if (fetchedTokens_ != 0) {
+        output.writeUInt32(6, fetchedTokens_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -8387,6 +8415,10 @@
         }
         partTokensMemoizedSerializedSize = dataSize;
       }
+      if (fetchedTokens_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(6, fetchedTokens_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -8412,6 +8444,8 @@
           .equals(other.getPartIdsList())) return false;
       if (!getPartTokensList()
           .equals(other.getPartTokensList())) return false;
+      if (getFetchedTokens()
+          != other.getFetchedTokens()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8438,6 +8472,8 @@
         hash = (37 * hash) + PART_TOKENS_FIELD_NUMBER;
         hash = (53 * hash) + getPartTokensList().hashCode();
       }
+      hash = (37 * hash) + FETCHED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getFetchedTokens();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -8578,6 +8614,7 @@
         promptTokens_ = 0;
         partIds_ = emptyLongList();
         partTokens_ = emptyIntList();
+        fetchedTokens_ = 0;
         return this;
       }
 
@@ -8628,6 +8665,9 @@
           partTokens_.makeImmutable();
           result.partTokens_ = partTokens_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.fetchedTokens_ = fetchedTokens_;
+        }
       }
 
       @java.lang.Override
@@ -8675,6 +8715,9 @@
           }
           onChanged();
         }
+        if (other.getFetchedTokens() != 0) {
+          setFetchedTokens(other.getFetchedTokens());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -8749,6 +8792,11 @@
                 input.popLimit(limit);
                 break;
               } // case 42
+              case 48: {
+                fetchedTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9088,6 +9136,50 @@
         return this;
       }
 
+      private int fetchedTokens_ ;
+      /**
+       * <pre>
+       * Tokens of the prompt that the engine fetches from another engine.
+       * </pre>
+       *
+       * <code>uint32 fetched_tokens = 6;</code>
+       * @return The fetchedTokens.
+       */
+      @java.lang.Override
+      public int getFetchedTokens() {
+        return fetchedTokens_;
+      }
+      /**
+       * <pre>
+       * Tokens of the prompt that the engine fetches from another engine.
+       * </pre>
+       *
+       * <code>uint32 fetched_tokens = 6;</code>
+       * @param value The fetchedTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFetchedTokens(int value) {
+
+        fetchedTokens_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens of the prompt that the engine fetches from another engine.
+       * </pre>
+       *
+       * <code>uint32 fetched_tokens = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFetchedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        fetchedTokens_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Placement)
     }
 
@@ -10120,13 +10212,13 @@
       "ineCache\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t" +
       "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnatio" +
       "n\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001" +
-      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"n\n\tPlacement\022\016\n\006" +
-      "number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpro" +
-      "mpt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013pa" +
-      "rt_tokens\030\005 \003(\r\"I\n\013EngineCache\022\023\n\013upstre" +
-      "am_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_to" +
-      "kens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPee" +
-      "rProtob\006proto3"
+      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n" +
+      "\006number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpr" +
+      "ompt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013p" +
+      "art_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r" +
+      "\"I\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010" +
+      "part_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025o" +
+      "rg.tanagerbank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -10179,7 +10271,7 @@
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
-        new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", });
+        new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -5,9 +5,11 @@
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.direct.ConnectionPool;
 import org.tanagerbank.direct.DirectUpstream;
+import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.route.EngineLimits;
@@ -32,11 +35,15 @@
   }
 
   private UpstreamHandle engine(String id) {
+    return engine(id, OptionalDouble.of(0.001));
+  }
+
+  private UpstreamHandle engine(String id, OptionalDouble transferMillisPerToken) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
     DirectUpstream upstream = new DirectUpstream(id, "s", address, "z", 64, false, 0, 1, 1);
     UpstreamHandle handle =
         new UpstreamHandle(upstream, ConnectionPool.create(group.next(), address, () -> 0));
-    handle.setEngineLimits(new EngineLimits(64, 300_000));
+    handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
 
@@ -50,8 +57,14 @@
   }
 
   private UpstreamHandle place(List<UpstreamHandle> upstreams, Prompt prompt, long now) {
+    return choose(upstreams, upstreams, prompt, now).upstream();
+  }
+
+  private static Choice choose(
+      List<UpstreamHandle> upstreams, List<UpstreamHandle> keepers, Prompt prompt, long now) {
     return Placement.choose(
-            upstreams, new PlacementRequest(Optional.of(prompt), 600, "z", LOAD_MULTIPLE, now))
+            upstreams,
+            new PlacementRequest(Optional.of(prompt), 600, "z", LOAD_MULTIPLE, keepers, now))
         .get();
   }
 
@@ -106,6 +119,62 @@
     assertThat((double) most).isAtMost(LOAD_MULTIPLE * mean + 3);
   }
 
+  /** Release: the engine that kept a session leaves; its successor need not read it again. */
+  @Test
+  void sessionOfALeavingEngineIsFetchedFromIt() {
+    UpstreamHandle leaving = send(prompt(7, 1), "r1", 0);
+    List<UpstreamHandle> others = new ArrayList<>(engines);
+    others.remove(leaving);
+    Choice choice = choose(others, engines, prompt(7, 2), 2_000);
+    assertThat(choice.fetch()).hasValue(new CacheFetch(leaving, 8_500));
+  }
+
+  /** Lost third of the workers: what only an engine out of reach keeps cannot be fetched. */
+  @Test
+  void nothingIsFetchedFromAnEngineOutOfReach() {
+    UpstreamHandle lost = send(prompt(7, 1), "r1", 0);
+    lost.health().notConnected(1_900);
+    List<UpstreamHandle> others = new ArrayList<>(engines);
+    others.remove(lost);
+    assertThat(choose(others, engines, prompt(7, 2), 2_000).fetch()).isEmpty();
+  }
+
+  /** Hot key: engines that help out need not read the session, so that they answer in time. */
+  @Test
+  void hotSessionIsFetchedByEnginesThatHelpOut() {
+    UpstreamHandle home = send(prompt(7, 1), "r1", 0);
+    UpstreamHandle helper = engines.stream().filter(e -> !e.equals(home)).findFirst().get();
+    Choice choice = choose(List.of(helper), engines, prompt(7, 2), 500);
+    assertThat(choice.fetchedTokens()).isEqualTo(8_500);
+    EngineModel model = helper.engine().get();
+    assertThat(model.firstTokenMillis(prompt(7, 2), choice.fetchedTokens(), 500))
+        .isLessThan(model.firstTokenMillis(prompt(7, 2), 500) / 4);
+  }
+
+  /** Steady load: a session stays where it is kept, although another engine is its home. */
+  @Test
+  void keptSessionDoesNotMoveToItsHome() {
+    for (long session = 100; session < 150; session++) {
+      UpstreamHandle home = place(engines, prompt(session, 1), 0);
+      UpstreamHandle other = engines.get((engines.indexOf(home) + 1) % engines.size());
+      other.engine().get().restore(prompt(session, 1).parts());
+      assertThat(place(engines, prompt(session, 2), 0)).isEqualTo(other);
+    }
+  }
+
+  /** Engines that cannot fetch, or that lack only a few tokens, are not told to. */
+  @Test
+  void smallOrImpossibleFetchesAreLeftOut() {
+    Prompt small = new Prompt("m", ImmutableList.of(new PromptPart(5, 150)), 300, 50);
+    UpstreamHandle keeper = engines.get(0);
+    keeper.engine().get().restore(small.parts());
+    keeper.engine().get().restore(prompt(7, 1).parts());
+    List<UpstreamHandle> others = engines.subList(1, 6);
+    assertThat(choose(others, engines, small, 0).fetch()).isEmpty();
+    UpstreamHandle rigid = engine("i-rigid", OptionalDouble.empty());
+    assertThat(choose(List.of(rigid), engines, prompt(7, 2), 0).fetch()).isEmpty();
+  }
+
   /** One long prompt among short ones: those that would wait behind it go elsewhere. */
   @Test
   void longPromptDoesNotHoldUpShortOnes() {
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.direct.DirectUpstream;
@@ -37,7 +38,10 @@
           new RoutingConfig(
               1,
               RouteTable.of(ImmutableList.of()),
-              ImmutableMap.of("s", new Service("s", 100, Optional.of(new EngineLimits(64, 1_000)))),
+              ImmutableMap.of(
+                  "s",
+                  new Service(
+                      "s", 100, Optional.of(new EngineLimits(64, 1_000, OptionalDouble.empty())))),
               ImmutableMap.of(),
               false,
               CallerLimits.INITIAL));
--- a/src/test/java/org/tanagerbank/engine/EngineModelTest.java
+++ b/src/test/java/org/tanagerbank/engine/EngineModelTest.java
@@ -3,12 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.route.EngineLimits;
 
 /** Guards against predictions that forget a prompt that waits, or a part that was dropped. */
 final class EngineModelTest {
-  private final EngineModel model = EngineModel.create(new EngineLimits(64, 20_000));
+  private final EngineModel model =
+      EngineModel.create(new EngineLimits(64, 20_000, OptionalDouble.of(0.001)));
 
   private static Prompt prompt(long session, long request, int sessionTokens) {
     return new Prompt(
@@ -57,7 +59,8 @@
     model.sent("r1", prompt(1, 101, 5_000), 0);
     model.sent("r2", prompt(1, 102, 5_000), 0);
     assertThat(model.sharedParts()).containsExactly(new PromptPart(1, 5_000));
-    EngineModel restarted = EngineModel.create(new EngineLimits(64, 20_000));
+    EngineModel restarted =
+        EngineModel.create(new EngineLimits(64, 20_000, OptionalDouble.of(0.001)));
     restarted.restore(model.sharedParts());
     assertThat(restarted.freshTokens(prompt(1, 103, 5_000))).isEqualTo(100);
   }
--- a/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerPartsTest.java
@@ -37,7 +37,7 @@
             9,
             12,
             ImmutableMap.of("i-1", 3),
-            ImmutableList.of(new PlacementNote(4, "i-1", prompt(-7))),
+            ImmutableList.of(new PlacementNote(4, "i-1", prompt(-7), 3)),
             ImmutableList.of(address("b", 6)),
             ImmutableList.of(
                 new CachedParts(
@@ -104,7 +104,7 @@
     int lostInARow = 0;
     for (int i = 0; i < 50; i++) {
       if (i < 45) {
-        log.placed("i-1", prompt(i));
+        log.placed("i-1", prompt(i), 0);
       }
       ImmutableList<PlacementNote> notes = log.next();
       boolean lost = lostInARow < 2 && random.nextBoolean();
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.direct.DirectUpstream;
 import org.tanagerbank.feed.KeyedRecord;
@@ -70,10 +71,21 @@
     assertThat(route.services()).hasSize(2);
     assertThat(config.workspace("k2")).hasValue(new Workspace("w", 1));
     assertThat(config.workspace("k3")).isEmpty();
-    assertThat(config.services().get("s").engine()).hasValue(new EngineLimits(64, 314968));
+    assertThat(config.services().get("s").engine())
+        .hasValue(new EngineLimits(64, 314968, OptionalDouble.empty()));
     assertThat(config.limits().maxBodyBytes()).isEqualTo(200);
   }
 
+  @Test
+  void timeOfATransferBetweenEnginesIsRead() throws IOException {
+    String engine = "\"slots\":64,";
+    String sized = CONFIG.replace(engine, engine + "\"kv-token-bytes\":125000,\"link-mbps\":1e6,");
+    RoutingConfig config = ConfigDecoder.decode(sized.getBytes(UTF_8));
+    assertThat(sized).isNotEqualTo(CONFIG);
+    assertThat(config.services().get("s").engine().get().transferMillisPerToken())
+        .isEqualTo(OptionalDouble.of(0.001));
+  }
+
   @Test
   void bytesWithoutVersionAreNoConfiguration() {
     assertThrows(IOException.class, () -> ConfigDecoder.decode("{}".getBytes(UTF_8)));
--- a/src/test/java/org/tanagerbank/platform/PlatformDialectTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformDialectTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
@@ -25,7 +26,22 @@
   }
 
   private static UpstreamCall call(Optional<String> workspace) {
-    return new UpstreamCall("i-1", 750, workspace, OptionalInt.empty(), Optional.empty());
+    return new UpstreamCall(
+        "i-1", 750, workspace, OptionalInt.empty(), Optional.empty(), Optional.empty());
+  }
+
+  @Test
+  void engineIsToldWhereToFetchFrom() {
+    UpstreamCall call =
+        new UpstreamCall(
+            "i-1",
+            750,
+            Optional.empty(),
+            OptionalInt.empty(),
+            Optional.empty(),
+            Optional.of(new InetSocketAddress("10.0.0.9", 8_080)));
+    HttpHeaders passed = dialect.toUpstream(headers("Request-Id", "r", "Kv-Fetch", "x"), call);
+    assertThat(passed.getAll("Kv-Fetch")).containsExactly("10.0.0.9:8080");
   }
 
   @Test
