Ask engines what they keep before placing after a restart

The engines were asked 0.3 s after the start, when the first hundred requests had been placed. And engines whose reports came before the configuration had no model for up to 0.25 s.

A restarted gateway now asks as soon as it knows the configuration, the upstreams and the other instances, lets requests wait for the answers (0.3 s at most), and repeats all waiting reads when the store answers one of them. Instances ask all engines where that is 80 questions a gateway at most.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -72,6 +72,7 @@
   private Runnable askStore = () -> {};
   private PlacementListener onPlaced = (upstream, prompt, fetchedTokens) -> {};
   private boolean upstreamsKnown;
+  private boolean awaitsCaches;
   private LongPredicate admits = longest -> true;
 
   private Dispatcher(
@@ -125,6 +126,17 @@
     }
   }
 
+  /** Lets requests wait until {@link #cachesKnown}, because engines keep what they need. */
+  public void awaitCaches() {
+    awaitsCaches = true;
+  }
+
+  /** Goes on with the requests that waited to know what engines keep. */
+  public void cachesKnown() {
+    awaitsCaches = false;
+    configIsCurrent();
+  }
+
   /** Sets what decides whether a request that may last for some milliseconds is still taken. */
   public void admitIf(LongPredicate predicate) {
     admits = predicate;
@@ -178,7 +190,7 @@
   }
 
   private boolean isStarted() {
-    return upstreamsKnown && config.config().isPresent();
+    return upstreamsKnown && !awaitsCaches && config.config().isPresent();
   }
 
   /** Goes on with a request when the store has answered, or after a time. */
--- a/src/main/java/org/tanagerbank/feed/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/feed/TopicFollower.java
@@ -54,6 +54,7 @@
   private boolean isLost;
   private boolean stopped;
   private boolean refreshing;
+  private boolean awaitsRetry;
   private int round;
   private long retryMillis = FIRST_RETRY_MILLIS;
 
@@ -128,7 +129,15 @@
                         s.records(), s.next(), s.hasMore(), now - currentAsOf, now - regainedAt));
   }
 
+  /** Repeats at once a read that the store did not answer, as it answers others now. */
+  public void storeAnswers() {
+    if (awaitsRetry) {
+      readNext();
+    }
+  }
+
   private void readNext() {
+    awaitsRetry = false;
     if (stopped) {
       return;
     }
@@ -272,6 +281,7 @@
 
   private void retry(ReadResult result) {
     noteLost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
+    awaitsRetry = true;
     readLater(retryMillis);
     retryMillis = Math.min(LAST_RETRY_MILLIS, retryMillis * 2);
   }
--- a/src/main/java/org/tanagerbank/gateway/CacheHandover.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheHandover.java
@@ -22,22 +22,34 @@
 /**
  * Gives an instance that has just started the knowledge of what engines keep.
  *
- * <p>Instances that run longer share the engines among themselves and tell the new one. When all
- * have just started, each asks a share of the engines and tells the others. Confined to the event
- * loop.
+ * <p>Instances that run longer share the engines among themselves and tell the new one. The new one
+ * also asks engines itself, as all instances may have restarted at once: each asks all engines when
+ * these are few, and otherwise a share of them and tells the others. Confined to the event loop.
  */
 final class CacheHandover {
   /** Instances that start within this time of each other know equally little. */
   private static final long SAME_START_MILLIS = 2_000;
 
-  /** Time to hear of the other instances and of the engines after a start. */
-  private static final long INSPECT_AFTER_MILLIS = 300;
+  /** Time to hear what other instances have asked before the engines left out are asked. */
+  private static final long COMPLETE_AFTER_MILLIS = 300;
+
+  /** How long requests wait for the answers of engines; less than reading a few prompts takes. */
+  private static final long WAIT_MILLIS = 300;
+
+  /** Bounds the questions of a fleet that has restarted; each takes some time of an engine. */
+  private static final int MAX_QUESTIONS = 80;
 
   private final EventLoop loop;
   private final FleetKnowledge knowledge;
   private final PeerService peers;
   private final EngineInspector inspector;
   private final PeerAddress self;
+  private Runnable whenKnown = () -> {};
+  private boolean restarted;
+  private boolean enginesKnown;
+  private boolean peersKnown;
+  private boolean asked;
+  private int unanswered;
 
   CacheHandover(
       EventLoop loop,
@@ -55,11 +67,24 @@
   /** Returns the engines that one of several instances answers for. */
   static ImmutableList<String> share(
       Collection<String> engineIds, String instanceId, ImmutableSet<String> instanceIds) {
+    return share(engineIds, instanceId, instanceIds, 1);
+  }
+
+  private static ImmutableList<String> share(
+      Collection<String> engineIds,
+      String instanceId,
+      ImmutableSet<String> instanceIds,
+      int instancesPerEngine) {
     return engineIds.stream()
-        .filter(e -> Rendezvous.choose(e, instanceIds).equals(Optional.of(instanceId)))
+        .filter(e -> Rendezvous.choose(e, instanceIds, instancesPerEngine).contains(instanceId))
         .collect(toImmutableList());
   }
 
+  /** Returns how many instances ask the same engine after they have all restarted. */
+  static int instancesPerEngine(int engines) {
+    return Math.max(1, MAX_QUESTIONS / Math.max(1, engines));
+  }
+
   /** Tells an instance that has just started what this one answers for. */
   void peerStarted(PeerAddress started) {
     if (!isOlder(self, started)) {
@@ -84,25 +109,75 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
-  /** Asks engines after a restart, unless another instance has run through it. */
-  void started() {
-    var unused = loop.schedule(this::inspect, INSPECT_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+  /**
+   * Begins to learn what engines keep after a restart.
+   *
+   * @param action run once, when the engines have answered or after a time
+   */
+  void restarted(Runnable action) {
+    restarted = true;
+    whenKnown = action;
+    var unused = loop.schedule(this::complete, COMPLETE_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+    askEngines();
+  }
+
+  /** Notes that the engines of the deployment are known. */
+  void enginesKnown() {
+    if (!enginesKnown) {
+      enginesKnown = true;
+      var unused = loop.schedule(this::endWait, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+      askEngines();
+    }
+  }
+
+  /** Notes that the other instances of the fleet are known. */
+  void peersKnown() {
+    peersKnown = true;
+    askEngines();
   }
 
-  private void inspect() {
+  private void askEngines() {
+    if (!restarted || !enginesKnown || !peersKnown || asked) {
+      return;
+    }
+    asked = true;
+    ImmutableSet<String> all = instances(peers.known().stream());
+    int askers = instancesPerEngine(knowledge.engineIds().size());
+    ImmutableList<PeerAddress> told = askers < all.size() ? peers.known() : ImmutableList.of();
+    ImmutableList<String> engines = share(knowledge.engineIds(), self.instanceId(), all, askers);
+    unanswered = engines.size();
+    engines.forEach(e -> ask(e, told));
+    if (engines.isEmpty()) {
+      endWait();
+    }
+  }
+
+  private void endWait() {
+    Runnable action = whenKnown;
+    whenKnown = () -> {};
+    action.run();
+  }
+
+  /** Asks the engines of which nobody told, unless an instance that has run longer will tell. */
+  private void complete() {
     boolean othersKnow = peers.live().stream().anyMatch(p -> isOlder(p, self));
     if (othersKnow) {
       return;
     }
     ImmutableSet<String> all = instances(peers.live().stream());
-    for (String engine : share(knowledge.engineIds(), self.instanceId(), all)) {
-      knowledge
-          .connections(engine)
-          .ifPresent(c -> inspector.cachedParts(loop, c, parts -> take(engine, parts)));
-    }
+    share(knowledge.engineIds(), self.instanceId(), all).stream()
+        .filter(e -> knowledge.cachedParts(e).isEmpty())
+        .forEach(e -> ask(e, peers.live()));
   }
 
-  private void take(String engine, Optional<ImmutableList<PromptPart>> parts) {
+  private void ask(String engine, ImmutableList<PeerAddress> told) {
+    knowledge
+        .connections(engine)
+        .ifPresent(c -> inspector.cachedParts(loop, c, parts -> take(engine, parts, told)));
+  }
+
+  private void take(
+      String engine, Optional<ImmutableList<PromptPart>> parts, ImmutableList<PeerAddress> told) {
     EventLog.emit(
         LogEvent.ENGINE_INSPECTED,
         "upstream",
@@ -112,7 +187,11 @@
     if (parts.isPresent()) {
       CachedParts cache = new CachedParts(engine, parts.get());
       knowledge.peerCaches(cache);
-      peers.sendCaches(peers.live(), ImmutableList.of(cache));
+      peers.sendCaches(told, ImmutableList.of(cache));
+    }
+    unanswered--;
+    if (unanswered == 0) {
+      endWait();
     }
   }
 }
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -109,13 +109,13 @@
     PeerAddress self =
         new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
     peers = peerService(store, self);
-    upstreamFeed = new UpstreamFeed(store, dispatcher, clockMillis);
+    upstreamFeed = new UpstreamFeed(store, dispatcher, clockMillis, this::storeIsCurrent);
     Scheduler scheduler = this::schedule;
     configFollower =
         TopicFollower.create(
             store.configTopic(),
             peers.relay(CONFIG_TOPIC),
-            new ConfigFeed(store, config, dispatcher::configIsCurrent),
+            new ConfigFeed(store, config, this::storeIsCurrent),
             scheduler,
             storeClockMillis,
             CONFIG_PACE_MILLIS,
@@ -135,6 +135,7 @@
     dispatcher.onPlaced(peers::placed);
     handover = new CacheHandover(loop, dispatcher.knowledge(), peers, inspector, self);
     peers.onStarted(handover::peerStarted);
+    peers.onListed(handover::peersKnown);
     callers = server(settings.callerAddress(), dispatcher, Gateway::noteRejected);
     readiness = server(settings.readyAddress(), this::answerReadiness, status -> {});
     metricsServer =
@@ -197,7 +198,7 @@
     loop.execute(configFollower::start);
     loop.execute(upstreamFollower::start);
     if (!settings.firstStart()) {
-      loop.execute(handover::started);
+      loop.execute(this::learnCaches);
     }
     var unused =
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -209,6 +210,22 @@
         settings.callerAddress());
   }
 
+  private void learnCaches() {
+    dispatcher.awaitCaches();
+    handover.restarted(dispatcher::cachesKnown);
+  }
+
+  private void storeIsCurrent() {
+    configFollower.storeAnswers();
+    upstreamFollower.storeAnswers();
+    peers.storeAnswers();
+    upstreamFeed.apply();
+    dispatcher.configIsCurrent();
+    if (config.config().isPresent() && upstreamFeed.hasSnapshot()) {
+      handover.enginesKnown();
+    }
+  }
+
   private void schedule(Runnable task, long delayMillis) {
     var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/tanagerbank/gateway/UpstreamFeed.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamFeed.java
@@ -22,9 +22,12 @@
   private final Dispatcher dispatcher;
   private final LongSupplier clockMillis;
   private final Set<String> unreadable = new HashSet<>();
+  private final Runnable onCurrent;
   private boolean hasSnapshot;
 
-  UpstreamFeed(FleetStore store, Dispatcher dispatcher, LongSupplier clockMillis) {
+  UpstreamFeed(
+      FleetStore store, Dispatcher dispatcher, LongSupplier clockMillis, Runnable onCurrent) {
+    this.onCurrent = onCurrent;
     this.store = store;
     this.dispatcher = dispatcher;
     this.clockMillis = clockMillis;
@@ -59,12 +62,16 @@
 
   /** Passes on the upstreams that exist now; some cease to with time. */
   void apply() {
+    if (!hasSnapshot) {
+      return;
+    }
     dispatcher.updateUpstreams(directory.upstreams(clockMillis.getAsLong()));
   }
 
   @Override
   public void currentAsOf(long atMillis) {
     // Reports have no time after which they are void: the store removes those of upstreams gone.
+    onCurrent.run();
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -83,6 +83,8 @@
   private int liveBefore = -1;
   private boolean stopped;
   private Consumer<PeerAddress> onStarted = started -> {};
+  private Runnable onListed = () -> {};
+  private Runnable storeRetry = () -> {};
 
   private PeerService(
       EventLoop loop,
@@ -154,6 +156,11 @@
     onStarted = action;
   }
 
+  /** Sets what is run when the store has told which instances there are. */
+  public void onListed(Runnable action) {
+    onListed = action;
+  }
+
   /** Notes that this instance sent a request to an engine. */
   public void placed(String upstreamId, Prompt prompt, int fetchedTokens) {
     placements.placed(upstreamId, prompt, fetchedTokens);
@@ -188,13 +195,22 @@
     if (done) {
       next.run();
     } else if (!stopped) {
-      schedule(again, STORE_RETRY_MILLIS);
+      storeRetry = again;
+      schedule(this::storeAnswers, STORE_RETRY_MILLIS);
     }
   }
 
+  /** Repeats at once the call that the store did not answer, if there is one. */
+  public void storeAnswers() {
+    Runnable again = storeRetry;
+    storeRetry = () -> {};
+    again.run();
+  }
+
   private void learn(ReadResult result) {
     if (result instanceof Records page) {
       page.records().forEach(r -> r.value().ifPresent(this::learn));
+      onListed.run();
     }
   }
 
@@ -246,6 +262,11 @@
     }
   }
 
+  /** Returns all instances that are known, whether or not they are heard of. */
+  public ImmutableList<PeerAddress> known() {
+    return table.known();
+  }
+
   /** Returns the instances that are heard of. */
   public ImmutableList<PeerAddress> live() {
     return table.live();
--- a/src/main/java/org/tanagerbank/peer/PeerTable.java
+++ b/src/main/java/org/tanagerbank/peer/PeerTable.java
@@ -98,6 +98,11 @@
     return true;
   }
 
+  /** Returns all instances that are known, whether or not they are heard of. */
+  public ImmutableList<PeerAddress> known() {
+    return peers.values().stream().map(p -> p.address).collect(toImmutableList());
+  }
+
   /** Returns the instances that are known and heard of. */
   public ImmutableList<PeerAddress> live() {
     return peers.values().stream()
--- a/src/main/java/org/tanagerbank/routing/Rendezvous.java
+++ b/src/main/java/org/tanagerbank/routing/Rendezvous.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.routing;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
@@ -15,11 +16,22 @@
 
   /** Returns the instance that does a piece of work, or nothing when there is no instance. */
   public static Optional<String> choose(String work, Collection<String> instanceIds) {
-    long seed = SlotTable.idHash(work);
+    return instanceIds.stream().max(byHash(work));
+  }
+
+  /** Returns up to a number of instances that each do a piece of work. */
+  public static ImmutableList<String> choose(
+      String work, Collection<String> instanceIds, int count) {
     return instanceIds.stream()
-        .max(
-            Comparator.<String>comparingLong(id -> SlotTable.mix(SlotTable.idHash(id) ^ seed))
-                .thenComparing(Comparator.naturalOrder()));
+        .sorted(byHash(work).reversed())
+        .limit(count)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static Comparator<String> byHash(String work) {
+    long seed = SlotTable.idHash(work);
+    return Comparator.<String>comparingLong(id -> SlotTable.mix(SlotTable.idHash(id) ^ seed))
+        .thenComparing(Comparator.naturalOrder());
   }
 
   /** Returns the entry to which a sidecar reports, out of the entries of its zone. */
--- a/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
@@ -170,6 +170,18 @@
     assertThat(calls).hasSize(3);
   }
 
+  /** All instances restart in an outage: each of their reads would wait for its own retry. */
+  @Test
+  void readThatWaitsForItsRetryIsRepeatedWhenTheStoreAnswersOthers() {
+    follower.storeAnswers();
+    assertThat(calls).hasSize(1);
+    answer(0, new Unavailable("down"));
+    follower.storeAnswers();
+    assertThat(calls).containsExactly("newest", "newest");
+    runScheduled();
+    assertThat(calls).hasSize(2);
+  }
+
   @Test
   void refreshOvertakesTheReadThatWaits() {
     snapshotRead();
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -12,16 +12,20 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.tanagerbank.direct.DirectUpstream;
 import org.tanagerbank.dispatch.DispatchSettings;
 import org.tanagerbank.platform.PlatformDialect;
+import org.tanagerbank.platform.PlatformEngines;
 import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RouteTable;
 import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Service;
 import org.tanagerbank.route.WeightedService;
 import org.tanagerbank.route.Workspace;
 
@@ -30,6 +34,7 @@
   static final String SIGNED = "Server-Stamp: s1\r\n";
   private static final int CALLER_TIMEOUT_MILLIS = 20_000;
   private static final int ROUTE_TIMEOUT_MILLIS = 3_000;
+  private static final EngineLimits ENGINE = new EngineLimits(8, 100_000, OptionalDouble.empty());
   private static final CallerLimits LIMITS = new CallerLimits(2_000, 5_000, 1_000, 60_000);
 
   private final ImmutableList<ScriptedUpstream> upstreams;
@@ -39,7 +44,13 @@
   private MemoryStore store;
 
   GatewayFixture(Function<String, String> script) throws IOException, InterruptedException {
-    upstreams = ImmutableList.of(new ScriptedUpstream(script), new ScriptedUpstream(script));
+    this(script, script, /* firstStart= */ true);
+  }
+
+  GatewayFixture(
+      Function<String, String> script, Function<String, String> otherScript, boolean firstStart)
+      throws IOException, InterruptedException {
+    upstreams = ImmutableList.of(new ScriptedUpstream(script), new ScriptedUpstream(otherScript));
     callers = freeTcpAddress();
     metrics = freeTcpAddress();
     GatewaySettings settings =
@@ -49,7 +60,7 @@
             freeUdpAddress(),
             freeTcpAddress(),
             Optional.of(metrics),
-            true,
+            firstStart,
             5_000,
             2_000,
             2_000,
@@ -59,7 +70,7 @@
         Gateway.create(
             settings,
             new PlatformDialect(),
-            (loop, connections, callback) -> callback.accept(Optional.empty()),
+            new PlatformEngines(),
             loop -> {
               store = new MemoryStore(loop, config(), reports());
               return store;
@@ -88,7 +99,7 @@
                 route("/once/", RequestKind.NON_IDEMPOTENT, 2, false),
                 route("/stream/", RequestKind.STREAM, 2, false),
                 route("/resume/", RequestKind.STREAM, 2, true))),
-        ImmutableMap.of(),
+        ImmutableMap.of("s", new Service("s", 100, Optional.of(ENGINE))),
         ImmutableMap.of("key", new Workspace("w", 0)),
         true,
         LIMITS);
--- a/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
@@ -51,6 +51,15 @@
     assertThat(answered).containsExactlyElementsIn(engines);
   }
 
+  /** A restarted fleet of 380 would ask 12,000 engines millions of times. */
+  @Test
+  void questionsAfterARestartAreBounded() {
+    assertThat(CacheHandover.instancesPerEngine(6)).isAtLeast(4);
+    assertThat(CacheHandover.instancesPerEngine(36)).isEqualTo(2);
+    assertThat(CacheHandover.instancesPerEngine(12_000)).isEqualTo(1);
+    assertThat(CacheHandover.instancesPerEngine(0)).isAtLeast(1);
+  }
+
   @Test
   void stopServesOnUntilTheInstanceIsOutOfRotation() {
     DrainPlan plan = DrainPlan.begin(0, 8_000);
