--- /dev/null
+++ b/src/main/java/org/tanagerbank/cli/LinkedProcessCommand.java
@@ -0,0 +1,133 @@
+package org.tanagerbank.cli;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Option;
+import org.tanagerbank.backing.SocketAddresses;
+import org.tanagerbank.contract.Lifecycle;
+import org.tanagerbank.http.Json;
+import org.tanagerbank.machine.Zone;
+
+/**
+ * What the commands have in common that run a process with links: its identity, its addresses and
+ * its planned stop. Not thread-safe.
+ */
+abstract class LinkedProcessCommand implements Command {
+  @Option(name = "--id", metaVar = "ID", usage = "instance id, unique in the fleet")
+  String id = "";
+
+  @Option(name = "--zone", metaVar = "ZONE", usage = "availability zone")
+  String zone = "";
+
+  @Option(name = "--region", metaVar = "REGION", usage = "region of the zone")
+  String region = "";
+
+  @Option(
+      name = "--incarnation",
+      metaVar = "N",
+      usage = "number that rises with each start; default: the start time in milliseconds")
+  private long incarnation;
+
+  @Option(name = "--http-address", metaVar = "IP:PORT", usage = "where to serve HTTP")
+  String httpAddress = "127.0.0.1:0";
+
+  @Option(name = "--link-address", metaVar = "IP:PORT", usage = "where to accept links")
+  String linkAddress = "127.0.0.1:0";
+
+  @Option(name = "--log", metaVar = "IP:PORT", usage = "the platform's log")
+  String log = "";
+
+  @Option(name = "--instances", metaVar = "IP:PORT", usage = "the platform's instance list")
+  String instances = "";
+
+  @Option(
+      name = "--drain-limit-millis",
+      metaVar = "MS",
+      usage = "longest time a planned stop waits; 0 for the limits of the requests in flight")
+  long drainLimitMillis;
+
+  /** Waits until the work in flight is done. */
+  @FunctionalInterface
+  interface Drain {
+    void await() throws InterruptedException;
+  }
+
+  @Override
+  public void check(List<String> faults) {
+    requireSet(Map.of("--id", id, "--zone", zone, "--region", region), faults);
+    requireAddresses(
+        Map.of(
+            "--http-address", httpAddress,
+            "--link-address", linkAddress,
+            "--log", log,
+            "--instances", instances),
+        faults);
+    if (drainLimitMillis < 0) {
+      faults.add("--drain-limit-millis: must not be negative");
+    }
+    if (incarnation < 0) {
+      faults.add("--incarnation: must not be negative");
+    }
+  }
+
+  static void requireSet(Map<String, String> valueByFlag, List<String> faults) {
+    valueByFlag.forEach(
+        (flag, value) -> {
+          if (value.isEmpty()) {
+            faults.add(flag + ": is required");
+          }
+        });
+  }
+
+  static void requireAddresses(Map<String, String> valueByFlag, List<String> faults) {
+    valueByFlag.forEach((flag, value) -> requireAddress(flag, value, faults));
+  }
+
+  private static void requireAddress(String flag, String value, List<String> faults) {
+    try {
+      SocketAddresses.parse(value);
+    } catch (IllegalArgumentException e) {
+      faults.add(flag + ": must be ip:port, not \"" + value + "\"");
+    }
+  }
+
+  Zone zone() {
+    return new Zone(zone, region);
+  }
+
+  long incarnation() {
+    return incarnation != 0 ? incarnation : System.currentTimeMillis();
+  }
+
+  /** Tells that a started process is ready, and serves until the JVM is told to stop. */
+  static void serve(
+      String name,
+      Lifecycle process,
+      Drain drain,
+      InetSocketAddress http,
+      InetSocketAddress link,
+      PrintStream out)
+      throws InterruptedException {
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stopPlanned(process, drain), "shutdown"));
+    out.println(
+        Json.object()
+            .put("ready", name)
+            .put("http", SocketAddresses.format(http))
+            .put("link", SocketAddresses.format(link)));
+    out.flush();
+    Thread.currentThread().join();
+  }
+
+  private static void stopPlanned(Lifecycle process, Drain drain) {
+    try {
+      drain.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    process.stop();
+    // Without this, a process that ended a planned stop would exit with the status of a signal.
+    Runtime.getRuntime().halt(OK);
+  }
+}
