Tell from logs what happened to a request

Cause: an operator had to search each gateway's log for an id and then, by hand, for the changes that decided the request. 'explain REQUEST_ID LOG...' prints both as one timeline, from logs of several processes or a mixed one, says what is missing (cut off lines, dropped lines, no end) and how the request ended.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.tanagerbank.bench.BenchRoutingCommand;
 import org.tanagerbank.bench.SlopeCommand;
+import org.tanagerbank.explain.ExplainCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -35,6 +36,7 @@
           .put(
               "bench slopes",
               new Row("measure what one more upstream, chat or record costs", SlopeCommand::new))
+          .put("explain", new Row("tell from logs what happened to a request", ExplainCommand::new))
           .put("demo", new Row("run the whole path on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
--- /dev/null
+++ b/src/main/java/org/tanagerbank/explain/LogReader.java
@@ -0,0 +1,83 @@
+package org.tanagerbank.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+
+/**
+ * Reads the events in a log.
+ *
+ * <p>A line may have something before its event, as tools add that put several logs together; the
+ * last word before the event then names the process. Lines without an event are passed over, cut
+ * off ones are counted. Stateless and thread-safe.
+ */
+final class LogReader {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Splitter WORDS = Splitter.on(' ').omitEmptyStrings().trimResults();
+  private static final String EVENT_START = "{\"";
+  private static final ImmutableSet<String> ENVELOPE =
+      ImmutableSet.of("time", "level", "event", "name");
+
+  private LogReader() {}
+
+  /**
+   * What a log holds.
+   *
+   * @param unreadable the lines that begin an event and do not hold a whole one
+   */
+  record Content(ImmutableList<LogLine> lines, long unreadable) {}
+
+  /**
+   * Reads a log.
+   *
+   * @throws IOException if the file cannot be read
+   */
+  static Content read(Path file) throws IOException {
+    ImmutableList.Builder<LogLine> lines = ImmutableList.builder();
+    long unreadable = 0;
+    try (BufferedReader in = Files.newBufferedReader(file, StandardCharsets.ISO_8859_1)) {
+      for (String text = in.readLine(); text != null; text = in.readLine()) {
+        int start = text.indexOf(EVENT_START);
+        if (start < 0) {
+          continue;
+        }
+        Optional<LogLine> line = parse(text, start, String.valueOf(file.getFileName()));
+        line.ifPresent(lines::add);
+        unreadable += line.isPresent() ? 0 : 1;
+      }
+    } catch (MalformedInputException e) {
+      throw new IOException("not text", e);
+    }
+    return new Content(lines.build(), unreadable);
+  }
+
+  private static Optional<LogLine> parse(String text, int start, String fileName) {
+    String process = Iterables.getLast(WORDS.split(text.substring(0, start)), fileName);
+    try {
+      JsonNode event = MAPPER.readTree(text.substring(start));
+      if (!(event instanceof ObjectNode fields) || !event.path("name").isTextual()) {
+        return Optional.empty();
+      }
+      Instant time = Instant.parse(event.path("time").asText());
+      String name = event.path("name").asText();
+      fields.remove(ENVELOPE);
+      return Optional.of(new LogLine(time, process, name, fields));
+    } catch (JsonProcessingException | DateTimeParseException e) {
+      return Optional.empty();
+    }
+  }
+}
