Show what gateways say of themselves

Cause: an operator had to fetch and read each gateway's metrics page to see whether all have the same configuration and hear of each other. 'status' asks all of them at once, names those that do not answer, and says when configurations differ; its exit status tells whether the answer is whole. The page is read by one class, which the overhead measurement now uses too.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -5,6 +5,7 @@
 import org.tanagerbank.bench.BenchRoutingCommand;
 import org.tanagerbank.bench.SlopeCommand;
 import org.tanagerbank.explain.ExplainCommand;
+import org.tanagerbank.status.StatusCommand;
 
 /**
  * The commands of the binary by name. A name may have two words, as in {@code config publish}.
@@ -49,6 +50,7 @@
           .put(
               "standin weights",
               new Row("run a stand-in of the weight store", StandinWeightsCommand::new))
+          .put("status", new Row("tell what gateways say of themselves", StatusCommand::new))
           .put("version", new Row("print the version", VersionCommand::new))
           .buildOrThrow();
 
--- a/src/main/java/org/tanagerbank/load/ProcessUsage.java
+++ b/src/main/java/org/tanagerbank/load/ProcessUsage.java
@@ -1,11 +1,11 @@
 package org.tanagerbank.load;
 
-import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.events.MetricsPage;
 import org.tanagerbank.http.HttpCaller;
 import org.tanagerbank.http.HttpMessage;
 import org.tanagerbank.http.HttpReply;
@@ -33,20 +33,16 @@
       throw TanagerException.notRun(
           ErrorCode.PLATFORM_ERROR, "metrics of " + process + " gave status " + reply.status());
     }
+    MetricsPage page = MetricsPage.parse(text);
     return new ProcessUsage(
-        value(text, "process_cpu_seconds_total"), value(text, "process_resident_memory_bytes"));
+        value(page, "process_cpu_seconds_total"), value(page, "process_resident_memory_bytes"));
   }
 
-  private static double value(String text, String name) {
-    String line =
-        Splitter.on('\n')
-            .splitToStream(text)
-            .filter(l -> l.startsWith(name + " "))
-            .findFirst()
-            .orElseThrow(
-                () ->
-                    TanagerException.notRun(
-                        ErrorCode.PLATFORM_ERROR, "the metrics have no value of " + name));
-    return Double.parseDouble(line.substring(name.length() + 1));
+  private static double value(MetricsPage page, String name) {
+    if (!page.has(name)) {
+      throw TanagerException.notRun(
+          ErrorCode.PLATFORM_ERROR, "the metrics have no value of " + name);
+    }
+    return page.sum(name);
   }
 }
--- /dev/null
+++ b/src/test/java/org/tanagerbank/status/GatewayStatusTest.java
@@ -0,0 +1,31 @@
+package org.tanagerbank.status;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.events.MetricsPage;
+
+/** Guards against a status that counts wrongly, or that takes any page for a gateway's. */
+final class GatewayStatusTest {
+  private static final String PAGE =
+      "# HELP tanagerbank_gateway_requests_total Requests.\n"
+          + "# TYPE tanagerbank_gateway_requests_total counter\n"
+          + "tanagerbank_gateway_requests_total{status=\"200\"} 40.0\n"
+          + "tanagerbank_gateway_requests_total{status=\"0\"} 2.0\n"
+          + "tanagerbank_gateway_rejected_total{status=\"503\",reason=\"a } b\"} 3.0\n"
+          + "tanagerbank_gateway_config_version 12.0\n"
+          + "tanagerbank_gateway_config_age_seconds 0.25\n"
+          + "tanagerbank_gateway_peers 3.0\n";
+
+  @Test
+  void samplesAreSummedOverTheirLabels() {
+    GatewayStatus status = GatewayStatus.of("a", MetricsPage.parse(PAGE)).get();
+    assertThat(status).isEqualTo(new GatewayStatus("a", 12, 0.25, 3, 0, 0, 42, 2, 3, 0));
+  }
+
+  @Test
+  void otherPagesAreNoStatus() {
+    assertThat(GatewayStatus.of("a", MetricsPage.parse(""))).isEmpty();
+    assertThat(GatewayStatus.of("a", MetricsPage.parse("<html> 1\nx\n{} \n# 5"))).isEmpty();
+  }
+}
