End a planned stop only when no request can come any more

And the handlers of SIGTERM and SIGHUP were set after the gateway had begun to serve, so that a signal in between cut off what it had.

The look and the end are now one step on the event loop, which also sees half read requests and responses that are not wholly sent; handlers are set first.

Ruled out: upstreams or their proxies (the lost requests ran whole at undisturbed upstreams).

--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -269,12 +270,23 @@
   /** Closes the connection when it waits for a request, or after the one that is handled. */
   void closeIfIdle() {
     keepAlive = false;
-    if (!handling && head == null && headStartedMillis < 0) {
+    if (!closing && !isBusy()) {
       closing = true;
       channel.close();
     }
   }
 
+  /** Returns whether a request is being read or handled, or its response not wholly sent. */
+  boolean isBusy() {
+    boolean reading = head != null || headStartedMillis >= 0;
+    return hasUnsentBytes() || (!closing && (handling || reading));
+  }
+
+  private boolean hasUnsentBytes() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent != null && unsent.totalPendingWriteBytes() > 0;
+  }
+
   boolean isHandling() {
     return handling && !closing;
   }
--- a/src/main/java/org/tanagerbank/caller/CallerServer.java
+++ b/src/main/java/org/tanagerbank/caller/CallerServer.java
@@ -128,6 +128,27 @@
     new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
   }
 
+  /**
+   * Takes no further connection and no further request, unless one is being read or handled.
+   *
+   * <p>Called on the event loop, so that no request can come between the look and the end.
+   *
+   * @return whether there was none, so that none can come any more
+   */
+  public boolean closeUnlessBusy() {
+    if (isBusy()) {
+      return false;
+    }
+    var unused = listening.close();
+    new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    return true;
+  }
+
+  /** Returns whether a request is being read or handled, or a response not wholly sent. */
+  boolean isBusy() {
+    return connections.stream().anyMatch(CallerConnection::isBusy);
+  }
+
   /** Returns how many requests are being handled. */
   public int handling() {
     return (int) connections.stream().filter(CallerConnection::isHandling).count();
--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -63,11 +63,12 @@
                 PlatformStore.create(
                     StoreClient.create(
                         loop, node.storeAddress(), () -> System.nanoTime() / 1_000_000)));
-    gateway.start();
+    // Before the start, as the default action of these signals would cut off requests.
     Thread serving = Thread.currentThread();
     Signal.handle(new Signal("TERM"), signal -> serving.interrupt());
     Signal.handle(new Signal("INT"), signal -> serving.interrupt());
     Signal.handle(new Signal("HUP"), signal -> reload());
+    gateway.start();
     awaitInterrupt();
     gateway.drain();
     gateway.stop();
--- a/src/main/java/org/tanagerbank/gateway/DrainPlan.java
+++ b/src/main/java/org/tanagerbank/gateway/DrainPlan.java
@@ -42,8 +42,13 @@
     return nowMillis < rotatedOutAt || nowMillis + longestMillis < endAt;
   }
 
+  /** Returns whether the process must end although requests are left. */
+  boolean isOver(long nowMillis) {
+    return nowMillis >= endAt;
+  }
+
   Step next(long nowMillis, int requestsInFlight) {
-    if (nowMillis >= endAt) {
+    if (isOver(nowMillis)) {
       return Step.END;
     }
     if (nowMillis < rotatedOutAt) {
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -289,13 +289,17 @@
       if (step == DrainPlan.Step.CLOSE_IDLE) {
         loop.execute(callers::closeIdle);
       }
-      if (step == DrainPlan.Step.END) {
+      if (step == DrainPlan.Step.END && (plan.isOver(clockMillis.getAsLong()) || closeCallers())) {
         return;
       }
       TimeUnit.MILLISECONDS.sleep(DrainPlan.CHECK_MILLIS);
     }
   }
 
+  private boolean closeCallers() {
+    return loop.submit(callers::closeUnlessBusy).syncUninterruptibly().getNow();
+  }
+
   @Override
   public void stop() {
     loop.execute(configFollower::stop);
--- a/src/test/java/org/tanagerbank/soak/SoakFleet.java
+++ b/src/test/java/org/tanagerbank/soak/SoakFleet.java
@@ -23,6 +23,7 @@
 final class SoakFleet implements AutoCloseable {
   static final int GATEWAYS = 3;
   private static final int UPSTREAMS = 3;
+  private static final int SUPERVISE_MILLIS = 200;
   private static final int LEAVE_MILLIS = 2_500;
   private static final int STATUS_OK = 200;
   private static final int STATUS_UNAVAILABLE = 503;
@@ -50,6 +51,23 @@
     for (int i = 0; i < GATEWAYS; i++) {
       gateways.add(new SoakGateway("g-" + i, folder, logs, store.address().getPort()));
     }
+    threads.execute(this::supervise);
+  }
+
+  /** Starts processes again that have ended, until the fleet is closed. */
+  private void supervise() {
+    try {
+      while (true) {
+        Thread.sleep(SUPERVISE_MILLIS);
+        for (SoakGateway gateway : gateways) {
+          gateway.launchIfEnded();
+        }
+      }
+    } catch (IOException e) {
+      violations.add("a gateway could not be started again: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   SoakGateway gateway(int index) {
@@ -179,12 +197,12 @@
 
   @Override
   public void close() throws IOException {
+    threads.shutdownNow();
     gateways.forEach(SoakGateway::close);
     for (Place place : places) {
       place.proxy().close();
       place.upstream().close();
     }
     store.close();
-    threads.shutdownNow();
   }
 }
