Read without waiting while the store is lost

The first read after an outage waited for a record like any other, up to 1 s, and only its answer proved that the store was back; a gateway whose configuration reached its limit of age in that second refused keys. In the log STORE_REGAINED came 1.2 s after the store's return.

A test failed first (read 7 wait 1000 where wait 0 was wanted).

--- a/src/main/java/org/tanagerbank/feed/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/feed/TopicFollower.java
@@ -153,7 +153,8 @@
   private void onRelay(Optional<RelayedRead> answer, long askedAt) {
     Optional<RelayedRead> fresh = answer.filter(a -> a.ageMillis() <= waitMillis * RELAY_AGE_WAITS);
     if (fresh.isEmpty()) {
-      read(waitMillis);
+      // An answer proves that the store is back, so one is wanted at once.
+      read(isLost ? 0 : waitMillis);
       return;
     }
     RelayedRead page = fresh.get();
--- a/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/feed/TopicFollowerTest.java
@@ -202,6 +202,22 @@
     return new RelayedRead(records(count, next).records(), next, false, age, sinceOutage);
   }
 
+  /** Keys would be refused for as long as a wait after the store's return (soak seed 46). */
+  @Test
+  void returnOfTheStoreIsNotWaitedFor() {
+    snapshotRead();
+    answer(1, new Unavailable("busy"));
+    runScheduled();
+    now = 5_000;
+    answer(2, new Unavailable("busy"));
+    runScheduled();
+    assertThat(calls.subList(2, 4)).containsExactly("read 7 wait 0", "read 7 wait 0");
+    answer(3, records(0, 7));
+    assertThat(told).containsAtLeast("regained", "current 5000").inOrder();
+    runScheduled();
+    assertThat(calls.get(4)).isEqualTo("read 7 wait 1000");
+  }
+
   /** Many instances would otherwise cost the store as many calls. */
   @Test
   void freshKnowledgeOfAnotherInstanceSparesTheStore() {
