--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -21,6 +21,7 @@
   private DirectUpstream upstream;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
+  private int allPeersInFlight;
   private int reportedOthers;
   private long reportedAt = Long.MIN_VALUE / 2;
   private boolean gone;
@@ -85,18 +86,15 @@
 
   /** Notes the requests that another instance has there. */
   void setPeerInFlight(String instanceId, int requests) {
-    if (requests == 0) {
-      peersInFlight.remove(instanceId);
-    } else {
-      peersInFlight.put(instanceId, requests);
-    }
+    Integer before =
+        requests == 0 ? peersInFlight.remove(instanceId) : peersInFlight.put(instanceId, requests);
+    allPeersInFlight += requests - (before == null ? 0 : before);
   }
 
   /** Returns the requests of all instances that are believed to be there. */
   int fleetInFlight(long nowMillis) {
     boolean reportFresh = nowMillis - reportedAt < LOAD_REPORT_MILLIS;
-    int peers = peersInFlight.values().stream().mapToInt(Integer::intValue).sum();
-    return inFlight + (reportFresh ? Math.max(reportedOthers, peers) : peers);
+    return inFlight + (reportFresh ? Math.max(reportedOthers, allPeersInFlight) : allPeersInFlight);
   }
 
   int ownInFlight() {
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -67,11 +67,6 @@
     return new EngineModel(limits);
   }
 
-  /** Predicts the time to the first token of a request that is sent now. */
-  public double firstTokenMillis(Prompt prompt, long nowMillis) {
-    return firstTokenMillis(prompt, /* fetchedTokens= */ 0, nowMillis);
-  }
-
   /**
    * Predicts the time to the first token of a request that is sent now.
    *
@@ -119,11 +114,6 @@
     return Math.max(1, prompt.promptTokens() - cachedTokens(prompt));
   }
 
-  /** Notes that a request was sent to the engine. */
-  public void sent(String requestId, Prompt prompt, long nowMillis) {
-    sent(requestId, prompt, /* fetchedTokens= */ 0, nowMillis);
-  }
-
   /**
    * Notes that a request was sent to the engine.
    *
--- a/src/main/java/org/tanagerbank/explain/LogReader.java
+++ b/src/main/java/org/tanagerbank/explain/LogReader.java
@@ -10,7 +10,6 @@
 import com.google.common.collect.Iterables;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.nio.charset.MalformedInputException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -59,8 +58,6 @@
         line.ifPresent(lines::add);
         unreadable += line.isPresent() ? 0 : 1;
       }
-    } catch (MalformedInputException e) {
-      throw new IOException("not text", e);
     }
     return new Content(lines.build(), unreadable);
   }
--- a/src/main/java/org/tanagerbank/feed/RecordHistory.java
+++ b/src/main/java/org/tanagerbank/feed/RecordHistory.java
@@ -1,6 +1,8 @@
 package org.tanagerbank.feed;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
+import com.google.common.primitives.Ints;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -63,8 +65,7 @@
     ImmutableList.Builder<KeyedRecord> slice = ImmutableList.builder();
     long end = from;
     int bytes = 0;
-    for (KeyedRecord keyed :
-        (Iterable<KeyedRecord>) records.stream().skip(from - first)::iterator) {
+    for (KeyedRecord keyed : Iterables.skip(records, Ints.saturatedCast(from - first))) {
       bytes += keyed.key().length() + keyed.value().map(v -> v.length).orElse(0) + BYTES_PER_RECORD;
       if (bytes > MAX_SLICE_BYTES) {
         break;
--- a/src/main/java/org/tanagerbank/gateway/ConfigFeed.java
+++ b/src/main/java/org/tanagerbank/gateway/ConfigFeed.java
@@ -15,11 +15,13 @@
 final class ConfigFeed implements TopicListener {
   private final FleetStore store;
   private final ConfigState state;
+  private final Runnable onAdopted;
   private final Runnable onCurrent;
 
-  ConfigFeed(FleetStore store, ConfigState state, Runnable onCurrent) {
+  ConfigFeed(FleetStore store, ConfigState state, Runnable onAdopted, Runnable onCurrent) {
     this.store = store;
     this.state = state;
+    this.onAdopted = onAdopted;
     this.onCurrent = onCurrent;
   }
 
@@ -43,6 +45,7 @@
             config.get().version(),
             "routes",
             config.get().routes().size());
+        onAdopted.run();
       }
     } catch (IOException | IllegalArgumentException e) {
       EventLog.emit(LogEvent.ROUTING_CONFIG_UNREADABLE, "error", e.getMessage());
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -115,7 +115,7 @@
         TopicFollower.create(
             store.configTopic(),
             peers.relay(CONFIG_TOPIC),
-            new ConfigFeed(store, config, this::storeIsCurrent),
+            new ConfigFeed(store, config, upstreamFeed::apply, this::storeIsCurrent),
             scheduler,
             storeClockMillis,
             CONFIG_PACE_MILLIS,
@@ -219,7 +219,6 @@
     configFollower.storeAnswers();
     upstreamFollower.storeAnswers();
     peers.storeAnswers();
-    upstreamFeed.apply();
     dispatcher.configIsCurrent();
     if (config.config().isPresent() && upstreamFeed.hasSnapshot()) {
       handover.enginesKnown();
--- /dev/null
+++ b/src/main/java/org/tanagerbank/http/MetricsFetch.java
@@ -0,0 +1,31 @@
+package org.tanagerbank.http;
+
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.tanagerbank.contract.ErrorCode;
+import org.tanagerbank.contract.TanagerException;
+import org.tanagerbank.events.MetricsPage;
+
+/** Reads the metrics of a process. Stateless and thread-safe. */
+public final class MetricsFetch {
+  private static final HttpMessage GET =
+      new HttpMessage("GET", "/metrics", ImmutableMap.of(), new byte[0]);
+  private static final int STATUS_OK = 200;
+
+  private MetricsFetch() {}
+
+  /**
+   * Reads the page that a process serves.
+   *
+   * @throws TanagerException with code {@code PLATFORM_ERROR} if there is no page in time
+   */
+  public static MetricsPage read(HttpCaller caller, InetSocketAddress process, long timeoutMillis) {
+    HttpReply reply = caller.exchange(process, GET, timeoutMillis);
+    if (reply.status() != STATUS_OK) {
+      throw TanagerException.notRun(
+          ErrorCode.PLATFORM_ERROR, "metrics of " + process + " gave status " + reply.status());
+    }
+    return MetricsPage.parse(new String(reply.body(), StandardCharsets.UTF_8));
+  }
+}
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -23,6 +23,7 @@
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.tanagerbank.contract.ErrorCode;
 import org.tanagerbank.contract.Lifecycle;
 import org.tanagerbank.contract.TanagerException;
@@ -299,16 +300,17 @@
   }
 
   private void send(PeerDigest digest, ImmutableList<PeerAddress> targets) {
-    byte[] bytes = MessageCodec.encode(digest);
-    for (PeerAddress target : targets) {
-      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target.address()));
-    }
-    channel.flush();
+    send(digest, targets.stream().map(PeerAddress::address));
   }
 
   private void send(InetSocketAddress target, PeerMessage message) {
+    send(message, Stream.of(target));
+  }
+
+  private void send(PeerMessage message, Stream<InetSocketAddress> targets) {
     byte[] bytes = MessageCodec.encode(message);
-    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target));
+    targets.forEach(t -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), t)));
+    channel.flush();
   }
 
   private ImmutableList<PeerAddress> somePeers() {
--- a/src/main/java/org/tanagerbank/status/StatusCommand.java
+++ b/src/main/java/org/tanagerbank/status/StatusCommand.java
@@ -8,8 +8,6 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -19,16 +17,12 @@
 import org.tanagerbank.contract.TanagerException;
 import org.tanagerbank.events.MetricsPage;
 import org.tanagerbank.http.AsyncHttpCaller;
-import org.tanagerbank.http.HttpMessage;
-import org.tanagerbank.http.HttpReply;
 import org.tanagerbank.http.Json;
+import org.tanagerbank.http.MetricsFetch;
 
 /** Prints what gateways say of themselves on their metrics addresses. Not thread-safe. */
 public final class StatusCommand implements Command {
   private static final Splitter COMMAS = Splitter.on(',').trimResults().omitEmptyStrings();
-  private static final HttpMessage GET =
-      new HttpMessage("GET", "/metrics", ImmutableMap.of(), new byte[0]);
-  private static final int STATUS_OK = 200;
   private static final String ROW = "%-21s %8s %7s %6s %8s %9s %9s %11s %9s %15s%n";
 
   @Option(name = "--metrics", metaVar = "IP:PORT,...", usage = "metrics addresses of the gateways")
@@ -78,13 +72,8 @@
   }
 
   private Answer ask(AsyncHttpCaller caller, String address) {
-    InetSocketAddress socket = SocketAddresses.parse(address);
     try {
-      HttpReply reply = caller.exchange(socket, GET, timeoutMillis);
-      if (reply.status() != STATUS_OK) {
-        return new Answer(address, Optional.empty(), "status " + reply.status());
-      }
-      MetricsPage page = MetricsPage.parse(new String(reply.body(), StandardCharsets.UTF_8));
+      MetricsPage page = MetricsFetch.read(caller, SocketAddresses.parse(address), timeoutMillis);
       return new Answer(address, GatewayStatus.of(address, page), "not the metrics of a gateway");
     } catch (TanagerException e) {
       return new Answer(address, Optional.empty(), e.getMessage());
--- /dev/null
+++ b/src/test/java/org/tanagerbank/cli/CommandRun.java
@@ -0,0 +1,30 @@
+package org.tanagerbank.cli;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+
+/** Runs commands as the binary does and keeps what they print. Thread-safe as its streams are. */
+final class CommandRun {
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  int run(String... args) {
+    return Main.run(
+        List.of(args),
+        Map.of(),
+        new PrintStream(out, true, UTF_8),
+        new PrintStream(err, true, UTF_8));
+  }
+
+  String out() {
+    return out.toString(UTF_8);
+  }
+
+  String err() {
+    return err.toString(UTF_8);
+  }
+}
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -71,7 +71,7 @@
   private UpstreamHandle send(Prompt prompt, String requestId, long now) {
     UpstreamHandle chosen = place(engines, prompt, now);
     chosen.began();
-    chosen.engine().get().sent(requestId, prompt, now);
+    chosen.engine().get().sent(requestId, prompt, 0, now);
     return chosen;
   }
 
@@ -148,7 +148,7 @@
     assertThat(choice.fetchedTokens()).isEqualTo(8_500);
     EngineModel model = helper.engine().get();
     assertThat(model.firstTokenMillis(prompt(7, 2), choice.fetchedTokens(), 500))
-        .isLessThan(model.firstTokenMillis(prompt(7, 2), 500) / 4);
+        .isLessThan(model.firstTokenMillis(prompt(7, 2), 0, 500) / 4);
   }
 
   /** Steady load: a session stays where it is kept, although another engine is its home. */
