Log the fingerprint of requests that are placed or whose attempt failed

Change: Fingerprint.ofCall hashes target, workspace and body; TB1803 and TB1805 carry it. No decision uses it yet. Evidence: FingerprintTest; GatewayTest and UpstreamsTest pass.

--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -19,6 +19,7 @@
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.request.Verdict;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
@@ -39,6 +40,7 @@
   private final Route route;
   private final Optional<Workspace> workspace;
   private final String requestId;
+  private final Fingerprint fingerprint;
   private final Optional<Prompt> prompt;
   private final String service;
   private final long deadline;
@@ -64,6 +66,11 @@
     this.route = route;
     this.workspace = workspace;
     this.requestId = dispatcher.headerCodec().requestId(request.headers());
+    this.fingerprint =
+        Fingerprint.ofCall(
+            request.target(),
+            workspace.map(Workspace::name).orElse(""),
+            request.body().nioBuffers());
     this.prompt = dispatcher.headerCodec().prompt(request.headers());
     this.service = route.pickService(dispatcher.random());
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
@@ -106,6 +113,8 @@
         LogEvent.REQUEST_PLACED,
         "request",
         requestId,
+        "fingerprint",
+        fingerprint,
         "route",
         route.name(),
         "upstream",
@@ -253,6 +262,8 @@
         LogEvent.REQUEST_ATTEMPT_FAILED,
         "request",
         requestId,
+        "fingerprint",
+        fingerprint,
         "upstream",
         upstream.report().id(),
         "reason",
--- a/src/main/java/org/tanagerbank/request/Fingerprint.java
+++ b/src/main/java/org/tanagerbank/request/Fingerprint.java
@@ -1,11 +1,14 @@
 package org.tanagerbank.request;
 
 import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /**
- * The fingerprint of a request: a hash of its service and body, which identifies its content.
+ * The fingerprint of a request: a hash of what it is sent to and of its body, which identifies its
+ * content.
  *
  * <p>The hash function is fixed, so every process computes the same value. Immutable and
  * thread-safe.
@@ -26,6 +29,26 @@
             .asLong());
   }
 
+  /**
+   * Returns the fingerprint of a call, which is the same each time a caller sends it again.
+   *
+   * @param target the request target, with its query
+   * @param workspace the name of the caller's workspace, or an empty string if it has none
+   * @param body the pieces of the body; their boundaries do not matter
+   */
+  public static Fingerprint ofCall(String target, String workspace, ByteBuffer... body) {
+    Hasher hasher =
+        HASH.newHasher()
+            .putString(target, StandardCharsets.UTF_8)
+            .putByte((byte) 0)
+            .putString(workspace, StandardCharsets.UTF_8)
+            .putByte((byte) 0);
+    for (ByteBuffer piece : body) {
+      hasher.putBytes(piece);
+    }
+    return new Fingerprint(hasher.hash().asLong());
+  }
+
   @Override
   public String toString() {
     return Long.toHexString(value);
