--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerHandler;
@@ -59,13 +58,10 @@
     }
   }
 
-  private final EventLoop loop;
-  private final LongSupplier clockMillis;
-  private final LongSupplier storeClockMillis;
+  private final DispatchRuntime runtime;
   private final HeaderCodec headerCodec;
   private final ConfigState config;
   private final DispatchSettings settings;
-  private final RandomGenerator random;
   private final DispatchObserver observer;
   private final Upstreams upstreams;
   private final RetryBudgets retryBudgets;
@@ -78,46 +74,31 @@
   private LongPredicate admissionCheck = longest -> true;
 
   private Dispatcher(
-      EventLoop loop,
-      LongSupplier clockMillis,
-      LongSupplier storeClockMillis,
+      DispatchRuntime runtime,
       HeaderCodec headerCodec,
       ConfigState config,
       DispatchSettings settings,
-      RandomGenerator random,
       DispatchObserver observer) {
-    this.loop = loop;
-    this.clockMillis = clockMillis;
-    this.storeClockMillis = storeClockMillis;
+    this.runtime = runtime;
     this.headerCodec = headerCodec;
     this.config = config;
     this.settings = settings;
-    this.random = random;
     this.observer = observer;
-    this.upstreams = new Upstreams(loop, clockMillis);
+    this.upstreams = new Upstreams(runtime.connector(), runtime.clockMillis());
     this.retryBudgets = new RetryBudgets(settings);
     this.sharedUpstreamState =
         new SharedUpstreamState(
-            upstreams, retryBudgets, config, clockMillis, () -> refreshConfig.run());
+            upstreams, retryBudgets, config, runtime.clockMillis(), () -> refreshConfig.run());
   }
 
-  /**
-   * Returns a dispatcher without upstreams.
-   *
-   * @param clockMillis the monotonic clock, in milliseconds
-   * @param storeClockMillis the clock that measures the age of the configuration, in milliseconds
-   */
+  /** Returns a dispatcher without upstreams. */
   public static Dispatcher create(
-      EventLoop loop,
-      LongSupplier clockMillis,
-      LongSupplier storeClockMillis,
+      DispatchRuntime runtime,
       HeaderCodec headerCodec,
       ConfigState config,
       DispatchSettings settings,
-      RandomGenerator random,
       DispatchObserver observer) {
-    return new Dispatcher(
-        loop, clockMillis, storeClockMillis, headerCodec, config, settings, random, observer);
+    return new Dispatcher(runtime, headerCodec, config, settings, observer);
   }
 
   /** Replaces the list of upstreams. The first call resumes requests that waited only for it. */
@@ -194,7 +175,7 @@
   public void handle(CallerRequest request, CallerExchange exchange) {
     if (!isStarted()) {
       waitForStore(request, exchange, settings.startWaitMillis());
-    } else if (config.allowsKeys(storeClockMillis.getAsLong())) {
+    } else if (config.allowsKeys(storeNowMillis())) {
       route(request, exchange);
     } else {
       // The configuration looks stale after a pause of this process, for example. A new request to
@@ -223,14 +204,15 @@
           }
         });
     var unused =
-        loop.schedule(
-            () -> {
-              if (waiting.remove(waitingRequest)) {
-                route(request, exchange);
-              }
-            },
-            limitMillis,
-            TimeUnit.MILLISECONDS);
+        loop()
+            .schedule(
+                () -> {
+                  if (waiting.remove(waitingRequest)) {
+                    route(request, exchange);
+                  }
+                },
+                limitMillis,
+                TimeUnit.MILLISECONDS);
   }
 
   private void route(CallerRequest request, CallerExchange exchange) {
@@ -252,7 +234,7 @@
       CallerRequest request, CallerExchange exchange, RoutingConfig current, Route route) {
     boolean needsKey = current.requiresKeys() && !route.isPublic();
     Optional<Workspace> workspace = headerCodec.key(request.headers()).flatMap(current::workspace);
-    if (needsKey && !config.allowsKeys(storeClockMillis.getAsLong())) {
+    if (needsKey && !config.allowsKeys(storeNowMillis())) {
       refuse(request, exchange, Refusal.notRun(CONFIG_OUTDATED));
       return;
     }
@@ -282,7 +264,7 @@
    * Otherwise the route or key may exist in a newer configuration, so the refusal is retryable.
    */
   private Refusal retryableUnlessCurrent(Refusal refusal) {
-    return config.isCurrent(storeClockMillis.getAsLong())
+    return config.isCurrent(storeNowMillis())
         ? refusal
         : Refusal.notRun(refusal.reason() + " in a configuration that may be outdated");
   }
@@ -307,7 +289,7 @@
         "configVersion",
         config.config().map(RoutingConfig::version).orElse(0L),
         "configAgeMillis",
-        config.ageMillis(storeClockMillis.getAsLong()));
+        config.ageMillis(storeNowMillis()));
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     if (refusal.retryAfterMillis() > 0) {
@@ -324,11 +306,15 @@
   }
 
   EventLoop loop() {
-    return loop;
+    return runtime.loop();
   }
 
   long nowMillis() {
-    return clockMillis.getAsLong();
+    return runtime.clockMillis().getAsLong();
+  }
+
+  private long storeNowMillis() {
+    return runtime.storeClockMillis().getAsLong();
   }
 
   HeaderCodec headerCodec() {
@@ -344,7 +330,7 @@
   }
 
   RandomGenerator random() {
-    return random;
+    return runtime.random();
   }
 
   Upstreams upstreams() {
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.netty.channel.EventLoop;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +19,7 @@
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 import org.tanagerbank.upstream.ConnectionPool;
+import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -27,12 +27,12 @@
  * event loop.
  */
 final class Upstreams {
-  private final EventLoop loop;
+  private final Connector connector;
   private final LongSupplier clockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
 
-  Upstreams(EventLoop loop, LongSupplier clockMillis) {
-    this.loop = loop;
+  Upstreams(Connector connector, LongSupplier clockMillis) {
+    this.connector = connector;
     this.clockMillis = clockMillis;
   }
 
@@ -80,7 +80,7 @@
     if (known != null) {
       known.close();
     }
-    ConnectionPool connections = ConnectionPool.create(loop, report.address(), clockMillis);
+    ConnectionPool connections = ConnectionPool.create(connector, report.address(), clockMillis);
     byId.put(report.id(), new UpstreamHandle(report, connections));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.caller.CallerServer;
 import org.tanagerbank.dispatch.ConfigState;
+import org.tanagerbank.dispatch.DispatchRuntime;
 import org.tanagerbank.dispatch.Dispatcher;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -28,6 +29,7 @@
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.Scheduler;
 import org.tanagerbank.store.TopicFollower;
+import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.EngineInspector;
 import org.tanagerbank.upstream.HeaderCodec;
 
@@ -111,13 +113,11 @@
     configState = new ConfigState(settings.keyRevocationMillis(), settings.configAdoptionMillis());
     dispatcher =
         Dispatcher.create(
-            loop,
-            clockMillis,
-            storeClockMillis,
+            new DispatchRuntime(
+                loop, Connector.tcp(loop), clockMillis, storeClockMillis, new SplittableRandom()),
             headerCodec,
             configState,
             settings.dispatch(),
-            new SplittableRandom(),
             metrics);
     FleetStore store = storeFactory.apply(loop);
     PeerAddress self =
--- a/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
@@ -1,20 +1,13 @@
 package org.tanagerbank.upstream;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import jdk.net.ExtendedSocketOptions;
 
 /**
  * A pool of HTTP/1.1 connections to one address.
@@ -23,21 +16,6 @@
  * thread-safe; confined to one event loop.
  */
 public final class ConnectionPool {
-  /**
-   * The connect timeout in milliseconds. A server on the same platform accepts within milliseconds,
-   * so a longer wait means that it is down.
-   */
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-
-  /**
-   * The idle time before the first TCP keepalive probe and the interval between probes, in seconds.
-   * The probes detect connections that failed without a reset.
-   */
-  private static final int KEEPALIVE_SECONDS = 1;
-
-  /** The number of unanswered keepalive probes after which a connection is closed. */
-  private static final int KEEPALIVE_PROBES = 3;
-
   /**
    * The idle time in milliseconds within which a connection is reused if the server announces no
    * timeout.
@@ -51,22 +29,28 @@
    */
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
 
-  private final EventLoop loop;
+  private final Connector connector;
   private final InetSocketAddress address;
   private final LongSupplier clockMillis;
   private final Deque<HttpConnection> idle = new ArrayDeque<>();
   private boolean closed;
 
-  private ConnectionPool(EventLoop loop, InetSocketAddress address, LongSupplier clockMillis) {
-    this.loop = loop;
+  private ConnectionPool(Connector connector, InetSocketAddress address, LongSupplier clockMillis) {
+    this.connector = connector;
     this.address = address;
     this.clockMillis = clockMillis;
   }
 
-  /** Returns a pool that opens connections on demand. */
+  /** Returns a pool that opens TCP connections on demand. */
   public static ConnectionPool create(
       EventLoop loop, InetSocketAddress address, LongSupplier clockMillis) {
-    return new ConnectionPool(loop, address, clockMillis);
+    return create(Connector.tcp(loop), address, clockMillis);
+  }
+
+  /** Returns a pool that opens connections on demand. */
+  public static ConnectionPool create(
+      Connector connector, InetSocketAddress address, LongSupplier clockMillis) {
+    return new ConnectionPool(connector, address, clockMillis);
   }
 
   /**
@@ -83,7 +67,8 @@
     }
     ResponseDecoder decoder = new ResponseDecoder();
     HttpConnection connection = new HttpConnection(decoder, this::release, this::remove);
-    connect(decoder, connection)
+    connector
+        .connect(address, decoder, new HttpRequestEncoder(), connection)
         .addListener((ChannelFuture f) -> onConnect(f, connection, ready, failed));
   }
 
@@ -100,26 +85,6 @@
     ready.accept(connection);
   }
 
-  private ChannelFuture connect(ResponseDecoder decoder, HttpConnection connection) {
-    return new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.SO_KEEPALIVE, true)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-        .handler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-              }
-            })
-        .connect(address);
-  }
-
   /** Closes idle connections that the server may close soon. */
   public void closeExpired() {
     long now = clockMillis.getAsLong();
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -0,0 +1,261 @@
+package org.tanagerbank.dispatch;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.tanagerbank.caller.CallerExchange;
+import org.tanagerbank.caller.CallerRequest;
+import org.tanagerbank.platform.PlatformHeaderCodec;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Service;
+import org.tanagerbank.route.WeightedService;
+import org.tanagerbank.route.Workspace;
+import org.tanagerbank.upstream.UpstreamReport;
+
+/**
+ * Dispatchers of several gateways before upstreams in memory, in simulated time. Uses no network
+ * and no real time. Not thread-safe.
+ */
+final class DispatchSimulation {
+  /** The time until gateways learn of an upstream that has started or is gone. */
+  private static final long REPORT_LAG_MILLIS = 800;
+
+  private static final long ROUTE_TIMEOUT_MILLIS = 4_000;
+
+  /** A request of a caller and the response to it. */
+  static final class Call implements CallerExchange {
+    final String id;
+    final String body;
+    final long sentAtMillis;
+    int status;
+    HttpHeaders headers = new DefaultHttpHeaders();
+    boolean isEnded;
+
+    private Call(String id, String body, long sentAtMillis) {
+      this.id = id;
+      this.body = body;
+      this.sentAtMillis = sentAtMillis;
+    }
+
+    @Override
+    public void respond(int responseStatus, HttpHeaders responseHeaders, ByteBuf content) {
+      content.release();
+      status = responseStatus;
+      headers = responseHeaders;
+      isEnded = true;
+    }
+
+    @Override
+    public void beginResponse(int responseStatus, HttpHeaders responseHeaders) {
+      status = responseStatus;
+    }
+
+    @Override
+    public void write(ByteBuf part) {
+      part.release();
+    }
+
+    @Override
+    public void endResponse() {
+      isEnded = true;
+    }
+
+    @Override
+    public void abort() {
+      status = 0;
+      isEnded = true;
+    }
+
+    @Override
+    public boolean isWritable() {
+      return true;
+    }
+
+    @Override
+    public void onWritable(Runnable action) {}
+
+    @Override
+    public void onDisconnect(Runnable action) {}
+  }
+
+  /** A gateway, which is replaced by a new one when it restarts. */
+  private final class SimulatedGateway {
+    private final EmbeddedChannel clock = new EmbeddedChannel();
+    private final ConfigState config = new ConfigState(5_000, 2_000);
+    private final Dispatcher dispatcher;
+    private long ranUntilMillis = nowMillis;
+
+    private SimulatedGateway(int index) {
+      clock.freezeTime();
+      DispatchRuntime runtime =
+          new DispatchRuntime(
+              clock.eventLoop(),
+              (address, handlers) -> upstreamAt(address.getPort()).connect(index, handlers),
+              () -> nowMillis,
+              () -> nowMillis,
+              new SplittableRandom(index));
+      dispatcher =
+          Dispatcher.create(
+              runtime,
+              new PlatformHeaderCodec(),
+              config,
+              new DispatchSettings("z", 2, 0.2, 10_000, 50, 5_000),
+              new SilentObserver());
+      config.adopt(routingConfig());
+      config.confirmCurrentAsOf(nowMillis);
+      dispatcher.updateUpstreams(reports);
+    }
+
+    private void run() {
+      config.confirmCurrentAsOf(nowMillis);
+      clock.advanceTimeBy(nowMillis - ranUntilMillis, TimeUnit.MILLISECONDS);
+      ranUntilMillis = nowMillis;
+      clock.runPendingTasks();
+    }
+  }
+
+  private final List<SimulatedUpstream.Run> runs = new ArrayList<>();
+  private final List<SimulatedUpstream> upstreams = new ArrayList<>();
+  private final List<SimulatedGateway> gateways = new ArrayList<>();
+  private final List<Call> calls = new ArrayList<>();
+  private ImmutableList<UpstreamReport> reports = ImmutableList.of();
+  private ImmutableList<UpstreamReport> nextReports = ImmutableList.of();
+  private long reportsChangeAtMillis = Long.MAX_VALUE;
+  private long nowMillis = 1_000;
+  private int lastCallNumber;
+
+  DispatchSimulation(int gatewayCount, int upstreamCount, boolean upstreamsKeepIds) {
+    for (int i = 0; i < upstreamCount; i++) {
+      upstreams.add(new SimulatedUpstream("u" + i, i + 1, upstreamsKeepIds, runs));
+    }
+    reports = currentReports();
+    nextReports = reports;
+    IntStream.range(0, gatewayCount).forEach(i -> gateways.add(new SimulatedGateway(i)));
+  }
+
+  private SimulatedUpstream upstreamAt(int port) {
+    return upstreams.get(port - 1);
+  }
+
+  private static RoutingConfig routingConfig() {
+    return new RoutingConfig(
+        1,
+        RouteTable.of(
+            ImmutableList.of(
+                route("/safe/", RequestKind.IDEMPOTENT, 2),
+                route("/once/", RequestKind.NON_IDEMPOTENT, 2))),
+        ImmutableMap.of("s", new Service("s", 1_000, Optional.empty())),
+        ImmutableMap.of("key", new Workspace("w", 0)),
+        true,
+        CallerLimits.INITIAL);
+  }
+
+  private static Route route(String prefix, RequestKind kind, int attempts) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        ROUTE_TIMEOUT_MILLIS,
+        500,
+        attempts,
+        0,
+        false,
+        false,
+        ImmutableList.of(new WeightedService("s", 1)));
+  }
+
+  private ImmutableList<UpstreamReport> currentReports() {
+    return upstreams.stream()
+        .filter(SimulatedUpstream::isUp)
+        .map(SimulatedUpstream::report)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
+  List<SimulatedUpstream> upstreams() {
+    return upstreams;
+  }
+
+  List<Call> calls() {
+    return calls;
+  }
+
+  /** Returns the deadly requests that upstreams began to run. */
+  List<SimulatedUpstream.Run> deadlyRuns() {
+    return runs.stream().filter(SimulatedUpstream.Run::isDeadly).toList();
+  }
+
+  /** Sends a request under a new id to a gateway. */
+  Call send(int gateway, String path, String body) {
+    Call call = new Call("r" + ++lastCallNumber, body, nowMillis);
+    calls.add(call);
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("Host", "h");
+    headers.set("Authorization", "Bearer key");
+    headers.set("Request-Id", call.id);
+    headers.set("Content-Length", body.length());
+    CallerRequest request =
+        new CallerRequest(
+            HttpMethod.POST, path, headers, Unpooled.copiedBuffer(body, ISO_8859_1), nowMillis);
+    gateways.get(gateway).dispatcher.handle(request, call);
+    return call;
+  }
+
+  /** Lets time pass in steps of one millisecond. */
+  void advance(long millis) {
+    for (long end = nowMillis + millis; nowMillis < end; ) {
+      nowMillis++;
+      upstreams.forEach(u -> u.step(nowMillis));
+      updateReports();
+      gateways.forEach(SimulatedGateway::run);
+    }
+  }
+
+  private void updateReports() {
+    ImmutableList<UpstreamReport> current = currentReports();
+    if (!current.equals(nextReports)) {
+      nextReports = current;
+      reportsChangeAtMillis = nowMillis + REPORT_LAG_MILLIS;
+    }
+    if (nowMillis >= reportsChangeAtMillis) {
+      reportsChangeAtMillis = Long.MAX_VALUE;
+      reports = nextReports;
+      gateways.forEach(g -> g.dispatcher.updateUpstreams(reports));
+    }
+  }
+
+  private static final class SilentObserver implements DispatchObserver {
+    @Override
+    public void requestEnded(int status, long millis) {}
+
+    @Override
+    public void requestRejected(int status, String reason) {}
+
+    @Override
+    public void attemptFailed(String verdict) {}
+
+    @Override
+    public void firstTokenReceived(double ratio) {}
+  }
+}
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -0,0 +1,193 @@
+package org.tanagerbank.dispatch;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tanagerbank.upstream.UpstreamReport;
+
+/**
+ * An upstream in memory that ends when it begins a request whose body starts with {@link #DEADLY}.
+ *
+ * <p>It is back some seconds later, under its old id or under a new one. Its connections end with
+ * it. Not thread-safe.
+ */
+final class SimulatedUpstream {
+  static final String DEADLY = "deadly";
+  private static final long WORK_MILLIS = 40;
+
+  /** The time from the start of a deadly request to the end of the upstream. */
+  private static final long CRASH_MILLIS = 2;
+
+  /** The time from the end of an upstream to its next start. */
+  static final long RESTART_MILLIS = 3_000;
+
+  /** One request that an upstream began to run. */
+  record Run(
+      long atMillis, String upstreamId, long startedAtMillis, String requestId, String body) {
+    boolean isDeadly() {
+      return body.startsWith(DEADLY);
+    }
+  }
+
+  private static final class Connection {
+    private final EmbeddedChannel channel;
+    private final int gateway;
+    private final StringBuilder received = new StringBuilder();
+    private String requestId = "";
+    private long endsAtMillis = Long.MAX_VALUE;
+    private boolean isDeadly;
+
+    private Connection(EmbeddedChannel channel, int gateway) {
+      this.channel = channel;
+      this.gateway = gateway;
+    }
+  }
+
+  private final String name;
+  private final int port;
+  private final boolean keepsId;
+  private final List<Run> runs;
+  private final List<Connection> connections = new ArrayList<>();
+  private final Map<Integer, Boolean> reachable = new HashMap<>();
+  private int starts = 1;
+  private long startedAtMillis = 1;
+  private boolean isUp = true;
+  private long endedAtMillis;
+  private int crashes;
+
+  SimulatedUpstream(String name, int port, boolean keepsId, List<Run> runs) {
+    this.name = name;
+    this.port = port;
+    this.keepsId = keepsId;
+    this.runs = runs;
+  }
+
+  InetSocketAddress address() {
+    return InetSocketAddress.createUnresolved("upstream", port);
+  }
+
+  String id() {
+    return keepsId ? name : name + "-" + starts;
+  }
+
+  boolean isUp() {
+    return isUp;
+  }
+
+  /** Returns how often the upstream has ended. */
+  int crashes() {
+    return crashes;
+  }
+
+  UpstreamReport report() {
+    return new UpstreamReport(id(), "s", address(), "z", 64, false, 0, startedAtMillis, starts);
+  }
+
+  /** Sets whether a gateway can connect; open connections stay. */
+  void setReachable(int gateway, boolean isReachable) {
+    reachable.put(gateway, isReachable);
+  }
+
+  ChannelFuture connect(int gateway, ChannelHandler... handlers) {
+    EmbeddedChannel channel = new EmbeddedChannel(handlers);
+    if (!isUp || !reachable.getOrDefault(gateway, true)) {
+      return channel.newFailedFuture(new java.net.ConnectException("refused"));
+    }
+    connections.add(new Connection(channel, gateway));
+    return channel.newSucceededFuture();
+  }
+
+  /** Ends the upstream with all its connections. */
+  void crash(long nowMillis) {
+    if (!isUp) {
+      return;
+    }
+    isUp = false;
+    crashes++;
+    endedAtMillis = nowMillis;
+    List<Connection> open = new ArrayList<>(connections);
+    connections.clear();
+    open.forEach(c -> c.channel.close());
+  }
+
+  /** Reads requests, and answers those whose work is done. */
+  void step(long nowMillis) {
+    if (!isUp && nowMillis - endedAtMillis >= RESTART_MILLIS) {
+      isUp = true;
+      starts++;
+      startedAtMillis = nowMillis;
+    }
+    for (Connection connection : new ArrayList<>(connections)) {
+      read(connection, nowMillis);
+    }
+    for (Connection connection : new ArrayList<>(connections)) {
+      if (isUp && nowMillis >= connection.endsAtMillis) {
+        finish(connection, nowMillis);
+      }
+    }
+    connections.removeIf(c -> !c.channel.isActive());
+  }
+
+  private void finish(Connection connection, long nowMillis) {
+    if (connection.isDeadly) {
+      crash(nowMillis);
+      return;
+    }
+    connection.endsAtMillis = Long.MAX_VALUE;
+    String response =
+        "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
+            + connection.requestId
+            + "\r\nContent-Length: 2\r\n\r\nok";
+    connection.channel.writeInbound(Unpooled.copiedBuffer(response, ISO_8859_1));
+  }
+
+  private void read(Connection connection, long nowMillis) {
+    for (ByteBuf piece = connection.channel.readOutbound();
+        piece != null;
+        piece = connection.channel.readOutbound()) {
+      connection.received.append(piece.toString(ISO_8859_1));
+      piece.release();
+    }
+    String text = connection.received.toString();
+    int headEnd = text.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+      return;
+    }
+    int length = Integer.parseInt(header(text, "content-length", "0"));
+    if (text.length() < headEnd + 4 + length) {
+      return;
+    }
+    connection.received.setLength(0);
+    begin(connection, text, text.substring(headEnd + 4), nowMillis);
+  }
+
+  private void begin(Connection connection, String head, String body, long nowMillis) {
+    connection.requestId = header(head, "request-id", "");
+    if (!header(head, "expect-instance", "").equals(id())) {
+      String response =
+          "HTTP/1.1 421 X\r\nRequest-Id: " + connection.requestId + "\r\nContent-Length: 0\r\n\r\n";
+      connection.channel.writeInbound(Unpooled.copiedBuffer(response, ISO_8859_1));
+      return;
+    }
+    connection.isDeadly = body.startsWith(DEADLY);
+    connection.endsAtMillis = nowMillis + (connection.isDeadly ? CRASH_MILLIS : WORK_MILLIS);
+    runs.add(new Run(nowMillis, id(), startedAtMillis, connection.requestId, body));
+  }
+
+  private static String header(String head, String name, String otherwise) {
+    return head.lines()
+        .filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
+        .map(l -> l.substring(name.length() + 1).trim())
+        .findFirst()
+        .orElse(otherwise);
+  }
+}
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -16,6 +16,7 @@
 import org.tanagerbank.route.RouteTable;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
+import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -26,7 +27,7 @@
  */
 final class UpstreamsTest {
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private final Upstreams upstreams = new Upstreams(group.next(), () -> 0);
+  private final Upstreams upstreams = new Upstreams(Connector.tcp(group.next()), () -> 0);
 
   @AfterEach
   void stop() {
--- a/src/test/java/org/tanagerbank/soak/FaultProxy.java
+++ b/src/test/java/org/tanagerbank/soak/FaultProxy.java
@@ -33,21 +33,37 @@
   private static final int DELAY_MILLIS = 80;
   private static final int BUFFER_BYTES = 8_192;
 
-  private final ServerSocket serverSocket;
   private final InetSocketAddress target;
   private final ExecutorService executor;
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
+  private final int port;
+  private volatile ServerSocket serverSocket;
   private volatile Mode mode = Mode.PASS;
 
   FaultProxy(InetSocketAddress target, ExecutorService executor) throws IOException {
     this.target = target;
     this.executor = executor;
     serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    port = serverSocket.getLocalPort();
     executor.execute(this::acceptConnections);
   }
 
   int port() {
-    return serverSocket.getLocalPort();
+    return port;
+  }
+
+  /** Ends all connections and refuses new ones, as when the process behind the address ends. */
+  void stopListening() throws IOException {
+    serverSocket.close();
+    for (Socket socket : openSockets) {
+      reset(socket);
+    }
+  }
+
+  /** Accepts connections at the same port again. */
+  void listenAgain() throws IOException {
+    serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+    executor.execute(this::acceptConnections);
   }
 
   /**
--- a/src/test/java/org/tanagerbank/soak/SoakFleet.java
+++ b/src/test/java/org/tanagerbank/soak/SoakFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tanagerbank.platform.FakeStore;
 import org.tanagerbank.soak.FaultPlan.Fault;
@@ -36,6 +37,12 @@
    */
   private static final int DRAIN_MILLIS = 2_500;
 
+  /** The time from the end of an upstream to its next start. */
+  private static final int RESTART_MILLIS = 1_500;
+
+  /** The time that gateways take to learn of a restart, from the end of the upstream. */
+  private static final long RESTART_NOTICED_MILLIS = RESTART_MILLIS + 2_500;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final Mode[] FAULT_MODES = {
@@ -55,7 +62,18 @@
   final Map<String, AtomicInteger> runCounts = new ConcurrentHashMap<>();
 
   /** An upstream and the proxy through which the gateways reach it. */
-  private record ProxiedUpstream(String id, SoakUpstream upstream, FaultProxy proxy) {}
+  private record ProxiedUpstream(
+      String id, SoakUpstream upstream, FaultProxy proxy, long startedAtMillis) {}
+
+  /** The deadly requests that upstreams began, in order. */
+  final List<DeadlyRun> deadlyRuns = new CopyOnWriteArrayList<>();
+
+  /**
+   * A deadly request that an upstream began.
+   *
+   * @param atNanos the time, by the nanosecond clock
+   */
+  record DeadlyRun(long atNanos, String path, String requestId) {}
 
   SoakFleet(Path folder, File logs) throws IOException {
     changeConfig();
@@ -102,6 +120,8 @@
             + ","
             + route("stream", "stream", 1)
             + ","
+            + route("deadly", "idempotent", 3)
+            + ","
             + route("only-" + version, "idempotent", 3);
     String json =
         "{\"version\":"
@@ -122,9 +142,10 @@
 
   private ProxiedUpstream addUpstream() throws IOException {
     String id = "i-" + lastUpstreamNumber.incrementAndGet();
-    SoakUpstream upstream = new SoakUpstream(id, executor, runCounts);
+    SoakUpstream upstream = new SoakUpstream(id, executor, runCounts, this::endUpstream);
     ProxiedUpstream proxied =
-        new ProxiedUpstream(id, upstream, new FaultProxy(upstream.address(), executor));
+        new ProxiedUpstream(
+            id, upstream, new FaultProxy(upstream.address(), executor), System.currentTimeMillis());
     publishState(proxied, "ready", 1);
     return proxied;
   }
@@ -133,8 +154,8 @@
     String json =
         String.format(
             "{\"service\":\"s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":16,"
-                + "\"state\":\"%s\",\"seq\":%d}",
-            proxied.proxy().port(), state, sequence);
+                + "\"state\":\"%s\",\"seq\":%d,\"born\":%d}",
+            proxied.proxy().port(), state, sequence, proxied.startedAtMillis());
     store.put("keyed.servers", proxied.id(), Optional.of(json.getBytes(UTF_8)));
   }
 
@@ -198,6 +219,47 @@
     replaced.upstream().close();
   }
 
+  /** Ends the upstream that began a deadly request; it is back under its old id or a new one. */
+  private void endUpstream(String id, String path, String requestId) throws IOException {
+    long now = System.nanoTime();
+    deadlyRuns.add(new DeadlyRun(now, path, requestId));
+    disruptions.add(
+        new TimeWindow(now, now + TimeUnit.MILLISECONDS.toNanos(RESTART_NOTICED_MILLIS)));
+    Optional<ProxiedUpstream> ended;
+    synchronized (this) {
+      ended = proxiedUpstreams.stream().filter(p -> p.id().equals(id)).findFirst();
+    }
+    if (ended.isPresent()) {
+      ended.get().proxy().stopListening();
+      executor.execute(() -> restart(ended.get()));
+    }
+  }
+
+  private void restart(ProxiedUpstream ended) {
+    try {
+      Thread.sleep(RESTART_MILLIS);
+      synchronized (this) {
+        int index = proxiedUpstreams.indexOf(ended);
+        boolean keepsId = deadlyRuns.size() % 2 == 0;
+        if (index >= 0 && keepsId) {
+          ended.proxy().listenAgain();
+          ProxiedUpstream restarted =
+              new ProxiedUpstream(
+                  ended.id(), ended.upstream(), ended.proxy(), System.currentTimeMillis());
+          proxiedUpstreams.set(index, restarted);
+          publishState(restarted, "ready", 1);
+        } else if (index >= 0) {
+          proxiedUpstreams.set(index, addUpstream());
+          store.put("keyed.servers", ended.id(), Optional.empty());
+        }
+      }
+    } catch (IOException e) {
+      violations.add("an upstream could not be started again: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * Returns whether connections to any upstream were disrupted in an interval of the nanosecond
    * clock. Includes only disruptions that are over.
--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -30,6 +30,7 @@
   private final File logFile;
   private final int callerPort = freePort();
   private final List<TimeWindow> disruptions = new CopyOnWriteArrayList<>();
+  private final List<Long> interruptions = new CopyOnWriteArrayList<>();
   private Process process;
   private long launchedAt;
   private long signalledAt;
@@ -95,6 +96,7 @@
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile));
     process = builder.start();
     launchedAt = System.nanoTime();
+    interruptions.add(launchedAt);
   }
 
   /**
@@ -137,6 +139,7 @@
   synchronized boolean terminateAndRelaunch() throws IOException, InterruptedException {
     boolean isStarting = System.nanoTime() - launchedAt < STARTUP_NANOS;
     process.destroy();
+    interruptions.add(System.nanoTime());
     boolean exitedInTime = process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     int status = exitedInTime ? process.exitValue() : -1;
     process.destroyForcibly().waitFor();
@@ -150,6 +153,7 @@
     signal("STOP");
     Thread.sleep(millis);
     signal("CONT");
+    interruptions.add(System.nanoTime());
     disruptions.add(new TimeWindow(from, System.nanoTime()));
   }
 
@@ -158,6 +162,11 @@
     return disruptions.stream().anyMatch(disruption -> disruption.overlaps(begin, end));
   }
 
+  /** Returns whether the process was started, stopped or resumed in an interval. */
+  boolean wasInterrupted(long begin, long end) {
+    return interruptions.stream().anyMatch(at -> begin <= at && at <= end);
+  }
+
   /** Returns whether the process has exited without being told to stop. */
   synchronized boolean hasExitedUnexpectedly() {
     return exitedUnexpectedly || !process.isAlive();
--- a/src/test/java/org/tanagerbank/soak/SoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/SoakIT.java
@@ -40,10 +40,21 @@
 @Timeout(900)
 final class SoakIT {
   private static final long TRAFFIC_SECONDS = Long.getLong("soak.seconds", 8);
+
+  /** Longer than the 3 s in which retries of a deadly request do not count yet. */
+  private static final long DEADLY_TRAFFIC_SECONDS = Math.max(12, TRAFFIC_SECONDS);
+
   private static final int CALLERS_PER_GATEWAY = 3;
   private static final long AVAILABILITY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final int RECOVERY_REQUESTS = 20;
   private static final String[] PATHS = {"/once/x", "/safe/x", "/stream/x"};
+
+  /** Retries of a deadly request sooner than this after its third crash do not count. */
+  private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private static final int MAX_LATE_RETRIES = 3;
+  private static final int DEADLY_CALLERS_PER_GATEWAY = 2;
+  private static final int DEADLY_PAUSE_MILLIS = 100;
   private static final File LOGS = new File("target/process-logs/soak");
 
   @TempDir private Path folder;
@@ -59,12 +70,20 @@
       Response response) {}
 
   static LongStream seeds() throws IOException {
+    return seeds("soak-seeds.txt");
+  }
+
+  static LongStream deadlySeeds() throws IOException {
+    return seeds("soak-deadly-seeds.txt");
+  }
+
+  private static LongStream seeds(String file) throws IOException {
     String range = System.getProperty("soak.seeds", "");
     if (!range.isEmpty()) {
       String[] ends = range.split("-");
       return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
     }
-    try (Stream<String> lines = Files.lines(Path.of("src/test/resources/soak-seeds.txt"))) {
+    try (Stream<String> lines = Files.lines(Path.of("src/test/resources", file))) {
       return lines
           .filter(l -> !l.startsWith("#"))
           .mapToLong(l -> Long.parseLong(l.split(" ")[0]))
@@ -81,15 +100,40 @@
     LOGS.mkdirs();
     FaultPlan plan =
         FaultPlan.generate(seed, TimeUnit.SECONDS.toMillis(TRAFFIC_SECONDS), SoakFleet.GATEWAYS);
+    play(seed, plan, /* deadlyCallers= */ 0);
+  }
+
+  /**
+   * A request that ends each upstream that begins it comes again under other ids at all gateways.
+   */
+  @ParameterizedTest(name = "deadly request, seed {0}")
+  @MethodSource("deadlySeeds")
+  void deadlyRequestIsStoppedUnderRandomFaults(long seed) throws Exception {
+    LOGS.mkdirs();
+    FaultPlan plan =
+        FaultPlan.generate(
+            seed, TimeUnit.SECONDS.toMillis(DEADLY_TRAFFIC_SECONDS), SoakFleet.GATEWAYS);
+    play(seed, plan, DEADLY_CALLERS_PER_GATEWAY);
+  }
+
+  private void play(long seed, FaultPlan plan, int deadlyCallers) throws Exception {
     try (SoakFleet fleet = new SoakFleet(folder, LOGS)) {
       awaitAvailability(fleet, "/safe/x", seed);
-      runTrafficAndFaults(fleet, plan, seed);
+      runTrafficAndFaults(fleet, plan, seed, deadlyCallers);
       awaitAvailability(fleet, fleet.newestConfigPath(), seed);
       List<String> violations = new ArrayList<>(fleet.violations());
       violations.addAll(checkRecovery(fleet, seed));
       completedRequests.forEach(
           request -> checkGuarantees(fleet, request).ifPresent(violations::add));
-      System.out.println(summary(seed, plan));
+      lateRetries(fleet)
+          .filter(n -> n > MAX_LATE_RETRIES)
+          .ifPresent(n -> violations.add(n + " retries of a deadly request after its third crash"));
+      System.out.println(
+          summary(seed, plan)
+              + ", deadly runs "
+              + fleet.deadlyRuns.size()
+              + ", late "
+              + lateRetries(fleet).orElse(0L));
       assertWithMessage("violations with seed %s, fault plan %s", seed, plan)
           .that(violations)
           .isEmpty();
@@ -111,13 +155,43 @@
     return "soak seed " + seed + ": " + plan.faults().size() + " faults, " + outcomeCounts;
   }
 
-  private void runTrafficAndFaults(SoakFleet fleet, FaultPlan plan, long seed) throws Exception {
+  /**
+   * Returns how often the deadly request was sent later than the platform allows after its third
+   * crash, by gateways that were not interrupted shortly before; empty without a third crash.
+   */
+  private static Optional<Long> lateRetries(SoakFleet fleet) {
+    if (fleet.deadlyRuns.size() < 3) {
+      return Optional.empty();
+    }
+    long countsFrom = fleet.deadlyRuns.get(2).atNanos() + STABLE_NANOS;
+    return Optional.of(
+        fleet.deadlyRuns.stream()
+            .filter(run -> run.atNanos() > countsFrom)
+            .filter(
+                run ->
+                    !fleet
+                        .gateway(callerNumber(run.requestId()) % SoakFleet.GATEWAYS)
+                        .wasInterrupted(run.atNanos() - STABLE_NANOS, run.atNanos()))
+            .count());
+  }
+
+  private static int callerNumber(String requestId) {
+    return Integer.parseInt(requestId.split("-")[1]);
+  }
+
+  private void runTrafficAndFaults(
+      SoakFleet fleet, FaultPlan plan, long seed, int deadlyCallersPerGateway) throws Exception {
     AtomicBoolean stopped = new AtomicBoolean();
     List<Future<?>> callers = new ArrayList<>();
     for (int i = 0; i < SoakFleet.GATEWAYS * CALLERS_PER_GATEWAY; i++) {
       int caller = i;
       callers.add(fleet.executor().submit(() -> sendUntilStopped(fleet, caller, seed, stopped)));
     }
+    for (int i = 0; i < SoakFleet.GATEWAYS * deadlyCallersPerGateway; i++) {
+      int caller = i;
+      callers.add(
+          fleet.executor().submit(() -> sendDeadlyUntilStopped(fleet, caller, seed, stopped)));
+    }
     long startNanos = System.nanoTime();
     List<Future<?>> faults = new ArrayList<>();
     for (Fault fault : plan.faults()) {
@@ -151,9 +225,26 @@
     caller.close();
   }
 
+  /** Sends the deadly request over a new connection each time, as a caller that comes again. */
+  private static void sendDeadlyUntilStopped(
+      SoakFleet fleet, int callerNumber, long seed, AtomicBoolean stopped) {
+    int port = fleet.gateway(callerNumber % SoakFleet.GATEWAYS).callerPort();
+    int sent = 0;
+    while (!stopped.get()) {
+      SoakCaller caller = new SoakCaller(port);
+      caller.send(SoakUpstream.DEADLY_PATH + seed, "d" + seed + "-" + callerNumber + "-" + ++sent);
+      caller.close();
+      pause(DEADLY_PAUSE_MILLIS);
+    }
+  }
+
   private static void pause() {
+    pause(5);
+  }
+
+  private static void pause(long millis) {
     try {
-      Thread.sleep(5);
+      Thread.sleep(millis);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/test/java/org/tanagerbank/soak/SoakUpstream.java
+++ b/src/test/java/org/tanagerbank/soak/SoakUpstream.java
@@ -14,8 +14,12 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** An HTTP upstream that counts the runs of each request. Thread-safe. */
+/**
+ * An HTTP upstream that counts the runs of each request, and that ends when it begins a request for
+ * a path below {@link #DEADLY_PATH}. Thread-safe.
+ */
 final class SoakUpstream implements AutoCloseable {
+  static final String DEADLY_PATH = "/deadly/";
   private static final int WORK_MILLIS = 10;
   private static final int EVENTS = 5;
 
@@ -23,14 +27,27 @@
   private final ServerSocket serverSocket;
   private final ExecutorService executor;
   private final Map<String, AtomicInteger> runCounts;
+  private final CrashListener crashListener;
+
+  /** Receives the ends of upstreams. */
+  @FunctionalInterface
+  interface CrashListener {
+    /** Called when an upstream begins a deadly request; ends the upstream. */
+    void onDeadlyRun(String upstreamId, String path, String requestId) throws IOException;
+  }
 
   /**
    * Creates an upstream.
    *
    * @param runCounts the number of runs that each request began, over all upstreams
    */
-  SoakUpstream(String id, ExecutorService executor, Map<String, AtomicInteger> runCounts)
+  SoakUpstream(
+      String id,
+      ExecutorService executor,
+      Map<String, AtomicInteger> runCounts,
+      CrashListener crashListener)
       throws IOException {
+    this.crashListener = crashListener;
     this.id = id;
     this.executor = executor;
     this.runCounts = runCounts;
@@ -105,6 +122,11 @@
   private void run(String requestLine, String requestId, OutputStream out)
       throws IOException, InterruptedException {
     runCounts.computeIfAbsent(requestId, unused -> new AtomicInteger()).incrementAndGet();
+    String path = requestLine.split(" ")[1];
+    if (path.startsWith(DEADLY_PATH)) {
+      crashListener.onDeadlyRun(id, path, requestId);
+      throw new IOException("the upstream has ended");
+    }
     Thread.sleep(WORK_MILLIS);
     String head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: " + requestId + "\r\n";
     if (requestLine.contains("/stream/")) {
