--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -144,6 +144,7 @@
         bounds.graceMillis(),
         CACHE_WAIT_MILLIS,
         new DispatchSettings(
+            node.instanceId(),
             node.zone(),
             bounds.loadMultiple(),
             bounds.retryRatio() * RETRY_RATIO_SHARE,
--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import org.tanagerbank.engine.Prompt;
@@ -41,8 +42,10 @@
   private final Dispatcher dispatcher;
   private final UpstreamChoice choice;
   private final UpstreamHandle upstream;
+  private final boolean isTrial;
   private final ByteBufAllocator allocator = UnpooledByteBufAllocator.DEFAULT;
   private HttpConnection connection;
+  private TrackedRun run;
   private boolean sent;
   private boolean isEnded;
   private long sentMillis;
@@ -53,7 +56,9 @@
   private CompositeByteBuf buffered;
   private EventSplitter events;
 
-  Attempt(RequestExecution execution, Dispatcher dispatcher, UpstreamChoice choice) {
+  Attempt(
+      RequestExecution execution, Dispatcher dispatcher, UpstreamChoice choice, boolean isTrial) {
+    this.isTrial = isTrial;
     this.execution = execution;
     this.dispatcher = dispatcher;
     this.choice = choice;
@@ -83,6 +88,7 @@
     connection = opened;
     sent = true;
     sentMillis = dispatcher.nowMillis();
+    run = dispatcher.crashGuard().runStarted(execution.fingerprint(), execution, upstream, isTrial);
     connection.send(execution.upstreamRequest(choice), this);
   }
 
@@ -109,7 +115,9 @@
     if (isEnded) {
       return;
     }
-    recordSilence();
+    if (sent) {
+      recordSilence();
+    }
     close();
     if (connection != null) {
       connection.cancel();
@@ -121,10 +129,12 @@
    * it may hang, or the network may no longer deliver packets on its open connections.
    */
   private void recordSilence() {
-    boolean silent = sent && headers == null;
-    if (silent && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
+    if (headers == null && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
       upstream.health().requestFailed();
       upstream.connections().closeIdle();
+      dispatcher.crashGuard().runLost(run, /* wasClosed= */ false);
+    } else {
+      dispatcher.crashGuard().runCancelled(run);
     }
   }
 
@@ -137,10 +147,12 @@
         .load(headers)
         .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     if (!isAnswer()) {
+      dispatcher.crashGuard().runEnded(run);
       fail(AttemptFailure.responseLost("response to another request"));
       return;
     }
     if (isSuccess() && !dispatcher.headerCodec().hasUpstreamSignature(headers)) {
+      dispatcher.crashGuard().runEnded(run);
       fail(AttemptFailure.responseLost("response without the signature of an upstream"));
       return;
     }
@@ -219,6 +231,7 @@
     }
     execution.beginResponse(status, headers);
     close();
+    dispatcher.crashGuard().runCompleted(run);
     execution.endResponse(status);
   }
 
@@ -226,6 +239,7 @@
     ByteBuf body = buffered;
     buffered = null;
     close();
+    recordResult();
     if (dispatcher.headerCodec().statesNotRun(status, headers)) {
       body.release();
       execution.handleFailure(upstream, AttemptFailure.refused(status, false), Optional.empty());
@@ -239,6 +253,19 @@
     finishError(body);
   }
 
+  /** Records whether the response proves that the upstream survives the request. */
+  private void recordResult() {
+    boolean hasRun =
+        (isSuccess() || status == HttpResponseStatus.INTERNAL_SERVER_ERROR.code())
+            && dispatcher.headerCodec().hasUpstreamSignature(headers)
+            && !dispatcher.headerCodec().statesNotRun(status, headers);
+    if (hasRun) {
+      dispatcher.crashGuard().runCompleted(run);
+    } else {
+      dispatcher.crashGuard().runEnded(run);
+    }
+  }
+
   /** Handles a complete response whose status reports an error. */
   private void finishError(ByteBuf body) {
     boolean isServerFault = HttpStatusClass.valueOf(status) == HttpStatusClass.SERVER_ERROR;
@@ -264,13 +291,18 @@
 
   @Override
   public void onFailure(ExchangeFailure failure) {
+    if (isEnded) {
+      return;
+    }
+    if (failure == ExchangeFailure.MALFORMED) {
+      dispatcher.crashGuard().runEnded(run);
+    } else {
+      dispatcher.crashGuard().runLost(run, /* wasClosed= */ true);
+    }
     fail(AttemptFailure.responseLost(failure.name()));
   }
 
   private void fail(AttemptFailure failure) {
-    if (isEnded) {
-      return;
-    }
     upstream.health().requestFailed();
     close();
     connection.cancel();
--- /dev/null
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -0,0 +1,200 @@
+package org.tanagerbank.dispatch;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.quarantine.CrashEvidence;
+import org.tanagerbank.quarantine.CrashRecord;
+import org.tanagerbank.quarantine.Quarantine;
+import org.tanagerbank.quarantine.QuarantineRule;
+import org.tanagerbank.quarantine.QuarantineStatus;
+import org.tanagerbank.quarantine.SuspectNews;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
+import org.tanagerbank.quarantine.TrialClaims;
+import org.tanagerbank.request.Fingerprint;
+
+/**
+ * Keeps requests that crash upstreams away from them, by the history that all instances share.
+ *
+ * <p>A request is known by its fingerprint, whichever caller's id it has and whichever instance it
+ * comes to. Not thread-safe; confined to the event loop.
+ */
+public final class CrashGuard {
+  /** How a request may proceed. */
+  enum Admission {
+    /** It may be sent, together with others. */
+    RUN,
+    /** It may be sent as the only run of its fingerprint in the fleet. */
+    TRIAL,
+    /** It must ask again shortly, because another run decides on it. */
+    WAIT,
+    /** It must not be sent. */
+    REFUSED
+  }
+
+  private final LongSupplier clockMillis;
+  private final Quarantine quarantine = new Quarantine(QuarantineRule.SHARED_ACCESS);
+  private final CrashDetector detector = new CrashDetector(this::runCrashed);
+  private final SuspectNews news = new SuspectNews();
+  private final TrialClaims claims;
+  private Runnable urgentNews = () -> {};
+
+  /**
+   * Creates a guard without history.
+   *
+   * @param clockMillis the monotonic clock, in milliseconds
+   */
+  public CrashGuard(String instanceId, LongSupplier clockMillis) {
+    this.claims = new TrialClaims(instanceId);
+    this.clockMillis = clockMillis;
+  }
+
+  /** Sets the action that sends the trial claims of this instance to the others at once. */
+  public void setUrgentNewsAction(Runnable action) {
+    urgentNews = action;
+  }
+
+  /** Returns how a request may proceed; called again after each failed attempt. */
+  Admission admit(Fingerprint fingerprint, Object holder) {
+    long now = clockMillis.getAsLong();
+    return switch (quarantine.status(fingerprint, now)) {
+      case CLEAR, SUSPECT -> Admission.RUN;
+      case TRIAL_ONLY -> claimTrial(fingerprint, holder, now);
+      case QUARANTINED -> Admission.REFUSED;
+    };
+  }
+
+  private Admission claimTrial(Fingerprint fingerprint, Object holder, long now) {
+    boolean hadClaims = !claims.ownClaims(now).isEmpty();
+    boolean mayStart = claims.tryStart(fingerprint, holder, now);
+    if (mayStart || !hadClaims) {
+      urgentNews.run();
+    }
+    return mayStart ? Admission.TRIAL : Admission.WAIT;
+  }
+
+  /** Returns the time in milliseconds until a refused request may be sent again. */
+  long refusedMillis(Fingerprint fingerprint) {
+    long now = clockMillis.getAsLong();
+    return Math.max(0, quarantine.expiryMillis(fingerprint, now).orElse(now) - now);
+  }
+
+  /** Records that a request is sent to an upstream. */
+  TrackedRun runStarted(
+      Fingerprint fingerprint, Object holder, UpstreamHandle upstream, boolean isTrial) {
+    int depth = quarantine.depth(fingerprint, clockMillis.getAsLong()) + 1;
+    return new TrackedRun(fingerprint, holder, upstream, upstream.crashes(), depth, isTrial);
+  }
+
+  /** Records that the upstream ran the request to its end. */
+  void runCompleted(TrackedRun run) {
+    if (quarantine.recordCompletion(run.fingerprint(), clockMillis.getAsLong())) {
+      news.add(run.fingerprint());
+    }
+    runEnded(run);
+  }
+
+  /** Records that a run ended with a result that says nothing of its effect on the upstream. */
+  void runEnded(TrackedRun run) {
+    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ false, clockMillis.getAsLong());
+  }
+
+  /** Records that a run was cancelled; its upstream may still crash. */
+  void runCancelled(TrackedRun run) {
+    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ true, clockMillis.getAsLong());
+  }
+
+  /**
+   * Records that a run ended without a result.
+   *
+   * @param wasClosed whether its connection ended, rather than stayed silent
+   */
+  void runLost(TrackedRun run, boolean wasClosed) {
+    long now = clockMillis.getAsLong();
+    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ true, now);
+    detector.runLost(run, wasClosed, now);
+  }
+
+  /** Drops what a request that has ended without a run holds. */
+  void abandon(Fingerprint fingerprint, Object holder) {
+    claims.abandon(fingerprint, holder);
+  }
+
+  /** Records that the process of an upstream has ended, by its report. */
+  void upstreamEnded(UpstreamHandle upstream) {
+    detector.upstreamEnded(upstream);
+  }
+
+  private void runCrashed(TrackedRun run, String crashId) {
+    long now = clockMillis.getAsLong();
+    CrashRecord crash = new CrashRecord(crashId, run.depth(), run.isTrial(), now);
+    if (quarantine.recordLostRun(run.fingerprint(), crash, now)) {
+      news.add(run.fingerprint());
+    }
+    QuarantineStatus status = quarantine.status(run.fingerprint(), now);
+    if (status.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
+      EventLog.emit(
+          status == QuarantineStatus.QUARANTINED
+              ? LogEvent.REQUEST_QUARANTINED
+              : LogEvent.REQUEST_RESTRICTED,
+          "fingerprint",
+          run.fingerprint(),
+          "crashes",
+          evidence(run.fingerprint()).map(e -> e.crashes().size()).orElse(0));
+    }
+  }
+
+  /** Returns the suspects to send to the other instances now, and counts them as sent. */
+  public ImmutableList<SuspectRecord> nextSuspects() {
+    long now = clockMillis.getAsLong();
+    return news.nextBatch(quarantine, now).stream()
+        .flatMap(f -> record(f).stream())
+        .collect(toImmutableList());
+  }
+
+  /** Returns whether there are suspects that were not sent to the other instances yet. */
+  public boolean hasUnsentSuspects() {
+    return news.hasUnsent();
+  }
+
+  /** Returns the trial claims of this instance. */
+  public ImmutableList<TrialClaim> trialClaims() {
+    return claims.ownClaims(clockMillis.getAsLong());
+  }
+
+  /** Merges the suspects that another instance or the store reported. */
+  public void mergeSuspects(ImmutableList<SuspectRecord> suspects) {
+    long now = clockMillis.getAsLong();
+    suspects.forEach(
+        s -> quarantine.mergeEvidence(s.fingerprint(), s.evidence().shiftBy(now), now));
+  }
+
+  /** Replaces the trial claims of another instance. */
+  public void setPeerClaims(String instanceId, ImmutableList<TrialClaim> peerClaims) {
+    claims.setPeerClaims(instanceId, peerClaims);
+    if (claims.competesWith(peerClaims)) {
+      urgentNews.run();
+    }
+  }
+
+  /** Returns the suspects that may run only in trials, or not at all. */
+  public ImmutableList<SuspectRecord> restrictedSuspects() {
+    return quarantine.restricted(clockMillis.getAsLong()).stream()
+        .flatMap(f -> record(f).stream())
+        .collect(toImmutableList());
+  }
+
+  private Optional<SuspectRecord> record(Fingerprint fingerprint) {
+    long now = clockMillis.getAsLong();
+    return evidence(fingerprint).map(e -> new SuspectRecord(fingerprint, e.shiftBy(-now)));
+  }
+
+  private Optional<CrashEvidence> evidence(Fingerprint fingerprint) {
+    return quarantine.evidence(fingerprint);
+  }
+}
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -3,6 +3,7 @@
 /**
  * The settings of the dispatcher of an instance. Immutable.
  *
+ * @param instanceId the id of this instance
  * @param zone the availability zone of this instance
  * @param loadMultiple the limit on the requests at one upstream, as a multiple of the mean over the
  *     upstreams of its service
@@ -13,6 +14,7 @@
  *     starts, for the configuration, the list of upstreams and the cache contents
  */
 public record DispatchSettings(
+    String instanceId,
     String zone,
     double loadMultiple,
     double retryRatio,
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -65,6 +65,7 @@
   private final DispatchObserver observer;
   private final Upstreams upstreams;
   private final RetryBudgets retryBudgets;
+  private final CrashGuard crashGuard;
   private final SharedUpstreamState sharedUpstreamState;
   private final Set<WaitingRequest> waiting = new LinkedHashSet<>();
   private Runnable refreshConfig = () -> {};
@@ -85,10 +86,17 @@
     this.settings = settings;
     this.observer = observer;
     this.upstreams = new Upstreams(runtime.connector(), runtime.clockMillis());
+    this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis());
+    upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
     this.sharedUpstreamState =
         new SharedUpstreamState(
-            upstreams, retryBudgets, config, runtime.clockMillis(), () -> refreshConfig.run());
+            upstreams,
+            retryBudgets,
+            crashGuard,
+            config,
+            runtime.clockMillis(),
+            () -> refreshConfig.run());
   }
 
   /** Returns a dispatcher without upstreams. */
@@ -144,6 +152,11 @@
     return sharedUpstreamState;
   }
 
+  /** Returns what keeps requests that crash upstreams away from them. */
+  public CrashGuard crashGuard() {
+    return crashGuard;
+  }
+
   void notifyPlaced(UpstreamChoice choice, Prompt prompt) {
     placementListener.placed(choice.upstream().report().id(), prompt, choice.fetchedTokens());
   }
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -82,6 +82,18 @@
         .min(Comparator.comparingDouble(c -> engineCost(c, request, prompt, sources)));
   }
 
+  /**
+   * Returns the upstream with the fewest requests, or empty if there are no candidates. A request
+   * that may crash its upstream takes the fewest others with it there.
+   */
+  static Optional<UpstreamChoice> leastLoaded(List<UpstreamHandle> upstreams, long nowMillis) {
+    return upstreams.stream()
+        .min(
+            Comparator.<UpstreamHandle, Boolean>comparing(u -> u.health().isAvoided(nowMillis))
+                .thenComparing(u -> u.fleetInFlight(nowMillis)))
+        .map(u -> new UpstreamChoice(u, Optional.empty()));
+  }
+
   private static List<UpstreamHandle> belowLoadLimit(
       List<UpstreamHandle> upstreams, double loadMultiple, long nowMillis) {
     double mean = upstreams.stream().mapToInt(u -> u.fleetInFlight(nowMillis)).average().orElse(0);
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -15,6 +15,9 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final int STATUS_TIMEOUT = 504;
 
+  /** The reason for the refusal of a request that crashes upstreams. */
+  static final String QUARANTINED = "the request crashed several upstreams";
+
   /** The time to connect to another instance, in milliseconds. */
   private static final long OTHER_INSTANCE_RETRY_MILLIS = 20;
 
@@ -24,7 +27,7 @@
   /** Returns the reason as a metric label, which takes one of a few values. */
   String metricReason() {
     return switch (status) {
-      case STATUS_UNAVAILABLE -> "not run";
+      case STATUS_UNAVAILABLE -> reason.equals(QUARANTINED) ? "quarantined" : "not run";
       case STATUS_BAD_GATEWAY -> "may have run";
       default -> reason;
     };
@@ -48,6 +51,13 @@
     return new Refusal(STATUS_UNAVAILABLE, RECOVERY_RETRY_MILLIS, reason);
   }
 
+  /**
+   * Returns the refusal of a request that did not run and will not, because it crashes upstreams.
+   */
+  static Refusal quarantined(long retryAfterMillis) {
+    return new Refusal(STATUS_UNAVAILABLE, retryAfterMillis, QUARANTINED);
+  }
+
   /** Returns the refusal of a request that may have run without a response to forward. */
   static Refusal mayHaveRun(String reason) {
     return new Refusal(STATUS_BAD_GATEWAY, 0, reason);
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -34,6 +34,9 @@
  * Not thread-safe; confined to the event loop.
  */
 final class RequestExecution {
+  /** The time between two questions whether a suspect may run, in milliseconds. */
+  private static final long TRIAL_POLL_MILLIS = 20;
+
   private final Dispatcher dispatcher;
   private final CallerRequest request;
   private final CallerExchange exchange;
@@ -84,18 +87,39 @@
     place();
   }
 
+  private void placeAgain() {
+    if (!ended) {
+      place();
+    }
+  }
+
   private void place() {
+    switch (dispatcher.crashGuard().admit(fingerprint, this)) {
+      case RUN -> place(/* isTrial= */ false);
+      case TRIAL -> place(/* isTrial= */ true);
+      case WAIT -> {
+        var unused =
+            dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
+      }
+      case REFUSED -> endWithError(Refusal.QUARANTINED);
+      default -> throw new AssertionError("unknown admission");
+    }
+  }
+
+  private void place(boolean isTrial) {
     List<UpstreamHandle> candidates = dispatcher.upstreams().candidates(service, tried);
+    PlacementRequest placement =
+        new PlacementRequest(
+            prompt,
+            route.objectiveMillis(),
+            dispatcher.settings().zone(),
+            dispatcher.settings().loadMultiple(),
+            dispatcher.upstreams().allOfService(service),
+            dispatcher.nowMillis());
     Optional<UpstreamChoice> chosen =
-        Placement.choose(
-            candidates,
-            new PlacementRequest(
-                prompt,
-                route.objectiveMillis(),
-                dispatcher.settings().zone(),
-                dispatcher.settings().loadMultiple(),
-                dispatcher.upstreams().allOfService(service),
-                dispatcher.nowMillis()));
+        isTrial
+            ? Placement.leastLoaded(candidates, dispatcher.nowMillis())
+            : Placement.choose(candidates, placement);
     if (chosen.isEmpty()) {
       endWithError("no upstream of the service is left");
       return;
@@ -103,7 +127,7 @@
     UpstreamChoice choice = chosen.get();
     tried.add(choice.upstream().report().id());
     logPlaced(choice, candidates.size());
-    attempt = new Attempt(this, dispatcher, choice);
+    attempt = new Attempt(this, dispatcher, choice, isTrial);
     attempt.start();
   }
 
@@ -164,6 +188,10 @@
         new DefaultHttpHeaders());
   }
 
+  Fingerprint fingerprint() {
+    return fingerprint;
+  }
+
   String requestId() {
     return requestId;
   }
@@ -289,12 +317,17 @@
       exchange.abort();
       return;
     }
-    Refusal refusal =
-        verdict == Verdict.NOT_RUN ? Refusal.notRun(reason) : Refusal.mayHaveRun(reason);
+    Refusal refusal = verdict == Verdict.NOT_RUN ? notRun(reason) : Refusal.mayHaveRun(reason);
     finish(refusal.status(), reason);
     dispatcher.respond(requestId, exchange, refusal);
   }
 
+  private Refusal notRun(String reason) {
+    return reason.equals(Refusal.QUARANTINED)
+        ? Refusal.quarantined(dispatcher.crashGuard().refusedMillis(fingerprint))
+        : Refusal.notRun(reason);
+  }
+
   private void timedOut() {
     if (ended) {
       return;
@@ -328,6 +361,7 @@
   private void finish(int status, String reason) {
     ended = true;
     timeout.cancel(false);
+    dispatcher.crashGuard().abandon(fingerprint, this);
     request.body().release();
     dispatcher.observer().requestEnded(status, dispatcher.nowMillis() - request.receivedAtMillis());
     EventLog.emit(
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -7,8 +7,11 @@
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.peer.CachedParts;
+import org.tanagerbank.peer.DigestSource;
 import org.tanagerbank.peer.PeerListener;
 import org.tanagerbank.peer.PeerPlacement;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.upstream.ConnectionPool;
 
@@ -16,9 +19,10 @@
  * Merges the reports of other instances into this instance's state of the upstreams, and provides
  * the state that this instance reports to them. Not thread-safe; confined to the event loop.
  */
-public final class SharedUpstreamState implements PeerListener {
+public final class SharedUpstreamState implements PeerListener, DigestSource {
   private final Upstreams upstreams;
   private final RetryBudgets retryBudgets;
+  private final CrashGuard crashGuard;
   private final ConfigState config;
   private final LongSupplier clockMillis;
   private final Runnable refreshConfig;
@@ -26,24 +30,43 @@
   SharedUpstreamState(
       Upstreams upstreams,
       RetryBudgets retryBudgets,
+      CrashGuard crashGuard,
       ConfigState config,
       LongSupplier clockMillis,
       Runnable refreshConfig) {
     this.upstreams = upstreams;
     this.retryBudgets = retryBudgets;
+    this.crashGuard = crashGuard;
     this.config = config;
     this.clockMillis = clockMillis;
     this.refreshConfig = refreshConfig;
   }
 
-  /**
-   * Returns the number of requests that this instance has in flight at each upstream, by upstream
-   * id. Upstreams without such requests are omitted.
-   */
+  @Override
   public ImmutableMap<String, Integer> inFlight() {
     return upstreams.inFlight();
   }
 
+  @Override
+  public long configVersion() {
+    return config.config().map(RoutingConfig::version).orElse(0L);
+  }
+
+  @Override
+  public boolean hasUnsentSuspects() {
+    return crashGuard.hasUnsentSuspects();
+  }
+
+  @Override
+  public ImmutableList<SuspectRecord> nextSuspects() {
+    return crashGuard.nextSuspects();
+  }
+
+  @Override
+  public ImmutableList<TrialClaim> trialClaims() {
+    return crashGuard.trialClaims();
+  }
+
   /** Returns the ids of the upstreams that are engines. */
   public ImmutableList<String> engineIds() {
     return upstreams.all().stream()
@@ -90,6 +113,15 @@
     engine(caches.upstreamId()).ifPresent(e -> e.addCachedParts(caches.parts()));
   }
 
+  @Override
+  public void onPeerSuspects(
+      String instanceId,
+      ImmutableList<SuspectRecord> suspects,
+      ImmutableList<TrialClaim> trialClaims) {
+    crashGuard.mergeSuspects(suspects);
+    crashGuard.setPeerClaims(instanceId, trialClaims);
+  }
+
   @Override
   public void onPeerConfigVersion(long version) {
     if (config.config().map(RoutingConfig::version).orElse(Long.MAX_VALUE) < version) {
@@ -100,6 +132,7 @@
   @Override
   public void onPeerLost(String instanceId) {
     upstreams.all().forEach(u -> u.setPeerInFlight(instanceId, 0));
+    crashGuard.setPeerClaims(instanceId, ImmutableList.of());
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -28,6 +28,7 @@
   private int reportedOtherRequests;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private boolean closed;
+  private int crashes;
 
   UpstreamHandle(UpstreamReport report, ConnectionPool connections) {
     this.report = report;
@@ -116,6 +117,16 @@
     return inFlight;
   }
 
+  /** Records that the process has ended without notice. It may be back before it reports so. */
+  void recordCrash() {
+    crashes++;
+  }
+
+  /** Returns the number of crashes that were detected. */
+  int crashes() {
+    return crashes;
+  }
+
   void close() {
     closed = true;
     connections.close();
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.tanagerbank.events.EventLog;
@@ -30,12 +31,18 @@
   private final Connector connector;
   private final LongSupplier clockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
+  private Consumer<UpstreamHandle> endListener = ended -> {};
 
   Upstreams(Connector connector, LongSupplier clockMillis) {
     this.connector = connector;
     this.clockMillis = clockMillis;
   }
 
+  /** Sets the listener that is notified of upstreams that restarted or are gone. */
+  void setEndListener(Consumer<UpstreamHandle> listener) {
+    endListener = listener;
+  }
+
   /**
    * Replaces the list of upstreams. An upstream that restarted or is missing from the list loses
    * its connections and all recorded state.
@@ -58,7 +65,7 @@
     }
     for (String id : new HashSet<>(byId.keySet())) {
       if (!reportedIds.contains(id)) {
-        byId.remove(id).close();
+        end(byId.remove(id));
         EventLog.emit(LogEvent.UPSTREAM_GONE, "upstream", id);
       }
     }
@@ -78,7 +85,7 @@
 
   private void replace(UpstreamHandle known, UpstreamReport report) {
     if (known != null) {
-      known.close();
+      end(known);
     }
     ConnectionPool connections = ConnectionPool.create(connector, report.address(), clockMillis);
     byId.put(report.id(), new UpstreamHandle(report, connections));
@@ -94,6 +101,11 @@
         report.startedAtMillis());
   }
 
+  private void end(UpstreamHandle ended) {
+    ended.close();
+    endListener.accept(ended);
+  }
+
   /** Returns the upstreams of a service that are not draining and whose ids were not tried. */
   List<UpstreamHandle> candidates(String service, Set<String> tried) {
     return byId.values().stream()
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.gateway;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -13,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerHandler;
 import org.tanagerbank.caller.CallerRequest;
@@ -76,6 +78,9 @@
   /** Name of the store topic in which instances find each other. */
   private static final String PEER_TOPIC = "gateways";
 
+  /** Name of the store topic that keeps requests which crash upstreams. */
+  private static final String SUSPECT_TOPIC = "suspects";
+
   /** Names of the topics whose records instances relay to each other. */
   private static final String CONFIG_TOPIC = "configuration";
 
@@ -96,6 +101,7 @@
   private final UpstreamTopicListener upstreamListener;
   private final PeerService peers;
   private final CacheStateTransfer cacheTransfer;
+  private final SuspectStore suspectStore;
   private final TopicFollower configFollower;
   private final TopicFollower upstreamFollower;
   private final CallerServer callerServer;
@@ -125,6 +131,7 @@
     peers = createPeerService(store, self);
     upstreamListener =
         new UpstreamTopicListener(store, dispatcher, clockMillis, this::onStoreCurrent);
+    suspectStore = createSuspectStore(store);
     Scheduler scheduler = this::schedule;
     configFollower =
         TopicFollower.create(
@@ -149,6 +156,7 @@
     peers.serve(CONFIG_TOPIC, configFollower::recordsFrom);
     peers.serve(UPSTREAM_TOPIC, upstreamFollower::recordsFrom);
     dispatcher.setPlacementListener(peers::addPlacement);
+    dispatcher.crashGuard().setUrgentNewsAction(peers::sendUrgently);
     cacheTransfer =
         new CacheStateTransfer(
             loop,
@@ -167,6 +175,13 @@
     addGauges();
   }
 
+  private ImmutableSet<String> liveInstanceIds() {
+    return Stream.concat(
+            Stream.of(settings.instanceId()),
+            peers.livePeers().stream().map(PeerAddress::instanceId))
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   private void addGauges() {
     metrics.addGauge(
         "config_age_seconds",
@@ -181,6 +196,10 @@
         "engines",
         "Engines that the gateway knows.",
         () -> dispatcher.sharedUpstreamState().engineIds().size());
+    metrics.addGauge(
+        "restricted_requests",
+        "Fingerprints of requests that crashed upstreams and may not run freely.",
+        () -> dispatcher.crashGuard().restrictedSuspects().size());
     metrics.addGauge(
         "requests_in_flight", "Requests being handled.", callerServer::requestsInFlight);
   }
@@ -192,8 +211,16 @@
         self,
         store.fleetTopic(PEER_TOPIC),
         dispatcher.sharedUpstreamState(),
-        dispatcher.sharedUpstreamState()::inFlight,
-        () -> configState.config().map(RoutingConfig::version).orElse(0L));
+        dispatcher.sharedUpstreamState());
+  }
+
+  private SuspectStore createSuspectStore(FleetStore store) {
+    return new SuspectStore(
+        store.fleetTopic(SUSPECT_TOPIC),
+        dispatcher.crashGuard(),
+        settings.instanceId(),
+        this::liveInstanceIds,
+        System::currentTimeMillis);
   }
 
   private CallerServer createServer(
@@ -225,6 +252,7 @@
     loop.execute(upstreamFollower::start);
     if (!settings.isFirstStart()) {
       loop.execute(this::learnEngineCaches);
+      loop.execute(suspectStore::load);
     }
     var unused =
         loop.scheduleWithFixedDelay(
@@ -246,6 +274,9 @@
     configFollower.retryNow();
     upstreamFollower.retryNow();
     peers.retryStoreCall();
+    if (!settings.isFirstStart()) {
+      suspectStore.load();
+    }
     dispatcher.onConfigConfirmed();
     if (configState.config().isPresent() && upstreamListener.hasSnapshot()) {
       cacheTransfer.onEnginesKnown();
@@ -259,6 +290,7 @@
   private void tick() {
     upstreamListener.updateDispatcher();
     dispatcher.closeExpiredConnections();
+    suspectStore.saveChanges();
     logReadinessChange(isReady());
   }
 
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -31,6 +31,8 @@
                     PeerProto.UpstreamWork.newBuilder().setUpstreamId(id).setInFlight(n)));
     digest.placements().forEach(p -> message.addPlacements(toProto(p)));
     digest.peers().forEach(p -> message.addPeers(toProto(p)));
+    digest.suspects().forEach(s -> message.addSuspects(SuspectCodec.toProto(s)));
+    digest.trialClaims().forEach(c -> message.addTrialClaims(SuspectCodec.toProto(c)));
     digest.caches().forEach(c -> message.addCaches(toProto(c)));
     return message.build();
   }
@@ -69,6 +71,12 @@
             .map(DigestCodec::fromProto)
             .collect(ImmutableList.toImmutableList()),
         peers.build(),
+        message.getSuspectsList().stream()
+            .map(SuspectCodec::fromProto)
+            .collect(ImmutableList.toImmutableList()),
+        message.getTrialClaimsList().stream()
+            .map(SuspectCodec::fromProto)
+            .collect(ImmutableList.toImmutableList()),
         message.getCachesList().stream()
             .map(
                 c ->
--- a/src/main/java/org/tanagerbank/peer/PeerDigest.java
+++ b/src/main/java/org/tanagerbank/peer/PeerDigest.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
 
 /**
  * The state that one instance sends to the others. Immutable.
@@ -13,6 +15,8 @@
  *     without requests are absent
  * @param placements the sender's latest placements, including those of some earlier digests
  * @param peers other instances that the sender has found; empty in most digests
+ * @param suspects requests that were in flight at crashes of upstreams, with times relative to now
+ * @param trialClaims all claims of the sender to run a suspect
  * @param caches prompt parts that engines hold; sent only to instances that have just started
  */
 public record PeerDigest(
@@ -22,5 +26,7 @@
     ImmutableMap<String, Integer> inFlight,
     ImmutableList<PeerPlacement> placements,
     ImmutableList<PeerAddress> peers,
+    ImmutableList<SuspectRecord> suspects,
+    ImmutableList<TrialClaim> trialClaims,
     ImmutableList<CachedParts> caches)
     implements PeerMessage {}
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -1,6 +1,9 @@
 package org.tanagerbank.peer;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
 
 /** Receives the state of other instances. All methods are called on the event loop. */
 public interface PeerListener {
@@ -13,6 +16,16 @@
   /** Called with the cached parts of an engine that another instance has reported. */
   void onPeerCaches(CachedParts caches);
 
+  /**
+   * Called with the suspects that an instance reports and with all its trial claims.
+   *
+   * @param suspects the suspects, with times relative to now
+   */
+  void onPeerSuspects(
+      String instanceId,
+      ImmutableList<SuspectRecord> suspects,
+      ImmutableList<TrialClaim> trialClaims);
+
   /** Called with the version of the configuration in force at another instance. */
   void onPeerConfigVersion(long version);
 
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -22,19 +22,16 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.request.ErrorCode;
 import org.tanagerbank.request.Lifecycle;
 import org.tanagerbank.request.TanagerException;
-import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
-import org.tanagerbank.store.ReadResult;
-import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.RecordRelay;
 import org.tanagerbank.store.RelayedRecords;
 
@@ -55,6 +52,9 @@
 
   private static final long DIGEST_INTERVAL_PER_PEER_MILLIS = 10;
 
+  /** Bounds the digests of instances that answer each other's claims. */
+  private static final long MIN_URGENT_INTERVAL_MILLIS = 10;
+
   /**
    * The time after which a digest is due although nothing has changed, so that peers detect that
    * the sender is alive.
@@ -68,17 +68,15 @@
   private static final int PARTS_PER_DATAGRAM = 90;
 
   private static final int MAX_LISTED_PEERS = 20;
-  private static final long STORE_RETRY_MILLIS = 700;
 
   private final EventLoop loop;
   private final LongSupplier clockMillis;
   private final PeerAddress self;
-  private final KeyedTopic directory;
   private final PeerListener listener;
-  private final Supplier<ImmutableMap<String, Integer>> inFlight;
-  private final Supplier<Long> configVersion;
+  private final DigestSource source;
   private final PeerTable table;
   private final TopicRelay relay;
+  private final PeerRegistration registration;
   private final PlacementLog placements = new PlacementLog();
 
   /** The number of the newest placement received, by instance id and incarnation. */
@@ -92,7 +90,6 @@
   private boolean stopped;
   private Consumer<PeerAddress> peerStartedAction = started -> {};
   private Runnable peersReadAction = () -> {};
-  private Runnable pendingStoreCall = () -> {};
 
   private PeerService(
       EventLoop loop,
@@ -100,27 +97,30 @@
       PeerAddress self,
       KeyedTopic directory,
       PeerListener listener,
-      Supplier<ImmutableMap<String, Integer>> inFlight,
-      Supplier<Long> configVersion) {
+      DigestSource source) {
     this.loop = loop;
     this.clockMillis = clockMillis;
     this.self = self;
-    this.directory = directory;
     this.listener = listener;
-    this.inFlight = inFlight;
-    this.configVersion = configVersion;
+    this.source = source;
     this.table = new PeerTable(self.instanceId());
     this.relay =
         new TopicRelay(
             self.instanceId(), self.incarnation(), this::schedule, table::live, this::send);
+    this.registration =
+        new PeerRegistration(
+            self,
+            directory,
+            this::schedule,
+            p -> table.add(p, clockMillis.getAsLong()),
+            () -> peersReadAction.run());
   }
 
   /**
    * Returns a service that exchanges digests after {@link #start}.
    *
    * @param directory the topic in which instances register their addresses
-   * @param inFlight returns the number of requests in flight from this instance, by upstream id
-   * @param configVersion returns the version of the configuration in force
+   * @param source provides what this instance tells the others
    */
   public static PeerService create(
       EventLoop loop,
@@ -128,9 +128,8 @@
       PeerAddress self,
       KeyedTopic directory,
       PeerListener listener,
-      Supplier<ImmutableMap<String, Integer>> inFlight,
-      Supplier<Long> configVersion) {
-    return new PeerService(loop, clockMillis, self, directory, listener, inFlight, configVersion);
+      DigestSource source) {
+    return new PeerService(loop, clockMillis, self, directory, listener, source);
   }
 
   @Override
@@ -147,13 +146,14 @@
           ErrorCode.PORT_IN_USE, "cannot listen on " + self.address(), bound.cause());
     }
     channel = bound.channel();
-    loop.execute(this::register);
+    loop.execute(registration::start);
     schedule(this::tick, MIN_DIGEST_INTERVAL_MILLIS);
   }
 
   @Override
   public void stop() {
     stopped = true;
+    registration.stop();
     if (channel != null) {
       channel.close().awaitUninterruptibly();
     }
@@ -195,51 +195,11 @@
     var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
 
-  /**
-   * Registers this instance before it reads the registered instances. If two instances start at the
-   * same time, the one that registers later therefore finds both.
-   */
-  private void register() {
-    KeyedRecord entry = new KeyedRecord(self.instanceId(), Optional.of(DigestCodec.encode(self)));
-    directory.append(entry, done -> retryUnless(done, this::register, this::findPeers));
-  }
-
-  private void findPeers() {
-    directory.readNewest(
-        result -> retryUnless(result instanceof Records, this::findPeers, () -> addPeers(result)));
-  }
-
-  private void retryUnless(boolean done, Runnable again, Runnable next) {
-    if (done) {
-      next.run();
-    } else if (!stopped) {
-      pendingStoreCall = again;
-      schedule(this::retryStoreCall, STORE_RETRY_MILLIS);
-    }
-  }
-
   /**
    * Repeats the call that the store did not answer, if there is one, without waiting for its retry.
    */
   public void retryStoreCall() {
-    Runnable again = pendingStoreCall;
-    pendingStoreCall = () -> {};
-    again.run();
-  }
-
-  private void addPeers(ReadResult result) {
-    if (result instanceof Records page) {
-      page.records().forEach(r -> r.value().ifPresent(this::addPeer));
-      peersReadAction.run();
-    }
-  }
-
-  private void addPeer(byte[] address) {
-    try {
-      table.add(DigestCodec.decodeAddress(address), clockMillis.getAsLong());
-    } catch (InvalidProtocolBufferException e) {
-      EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "store", "error", e.getMessage());
-    }
+    registration.retryNow();
   }
 
   private void tick() {
@@ -249,8 +209,12 @@
     long now = clockMillis.getAsLong();
     table.markSilent(now).forEach(this::onPeerLost);
     reportFleetSize();
-    ImmutableMap<String, Integer> current = inFlight.get();
-    boolean hasChanges = placements.hasUnsent() || !current.equals(lastInFlight);
+    ImmutableMap<String, Integer> current = source.inFlight();
+    boolean hasChanges =
+        placements.hasUnsent()
+            || source.hasUnsentSuspects()
+            || !source.trialClaims().isEmpty()
+            || !current.equals(lastInFlight);
     if (hasChanges || now - sentAtMillis >= KEEP_ALIVE_MILLIS) {
       send(current, now);
     }
@@ -280,7 +244,9 @@
       for (List<PromptPart> parts : Lists.partition(cache.parts(), PARTS_PER_DATAGRAM)) {
         digestNumber++;
         CachedParts part = new CachedParts(cache.upstreamId(), ImmutableList.copyOf(parts));
-        send(digest(lastInFlight, ImmutableList.of(), ImmutableList.of(part)), targets);
+        send(
+            digest(lastInFlight, ImmutableList.of(), ImmutableList.of(), ImmutableList.of(part)),
+            targets);
       }
     }
   }
@@ -303,21 +269,34 @@
     lastInFlight = current;
     sentAtMillis = now;
     digestNumber++;
-    send(digest(current, placements.nextBatch(), ImmutableList.of()), targets);
+    send(
+        digest(current, placements.nextBatch(), source.nextSuspects(), ImmutableList.of()),
+        targets);
+  }
+
+  /** Sends a digest now, unless one was sent so recently that the next one is due shortly. */
+  public void sendUrgently() {
+    long now = clockMillis.getAsLong();
+    if (!stopped && now - sentAtMillis >= MIN_URGENT_INTERVAL_MILLIS) {
+      send(source.inFlight(), now);
+    }
   }
 
   private PeerDigest digest(
       ImmutableMap<String, Integer> current,
       ImmutableList<PeerPlacement> recentPlacements,
+      ImmutableList<SuspectRecord> suspects,
       ImmutableList<CachedParts> caches) {
     boolean listsPeers = digestNumber % DIGESTS_PER_PEER_LIST == 1;
     return new PeerDigest(
         self,
         digestNumber,
-        configVersion.get(),
+        source.configVersion(),
         current,
         recentPlacements,
         listsPeers ? peersToList() : ImmutableList.of(),
+        suspects,
+        source.trialClaims(),
         caches);
   }
 
@@ -378,6 +357,7 @@
     lastPlacement.put(incarnation, newest);
     digest.caches().forEach(listener::onPeerCaches);
     listener.onPeerInFlight(sender, digest.inFlight());
+    listener.onPeerSuspects(sender, digest.suspects(), digest.trialClaims());
     listener.onPeerConfigVersion(digest.configVersion());
   }
 
--- /dev/null
+++ b/src/main/java/org/tanagerbank/peer/SuspectCodec.java
@@ -0,0 +1,105 @@
+package org.tanagerbank.peer;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.tanagerbank.proto.PeerProto;
+import org.tanagerbank.quarantine.CrashEvidence;
+import org.tanagerbank.quarantine.CrashRecord;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
+import org.tanagerbank.request.Fingerprint;
+
+/**
+ * Converts suspects and trial claims to protobuf messages and back. A time that is relative to now
+ * becomes an age. Stateless and thread-safe.
+ */
+public final class SuspectCodec {
+  private SuspectCodec() {}
+
+  static PeerProto.Suspect toProto(SuspectRecord suspect) {
+    CrashEvidence evidence = suspect.evidence();
+    PeerProto.Suspect.Builder message =
+        PeerProto.Suspect.newBuilder().setFingerprint(suspect.fingerprint().value());
+    evidence.crashes().values().forEach(c -> message.addCrashes(toProto(c)));
+    if (evidence.completedAtMillis() != CrashEvidence.NEVER) {
+      message.setCompletedAgeMillis(age(evidence.completedAtMillis()));
+    }
+    return message.build();
+  }
+
+  private static PeerProto.Crash toProto(CrashRecord crash) {
+    return PeerProto.Crash.newBuilder()
+        .setId(crash.crashId())
+        .setDepth(crash.depth())
+        .setIsolated(crash.isIsolated())
+        .setAgeMillis(age(crash.atMillis()))
+        .build();
+  }
+
+  private static long age(long relativeMillis) {
+    return Math.max(0, -relativeMillis);
+  }
+
+  static SuspectRecord fromProto(PeerProto.Suspect message) {
+    ImmutableList<CrashRecord> crashes =
+        message.getCrashesList().stream().map(SuspectCodec::fromProto).collect(toImmutableList());
+    long completedAt =
+        message.hasCompletedAgeMillis()
+            ? relativeTime(message.getCompletedAgeMillis())
+            : CrashEvidence.NEVER;
+    return new SuspectRecord(
+        new Fingerprint(message.getFingerprint()), CrashEvidence.of(crashes, completedAt));
+  }
+
+  private static CrashRecord fromProto(PeerProto.Crash message) {
+    return new CrashRecord(
+        message.getId(),
+        message.getDepth(),
+        message.getIsolated(),
+        relativeTime(message.getAgeMillis()));
+  }
+
+  /** Returns the time of an age; an age that no process can have counts as the oldest possible. */
+  private static long relativeTime(long ageMillis) {
+    return ageMillis < 0 ? CrashEvidence.NEVER : Math.max(CrashEvidence.NEVER, -ageMillis);
+  }
+
+  static PeerProto.TrialClaim toProto(TrialClaim claim) {
+    return PeerProto.TrialClaim.newBuilder()
+        .setFingerprint(claim.fingerprint().value())
+        .setRunning(claim.isRunning())
+        .build();
+  }
+
+  static TrialClaim fromProto(PeerProto.TrialClaim message) {
+    return new TrialClaim(new Fingerprint(message.getFingerprint()), message.getRunning());
+  }
+
+  /**
+   * Encodes a suspect for the store.
+   *
+   * @param nowEpochMillis the current time, in milliseconds since the epoch
+   */
+  public static byte[] encodeStored(SuspectRecord suspect, long nowEpochMillis) {
+    return PeerProto.StoredSuspect.newBuilder()
+        .setSuspect(toProto(suspect))
+        .setWrittenAtEpochMillis(nowEpochMillis)
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Decodes a suspect from the store, with times relative to now.
+   *
+   * @throws InvalidProtocolBufferException if the bytes are not a stored suspect
+   */
+  public static SuspectRecord decodeStored(byte[] bytes, long nowEpochMillis)
+      throws InvalidProtocolBufferException {
+    PeerProto.StoredSuspect message = PeerProto.StoredSuspect.parseFrom(bytes);
+    SuspectRecord suspect = fromProto(message.getSuspect());
+    long storedMillis = Math.max(0, nowEpochMillis - message.getWrittenAtEpochMillis());
+    return new SuspectRecord(suspect.fingerprint(), suspect.evidence().shiftBy(-storedMillis));
+  }
+}
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -4145,6 +4145,94 @@
      */
     org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Suspect> 
+        getSuspectsList();
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index);
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    int getSuspectsCount();
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+        getSuspectsOrBuilderList();
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim> 
+        getTrialClaimsList();
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TrialClaim getTrialClaims(int index);
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    int getTrialClaimsCount();
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder> 
+        getTrialClaimsOrBuilderList();
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder getTrialClaimsOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -4177,6 +4265,8 @@
       placements_ = java.util.Collections.emptyList();
       peers_ = java.util.Collections.emptyList();
       caches_ = java.util.Collections.emptyList();
+      suspects_ = java.util.Collections.emptyList();
+      trialClaims_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -4498,6 +4588,128 @@
       return caches_.get(index);
     }
 
+    public static final int SUSPECTS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_;
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
+      return suspects_;
+    }
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+        getSuspectsOrBuilderList() {
+      return suspects_;
+    }
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public int getSuspectsCount() {
+      return suspects_.size();
+    }
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
+      return suspects_.get(index);
+    }
+    /**
+     * <pre>
+     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+        int index) {
+      return suspects_.get(index);
+    }
+
+    public static final int TRIAL_CLAIMS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim> trialClaims_;
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim> getTrialClaimsList() {
+      return trialClaims_;
+    }
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder> 
+        getTrialClaimsOrBuilderList() {
+      return trialClaims_;
+    }
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    @java.lang.Override
+    public int getTrialClaimsCount() {
+      return trialClaims_.size();
+    }
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TrialClaim getTrialClaims(int index) {
+      return trialClaims_.get(index);
+    }
+    /**
+     * <pre>
+     * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder getTrialClaimsOrBuilder(
+        int index) {
+      return trialClaims_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4533,6 +4745,12 @@
       for (int i = 0; i < caches_.size(); i++) {
         output.writeMessage(7, caches_.get(i));
       }
+      for (int i = 0; i < suspects_.size(); i++) {
+        output.writeMessage(8, suspects_.get(i));
+      }
+      for (int i = 0; i < trialClaims_.size(); i++) {
+        output.writeMessage(9, trialClaims_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -4570,6 +4788,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(7, caches_.get(i));
       }
+      for (int i = 0; i < suspects_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, suspects_.get(i));
+      }
+      for (int i = 0; i < trialClaims_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, trialClaims_.get(i));
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -4602,6 +4828,10 @@
           .equals(other.getPeersList())) return false;
       if (!getCachesList()
           .equals(other.getCachesList())) return false;
+      if (!getSuspectsList()
+          .equals(other.getSuspectsList())) return false;
+      if (!getTrialClaimsList()
+          .equals(other.getTrialClaimsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4639,6 +4869,14 @@
         hash = (37 * hash) + CACHES_FIELD_NUMBER;
         hash = (53 * hash) + getCachesList().hashCode();
       }
+      if (getSuspectsCount() > 0) {
+        hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+        hash = (53 * hash) + getSuspectsList().hashCode();
+      }
+      if (getTrialClaimsCount() > 0) {
+        hash = (37 * hash) + TRIAL_CLAIMS_FIELD_NUMBER;
+        hash = (53 * hash) + getTrialClaimsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4779,6 +5017,8 @@
           internalGetPlacementsFieldBuilder();
           internalGetPeersFieldBuilder();
           internalGetCachesFieldBuilder();
+          internalGetSuspectsFieldBuilder();
+          internalGetTrialClaimsFieldBuilder();
         }
       }
       @java.lang.Override
@@ -4820,6 +5060,20 @@
           cachesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000040);
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
+        } else {
+          suspects_ = null;
+          suspectsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000080);
+        if (trialClaimsBuilder_ == null) {
+          trialClaims_ = java.util.Collections.emptyList();
+        } else {
+          trialClaims_ = null;
+          trialClaimsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
         return this;
       }
 
@@ -4889,6 +5143,24 @@
         } else {
           result.caches_ = cachesBuilder_.build();
         }
+        if (suspectsBuilder_ == null) {
+          if (((bitField0_ & 0x00000080) != 0)) {
+            suspects_ = java.util.Collections.unmodifiableList(suspects_);
+            bitField0_ = (bitField0_ & ~0x00000080);
+          }
+          result.suspects_ = suspects_;
+        } else {
+          result.suspects_ = suspectsBuilder_.build();
+        }
+        if (trialClaimsBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            trialClaims_ = java.util.Collections.unmodifiableList(trialClaims_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.trialClaims_ = trialClaims_;
+        } else {
+          result.trialClaims_ = trialClaimsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.tanagerbank.proto.PeerProto.Digest result) {
@@ -5034,6 +5306,58 @@
             }
           }
         }
+        if (suspectsBuilder_ == null) {
+          if (!other.suspects_.isEmpty()) {
+            if (suspects_.isEmpty()) {
+              suspects_ = other.suspects_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+            } else {
+              ensureSuspectsIsMutable();
+              suspects_.addAll(other.suspects_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.suspects_.isEmpty()) {
+            if (suspectsBuilder_.isEmpty()) {
+              suspectsBuilder_.dispose();
+              suspectsBuilder_ = null;
+              suspects_ = other.suspects_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+              suspectsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSuspectsFieldBuilder() : null;
+            } else {
+              suspectsBuilder_.addAllMessages(other.suspects_);
+            }
+          }
+        }
+        if (trialClaimsBuilder_ == null) {
+          if (!other.trialClaims_.isEmpty()) {
+            if (trialClaims_.isEmpty()) {
+              trialClaims_ = other.trialClaims_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureTrialClaimsIsMutable();
+              trialClaims_.addAll(other.trialClaims_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.trialClaims_.isEmpty()) {
+            if (trialClaimsBuilder_.isEmpty()) {
+              trialClaimsBuilder_.dispose();
+              trialClaimsBuilder_ = null;
+              trialClaims_ = other.trialClaims_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              trialClaimsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetTrialClaimsFieldBuilder() : null;
+            } else {
+              trialClaimsBuilder_.addAllMessages(other.trialClaims_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5129,6 +5453,32 @@
                 }
                 break;
               } // case 58
+              case 66: {
+                org.tanagerbank.proto.PeerProto.Suspect m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Suspect.parser(),
+                        extensionRegistry);
+                if (suspectsBuilder_ == null) {
+                  ensureSuspectsIsMutable();
+                  suspects_.add(m);
+                } else {
+                  suspectsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
+              case 74: {
+                org.tanagerbank.proto.PeerProto.TrialClaim m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.TrialClaim.parser(),
+                        extensionRegistry);
+                if (trialClaimsBuilder_ == null) {
+                  ensureTrialClaimsIsMutable();
+                  trialClaims_.add(m);
+                } else {
+                  trialClaimsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6379,265 +6729,4003 @@
           ensureCachesIsMutable();
           caches_.set(index, value);
           onChanged();
-        } else {
-          cachesBuilder_.setMessage(index, value);
-        }
+        } else {
+          cachesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder setCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(index, value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder addAllCaches(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.EngineCache> values) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, caches_);
+          onChanged();
+        } else {
+          cachesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder clearCaches() {
+        if (cachesBuilder_ == null) {
+          caches_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          cachesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public Builder removeCaches(int index) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.remove(index);
+          onChanged();
+        } else {
+          cachesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder getCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+          int index) {
+        if (cachesBuilder_ == null) {
+          return caches_.get(index);  } else {
+          return cachesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+           getCachesOrBuilderList() {
+        if (cachesBuilder_ != null) {
+          return cachesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(caches_);
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder() {
+        return internalGetCachesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache.Builder> 
+           getCachesBuilderList() {
+        return internalGetCachesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+          internalGetCachesFieldBuilder() {
+        if (cachesBuilder_ == null) {
+          cachesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder>(
+                  caches_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          caches_ = null;
+        }
+        return cachesBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_ =
+        java.util.Collections.emptyList();
+      private void ensureSuspectsIsMutable() {
+        if (!((bitField0_ & 0x00000080) != 0)) {
+          suspects_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Suspect>(suspects_);
+          bitField0_ |= 0x00000080;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> suspectsBuilder_;
+
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
+        if (suspectsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(suspects_);
+        } else {
+          return suspectsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public int getSuspectsCount() {
+        if (suspectsBuilder_ == null) {
+          return suspects_.size();
+        } else {
+          return suspectsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);
+        } else {
+          return suspectsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.set(index, value);
+          onChanged();
+        } else {
+          suspectsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.add(value);
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.add(index, value);
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addAllSuspects(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, suspects_);
+          onChanged();
+        } else {
+          suspectsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder clearSuspects() {
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          suspectsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder removeSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.remove(index);
+          onChanged();
+        } else {
+          suspectsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+          int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);  } else {
+          return suspectsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+           getSuspectsOrBuilderList() {
+        if (suspectsBuilder_ != null) {
+          return suspectsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(suspects_);
+        }
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
+           getSuspectsBuilderList() {
+        return internalGetSuspectsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+          internalGetSuspectsFieldBuilder() {
+        if (suspectsBuilder_ == null) {
+          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
+                  suspects_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          suspects_ = null;
+        }
+        return suspectsBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim> trialClaims_ =
+        java.util.Collections.emptyList();
+      private void ensureTrialClaimsIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          trialClaims_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.TrialClaim>(trialClaims_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TrialClaim, org.tanagerbank.proto.PeerProto.TrialClaim.Builder, org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder> trialClaimsBuilder_;
+
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim> getTrialClaimsList() {
+        if (trialClaimsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(trialClaims_);
+        } else {
+          return trialClaimsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public int getTrialClaimsCount() {
+        if (trialClaimsBuilder_ == null) {
+          return trialClaims_.size();
+        } else {
+          return trialClaimsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TrialClaim getTrialClaims(int index) {
+        if (trialClaimsBuilder_ == null) {
+          return trialClaims_.get(index);
+        } else {
+          return trialClaimsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder setTrialClaims(
+          int index, org.tanagerbank.proto.PeerProto.TrialClaim value) {
+        if (trialClaimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureTrialClaimsIsMutable();
+          trialClaims_.set(index, value);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder setTrialClaims(
+          int index, org.tanagerbank.proto.PeerProto.TrialClaim.Builder builderForValue) {
+        if (trialClaimsBuilder_ == null) {
+          ensureTrialClaimsIsMutable();
+          trialClaims_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          trialClaimsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder addTrialClaims(org.tanagerbank.proto.PeerProto.TrialClaim value) {
+        if (trialClaimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureTrialClaimsIsMutable();
+          trialClaims_.add(value);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder addTrialClaims(
+          int index, org.tanagerbank.proto.PeerProto.TrialClaim value) {
+        if (trialClaimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureTrialClaimsIsMutable();
+          trialClaims_.add(index, value);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder addTrialClaims(
+          org.tanagerbank.proto.PeerProto.TrialClaim.Builder builderForValue) {
+        if (trialClaimsBuilder_ == null) {
+          ensureTrialClaimsIsMutable();
+          trialClaims_.add(builderForValue.build());
+          onChanged();
+        } else {
+          trialClaimsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder addTrialClaims(
+          int index, org.tanagerbank.proto.PeerProto.TrialClaim.Builder builderForValue) {
+        if (trialClaimsBuilder_ == null) {
+          ensureTrialClaimsIsMutable();
+          trialClaims_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          trialClaimsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder addAllTrialClaims(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.TrialClaim> values) {
+        if (trialClaimsBuilder_ == null) {
+          ensureTrialClaimsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, trialClaims_);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder clearTrialClaims() {
+        if (trialClaimsBuilder_ == null) {
+          trialClaims_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public Builder removeTrialClaims(int index) {
+        if (trialClaimsBuilder_ == null) {
+          ensureTrialClaimsIsMutable();
+          trialClaims_.remove(index);
+          onChanged();
+        } else {
+          trialClaimsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TrialClaim.Builder getTrialClaimsBuilder(
+          int index) {
+        return internalGetTrialClaimsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder getTrialClaimsOrBuilder(
+          int index) {
+        if (trialClaimsBuilder_ == null) {
+          return trialClaims_.get(index);  } else {
+          return trialClaimsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder> 
+           getTrialClaimsOrBuilderList() {
+        if (trialClaimsBuilder_ != null) {
+          return trialClaimsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(trialClaims_);
+        }
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TrialClaim.Builder addTrialClaimsBuilder() {
+        return internalGetTrialClaimsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.TrialClaim.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TrialClaim.Builder addTrialClaimsBuilder(
+          int index) {
+        return internalGetTrialClaimsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.TrialClaim.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * All claims of the sender to run a suspect; a digest without them ends earlier ones.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.TrialClaim trial_claims = 9;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.TrialClaim.Builder> 
+           getTrialClaimsBuilderList() {
+        return internalGetTrialClaimsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TrialClaim, org.tanagerbank.proto.PeerProto.TrialClaim.Builder, org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder> 
+          internalGetTrialClaimsFieldBuilder() {
+        if (trialClaimsBuilder_ == null) {
+          trialClaimsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TrialClaim, org.tanagerbank.proto.PeerProto.TrialClaim.Builder, org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder>(
+                  trialClaims_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          trialClaims_ = null;
+        }
+        return trialClaimsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Digest)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Digest)
+    private static final org.tanagerbank.proto.PeerProto.Digest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Digest();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Digest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Digest>
+        PARSER = new com.google.protobuf.AbstractParser<Digest>() {
+      @java.lang.Override
+      public Digest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Digest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Digest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Digest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SuspectOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Suspect)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    long getFingerprint();
+
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Crash> 
+        getCrashesList();
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Crash getCrashes(int index);
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.CrashOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.CrashOrBuilder getCrashesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Time in milliseconds since a run of the request last completed; absent when none has.
+     * </pre>
+     *
+     * <code>optional uint64 completed_age_millis = 3;</code>
+     * @return Whether the completedAgeMillis field is set.
+     */
+    boolean hasCompletedAgeMillis();
+    /**
+     * <pre>
+     * Time in milliseconds since a run of the request last completed; absent when none has.
+     * </pre>
+     *
+     * <code>optional uint64 completed_age_millis = 3;</code>
+     * @return The completedAgeMillis.
+     */
+    long getCompletedAgeMillis();
+  }
+  /**
+   * <pre>
+   * What the sender knows of the runs of one request, by its fingerprint. Clocks of gateways differ, so
+   * times are given as ages.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Suspect}
+   */
+  public static final class Suspect extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Suspect)
+      SuspectOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Suspect.class.getName());
+    }
+    // Use Suspect.newBuilder() to construct.
+    private Suspect(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Suspect() {
+      crashes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Suspect_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Suspect_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Suspect.class, org.tanagerbank.proto.PeerProto.Suspect.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    private long fingerprint_ = 0L;
+    /**
+     * <code>fixed64 fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public long getFingerprint() {
+      return fingerprint_;
+    }
+
+    public static final int CRASHES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Crash> crashes_;
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Crash> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.CrashOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Crash getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CrashOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
+    public static final int COMPLETED_AGE_MILLIS_FIELD_NUMBER = 3;
+    private long completedAgeMillis_ = 0L;
+    /**
+     * <pre>
+     * Time in milliseconds since a run of the request last completed; absent when none has.
+     * </pre>
+     *
+     * <code>optional uint64 completed_age_millis = 3;</code>
+     * @return Whether the completedAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasCompletedAgeMillis() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Time in milliseconds since a run of the request last completed; absent when none has.
+     * </pre>
+     *
+     * <code>optional uint64 completed_age_millis = 3;</code>
+     * @return The completedAgeMillis.
+     */
+    @java.lang.Override
+    public long getCompletedAgeMillis() {
+      return completedAgeMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (fingerprint_ != 0L) {
+        output.writeFixed64(1, fingerprint_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(2, crashes_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeUInt64(3, completedAgeMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (fingerprint_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, fingerprint_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, crashes_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, completedAgeMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Suspect)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Suspect other = (org.tanagerbank.proto.PeerProto.Suspect) obj;
+
+      if (getFingerprint()
+          != other.getFingerprint()) return false;
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
+      if (hasCompletedAgeMillis() != other.hasCompletedAgeMillis()) return false;
+      if (hasCompletedAgeMillis()) {
+        if (getCompletedAgeMillis()
+            != other.getCompletedAgeMillis()) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getFingerprint());
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
+      if (hasCompletedAgeMillis()) {
+        hash = (37 * hash) + COMPLETED_AGE_MILLIS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getCompletedAgeMillis());
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Suspect parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Suspect parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Suspect parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Suspect prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the runs of one request, by its fingerprint. Clocks of gateways differ, so
+     * times are given as ages.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Suspect}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Suspect)
+        org.tanagerbank.proto.PeerProto.SuspectOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Suspect_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Suspect_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Suspect.class, org.tanagerbank.proto.PeerProto.Suspect.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Suspect.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = 0L;
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+        } else {
+          crashes_ = null;
+          crashesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        completedAgeMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Suspect_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Suspect getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Suspect build() {
+        org.tanagerbank.proto.PeerProto.Suspect result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Suspect buildPartial() {
+        org.tanagerbank.proto.PeerProto.Suspect result = new org.tanagerbank.proto.PeerProto.Suspect(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.Suspect result) {
+        if (crashesBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            crashes_ = java.util.Collections.unmodifiableList(crashes_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.crashes_ = crashes_;
+        } else {
+          result.crashes_ = crashesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Suspect result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.completedAgeMillis_ = completedAgeMillis_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Suspect) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Suspect)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Suspect other) {
+        if (other == org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance()) return this;
+        if (other.getFingerprint() != 0L) {
+          setFingerprint(other.getFingerprint());
+        }
+        if (crashesBuilder_ == null) {
+          if (!other.crashes_.isEmpty()) {
+            if (crashes_.isEmpty()) {
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureCrashesIsMutable();
+              crashes_.addAll(other.crashes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashes_.isEmpty()) {
+            if (crashesBuilder_.isEmpty()) {
+              crashesBuilder_.dispose();
+              crashesBuilder_ = null;
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              crashesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashesFieldBuilder() : null;
+            } else {
+              crashesBuilder_.addAllMessages(other.crashes_);
+            }
+          }
+        }
+        if (other.hasCompletedAgeMillis()) {
+          setCompletedAgeMillis(other.getCompletedAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                fingerprint_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 18: {
+                org.tanagerbank.proto.PeerProto.Crash m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Crash.parser(),
+                        extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              case 24: {
+                completedAgeMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long fingerprint_ ;
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      @java.lang.Override
+      public long getFingerprint() {
+        return fingerprint_;
+      }
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(long value) {
+
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        fingerprint_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Crash> crashes_ =
+        java.util.Collections.emptyList();
+      private void ensureCrashesIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          crashes_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Crash>(crashes_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Crash, org.tanagerbank.proto.PeerProto.Crash.Builder, org.tanagerbank.proto.PeerProto.CrashOrBuilder> crashesBuilder_;
+
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Crash> getCrashesList() {
+        if (crashesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashes_);
+        } else {
+          return crashesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public int getCrashesCount() {
+        if (crashesBuilder_ == null) {
+          return crashes_.size();
+        } else {
+          return crashesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Crash getCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);
+        } else {
+          return crashesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder setCrashes(
+          int index, org.tanagerbank.proto.PeerProto.Crash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.set(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder setCrashes(
+          int index, org.tanagerbank.proto.PeerProto.Crash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder addCrashes(org.tanagerbank.proto.PeerProto.Crash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          int index, org.tanagerbank.proto.PeerProto.Crash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          org.tanagerbank.proto.PeerProto.Crash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          int index, org.tanagerbank.proto.PeerProto.Crash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder addAllCrashes(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Crash> values) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, crashes_);
+          onChanged();
+        } else {
+          crashesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder clearCrashes() {
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          crashesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public Builder removeCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.remove(index);
+          onChanged();
+        } else {
+          crashesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Crash.Builder getCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.CrashOrBuilder getCrashesOrBuilder(
+          int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);  } else {
+          return crashesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.CrashOrBuilder> 
+           getCrashesOrBuilderList() {
+        if (crashesBuilder_ != null) {
+          return crashesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(crashes_);
+        }
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Crash.Builder addCrashesBuilder() {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Crash.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Crash.Builder addCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Crash.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Crashes at which the request was in flight.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Crash.Builder> 
+           getCrashesBuilderList() {
+        return internalGetCrashesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Crash, org.tanagerbank.proto.PeerProto.Crash.Builder, org.tanagerbank.proto.PeerProto.CrashOrBuilder> 
+          internalGetCrashesFieldBuilder() {
+        if (crashesBuilder_ == null) {
+          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Crash, org.tanagerbank.proto.PeerProto.Crash.Builder, org.tanagerbank.proto.PeerProto.CrashOrBuilder>(
+                  crashes_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          crashes_ = null;
+        }
+        return crashesBuilder_;
+      }
+
+      private long completedAgeMillis_ ;
+      /**
+       * <pre>
+       * Time in milliseconds since a run of the request last completed; absent when none has.
+       * </pre>
+       *
+       * <code>optional uint64 completed_age_millis = 3;</code>
+       * @return Whether the completedAgeMillis field is set.
+       */
+      @java.lang.Override
+      public boolean hasCompletedAgeMillis() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Time in milliseconds since a run of the request last completed; absent when none has.
+       * </pre>
+       *
+       * <code>optional uint64 completed_age_millis = 3;</code>
+       * @return The completedAgeMillis.
+       */
+      @java.lang.Override
+      public long getCompletedAgeMillis() {
+        return completedAgeMillis_;
+      }
+      /**
+       * <pre>
+       * Time in milliseconds since a run of the request last completed; absent when none has.
+       * </pre>
+       *
+       * <code>optional uint64 completed_age_millis = 3;</code>
+       * @param value The completedAgeMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCompletedAgeMillis(long value) {
+
+        completedAgeMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time in milliseconds since a run of the request last completed; absent when none has.
+       * </pre>
+       *
+       * <code>optional uint64 completed_age_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCompletedAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        completedAgeMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Suspect)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Suspect)
+    private static final org.tanagerbank.proto.PeerProto.Suspect DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Suspect();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Suspect getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Suspect>
+        PARSER = new com.google.protobuf.AbstractParser<Suspect>() {
+      @java.lang.Override
+      public Suspect parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Suspect> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Suspect> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Suspect getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CrashOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Crash)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Id of the crash, the same from all gateways.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The id.
+     */
+    java.lang.String getId();
+    /**
+     * <pre>
+     * Id of the crash, the same from all gateways.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    com.google.protobuf.ByteString
+        getIdBytes();
+
+    /**
+     * <pre>
+     * 1 more than the number of crashes, one after the other, that the gateway knew of when it sent the
+     * request.
+     * </pre>
+     *
+     * <code>uint32 depth = 2;</code>
+     * @return The depth.
+     */
+    int getDepth();
+
+    /**
+     * <pre>
+     * Whether the request was sent as the only run of its fingerprint in the fleet.
+     * </pre>
+     *
+     * <code>bool isolated = 3;</code>
+     * @return The isolated.
+     */
+    boolean getIsolated();
+
+    /**
+     * <pre>
+     * Time in milliseconds since the crash.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+  }
+  /**
+   * <pre>
+   * A crash of an upstream at which a request was in flight.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Crash}
+   */
+  public static final class Crash extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Crash)
+      CrashOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Crash.class.getName());
+    }
+    // Use Crash.newBuilder() to construct.
+    private Crash(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Crash() {
+      id_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Crash_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Crash_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Crash.class, org.tanagerbank.proto.PeerProto.Crash.Builder.class);
+    }
+
+    public static final int ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object id_ = "";
+    /**
+     * <pre>
+     * Id of the crash, the same from all gateways.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The id.
+     */
+    @java.lang.Override
+    public java.lang.String getId() {
+      java.lang.Object ref = id_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        id_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the crash, the same from all gateways.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdBytes() {
+      java.lang.Object ref = id_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        id_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int DEPTH_FIELD_NUMBER = 2;
+    private int depth_ = 0;
+    /**
+     * <pre>
+     * 1 more than the number of crashes, one after the other, that the gateway knew of when it sent the
+     * request.
+     * </pre>
+     *
+     * <code>uint32 depth = 2;</code>
+     * @return The depth.
+     */
+    @java.lang.Override
+    public int getDepth() {
+      return depth_;
+    }
+
+    public static final int ISOLATED_FIELD_NUMBER = 3;
+    private boolean isolated_ = false;
+    /**
+     * <pre>
+     * Whether the request was sent as the only run of its fingerprint in the fleet.
+     * </pre>
+     *
+     * <code>bool isolated = 3;</code>
+     * @return The isolated.
+     */
+    @java.lang.Override
+    public boolean getIsolated() {
+      return isolated_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * Time in milliseconds since the crash.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, id_);
+      }
+      if (depth_ != 0) {
+        output.writeUInt32(2, depth_);
+      }
+      if (isolated_ != false) {
+        output.writeBool(3, isolated_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(4, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, id_);
+      }
+      if (depth_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, depth_);
+      }
+      if (isolated_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, isolated_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, ageMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Crash)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Crash other = (org.tanagerbank.proto.PeerProto.Crash) obj;
+
+      if (!getId()
+          .equals(other.getId())) return false;
+      if (getDepth()
+          != other.getDepth()) return false;
+      if (getIsolated()
+          != other.getIsolated()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ID_FIELD_NUMBER;
+      hash = (53 * hash) + getId().hashCode();
+      hash = (37 * hash) + DEPTH_FIELD_NUMBER;
+      hash = (53 * hash) + getDepth();
+      hash = (37 * hash) + ISOLATED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getIsolated());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Crash parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Crash parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Crash parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Crash prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A crash of an upstream at which a request was in flight.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Crash}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Crash)
+        org.tanagerbank.proto.PeerProto.CrashOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Crash_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Crash_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Crash.class, org.tanagerbank.proto.PeerProto.Crash.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Crash.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        id_ = "";
+        depth_ = 0;
+        isolated_ = false;
+        ageMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Crash_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Crash getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Crash.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Crash build() {
+        org.tanagerbank.proto.PeerProto.Crash result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Crash buildPartial() {
+        org.tanagerbank.proto.PeerProto.Crash result = new org.tanagerbank.proto.PeerProto.Crash(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Crash result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.id_ = id_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.depth_ = depth_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.isolated_ = isolated_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Crash) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Crash)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Crash other) {
+        if (other == org.tanagerbank.proto.PeerProto.Crash.getDefaultInstance()) return this;
+        if (!other.getId().isEmpty()) {
+          id_ = other.id_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getDepth() != 0) {
+          setDepth(other.getDepth());
+        }
+        if (other.getIsolated() != false) {
+          setIsolated(other.getIsolated());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                id_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                depth_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                isolated_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object id_ = "";
+      /**
+       * <pre>
+       * Id of the crash, the same from all gateways.
+       * </pre>
+       *
+       * <code>string id = 1;</code>
+       * @return The id.
+       */
+      public java.lang.String getId() {
+        java.lang.Object ref = id_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          id_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the crash, the same from all gateways.
+       * </pre>
+       *
+       * <code>string id = 1;</code>
+       * @return The bytes for id.
+       */
+      public com.google.protobuf.ByteString
+          getIdBytes() {
+        java.lang.Object ref = id_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          id_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the crash, the same from all gateways.
+       * </pre>
+       *
+       * <code>string id = 1;</code>
+       * @param value The id to set.
+       * @return This builder for chaining.
+       */
+      public Builder setId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        id_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the crash, the same from all gateways.
+       * </pre>
+       *
+       * <code>string id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearId() {
+        id_ = getDefaultInstance().getId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the crash, the same from all gateways.
+       * </pre>
+       *
+       * <code>string id = 1;</code>
+       * @param value The bytes for id to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        id_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int depth_ ;
+      /**
+       * <pre>
+       * 1 more than the number of crashes, one after the other, that the gateway knew of when it sent the
+       * request.
+       * </pre>
+       *
+       * <code>uint32 depth = 2;</code>
+       * @return The depth.
+       */
+      @java.lang.Override
+      public int getDepth() {
+        return depth_;
+      }
+      /**
+       * <pre>
+       * 1 more than the number of crashes, one after the other, that the gateway knew of when it sent the
+       * request.
+       * </pre>
+       *
+       * <code>uint32 depth = 2;</code>
+       * @param value The depth to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDepth(int value) {
+
+        depth_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * 1 more than the number of crashes, one after the other, that the gateway knew of when it sent the
+       * request.
+       * </pre>
+       *
+       * <code>uint32 depth = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDepth() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        depth_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private boolean isolated_ ;
+      /**
+       * <pre>
+       * Whether the request was sent as the only run of its fingerprint in the fleet.
+       * </pre>
+       *
+       * <code>bool isolated = 3;</code>
+       * @return The isolated.
+       */
+      @java.lang.Override
+      public boolean getIsolated() {
+        return isolated_;
+      }
+      /**
+       * <pre>
+       * Whether the request was sent as the only run of its fingerprint in the fleet.
+       * </pre>
+       *
+       * <code>bool isolated = 3;</code>
+       * @param value The isolated to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIsolated(boolean value) {
+
+        isolated_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the request was sent as the only run of its fingerprint in the fleet.
+       * </pre>
+       *
+       * <code>bool isolated = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIsolated() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        isolated_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <pre>
+       * Time in milliseconds since the crash.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * Time in milliseconds since the crash.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time in milliseconds since the crash.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Crash)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Crash)
+    private static final org.tanagerbank.proto.PeerProto.Crash DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Crash();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Crash getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Crash>
+        PARSER = new com.google.protobuf.AbstractParser<Crash>() {
+      @java.lang.Override
+      public Crash parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Crash> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Crash> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Crash getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TrialClaimOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.TrialClaim)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    long getFingerprint();
+
+    /**
+     * <pre>
+     * Whether the run has begun.
+     * </pre>
+     *
+     * <code>bool running = 2;</code>
+     * @return The running.
+     */
+    boolean getRunning();
+  }
+  /**
+   * <pre>
+   * Claim of a gateway to run a request as the only one with its fingerprint in the fleet.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.TrialClaim}
+   */
+  public static final class TrialClaim extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.TrialClaim)
+      TrialClaimOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        TrialClaim.class.getName());
+    }
+    // Use TrialClaim.newBuilder() to construct.
+    private TrialClaim(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TrialClaim() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TrialClaim_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.TrialClaim.class, org.tanagerbank.proto.PeerProto.TrialClaim.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    private long fingerprint_ = 0L;
+    /**
+     * <code>fixed64 fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public long getFingerprint() {
+      return fingerprint_;
+    }
+
+    public static final int RUNNING_FIELD_NUMBER = 2;
+    private boolean running_ = false;
+    /**
+     * <pre>
+     * Whether the run has begun.
+     * </pre>
+     *
+     * <code>bool running = 2;</code>
+     * @return The running.
+     */
+    @java.lang.Override
+    public boolean getRunning() {
+      return running_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (fingerprint_ != 0L) {
+        output.writeFixed64(1, fingerprint_);
+      }
+      if (running_ != false) {
+        output.writeBool(2, running_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (fingerprint_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, fingerprint_);
+      }
+      if (running_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, running_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.TrialClaim)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.TrialClaim other = (org.tanagerbank.proto.PeerProto.TrialClaim) obj;
+
+      if (getFingerprint()
+          != other.getFingerprint()) return false;
+      if (getRunning()
+          != other.getRunning()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getFingerprint());
+      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRunning());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.TrialClaim parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.TrialClaim prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Claim of a gateway to run a request as the only one with its fingerprint in the fleet.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.TrialClaim}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.TrialClaim)
+        org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TrialClaim_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.TrialClaim.class, org.tanagerbank.proto.PeerProto.TrialClaim.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.TrialClaim.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = 0L;
+        running_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_TrialClaim_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TrialClaim getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.TrialClaim.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TrialClaim build() {
+        org.tanagerbank.proto.PeerProto.TrialClaim result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TrialClaim buildPartial() {
+        org.tanagerbank.proto.PeerProto.TrialClaim result = new org.tanagerbank.proto.PeerProto.TrialClaim(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.TrialClaim result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.running_ = running_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.TrialClaim) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.TrialClaim)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.TrialClaim other) {
+        if (other == org.tanagerbank.proto.PeerProto.TrialClaim.getDefaultInstance()) return this;
+        if (other.getFingerprint() != 0L) {
+          setFingerprint(other.getFingerprint());
+        }
+        if (other.getRunning() != false) {
+          setRunning(other.getRunning());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                fingerprint_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                running_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long fingerprint_ ;
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      @java.lang.Override
+      public long getFingerprint() {
+        return fingerprint_;
+      }
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(long value) {
+
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        fingerprint_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean running_ ;
+      /**
+       * <pre>
+       * Whether the run has begun.
+       * </pre>
+       *
+       * <code>bool running = 2;</code>
+       * @return The running.
+       */
+      @java.lang.Override
+      public boolean getRunning() {
+        return running_;
+      }
+      /**
+       * <pre>
+       * Whether the run has begun.
+       * </pre>
+       *
+       * <code>bool running = 2;</code>
+       * @param value The running to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunning(boolean value) {
+
+        running_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the run has begun.
+       * </pre>
+       *
+       * <code>bool running = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunning() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        running_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TrialClaim)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.TrialClaim)
+    private static final org.tanagerbank.proto.PeerProto.TrialClaim DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.TrialClaim();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.TrialClaim getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TrialClaim>
+        PARSER = new com.google.protobuf.AbstractParser<TrialClaim>() {
+      @java.lang.Override
+      public TrialClaim parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TrialClaim> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TrialClaim> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.TrialClaim getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoredSuspectOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.StoredSuspect)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     * @return Whether the suspect field is set.
+     */
+    boolean hasSuspect();
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     * @return The suspect.
+     */
+    org.tanagerbank.proto.PeerProto.Suspect getSuspect();
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     */
+    org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectOrBuilder();
+
+    /**
+     * <pre>
+     * Time at which the ages in the suspect were valid, in milliseconds since the epoch.
+     * </pre>
+     *
+     * <code>uint64 written_at_epoch_millis = 2;</code>
+     * @return The writtenAtEpochMillis.
+     */
+    long getWrittenAtEpochMillis();
+  }
+  /**
+   * <pre>
+   * Suspect as it is kept in the store.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.StoredSuspect}
+   */
+  public static final class StoredSuspect extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.StoredSuspect)
+      StoredSuspectOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        StoredSuspect.class.getName());
+    }
+    // Use StoredSuspect.newBuilder() to construct.
+    private StoredSuspect(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoredSuspect() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_StoredSuspect_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.StoredSuspect.class, org.tanagerbank.proto.PeerProto.StoredSuspect.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int SUSPECT_FIELD_NUMBER = 1;
+    private org.tanagerbank.proto.PeerProto.Suspect suspect_;
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     * @return Whether the suspect field is set.
+     */
+    @java.lang.Override
+    public boolean hasSuspect() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     * @return The suspect.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Suspect getSuspect() {
+      return suspect_ == null ? org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance() : suspect_;
+    }
+    /**
+     * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectOrBuilder() {
+      return suspect_ == null ? org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance() : suspect_;
+    }
+
+    public static final int WRITTEN_AT_EPOCH_MILLIS_FIELD_NUMBER = 2;
+    private long writtenAtEpochMillis_ = 0L;
+    /**
+     * <pre>
+     * Time at which the ages in the suspect were valid, in milliseconds since the epoch.
+     * </pre>
+     *
+     * <code>uint64 written_at_epoch_millis = 2;</code>
+     * @return The writtenAtEpochMillis.
+     */
+    @java.lang.Override
+    public long getWrittenAtEpochMillis() {
+      return writtenAtEpochMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getSuspect());
+      }
+      if (writtenAtEpochMillis_ != 0L) {
+        output.writeUInt64(2, writtenAtEpochMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getSuspect());
+      }
+      if (writtenAtEpochMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, writtenAtEpochMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.StoredSuspect)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.StoredSuspect other = (org.tanagerbank.proto.PeerProto.StoredSuspect) obj;
+
+      if (hasSuspect() != other.hasSuspect()) return false;
+      if (hasSuspect()) {
+        if (!getSuspect()
+            .equals(other.getSuspect())) return false;
+      }
+      if (getWrittenAtEpochMillis()
+          != other.getWrittenAtEpochMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasSuspect()) {
+        hash = (37 * hash) + SUSPECT_FIELD_NUMBER;
+        hash = (53 * hash) + getSuspect().hashCode();
+      }
+      hash = (37 * hash) + WRITTEN_AT_EPOCH_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getWrittenAtEpochMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.StoredSuspect prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Suspect as it is kept in the store.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.StoredSuspect}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.StoredSuspect)
+        org.tanagerbank.proto.PeerProto.StoredSuspectOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_StoredSuspect_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.StoredSuspect.class, org.tanagerbank.proto.PeerProto.StoredSuspect.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.StoredSuspect.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetSuspectFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        suspect_ = null;
+        if (suspectBuilder_ != null) {
+          suspectBuilder_.dispose();
+          suspectBuilder_ = null;
+        }
+        writtenAtEpochMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_StoredSuspect_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.StoredSuspect getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.StoredSuspect.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.StoredSuspect build() {
+        org.tanagerbank.proto.PeerProto.StoredSuspect result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.StoredSuspect buildPartial() {
+        org.tanagerbank.proto.PeerProto.StoredSuspect result = new org.tanagerbank.proto.PeerProto.StoredSuspect(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.StoredSuspect result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.suspect_ = suspectBuilder_ == null
+              ? suspect_
+              : suspectBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.writtenAtEpochMillis_ = writtenAtEpochMillis_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.StoredSuspect) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.StoredSuspect)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.StoredSuspect other) {
+        if (other == org.tanagerbank.proto.PeerProto.StoredSuspect.getDefaultInstance()) return this;
+        if (other.hasSuspect()) {
+          mergeSuspect(other.getSuspect());
+        }
+        if (other.getWrittenAtEpochMillis() != 0L) {
+          setWrittenAtEpochMillis(other.getWrittenAtEpochMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetSuspectFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                writtenAtEpochMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private org.tanagerbank.proto.PeerProto.Suspect suspect_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> suspectBuilder_;
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+       * @return Whether the suspect field is set.
        */
-      public Builder setCaches(
-          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
-        if (cachesBuilder_ == null) {
-          ensureCachesIsMutable();
-          caches_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          cachesBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
+      public boolean hasSuspect() {
+        return ((bitField0_ & 0x00000001) != 0);
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
+       * @return The suspect.
        */
-      public Builder addCaches(org.tanagerbank.proto.PeerProto.EngineCache value) {
-        if (cachesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCachesIsMutable();
-          caches_.add(value);
-          onChanged();
