+      public org.tanagerbank.proto.PeerProto.Suspect getSuspect() {
+        if (suspectBuilder_ == null) {
+          return suspect_ == null ? org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance() : suspect_;
         } else {
-          cachesBuilder_.addMessage(value);
+          return suspectBuilder_.getMessage();
         }
-        return this;
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public Builder addCaches(
-          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
-        if (cachesBuilder_ == null) {
+      public Builder setSuspect(org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureCachesIsMutable();
-          caches_.add(index, value);
-          onChanged();
+          suspect_ = value;
         } else {
-          cachesBuilder_.addMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
-       */
-      public Builder addCaches(
-          org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
-        if (cachesBuilder_ == null) {
-          ensureCachesIsMutable();
-          caches_.add(builderForValue.build());
-          onChanged();
-        } else {
-          cachesBuilder_.addMessage(builderForValue.build());
+          suspectBuilder_.setMessage(value);
         }
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public Builder addCaches(
-          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
-        if (cachesBuilder_ == null) {
-          ensureCachesIsMutable();
-          caches_.add(index, builderForValue.build());
-          onChanged();
+      public Builder setSuspect(
+          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectBuilder_ == null) {
+          suspect_ = builderForValue.build();
         } else {
-          cachesBuilder_.addMessage(index, builderForValue.build());
+          suspectBuilder_.setMessage(builderForValue.build());
         }
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public Builder addAllCaches(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.EngineCache> values) {
-        if (cachesBuilder_ == null) {
-          ensureCachesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, caches_);
-          onChanged();
+      public Builder mergeSuspect(org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            suspect_ != null &&
+            suspect_ != org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance()) {
+            getSuspectBuilder().mergeFrom(value);
+          } else {
+            suspect_ = value;
+          }
         } else {
-          cachesBuilder_.addAllMessages(values);
+          suspectBuilder_.mergeFrom(value);
         }
-        return this;
-      }
-      /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
-       */
-      public Builder clearCaches() {
-        if (cachesBuilder_ == null) {
-          caches_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000040);
+        if (suspect_ != null) {
+          bitField0_ |= 0x00000001;
           onChanged();
-        } else {
-          cachesBuilder_.clear();
         }
         return this;
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public Builder removeCaches(int index) {
-        if (cachesBuilder_ == null) {
-          ensureCachesIsMutable();
-          caches_.remove(index);
-          onChanged();
-        } else {
-          cachesBuilder_.remove(index);
+      public Builder clearSuspect() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        suspect_ = null;
+        if (suspectBuilder_ != null) {
+          suspectBuilder_.dispose();
+          suspectBuilder_ = null;
         }
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public org.tanagerbank.proto.PeerProto.EngineCache.Builder getCachesBuilder(
-          int index) {
-        return internalGetCachesFieldBuilder().getBuilder(index);
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetSuspectFieldBuilder().getBuilder();
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
-          int index) {
-        if (cachesBuilder_ == null) {
-          return caches_.get(index);  } else {
-          return cachesBuilder_.getMessageOrBuilder(index);
+      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectOrBuilder() {
+        if (suspectBuilder_ != null) {
+          return suspectBuilder_.getMessageOrBuilder();
+        } else {
+          return suspect_ == null ?
+              org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance() : suspect_;
         }
       }
       /**
-       * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>.tanagerbank.peer.Suspect suspect = 1;</code>
        */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
-           getCachesOrBuilderList() {
-        if (cachesBuilder_ != null) {
-          return cachesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(caches_);
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+          internalGetSuspectFieldBuilder() {
+        if (suspectBuilder_ == null) {
+          suspectBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
+                  getSuspect(),
+                  getParentForChildren(),
+                  isClean());
+          suspect_ = null;
         }
+        return suspectBuilder_;
       }
+
+      private long writtenAtEpochMillis_ ;
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Time at which the ages in the suspect were valid, in milliseconds since the epoch.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>uint64 written_at_epoch_millis = 2;</code>
+       * @return The writtenAtEpochMillis.
        */
-      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder() {
-        return internalGetCachesFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      @java.lang.Override
+      public long getWrittenAtEpochMillis() {
+        return writtenAtEpochMillis_;
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Time at which the ages in the suspect were valid, in milliseconds since the epoch.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>uint64 written_at_epoch_millis = 2;</code>
+       * @param value The writtenAtEpochMillis to set.
+       * @return This builder for chaining.
        */
-      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder(
-          int index) {
-        return internalGetCachesFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      public Builder setWrittenAtEpochMillis(long value) {
+
+        writtenAtEpochMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Time at which the ages in the suspect were valid, in milliseconds since the epoch.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
+       * <code>uint64 written_at_epoch_millis = 2;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache.Builder> 
-           getCachesBuilderList() {
-        return internalGetCachesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
-          internalGetCachesFieldBuilder() {
-        if (cachesBuilder_ == null) {
-          cachesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder>(
-                  caches_,
-                  ((bitField0_ & 0x00000040) != 0),
-                  getParentForChildren(),
-                  isClean());
-          caches_ = null;
-        }
-        return cachesBuilder_;
+      public Builder clearWrittenAtEpochMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        writtenAtEpochMillis_ = 0L;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Digest)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.StoredSuspect)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Digest)
-    private static final org.tanagerbank.proto.PeerProto.Digest DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.StoredSuspect)
+    private static final org.tanagerbank.proto.PeerProto.StoredSuspect DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Digest();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.StoredSuspect();
     }
 
-    public static org.tanagerbank.proto.PeerProto.Digest getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.StoredSuspect getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Digest>
-        PARSER = new com.google.protobuf.AbstractParser<Digest>() {
+    private static final com.google.protobuf.Parser<StoredSuspect>
+        PARSER = new com.google.protobuf.AbstractParser<StoredSuspect>() {
       @java.lang.Override
-      public Digest parsePartialFrom(
+      public StoredSuspect parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -6656,17 +10744,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Digest> parser() {
+    public static com.google.protobuf.Parser<StoredSuspect> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Digest> getParserForType() {
+    public com.google.protobuf.Parser<StoredSuspect> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Digest getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.StoredSuspect getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -10462,6 +14550,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_Digest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_Suspect_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_Suspect_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_Crash_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_Crash_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_TrialClaim_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_StoredSuspect_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_Address_descriptor;
   private static final 
@@ -10503,23 +14611,35 @@
       "re\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\022\033\n\023since_ou" +
       "tage_millis\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\"8\n\013Topi" +
       "cRecord\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001" +
-      "B\010\n\006_value\"\223\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031." +
+      "B\010\n\006_value\"\364\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031." +
       "tanagerbank.peer.Address\022\016\n\006number\030\002 \001(\004" +
       "\022\026\n\016config_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036" +
       ".tanagerbank.peer.UpstreamWork\022/\n\nplacem" +
       "ents\030\005 \003(\0132\033.tanagerbank.peer.Placement\022" +
       "(\n\005peers\030\006 \003(\0132\031.tanagerbank.peer.Addres" +
       "s\022-\n\006caches\030\007 \003(\0132\035.tanagerbank.peer.Eng" +
-      "ineCache\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t" +
-      "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnatio" +
-      "n\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001" +
-      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n" +
-      "\006number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpr" +
-      "ompt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013p" +
-      "art_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r" +
-      "\"I\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010" +
-      "part_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025o" +
-      "rg.tanagerbank.protoB\tPeerProtob\006proto3"
+      "ineCache\022+\n\010suspects\030\010 \003(\0132\031.tanagerbank" +
+      ".peer.Suspect\0222\n\014trial_claims\030\t \003(\0132\034.ta" +
+      "nagerbank.peer.TrialClaim\"\204\001\n\007Suspect\022\023\n" +
+      "\013fingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.ta" +
+      "nagerbank.peer.Crash\022!\n\024completed_age_mi" +
+      "llis\030\003 \001(\004H\000\210\001\001B\027\n\025_completed_age_millis" +
+      "\"H\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010" +
+      "isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\"2\n\nTr" +
+      "ialClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007running" +
+      "\030\002 \001(\010\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001(\013" +
+      "2\031.tanagerbank.peer.Suspect\022\037\n\027written_a" +
+      "t_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013insta" +
+      "nce_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023" +
+      "\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013u" +
+      "pstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\t" +
+      "Placement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_id" +
+      "\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_id" +
+      "s\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetched_" +
+      "tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstream_" +
+      "id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_token" +
+      "s\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeerPr" +
+      "otob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -10554,27 +14674,51 @@
     internal_static_tanagerbank_peer_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Digest_descriptor,
-        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", });
-    internal_static_tanagerbank_peer_Address_descriptor =
+        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", "Suspects", "TrialClaims", });
+    internal_static_tanagerbank_peer_Suspect_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_tanagerbank_peer_Suspect_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_Suspect_descriptor,
+        new java.lang.String[] { "Fingerprint", "Crashes", "CompletedAgeMillis", });
+    internal_static_tanagerbank_peer_Crash_descriptor =
+      getDescriptor().getMessageTypes().get(6);
+    internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_Crash_descriptor,
+        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", });
+    internal_static_tanagerbank_peer_TrialClaim_descriptor =
+      getDescriptor().getMessageTypes().get(7);
+    internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_TrialClaim_descriptor,
+        new java.lang.String[] { "Fingerprint", "Running", });
+    internal_static_tanagerbank_peer_StoredSuspect_descriptor =
+      getDescriptor().getMessageTypes().get(8);
+    internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_StoredSuspect_descriptor,
+        new java.lang.String[] { "Suspect", "WrittenAtEpochMillis", });
+    internal_static_tanagerbank_peer_Address_descriptor =
+      getDescriptor().getMessageTypes().get(9);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/main/java/org/tanagerbank/quarantine/QuarantineStatus.java
+++ b/src/main/java/org/tanagerbank/quarantine/QuarantineStatus.java
@@ -2,10 +2,15 @@
 
 /** States whether requests with a fingerprint may run. */
 public enum QuarantineStatus {
-  /** No crash is on record; the request may run with others. */
+  /** No crash counts against it; the request may run with others. */
   CLEAR,
-  /** The fingerprint was in flight at a crash; the request must run alone. */
+  /**
+   * The fingerprint was in flight at a crash. Where a process sees all work of its upstream, the
+   * request must run alone.
+   */
   SUSPECT,
-  /** The fingerprint crashed engines; the request must not run. */
+  /** The fingerprint was in flight at several crashes; it may run once at a time in the fleet. */
+  TRIAL_ONLY,
+  /** The fingerprint crashed upstreams; the request must not run. */
   QUARANTINED
 }
--- a/src/main/java/org/tanagerbank/sidecar/ActiveRuns.java
+++ b/src/main/java/org/tanagerbank/sidecar/ActiveRuns.java
@@ -88,7 +88,7 @@
     long now = clock.getAsLong();
     ledger.finish(run.id(), now);
     answerRetention.add(run.id(), run.retainedBytes(), now).forEach(ledger::dropAnswer);
-    quarantine.recordCompletion(run.fingerprint());
+    quarantine.recordCompletion(run.fingerprint(), now);
     remove(run, now);
     metrics.countRunEnd("finished");
     return admission.inFlight();
--- a/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -65,6 +66,10 @@
       ready.accept(reused);
       return;
     }
+    connectNew(ready, failed);
+  }
+
+  private void connectNew(Consumer<HttpConnection> ready, Runnable failed) {
     ResponseDecoder decoder = new ResponseDecoder();
     HttpConnection connection = new HttpConnection(decoder, this::release, this::remove);
     connector
@@ -72,6 +77,21 @@
         .addListener((ChannelFuture f) -> onConnect(f, connection, ready, failed));
   }
 
+  /**
+   * Opens a connection to find out whether the server is there. An accepted connection is kept for
+   * later use.
+   *
+   * @param callback receives whether the connection was accepted
+   */
+  public void probe(Consumer<Boolean> callback) {
+    connectNew(
+        opened -> {
+          release(opened);
+          callback.accept(true);
+        },
+        () -> callback.accept(false));
+  }
+
   private void onConnect(
       ChannelFuture connected,
       HttpConnection connection,
@@ -88,14 +108,9 @@
   /** Closes idle connections that the server may close soon. */
   public void closeExpired() {
     long now = clockMillis.getAsLong();
-    idle.removeIf(
-        c -> {
-          boolean expired = !isUsable(c, now);
-          if (expired) {
-            c.close();
-          }
-          return expired;
-        });
+    List<HttpConnection> expired = idle.stream().filter(c -> !isUsable(c, now)).toList();
+    idle.removeAll(expired);
+    expired.forEach(HttpConnection::close);
   }
 
   /**
@@ -103,8 +118,9 @@
    * opened on demand.
    */
   public void closeIdle() {
-    idle.forEach(HttpConnection::close);
+    List<HttpConnection> closing = List.copyOf(idle);
     idle.clear();
+    closing.forEach(HttpConnection::close);
   }
 
   /** Closes idle connections now and each other connection at the end of its exchange. */
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -16,6 +16,11 @@
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
+import org.tanagerbank.quarantine.CrashEvidence;
+import org.tanagerbank.quarantine.CrashRecord;
+import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
+import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.RelayedRecords;
 
@@ -42,6 +47,17 @@
             ImmutableMap.of("i-1", 3),
             ImmutableList.of(new PeerPlacement(4, "i-1", prompt(-7), 3)),
             ImmutableList.of(address("b", 6)),
+            ImmutableList.of(
+                new SuspectRecord(
+                    new Fingerprint(-9),
+                    CrashEvidence.of(
+                        ImmutableList.of(
+                            new CrashRecord("c1", 1, false, -50),
+                            new CrashRecord("c2", 2, true, 0)),
+                        -70)),
+                new SuspectRecord(
+                    new Fingerprint(8), CrashEvidence.of(ImmutableList.of(), CrashEvidence.NEVER))),
+            ImmutableList.of(new TrialClaim(new Fingerprint(-9), true)),
             ImmutableList.of(
                 new CachedParts(
                     "i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
--- a/src/test/java/org/tanagerbank/soak/SoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/SoakIT.java
@@ -309,6 +309,9 @@
     if (!request.path().startsWith("/safe") && runs > 1) {
       return Optional.of("ran " + runs + " times, expected at most 1: " + request);
     }
+    if (response.body().contains("crashed several upstreams")) {
+      return Optional.of("refused for the crashes that another request caused: " + request);
+    }
     boolean isRefused = response.status() == 503 || response.status() == 429;
     if (!request.path().startsWith("/safe") && isRefused && runs > 0) {
       return Optional.of("refused with status 503 or 429 although it ran: " + request);
