Log a restricted or quarantined request at every instance that learns of it

Callers saw: nothing; on-call engineers saw the decision only in the log of the instance whose run was lost last, while the others refuse the request too. Change: CrashGuard logs each change of a fingerprint's status, whatever brought it. Evidence: DeadlyRequestTest, SuspectStoreTest and CataloguePagesTest pass. Measured: one line for each fingerprint, change and instance.

--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -132,20 +132,25 @@
 
   private void runCrashed(TrackedRun run, String crashId) {
     long now = clockMillis.getAsLong();
+    QuarantineStatus before = quarantine.status(run.fingerprint(), now);
     CrashRecord crash = new CrashRecord(crashId, run.depth(), run.isTrial(), now);
     if (quarantine.recordLostRun(run.fingerprint(), crash, now)) {
       news.add(run.fingerprint());
     }
-    QuarantineStatus status = quarantine.status(run.fingerprint(), now);
-    if (status.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
+    logChange(run.fingerprint(), before, now);
+  }
+
+  private void logChange(Fingerprint fingerprint, QuarantineStatus before, long now) {
+    QuarantineStatus after = quarantine.status(fingerprint, now);
+    if (after != before && after.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
       EventLog.emit(
-          status == QuarantineStatus.QUARANTINED
+          after == QuarantineStatus.QUARANTINED
               ? LogEvent.REQUEST_QUARANTINED
               : LogEvent.REQUEST_RESTRICTED,
           "fingerprint",
-          run.fingerprint(),
+          fingerprint,
           "crashes",
-          evidence(run.fingerprint()).map(e -> e.crashes().size()).orElse(0));
+          evidence(fingerprint).map(e -> e.crashes().size()).orElse(0));
     }
   }
 
@@ -170,8 +175,13 @@
   /** Merges the suspects that another instance or the store reported. */
   public void mergeSuspects(ImmutableList<SuspectRecord> suspects) {
     long now = clockMillis.getAsLong();
-    suspects.forEach(
-        s -> quarantine.mergeEvidence(s.fingerprint(), s.evidence().shiftBy(now), now));
+    suspects.forEach(s -> merge(s, now));
+  }
+
+  private void merge(SuspectRecord suspect, long now) {
+    QuarantineStatus before = quarantine.status(suspect.fingerprint(), now);
+    quarantine.mergeEvidence(suspect.fingerprint(), suspect.evidence().shiftBy(now), now);
+    logChange(suspect.fingerprint(), before, now);
   }
 
   /** Replaces the trial claims of another instance. */
