Bound the retries of instances that restart or hear no others

Cause: (1) a restarted instance began with its whole share of the retries beyond the ratio, whatever it had sent in the same window before; four instances that restart send that share twice. (2) the share was divided by the instances that are heard; all instances of a fleet that do not hear each other took a quarter of the whole each. Part (2) has no test of its own.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -25,7 +25,6 @@
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Workspace;
-import org.tanagerbank.routing.RetryBudget;
 import org.tanagerbank.upstream.HeaderCodec;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -119,12 +118,13 @@
   }
 
   /**
-   * Makes new requests wait until {@link #onCacheContentsLoaded} is called. An engine may have
-   * their prompts cached, and a request placed without that information would prefill its prompt
-   * again.
+   * Records that this instance has started again, so that it lacks what it knew before. Makes new
+   * requests wait until {@link #onCacheContentsLoaded} is called. An engine may have their prompts
+   * cached, and a request placed without that information would prefill its prompt again.
    */
-  public void waitForCacheContents() {
+  public void recordRestart() {
     awaitingCaches = true;
+    retryBudgets.recordRestart(nowMillis());
   }
 
   /** Resumes the requests that waited for the cache contents of the engines. */
@@ -314,8 +314,8 @@
     exchange.respond(refusal.status(), headers, Unpooled.wrappedBuffer(text));
   }
 
-  RetryBudget retryBudget(String service) {
-    return retryBudgets.budget(service);
+  RetryBudgets retryBudgets() {
+    return retryBudgets;
   }
 
   EventLoop loop() {
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -81,7 +81,7 @@
 
   void start() {
     exchange.onDisconnect(this::callerDisconnected);
-    dispatcher.retryBudget(service).recordRequest(dispatcher.nowMillis());
+    dispatcher.retryBudgets().recordRequest(service, dispatcher.nowMillis());
     long left = Math.max(0, timeLeftMillis());
     timeout = dispatcher.loop().schedule(this::timedOut, left, TimeUnit.MILLISECONDS);
     place();
@@ -260,7 +260,7 @@
             sentAttempts,
             connectFailures,
             timeLeftMillis(),
-            () -> dispatcher.retryBudget(service).tryAcquire(dispatcher.nowMillis()));
+            () -> dispatcher.retryBudgets().tryAcquire(service, dispatcher.nowMillis()));
     boolean canResume = !hasBegun || lastEventId.isPresent();
     boolean hasOtherCandidate = !dispatcher.upstreams().candidates(service, tried).isEmpty();
     if (retryAllowed && canResume && hasOtherCandidate) {
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -266,7 +266,7 @@
   }
 
   private void learnEngineCaches() {
-    dispatcher.waitForCacheContents();
+    dispatcher.recordRestart();
     cacheTransfer.collectAfterRestart(dispatcher::onCacheContentsLoaded);
   }
 
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -32,6 +32,9 @@
   /** Called when an instance has stopped sending digests. */
   void onPeerLost(String instanceId);
 
-  /** Called when the number of live instances changes; the number includes this instance. */
+  /**
+   * Called when the number of known instances changes; the number includes this instance and those
+   * that have been silent for a short time.
+   */
   void onFleetSizeChanged(int instances);
 }
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -86,7 +86,7 @@
   private ImmutableMap<String, Integer> lastInFlight = ImmutableMap.of();
   private long digestNumber;
   private long sentAtMillis;
-  private int lastLivePeers = -1;
+  private int lastKnownPeers = -1;
   private boolean stopped;
   private Consumer<PeerAddress> peerStartedAction = started -> {};
   private Runnable peersReadAction = () -> {};
@@ -231,10 +231,11 @@
   }
 
   private void reportFleetSize() {
-    int live = table.live().size();
-    if (live != lastLivePeers) {
-      lastLivePeers = live;
-      listener.onFleetSizeChanged(live + 1);
+    // An instance that does not hear the others cannot know whether they serve.
+    int known = table.known().size();
+    if (known != lastKnownPeers) {
+      lastKnownPeers = known;
+      listener.onFleetSizeChanged(known + 1);
     }
   }
 
