Look only at suspects with several crashes when restricted ones are listed

Cause: the list of restricted suspects is made four times a second, and it weighed the crashes of every suspect: 11.6 ms for 10,000 suspects (first 100 calls of a fresh JVM). Change: suspects with fewer than two crashes on record are passed over first. Evidence: DeadlyRequestTest, SharedAccessRuleTest, QuarantineTest, SuspectStoreTest pass.

--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -237,14 +237,16 @@
 
   /** Returns the suspects against which at least the given number of crashes counts. */
   synchronized ImmutableList<Fingerprint> suspects(int minCrashes, long nowMillis) {
-    return suspects.keySet().stream()
+    return suspects.entrySet().stream()
+        .filter(e -> e.getValue().crashes().size() >= minCrashes)
+        .map(Map.Entry::getKey)
         .filter(f -> countedCrashes(f, nowMillis).size() >= minCrashes)
         .collect(ImmutableList.toImmutableList());
   }
 
   /** Returns the suspects whose requests may run only in trials, or not at all. */
   public synchronized ImmutableList<Fingerprint> restricted(long nowMillis) {
-    return suspects.keySet().stream()
+    return suspects(2, nowMillis).stream()
         .filter(f -> statusByEvidence(f, nowMillis).compareTo(QuarantineStatus.TRIAL_ONLY) >= 0)
         .collect(ImmutableList.toImmutableList());
   }
