Let the soak tell by the log whether a process had started when a signal came

A Java process that is still starting ends at a signal, as SoakGateway allows; but it took 3 s since the launch for started, and starts took longer. Change: a process counts as started from its PROCESS_STARTED, which it logs once its handlers are set. This is stricter where a start takes less than 3 s, and no less strict after it. No product code.

--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -1,6 +1,9 @@
 package org.tanagerbank.soak;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import java.io.File;
+import java.io.FileInputStream;
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -16,12 +19,12 @@
   private static final long STOP_TIMEOUT_SECONDS = 15;
 
   /**
-   * How long after its launch a process may still lack its signal handlers.
+   * The event that a process logs when its signal handlers are set.
    *
    * <p>A Java virtual machine that receives a signal before it has installed its handlers exits, as
    * is the default for the signal.
    */
-  private static final long STARTUP_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final String STARTED_EVENT = "PROCESS_STARTED";
 
   /** The status of a process that SIGTERM ended without a handler: 128 + 15. */
   private static final int SIGTERM_EXIT_STATUS = 143;
@@ -33,6 +36,7 @@
   private final List<Long> interruptions = new CopyOnWriteArrayList<>();
   private Process process;
   private long launchedAt;
+  private long logBytesAtLaunch;
   private long signalledAt;
   private boolean exitedUnexpectedly;
 
@@ -94,6 +98,7 @@
             settingsFile.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile));
+    logBytesAtLaunch = logFile.length();
     process = builder.start();
     launchedAt = System.nanoTime();
     interruptions.add(launchedAt);
@@ -102,20 +107,26 @@
   /**
    * Relaunches the process if it has exited, as a platform does.
    *
-   * <p>The exit counts as unexpected unless the process was signalled while it was starting.
+   * <p>The exit counts as unexpected unless the process was signalled and had not started yet.
    */
   synchronized void relaunchIfExited() throws IOException {
     if (process.isAlive()) {
       return;
     }
-    boolean wasSignalledAtStart =
-        signalledAt > launchedAt && signalledAt - launchedAt < STARTUP_NANOS;
-    exitedUnexpectedly |= !wasSignalledAtStart;
+    exitedUnexpectedly |= signalledAt < launchedAt || hasStarted();
     long from = launchedAt;
     launch();
     disruptions.add(new TimeWindow(from, System.nanoTime()));
   }
 
+  /** Returns whether the process has logged that it started. */
+  private boolean hasStarted() throws IOException {
+    try (FileInputStream in = new FileInputStream(logFile)) {
+      in.skipNBytes(logBytesAtLaunch);
+      return new String(in.readAllBytes(), ISO_8859_1).contains(STARTED_EVENT);
+    }
+  }
+
   synchronized void signal(String name) throws IOException, InterruptedException {
     signalledAt = System.nanoTime();
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
@@ -137,7 +148,7 @@
    * a planned stop must not lose a response.
    */
   synchronized boolean terminateAndRelaunch() throws IOException, InterruptedException {
-    boolean isStarting = System.nanoTime() - launchedAt < STARTUP_NANOS;
+    boolean isStarting = !hasStarted();
     process.destroy();
     interruptions.add(System.nanoTime());
     boolean exitedInTime = process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
