Merge observations of one crash before their number is bounded

Callers saw: nothing; found by reading the change once more. Cause: CrashEvidence kept the latest 12 records before it merged two records of the same crash. Instances repeat what they know, so evidence of more than six crashes that was merged with itself lost its oldest ones, against the promise that repetition does not matter. Change: merge by crash id first, then keep the latest 12. Evidence: SharedAccessRuleTest#evidenceThatIsMergedAgainLosesNothing failed before (6 of 12 left) and passes; DeadlyRequestTest passes.

--- a/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
@@ -36,12 +36,16 @@
 
   /** Returns evidence of the given crashes. */
   public static CrashEvidence of(Collection<CrashRecord> crashes, long completedAtMillis) {
-    return new CrashEvidence(
+    // Two observations of one crash are merged first, so that they do not count twice.
+    ImmutableMap<String, CrashRecord> byId =
         crashes.stream()
+            .collect(
+                toImmutableMap(CrashRecord::crashId, Function.identity(), CrashRecord::mergeWith));
+    return new CrashEvidence(
+        byId.values().stream()
             .sorted(LATEST_FIRST)
             .limit(MAX_CRASHES)
-            .collect(
-                toImmutableMap(CrashRecord::crashId, Function.identity(), CrashRecord::mergeWith)),
+            .collect(toImmutableMap(CrashRecord::crashId, Function.identity())),
         completedAtMillis);
   }
 
--- a/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
@@ -104,6 +104,17 @@
     assertThat(merged.completedAtMillis()).isEqualTo(15);
   }
 
+  /** Instances repeat all that they know, so that the same evidence is merged again and again. */
+  @Test
+  void evidenceThatIsMergedAgainLosesNothing() {
+    ImmutableList.Builder<CrashRecord> crashes = ImmutableList.builder();
+    for (int i = 0; i < 12; i++) {
+      crashes.add(new CrashRecord("c" + i, i, false, i));
+    }
+    CrashEvidence evidence = CrashEvidence.of(crashes.build(), CrashEvidence.NEVER);
+    assertThat(evidence.mergeWith(evidence)).isEqualTo(evidence);
+  }
+
   @Test
   void stateIsBounded() {
     for (int i = 0; i < 10_100; i++) {
