Send urgent digests after the minimum interval instead of dropping them

Callers saw: nothing yet; found by reading the change once more. In a fleet of 30 gateways two runs of a deadly request could start at once. Cause: an urgent digest was dropped if another had left within 10 ms, 'as the next one is due shortly'. The interval of regular digests grows with the fleet: 290 ms at 30 gateways, more than the 100 ms for which a trial waits for other claims. A second claim of one instance was not urgent at all, and neither was a crash under a trial. Change: the urgent digest is sent when 10 ms are over; each change of an instance's claims and each crash under a trial is urgent. DigestSchedule holds the intervals, for PeerService and for the simulation, which now sends as rarely as a fleet of its size does. Evidence: DeadlyRequestTest#instancesThatHaveJustSentDigestsStillHearOfEachOthersClaims failed before (5 runs where 4 are allowed) and passes, as do the other 16.

--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -54,7 +54,7 @@
     this.clockMillis = clockMillis;
   }
 
-  /** Sets the action that sends the trial claims of this instance to the others at once. */
+  /** Sets the action that tells the others at once what must not wait for the next digest. */
   public void setUrgentNewsAction(Runnable action) {
     urgentNews = action;
   }
@@ -70,9 +70,9 @@
   }
 
   private Admission claimTrial(Fingerprint fingerprint, Object holder, long now) {
-    boolean hadClaims = !claims.ownClaims(now).isEmpty();
+    ImmutableList<TrialClaim> before = claims.ownClaims(now);
     boolean mayStart = claims.tryStart(fingerprint, holder, now);
-    if (mayStart || !hadClaims) {
+    if (!claims.ownClaims(now).equals(before)) {
       urgentNews.run();
     }
     return mayStart ? Admission.TRIAL : Admission.WAIT;
@@ -137,6 +137,9 @@
     if (quarantine.recordLostRun(run.fingerprint(), crash, now)) {
       news.add(run.fingerprint());
     }
+    if (run.isTrial()) {
+      urgentNews.run();
+    }
     logChange(run.fingerprint(), before, now);
   }
 
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -44,23 +44,6 @@
  * thread; all other methods are called on the event loop.
  */
 public final class PeerService implements Lifecycle {
-  /**
-   * The minimum time between two digests. The interval grows with the number of peers, which bounds
-   * the work of sending and receiving digests.
-   */
-  private static final long MIN_DIGEST_INTERVAL_MILLIS = 40;
-
-  private static final long DIGEST_INTERVAL_PER_PEER_MILLIS = 10;
-
-  /** Bounds the digests of instances that answer each other's claims. */
-  private static final long MIN_URGENT_INTERVAL_MILLIS = 10;
-
-  /**
-   * The time after which a digest is due although nothing has changed, so that peers detect that
-   * the sender is alive.
-   */
-  private static final long KEEP_ALIVE_MILLIS = 400;
-
   /** One digest in this many lists live peers of the sender. */
   private static final int DIGESTS_PER_PEER_LIST = 25;
 
@@ -78,6 +61,7 @@
   private final TopicRelay relay;
   private final PeerRegistration registration;
   private final PlacementLog placements = new PlacementLog();
+  private final DigestSchedule digestSchedule = new DigestSchedule();
 
   /** The number of the newest placement received, by instance id and incarnation. */
   private final Map<String, Long> lastPlacement = new HashMap<>();
@@ -85,7 +69,7 @@
   private Channel channel;
   private ImmutableMap<String, Integer> lastInFlight = ImmutableMap.of();
   private long digestNumber;
-  private long sentAtMillis;
+  private boolean isUrgentDigestPending;
   private int lastKnownPeers = -1;
   private boolean stopped;
   private Consumer<PeerAddress> peerStartedAction = started -> {};
@@ -147,7 +131,7 @@
     }
     channel = bound.channel();
     loop.execute(registration::start);
-    schedule(this::tick, MIN_DIGEST_INTERVAL_MILLIS);
+    schedule(this::tick, DigestSchedule.intervalMillis(0));
   }
 
   @Override
@@ -215,13 +199,10 @@
             || source.hasUnsentSuspects()
             || !source.trialClaims().isEmpty()
             || !current.equals(lastInFlight);
-    if (hasChanges || now - sentAtMillis >= KEEP_ALIVE_MILLIS) {
+    if (hasChanges || digestSchedule.isKeepAliveDue(now)) {
       send(current, now);
     }
-    schedule(
-        this::tick,
-        Math.max(
-            MIN_DIGEST_INTERVAL_MILLIS, table.live().size() * DIGEST_INTERVAL_PER_PEER_MILLIS));
+    schedule(this::tick, DigestSchedule.intervalMillis(table.live().size()));
   }
 
   private void onPeerLost(String instanceId) {
@@ -268,18 +249,25 @@
       return;
     }
     lastInFlight = current;
-    sentAtMillis = now;
+    digestSchedule.recordSent(now);
     digestNumber++;
     send(
         digest(current, placements.nextBatch(), source.nextSuspects(), ImmutableList.of()),
         targets);
   }
 
-  /** Sends a digest now, unless one was sent so recently that the next one is due shortly. */
+  /** Sends a digest as soon as the schedule allows, without waiting for the next regular one. */
   public void sendUrgently() {
-    long now = clockMillis.getAsLong();
-    if (!stopped && now - sentAtMillis >= MIN_URGENT_INTERVAL_MILLIS) {
-      send(source.inFlight(), now);
+    if (!isUrgentDigestPending) {
+      isUrgentDigestPending = true;
+      schedule(this::sendUrgentDigest, digestSchedule.urgentDelayMillis(clockMillis.getAsLong()));
+    }
+  }
+
+  private void sendUrgentDigest() {
+    isUrgentDigestPending = false;
+    if (!stopped) {
+      send(source.inFlight(), clockMillis.getAsLong());
     }
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
@@ -76,7 +76,7 @@
 
   /** The bound holds although each gateway gets the request at the same moment. */
   @ParameterizedTest
-  @ValueSource(ints = {2, 4, 12})
+  @ValueSource(ints = {2, 4, 12, 30})
   void requestThatComesToAllGatewaysAtOnceRunsOnceAtATime(int gateways) {
     DispatchSimulation fleet = new DispatchSimulation(gateways, UPSTREAMS, true);
     for (int i = 0; i < 60; i++) {
@@ -89,6 +89,23 @@
     assertNoInnocentIsRefused(fleet);
   }
 
+  /** In a large fleet, the next regular digest of an instance comes after the wait for claims. */
+  @Test
+  void instancesThatHaveJustSentDigestsStillHearOfEachOthersClaims() {
+    DispatchSimulation fleet = new DispatchSimulation(30, UPSTREAMS, true);
+    for (int i = 0; i < 3; i++) {
+      fleet.send(5, "/once/x", "deadly");
+      fleet.advance(1_000);
+    }
+    fleet.advance(SimulatedUpstream.RESTART_MILLIS + 2_000);
+    int before = fleet.deadlyRuns().size();
+    fleet.advanceUntilDigestOf(1);
+    fleet.send(0, "/once/x", "deadly");
+    fleet.send(1, "/once/x", "deadly");
+    fleet.advance(200);
+    assertThat(fleet.deadlyRuns()).hasSize(before + 1);
+  }
+
   @Test
   void quarantinedRequestIsRefusedAtOnceAsNotRun() {
     DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -18,6 +18,7 @@
 import java.util.stream.IntStream;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
+import org.tanagerbank.peer.DigestSchedule;
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
@@ -42,8 +43,6 @@
   /** The time without interruption after which the bounds of the platform hold for a gateway. */
   private static final long STABLE_MILLIS = 3_000;
 
-  private static final long DIGEST_INTERVAL_MILLIS = 40;
-  private static final long URGENT_INTERVAL_MILLIS = 10;
   private static final long MESSAGE_MILLIS = 2;
   private static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
@@ -126,8 +125,10 @@
 
   /** A gateway, which is replaced by a new one when it restarts. */
   private final class SimulatedGateway {
-    private long toldAtMillis;
+    private final DigestSchedule schedule = new DigestSchedule();
+    private long nextDigestMillis;
     private long interruptedAtMillis = nowMillis;
+    private boolean isUrgentDigestPending;
     private boolean isPaused;
     private boolean isCutOff;
     private final EmbeddedChannel clock = new EmbeddedChannel();
@@ -136,6 +137,7 @@
     private long ranUntilMillis = nowMillis;
 
     private SimulatedGateway(int index) {
+      nextDigestMillis = nowMillis + 7L * index;
       clock.freezeTime();
       DispatchRuntime runtime =
           new DispatchRuntime(
@@ -157,6 +159,10 @@
       dispatcher.crashGuard().setUrgentNewsAction(() -> tellUrgently(index));
     }
 
+    private void laterOnLoop(long delayMillis, Runnable task) {
+      var unused = clock.eventLoop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void run() {
       if (isPaused) {
         return;
@@ -302,13 +308,20 @@
   }
 
   private void tellUrgently(int from) {
-    if (nowMillis - gateways.get(from).toldAtMillis >= URGENT_INTERVAL_MILLIS) {
-      tellOthers(from);
+    SimulatedGateway gateway = gateways.get(from);
+    if (!gateway.isUrgentDigestPending) {
+      gateway.isUrgentDigestPending = true;
+      gateway.laterOnLoop(
+          gateway.schedule.urgentDelayMillis(nowMillis),
+          () -> {
+            gateway.isUrgentDigestPending = false;
+            tellOthers(from);
+          });
     }
   }
 
   private void tellOthers(int from) {
-    gateways.get(from).toldAtMillis = nowMillis;
+    gateways.get(from).schedule.recordSent(nowMillis);
     SharedUpstreamState state = gateways.get(from).dispatcher.sharedUpstreamState();
     ImmutableList<SuspectRecord> suspects = state.nextSuspects();
     for (int to = 0; to < gateways.size(); to++) {
@@ -326,10 +339,12 @@
   }
 
   private void exchange() {
-    if (nowMillis % DIGEST_INTERVAL_MILLIS == 0) {
-      IntStream.range(0, gateways.size())
-          .filter(i -> !gateways.get(i).isPaused)
-          .forEach(this::tellOthers);
+    for (int i = 0; i < gateways.size(); i++) {
+      SimulatedGateway gateway = gateways.get(i);
+      if (nowMillis >= gateway.nextDigestMillis && !gateway.isPaused) {
+        gateway.nextDigestMillis = nowMillis + DigestSchedule.intervalMillis(gateways.size() - 1);
+        tellOthers(i);
+      }
     }
     List<Message> due = messages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
     messages.removeAll(due);
@@ -347,6 +362,12 @@
     state.onPeerSuspects(sender, message.suspects(), message.claims());
   }
 
+  /** Lets time pass until a gateway has just sent a regular digest. */
+  void advanceUntilDigestOf(int gateway) {
+    long due = gateways.get(gateway).nextDigestMillis;
+    advance(due - nowMillis);
+  }
+
   /** Lets time pass in steps of one millisecond. */
   void advance(long millis) {
     for (long end = nowMillis + millis; nowMillis < end; ) {
