Simplify the crash guard's callers and the quarantine's expiry

Found by reading the change once more; behaviour stays. - Attempt: whether it was sent follows from its run; the claim of a run is released in close, which every end passes, instead of at five places. - RequestExecution: the refusal of an ended request is passed as such; the reason's text is not compared any more. - Quarantine: one method for a recorded expiry, which merge no longer computes by evidence. - CrashDetector: lost runs are selected and removed in two steps, not by a predicate with a side effect. SuspectNews: one position for both turns. - Gateway: the suspects are read when the store has answered something, not a second time at the start.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -46,7 +46,6 @@
   private final ByteBufAllocator allocator = UnpooledByteBufAllocator.DEFAULT;
   private HttpConnection connection;
   private TrackedRun run;
-  private boolean sent;
   private boolean isEnded;
   private long sentMillis;
   private int status;
@@ -86,7 +85,6 @@
       return;
     }
     connection = opened;
-    sent = true;
     sentMillis = dispatcher.nowMillis();
     run = dispatcher.crashGuard().runStarted(execution.fingerprint(), execution, upstream, isTrial);
     connection.send(execution.upstreamRequest(choice), this);
@@ -101,7 +99,7 @@
   }
 
   boolean wasSent() {
-    return sent;
+    return run != null;
   }
 
   void setReading(boolean reading) {
@@ -115,8 +113,8 @@
     if (isEnded) {
       return;
     }
-    if (sent) {
-      recordSilence();
+    if (wasSent()) {
+      recordCancellation();
     }
     close();
     if (connection != null) {
@@ -126,9 +124,10 @@
 
   /**
    * Counts a failure and closes the idle connections if the upstream has sent nothing for too long:
-   * it may hang, or the network may no longer deliver packets on its open connections.
+   * it may hang or have crashed, or the network may no longer deliver packets on its open
+   * connections.
    */
-  private void recordSilence() {
+  private void recordCancellation() {
     if (headers == null && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
       upstream.health().requestFailed();
       upstream.connections().closeIdle();
@@ -147,12 +146,10 @@
         .load(headers)
         .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     if (!isAnswer()) {
-      dispatcher.crashGuard().runEnded(run);
       fail(AttemptFailure.responseLost("response to another request"));
       return;
     }
     if (isSuccess() && !dispatcher.headerCodec().hasUpstreamSignature(headers)) {
-      dispatcher.crashGuard().runEnded(run);
       fail(AttemptFailure.responseLost("response without the signature of an upstream"));
       return;
     }
@@ -230,16 +227,16 @@
       forward(events.takeRemainder());
     }
     execution.beginResponse(status, headers);
-    close();
     dispatcher.crashGuard().runCompleted(run);
+    close();
     execution.endResponse(status);
   }
 
   private void finishBuffered() {
     ByteBuf body = buffered;
     buffered = null;
-    close();
     recordResult();
+    close();
     if (dispatcher.headerCodec().statesNotRun(status, headers)) {
       body.release();
       execution.handleFailure(upstream, AttemptFailure.refused(status, false), Optional.empty());
@@ -261,8 +258,6 @@
             && !dispatcher.headerCodec().statesNotRun(status, headers);
     if (hasRun) {
       dispatcher.crashGuard().runCompleted(run);
-    } else {
-      dispatcher.crashGuard().runEnded(run);
     }
   }
 
@@ -294,9 +289,7 @@
     if (isEnded) {
       return;
     }
-    if (failure == ExchangeFailure.MALFORMED) {
-      dispatcher.crashGuard().runEnded(run);
-    } else {
+    if (failure != ExchangeFailure.MALFORMED) {
       dispatcher.crashGuard().runLost(run, /* wasClosed= */ true);
     }
     fail(AttemptFailure.responseLost(failure.name()));
@@ -309,9 +302,12 @@
     execution.handleFailure(upstream, failure, Optional.empty());
   }
 
-  /** Removes the attempt from the request counts and releases its buffers. */
+  /** Removes the attempt from the request counts and releases its claim and its buffers. */
   private void close() {
     isEnded = true;
+    if (wasSent()) {
+      dispatcher.crashGuard().runEnded(run);
+    }
     upstream.requestEnded();
     upstream.engine().ifPresent(e -> e.requestEnded(execution.requestId()));
     if (buffered != null) {
--- a/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -84,8 +85,8 @@
 
   private void recordCrash(UpstreamHandle upstream) {
     upstream.recordCrash();
-    Deque<LostRun> lost = new ArrayDeque<>();
-    pending.removeIf(p -> p.run().upstream() == upstream && lost.add(p));
+    List<LostRun> lost = pending.stream().filter(p -> p.run().upstream() == upstream).toList();
+    pending.removeAll(lost);
     if (!lost.isEmpty()) {
       EventLog.emit(
           LogEvent.UPSTREAM_CRASHED,
--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -7,7 +7,6 @@
 import java.util.function.LongSupplier;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.quarantine.CrashEvidence;
 import org.tanagerbank.quarantine.CrashRecord;
 import org.tanagerbank.quarantine.Quarantine;
 import org.tanagerbank.quarantine.QuarantineRule;
@@ -96,10 +95,9 @@
     if (quarantine.recordCompletion(run.fingerprint(), clockMillis.getAsLong())) {
       news.add(run.fingerprint());
     }
-    runEnded(run);
   }
 
-  /** Records that a run ended with a result that says nothing of its effect on the upstream. */
+  /** Ends a run. Has no effect on the claim of one that was lost or cancelled. */
   void runEnded(TrackedRun run) {
     claims.end(run.fingerprint(), run.holder(), /* wasLost= */ false, clockMillis.getAsLong());
   }
@@ -153,7 +151,7 @@
           "fingerprint",
           fingerprint,
           "crashes",
-          evidence(fingerprint).map(e -> e.crashes().size()).orElse(0));
+          quarantine.evidence(fingerprint).map(e -> e.crashes().size()).orElse(0));
     }
   }
 
@@ -204,10 +202,8 @@
 
   private Optional<SuspectRecord> record(Fingerprint fingerprint) {
     long now = clockMillis.getAsLong();
-    return evidence(fingerprint).map(e -> new SuspectRecord(fingerprint, e.shiftBy(-now)));
-  }
-
-  private Optional<CrashEvidence> evidence(Fingerprint fingerprint) {
-    return quarantine.evidence(fingerprint);
+    return quarantine
+        .evidence(fingerprint)
+        .map(e -> new SuspectRecord(fingerprint, e.shiftBy(-now)));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -101,7 +101,8 @@
         var unused =
             dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
       }
-      case REFUSED -> endWithError(Refusal.QUARANTINED);
+      case REFUSED ->
+          endWithError(Refusal.quarantined(dispatcher.crashGuard().refusedMillis(fingerprint)));
       default -> throw new AssertionError("unknown admission");
     }
   }
@@ -121,7 +122,7 @@
             ? Placement.leastLoaded(candidates, dispatcher.nowMillis())
             : Placement.choose(candidates, placement);
     if (chosen.isEmpty()) {
-      endWithError("no upstream of the service is left");
+      endWithError(Refusal.notRun("no upstream of the service is left"));
       return;
     }
     UpstreamChoice choice = chosen.get();
@@ -273,7 +274,7 @@
           errorResponse.get().status(), errorResponse.get().headers(), errorResponse.get().body());
       return;
     }
-    endWithError(failure.reason());
+    endWithError(Refusal.notRun(failure.reason()));
   }
 
   private void recordFailure(UpstreamHandle upstream, AttemptFailure failure) {
@@ -307,27 +308,23 @@
   /**
    * Ends the request without a response of an upstream. A response that was already begun is
    * aborted.
+   *
+   * @param ifNotRun the response unless the request may have run
    */
-  private void endWithError(String reason) {
+  private void endWithError(Refusal ifNotRun) {
     if (ended) {
       return;
     }
     if (hasBegun) {
-      finish(0, reason);
+      finish(0, ifNotRun.reason());
       exchange.abort();
       return;
     }
-    Refusal refusal = verdict == Verdict.NOT_RUN ? notRun(reason) : Refusal.mayHaveRun(reason);
-    finish(refusal.status(), reason);
+    Refusal refusal = verdict == Verdict.NOT_RUN ? ifNotRun : Refusal.mayHaveRun(ifNotRun.reason());
+    finish(refusal.status(), refusal.reason());
     dispatcher.respond(requestId, exchange, refusal);
   }
 
-  private Refusal notRun(String reason) {
-    return reason.equals(Refusal.QUARANTINED)
-        ? Refusal.quarantined(dispatcher.crashGuard().refusedMillis(fingerprint))
-        : Refusal.notRun(reason);
-  }
-
   private void timedOut() {
     if (ended) {
       return;
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -252,7 +252,6 @@
     loop.execute(upstreamFollower::start);
     if (!settings.isFirstStart()) {
       loop.execute(this::learnEngineCaches);
-      loop.execute(suspectStore::load);
     }
     var unused =
         loop.scheduleWithFixedDelay(
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -153,21 +153,20 @@
     removeExpired(nowMillis);
     // If the clock of the sender is ahead, the record must not last longer than a local one.
     long newExpiry = Math.min(received.expiresAtMillis(), nowMillis + QUARANTINE_MILLIS);
-    Long knownExpiry = expiryMillis(received.fingerprint(), nowMillis).orElse(null);
-    if (newExpiry <= nowMillis || (knownExpiry != null && knownExpiry >= newExpiry)) {
+    Optional<Long> knownExpiry = recordedExpiry(received.fingerprint(), nowMillis);
+    if (newExpiry <= Math.max(nowMillis, knownExpiry.orElse(nowMillis))) {
       return false;
     }
-    if (knownExpiry == null && expiryMillisByFingerprint.size() >= MAX_QUARANTINED) {
+    if (knownExpiry.isEmpty() && expiryMillisByFingerprint.size() >= MAX_QUARANTINED) {
       dropEarliestExpiry();
     }
     expiryMillisByFingerprint.put(received.fingerprint(), newExpiry);
-    return knownExpiry == null;
+    return knownExpiry.isEmpty();
   }
 
   /** Returns how requests with a fingerprint may run. */
   public synchronized QuarantineStatus status(Fingerprint fingerprint, long nowMillis) {
-    Long untilMillis = expiryMillisByFingerprint.get(fingerprint);
-    return untilMillis != null && nowMillis < untilMillis
+    return recordedExpiry(fingerprint, nowMillis).isPresent()
         ? QuarantineStatus.QUARANTINED
         : statusByEvidence(fingerprint, nowMillis);
   }
@@ -212,9 +211,7 @@
    * Returns when the quarantine of a fingerprint ends, in milliseconds, or empty if there is none.
    */
   public synchronized Optional<Long> expiryMillis(Fingerprint fingerprint, long nowMillis) {
-    Optional<Long> recorded =
-        Optional.ofNullable(expiryMillisByFingerprint.get(fingerprint))
-            .filter(untilMillis -> nowMillis < untilMillis);
+    Optional<Long> recorded = recordedExpiry(fingerprint, nowMillis);
     if (recorded.isPresent()
         || statusByEvidence(fingerprint, nowMillis) != QuarantineStatus.QUARANTINED) {
       return recorded;
@@ -222,6 +219,11 @@
     return Optional.of(suspects.get(fingerprint).lastEventMillis() + SUSPICION_MILLIS);
   }
 
+  private Optional<Long> recordedExpiry(Fingerprint fingerprint, long nowMillis) {
+    return Optional.ofNullable(expiryMillisByFingerprint.get(fingerprint))
+        .filter(untilMillis -> nowMillis < untilMillis);
+  }
+
   /** Returns all quarantines in force, to be sent on a link that was just opened. */
   public synchronized ImmutableList<QuarantineRecord> activeRecords(long nowMillis) {
     return expiryMillisByFingerprint.entrySet().stream()
--- a/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
@@ -29,8 +29,7 @@
   /** The number of messages that contained each change, in the order of the changes. */
   private final Map<Fingerprint, Integer> sentCounts = new LinkedHashMap<>();
 
-  private int nextSuspect;
-  private int nextOtherSuspect;
+  private int nextRepeated;
   private long repeatedAtMillis = Long.MIN_VALUE / 2;
 
   /** Adds a suspect whose evidence has changed. */
@@ -49,6 +48,18 @@
 
   /** Returns the suspects for the next message, and counts their changes as sent. */
   public ImmutableSet<Fingerprint> nextBatch(Quarantine quarantine, long nowMillis) {
+    ImmutableSet.Builder<Fingerprint> batch = ImmutableSet.builder();
+    batch.addAll(nextChanges());
+    if (nowMillis - repeatedAtMillis >= REPEAT_INTERVAL_MILLIS) {
+      repeatedAtMillis = nowMillis;
+      batch.addAll(inTurn(quarantine.suspects(2, nowMillis), nextRepeated));
+      batch.addAll(inTurn(quarantine.suspects(1, nowMillis), nextRepeated));
+      nextRepeated += REPEATED_PER_MESSAGE;
+    }
+    return batch.build();
+  }
+
+  private ImmutableList<Fingerprint> nextChanges() {
     ImmutableList<Fingerprint> changed =
         sentCounts.entrySet().stream()
             .sorted(Map.Entry.comparingByValue())
@@ -57,18 +68,7 @@
             .collect(toImmutableList());
     changed.forEach(f -> sentCounts.merge(f, 1, Integer::sum));
     sentCounts.values().removeIf(n -> n >= MESSAGES_PER_CHANGE);
-    ImmutableSet.Builder<Fingerprint> batch = ImmutableSet.builder();
-    batch.addAll(changed);
-    if (nowMillis - repeatedAtMillis >= REPEAT_INTERVAL_MILLIS) {
-      repeatedAtMillis = nowMillis;
-      ImmutableList<Fingerprint> suspects = quarantine.suspects(2, nowMillis);
-      ImmutableList<Fingerprint> others = quarantine.suspects(1, nowMillis);
-      batch.addAll(inTurn(suspects, nextSuspect));
-      batch.addAll(inTurn(others, nextOtherSuspect));
-      nextSuspect += REPEATED_PER_MESSAGE;
-      nextOtherSuspect += REPEATED_PER_MESSAGE;
-    }
-    return batch.build();
+    return changed;
   }
 
   private static ImmutableList<Fingerprint> inTurn(
