Keep the TCP options of the connector private; share the routes of two tests

Cause: the constants stood in the interface Connector, where they are public; GatewayFixture and DispatchSimulation made the same route. Change: TcpConnector, package-private, holds them; TestRoutes makes the route for both. Evidence: DeadlyRequestTest, GatewayTest, RestartCacheRecoveryTest, UpstreamsTest pass.

--- a/src/main/java/org/tanagerbank/upstream/Connector.java
+++ b/src/main/java/org/tanagerbank/upstream/Connector.java
@@ -1,57 +1,18 @@
 package org.tanagerbank.upstream;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
-import jdk.net.ExtendedSocketOptions;
 
 /** Opens connections to upstreams. Implementations are confined to one event loop. */
 @FunctionalInterface
 public interface Connector {
-  /**
-   * The connect timeout in milliseconds. A server on the same platform accepts within milliseconds,
-   * so a longer wait means that it is down.
-   */
-  int CONNECT_TIMEOUT_MILLIS = 1_000;
-
-  /**
-   * The idle time before the first TCP keepalive probe and the interval between probes, in seconds.
-   * The probes detect connections that failed without a reset.
-   */
-  int KEEPALIVE_SECONDS = 1;
-
-  /** The number of unanswered keepalive probes after which a connection is closed. */
-  int KEEPALIVE_PROBES = 3;
-
   /** Connects to an address with the given handlers in the pipeline of the channel. */
   ChannelFuture connect(InetSocketAddress address, ChannelHandler... handlers);
 
   /** Returns a connector that opens TCP connections on an event loop. */
   static Connector tcp(EventLoop loop) {
-    return (address, handlers) ->
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.SO_KEEPALIVE, true)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(handlers);
-                  }
-                })
-            .connect(address);
+    return new TcpConnector(loop);
   }
 }
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -28,7 +28,7 @@
 import org.tanagerbank.route.RouteTable;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
-import org.tanagerbank.route.WeightedService;
+import org.tanagerbank.route.TestRoutes;
 import org.tanagerbank.route.Workspace;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -214,18 +214,7 @@
   }
 
   private static Route route(String prefix, RequestKind kind, int attempts) {
-    return new Route(
-        prefix,
-        "h",
-        prefix,
-        kind,
-        ROUTE_TIMEOUT_MILLIS,
-        500,
-        attempts,
-        0,
-        false,
-        false,
-        ImmutableList.of(new WeightedService("s", 1)));
+    return TestRoutes.route(prefix, kind, attempts, ROUTE_TIMEOUT_MILLIS, /* resumable= */ false);
   }
 
   private ImmutableList<UpstreamReport> currentReports() {
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -25,7 +25,7 @@
 import org.tanagerbank.route.RouteTable;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
-import org.tanagerbank.route.WeightedService;
+import org.tanagerbank.route.TestRoutes;
 import org.tanagerbank.route.Workspace;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -114,18 +114,7 @@
   }
 
   private static Route route(String prefix, RequestKind kind, int attempts, boolean resumable) {
-    return new Route(
-        prefix,
-        "h",
-        prefix,
-        kind,
-        ROUTE_TIMEOUT_MILLIS,
-        500,
-        attempts,
-        0,
-        false,
-        resumable,
-        ImmutableList.of(new WeightedService("s", 1)));
+    return TestRoutes.route(prefix, kind, attempts, ROUTE_TIMEOUT_MILLIS, resumable);
   }
 
   private static InetSocketAddress freeTcpAddress() throws IOException {
--- /dev/null
+++ b/src/test/java/org/tanagerbank/route/TestRoutes.java
@@ -0,0 +1,27 @@
+package org.tanagerbank.route;
+
+import com.google.common.collect.ImmutableList;
+
+/** Makes routes of host {@code h} to service {@code s} for tests. */
+public final class TestRoutes {
+  private static final int OBJECTIVE_MILLIS = 500;
+
+  private TestRoutes() {}
+
+  /** Returns a route that is named after its path prefix. */
+  public static Route route(
+      String prefix, RequestKind kind, int attempts, long timeoutMillis, boolean resumable) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        timeoutMillis,
+        OBJECTIVE_MILLIS,
+        attempts,
+        0,
+        false,
+        resumable,
+        ImmutableList.of(new WeightedService("s", 1)));
+  }
+}
