--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.upstream.ExchangeFailure;
 import org.tanagerbank.upstream.ExchangeListener;
@@ -94,7 +95,8 @@
     if (!isEnded) {
       upstream.health().connectFailed(dispatcher.nowMillis());
       close();
-      execution.handleFailure(upstream, AttemptFailure.notConnected(), Optional.empty());
+      execution.handleFailure(
+          upstream, AttemptFailure.notConnected(), AttemptEvidence.notSent(), Optional.empty());
     }
   }
 
@@ -239,7 +241,8 @@
     close();
     if (dispatcher.headerCodec().statesNotRun(status, headers)) {
       body.release();
-      execution.handleFailure(upstream, AttemptFailure.refused(status, false), Optional.empty());
+      execution.handleFailure(
+          upstream, AttemptFailure.refused(status, false), evidence(), Optional.empty());
       return;
     }
     if (isSuccess()) {
@@ -272,13 +275,15 @@
       // so. The status is therefore not forwarded.
       body.release();
       execution.handleFailure(
-          upstream, AttemptFailure.responseLost("status " + status), Optional.empty());
+          upstream, AttemptFailure.responseLost("status " + status), evidence(), Optional.empty());
     } else if (isServerFault && !execution.hasBegun()) {
       ErrorResponse answer = new ErrorResponse(status, headers, body);
-      execution.handleFailure(upstream, AttemptFailure.errorStatus(status), Optional.of(answer));
+      execution.handleFailure(
+          upstream, AttemptFailure.errorStatus(status), evidence(), Optional.of(answer));
     } else if (execution.hasBegun()) {
       body.release();
-      execution.handleFailure(upstream, AttemptFailure.errorStatus(status), Optional.empty());
+      execution.handleFailure(
+          upstream, AttemptFailure.errorStatus(status), evidence(), Optional.empty());
     } else {
       execution.forwardResponse(status, headers, body);
     }
@@ -299,7 +304,15 @@
     upstream.health().requestFailed();
     close();
     connection.cancel();
-    execution.handleFailure(upstream, failure, Optional.empty());
+    execution.handleFailure(upstream, failure, evidence(), Optional.empty());
+  }
+
+  private AttemptEvidence evidence() {
+    return new AttemptEvidence(
+        status,
+        Optional.ofNullable(headers)
+            .map(h -> dispatcher.headerCodec().responseFacts(h, execution.requestId())),
+        OptionalLong.of(dispatcher.nowMillis() - sentMillis));
   }
 
   /** Removes the attempt from the request counts and releases its claim and its buffers. */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -17,8 +17,6 @@
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.events.EventLog;
-import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.request.Verdict;
 import org.tanagerbank.route.RequestKind;
@@ -47,6 +45,7 @@
   private final Optional<Prompt> prompt;
   private final String service;
   private final long deadline;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
   private Verdict verdict = Verdict.NOT_RUN;
   private Attempt attempt;
@@ -77,6 +76,7 @@
     this.prompt = dispatcher.headerCodec().prompt(request.headers());
     this.service = route.pickService(dispatcher.random());
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
+    this.log = new RequestLog(dispatcher, requestId, fingerprint, route.name());
   }
 
   void start() {
@@ -127,43 +127,11 @@
     }
     UpstreamChoice choice = chosen.get();
     tried.add(choice.upstream().report().id());
-    logPlaced(choice, candidates.size());
+    log.placed(choice, candidates.size(), prompt, timeLeftMillis());
     attempt = new Attempt(this, dispatcher, choice, isTrial);
     attempt.start();
   }
 
-  private void logPlaced(UpstreamChoice choice, int candidates) {
-    UpstreamHandle upstream = choice.upstream();
-    EventLog.emit(
-        LogEvent.REQUEST_PLACED,
-        "request",
-        requestId,
-        "fingerprint",
-        fingerprint,
-        "route",
-        route.name(),
-        "upstream",
-        upstream.report().id(),
-        "report",
-        upstream.report().reportNumber(),
-        "inFlight",
-        upstream.fleetInFlight(dispatcher.nowMillis()),
-        "candidates",
-        candidates,
-        "session",
-        prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
-        "freshTokens",
-        upstream.uncachedTokens(prompt),
-        "fetchedTokens",
-        choice.fetchedTokens(),
-        "fetchedFrom",
-        choice.fetch().map(f -> f.source().report().id()).orElse(""),
-        "firstTokenMillis",
-        upstream.firstTokenMillis(prompt, choice.fetchedTokens(), dispatcher.nowMillis()),
-        "timeLeftMillis",
-        timeLeftMillis());
-  }
-
   /** Returns a copy of the request for an upstream; the copy retains the body. */
   FullHttpRequest upstreamRequest(UpstreamChoice choice) {
     UpstreamCall call =
@@ -252,8 +220,11 @@
    * error response if there is one, or responds with an error of the router.
    */
   void handleFailure(
-      UpstreamHandle upstream, AttemptFailure failure, Optional<ErrorResponse> errorResponse) {
-    recordFailure(upstream, failure);
+      UpstreamHandle upstream,
+      AttemptFailure failure,
+      AttemptEvidence evidence,
+      Optional<ErrorResponse> errorResponse) {
+    recordFailure(upstream, failure, evidence);
     boolean retryAllowed =
         RetryPolicy.shouldRetry(
             route,
@@ -277,7 +248,8 @@
     endWithError(Refusal.notRun(failure.reason()));
   }
 
-  private void recordFailure(UpstreamHandle upstream, AttemptFailure failure) {
+  private void recordFailure(
+      UpstreamHandle upstream, AttemptFailure failure, AttemptEvidence evidence) {
     if (failure.wasSent()) {
       sentAttempts++;
     } else {
@@ -287,22 +259,13 @@
       verdict = failure.verdict();
     }
     dispatcher.observer().attemptFailed(failure.verdict().name());
-    EventLog.emit(
-        LogEvent.REQUEST_ATTEMPT_FAILED,
-        "request",
-        requestId,
-        "fingerprint",
-        fingerprint,
-        "upstream",
-        upstream.report().id(),
-        "reason",
-        failure.reason(),
-        "verdict",
-        failure.verdict(),
-        "sent",
-        sentAttempts,
-        "timeLeftMillis",
-        timeLeftMillis());
+    if (failure.wasSent()) {
+      dispatcher
+          .observer()
+          .failureObserved(
+              evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
+    }
+    log.attemptFailed(upstream, failure, evidence, sentAttempts, timeLeftMillis());
   }
 
   /**
@@ -360,19 +323,9 @@
     timeout.cancel(false);
     dispatcher.crashGuard().abandon(fingerprint, this);
     request.body().release();
-    dispatcher.observer().requestEnded(status, dispatcher.nowMillis() - request.receivedAtMillis());
-    EventLog.emit(
-        LogEvent.REQUEST_ENDED,
-        "request",
-        requestId,
-        "status",
-        status,
-        "reason",
-        reason,
-        "sent",
-        sentAttempts,
-        "millis",
-        dispatcher.nowMillis() - request.receivedAtMillis());
+    long millis = dispatcher.nowMillis() - request.receivedAtMillis();
+    dispatcher.observer().requestEnded(status, millis);
+    log.ended(status, reason, sentAttempts, millis);
   }
 
   long timeLeftMillis() {
--- /dev/null
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -0,0 +1,106 @@
+package org.tanagerbank.dispatch;
+
+import java.util.Optional;
+import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.request.Fingerprint;
+
+/** Logs the events of one request. Not thread-safe; confined to the event loop. */
+final class RequestLog {
+  /** The value of {@code millisSinceSend} for an attempt that sent no request. */
+  private static final long NOT_SENT = -1;
+
+  private final Dispatcher dispatcher;
+  private final String requestId;
+  private final Fingerprint fingerprint;
+  private final String routeName;
+
+  RequestLog(Dispatcher dispatcher, String requestId, Fingerprint fingerprint, String routeName) {
+    this.dispatcher = dispatcher;
+    this.requestId = requestId;
+    this.fingerprint = fingerprint;
+    this.routeName = routeName;
+  }
+
+  void placed(UpstreamChoice choice, int candidates, Optional<Prompt> prompt, long timeLeftMillis) {
+    UpstreamHandle upstream = choice.upstream();
+    EventLog.emit(
+        LogEvent.REQUEST_PLACED,
+        "request",
+        requestId,
+        "fingerprint",
+        fingerprint,
+        "route",
+        routeName,
+        "upstream",
+        upstream.report().id(),
+        "report",
+        upstream.report().reportNumber(),
+        "inFlight",
+        upstream.fleetInFlight(dispatcher.nowMillis()),
+        "candidates",
+        candidates,
+        "session",
+        prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
+        "freshTokens",
+        upstream.uncachedTokens(prompt),
+        "fetchedTokens",
+        choice.fetchedTokens(),
+        "fetchedFrom",
+        choice.fetch().map(f -> f.source().report().id()).orElse(""),
+        "firstTokenMillis",
+        upstream.firstTokenMillis(prompt, choice.fetchedTokens(), dispatcher.nowMillis()),
+        "timeLeftMillis",
+        timeLeftMillis);
+  }
+
+  void attemptFailed(
+      UpstreamHandle upstream,
+      AttemptFailure failure,
+      AttemptEvidence evidence,
+      int sentAttempts,
+      long timeLeftMillis) {
+    EventLog.emit(
+        LogEvent.REQUEST_ATTEMPT_FAILED,
+        "request",
+        requestId,
+        "fingerprint",
+        fingerprint,
+        "upstream",
+        upstream.report().id(),
+        "reason",
+        failure.reason(),
+        "verdict",
+        failure.verdict(),
+        "status",
+        evidence.status(),
+        "responseId",
+        evidence.responseId(),
+        "notRunMarker",
+        evidence.hasNotRunMarker(),
+        "signature",
+        evidence.hasSignature(),
+        "millisSinceSend",
+        evidence.millisSinceSend().orElse(NOT_SENT),
+        "sent",
+        sentAttempts,
+        "timeLeftMillis",
+        timeLeftMillis);
+  }
+
+  void ended(int status, String reason, int sentAttempts, long millis) {
+    EventLog.emit(
+        LogEvent.REQUEST_ENDED,
+        "request",
+        requestId,
+        "status",
+        status,
+        "reason",
+        reason,
+        "sent",
+        sentAttempts,
+        "millis",
+        millis);
+  }
+}
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -35,6 +35,12 @@
           .help("Attempts without an answer that could be passed on, by verdict.")
           .labelNames("verdict")
           .register(registry);
+  private final Counter failureEvidence =
+      Counter.builder()
+          .name("tanagerbank_gateway_failure_evidence_total")
+          .help("Failed attempts that sent the request, by what the response head said.")
+          .labelNames("id", "not_run_marker", "signature")
+          .register(registry);
   private final Histogram requestSeconds =
       Histogram.builder()
           .name("tanagerbank_gateway_request_seconds")
@@ -66,6 +72,13 @@
     failedAttempts.labelValues(verdict).inc();
   }
 
+  @Override
+  public void failureObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature) {
+    failureEvidence
+        .labelValues(responseId, Boolean.toString(hasNotRunMarker), Boolean.toString(hasSignature))
+        .inc();
+  }
+
   @Override
   public void firstTokenReceived(double ratio) {
     firstTokenRatio.observe(ratio);
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -20,6 +20,8 @@
 import org.tanagerbank.platformclient.SocketAddresses;
 import org.tanagerbank.upstream.HeaderCodec;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.ResponseFacts;
+import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Reads and writes the HTTP headers of the platform. Immutable and thread-safe. */
@@ -187,6 +189,18 @@
     return names;
   }
 
+  @Override
+  public ResponseFacts responseFacts(HttpHeaders response, String requestId) {
+    String responseId = response.get(REQUEST_ID, "");
+    IdRelation id = IdRelation.FOREIGN;
+    if (responseId.isEmpty() || requestId.isEmpty()) {
+      id = IdRelation.MISSING;
+    } else if (responseId.equals(requestId)) {
+      id = IdRelation.OWN;
+    }
+    return new ResponseFacts(id, response.contains(NOT_EXECUTED), response.contains(SIGNATURE));
+  }
+
   @Override
   public boolean isResponseTo(HttpHeaders response, String requestId) {
     return response.get(REQUEST_ID, "").equals(requestId);
--- a/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
+++ b/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
@@ -39,6 +39,9 @@
    */
   HttpHeaders toCaller(HttpHeaders response);
 
+  /** Returns what the head of a response says about the request with the given id. */
+  ResponseFacts responseFacts(HttpHeaders response, String requestId);
+
   /** Returns whether a response belongs to the request with the given id. */
   boolean isResponseTo(HttpHeaders response, String requestId);
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -391,6 +391,9 @@
     @Override
     public void attemptFailed(String verdict) {}
 
+    @Override
+    public void failureObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature) {}
+
     @Override
     public void firstTokenReceived(double ratio) {}
   }
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -11,6 +11,8 @@
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.ResponseFacts;
+import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Guards against forged or lost headers, and against headers that must not be forwarded. */
@@ -140,6 +142,21 @@
     assertThat(headerCodec.statesNotRun(429, headers())).isFalse();
   }
 
+  private IdRelation idRelation(String responseId, String requestId) {
+    return headerCodec.responseFacts(headers("Request-Id", responseId), requestId).id();
+  }
+
+  @Test
+  void responseIsMatchedOnlyByAnIdThatRequestHas() {
+    assertThat(idRelation("r1", "r1")).isEqualTo(IdRelation.OWN);
+    assertThat(idRelation("r2", "r1")).isEqualTo(IdRelation.FOREIGN);
+    assertThat(idRelation("", "r1")).isEqualTo(IdRelation.MISSING);
+    assertThat(idRelation("r2", "")).isEqualTo(IdRelation.MISSING);
+    assertThat(idRelation("", "")).isEqualTo(IdRelation.MISSING);
+    assertThat(headerCodec.responseFacts(headers("Not-Executed", "1"), "r1"))
+        .isEqualTo(new ResponseFacts(IdRelation.MISSING, true, false));
+  }
+
   @Test
   void encodedBodyHasNoUpstreamSignature() {
     assertThat(headerCodec.hasUpstreamSignature(headers("Server-Stamp", "s"))).isTrue();
