Add a stand-in of an engine that gateways call directly

The stand-in keeps the contract of the platform's engines on a real socket (slots, queue, deadline, memory, preemption, cached prompt parts, resumption) and injects each of these faults with its own probability.

EngineCore decides without clock, socket or thread; the Netty shell records each decision in a shared file before it acts on it. The header names of the engine's side are in PlatformEngineHeaderCodec, which shares those of PlatformHeaderCodec.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -48,6 +48,11 @@
           .put("demo", new Row("run a complete deployment on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
+          .put(
+              "standin direct-engine",
+              new Row(
+                  "run a stand-in of an engine that gateways call directly",
+                  StandinDirectEngineCommand::new))
           .put(
               "standin plain",
               new Row("run a stand-in of a plain service", StandinPlainCommand::new))
--- a/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
@@ -22,6 +22,11 @@
 /** Queries the cached prompt parts of the platform's engines. Immutable and thread-safe. */
 public final class PlatformEngineInspector implements EngineInspector {
   private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** The field of the response that lists the cached parts. */
+  static final String CACHED_PARTS = "held";
+
+  static final String CACHED_PARTS_PATH = "/-/kv-list";
   private static final int STATUS_OK = 200;
   private static final int HEX_RADIX = 16;
 
@@ -47,7 +52,7 @@
       Consumer<Optional<ImmutableList<PromptPart>>> callback) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.GET, "/-/kv-list", Unpooled.EMPTY_BUFFER);
+            HttpVersion.HTTP_1_1, HttpMethod.GET, CACHED_PARTS_PATH, Unpooled.EMPTY_BUFFER);
     request.headers().set(HttpHeaderNames.HOST, "engine");
     BufferedExchange.send(
         loop, connections, request, timeoutMillis, r -> callback.accept(decode(r)));
@@ -63,7 +68,7 @@
     }
     try {
       ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
-      for (JsonNode entry : MAPPER.readTree(response.body()).path("held")) {
+      for (JsonNode entry : MAPPER.readTree(response.body()).path(CACHED_PARTS)) {
         long id = Long.parseUnsignedLong(entry.path(1).asText(), HEX_RADIX);
         parts.add(new PromptPart(id, entry.path(2).asInt()));
       }
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -24,26 +24,26 @@
 
 /** Reads and writes the HTTP headers of the platform. Immutable and thread-safe. */
 public final class PlatformHeaderCodec implements HeaderCodec {
-  private static final String REQUEST_ID = "Request-Id";
+  static final String REQUEST_ID = "Request-Id";
   private static final String DEADLINE = "Deadline-Ms";
   private static final String AUTHORIZATION = "Authorization";
   private static final String BEARER_SCHEME = "Bearer ";
   private static final String MODEL = "Model";
   private static final String TOKEN_COUNTS = "Token-Counts";
   private static final String PROMPT_PREFIX = "Prompt-Prefix";
-  private static final String LAST_EVENT_ID = "Last-Event-Id";
-  private static final String EXPECT_INSTANCE = "Expect-Instance";
+  static final String LAST_EVENT_ID = "Last-Event-Id";
+  static final String EXPECT_INSTANCE = "Expect-Instance";
   private static final String TENANT = "Tenant";
-  private static final String PRIORITY = "Request-Priority";
+  static final String PRIORITY = "Request-Priority";
 
   /** The address of the engine from which the called engine fetches cached prompt parts. */
   private static final String CACHE_SOURCE = "Kv-Fetch";
 
   /** The signature that an upstream adds to a response. */
-  private static final String SIGNATURE = "Server-Stamp";
+  static final String SIGNATURE = "Server-Stamp";
 
-  private static final String NOT_EXECUTED = "Not-Executed";
-  private static final String LOAD = "Server-Load";
+  static final String NOT_EXECUTED = "Not-Executed";
+  static final String LOAD = "Server-Load";
   private static final String CONTENT_ENCODING = "Content-Encoding";
   private static final int STATUS_MISDIRECTED_REQUEST = 421;
   private static final int HEX_RADIX = 16;
--- /dev/null
+++ b/src/main/java/org/tanagerbank/standin/direct/RunRecord.java
@@ -0,0 +1,30 @@
+package org.tanagerbank.standin.direct;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * A line of the record of what engines did. Components that do not apply are null and are left out
+ * of the JSON. Immutable.
+ *
+ * @param atMicros the wall-clock time in microseconds since the epoch
+ * @param engine the instance id of the engine
+ * @param request the id of the request
+ * @param status the HTTP status of the response
+ * @param complete whether the response was written completely
+ * @param path the path and query of the request
+ * @param deadlineMillis the time that the caller left, in milliseconds
+ * @param lastEventId the event after which the caller resumes
+ * @param detail the kind of refusal or fault, or what was received
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record RunRecord(
+    long atMicros,
+    String engine,
+    RunEvent event,
+    String request,
+    Integer status,
+    Boolean complete,
+    String path,
+    Long deadlineMillis,
+    String lastEventId,
+    String detail) {}
