Let only a response with the request's own id refuse it

What callers saw: 503 for streams and other requests that may run once only, which ran all the same (REFUSED in the users' record).

Cause: Attempt.isAnswer accepted any response with the marker of a request that was not run, or status 421, whatever its id. A refusal of another request, or the second copy of one, was taken for the refusal of the request that waited on the connection. The connection went back to the pool, so that each later response on it answered the request before.

Now the header codec reports facts (ids, marker, signature, encoding) and ResponseProof alone decides what they prove: - The response must have the request's id and no other one. Without an id it proves nothing: the request may have run and the connection is closed. - A response to another request is skipped (TB1821) and the own one awaited. The connection is closed after the exchange; where the end of the skipped response is not certain, after a HEAD request, the attempt fails at once. - The marker together with a status other than 400, 421, 429 and 503, or with the signature, contradicts itself: the request may have run. - 421 needs no marker. TB1805 shows whether such responses occur. - A request without exactly one id is answered 400 and not sent, as nothing could be matched to it.

--- a/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
@@ -26,14 +26,15 @@
   void attemptFailed(String verdict);
 
   /**
-   * Called when an attempt at an upstream has failed after the request was sent.
+   * Called when an attempt at an upstream has failed after the request was sent, and when a
+   * response to another request was skipped.
    *
    * @param responseId how the id of the response relates to the id of the request; the value of a
    *     metric label, one of a small fixed set
    * @param hasNotRunMarker whether the response states that the request was not run
    * @param hasSignature whether the response has the signature of an upstream
    */
-  void failureObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature);
+  void responseObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature);
 
   /**
    * Called when the first token of a response arrives.
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -186,7 +186,10 @@
 
   @Override
   public void handle(CallerRequest request, CallerExchange exchange) {
-    if (!isStarted()) {
+    if (headerCodec.requestId(request.headers()).isEmpty()) {
+      // Without an id, no response of an upstream could be matched to the request.
+      refuse(request, exchange, Refusal.noRequestId());
+    } else if (!isStarted()) {
       waitForStore(request, exchange, settings.startWaitMillis());
     } else if (config.allowsKeys(storeNowMillis())) {
       route(request, exchange);
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -9,6 +9,7 @@
  * @param reason the reason that is written to the log and to the response body
  */
 record Refusal(int status, long retryAfterMillis, String reason) {
+  private static final int STATUS_BAD_REQUEST = 400;
   private static final int STATUS_UNAUTHORIZED = 401;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_BAD_GATEWAY = 502;
@@ -33,6 +34,11 @@
     };
   }
 
+  /** Returns the refusal of a request without an id, or with several. */
+  static Refusal noRequestId() {
+    return new Refusal(STATUS_BAD_REQUEST, 0, "the request does not have exactly one id");
+  }
+
   static Refusal noRoute() {
     return new Refusal(STATUS_NOT_FOUND, 0, "no route");
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -248,6 +248,19 @@
     endWithError(Refusal.notRun(failure.reason()));
   }
 
+  /** Records that a response to another request arrived while this request awaited its own. */
+  void responseSkipped(UpstreamHandle upstream, AttemptEvidence evidence) {
+    observe(evidence);
+    log.responseSkipped(upstream, evidence);
+  }
+
+  private void observe(AttemptEvidence evidence) {
+    dispatcher
+        .observer()
+        .responseObserved(
+            evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
+  }
+
   private void recordFailure(
       UpstreamHandle upstream, AttemptFailure failure, AttemptEvidence evidence) {
     if (failure.wasSent()) {
@@ -260,10 +273,7 @@
     }
     dispatcher.observer().attemptFailed(failure.verdict().name());
     if (failure.wasSent()) {
-      dispatcher
-          .observer()
-          .failureObserved(
-              evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
+      observe(evidence);
     }
     log.attemptFailed(upstream, failure, evidence, sentAttempts, timeLeftMillis());
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -89,6 +89,23 @@
         timeLeftMillis);
   }
 
+  void responseSkipped(UpstreamHandle upstream, AttemptEvidence evidence) {
+    EventLog.emit(
+        LogEvent.RESPONSE_SKIPPED,
+        "request",
+        requestId,
+        "upstream",
+        upstream.report().id(),
+        "status",
+        evidence.status(),
+        "notRunMarker",
+        evidence.hasNotRunMarker(),
+        "signature",
+        evidence.hasSignature(),
+        "millisSinceSend",
+        evidence.millisSinceSend().orElse(NOT_SENT));
+  }
+
   void ended(int status, String reason, int sentAttempts, long millis) {
     EventLog.emit(
         LogEvent.REQUEST_ENDED,
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -38,7 +38,8 @@
   private final Counter failureEvidence =
       Counter.builder()
           .name("tanagerbank_gateway_failure_evidence_total")
-          .help("Failed attempts that sent the request, by what the response head said.")
+          .help(
+              "Responses skipped and attempts failed after a send, by what the response head said.")
           .labelNames("id", "not_run_marker", "signature")
           .register(registry);
   private final Histogram requestSeconds =
@@ -73,7 +74,7 @@
   }
 
   @Override
-  public void failureObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature) {
+  public void responseObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature) {
     failureEvidence
         .labelValues(responseId, Boolean.toString(hasNotRunMarker), Boolean.toString(hasSignature))
         .inc();
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -47,7 +47,6 @@
   private static final String NOT_EXECUTED = "Not-Executed";
   private static final String LOAD = "Server-Load";
   private static final String CONTENT_ENCODING = "Content-Encoding";
-  private static final int STATUS_MISDIRECTED_REQUEST = 421;
   private static final int HEX_RADIX = 16;
 
   /** Headers for a single connection or for the framing of a body, in lower case. */
@@ -97,7 +96,8 @@
 
   @Override
   public String requestId(HttpHeaders request) {
-    return request.get(REQUEST_ID, "");
+    List<String> ids = request.getAll(REQUEST_ID);
+    return ids.size() == 1 ? ids.get(0) : "";
   }
 
   @Override
@@ -191,29 +191,18 @@
 
   @Override
   public ResponseFacts responseFacts(HttpHeaders response, String requestId) {
-    String responseId = response.get(REQUEST_ID, "");
-    IdRelation id = IdRelation.FOREIGN;
-    if (responseId.isEmpty() || requestId.isEmpty()) {
-      id = IdRelation.MISSING;
-    } else if (responseId.equals(requestId)) {
-      id = IdRelation.OWN;
-    }
-    return new ResponseFacts(id, response.contains(NOT_EXECUTED), response.contains(SIGNATURE));
+    return new ResponseFacts(
+        idRelation(response.getAll(REQUEST_ID), requestId),
+        response.contains(NOT_EXECUTED),
+        response.contains(SIGNATURE),
+        response.contains(CONTENT_ENCODING));
   }
 
-  @Override
-  public boolean isResponseTo(HttpHeaders response, String requestId) {
-    return response.get(REQUEST_ID, "").equals(requestId);
-  }
-
-  @Override
-  public boolean statesNotRun(int status, HttpHeaders response) {
-    return status == STATUS_MISDIRECTED_REQUEST || response.contains(NOT_EXECUTED);
-  }
-
-  @Override
-  public boolean hasUpstreamSignature(HttpHeaders response) {
-    return response.contains(SIGNATURE) && !response.contains(CONTENT_ENCODING);
+  private static IdRelation idRelation(List<String> responseIds, String requestId) {
+    if (requestId.isEmpty() || responseIds.stream().allMatch(String::isEmpty)) {
+      return IdRelation.MISSING;
+    }
+    return responseIds.stream().allMatch(requestId::equals) ? IdRelation.OWN : IdRelation.FOREIGN;
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -84,8 +84,9 @@
   }
 
   @Override
-  public void onHead(int responseStatus, HttpHeaders headers) {
+  public HeadAction onHead(int responseStatus, HttpHeaders headers) {
     status = responseStatus;
+    return HeadAction.RECEIVE;
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
+++ b/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
@@ -12,7 +12,7 @@
  * and thread-safe.
  */
 public interface HeaderCodec {
-  /** Returns the id of a request, or an empty string when the caller sent none. */
+  /** Returns the id of a request, or an empty string when the caller sent none or several. */
   String requestId(HttpHeaders request);
 
   /**
@@ -42,15 +42,6 @@
   /** Returns what the head of a response says about the request with the given id. */
   ResponseFacts responseFacts(HttpHeaders response, String requestId);
 
-  /** Returns whether a response belongs to the request with the given id. */
-  boolean isResponseTo(HttpHeaders response, String requestId);
-
-  /** Returns whether a response states that the upstream did not run the request. */
-  boolean statesNotRun(int status, HttpHeaders response);
-
-  /** Returns whether a successful response has the signature and the encoding of an upstream. */
-  boolean hasUpstreamSignature(HttpHeaders response);
-
   /** Returns the load that a response reports, or empty if it has no valid report. */
   Optional<LoadReport> load(HttpHeaders response);
 }
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -14,13 +14,15 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.Consumer;
+import org.tanagerbank.upstream.ExchangeListener.HeadAction;
 
 /**
  * One HTTP/1.1 connection to an upstream, used for one exchange at a time.
  *
  * <p>A connection is closed and never reused if it receives anything unexpected: bytes after a
- * complete response, a response without a request, or a response before the request was completely
- * written. Not thread-safe; confined to the event loop of its channel.
+ * complete response, a response without a request, a response that the listener skips, or a
+ * response before the request was completely written. Not thread-safe; confined to the event loop
+ * of its channel.
  */
 public final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
   private final ResponseDecoder decoder;
@@ -30,6 +32,9 @@
   private ExchangeListener listener;
   private boolean hasHead;
   private boolean isInformational;
+  private boolean isSkipping;
+  private boolean hasSkipped;
+  private boolean hasSentHeadRequest;
   private boolean isReset;
   private boolean keepAlive;
   private boolean requestWritten;
@@ -59,9 +64,12 @@
     listener = responseListener;
     hasHead = false;
     isInformational = false;
+    isSkipping = false;
     endPending = false;
     requestWritten = false;
-    decoder.expectHeadResponse(request.method().equals(HttpMethod.HEAD));
+    boolean isHeadRequest = request.method().equals(HttpMethod.HEAD);
+    hasSentHeadRequest |= isHeadRequest;
+    decoder.expectHeadResponse(isHeadRequest);
     channel
         .writeAndFlush(request)
         .addListener(
@@ -135,13 +143,32 @@
     hasHead = true;
     keepAlive = HttpUtil.isKeepAlive(response);
     keepAliveMillis = KeepAlive.timeoutMillis(response.headers());
-    listener.onHead(response.status().code(), response.headers());
+    HeadAction action = listener.onHead(response.status().code(), response.headers());
+    if (action == HeadAction.SKIP && listener != null) {
+      skip();
+    }
+  }
+
+  /** Discards the response whose head has arrived, and waits for the next one. */
+  private void skip() {
+    hasSkipped = true;
+    if (hasSentHeadRequest) {
+      // The skipped response may answer a HEAD request or not, so its length is not known.
+      fail(ExchangeFailure.NOT_SKIPPABLE);
+    } else {
+      isSkipping = true;
+      hasHead = false;
+    }
   }
 
   private void onContent(HttpContent content) {
     if (isInformational) {
       return;
     }
+    if (isSkipping) {
+      isSkipping = !(content instanceof LastHttpContent);
+      return;
+    }
     if (listener != null && content.content().isReadable()) {
       listener.onData(content.content());
     }
@@ -166,7 +193,8 @@
 
   private void complete() {
     endPending = false;
-    boolean isReusable = !decoder.hasRemainingBytes() && requestWritten && channel.isActive();
+    boolean isReusable =
+        !decoder.hasRemainingBytes() && requestWritten && !hasSkipped && channel.isActive();
     ExchangeListener ended = listener;
     listener = null;
     channel.config().setAutoRead(true);
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
@@ -0,0 +1,32 @@
+package org.tanagerbank.dispatch;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * What a simulated upstream does with one request. Immutable.
+ *
+ * @param runs whether it begins to run the request
+ * @param answers whether it answers the request in the usual way once it has run
+ * @param writes what it sends besides that
+ */
+record UpstreamBehavior(boolean runs, boolean answers, ImmutableList<Write> writes) {
+  static final UpstreamBehavior NORMAL = new UpstreamBehavior(true, true, ImmutableList.of());
+
+  /** Bytes that are sent some time after the request was read. */
+  record Write(long delayMillis, String text) {}
+
+  /** Returns the behavior of an upstream that runs the request and also sends other bytes. */
+  static UpstreamBehavior runsAndSends(long delayMillis, String text) {
+    return new UpstreamBehavior(true, true, ImmutableList.of(new Write(delayMillis, text)));
+  }
+
+  /** Returns the behavior of an upstream that runs the request and sends only other bytes. */
+  static UpstreamBehavior runsAndOnlySends(long delayMillis, String text) {
+    return new UpstreamBehavior(true, false, ImmutableList.of(new Write(delayMillis, text)));
+  }
+
+  /** Returns the behavior of an upstream that does not run the request. */
+  static UpstreamBehavior sends(Write... writes) {
+    return new UpstreamBehavior(false, false, ImmutableList.copyOf(writes));
+  }
+}
--- a/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
@@ -43,4 +43,62 @@
           .contains(prefix + "{id=\"none\",not_run_marker=\"false\",signature=\"false\"} 1.0");
     }
   }
+
+  private static String ok(String request, String body) {
+    return "HTTP/1.1 200 X\r\nServer-Stamp: s1\r\nRequest-Id: "
+        + requestId(request)
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Test
+  void requestThatUpstreamDidNotRunIsRetried() throws Exception {
+    AtomicInteger arrivals = new AtomicInteger();
+    Function<String, String> script =
+        r -> arrivals.getAndIncrement() == 0 ? refusal(requestId(r)) : ok(r, "ran");
+    try (GatewayFixture fixture = new GatewayFixture(script)) {
+      assertThat(fixture.send(once("r1"))).endsWith("ran");
+      assertThat(fixture.arrivals()).hasSize(2);
+    }
+  }
+
+  @Test
+  void refusalWithoutIdIsNeitherPassedOnNorRetried() throws Exception {
+    Function<String, String> withoutId =
+        r -> "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    try (GatewayFixture fixture = new GatewayFixture(withoutId)) {
+      assertThat(fixture.send(once("r1"))).startsWith("HTTP/1.1 502");
+      assertThat(fixture.arrivals()).hasSize(1);
+    }
+  }
+
+  @Test
+  void requestWithoutIdIsRejectedAndNotSent() throws Exception {
+    try (GatewayFixture fixture = new GatewayFixture(r -> ok(r, "ran"))) {
+      String request = once("r1").replace("Request-Id: r1\r\n", "");
+      assertThat(fixture.send(request)).startsWith("HTTP/1.1 400");
+      String twice = once("r1").replace("Host: h\r\n", "Host: h\r\nRequest-Id: r2\r\n");
+      assertThat(fixture.send(twice)).startsWith("HTTP/1.1 400");
+      assertThat(fixture.arrivals()).isEmpty();
+    }
+  }
+
+  /** The second copy of a refusal is read where the response to the next request is due. */
+  @Test
+  void secondCopyOfARefusalIsNotTakenForTheNextRequest() throws Exception {
+    Function<String, String> script =
+        r ->
+            requestId(r).equals("r1")
+                ? refusal("r1")
+                : refusal("r1") + ok(r, "answer to " + requestId(r));
+    try (GatewayFixture fixture = new GatewayFixture(script)) {
+      assertThat(fixture.send(once("r1"))).startsWith("HTTP/1.1 503");
+      for (int i = 2; i < 10; i++) {
+        assertThat(fixture.send(once("r" + i))).endsWith("answer to r" + i);
+      }
+      assertThat(fixture.arrivals()).hasSize(10);
+    }
+  }
 }
