Continue an answer only with a run that begins with the delivered bytes

Seen: FleetIT#everyRequestEndsInAnswerOrErrorAfterSidecarAndEntryAreKilled got RESUME_OUT_OF_RANGE for one of 360 requests. Cause: after a lost run of a deterministic service the entry asked another engine for the answer from the byte reached. Answers of two runs differ in their usage counts: a position beyond the shorter answer was refused with 416 and verdict RAN, and a position within the longer one was served, so the caller got the bytes of two runs as one whole answer. Change: a new run is sent from its first byte. Otherwise the request ends with MAY_HAVE_RUN INCOMPLETE. The last event with usage of a deterministic stream, and the end mark after it, are passed on at the end of the answer only, so that runs which differ only in usage still give a whole answer. The protocol and the sidecar are unchanged. FirstUpstreamRouter moved out of RequestFlowSimulation, because two tests use it. The failed run of FleetIT itself was not repeated; its position was not logged.

--- a/src/main/java/org/tanagerbank/answer/AnswerAssembler.java
+++ b/src/main/java/org/tanagerbank/answer/AnswerAssembler.java
@@ -62,6 +62,19 @@
     isClosed = true;
   }
 
+  /**
+   * Forgets the last bytes delivered, because another attempt has to deliver them. The caller must
+   * not have consumed any of them.
+   */
+  public void rewind(long bytes) {
+    checkArgument(
+        bytes >= 0 && bytes <= unconsumedBytes(),
+        "forgotten bytes must be between 0 and the waiting bytes, but are %s",
+        bytes);
+    position -= bytes;
+    isClosed = true;
+  }
+
   /**
    * Decides on a chunk of the answer.
    *
--- a/src/main/java/org/tanagerbank/entry/RequestFlow.java
+++ b/src/main/java/org/tanagerbank/entry/RequestFlow.java
@@ -58,7 +58,7 @@
   public RequestFlow(
       FlowRequest request, ServiceRouter router, RetryBudget budget, RandomGenerator random) {
     this.request = checkNotNull(request);
-    this.response = new ResponseAssembler(request.streamed());
+    this.response = new ResponseAssembler(request.streamed(), request.deterministic());
     this.selector = new UpstreamSelector(request, router, budget, random);
   }
 
@@ -369,16 +369,15 @@
   }
 
   private void retry(TanagerException error, long now, List<FlowAction> out) {
-    boolean canContinue = !response.hasBegun() || request.deterministic();
     Optional<TanagerException> denial =
-        callerDisconnected || !canContinue ? Optional.of(error) : selector.checkRetry(error, now);
+        callerDisconnected || !response.canRestart()
+            ? Optional.of(error)
+            : selector.checkRetry(error, now);
     if (denial.isPresent()) {
       finish(denial.get(), now, out);
       return;
     }
-    if (!response.hasBegun()) {
-      response.restart();
-    }
+    response.restart();
     sendToNextUpstream(now, out);
   }
 
--- a/src/main/java/org/tanagerbank/entry/ResponseAssembler.java
+++ b/src/main/java/org/tanagerbank/entry/ResponseAssembler.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import org.tanagerbank.answer.AnswerAssembler;
 import org.tanagerbank.answer.AnswerDecision;
+import org.tanagerbank.answer.PrefixVerifier;
+import org.tanagerbank.answer.UsageEvents;
+import org.tanagerbank.request.ErrorCode;
 import org.tanagerbank.request.TanagerException;
 
 /**
@@ -11,8 +14,12 @@
  *
  * <p>A streamed answer is passed on as it arrives, unless its status is 300 or above. Any other
  * answer is buffered until it is complete, so that it can still be replaced by another attempt,
- * unless it reaches three quarters of the window. This class performs no I/O and reads no clock.
- * Not thread-safe.
+ * unless it reaches three quarters of the window.
+ *
+ * <p>The answer to a deterministic request is continued with another run only if that run begins
+ * with all bytes passed on, so a whole answer is the answer of one run. Because runs may differ in
+ * their usage counts, the last event of a stream is not passed on before the end of the answer if
+ * it has such counts. This class performs no I/O and reads no clock. Not thread-safe.
  */
 final class ResponseAssembler {
   /** The most bytes of one answer that the entry holds for the caller. */
@@ -31,15 +38,24 @@
   private static final String JSON = "application/json";
 
   private final boolean streamed;
+  private final boolean deterministic;
+  private final PrefixVerifier prefix = new PrefixVerifier();
   private final AnswerAssembler assembler = new AnswerAssembler(WINDOW_BYTES);
   private ByteString buffered = ByteString.EMPTY;
   private int httpStatus;
   private String contentType = "";
   private boolean begun;
   private boolean discarding;
+  private boolean runDiffers;
 
-  ResponseAssembler(boolean streamed) {
+  /**
+   * Creates an assembler.
+   *
+   * @param deterministic whether another run is expected to give the same bytes, except for usage
+   */
+  ResponseAssembler(boolean streamed, boolean deterministic) {
     this.streamed = streamed;
+    this.deterministic = deterministic;
   }
 
   /** Begins an attempt and returns its initial credit in bytes. */
@@ -47,25 +63,30 @@
     return assembler.beginAttempt(number);
   }
 
-  /** Returns the byte position from which the answer continues. */
+  /** Returns the byte position from which the current run is to be sent. */
   long position() {
-    return assembler.position();
+    return prefix.isReplaying() ? prefix.position() : assembler.position();
   }
 
-  /**
-   * Returns whether the response to the caller has begun, so that the answer can no longer be
-   * replaced.
-   */
-  boolean hasBegun() {
-    return begun;
+  /** Returns whether another run may provide the answer. */
+  boolean canRestart() {
+    return !begun || (deterministic && !runDiffers);
   }
 
-  /** Discards the answer received so far. Must not be called once the response has begun. */
+  /**
+   * Prepares for another run. Discards the answer received so far or, if the response has begun,
+   * what was not passed on of it. Then the run has to begin with the bytes that were passed on.
+   */
   void restart() {
-    assembler.restart();
+    if (begun) {
+      assembler.rewind(buffered.size());
+      prefix.beginReplay();
+    } else {
+      assembler.restart();
+      httpStatus = 0;
+      contentType = "";
+    }
     buffered = ByteString.EMPTY;
-    httpStatus = 0;
-    contentType = "";
   }
 
   /**
@@ -83,6 +104,14 @@
    * assembler.
    */
   AnswerDecision onChunk(FlowEvent.AnswerChunk chunk, List<FlowAction> out) {
+    PrefixVerifier.Result replayed = prefix.replay(chunk.position(), chunk.data());
+    if (replayed == PrefixVerifier.Result.GAP) {
+      String message = "chunk starts at byte " + chunk.position() + " of a replay at " + position();
+      return new AnswerDecision.Failed(ErrorCode.FRAME_OUT_OF_ORDER, message);
+    }
+    if (replayed == PrefixVerifier.Result.DIFFERS) {
+      return runDiffers("another run began with other bytes than those delivered");
+    }
     AnswerDecision decision = assembler.onChunk(chunk.attempt(), chunk.position(), chunk.data());
     if (decision instanceof AnswerDecision.Deliver deliver) {
       deliver(deliver.data(), chunk, out);
@@ -90,6 +119,11 @@
     return decision;
   }
 
+  private AnswerDecision runDiffers(String message) {
+    runDiffers = true;
+    return new AnswerDecision.Failed(ErrorCode.INCOMPLETE, message);
+  }
+
   private void deliver(ByteString data, FlowEvent.AnswerChunk chunk, List<FlowAction> out) {
     if (discarding) {
       assembler.consume(data.size());
@@ -99,36 +133,71 @@
       httpStatus = chunk.httpStatus();
       contentType = chunk.contentType();
     }
-    if (begun) {
-      out.add(new FlowAction.WriteBody(data));
-      return;
-    }
     buffered = buffered.concat(data);
-    boolean isPassedOn = streamed && httpStatus < FIRST_ERROR_STATUS;
-    if (isPassedOn || buffered.size() >= MAX_BUFFERED_BYTES) {
+    int passable = passableBytes();
+    if (passable > 0) {
+      begin(out);
+      pass(passable, out);
+    }
+  }
+
+  /** Returns how many of the buffered bytes are passed on before the end of the answer. */
+  private int passableBytes() {
+    boolean isPassedOn = begun || (streamed && httpStatus < FIRST_ERROR_STATUS);
+    if (buffered.size() >= MAX_BUFFERED_BYTES) {
+      return buffered.size();
+    }
+    if (!isPassedOn) {
+      return 0;
+    }
+    return deterministic && contentType.startsWith(EVENT_STREAM)
+        ? UsageEvents.endOfEventsBeforeUsage(buffered)
+        : buffered.size();
+  }
+
+  private void begin(List<FlowAction> out) {
+    if (!begun) {
       begun = true;
       out.add(new FlowAction.Begin(statusOr(OK), typeOr(streamed ? EVENT_STREAM : JSON)));
-      out.add(new FlowAction.WriteBody(buffered));
-      buffered = ByteString.EMPTY;
     }
   }
 
+  private void pass(int bytes, List<FlowAction> out) {
+    ByteString data = buffered.substring(0, bytes);
+    buffered = buffered.substring(bytes);
+    if (deterministic) {
+      prefix.pass(data);
+    }
+    out.add(new FlowAction.WriteBody(data));
+  }
+
   /**
    * Processes the end mark, adds the resulting action, and returns the decision of the assembler.
    */
   AnswerDecision end(FlowEvent.AnswerEnded end, List<FlowAction> out) {
+    if (prefix.isReplaying() && end.totalBytes() < assembler.position()) {
+      return runDiffers("another run ended before the last byte delivered");
+    }
     AnswerDecision decision = assembler.onEnd(end.attempt(), end.totalBytes());
     if (decision instanceof AnswerDecision.Complete && !discarding) {
       httpStatus = end.httpStatus() != 0 ? end.httpStatus() : httpStatus;
       contentType = end.contentType().isEmpty() ? contentType : end.contentType();
-      out.add(
-          begun
-              ? new FlowAction.Finish()
-              : new FlowAction.SendResponse(statusOr(OK), typeOr(JSON), buffered));
+      complete(out);
     }
     return decision;
   }
 
+  private void complete(List<FlowAction> out) {
+    if (!begun) {
+      out.add(new FlowAction.SendResponse(statusOr(OK), typeOr(JSON), buffered));
+      return;
+    }
+    if (!buffered.isEmpty()) {
+      pass(buffered.size(), out);
+    }
+    out.add(new FlowAction.Finish());
+  }
+
   /**
    * Adds the action that ends the response with an error, unless the caller has closed its
    * connection.
--- a/src/test/java/org/tanagerbank/entry/RequestFlowSimulation.java
+++ b/src/test/java/org/tanagerbank/entry/RequestFlowSimulation.java
@@ -11,8 +11,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.random.RandomGenerator;
-import org.tanagerbank.declaration.ServiceSpec;
 import org.tanagerbank.instance.Upstream;
 import org.tanagerbank.instance.Zone;
 import org.tanagerbank.ledger.AdmissionCheck;
@@ -26,11 +24,7 @@
 import org.tanagerbank.request.RequestId;
 import org.tanagerbank.request.TanagerException;
 import org.tanagerbank.request.Verdict;
-import org.tanagerbank.routing.MeanLoadEstimate;
 import org.tanagerbank.routing.RetryBudget;
-import org.tanagerbank.routing.RouteDecision;
-import org.tanagerbank.routing.RouteRequest;
-import org.tanagerbank.routing.ServiceRouter;
 
 /**
  * Simulates one request flow with the real ledgers of a few sidecars, over links that break at any
@@ -40,7 +34,10 @@
   private static final RequestId ID = new RequestId("entry", 1, 1);
   private static final int SIDECARS = 3;
 
-  /** One execution of the request. Executions have different answers unless it is deterministic. */
+  /**
+   * One execution of the request. Executions have different answers; those of a deterministic
+   * request differ in length and in their last bytes only.
+   */
   final class Run {
     final byte[] answer = new byte[random.nextInt(600)];
     int produced;
@@ -49,6 +46,9 @@
     Run() {
       if (request.deterministic()) {
         new Random(7).nextBytes(answer);
+        for (int i = Math.max(0, answer.length - random.nextInt(40)); i < answer.length; i++) {
+          answer[i] = (byte) random.nextInt();
+        }
       } else {
         random.nextBytes(answer);
       }
@@ -197,61 +197,6 @@
     }
   }
 
-  /** Chooses the first upstream that is not excluded, and counts the requests in flight. */
-  static final class FirstUpstreamRouter implements ServiceRouter {
-    private final ImmutableList<Upstream> upstreams;
-    int inFlight;
-
-    FirstUpstreamRouter(ImmutableList<Upstream> upstreams) {
-      this.upstreams = upstreams;
-    }
-
-    @Override
-    public RouteDecision choose(RouteRequest r, long nowMillis, RandomGenerator random) {
-      return upstreams.stream()
-          .filter(u -> !r.excluded().contains(u.id()))
-          .filter(u -> r.movedTo().isEmpty() || r.movedTo().get().equals(u.id()))
-          .findFirst()
-          .<RouteDecision>map(u -> new RouteDecision.Send(u, upstreams.get(0), true))
-          .orElse(new RouteDecision.Refuse(ErrorCode.OVERLOADED, 1));
-    }
-
-    @Override
-    public void recordSent(String upstreamId, String workspace, long nowMillis) {
-      inFlight++;
-    }
-
-    @Override
-    public void recordAccepted(String upstreamId, int load, long nowMillis) {}
-
-    @Override
-    public void recordNotAccepted(String upstreamId, String workspace, long nowMillis) {
-      inFlight--;
-    }
-
-    @Override
-    public ImmutableList<Upstream> directoryHolders(ChatKey chat) {
-      return upstreams;
-    }
-
-    @Override
-    public void recordEnded(String upstreamId, String workspace, long nowMillis) {
-      inFlight--;
-    }
-
-    @Override
-    public void configure(ServiceSpec spec, long nowMillis) {}
-
-    @Override
-    public void setUpstreams(List<Upstream> live, long nowMillis) {}
-
-    @Override
-    public void updateLoad(String upstreamId, int load, long nowMillis) {}
-
-    @Override
-    public void updateMean(MeanLoadEstimate mean, long nowMillis) {}
-  }
-
   final FlowRequest request;
   final List<Run> runs = new ArrayList<>();
   ByteString delivered = ByteString.EMPTY;
