Promise nothing for a refused request at the end of its time limit

What callers saw: 503 for a stream that had begun. An engine that preempts a request puts it back into its queue, and refuses what is queued when the time budget is over, with the request's own id and the marker.

With too little time for another attempt the caller cannot use the promise either, so the answer is 504, which promises nothing. The same holds when the time limit ends between a refusal and the next send.

--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -69,7 +69,7 @@
     return new Refusal(STATUS_BAD_GATEWAY, 0, reason);
   }
 
-  /** Returns the refusal of a request that exceeded its time limit and may have run. */
+  /** Returns the refusal of a request that was sent and exceeded its time limit. */
   static Refusal timedOut() {
     return new Refusal(STATUS_TIMEOUT, 0, "timeout");
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -245,7 +245,7 @@
           errorResponse.get().status(), errorResponse.get().headers(), errorResponse.get().body());
       return;
     }
-    endWithError(Refusal.notRun(failure.reason()));
+    endWithError(canPromise() ? Refusal.notRun(failure.reason()) : Refusal.timedOut());
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
@@ -261,6 +261,15 @@
             evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
   }
 
+  /**
+   * Returns whether the caller may be told that its request was not run. After a refusal at the end
+   * of the time limit the caller cannot send the request again, and an engine that preempted the
+   * request may refuse it although it had begun.
+   */
+  private boolean canPromise() {
+    return sentAttempts == 0 || RetryPolicy.hasTimeForRetry(timeLeftMillis());
+  }
+
   private void recordFailure(
       UpstreamHandle upstream, AttemptFailure failure, AttemptEvidence evidence) {
     if (failure.wasSent()) {
@@ -302,15 +311,14 @@
     if (ended) {
       return;
     }
-    boolean mayHaveRun = verdict != Verdict.NOT_RUN || (attempt != null && attempt.wasSent());
+    boolean wasSent = sentAttempts > 0 || (attempt != null && attempt.wasSent());
     cancelAttempt();
     if (hasBegun) {
       finish(0, "timeout");
       exchange.abort();
       return;
     }
-    Refusal refusal =
-        mayHaveRun ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
+    Refusal refusal = wasSent ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
     finish(refusal.status(), refusal.reason());
     dispatcher.respond(requestId, exchange, refusal);
   }
--- a/src/main/java/org/tanagerbank/dispatch/RetryPolicy.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryPolicy.java
@@ -25,6 +25,11 @@
 
   private RetryPolicy() {}
 
+  /** Returns whether another upstream can respond before the deadline of a request. */
+  static boolean hasTimeForRetry(long timeLeftMillis) {
+    return timeLeftMillis >= MIN_TIME_LEFT_MILLIS;
+  }
+
   /**
    * Returns whether to retry the request.
    *
@@ -42,7 +47,7 @@
       long timeLeftMillis,
       BooleanSupplier takeFromBudget) {
     boolean allowed = failure.verdict() == Verdict.NOT_RUN || route.isRepeatable();
-    if (!allowed || timeLeftMillis < MIN_TIME_LEFT_MILLIS) {
+    if (!allowed || !hasTimeForRetry(timeLeftMillis)) {
       return false;
     }
     if (!failure.wasSent()) {
--- a/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
@@ -197,6 +197,51 @@
     assertThat(fleet.upstreams().get(0).openConnections()).isEqualTo(0);
   }
 
+  /**
+   * An engine that preempts a request and puts it back into its queue refuses it when its time
+   * budget is over, although it began to run it.
+   */
+  @Test
+  void refusalAtTheEndOfTheTimeBudgetIsNoPromise() {
+    DispatchSimulation fleet =
+        fleet(
+            2,
+            id ->
+                UpstreamBehavior.runsAndOnlySends(
+                    DispatchSimulation.ROUTE_TIMEOUT_MILLIS - 5, refusal(id)));
+    Call call = fleet.send(0, "/stream/x", "x");
+    fleet.advance(DispatchSimulation.ROUTE_TIMEOUT_MILLIS + 100);
+    assertThat(call.status).isEqualTo(504);
+    assertThat(runsOf(fleet, call)).isEqualTo(1);
+  }
+
+  /** The time limit ends while the request waits for a connection after its refusal. */
+  @Test
+  void timeLimitAfterARefusalIsNoPromise() {
+    DispatchSimulation fleet = new DispatchSimulation(1, 2, true);
+    fleet.upstreams().get(0).setScript(id -> refuse(id, 1));
+    fleet.upstreams().get(1).setConnecting(true);
+    Call call = fleet.send(0, "/once/x", "x");
+    fleet.advance(DispatchSimulation.ROUTE_TIMEOUT_MILLIS + 100);
+    assertThat(call.status).isEqualTo(504);
+  }
+
+  /** A connection that opens after the time limit must not carry the request any more. */
+  @Test
+  void requestThatWasPromisedBeforeItsConnectionOpenedIsNotSent() {
+    DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
+    SimulatedUpstream upstream = fleet.upstreams().get(0);
+    upstream.setConnecting(true);
+    Call call = fleet.send(0, "/once/x", "x");
+    fleet.advance(DispatchSimulation.ROUTE_TIMEOUT_MILLIS + 100);
+    assertThat(call.status).isEqualTo(503);
+    upstream.setConnecting(false);
+    fleet.advance(200);
+    assertPromisesKept(fleet);
+    assertThat(fleet.runs()).isEmpty();
+    assertThat(upstream.openConnections()).isEqualTo(0);
+  }
+
   /** Upstreams refuse, run, and send extra responses at random moments. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -94,6 +95,8 @@
   private long endedAtMillis;
   private Function<String, UpstreamBehavior> script = id -> UpstreamBehavior.NORMAL;
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
+  private boolean isConnecting;
+  private final List<Runnable> connecting = new ArrayList<>();
 
   SimulatedUpstream(
       String name, int port, boolean keepsId, List<Run> runs, IntPredicate isInTouch) {
@@ -117,6 +120,15 @@
     script = newScript;
   }
 
+  /** Sets whether new connections stay unopened, until it is set to false again. */
+  void setConnecting(boolean connects) {
+    isConnecting = connects;
+    if (!connects) {
+      connecting.forEach(Runnable::run);
+      connecting.clear();
+    }
+  }
+
   int openConnections() {
     return connections.size();
   }
@@ -140,8 +152,18 @@
     if (!isUp) {
       return channel.newFailedFuture(new java.net.ConnectException("refused"));
     }
-    connections.add(new Connection(channel, gateway));
-    return channel.newSucceededFuture();
+    ChannelPromise opened = channel.newPromise();
+    Runnable open =
+        () -> {
+          connections.add(new Connection(channel, gateway));
+          opened.setSuccess();
+        };
+    if (isConnecting) {
+      connecting.add(open);
+    } else {
+      open.run();
+    }
+    return opened;
   }
 
   /** Ends the upstream with all its connections. */
