Derive the HTTP status of an error from its code and its verdict

What callers saw: 503 or 429 with the verdict MAY_HAVE_RUN in the body, for example OVERLOADED, SEALED or LOG_UNAVAILABLE after an earlier attempt or an earlier copy under the same key may have run (asMayHaveRun), and always for RETRY_BUDGET_EXHAUSTED. A caller that goes by the status reads a promise and sends the request again.

Cause: HttpErrors took the status from the code alone, since the first version of the codes. Now ErrorCode.httpStatus(Verdict) is the one function for it: a status that promises "not run" becomes 502 with any other verdict. The set of these statuses moves from dispatch to request, so that all packages share it. RETRY_BUDGET_EXHAUSTED never has the verdict NOT_RUN and is 502 itself.

--- a/src/main/java/org/tanagerbank/dispatch/ResponseProof.java
+++ b/src/main/java/org/tanagerbank/dispatch/ResponseProof.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.dispatch;
 
 import com.google.common.collect.ImmutableSet;
+import org.tanagerbank.request.StatusSemantics;
 import org.tanagerbank.upstream.ResponseFacts;
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 
--- a/src/main/java/org/tanagerbank/http/HttpErrors.java
+++ b/src/main/java/org/tanagerbank/http/HttpErrors.java
@@ -19,7 +19,7 @@
       headers.put("retry-after", Long.toString(retryAfterSeconds(error.retryAfterMillis())));
     }
     return new HttpResponseMessage(
-        error.code().httpStatus(), headers.buildOrThrow(), Json.bytes(body(error)));
+        error.httpStatus(), headers.buildOrThrow(), Json.bytes(body(error)));
   }
 
   /** Returns the JSON body of the response for an exception. */
--- a/src/main/java/org/tanagerbank/request/ErrorCode.java
+++ b/src/main/java/org/tanagerbank/request/ErrorCode.java
@@ -7,8 +7,8 @@
 /**
  * The error codes that are reported to callers, operators and other processes.
  *
- * <p>Each code has a fixed HTTP status. Codes must not be renamed or reused. Immutable and
- * thread-safe.
+ * <p>Each code has an HTTP status for requests that were not run. Codes must not be renamed or
+ * reused. Immutable and thread-safe.
  */
 public enum ErrorCode {
   // The request itself is invalid.
@@ -34,7 +34,7 @@
   DEPENDENCY_DOWN(503),
   QUARANTINED(422),
   LOG_UNAVAILABLE(503),
-  RETRY_BUDGET_EXHAUSTED(503),
+  RETRY_BUDGET_EXHAUSTED(502),
   SUSPECT_WAITING(503),
   MOVED(503),
   WRONG_INCARNATION(503),
@@ -66,15 +66,24 @@
   private static final ImmutableSet<ErrorCode> REQUEST_FAULTS =
       Sets.immutableEnumSet(EnumSet.range(BAD_REQUEST, RESUME_OUT_OF_RANGE));
 
+  private static final int BAD_GATEWAY = 502;
+
   private final int httpStatus;
 
   ErrorCode(int httpStatus) {
     this.httpStatus = httpStatus;
   }
 
-  /** Returns the HTTP status of responses with this code. */
-  public int httpStatus() {
-    return httpStatus;
+  /**
+   * Returns the HTTP status of responses with this code and a verdict.
+   *
+   * <p>Callers read some statuses as a promise that the request did not and will not run. With any
+   * verdict that does not say so, they are replaced by 502.
+   */
+  public int httpStatus(Verdict verdict) {
+    boolean isFalsePromise =
+        verdict != Verdict.NOT_RUN && StatusSemantics.impliesNotRun(httpStatus);
+    return isFalsePromise ? BAD_GATEWAY : httpStatus;
   }
 
   /**
--- a/src/main/java/org/tanagerbank/request/TanagerException.java
+++ b/src/main/java/org/tanagerbank/request/TanagerException.java
@@ -60,6 +60,11 @@
     return code;
   }
 
+  /** Returns the HTTP status of a response with this error. */
+  public int httpStatus() {
+    return code.httpStatus(verdict);
+  }
+
   /** Returns the verdict, which states whether the request may have run. */
   public Verdict verdict() {
     return verdict;
--- a/src/test/java/org/tanagerbank/events/CataloguePagesTest.java
+++ b/src/test/java/org/tanagerbank/events/CataloguePagesTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.request.ErrorCode;
+import org.tanagerbank.request.Verdict;
 
 /**
  * Guards against documentation pages that differ from the code: an event or error code that is
@@ -30,7 +31,8 @@
   void errorsPageListsExactlyTheErrorCodes() throws IOException {
     List<List<String>> codes =
         Arrays.stream(ErrorCode.values())
-            .map(c -> List.of("`" + c.name() + "`", Integer.toString(c.httpStatus())))
+            .map(
+                c -> List.of("`" + c.name() + "`", Integer.toString(c.httpStatus(Verdict.NOT_RUN))))
             .toList();
     assertThat(rows("docs/ERRORS.md", 5, 2)).containsExactlyElementsIn(codes).inOrder();
   }
