Pass on no upstream status that promises a request was not run

What callers saw: through an entry and a sidecar, an upstream's own 503, 429, 408 or 421 was passed on as the answer. The upstream had received the whole request, and nothing in its response shows that the request had no effect; callers read the status as a promise. The ledger recorded the run as finished.

UpstreamRun now ends such a run with ENGINE_ERROR and MAY_HAVE_RUN, as for other faults of an upstream: the entry runs it again where that is allowed, and otherwise the caller gets 502.

--- a/src/main/java/org/tanagerbank/sidecar/UpstreamRun.java
+++ b/src/main/java/org/tanagerbank/sidecar/UpstreamRun.java
@@ -12,6 +12,7 @@
 import org.tanagerbank.request.ErrorCode;
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.request.RequestId;
+import org.tanagerbank.request.StatusSemantics;
 import org.tanagerbank.request.TanagerException;
 import org.tanagerbank.request.Verdict;
 
@@ -210,6 +211,15 @@
 
   @Override
   public synchronized void onHead(int newStatus, ImmutableMap<String, String> headers) {
+    if (StatusSemantics.impliesNotRun(newStatus)) {
+      // Callers would read the status as a promise, but the upstream got the request and its
+      // response does not prove that it has no effect.
+      fail(
+          ErrorCode.ENGINE_ERROR,
+          Verdict.MAY_HAVE_RUN,
+          "the upstream responded with status " + newStatus);
+      return;
+    }
     status = newStatus;
     contentType = headers.getOrDefault("content-type", "");
   }
--- a/src/test/java/org/tanagerbank/sidecar/UpstreamRunTest.java
+++ b/src/test/java/org/tanagerbank/sidecar/UpstreamRunTest.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.http.HttpCall;
 import org.tanagerbank.proto.LinkProto.RequestRef;
 import org.tanagerbank.request.ErrorCode;
@@ -41,6 +43,10 @@
       };
 
   private UpstreamRun run(boolean nonIdempotent) {
+    return run(nonIdempotent, 200);
+  }
+
+  private UpstreamRun run(boolean nonIdempotent, int status) {
     UpstreamRun.CompletionListener listener =
         new UpstreamRun.CompletionListener() {
           @Override
@@ -62,7 +68,7 @@
     RequestId id = SidecarFrames.idOf(REF);
     UpstreamRun run = new UpstreamRun(id, "w", new Fingerprint(1), nonIdempotent, true, listener);
     run.setCall(call);
-    run.onHead(200, ImmutableMap.of("content-type", "text/event-stream"));
+    run.onHead(status, ImmutableMap.of("content-type", "text/event-stream"));
     return run;
   }
 
@@ -70,6 +76,20 @@
     run.attach(new Delivery(session, REF, attempt, position, creditBytes));
   }
 
+  /** Callers would take such a status for a promise that their request did not run. */
+  @ParameterizedTest
+  @ValueSource(ints = {408, 421, 429, 503})
+  void statusThatPromisesNotRunIsNotPassedOn(int status) {
+    UpstreamRun run = run(true, status);
+    attach(run, 1, 0, 1 << 20);
+    run.onData(new byte[10]);
+    run.onEnd();
+    assertThat(ended).isEqualTo("ENGINE_ERROR MAY_HAVE_RUN");
+    assertThat(cancelled).isTrue();
+    assertThat(link.answerBytes()).isEqualTo(0);
+    assertThat(link.lastFrame().getFailed().getVerdict().name()).contains("MAY_HAVE_RUN");
+  }
+
   @Test
   void slowDeliveryLimitsUpstreamCredit() {
     UpstreamRun run = run(false);
