End the direct engine if its record cannot be written

A record with gaps would prove that a request did not run although it did, so the process ends at once and logs the new event STANDIN_RECORD_FAILED.

--- a/src/main/java/org/tanagerbank/cli/StandinDirectEngineCommand.java
+++ b/src/main/java/org/tanagerbank/cli/StandinDirectEngineCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import org.tanagerbank.standin.direct.DirectEngine;
 import org.tanagerbank.standin.direct.DirectEngineSettings;
 import org.tanagerbank.standin.direct.EngineFaults;
+import org.tanagerbank.standin.direct.RunRecord;
 import org.tanagerbank.standin.direct.RunRecordFile;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
@@ -123,7 +125,20 @@
       return run(DirectEngine.create(settings(), bind(), controlBind(), codec(), r -> {}), out);
     }
     try (RunRecordFile file = RunRecordFile.open(Path.of(record))) {
-      return run(DirectEngine.create(settings(), bind(), controlBind(), codec(), file), out);
+      return run(
+          DirectEngine.create(
+              settings(), bind(), controlBind(), codec(), line -> append(file, line)),
+          out);
+    }
+  }
+
+  /** Appends a line, or ends the process if that fails: a record with gaps proves nothing. */
+  private void append(RunRecordFile file, RunRecord line) {
+    try {
+      file.accept(line);
+    } catch (UncheckedIOException e) {
+      EventLog.emit(LogEvent.STANDIN_RECORD_FAILED, e, "record", record, "error", e);
+      Runtime.getRuntime().halt(FAILED);
     }
   }
 
--- a/src/main/java/org/tanagerbank/events/LogEvent.java
+++ b/src/main/java/org/tanagerbank/events/LogEvent.java
@@ -91,7 +91,8 @@
   SUSPECT_RECORD_INVALID(1820, Level.WARNING),
 
   // 1900-1999: stand-ins.
-  STANDIN_READY(1901, Level.INFO);
+  STANDIN_READY(1901, Level.INFO),
+  STANDIN_RECORD_FAILED(1902, Level.SEVERE);
 
   private final int number;
   private final Level level;
