--- a/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
+++ b/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
@@ -120,13 +120,18 @@
    * @throws InterruptedException if the thread is interrupted while it waits
    */
   public void drain() throws InterruptedException {
-    group.next().execute(() -> isDraining = true);
+    runOnLoop(() -> isDraining = true);
     Thread.sleep(settings.drainMillis());
   }
 
-  /** Replaces the faults; they apply to requests that arrive from now on. */
+  /** Replaces the faults; they apply to requests that arrive after this method has returned. */
   public void setFaults(EngineFaults faults) {
-    group.next().execute(() -> driver.core().setFaults(faults));
+    runOnLoop(() -> driver.core().setFaults(faults));
+  }
+
+  /** Runs an action on the event loop and waits for its end. */
+  private void runOnLoop(Runnable action) {
+    group.next().submit(action).syncUninterruptibly();
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/standin/direct/EngineBatch.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineBatch.java
@@ -108,7 +108,7 @@
     }
   }
 
-  /** Completes the requests without a prompt whose time is over. */
+  /** Completes the requests without a prompt whose work ended before their deadline. */
   void completePlain(long nowMicros, ImmutableList.Builder<EngineAction> actions) {
     take(runs.stream().filter(run -> plainEndMicros(run) <= nowMicros).collect(toImmutableList()))
         .forEach(run -> actions.add(new EngineAction.Completed(run)));
@@ -228,7 +228,10 @@
   }
 
   private static long plainEndMicros(EngineRun run) {
-    boolean ends = !run.isGeneration() && run.faults.outcome() != RunFaults.Outcome.HANGS;
+    boolean ends =
+        !run.isGeneration()
+            && run.faults.outcome() != RunFaults.Outcome.HANGS
+            && run.workEndMicros <= run.deadlineMicros;
     return ends ? run.workEndMicros : EngineCore.NEVER;
   }
 }
--- a/src/main/java/org/tanagerbank/standin/direct/EngineConnection.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineConnection.java
@@ -31,9 +31,6 @@
   /** The number of decoded parts of later requests at which reading pauses. */
   private static final int MAX_QUEUED_PARTS = 64;
 
-  /** How long reading pauses after a refusal that came before the body. */
-  private static final long UNREAD_BODY_PAUSE_MILLIS = 5;
-
   private static final ByteBuf CONTINUE =
       Unpooled.unreleasableBuffer(
           ResponseFormatter.bytes(
@@ -122,15 +119,13 @@
   /** Refuses the request and reads its body a little later, as part of no request. */
   private void refuseEarly() {
     engine.driver().log().fault(run, "earlyRefusal");
+    long pauseMicros = run.faults.bodyPauseMicros();
     engine.driver().refuseEarly(run, responder());
     channel.config().setAutoRead(false);
     var unused =
         channel
             .eventLoop()
-            .schedule(
-                () -> channel.config().setAutoRead(true),
-                UNREAD_BODY_PAUSE_MILLIS,
-                TimeUnit.MILLISECONDS);
+            .schedule(() -> channel.config().setAutoRead(true), pauseMicros, TimeUnit.MICROSECONDS);
   }
 
   private void onContent(HttpContent content) {
--- a/src/main/java/org/tanagerbank/standin/direct/EngineControl.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineControl.java
@@ -52,7 +52,9 @@
           loop.execute(
               () ->
                   exchange.respond(
-                      HttpErrors.json(OK, Json.tree(driver.log().statistics().snapshot()))));
+                      HttpErrors.json(
+                          OK,
+                          Json.tree(driver.log().statistics().snapshot(driver.core().load())))));
       default ->
           throw TanagerException.notRun(
               ErrorCode.NOT_FOUND, "no such call: " + request.method() + " " + request.path());
--- a/src/main/java/org/tanagerbank/standin/direct/EngineCore.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineCore.java
@@ -83,8 +83,8 @@
       batch.step(queue, stepMicros, nowMicros, actions);
       refuseOverflow(actions);
     }
-    expire(nowMicros, actions);
     batch.completePlain(nowMicros, actions);
+    expire(nowMicros, actions);
     batch.admit(queue, nowMicros, actions);
     return actions.build();
   }
@@ -117,7 +117,8 @@
 
   /** Returns whether a request that arrives now would be refused as the engine is full. */
   boolean isFull() {
-    return batch.size() >= settings.limits().slots() && queue.size() >= settings.limits().queue();
+    boolean mustWait = queue.size() > 0 || batch.size() >= settings.limits().slots();
+    return mustWait && queue.size() >= settings.limits().queue();
   }
 
   PrefixMemory memory() {
--- a/src/main/java/org/tanagerbank/standin/direct/EngineStatistics.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineStatistics.java
@@ -4,6 +4,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.tanagerbank.upstream.LoadReport;
 
 /**
  * Counts what an engine did and measures how long it took. Not thread-safe; confined to the event
@@ -20,12 +21,14 @@
   /**
    * The statistics at a moment. Immutable.
    *
+   * @param load the load of the engine
    * @param events the number of records of each event
    * @param statuses the number of responses with each status, including incomplete ones
    * @param beginMicros the time from the arrival of a request to its begin
    * @param runMicros the time from the begin of a request to its end
    */
   record Snapshot(
+      LoadReport load,
       ImmutableSortedMap<RunEvent, Long> events,
       ImmutableSortedMap<Integer, Long> statuses,
       Percentiles beginMicros,
@@ -58,8 +61,9 @@
     runMicros.recordValue(Math.max(0, micros));
   }
 
-  Snapshot snapshot() {
+  Snapshot snapshot(LoadReport load) {
     return new Snapshot(
+        load,
         ImmutableSortedMap.copyOfSorted(events),
         ImmutableSortedMap.copyOfSorted(statuses),
         Percentiles.of(beginMicros),
--- a/src/main/java/org/tanagerbank/standin/direct/RunFaults.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunFaults.java
@@ -16,6 +16,9 @@
  *     preemption
  * @param outcome what becomes of the response to a run
  * @param repeatDelayMicros the time in microseconds between a response and its repetition
+ * @param bodyPauseMicros how long reading pauses after a refusal that precedes the body
+ * @param extrasAtBegin whether responses of other requests are sent when the run begins, rather
+ *     than directly before the response
  * @param cutShare the share of the response after which it is cut, from 0 to 1
  * @param resets whether a connection is reset rather than closed
  */
@@ -30,10 +33,14 @@
     boolean refusedAfterPreemption,
     Outcome outcome,
     long repeatDelayMicros,
+    long bodyPauseMicros,
+    boolean extrasAtBegin,
     double cutShare,
     boolean resets) {
   private static final int MAX_REPEAT_DELAY_MICROS = 3_000;
 
+  private static final int MAX_BODY_PAUSE_MICROS = 50_000;
+
   /** What becomes of the response to a request that ran. */
   enum Outcome {
     SENT,
@@ -58,8 +65,10 @@
         random.nextDouble() < faults.refusedAfterPreemption(),
         drawOutcome(faults, random),
         (long) (random.nextDouble() * MAX_REPEAT_DELAY_MICROS),
+        (long) (random.nextDouble() * MAX_BODY_PAUSE_MICROS),
+        random.nextBoolean(),
         random.nextDouble(),
-        random.nextDouble() < 0.5);
+        random.nextBoolean());
   }
 
   /** Draws an outcome. The probabilities of the faults add up, as they exclude each other. */
--- a/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
@@ -64,6 +64,16 @@
 
   private void onBegan() {
     log.began(run, received.get());
+    if (run.faults.extrasAtBegin()) {
+      sendExtras();
+    }
+    if (run.faults.outcome() == RunFaults.Outcome.HANGS) {
+      log.fault(run, "hang");
+    }
+  }
+
+  /** Sends the responses of other requests that faults ask for. */
+  private void sendExtras() {
     Optional<String> otherId = driver.earlierRequestId(run);
     if (run.faults.foreignRefusal() && otherId.isPresent()) {
       sendExtra("foreignRefusal", refusal(otherId.get(), SERVICE_UNAVAILABLE, true));
@@ -75,21 +85,30 @@
     if (run.faults.unnamedRefusal()) {
       sendExtra("unnamedRefusal", refusal("", SERVICE_UNAVAILABLE, true));
     }
-    if (run.faults.outcome() == RunFaults.Outcome.HANGS) {
-      log.fault(run, "hang");
+  }
+
+  /** Called before each part of the response to a request that ran. */
+  private void beforeSend() {
+    if (!isHeadSent && !run.faults.extrasAtBegin()) {
+      sendExtras();
     }
+    isHeadSent = true;
   }
 
   private void onRefused(EngineAction.Refused refused) {
-    if (!refused.isMarked()) {
-      log.fault(run, "unmarkedMisdirect");
-    }
-    log.refused(run, refused.refusal());
     if (isHeadSent) {
-      // Only an engine that refuses what has begun gets here; the response cannot be taken back.
+      // The run was preempted within its response, so that a refusal can no longer be sent.
+      log.ended(run, OK, false, refused.refusal().name());
       breakOff();
       return;
     }
+    if (!refused.isMarked()) {
+      log.fault(run, "unmarkedMisdirect");
+    }
+    if (run.hasBegun) {
+      log.fault(run, "refusedAfterPreemption");
+    }
+    log.refused(run, refused.refusal());
     int status = refused.refusal().status();
     ByteBuf response =
         formatter.refusal(run.request.id(), status, refused.isMarked(), connection.closes());
@@ -108,10 +127,10 @@
     }
     ByteBuf chunk = ResponseFormatter.chunk(ExpectedResponse.event(run.request.id(), number));
     ByteBuf bytes = isHeadSent ? chunk : Unpooled.wrappedBuffer(streamHead(), chunk);
-    isHeadSent = true;
     if (isCut && isCutAt(number)) {
       cut(bytes);
     } else {
+      beforeSend();
       connection.send(bytes, IGNORE_RESULT);
     }
   }
@@ -157,11 +176,7 @@
       return;
     }
     ByteBuf end = ResponseFormatter.lastChunk();
-    if (!isHeadSent) {
-      end = Unpooled.wrappedBuffer(streamHead(), end);
-      isHeadSent = true;
-    }
-    finish(OK, null, end);
+    finish(OK, null, isHeadSent ? end : Unpooled.wrappedBuffer(streamHead(), end));
   }
 
   private void fail(String fault, int status) {
@@ -170,6 +185,7 @@
   }
 
   private void garble() {
+    beforeSend();
     log.fault(run, "garbledResponse");
     log.ended(run, OK, false, "garbledResponse");
     connection.sendAndBreakOff(ResponseFormatter.bytes(GARBAGE), run.faults.resets());
@@ -177,6 +193,7 @@
 
   /** Sends a part of some bytes and closes the connection. */
   private void cut(ByteBuf bytes) {
+    beforeSend();
     log.fault(run, "cutResponse");
     log.ended(run, OK, false, "cutResponse");
     driver.remove(run);
@@ -193,6 +210,7 @@
       boolean isStream = run.isGeneration() && status == OK;
       sendAgain("doubledResponse", isStream ? wholeStream() : response);
     }
+    beforeSend();
     connection.send(response, isWritten -> log.ended(run, status, isWritten, detail));
     connection.finishExchange();
   }
--- a/src/test/java/org/tanagerbank/cli/StandinCommandTest.java
+++ b/src/test/java/org/tanagerbank/cli/StandinCommandTest.java
@@ -4,9 +4,13 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.http.Json;
@@ -18,7 +22,7 @@
   private final CommandRunner command = new CommandRunner();
 
   @ParameterizedTest
-  @ValueSource(strings = {"log", "engine", "plain", "instances", "weights"})
+  @ValueSource(strings = {"log", "engine", "direct-engine", "plain", "instances", "weights"})
   void printsAddressWhenReadyAndRunsUntilStopped(String name) throws Exception {
     Thread thread = new Thread(() -> command.run("standin", name));
     thread.start();
@@ -43,6 +47,17 @@
     }
   }
 
+  @Test
+  void invalidSettingsOfTheDirectEngineAreReportedTogether(@TempDir Path dir) throws IOException {
+    Path faults = Files.writeString(dir.resolve("faults.json"), "{\"hangs\": 1}");
+    assertThat(
+            command.run(
+                "standin", "direct-engine", "--address=nowhere", "--slots=0", "--faults=" + faults))
+        .isEqualTo(Command.USAGE);
+    assertThat(command.err()).contains("Unrecognized field \"hangs\"");
+    assertThat(command.err().lines().count()).isEqualTo(4);
+  }
+
   @Test
   void invalidSettingsAreReportedTogether() {
     assertThat(
