Check for a full queue after every admission of the direct engine

An urgent request can preempt several others on its arrival, which left the queue over its limit until the next step, so that refusedAfterPreemption acted late. A test covers the refusal of a preempted request that finds the queue full.

--- a/src/main/java/org/tanagerbank/standin/direct/EngineCore.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineCore.java
@@ -71,6 +71,7 @@
     run.generatedTokens = tokensBeforeResumption(run);
     queue.add(run);
     batch.admit(queue, nowMicros, actions);
+    refuseOverflow(actions);
     return actions.build();
   }
 
@@ -81,11 +82,11 @@
       long stepMicros = batch.nextStepMicros();
       expire(stepMicros, actions);
       batch.step(queue, stepMicros, nowMicros, actions);
-      refuseOverflow(actions);
     }
     batch.completePlain(nowMicros, actions);
     expire(nowMicros, actions);
     batch.admit(queue, nowMicros, actions);
+    refuseOverflow(actions);
     return actions.build();
   }
 
@@ -172,11 +173,10 @@
 
   /** Refuses preempted requests that found the queue full, if a fault asks for that. */
   private void refuseOverflow(ImmutableList.Builder<EngineAction> actions) {
-    if (queue.size() > settings.limits().queue()) {
-      queue
-          .removePreemptedToRefuse(queue.size() - settings.limits().queue())
-          .forEach(run -> actions.add(refused(run, Refusal.PREEMPTED_AND_QUEUE_FULL)));
-    }
+    int overflow = Math.max(0, queue.size() - settings.limits().queue());
+    queue
+        .removePreemptedToRefuse(overflow)
+        .forEach(run -> actions.add(refused(run, Refusal.PREEMPTED_AND_QUEUE_FULL)));
   }
 
   private static EngineAction refused(EngineRun run, Refusal refusal) {
--- a/src/test/java/org/tanagerbank/standin/direct/EngineCoreTest.java
+++ b/src/test/java/org/tanagerbank/standin/direct/EngineCoreTest.java
@@ -114,6 +114,26 @@
     assertThat(endOfPreempted(faults)).isEqualTo("Refused usual PREEMPTED_AND_DEADLINE_PASSED");
   }
 
+  @Test
+  void preemptedRequestThatFindsTheQueueFullIsRefusedOnlyIfTheFaultIsOn() {
+    assertThat(actionsWithFullQueue(EngineFaults.NONE)).contains("Completed usual");
+    EngineFaults faults = EngineFaults.parse("{\"refusedAfterPreemption\": 1}".getBytes(UTF_8));
+    assertThat(actionsWithFullQueue(faults))
+        .containsAtLeast("Preempted usual", "Refused usual PREEMPTED_AND_QUEUE_FULL")
+        .inOrder();
+  }
+
+  private static ImmutableList<String> actionsWithFullQueue(EngineFaults faults) {
+    EngineCoreTest test = new EngineCoreTest();
+    test.core.setFaults(faults);
+    test.submit(ownPrompt("urgent", URGENT, 480, 100));
+    test.submit(ownPrompt("usual", USUAL, 480, 100));
+    test.submit(plain("w1", 100_000));
+    test.submit(plain("w2", 100_000));
+    test.advanceTo(10_000_000);
+    return test.names();
+  }
+
   private static String endOfPreempted(EngineFaults faults) {
     EngineCoreTest test = new EngineCoreTest();
     test.core.setFaults(faults);
