--- a/src/main/java/org/tanagerbank/events/LogEvent.java
+++ b/src/main/java/org/tanagerbank/events/LogEvent.java
@@ -92,7 +92,8 @@
   RESPONSE_SKIPPED(1821, Level.INFO),
 
   // 1900-1999: stand-ins.
-  STANDIN_READY(1901, Level.INFO);
+  STANDIN_READY(1901, Level.INFO),
+  STANDIN_RECORD_FAILED(1902, Level.SEVERE);
 
   private final int number;
   private final Level level;
