Give upstreams the same request id in all rounds of a request

Cause: while all upstreams are overloaded after a loss, the entry tries the request again in rounds, each under a new request id, as sidecars seal the id that they refuse. The sidecar passes that id on as x-request-id, and the engine repeats it in each event, so the answer of a later round had other bytes. SidecarServiceTest with the round's id in the header fails: entry-1.1.448 in place of entry-1.1.7. Change: the ids of a request are 64 consecutive sequence numbers, one for each round; the quotient names the request to upstreams. The ledger still sees another id in each round. A request that has used all 64 begins with a new number.

--- a/src/main/java/org/tanagerbank/entry/RequestHandler.java
+++ b/src/main/java/org/tanagerbank/entry/RequestHandler.java
@@ -129,7 +129,7 @@
     checkDependencies(service);
     checkQuarantine(validRequest);
     budget.recordRequest(clock.getAsLong());
-    RequestId id = new RequestId(settings.id(), settings.incarnation(), number);
+    RequestId id = RequestId.firstRound(settings.id(), settings.incarnation(), number);
     RequestFlow flow =
         new RequestFlow(
             flowRequest(validRequest),
@@ -162,11 +162,16 @@
 
   /** Assigns a new id, which no sidecar has seen yet, to a request. */
   void assignNewId(ActiveRequest request) {
-    long oldNumber = request.id().sequence();
-    long number = sequence.incrementAndGet();
-    active.put(number, request);
-    request.setId(new RequestId(settings.id(), settings.incarnation(), number));
-    active.remove(oldNumber);
+    RequestId old = request.id();
+    RequestId next =
+        old.nextRound()
+            .orElseGet(
+                () ->
+                    RequestId.firstRound(
+                        settings.id(), settings.incarnation(), sequence.incrementAndGet()));
+    active.put(next.sequence(), request);
+    request.setId(next);
+    active.remove(old.sequence());
   }
 
   private void checkDependencies(ServiceSpec service) {
--- a/src/main/java/org/tanagerbank/proto/LinkProto.java
+++ b/src/main/java/org/tanagerbank/proto/LinkProto.java
@@ -5318,7 +5318,7 @@
 
     /**
      * <pre>
-     * Position of the request among those of the entry incarnation, starting at 1.
+     * Identifies the request within the entry incarnation. All rounds of a request have the same sequence / 64.
      * </pre>
      *
      * <code>uint64 sequence = 3;</code>
@@ -5422,7 +5422,7 @@
     private long sequence_ = 0L;
     /**
      * <pre>
-     * Position of the request among those of the entry incarnation, starting at 1.
+     * Identifies the request within the entry incarnation. All rounds of a request have the same sequence / 64.
      * </pre>
      *
      * <code>uint64 sequence = 3;</code>
@@ -5886,7 +5886,7 @@
       private long sequence_ ;
       /**
        * <pre>
-       * Position of the request among those of the entry incarnation, starting at 1.
+       * Identifies the request within the entry incarnation. All rounds of a request have the same sequence / 64.
        * </pre>
        *
        * <code>uint64 sequence = 3;</code>
@@ -5898,7 +5898,7 @@
       }
       /**
        * <pre>
-       * Position of the request among those of the entry incarnation, starting at 1.
+       * Identifies the request within the entry incarnation. All rounds of a request have the same sequence / 64.
        * </pre>
        *
        * <code>uint64 sequence = 3;</code>
@@ -5914,7 +5914,7 @@
       }
       /**
        * <pre>
-       * Position of the request among those of the entry incarnation, starting at 1.
+       * Identifies the request within the entry incarnation. All rounds of a request have the same sequence / 64.
        * </pre>
        *
        * <code>uint64 sequence = 3;</code>
--- a/src/main/java/org/tanagerbank/sidecar/UpstreamClient.java
+++ b/src/main/java/org/tanagerbank/sidecar/UpstreamClient.java
@@ -35,7 +35,7 @@
   HttpCall send(Submit submit, UpstreamRun run) {
     ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
     headers.put("content-type", submit.getContentType().isEmpty() ? JSON : submit.getContentType());
-    headers.put("x-request-id", run.id().toString());
+    headers.put("x-request-id", run.id().nameForUpstream());
     headers.put("x-priority", Integer.toString(submit.getPriority()));
     if (!submit.getIdempotencyKey().isEmpty()) {
       headers.put("idempotency-key", submit.getIdempotencyKey());
--- a/src/test/java/org/tanagerbank/sidecar/SidecarServiceTest.java
+++ b/src/test/java/org/tanagerbank/sidecar/SidecarServiceTest.java
@@ -30,6 +30,7 @@
 import org.tanagerbank.proto.LinkProto.RequestRef;
 import org.tanagerbank.proto.LinkProto.Submit;
 import org.tanagerbank.proto.LinkProto.VerdictCode;
+import org.tanagerbank.request.RequestId;
 import org.tanagerbank.standin.EngineSettings;
 import org.tanagerbank.standin.EngineStandin;
 import org.tanagerbank.standin.PlainStandin;
@@ -95,6 +96,33 @@
     }
   }
 
+  /** Guards against answers that differ because an engine repeats the id of the request. */
+  @Test
+  void roundsOfOneRequestHaveTheSameNameAtTheUpstream() {
+    PlainStandin plain = PlainStandin.create(ANY_PORT, 0);
+    try (SidecarFixture fixture = new SidecarFixture(plain, "register-app")) {
+      FakeEntry entry = fixture.entry();
+      entry.pushConfig(1, SidecarFixture.DECLARATION);
+      awaitJson(fixture.sidecar.httpAddress(), "/status", s -> s.path("accepting").asBoolean());
+      RequestId first = RequestId.firstRound("entry-1", 1, 7);
+      RequestId second = first.nextRound().orElseThrow();
+      assertThat(requestIdAtUpstream(fixture, entry, first)).isEqualTo("entry-1.1.7");
+      assertThat(requestIdAtUpstream(fixture, entry, second)).isEqualTo("entry-1.1.7");
+    }
+  }
+
+  private static String requestIdAtUpstream(SidecarFixture fixture, FakeEntry entry, RequestId id) {
+    RequestRef ref = FakeEntry.ref(id.sequence());
+    entry.submit(
+        fixture
+            .submit("register-app", "a body")
+            .setRequest(ref)
+            .setMethod("POST")
+            .setPath("/register/entries"));
+    assertThat(entry.outcome(ref, 1).getEnd().getHttpStatus()).isEqualTo(200);
+    return Json.parseObject(entry.bytes(ref, 1).toByteArray()).path("requestId").asText();
+  }
+
   @Test
   void reportsToEntryAndAppliesItsConfiguration() throws Exception {
     BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
