--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -18,6 +18,8 @@
 import org.tanagerbank.standin.direct.EngineRequest;
 import org.tanagerbank.upstream.BufferedResponse;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.ResponseFacts;
+import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Guards against an engine stand-in that does not speak the language of the gateways. */
@@ -28,16 +30,25 @@
   @Test
   void gatewayUnderstandsRefusals() {
     HttpHeaders refusal = engine.encode(marks(/* isNotRun= */ true, Optional.empty()));
-    assertThat(gateway.statesNotRun(503, refusal)).isTrue();
-    assertThat(gateway.isResponseTo(refusal, "r1")).isTrue();
-    assertThat(gateway.hasUpstreamSignature(refusal)).isFalse();
+    assertThat(gateway.responseFacts(refusal, "r1"))
+        .isEqualTo(
+            new ResponseFacts(
+                IdRelation.OWN,
+                /* hasNotRunMarker= */ true,
+                /* hasSignature= */ false,
+                /* isEncoded= */ false));
   }
 
   @Test
   void gatewayUnderstandsSuccesses() {
     HttpHeaders success = engine.encode(marks(/* isNotRun= */ false, Optional.of("signature")));
-    assertThat(gateway.statesNotRun(503, success)).isFalse();
-    assertThat(gateway.hasUpstreamSignature(success)).isTrue();
+    assertThat(gateway.responseFacts(success, "r1"))
+        .isEqualTo(
+            new ResponseFacts(
+                IdRelation.OWN,
+                /* hasNotRunMarker= */ false,
+                /* hasSignature= */ true,
+                /* isEncoded= */ false));
     assertThat(gateway.load(success)).hasValue(new LoadReport(3, 2, 8));
     assertThat(success.get("Keep-Alive")).isEqualTo("timeout=7");
   }
