Wait in the test fleet until entries list the plain upstream as well

Cause: the fixture waited until each entry lists the engines, and all sidecars are ready, but not until the entry lists the plain upstream, which is registered last. Change: the fixture asks each entry for the plain upstream too. The test prints the response if its status is not the expected one.

--- a/src/test/java/org/tanagerbank/entry/EntryTest.java
+++ b/src/test/java/org/tanagerbank/entry/EntryTest.java
@@ -53,7 +53,7 @@
     assertThat(text(streamed)).contains("data: [DONE]");
     assertThat(fleet.executions("engine")).isEqualTo(2);
     HttpResponseMessage plain = fleet.call(0, "POST", "/services/register-app/a/b?x=1", "{}");
-    assertThat(plain.status()).isEqualTo(200);
+    assertWithMessage(text(plain)).that(plain.status()).isEqualTo(200);
     assertThat(text(plain)).contains("/a/b?x=1");
   }
 
--- a/src/test/java/org/tanagerbank/entry/LocalFleet.java
+++ b/src/test/java/org/tanagerbank/entry/LocalFleet.java
@@ -87,8 +87,10 @@
     await(() -> entries.stream().allMatch(e -> isUsable(e, engines)));
   }
 
+  /** Returns whether an entry lists all upstreams, and all sidecars accept requests. */
   private boolean isUsable(Entry entry, int engines) {
     return entry.fleet().upstreams("model-pool").size() == engines
+        && entry.fleet().upstreams("register-app").size() == 1
         && entry.fleet().config().isPresent()
         && sidecars.values().stream()
             .allMatch(s -> statusCode(s.httpAddress(), "/health/ready") == 200);
