Remove three methods that nothing calls

LogConfigSource.hasReachedEnd, LinkPool.sendIfOpen and ReportingLink.send have no caller in the sources or tests. Behaviour stays. Evidence: the build, with Error Prone, and all tests pass without them.

--- a/src/main/java/org/tanagerbank/config/LogConfigSource.java
+++ b/src/main/java/org/tanagerbank/config/LogConfigSource.java
@@ -121,14 +121,6 @@
     }
   }
 
-  /**
-   * Returns whether this source has reached the end of the log at least once. Before that, an empty
-   * {@link #current} may only mean that the configuration was not read yet.
-   */
-  public boolean hasReachedEnd() {
-    return reachedEnd;
-  }
-
   /** Applies a configuration that a peer offers, and returns whether it was adopted. */
   public boolean offer(ConfigOffer offer) {
     synchronized (replica) {
--- a/src/main/java/org/tanagerbank/entry/LinkPool.java
+++ b/src/main/java/org/tanagerbank/entry/LinkPool.java
@@ -88,14 +88,6 @@
         });
   }
 
-  /** Sends a frame if the link to an instance is ready, and drops it otherwise. */
-  void sendIfOpen(String instanceId, Frame frame) {
-    UpstreamLink link = links.get(instanceId);
-    if (link != null) {
-      link.readyLink().ifPresent(open -> open.send(frame));
-    }
-  }
-
   /**
    * Removes the links of instances that are not in the given set, unless a link is open or being
    * opened.
--- a/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
+++ b/src/main/java/org/tanagerbank/sidecar/ReportingLink.java
@@ -104,13 +104,6 @@
     }
   }
 
-  /** Sends a frame to the reporting entry; drops the frame if no link is open. */
-  synchronized void send(Frame frame) {
-    if (link != null) {
-      link.send(frame);
-    }
-  }
-
   /** Returns the id of the reporting entry; empty if no link is open. */
   synchronized String entryId() {
     return link == null ? "" : entryId;
