Find the ends of events in one place

EventBuffer and the class that holds back usage both looked for the empty line that ends an event. StreamEvents, formerly UsageEvents, does it for both; behaviour stays.

--- a/src/main/java/org/tanagerbank/entry/EventBuffer.java
+++ b/src/main/java/org/tanagerbank/entry/EventBuffer.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.entry;
 
 import com.google.protobuf.ByteString;
+import org.tanagerbank.answer.StreamEvents;
 
 /**
  * Buffers the incomplete event at the end of a stream of server-sent events, so that only whole
@@ -21,7 +22,7 @@
    */
   ByteString add(ByteString data) {
     ByteString all = buffered.concat(data);
-    int end = endOfLastEvent(all);
+    int end = StreamEvents.endOfLastEvent(all, all.size());
     if (all.size() - end > MAX_BUFFERED_BYTES) {
       end = all.size();
     }
@@ -33,22 +34,4 @@
   ByteString incompleteEvent() {
     return buffered;
   }
-
-  private static int endOfLastEvent(ByteString bytes) {
-    for (int i = bytes.size() - 1; i > 0; i--) {
-      if (bytes.byteAt(i) == '\n' && isEmptyLineBefore(bytes, i)) {
-        return i + 1;
-      }
-    }
-    return 0;
-  }
-
-  /**
-   * Returns whether the line that ends with the given line feed is empty, not counting a carriage
-   * return.
-   */
-  private static boolean isEmptyLineBefore(ByteString bytes, int lineFeed) {
-    int last = bytes.byteAt(lineFeed - 1) == '\r' ? lineFeed - 2 : lineFeed - 1;
-    return last >= 0 && bytes.byteAt(last) == '\n';
-  }
 }
--- a/src/main/java/org/tanagerbank/entry/ResponseAssembler.java
+++ b/src/main/java/org/tanagerbank/entry/ResponseAssembler.java
@@ -5,7 +5,7 @@
 import org.tanagerbank.answer.AnswerAssembler;
 import org.tanagerbank.answer.AnswerDecision;
 import org.tanagerbank.answer.PrefixVerifier;
-import org.tanagerbank.answer.UsageEvents;
+import org.tanagerbank.answer.StreamEvents;
 import org.tanagerbank.request.ErrorCode;
 import org.tanagerbank.request.TanagerException;
 
@@ -151,7 +151,7 @@
       return 0;
     }
     return deterministic && contentType.startsWith(EVENT_STREAM)
-        ? UsageEvents.endOfEventsBeforeUsage(buffered)
+        ? StreamEvents.endOfEventsBeforeUsage(buffered)
         : buffered.size();
   }
 
