--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
@@ -134,6 +134,7 @@
           .that(Run.lateRetries(runs).size())
           .isAtMost(MAX_LATE_RETRIES);
     }
+    PromiseCheck.assertPromisesKept(fleet);
     long calmFrom = fleet.nowMillis() - 5_000 - CALM_MILLIS / 2;
     assertWithMessage("seed %s: innocent requests that were not served in the calm", seed)
         .that(innocent.stream().filter(c -> c.sentAtMillis > calmFrom && c.status != 200).toList())
--- a/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
@@ -1,8 +1,9 @@
 package org.tanagerbank.dispatch;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.tanagerbank.dispatch.PromiseCheck.PROMISES;
+import static org.tanagerbank.dispatch.PromiseCheck.assertPromisesKept;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -21,7 +22,6 @@
  * connection on which a response belonged to another request.
  */
 final class ResponseProofTest {
-  private static final ImmutableSet<Integer> PROMISES = ImmutableSet.of(408, 421, 429, 503);
   private static final String MARKER = "Not-Executed: 1\r\n";
   private static final String SIGNATURE = "Server-Stamp: s\r\n";
 
@@ -48,18 +48,6 @@
     return fleet.runs().stream().filter(r -> r.requestId().equals(call.id)).count();
   }
 
-  /** Checks what a status promises, and that no request ran twice that may run only once. */
-  private static void assertPromisesKept(DispatchSimulation fleet) {
-    for (Call call : fleet.calls()) {
-      if (PROMISES.contains(call.status)) {
-        assertThat(fleet.runs().stream().map(r -> r.requestId()).toList()).doesNotContain(call.id);
-      }
-      if (!call.path.startsWith("/safe/")) {
-        assertThat(runsOf(fleet, call)).isAtMost(1);
-      }
-    }
-  }
-
   /** Responses that prove nothing about request r1, each with a short name. */
   static Stream<Arguments> misleadingResponses() {
     return Stream.of(
--- a/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
@@ -101,4 +101,33 @@
       assertThat(fixture.arrivals()).hasSize(10);
     }
   }
+
+  private static String resumable(String id) {
+    return request("POST", "/resume/x", id, "Connection: close\r\nContent-Length: 0\r\n");
+  }
+
+  private static String streamHead(String request) {
+    return "HTTP/1.1 200 X\r\nServer-Stamp: s1\r\nRequest-Id: "
+        + requestId(request)
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  /** The first upstream ran the stream, so a refusal of the second one is no promise. */
+  @Test
+  void refusalOfTheSecondUpstreamIsNoPromiseAfterTheFirstMayHaveRun() throws Exception {
+    for (String first : new String[] {"", "f\r\nid: 1\ndata: x\n\n\r\n"}) {
+      AtomicInteger arrivals = new AtomicInteger();
+      Function<String, String> script =
+          r ->
+              arrivals.getAndIncrement() == 0
+                  ? streamHead(r) + first + RESET
+                  : refusal(requestId(r));
+      try (GatewayFixture fixture = new GatewayFixture(script)) {
+        String answer = fixture.send(resumable("r1"));
+        assertThat(fixture.arrivals()).hasSize(2);
+        assertThat(answer).doesNotContain("HTTP/1.1 503");
+        assertThat(answer).doesNotContain("0\r\n\r\n");
+      }
+    }
+  }
 }
