Apply the limit on late promises to every end of a request

The rule that a refusal at the end of the time limit is no promise stood at the end of a failed attempt only. A request that was refused, then waited for a trial and found no upstream or was quarantined could still get 503 just before its limit. endWithError now applies it to all of them, so that one function decides which refusal a caller may be given.

--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -245,7 +245,7 @@
           errorResponse.get().status(), errorResponse.get().headers(), errorResponse.get().body());
       return;
     }
-    endWithError(canPromise() ? Refusal.notRun(failure.reason()) : Refusal.timedOut());
+    endWithError(Refusal.notRun(failure.reason()));
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
@@ -261,15 +261,6 @@
             evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
   }
 
-  /**
-   * Returns whether the caller may be told that its request was not run. After a refusal at the end
-   * of the time limit the caller cannot send the request again, and an engine that preempted the
-   * request may refuse it although it had begun.
-   */
-  private boolean canPromise() {
-    return sentAttempts == 0 || RetryPolicy.hasTimeForRetry(timeLeftMillis());
-  }
-
   private void recordFailure(
       UpstreamHandle upstream, AttemptFailure failure, AttemptEvidence evidence) {
     if (failure.wasSent()) {
@@ -302,11 +293,24 @@
       exchange.abort();
       return;
     }
-    Refusal refusal = verdict == Verdict.NOT_RUN ? ifNotRun : Refusal.mayHaveRun(ifNotRun.reason());
+    Refusal refusal = atMost(ifNotRun);
     finish(refusal.status(), refusal.reason());
     dispatcher.respond(requestId, exchange, refusal);
   }
 
+  /**
+   * Returns a refusal that promises no more than what is known. After a refusal at the end of the
+   * time limit the caller cannot send the request again, and an engine that preempted the request
+   * may refuse it although it had begun.
+   */
+  private Refusal atMost(Refusal ifNotRun) {
+    if (verdict != Verdict.NOT_RUN) {
+      return Refusal.mayHaveRun(ifNotRun.reason());
+    }
+    boolean canPromise = sentAttempts == 0 || RetryPolicy.hasTimeForRetry(timeLeftMillis());
+    return canPromise ? ifNotRun : Refusal.timedOut();
+  }
+
   private void timedOut() {
     if (ended) {
       return;
