Count retries of a budget for a whole window

RetryBudget kept its counts in buckets of whole seconds and dropped the bucket of the oldest second as soon as the present one began, so that its window of 10 s covered 9 to 10 s. A budget of 50 that was used up at 10.9 s was whole again at 20.1 s: 100 retries within 9.2 s, where an upstream may get 50 in any 10 s.

Counts are now kept in hundredths of the window and rounded to the safe side: a retry counts for a window and up to a hundredth of it more, a request for a window at most. Memory is two arrays of 101 counts; a call adds up at most 200 of them.

--- a/src/main/java/org/tanagerbank/routing/RetryBudget.java
+++ b/src/main/java/org/tanagerbank/routing/RetryBudget.java
@@ -6,33 +6,33 @@
  * Limits the retries of an entry to a fraction of its recent requests, so that failures cannot
  * multiply the load.
  *
- * <p>The budget is a ratio of the requests in a sliding window, plus a fixed floor. This class does
- * no I/O. Thread-safe.
+ * <p>In any window, the retries do not exceed the ratio of the requests in the window before the
+ * last of them, plus a fixed floor. Times are rounded to a hundredth of the window: retries count
+ * for up to that much longer, requests for up to that much less. This class does no I/O.
+ * Thread-safe.
  */
 public final class RetryBudget {
-  private static final int DEFAULT_WINDOW_SECONDS = 10;
+  private static final long DEFAULT_WINDOW_MILLIS = 10_000;
   private static final double DEFAULT_RATIO = 0.1;
   private static final double DEFAULT_FLOOR = 10;
-  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final int SLOTS_PER_WINDOW = 100;
 
   private final double ratio;
-  private final int windowSeconds;
-  private final long[] bucketSecond;
-  private final int[] requests;
-  private final int[] retries;
+  private final long slotMillis;
+  private final SlotCounts requests = new SlotCounts(SLOTS_PER_WINDOW + 1);
+  private final SlotCounts retries = new SlotCounts(SLOTS_PER_WINDOW + 1);
   private double floor;
 
   /** Creates a budget of 10% of the requests of the last 10 s, plus 10. */
   public RetryBudget() {
-    this(DEFAULT_RATIO, DEFAULT_WINDOW_SECONDS * MILLIS_PER_SECOND, DEFAULT_FLOOR);
+    this(DEFAULT_RATIO, DEFAULT_WINDOW_MILLIS, DEFAULT_FLOOR);
   }
 
   /**
    * Creates a budget.
    *
    * @param ratio the number of retries allowed for each request
-   * @param windowMillis the length of the sliding window in milliseconds, rounded down to whole
-   *     seconds
+   * @param windowMillis the length of the sliding window in milliseconds, a multiple of 100
    * @param floor the number of retries allowed in a window without requests
    */
   public RetryBudget(double ratio, long windowMillis, double floor) {
@@ -42,13 +42,12 @@
         ratio,
         floor);
     checkArgument(
-        windowMillis >= MILLIS_PER_SECOND, "window must be at least 1000 ms: %s", windowMillis);
+        windowMillis > 0 && windowMillis % SLOTS_PER_WINDOW == 0,
+        "window must be a positive multiple of 100 ms: %s",
+        windowMillis);
     this.ratio = ratio;
     this.floor = floor;
-    this.windowSeconds = (int) (windowMillis / MILLIS_PER_SECOND);
-    this.bucketSecond = new long[windowSeconds];
-    this.requests = new int[windowSeconds];
-    this.retries = new int[windowSeconds];
+    this.slotMillis = windowMillis / SLOTS_PER_WINDOW;
   }
 
   /** Sets the number of retries allowed in a window without requests. */
@@ -58,7 +57,7 @@
 
   /** Records a request that was received from a caller. */
   public synchronized void recordRequest(long nowMillis) {
-    requests[bucket(nowMillis)]++;
+    requests.add(slot(nowMillis), 1);
   }
 
   /**
@@ -66,30 +65,17 @@
    * exhausted.
    */
   public synchronized boolean tryAcquire(long nowMillis) {
-    int bucket = bucket(nowMillis);
-    long nowSeconds = Math.floorDiv(nowMillis, MILLIS_PER_SECOND);
-    int requestCount = 0;
-    int retryCount = 0;
-    for (int i = 0; i < windowSeconds; i++) {
-      boolean isRecent = nowSeconds - bucketSecond[i] < windowSeconds;
-      requestCount += isRecent ? requests[i] : 0;
-      retryCount += isRecent ? retries[i] : 0;
-    }
-    if (retryCount >= requestCount * ratio + floor) {
+    long now = slot(nowMillis);
+    int requestCount = requests.sum(now - SLOTS_PER_WINDOW + 1, now);
+    int retryCount = retries.sum(now - SLOTS_PER_WINDOW, now);
+    if (retryCount + 1 > requestCount * ratio + floor) {
       return false;
     }
-    retries[bucket]++;
+    retries.add(now, 1);
     return true;
   }
 
-  private int bucket(long nowMillis) {
-    long nowSeconds = Math.floorDiv(nowMillis, MILLIS_PER_SECOND);
-    int bucket = (int) Math.floorMod(nowSeconds, (long) windowSeconds);
-    if (bucketSecond[bucket] != nowSeconds) {
-      bucketSecond[bucket] = nowSeconds;
-      requests[bucket] = 0;
-      retries[bucket] = 0;
-    }
-    return bucket;
+  private long slot(long nowMillis) {
+    return Math.floorDiv(nowMillis, slotMillis);
   }
 }
