Bound retries in each window in which they may arrive

Two faults of the same rule: a service may get, in any 10 s, no more retries than the ratio of the requests in these 10 s, in the 10 s before or in the 10 s that began half a window before, whichever has most, plus a fixed number.

A retry was counted when it was taken, but it arrives when a connection is open, up to 1 s later, and after the network. And the requests of the 10 s before a retry are those of none of the three windows once more time has passed; with several instances, each may have its most requests in another window, so that the bounds of instances do not add up.

SharedRetryBudget counts a retry in each window in which it may arrive. A permit is narrowed when the retry is sent, goes back when it is not, and expires after the connect timeout. The bound is the ratio of the mean of a window and the window before it, which is never above the larger of the two and is a sum over instances, and it must hold in all later windows too if no more requests come.

Requests also took a retry from the budget before it was known whether another upstream was left or a stream could be resumed, so that failures with one upstream left used up the retries of later ones.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -84,6 +84,11 @@
       opened.close();
       return;
     }
+    if (!execution.maySend()) {
+      opened.close();
+      notConnected();
+      return;
+    }
     connection = opened;
     sentMillis = dispatcher.nowMillis();
     run = dispatcher.crashGuard().runStarted(execution.fingerprint(), execution, upstream, isTrial);
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -47,6 +47,7 @@
   private final Optional<Prompt> prompt;
   private final String service;
   private final long deadline;
+  private final RetryReservation retry;
   private final Set<String> tried = new HashSet<>();
   private Verdict verdict = Verdict.NOT_RUN;
   private Attempt attempt;
@@ -77,6 +78,7 @@
     this.prompt = dispatcher.headerCodec().prompt(request.headers());
     this.service = route.pickService(dispatcher.random());
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
+    this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
   }
 
   void start() {
@@ -98,6 +100,7 @@
       case RUN -> place(/* isTrial= */ false);
       case TRIAL -> place(/* isTrial= */ true);
       case WAIT -> {
+        retry.release();
         var unused =
             dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
       }
@@ -108,6 +111,10 @@
   }
 
   private void place(boolean isTrial) {
+    if (sentAttempts > 0 && !retry.acquire()) {
+      endWithError(Refusal.notRun("no retry is left"));
+      return;
+    }
     List<UpstreamHandle> candidates = dispatcher.upstreams().candidates(service, tried);
     PlacementRequest placement =
         new PlacementRequest(
@@ -254,17 +261,14 @@
   void handleFailure(
       UpstreamHandle upstream, AttemptFailure failure, Optional<ErrorResponse> errorResponse) {
     recordFailure(upstream, failure);
-    boolean retryAllowed =
-        RetryPolicy.shouldRetry(
-            route,
-            failure,
-            sentAttempts,
-            connectFailures,
-            timeLeftMillis(),
-            () -> dispatcher.retryBudgets().tryAcquire(service, dispatcher.nowMillis()));
     boolean canResume = !hasBegun || lastEventId.isPresent();
     boolean hasOtherCandidate = !dispatcher.upstreams().candidates(service, tried).isEmpty();
-    if (retryAllowed && canResume && hasOtherCandidate) {
+    boolean isRetried =
+        canResume
+            && hasOtherCandidate
+            && RetryPolicy.shouldRetry(
+                route, failure, sentAttempts, connectFailures, timeLeftMillis(), retry::acquire);
+    if (isRetried) {
       errorResponse.ifPresent(ErrorResponse::release);
       place();
       return;
@@ -277,7 +281,13 @@
     endWithError(Refusal.notRun(failure.reason()));
   }
 
+  /** Returns whether the request may be sent now that a connection is open. */
+  boolean maySend() {
+    return sentAttempts == 0 || retry.recordSent();
+  }
+
   private void recordFailure(UpstreamHandle upstream, AttemptFailure failure) {
+    retry.release();
     if (failure.wasSent()) {
       sentAttempts++;
     } else {
@@ -358,6 +368,7 @@
   private void finish(int status, String reason) {
     ended = true;
     timeout.cancel(false);
+    retry.release();
     dispatcher.crashGuard().abandon(fingerprint, this);
     request.body().release();
     dispatcher.observer().requestEnded(status, dispatcher.nowMillis() - request.receivedAtMillis());
--- a/src/main/java/org/tanagerbank/dispatch/RetryBudgets.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryBudgets.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.tanagerbank.routing.RetryBudget;
+import java.util.Optional;
+import org.tanagerbank.routing.SharedRetryBudget;
+import org.tanagerbank.routing.SharedRetryBudget.Permit;
 
 /**
  * Holds, for each service, the budget of retries that this instance may send. The retries that the
@@ -17,8 +19,17 @@
    */
   private static final int MIN_FLEET_SIZE = 4;
 
+  /** The longest time to open a connection, the timeout of the connector, in milliseconds. */
+  private static final long CONNECT_MILLIS = 1_000;
+
+  /**
+   * The longest time in milliseconds that a message is on its way between a caller, this instance
+   * and an upstream. A packet that is lost once is sent again within 200 ms.
+   */
+  private static final long NETWORK_MILLIS = 250;
+
   private final DispatchSettings settings;
-  private final Map<String, RetryBudget> byService = new HashMap<>();
+  private final Map<String, SharedRetryBudget> byService = new HashMap<>();
   private int fleetSize = 1;
   private long restartedAtMillis = Long.MIN_VALUE / 2;
 
@@ -31,16 +42,30 @@
     budget(service).recordRequest(nowMillis);
   }
 
-  /** Takes one retry from the budget of a service, and returns whether one was left. */
-  boolean tryAcquire(String service, long nowMillis) {
-    RetryBudget budget = budget(service);
-    budget.setFloor(floor(nowMillis));
-    return budget.tryAcquire(nowMillis);
+  /** Takes one retry from the budget of a service, or returns empty if none is left. */
+  Optional<Permit> tryAcquire(String service, long nowMillis) {
+    return budget(service).tryAcquire(nowMillis, floor(nowMillis));
+  }
+
+  /** Records that a retry is sent, or returns false if it may no longer be. */
+  boolean recordSent(String service, Permit permit, long nowMillis) {
+    return budget(service).recordSent(permit, nowMillis);
+  }
+
+  /** Returns a retry that was not sent to the budget. */
+  void release(String service, Permit permit) {
+    budget(service).release(permit);
   }
 
-  private RetryBudget budget(String service) {
+  private SharedRetryBudget budget(String service) {
     return byService.computeIfAbsent(
-        service, unused -> new RetryBudget(settings.retryRatio(), settings.retryWindowMillis(), 0));
+        service,
+        unused ->
+            new SharedRetryBudget(
+                settings.retryRatio(),
+                settings.retryWindowMillis(),
+                CONNECT_MILLIS,
+                NETWORK_MILLIS));
   }
 
   /** Sets the number of instances that share the retries allowed beyond the ratio. */
--- a/src/main/java/org/tanagerbank/dispatch/RetryPolicy.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryPolicy.java
@@ -32,7 +32,7 @@
    * @param connectFailures the number of attempts that could not connect
    * @param timeLeftMillis the time until the deadline of the request, in milliseconds
    * @param takeFromBudget takes one retry from the shared budget and returns whether one was left;
-   *     called only if all other conditions for a retry hold
+   *     called only if all other conditions for a retry hold and the request was sent before
    */
   static boolean shouldRetry(
       Route route,
@@ -46,7 +46,8 @@
       return false;
     }
     if (!failure.wasSent()) {
-      return connectFailures <= MAX_CONNECT_FAILURES;
+      return connectFailures <= MAX_CONNECT_FAILURES
+          && (sentAttempts == 0 || takeFromBudget.getAsBoolean());
     }
     return sentAttempts < route.attempts() && takeFromBudget.getAsBoolean();
   }
--- a/src/main/java/org/tanagerbank/routing/RetryBudget.java
+++ b/src/main/java/org/tanagerbank/routing/RetryBudget.java
@@ -18,10 +18,10 @@
   private static final int SLOTS_PER_WINDOW = 100;
 
   private final double ratio;
+  private final double floor;
   private final long slotMillis;
   private final SlotCounts requests = new SlotCounts(SLOTS_PER_WINDOW + 1);
   private final SlotCounts retries = new SlotCounts(SLOTS_PER_WINDOW + 1);
-  private double floor;
 
   /** Creates a budget of 10% of the requests of the last 10 s, plus 10. */
   public RetryBudget() {
@@ -50,11 +50,6 @@
     this.slotMillis = windowMillis / SLOTS_PER_WINDOW;
   }
 
-  /** Sets the number of retries allowed in a window without requests. */
-  public synchronized void setFloor(double retriesPerWindow) {
-    floor = retriesPerWindow;
-  }
-
   /** Records a request that was received from a caller. */
   public synchronized void recordRequest(long nowMillis) {
     requests.add(slot(nowMillis), 1);
--- a/src/test/java/org/tanagerbank/dispatch/RetryBudgetsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/RetryBudgetsTest.java
@@ -12,7 +12,9 @@
       new DispatchSettings("g", "z", 2, 0.2, 10_000, FLEET_FLOOR, 0);
 
   private static long acquired(RetryBudgets budgets, long nowMillis) {
-    return IntStream.range(0, 1_000).filter(i -> budgets.tryAcquire("s", nowMillis)).count();
+    return IntStream.range(0, 1_000)
+        .filter(i -> budgets.tryAcquire("s", nowMillis).isPresent())
+        .count();
   }
 
   /** Each instance uses its share, and then all of them restart and use what they have again. */
