Give an instance a share of the retries only when all others count it

The fixed number of retries that a fleet may send in a window was divided by the instances that were known by number. An added instance had its share at once while the others had used up theirs in the same window; a restarted one got a growing part of it although what it had sent before still counted; instances that did not know each other divided by four; and the share grew again as soon as an instance was no longer known.

RetryShare divides by ids. A share shrinks at once and grows an hour after an instance was lost. An instance has none until it has registered, has read the directory and has heard each instance that it knows, and until a window and the latest arrival (11.25 s) have passed since. Others only send digests to an instance that they know, and report it to their shares before, so what they send from then on leaves room. With four instances that know each other each has a quarter, as before. At the first start of a whole fleet each has a sixteenth until then; it was a quarter.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -124,7 +124,7 @@
    */
   public void recordRestart() {
     awaitingCaches = true;
-    retryBudgets.recordRestart(nowMillis());
+    retryBudgets.recordRestart();
   }
 
   /** Resumes the requests that waited for the cache contents of the engines. */
--- a/src/main/java/org/tanagerbank/dispatch/RetryBudgets.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryBudgets.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -7,18 +8,14 @@
 import org.tanagerbank.routing.SharedRetryBudget.Permit;
 
 /**
- * Holds, for each service, the budget of retries that this instance may send. The retries that the
- * fleet may send beyond the retry ratio are divided among its instances. An instance that has
- * restarted gets its share over one window, because it does not know what it sent before. Not
- * thread-safe; confined to the event loop.
+ * Holds, for each service, the budget of retries that this instance may send.
+ *
+ * <p>Invariant: in each window, a service receives no more retries from the fleet than the ratio of
+ * its requests plus the fixed number of the fleet. {@link SharedRetryBudget} keeps the bound of
+ * this instance, which is a sum over instances, and {@link RetryShare} keeps the parts of the fixed
+ * number within the whole. Not thread-safe; confined to the event loop.
  */
 final class RetryBudgets {
-  /**
-   * The smallest number of instances to divide by, so that an instance which is not connected to
-   * any other does not use the retries of the whole fleet.
-   */
-  private static final int MIN_FLEET_SIZE = 4;
-
   /** The longest time to open a connection, the timeout of the connector, in milliseconds. */
   private static final long CONNECT_MILLIS = 1_000;
 
@@ -29,12 +26,15 @@
   private static final long NETWORK_MILLIS = 250;
 
   private final DispatchSettings settings;
+  private final RetryShare share;
   private final Map<String, SharedRetryBudget> byService = new HashMap<>();
-  private int fleetSize = 1;
-  private long restartedAtMillis = Long.MIN_VALUE / 2;
 
   RetryBudgets(DispatchSettings settings) {
     this.settings = settings;
+    this.share =
+        new RetryShare(
+            settings.fleetRetryFloor(),
+            settings.retryWindowMillis() + CONNECT_MILLIS + NETWORK_MILLIS);
   }
 
   /** Records a request for a service that was received from a caller. */
@@ -44,7 +44,7 @@
 
   /** Takes one retry from the budget of a service, or returns empty if none is left. */
   Optional<Permit> tryAcquire(String service, long nowMillis) {
-    return budget(service).tryAcquire(nowMillis, floor(nowMillis));
+    return budget(service).tryAcquire(nowMillis, share.retries(nowMillis));
   }
 
   /** Records that a retry is sent, or returns false if it may no longer be. */
@@ -68,20 +68,23 @@
                 NETWORK_MILLIS));
   }
 
-  /** Sets the number of instances that share the retries allowed beyond the ratio. */
-  void setFleetSize(int instances) {
-    fleetSize = instances;
+  /** Replaces the ids of the other instances that share the retries allowed beyond the ratio. */
+  void setKnownInstances(ImmutableSet<String> ids, long nowMillis) {
+    share.setKnown(ids, nowMillis);
   }
 
-  /** Records that this instance has just started again after it had served before. */
-  void recordRestart(long nowMillis) {
-    restartedAtMillis = nowMillis;
+  /** Records that another instance has sent a digest. */
+  void recordHeard(String instanceId, long nowMillis) {
+    share.recordHeard(instanceId, nowMillis);
   }
 
-  private double floor(long nowMillis) {
-    double share = settings.fleetRetryFloor() / Math.max(MIN_FLEET_SIZE, fleetSize);
-    double windows =
-        (double) (nowMillis - restartedAtMillis) / (double) settings.retryWindowMillis();
-    return share * Math.min(1, windows);
+  /** Records that the registered instances were read. */
+  void recordDirectoryRead(long nowMillis) {
+    share.recordDirectoryRead(nowMillis);
+  }
+
+  /** Records that this instance has just started again after it had served before. */
+  void recordRestart() {
+    share.recordRestart();
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tanagerbank.engine.EngineModel;
@@ -94,6 +95,7 @@
 
   @Override
   public void onPeerInFlight(String instanceId, ImmutableMap<String, Integer> inFlight) {
+    retryBudgets.recordHeard(instanceId, clockMillis.getAsLong());
     upstreams
         .all()
         .forEach(u -> u.setPeerInFlight(instanceId, inFlight.getOrDefault(u.report().id(), 0)));
@@ -136,7 +138,12 @@
   }
 
   @Override
-  public void onFleetSizeChanged(int instances) {
-    retryBudgets.setFleetSize(instances);
+  public void onKnownPeersChanged(ImmutableSet<String> instanceIds) {
+    retryBudgets.setKnownInstances(instanceIds, clockMillis.getAsLong());
+  }
+
+  @Override
+  public void onPeersRead() {
+    retryBudgets.recordDirectoryRead(clockMillis.getAsLong());
   }
 }
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 
@@ -33,8 +34,11 @@
   void onPeerLost(String instanceId);
 
   /**
-   * Called when the number of known instances changes; the number includes this instance and those
-   * that have been silent for a short time.
+   * Called when the known other instances change, which include those that have been silent for a
+   * short time. Called before a digest is sent to an instance that was not known before.
    */
-  void onFleetSizeChanged(int instances);
+  void onKnownPeersChanged(ImmutableSet<String> instanceIds);
+
+  /** Called after this instance has registered and has then read the registered instances. */
+  void onPeersRead();
 }
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Lists;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -70,7 +71,7 @@
   private ImmutableMap<String, Integer> lastInFlight = ImmutableMap.of();
   private long digestNumber;
   private boolean isUrgentDigestPending;
-  private int lastKnownPeers = -1;
+  private ImmutableSet<String> lastKnownIds = ImmutableSet.of();
   private boolean stopped;
   private Consumer<PeerAddress> peerStartedAction = started -> {};
   private Runnable peersReadAction = () -> {};
@@ -97,7 +98,7 @@
             directory,
             this::schedule,
             p -> table.add(p, clockMillis.getAsLong()),
-            () -> peersReadAction.run());
+            this::onPeersRead);
   }
 
   /**
@@ -192,7 +193,7 @@
     }
     long now = clockMillis.getAsLong();
     table.markSilent(now).forEach(this::onPeerLost);
-    reportFleetSize();
+    reportKnownPeers();
     ImmutableMap<String, Integer> current = source.inFlight();
     boolean hasChanges =
         placements.hasUnsent()
@@ -211,15 +212,22 @@
     EventLog.emit(LogEvent.PEER_LOST, "peer", instanceId);
   }
 
-  private void reportFleetSize() {
+  private void reportKnownPeers() {
     // An instance that does not hear the others cannot know whether they serve.
-    int known = table.known().size();
-    if (known != lastKnownPeers) {
-      lastKnownPeers = known;
-      listener.onFleetSizeChanged(known + 1);
+    ImmutableSet<String> known =
+        table.known().stream().map(PeerAddress::instanceId).collect(ImmutableSet.toImmutableSet());
+    if (!known.equals(lastKnownIds)) {
+      lastKnownIds = known;
+      listener.onKnownPeersChanged(known);
     }
   }
 
+  private void onPeersRead() {
+    reportKnownPeers();
+    listener.onPeersRead();
+    peersReadAction.run();
+  }
+
   /** Sends the cached parts of engines to instances, in as many datagrams as necessary. */
   public void sendCaches(ImmutableList<PeerAddress> targets, ImmutableList<CachedParts> caches) {
     for (CachedParts cache : caches) {
@@ -290,6 +298,7 @@
   }
 
   private void send(PeerDigest digest, ImmutableList<PeerAddress> targets) {
+    reportKnownPeers();
     send(digest, targets.stream().map(PeerAddress::address));
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/RetryFleetSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/RetryFleetSimulation.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -41,9 +43,7 @@
   private final class Instance {
     private final PeerAddress address;
     private final PeerTable table;
-    private final RetryBudgets budgets =
-        new RetryBudgets(
-            new DispatchSettings("g", "z", 2, RATIO, WINDOW_MILLIS, SLACK, /* startWait= */ 0));
+    private final RetryBudgets budgets = new RetryBudgets(settings);
     private boolean isRegistered;
     private boolean isAlive = true;
     private long digestNumber;
@@ -52,7 +52,7 @@
       address = new PeerAddress(id, InetSocketAddress.createUnresolved(id, 1), nowMillis);
       table = new PeerTable(id);
       if (!isFirstStart) {
-        budgets.recordRestart(nowMillis);
+        budgets.recordRestart();
       }
     }
 
@@ -62,10 +62,12 @@
       directory.removeIf(a -> a.instanceId().equals(address.instanceId()));
       directory.add(address);
       reportFleet();
+      budgets.recordDirectoryRead(nowMillis);
     }
 
     private void reportFleet() {
-      budgets.setFleetSize(table.known().size() + 1);
+      budgets.setKnownInstances(
+          table.known().stream().map(PeerAddress::instanceId).collect(toImmutableSet()), nowMillis);
     }
 
     private void tell() {
@@ -79,6 +81,7 @@
     }
   }
 
+  private final DispatchSettings settings;
   private final SplittableRandom random;
   private final RetryRule rule = new RetryRule(RATIO, SLACK, WINDOW_MILLIS);
   private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -93,7 +96,16 @@
   private long directoryMillis = 50;
   private int deniedRetries;
 
+  /** Creates a fleet that uses all that the rule allows. */
   RetryFleetSimulation(long seed, int instanceCount) {
+    this(seed, instanceCount, /* ratioShare= */ 1, /* slackShare= */ 1);
+  }
+
+  /** Creates a fleet that uses the given shares of the ratio and of the slack. */
+  RetryFleetSimulation(long seed, int instanceCount, double ratioShare, double slackShare) {
+    settings =
+        new DispatchSettings(
+            "g", "z", 2, RATIO * ratioShare, WINDOW_MILLIS, SLACK * slackShare, /* startWait= */ 0);
     random = new SplittableRandom(seed);
     for (int i = 0; i < instanceCount; i++) {
       start(i, /* isFirstStart= */ true);
@@ -184,7 +196,8 @@
   private void receive(String to, PeerAddress from, long number) {
     instances.stream()
         .filter(i -> i.address.instanceId().equals(to))
-        .forEach(i -> i.table.recordDigest(from, number, nowMillis));
+        .filter(i -> i.table.recordDigest(from, number, nowMillis))
+        .forEach(i -> i.budgets.recordHeard(from.instanceId(), nowMillis));
   }
 
   private void after(long millis, Runnable action) {
