--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -174,7 +174,7 @@
     }
   }
 
-  private final List<SimulatedUpstream.Run> runs = new ArrayList<>();
+  final List<SimulatedUpstream.Run> runs = new ArrayList<>();
   private final List<SimulatedUpstream> upstreams = new ArrayList<>();
   private final List<SimulatedGateway> gateways = new ArrayList<>();
   private final List<Call> calls = new ArrayList<>();
--- a/src/test/java/org/tanagerbank/dispatch/RetryFleetTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/RetryFleetTest.java
@@ -57,6 +57,20 @@
     assertRuleHolds(fleet);
   }
 
+  /** Retries that were taken at once and arrive over a second are still arriving in the window. */
+  @Test
+  void retriesTakenAWindowAfterSlowOnesStayWithinTheRule() {
+    RetryFleetSimulation fleet = calmFleet(10);
+    for (double slowShare : new double[] {1, 0, 1, 0}) {
+      fleet.setSlowConnectShare(slowShare);
+      fleet.setTraffic(1_000, 1);
+      fleet.advance(100);
+      fleet.setTraffic(0, 0);
+      fleet.advance(10_200);
+    }
+    assertRuleHolds(fleet);
+  }
+
   /** Added instances take shares of what the others have already used up. */
   @Test
   void addedInstancesStayWithinTheRule() {
