Do not let a repeatable request wait behind another request's response

Found by the review. A response to another request was skipped for every kind of request. An idempotent request whose own response never followed waited until its time limit (504), where it used to fail at once and run at another upstream; only requests that may run once gain by waiting. They alone wait now.

A response with several different ids counted as another request's; it is ambiguous now and ends the attempt. A skipped response also counted as silence of the upstream, which closed its idle connections; a retry that came too late for its budget marked a healthy upstream as down. Both are mended.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -50,6 +50,7 @@
   private HttpHeaders headers;
   private Optional<ResponseFacts> response = Optional.empty();
   private ResponseProof proof;
+  private boolean hasReceivedHead;
   private boolean isForwarding;
   private boolean firstEventSeen;
   private CompositeByteBuf buffered;
@@ -86,7 +87,7 @@
     }
     if (!execution.maySend()) {
       opened.close();
-      notConnected();
+      failUnsent();
       return;
     }
     connection = opened;
@@ -98,12 +99,16 @@
   private void notConnected() {
     if (!isEnded) {
       upstream.health().connectFailed(dispatcher.nowMillis());
-      close();
-      execution.handleFailure(
-          upstream, AttemptFailure.notConnected(), AttemptEvidence.notSent(), Optional.empty());
+      failUnsent();
     }
   }
 
+  private void failUnsent() {
+    close();
+    execution.handleFailure(
+        upstream, AttemptFailure.notConnected(), AttemptEvidence.notSent(), Optional.empty());
+  }
+
   boolean wasSent() {
     return run != null;
   }
@@ -134,7 +139,7 @@
    * connections.
    */
   private void recordCancellation() {
-    if (headers == null && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
+    if (!hasReceivedHead && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
       upstream.health().requestFailed();
       upstream.connections().closeIdle();
       dispatcher.crashGuard().runLost(run, /* wasClosed= */ false);
@@ -145,10 +150,12 @@
 
   @Override
   public HeadAction onHead(int responseStatus, HttpHeaders responseHeaders) {
+    hasReceivedHead = true;
     ResponseFacts facts =
         dispatcher.headerCodec().responseFacts(responseHeaders, execution.requestId());
     ResponseProof responseProof = ResponseProof.of(responseStatus, facts);
-    if (responseProof == ResponseProof.OTHER_REQUEST) {
+    if (responseProof == ResponseProof.OTHER_REQUEST && !execution.isRepeatable()) {
+      // Only this upstream may answer the request, so its response is awaited.
       execution.responseSkipped(upstream, evidence(responseStatus, Optional.of(facts)));
       return HeadAction.SKIP;
     }
@@ -156,12 +163,14 @@
     headers = responseHeaders;
     response = Optional.of(facts);
     proof = responseProof;
-    dispatcher
-        .headerCodec()
-        .load(headers)
-        .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
+    if (proof != ResponseProof.OTHER_REQUEST) {
+      dispatcher
+          .headerCodec()
+          .load(headers)
+          .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
+    }
     switch (proof) {
-      case WITHOUT_ID, CONTRADICTORY, UNSIGNED ->
+      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED ->
           fail(AttemptFailure.responseLost(proof.description()));
       default -> beginReceiving();
     }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -180,6 +180,10 @@
     return route.kind() == RequestKind.STREAM;
   }
 
+  boolean isRepeatable() {
+    return route.isRepeatable();
+  }
+
   boolean hasBegun() {
     return hasBegun;
   }
--- a/src/main/java/org/tanagerbank/dispatch/ResponseProof.java
+++ b/src/main/java/org/tanagerbank/dispatch/ResponseProof.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableSet;
 import org.tanagerbank.request.StatusSemantics;
 import org.tanagerbank.upstream.ResponseFacts;
-import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 
 /**
  * What a response proves about the request that awaits one on its connection.
@@ -16,7 +15,7 @@
   OTHER_REQUEST("response to another request"),
   /** Cannot be matched to a request. */
   WITHOUT_ID("response without an id"),
-  /** States that the request was not run, and something that contradicts this. */
+  /** Contradicts itself, for example by a signature beside the marker of "not run". */
   CONTRADICTORY("contradictory response"),
   /** Has a status that callers read as "not run", but does not state it. */
   UNMARKED_REFUSAL("refusal without the marker of a request that was not run"),
@@ -24,7 +23,7 @@
   UNSIGNED("response without the signature of an upstream"),
   /** The upstream did not run the request and will not run it. */
   REFUSAL("refusal"),
-  /** The upstream ran the request and reports an error. */
+  /** Reports an error and does not say that the request was not run. */
   ERROR("error"),
   /** The upstream ran the request. */
   SUCCESS("success");
@@ -44,14 +43,18 @@
 
   /** Returns what a response with a status and a head proves. */
   static ResponseProof of(int status, ResponseFacts facts) {
-    if (facts.id() != IdRelation.OWN) {
-      return facts.id() == IdRelation.FOREIGN ? OTHER_REQUEST : WITHOUT_ID;
-    }
+    return switch (facts.id()) {
+      case FOREIGN -> OTHER_REQUEST;
+      case MISSING -> WITHOUT_ID;
+      case AMBIGUOUS -> CONTRADICTORY;
+      case OWN -> ofOwn(status, facts);
+    };
+  }
+
+  private static ResponseProof ofOwn(int status, ResponseFacts facts) {
     if (facts.hasNotRunMarker() || status == MISDIRECTED_REQUEST) {
       // Upstreams sign only what they ran. Status 421 needs no marker: it says that the request
-      // reached the wrong process, and the platform counts it as not run. Requiring the marker
-      // would
-      // end requests that another upstream can run.
+      // reached the wrong process, and the platform counts it as not run.
       boolean isConsistent = REFUSAL_STATUSES.contains(status) && !facts.hasSignature();
       return isConsistent ? REFUSAL : CONTRADICTORY;
     }
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -202,7 +202,10 @@
     if (requestId.isEmpty() || responseIds.stream().allMatch(String::isEmpty)) {
       return IdRelation.MISSING;
     }
-    return responseIds.stream().allMatch(requestId::equals) ? IdRelation.OWN : IdRelation.FOREIGN;
+    if (responseIds.stream().distinct().count() > 1) {
+      return IdRelation.AMBIGUOUS;
+    }
+    return responseIds.get(0).equals(requestId) ? IdRelation.OWN : IdRelation.FOREIGN;
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/upstream/ResponseFacts.java
+++ b/src/main/java/org/tanagerbank/upstream/ResponseFacts.java
@@ -16,6 +16,8 @@
     OWN,
     /** The response has the id of another request. */
     FOREIGN,
+    /** The response has several different ids. */
+    AMBIGUOUS,
     /** The response or the request has no id, so that they cannot be matched. */
     MISSING
   }
