Let soak callers send bodies, and soak gateways take a retry slack

A soak of overload needs callers that send POST with long bodies, further headers and a deadline, and that see the headers of responses and bytes that arrive without a request. Its gateways need a budget of retries that its load can use up. SoakCaller and SoakGateway are extended for that; SoakIT keeps its requests and its slack. FaultProxy resets a connection that its target does not accept and goes on; it used to stop accepting for good. The choice of seeds moves into a class of its own, so that two soaks can share it.

--- a/src/test/java/org/tanagerbank/soak/FaultProxy.java
+++ b/src/test/java/org/tanagerbank/soak/FaultProxy.java
@@ -101,14 +101,24 @@
         if (mode == Mode.RESET) {
           reset(caller);
         } else {
-          Socket upstream = new Socket(target.getAddress(), target.getPort());
-          openSockets.add(upstream);
-          executor.execute(() -> forward(caller, upstream, /* isResponse= */ false));
-          executor.execute(() -> forward(upstream, caller, /* isResponse= */ true));
+          connect(caller);
         }
       }
     } catch (IOException e) {
-      // The proxy was closed, or its target accepts no more connections.
+      // The proxy was closed.
+    }
+  }
+
+  /** Connects to the target, or resets the connection if the target accepts none. */
+  private void connect(Socket caller) throws IOException {
+    try {
+      Socket upstream = new Socket(target.getAddress(), target.getPort());
+      openSockets.add(upstream);
+      executor.execute(() -> forward(caller, upstream, /* isResponse= */ false));
+      executor.execute(() -> forward(upstream, caller, /* isResponse= */ true));
+    } catch (IOException e) {
+      openSockets.remove(caller);
+      reset(caller);
     }
   }
 
--- a/src/test/java/org/tanagerbank/soak/SoakCaller.java
+++ b/src/test/java/org/tanagerbank/soak/SoakCaller.java
@@ -2,11 +2,14 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import com.google.common.base.Ascii;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * A caller that sends requests to one gateway over a persistent connection.
@@ -16,6 +19,7 @@
  */
 final class SoakCaller {
   private static final int TIMEOUT_MILLIS = 8_000;
+  private static final int DEADLINE_MILLIS = 4_000;
 
   /** How much of a response arrived. */
   enum Outcome {
@@ -33,9 +37,25 @@
    * The response to a request.
    *
    * @param status the HTTP status; 0 if the head of the response is incomplete
+   * @param headers the headers, with names in lower case
    * @param body the body as far as it was received
+   * @param unsolicited the bytes that had arrived on the connection before the request was sent
    */
-  record Response(Outcome outcome, int status, String body) {}
+  record Response(
+      Outcome outcome, int status, Map<String, String> headers, String body, String unsolicited) {
+    private static Response ofNothing(Outcome outcome) {
+      return new Response(outcome, 0, Map.of(), "", "");
+    }
+  }
+
+  /**
+   * A request.
+   *
+   * @param headers the headers in addition to those that every request has
+   * @param body the body; a request with an empty body is a GET
+   */
+  record Request(
+      String path, String id, long deadlineMillis, Map<String, String> headers, String body) {}
 
   private final int port;
   private Socket socket;
@@ -47,6 +67,11 @@
 
   /** Sends a GET request and waits for the response or for the end of the connection. */
   Response send(String path, String requestId) {
+    return send(new Request(path, requestId, DEADLINE_MILLIS, Map.of(), /* body= */ ""));
+  }
+
+  /** Sends a request and waits for the response or for the end of the connection. */
+  Response send(Request request) {
     try {
       if (socket == null) {
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
@@ -55,52 +80,71 @@
       }
     } catch (IOException e) {
       close();
-      return new Response(Outcome.NOT_SENT, 0, "");
+      return Response.ofNothing(Outcome.NOT_SENT);
     }
-    String request =
-        "GET "
-            + path
-            + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nDeadline-Ms: 4000\r\n"
-            + "Request-Id: "
-            + requestId
-            + "\r\n\r\n";
     StringBuilder head = new StringBuilder();
+    String unsolicited = "";
     try {
-      socket.getOutputStream().write(request.getBytes(ISO_8859_1));
+      unsolicited = new String(in.readNBytes(in.available()), ISO_8859_1);
+      write(encode(request));
       while (head.indexOf("\r\n\r\n") < 0) {
         head.append((char) readByte());
       }
     } catch (IOException e) {
       close();
-      return new Response(head.length() == 0 ? Outcome.NOTHING : Outcome.CUT_OFF, 0, "");
+      Outcome outcome = head.length() == 0 ? Outcome.NOTHING : Outcome.CUT_OFF;
+      return new Response(outcome, 0, Map.of(), head.toString(), unsolicited);
+    }
+    return readResponse(head.toString(), unsolicited);
+  }
+
+  private static String encode(Request request) {
+    StringBuilder text = new StringBuilder(request.body().isEmpty() ? "GET " : "POST ");
+    text.append(request.path()).append(" HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n");
+    text.append("Deadline-Ms: ").append(request.deadlineMillis()).append("\r\n");
+    text.append("Request-Id: ").append(request.id()).append("\r\n");
+    request.headers().forEach((n, v) -> text.append(n).append(": ").append(v).append("\r\n"));
+    if (!request.body().isEmpty()) {
+      text.append("Content-Length: ").append(request.body().length()).append("\r\n");
+    }
+    return text.append("\r\n").append(request.body()).toString();
+  }
+
+  private void write(String text) {
+    try {
+      socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    } catch (IOException e) {
+      // A gateway may respond and close before it has read a long body. If there is no response,
+      // the read that follows fails.
     }
-    return readResponse(head.toString());
   }
 
-  private Response readResponse(String head) {
+  private Response readResponse(String head, String unsolicited) {
     int status = Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-    String lowerCaseHead = head.toLowerCase(java.util.Locale.ROOT);
+    Map<String, String> headers = new TreeMap<>();
+    head.lines()
+        .skip(1)
+        .filter(l -> !l.isEmpty())
+        .map(l -> l.split(":", 2))
+        .forEach(h -> headers.put(Ascii.toLowerCase(h[0]), h[1].trim()));
     StringBuilder body = new StringBuilder();
     try {
-      if (lowerCaseHead.contains("transfer-encoding: chunked")) {
+      if (headers.containsKey("transfer-encoding")) {
         readChunks(body);
       } else {
-        int start = lowerCaseHead.indexOf("content-length: ") + "content-length: ".length();
-        int length =
-            Integer.parseInt(
-                lowerCaseHead.substring(start, lowerCaseHead.indexOf('\r', start)).trim());
+        int length = Integer.parseInt(headers.get("content-length"));
         for (int i = 0; i < length; i++) {
           body.append((char) readByte());
         }
       }
     } catch (IOException e) {
       close();
-      return new Response(Outcome.CUT_OFF, status, body.toString());
+      return new Response(Outcome.CUT_OFF, status, headers, body.toString(), unsolicited);
     }
-    if (lowerCaseHead.contains("connection: close")) {
+    if (headers.getOrDefault("connection", "").equalsIgnoreCase("close")) {
       close();
     }
-    return new Response(Outcome.WHOLE, status, body.toString());
+    return new Response(Outcome.WHOLE, status, headers, body.toString(), unsolicited);
   }
 
   private void readChunks(StringBuilder body) throws IOException {
--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -17,6 +17,9 @@
 
 /** A gateway that runs as a separate process and keeps its ports when relaunched. Thread-safe. */
 final class SoakGateway implements AutoCloseable {
+  static final double RETRY_RATIO = 0.2;
+  static final int RETRY_WINDOW_SECONDS = 10;
+  private static final int AMPLE_RETRY_SLACK = 54;
   private static final long STOP_TIMEOUT_SECONDS = 15;
 
   /**
@@ -57,10 +60,15 @@
     }
   }
 
+  /** Creates a gateway with a slack of the retry budget that the soak does not use up. */
   SoakGateway(String id, Path folder, File logs, int storePort) throws IOException {
+    this(id, folder, logs, storePort, AMPLE_RETRY_SLACK);
+  }
+
+  SoakGateway(String id, Path folder, File logs, int storePort, int retrySlack) throws IOException {
     settingsFile = folder.resolve(id + ".json");
     logFile = new File(logs, id + ".log");
-    Files.writeString(settingsFile, settingsJson(id, storePort));
+    Files.writeString(settingsFile, settingsJson(id, storePort, retrySlack));
     launch();
   }
 
@@ -70,7 +78,7 @@
     }
   }
 
-  private String settingsJson(String id, int storePort) throws IOException {
+  private String settingsJson(String id, int storePort, int retrySlack) throws IOException {
     int peerPort;
     try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
       peerPort = socket.getLocalPort();
@@ -80,8 +88,16 @@
             + "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
             + "\"platform\":{\"addr\":\"127.0.0.1:%d\"},\"bounds\":{\"drain-ms\":2000,"
             + "\"config-ms\":2000,\"revoke-ms\":5000,\"grace-s\":8,\"stable-ms\":3000,"
-            + "\"retry-ratio\":0.2,\"retry-window-s\":10,\"retry-slack\":54,\"cap-x\":2}}",
-        id, peerPort, peerPort, callerPort, freePort(), storePort);
+            + "\"retry-ratio\":%s,\"retry-window-s\":%d,\"retry-slack\":%d,\"cap-x\":2}}",
+        id,
+        peerPort,
+        peerPort,
+        callerPort,
+        freePort(),
+        storePort,
+        RETRY_RATIO,
+        RETRY_WINDOW_SECONDS,
+        retrySlack);
   }
 
   int callerPort() {
--- a/src/test/java/org/tanagerbank/soak/SoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/SoakIT.java
@@ -4,7 +4,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +17,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -70,28 +68,11 @@
       Response response) {}
 
   static LongStream seeds() throws IOException {
-    return seeds("soak-seeds.txt");
+    return SoakSeeds.read("soak-seeds.txt");
   }
 
   static LongStream deadlySeeds() throws IOException {
-    return seeds("soak-deadly-seeds.txt");
-  }
-
-  private static LongStream seeds(String file) throws IOException {
-    String range = System.getProperty("soak.seeds", "");
-    if (!range.isEmpty()) {
-      String[] ends = range.split("-");
-      return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
-    }
-    try (Stream<String> lines = Files.lines(Path.of("src/test/resources", file))) {
-      return lines
-          .filter(l -> !l.startsWith("#"))
-          .mapToLong(l -> Long.parseLong(l.split(" ")[0]))
-          .boxed()
-          .toList()
-          .stream()
-          .mapToLong(Long::longValue);
-    }
+    return SoakSeeds.read("soak-deadly-seeds.txt");
   }
 
   @ParameterizedTest(name = "seed {0}")
