Check soak runs against the records of the engine stand-in

A new rule reports runs that no caller asked for, and runs with another method or body. The retry rule returns the window that uses most of the budget, for the summary line.

--- a/src/test/java/org/tanagerbank/soak/DeadlineRule.java
+++ b/src/test/java/org/tanagerbank/soak/DeadlineRule.java
@@ -7,8 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import org.tanagerbank.soak.EngineEvent.Kind;
 import org.tanagerbank.soak.Violation.Rule;
+import org.tanagerbank.standin.direct.RunEvent;
+import org.tanagerbank.standin.direct.RunRecord;
 
 /**
  * Checks that upstreams are not given more time than callers have left.
@@ -25,16 +26,16 @@
   private static final int ALLOWED_REQUESTS = 20;
   private static final int ALLOWED_DIVISOR = 5;
 
-  Optional<Violation> check(List<ObservedRequest> requests, List<EngineEvent> events) {
-    Map<String, List<EngineEvent>> arrivals =
+  Optional<Violation> check(List<ObservedRequest> requests, List<RunRecord> events) {
+    Map<String, List<RunRecord>> arrivals =
         events.stream()
-            .filter(e -> e.kind() == Kind.ARRIVED)
-            .collect(groupingBy(EngineEvent::request));
+            .filter(e -> e.event() == RunEvent.ARRIVED)
+            .collect(groupingBy(RunRecord::request));
     Set<String> excessive = new TreeSet<>();
     Set<String> counted = new TreeSet<>();
     for (ObservedRequest request : requests) {
-      List<EngineEvent> arrived = arrivals.getOrDefault(request.id(), List.of());
-      List<EngineEvent> passedOn =
+      List<RunRecord> arrived = arrivals.getOrDefault(request.id(), List.of());
+      List<RunRecord> passedOn =
           arrived.stream()
               .filter(e -> interruptions.isInTouch(request.gateway(), e.atMicros()))
               .toList();
@@ -61,31 +62,30 @@
   }
 
   /** Returns whether an arrival counts as sent once more, and late. */
-  private boolean isLate(EngineEvent event, EngineEvent first) {
+  private boolean isLate(RunRecord event, RunRecord first) {
     // A request that a disturbed link held up does not count as late.
     long stableFrom = event.atMicros() - Interruptions.STABLE_MICROS;
     return event.atMicros() > first.atMicros() + ALLOWED_EXCESS_MICROS
         && !interruptions.wasEngineCutOff(event.engine(), stableFrom, event.atMicros());
   }
 
-  private boolean isExcessive(ObservedRequest request, EngineEvent first, EngineEvent event) {
-    return event.deadlineMillis().isEmpty()
+  private boolean isExcessive(ObservedRequest request, RunRecord first, RunRecord event) {
+    return event.deadlineMillis() == null
         || micros(event) > request.deadlineMillis() * MICROS_PER_MILLI + ALLOWED_EXCESS_MICROS
         || (isLate(event, first) && endsTooLate(request, first, event));
   }
 
-  private static boolean endsTooLate(
-      ObservedRequest request, EngineEvent first, EngineEvent later) {
+  private static boolean endsTooLate(ObservedRequest request, RunRecord first, RunRecord later) {
     long callerEnd = request.sentAtMicros() + request.deadlineMillis() * MICROS_PER_MILLI;
-    long firstEnd = first.deadlineMillis().isEmpty() ? callerEnd : endMicros(first);
+    long firstEnd = first.deadlineMillis() == null ? callerEnd : endMicros(first);
     return endMicros(later) > Math.max(callerEnd, firstEnd) + ALLOWED_EXCESS_MICROS;
   }
 
-  private static long endMicros(EngineEvent event) {
+  private static long endMicros(RunRecord event) {
     return event.atMicros() + micros(event);
   }
 
-  private static long micros(EngineEvent event) {
-    return event.deadlineMillis().orElseThrow() * MICROS_PER_MILLI;
+  private static long micros(RunRecord event) {
+    return event.deadlineMillis() * MICROS_PER_MILLI;
   }
 }
--- a/src/test/java/org/tanagerbank/soak/DeadlineRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/DeadlineRuleTest.java
@@ -5,11 +5,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.tanagerbank.soak.EngineEvent.Kind;
 import org.tanagerbank.soak.Interruptions.Span;
+import org.tanagerbank.standin.direct.RunEvent;
+import org.tanagerbank.standin.direct.RunRecord;
 
 /** Tests the check of deadlines. */
 final class DeadlineRuleTest {
@@ -20,20 +20,24 @@
     return IntStream.range(0, count).mapToObj(i -> SoakSamples.request("r" + i, START)).toList();
   }
 
-  private static List<EngineEvent> arrivals(
-      List<ObservedRequest> requests, long delayMicros, OptionalLong deadlineMillis) {
+  private static List<RunRecord> arrivals(
+      List<ObservedRequest> requests, long delayMicros, Long deadlineMillis) {
     return requests.stream()
         .map(
             r ->
                 SoakSamples.event(
-                    r.sentAtMicros() + delayMicros, "e-1", Kind.ARRIVED, r.id(), 0, deadlineMillis))
+                    r.sentAtMicros() + delayMicros,
+                    "e-1",
+                    RunEvent.ARRIVED,
+                    r.id(),
+                    deadlineMillis))
         .toList();
   }
 
-  private static List<EngineEvent> twice(List<ObservedRequest> requests, long laterDeadline) {
-    return ImmutableList.<EngineEvent>builder()
-        .addAll(arrivals(requests, 0, OptionalLong.of(4_000)))
-        .addAll(arrivals(requests, 1_000_000, OptionalLong.of(laterDeadline)))
+  private static List<RunRecord> twice(List<ObservedRequest> requests, long laterDeadline) {
+    return ImmutableList.<RunRecord>builder()
+        .addAll(arrivals(requests, 0, 4_000L))
+        .addAll(arrivals(requests, 1_000_000, laterDeadline))
         .build();
   }
 
@@ -41,17 +45,17 @@
   @Test
   void reportsMissingDeadlinesOfMoreThanTwentyRequests() {
     List<ObservedRequest> requests = requests(21);
-    assertThat(RULE.check(requests, arrivals(requests, 0, OptionalLong.empty()))).isPresent();
+    assertThat(RULE.check(requests, arrivals(requests, 0, null))).isPresent();
     List<ObservedRequest> fewer = requests(20);
-    assertThat(RULE.check(fewer, arrivals(fewer, 0, OptionalLong.empty()))).isEmpty();
+    assertThat(RULE.check(fewer, arrivals(fewer, 0, null))).isEmpty();
   }
 
   /** Guards against a gateway that gives upstreams more time than the caller has. */
   @Test
   void reportsDeadlinesOverHalfASecondLonger() {
     List<ObservedRequest> requests = requests(21);
-    assertThat(RULE.check(requests, arrivals(requests, 0, OptionalLong.of(4_501)))).isPresent();
-    assertThat(RULE.check(requests, arrivals(requests, 0, OptionalLong.of(4_500)))).isEmpty();
+    assertThat(RULE.check(requests, arrivals(requests, 0, 4_501L))).isPresent();
+    assertThat(RULE.check(requests, arrivals(requests, 0, 4_500L))).isEmpty();
   }
 
   /** Guards against a gateway that sends a request once more with the whole time of the caller. */
@@ -67,8 +71,8 @@
   void allowsAFifthOfLateRepeats() {
     List<ObservedRequest> bad = requests(21);
     List<ObservedRequest> all = requests(106);
-    List<EngineEvent> events =
-        ImmutableList.<EngineEvent>builder()
+    List<RunRecord> events =
+        ImmutableList.<RunRecord>builder()
             .addAll(twice(bad, 4_000))
             .addAll(twice(all.subList(bad.size(), all.size()), 3_000))
             .build();
@@ -84,8 +88,8 @@
         new Interruptions(
             ImmutableListMultimap.of(0, span), ImmutableList.of(), ImmutableListMultimap.of());
     List<ObservedRequest> requests = requests(21);
-    List<EngineEvent> early = arrivals(requests, 0, OptionalLong.empty());
-    List<EngineEvent> late = arrivals(requests, 200_000, OptionalLong.empty());
+    List<RunRecord> early = arrivals(requests, 0, null);
+    List<RunRecord> late = arrivals(requests, 200_000, null);
     assertThat(new DeadlineRule(interruptions).check(requests, early)).isEmpty();
     assertThat(new DeadlineRule(interruptions).check(requests, late)).isPresent();
   }
--- a/src/test/java/org/tanagerbank/soak/ObservedRequest.java
+++ b/src/test/java/org/tanagerbank/soak/ObservedRequest.java
@@ -10,6 +10,8 @@
  * @param sentAtMicros the time just before it was sent, in microseconds of the Unix epoch
  * @param endedAtMicros the time of the end of the response, in microseconds of the Unix epoch
  * @param deadlineMillis the time that the caller gave the request
+ * @param outputTokens the number of tokens that a stream asked for
+ * @param content the method and body that it was sent with, as engines record them
  */
 record ObservedRequest(
     String id,
@@ -18,6 +20,8 @@
     long sentAtMicros,
     long endedAtMicros,
     long deadlineMillis,
+    int outputTokens,
+    String content,
     Response response) {
 
   /** Returns whether the caller was told that the request did not run and will not run. */
--- a/src/test/java/org/tanagerbank/soak/RetryWindowRule.java
+++ b/src/test/java/org/tanagerbank/soak/RetryWindowRule.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.soak;
 
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -8,8 +9,9 @@
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
-import org.tanagerbank.soak.EngineEvent.Kind;
 import org.tanagerbank.soak.Violation.Rule;
+import org.tanagerbank.standin.direct.RunEvent;
+import org.tanagerbank.standin.direct.RunRecord;
 
 /**
  * Checks the budget of retries of a service in every window of a length, wherever it begins.
@@ -20,21 +22,46 @@
  */
 record RetryWindowRule(double ratio, long windowMicros, double slack) {
 
-  /** A window, with the retries and the requests that count in it. */
-  private record Window(long beginMicros, int retries, int requests, double excess) {}
+  /**
+   * The window in which a service uses the greatest part of the budget.
+   *
+   * @param retries the arrivals beyond the first of each request
+   * @param requests the requests that count for the window
+   */
+  record Window(String service, long beginMicros, int retries, int requests, double allowed) {
+    /** Returns the part of the allowed retries that were used. */
+    double usage() {
+      return retries / allowed;
+    }
 
-  /** Returns the window that exceeds the budget most, for each service that exceeds it. */
-  List<Violation> check(List<ObservedRequest> requests, List<EngineEvent> events) {
+    @Override
+    public String toString() {
+      return String.format(
+          "%s: %d retries in the window from %d, allowed %.1f",
+          service, retries, beginMicros, allowed);
+    }
+  }
+
+  /** Returns a violation for each service that exceeds the budget. */
+  List<Violation> check(List<ObservedRequest> requests, List<RunRecord> events) {
+    return worstWindows(requests, events).stream()
+        .filter(w -> w.usage() > 1)
+        .map(w -> new Violation(Rule.RETRIES, w.toString()))
+        .toList();
+  }
+
+  /** Returns the worst window of each service that got a request. */
+  List<Window> worstWindows(List<ObservedRequest> requests, List<RunRecord> events) {
     return requests.stream()
         .map(r -> r.route().service())
         .distinct()
         .sorted()
-        .flatMap(s -> check(s, requests, events).stream())
+        .flatMap(s -> worstWindow(s, requests, events).stream())
         .toList();
   }
 
-  private Optional<Violation> check(
-      String service, List<ObservedRequest> requests, List<EngineEvent> events) {
+  private Optional<Window> worstWindow(
+      String service, List<ObservedRequest> requests, List<RunRecord> events) {
     Map<String, ObservedRequest> requestsById =
         requests.stream()
             .filter(r -> r.route().service().equals(service))
@@ -47,30 +74,20 @@
             .toArray();
     long[] retries =
         events.stream()
-            .filter(e -> e.kind() == Kind.ARRIVED && requestsById.containsKey(e.request()))
-            .collect(Collectors.groupingBy(EngineEvent::request))
+            .filter(e -> e.event() == RunEvent.ARRIVED && requestsById.containsKey(e.request()))
+            .collect(Collectors.groupingBy(RunRecord::request))
             .values()
             .stream()
-            .flatMapToLong(a -> a.stream().mapToLong(EngineEvent::atMicros).sorted().skip(1))
+            .flatMapToLong(a -> a.stream().mapToLong(RunRecord::atMicros).sorted().skip(1))
             .sorted()
             .toArray();
-    return worstWindow(sent, retries)
-        .map(
-            w ->
-                new Violation(
-                    Rule.RETRIES,
-                    String.format(
-                        "service %s: %d retries arrived in the window that begins at %d, with %d"
-                            + " requests; allowed are %.1f",
-                        service, w.retries(), w.beginMicros(), w.requests(), allowed(w))));
-  }
-
-  private double allowed(Window window) {
-    return ratio * window.requests() + slack;
+    return begins(sent, retries)
+        .mapToObj(begin -> window(service, begin, sent, retries))
+        .max(Comparator.comparingDouble(Window::usage));
   }
 
-  private Optional<Window> worstWindow(long[] sent, long[] retries) {
-    // Both counts change only where a window begins one past an event or just includes it.
+  /** Returns all begins of windows from which one of the counts can differ. */
+  private LongStream begins(long[] sent, long[] retries) {
     LongStream ofRetries = Arrays.stream(retries).flatMap(t -> begins(t, 0));
     LongStream ofRequests =
         Arrays.stream(sent)
@@ -78,10 +95,7 @@
                 t ->
                     LongStream.of(0, windowMicros, windowMicros / 2)
                         .flatMap(shift -> begins(t, shift)));
-    return LongStream.concat(ofRetries, ofRequests)
-        .mapToObj(begin -> window(begin, sent, retries))
-        .filter(w -> w.excess() > 0)
-        .max((a, b) -> Double.compare(a.excess(), b.excess()));
+    return LongStream.concat(ofRetries, ofRequests);
   }
 
   /** Returns the begins from which a window, moved back by a shift, first or no longer has t. */
@@ -89,15 +103,13 @@
     return LongStream.of(t + shift + 1, t + shift - windowMicros + 1);
   }
 
-  private Window window(long begin, long[] sent, long[] retries) {
+  private Window window(String service, long begin, long[] sent, long[] retries) {
     int requests =
         Stream.of(begin, begin - windowMicros, begin - windowMicros / 2)
             .mapToInt(from -> count(sent, from))
             .max()
             .getAsInt();
-    int retriesInWindow = count(retries, begin);
-    return new Window(
-        begin, retriesInWindow, requests, retriesInWindow - (ratio * requests + slack));
+    return new Window(service, begin, count(retries, begin), requests, ratio * requests + slack);
   }
 
   /** Returns how many of the sorted times are in the window that begins at a time. */
--- a/src/test/java/org/tanagerbank/soak/RetryWindowRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/RetryWindowRuleTest.java
@@ -7,7 +7,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import org.tanagerbank.soak.EngineEvent.Kind;
+import org.tanagerbank.standin.direct.RunEvent;
+import org.tanagerbank.standin.direct.RunRecord;
 
 /** Tests the budget of retries in windows. */
 final class RetryWindowRuleTest {
@@ -24,11 +25,11 @@
   }
 
   /** Returns the first arrival of a request, long before all windows, and its retries. */
-  private static List<EngineEvent> arrivals(String request, long... retriesAtMicros) {
-    ImmutableList.Builder<EngineEvent> events = ImmutableList.builder();
-    events.add(SoakSamples.event(0, "e-1", Kind.ARRIVED, request));
+  private static List<RunRecord> arrivals(String request, long... retriesAtMicros) {
+    ImmutableList.Builder<RunRecord> events = ImmutableList.builder();
+    events.add(SoakSamples.event(0, "e-1", RunEvent.ARRIVED, request));
     for (long at : retriesAtMicros) {
-      events.add(SoakSamples.event(at, "e-1", Kind.ARRIVED, request));
+      events.add(SoakSamples.event(at, "e-1", RunEvent.ARRIVED, request));
     }
     return events.build();
   }
@@ -46,7 +47,7 @@
   void reportsOneRetryTooMany() {
     List<ObservedRequest> requests = requests(START, 5);
     String id = requests.get(0).id();
-    List<EngineEvent> events = arrivals(id, START + 1, START + 2, START + 3, START + 4);
+    List<RunRecord> events = arrivals(id, START + 1, START + 2, START + 3, START + 4);
     assertThat(RULE.check(requests, events)).hasSize(1);
   }
 
@@ -89,11 +90,12 @@
   void countsServicesApart() {
     List<ObservedRequest> engineRequests = requests(START, 50);
     ObservedRequest plain =
-        SoakSamples.request("plain", START, SoakRoute.IDEMPOTENT, SoakSamples.response(200, ""));
+        SoakSamples.request(
+            "plain", START, SoakRoute.IDEMPOTENT, SoakSamples.response("plain", 200, ""));
     List<ObservedRequest> requests =
         Stream.concat(engineRequests.stream(), Stream.of(plain)).toList();
-    List<EngineEvent> events = arrivals("plain", START, START, START);
+    List<RunRecord> events = arrivals("plain", START, START, START);
     assertThat(RULE.check(requests, events)).hasSize(1);
-    assertThat(RULE.check(requests, events).get(0).text()).contains("service plain");
+    assertThat(RULE.check(requests, events).get(0).text()).startsWith("plain:");
   }
 }
--- a/src/test/java/org/tanagerbank/soak/SoakSamples.java
+++ b/src/test/java/org/tanagerbank/soak/SoakSamples.java
@@ -1,43 +1,67 @@
 package org.tanagerbank.soak;
 
 import java.util.Map;
-import java.util.OptionalLong;
-import org.tanagerbank.soak.EngineEvent.Kind;
 import org.tanagerbank.soak.SoakCaller.Outcome;
 import org.tanagerbank.soak.SoakCaller.Response;
+import org.tanagerbank.standin.direct.ExpectedResponse;
+import org.tanagerbank.standin.direct.RunEvent;
+import org.tanagerbank.standin.direct.RunRecord;
 
 /** Observations for the tests of the rules. Stateless and thread-safe. */
 final class SoakSamples {
   static final long DEADLINE_MILLIS = 4_000;
+  static final int OUTPUT_TOKENS = 10;
+
+  /** What engines receive of each request. */
+  private static final String RECEIVED = "GET 0 0";
 
   private SoakSamples() {}
 
   /** Returns a request for a stream that may not be resumed, answered with success. */
   static ObservedRequest request(String id, long sentAtMicros) {
-    return request(id, sentAtMicros, SoakRoute.ONE_ATTEMPT_STREAM, response(200, ""));
+    return request(id, sentAtMicros, SoakRoute.ONE_ATTEMPT_STREAM, response(id, 200, ""));
   }
 
   static ObservedRequest request(String id, long sentAtMicros, SoakRoute route, Response response) {
     return new ObservedRequest(
-        id, route, /* gateway= */ 0, sentAtMicros, sentAtMicros + 1_000, DEADLINE_MILLIS, response);
+        id,
+        route,
+        /* gateway= */ 0,
+        sentAtMicros,
+        sentAtMicros + 1_000,
+        DEADLINE_MILLIS,
+        OUTPUT_TOKENS,
+        RECEIVED,
+        response);
+  }
+
+  /** Returns a whole response to a request that an upstream signed. */
+  static Response response(String id, int status, String body) {
+    return new Response(Outcome.WHOLE, status, headers(id, status), body, "");
   }
 
-  /** Returns a whole response that an upstream signed. */
-  static Response response(int status, String body) {
-    return new Response(Outcome.WHOLE, status, Map.of("server-stamp", "s"), body, "");
+  /** Returns the headers of a response that an upstream signed. */
+  static Map<String, String> headers(String id, int status) {
+    return Map.of("server-stamp", ExpectedResponse.signature(id, status), "request-id", id);
   }
 
-  static EngineEvent event(long atMicros, String engine, Kind kind, String request) {
-    return event(atMicros, engine, kind, request, 0, OptionalLong.of(DEADLINE_MILLIS));
+  static RunRecord event(long atMicros, String engine, RunEvent event, String request) {
+    return event(atMicros, engine, event, request, DEADLINE_MILLIS);
   }
 
-  static EngineEvent event(
-      long atMicros,
-      String engine,
-      Kind kind,
-      String request,
-      int status,
-      OptionalLong deadlineMillis) {
-    return new EngineEvent(atMicros, engine, kind, request, status, "/x", deadlineMillis, "");
+  static RunRecord event(
+      long atMicros, String engine, RunEvent event, String request, Long deadlineMillis) {
+    String received = event == RunEvent.BEGAN ? RECEIVED : null;
+    return new RunRecord(
+        atMicros,
+        engine,
+        event,
+        request,
+        /* status= */ null,
+        /* complete= */ null,
+        /* path= */ null,
+        deadlineMillis,
+        /* lastEventId= */ null,
+        received);
   }
 }
--- a/src/test/java/org/tanagerbank/soak/Violation.java
+++ b/src/test/java/org/tanagerbank/soak/Violation.java
@@ -10,6 +10,8 @@
     TWICE,
     /** A caller got bytes that are not the whole answer to its request. */
     MIXED,
+    /** An upstream ran a request that no caller sent, or with another method or body. */
+    UNASKED,
     /** Requests ran at more upstreams than their route allows. */
     ATTEMPTS,
     /** Upstreams were given more time than callers had left. */
