--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -17,9 +17,9 @@
 
 /** A gateway that runs as a separate process and keeps its ports when relaunched. Thread-safe. */
 final class SoakGateway implements AutoCloseable {
-  static final double RETRY_RATIO = 0.2;
-  static final int RETRY_WINDOW_SECONDS = 10;
-  private static final int AMPLE_RETRY_SLACK = 54;
+  /** More retries than a soak uses up that is not about them. */
+  private static final RetryLimits AMPLE_RETRIES = new RetryLimits(0.2, 10, 54);
+
   private static final long STOP_TIMEOUT_SECONDS = 15;
 
   /**
@@ -60,15 +60,23 @@
     }
   }
 
-  /** Creates a gateway with a slack of the retry budget that the soak does not use up. */
+  /**
+   * The retries that the whole fleet may send for a service in any window.
+   *
+   * @param ratio the number of retries for each request
+   * @param slack the number of retries beyond those
+   */
+  record RetryLimits(double ratio, int windowSeconds, int slack) {}
+
   SoakGateway(String id, Path folder, File logs, int storePort) throws IOException {
-    this(id, folder, logs, storePort, AMPLE_RETRY_SLACK);
+    this(id, folder, logs, storePort, AMPLE_RETRIES);
   }
 
-  SoakGateway(String id, Path folder, File logs, int storePort, int retrySlack) throws IOException {
+  SoakGateway(String id, Path folder, File logs, int storePort, RetryLimits retries)
+      throws IOException {
     settingsFile = folder.resolve(id + ".json");
     logFile = new File(logs, id + ".log");
-    Files.writeString(settingsFile, settingsJson(id, storePort, retrySlack));
+    Files.writeString(settingsFile, settingsJson(id, storePort, retries));
     launch();
   }
 
@@ -78,7 +86,7 @@
     }
   }
 
-  private String settingsJson(String id, int storePort, int retrySlack) throws IOException {
+  private String settingsJson(String id, int storePort, RetryLimits retries) throws IOException {
     int peerPort;
     try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
       peerPort = socket.getLocalPort();
@@ -95,9 +103,9 @@
         callerPort,
         freePort(),
         storePort,
-        RETRY_RATIO,
-        RETRY_WINDOW_SECONDS,
-        retrySlack);
+        retries.ratio(),
+        retries.windowSeconds(),
+        retries.slack());
   }
 
   int callerPort() {
