--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -40,8 +40,8 @@
 
   static final int TOKENS_PER_EVENT = 4;
 
-  private static final int FIRST_GATEWAYS = 3;
-  private static final int MAX_GATEWAYS = 5;
+  private static final int FIRST_GATEWAYS = 4;
+  private static final int MAX_GATEWAYS = 6;
   private static final int STREAM_ENGINES = 4;
   private static final int PLAIN_ENGINES = 2;
   private static final int SLOTS = 4;
--- a/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
@@ -30,8 +30,8 @@
  * <p>They could break when refusals and responses of engines are taken for those of other requests,
  * and when gateways that start and stop count retries differently than engines do. {@code
  * -Dsoak.seeds=1-50} and {@code -Dsoak.seconds=30} select other seeds and another length of the
- * traffic; {@code -Dsoak.broken-engines=true} adds engines that break their own promise. By default
- * the seeds in soak-overload-seeds.txt run; each of them has failed once or represents the others.
+ * traffic; {@code -Dsoak.broken-engines=true} makes engines break their own promise. By default the
+ * seeds in soak-overload-seeds.txt run; each of them has failed once or represents the others.
  */
 @Timeout(900)
 final class OverloadSoakIT {
