--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -17,6 +17,9 @@
 
 /** A gateway that runs as a separate process and keeps its ports when relaunched. Thread-safe. */
 final class SoakGateway implements AutoCloseable {
+  /** More retries than a soak uses up that is not about them. */
+  private static final RetryLimits AMPLE_RETRIES = new RetryLimits(0.2, 10, 54);
+
   private static final long STOP_TIMEOUT_SECONDS = 15;
 
   /**
@@ -57,10 +60,23 @@
     }
   }
 
+  /**
+   * The retries that the whole fleet may send for a service in any window.
+   *
+   * @param ratio the number of retries for each request
+   * @param slack the number of retries beyond those
+   */
+  record RetryLimits(double ratio, int windowSeconds, int slack) {}
+
   SoakGateway(String id, Path folder, File logs, int storePort) throws IOException {
+    this(id, folder, logs, storePort, AMPLE_RETRIES);
+  }
+
+  SoakGateway(String id, Path folder, File logs, int storePort, RetryLimits retries)
+      throws IOException {
     settingsFile = folder.resolve(id + ".json");
     logFile = new File(logs, id + ".log");
-    Files.writeString(settingsFile, settingsJson(id, storePort));
+    Files.writeString(settingsFile, settingsJson(id, storePort, retries));
     launch();
   }
 
@@ -70,7 +86,7 @@
     }
   }
 
-  private String settingsJson(String id, int storePort) throws IOException {
+  private String settingsJson(String id, int storePort, RetryLimits retries) throws IOException {
     int peerPort;
     try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
       peerPort = socket.getLocalPort();
@@ -80,8 +96,16 @@
             + "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
             + "\"platform\":{\"addr\":\"127.0.0.1:%d\"},\"bounds\":{\"drain-ms\":2000,"
             + "\"config-ms\":2000,\"revoke-ms\":5000,\"grace-s\":8,\"stable-ms\":3000,"
-            + "\"retry-ratio\":0.2,\"retry-window-s\":10,\"retry-slack\":54,\"cap-x\":2}}",
-        id, peerPort, peerPort, callerPort, freePort(), storePort);
+            + "\"retry-ratio\":%s,\"retry-window-s\":%d,\"retry-slack\":%d,\"cap-x\":2}}",
+        id,
+        peerPort,
+        peerPort,
+        callerPort,
+        freePort(),
+        storePort,
+        retries.ratio(),
+        retries.windowSeconds(),
+        retries.slack());
   }
 
   int callerPort() {
