--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -17,8 +17,6 @@
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.events.EventLog;
-import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.request.Verdict;
 import org.tanagerbank.route.RequestKind;
@@ -48,6 +46,7 @@
   private final String service;
   private final long deadline;
   private final RetryReservation retry;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
   private Verdict verdict = Verdict.NOT_RUN;
   private Attempt attempt;
@@ -79,6 +78,7 @@
     this.service = route.pickService(dispatcher.random());
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
+    this.log = new RequestLog(dispatcher, requestId, fingerprint, route.name());
   }
 
   void start() {
@@ -112,7 +112,7 @@
 
   private void place(boolean isTrial) {
     if (sentAttempts > 0 && !retry.acquire()) {
-      endWithError(Refusal.notRun("no retry is left"));
+      endWithError(canPromise() ? Refusal.notRun("no retry is left") : Refusal.timedOut());
       return;
     }
     List<UpstreamHandle> candidates = dispatcher.upstreams().candidates(service, tried);
@@ -134,43 +134,11 @@
     }
     UpstreamChoice choice = chosen.get();
     tried.add(choice.upstream().report().id());
-    logPlaced(choice, candidates.size());
+    log.placed(choice, candidates.size(), prompt, timeLeftMillis());
     attempt = new Attempt(this, dispatcher, choice, isTrial);
     attempt.start();
   }
 
-  private void logPlaced(UpstreamChoice choice, int candidates) {
-    UpstreamHandle upstream = choice.upstream();
-    EventLog.emit(
-        LogEvent.REQUEST_PLACED,
-        "request",
-        requestId,
-        "fingerprint",
-        fingerprint,
-        "route",
-        route.name(),
-        "upstream",
-        upstream.report().id(),
-        "report",
-        upstream.report().reportNumber(),
-        "inFlight",
-        upstream.fleetInFlight(dispatcher.nowMillis()),
-        "candidates",
-        candidates,
-        "session",
-        prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
-        "freshTokens",
-        upstream.uncachedTokens(prompt),
-        "fetchedTokens",
-        choice.fetchedTokens(),
-        "fetchedFrom",
-        choice.fetch().map(f -> f.source().report().id()).orElse(""),
-        "firstTokenMillis",
-        upstream.firstTokenMillis(prompt, choice.fetchedTokens(), dispatcher.nowMillis()),
-        "timeLeftMillis",
-        timeLeftMillis());
-  }
-
   /** Returns a copy of the request for an upstream; the copy retains the body. */
   FullHttpRequest upstreamRequest(UpstreamChoice choice) {
     UpstreamCall call =
@@ -259,8 +227,11 @@
    * error response if there is one, or responds with an error of the router.
    */
   void handleFailure(
-      UpstreamHandle upstream, AttemptFailure failure, Optional<ErrorResponse> errorResponse) {
-    recordFailure(upstream, failure);
+      UpstreamHandle upstream,
+      AttemptFailure failure,
+      AttemptEvidence evidence,
+      Optional<ErrorResponse> errorResponse) {
+    recordFailure(upstream, failure, evidence);
     boolean canResume = !hasBegun || lastEventId.isPresent();
     boolean hasOtherCandidate = !dispatcher.upstreams().candidates(service, tried).isEmpty();
     boolean isRetried =
@@ -278,7 +249,7 @@
           errorResponse.get().status(), errorResponse.get().headers(), errorResponse.get().body());
       return;
     }
-    endWithError(Refusal.notRun(failure.reason()));
+    endWithError(canPromise() ? Refusal.notRun(failure.reason()) : Refusal.timedOut());
   }
 
   /** Returns whether the request may be sent now that a connection is open. */
@@ -286,7 +257,30 @@
     return sentAttempts == 0 || retry.recordSent();
   }
 
-  private void recordFailure(UpstreamHandle upstream, AttemptFailure failure) {
+  /** Records that a response to another request arrived while this request awaited its own. */
+  void responseSkipped(UpstreamHandle upstream, AttemptEvidence evidence) {
+    observe(evidence);
+    log.responseSkipped(upstream, evidence);
+  }
+
+  private void observe(AttemptEvidence evidence) {
+    dispatcher
+        .observer()
+        .responseObserved(
+            evidence.responseId(), evidence.hasNotRunMarker(), evidence.hasSignature());
+  }
+
+  /**
+   * Returns whether the caller may be told that its request was not run. After a refusal at the end
+   * of the time limit the caller cannot send the request again, and an engine that preempted the
+   * request may refuse it although it had begun.
+   */
+  private boolean canPromise() {
+    return sentAttempts == 0 || RetryPolicy.hasTimeForRetry(timeLeftMillis());
+  }
+
+  private void recordFailure(
+      UpstreamHandle upstream, AttemptFailure failure, AttemptEvidence evidence) {
     retry.release();
     if (failure.wasSent()) {
       sentAttempts++;
@@ -297,22 +291,10 @@
       verdict = failure.verdict();
     }
     dispatcher.observer().attemptFailed(failure.verdict().name());
-    EventLog.emit(
-        LogEvent.REQUEST_ATTEMPT_FAILED,
-        "request",
-        requestId,
-        "fingerprint",
-        fingerprint,
-        "upstream",
-        upstream.report().id(),
-        "reason",
-        failure.reason(),
-        "verdict",
-        failure.verdict(),
-        "sent",
-        sentAttempts,
-        "timeLeftMillis",
-        timeLeftMillis());
+    if (failure.wasSent()) {
+      observe(evidence);
+    }
+    log.attemptFailed(upstream, failure, evidence, sentAttempts, timeLeftMillis());
   }
 
   /**
@@ -339,15 +321,14 @@
     if (ended) {
       return;
     }
-    boolean mayHaveRun = verdict != Verdict.NOT_RUN || (attempt != null && attempt.wasSent());
+    boolean wasSent = sentAttempts > 0 || (attempt != null && attempt.wasSent());
     cancelAttempt();
     if (hasBegun) {
       finish(0, "timeout");
       exchange.abort();
       return;
     }
-    Refusal refusal =
-        mayHaveRun ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
+    Refusal refusal = wasSent ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
     finish(refusal.status(), refusal.reason());
     dispatcher.respond(requestId, exchange, refusal);
   }
@@ -371,19 +352,9 @@
     retry.release();
     dispatcher.crashGuard().abandon(fingerprint, this);
     request.body().release();
-    dispatcher.observer().requestEnded(status, dispatcher.nowMillis() - request.receivedAtMillis());
-    EventLog.emit(
-        LogEvent.REQUEST_ENDED,
-        "request",
-        requestId,
-        "status",
-        status,
-        "reason",
-        reason,
-        "sent",
-        sentAttempts,
-        "millis",
-        dispatcher.nowMillis() - request.receivedAtMillis());
+    long millis = dispatcher.nowMillis() - request.receivedAtMillis();
+    dispatcher.observer().requestEnded(status, millis);
+    log.ended(status, reason, sentAttempts, millis);
   }
 
   long timeLeftMillis() {
--- a/src/main/java/org/tanagerbank/events/LogEvent.java
+++ b/src/main/java/org/tanagerbank/events/LogEvent.java
@@ -89,9 +89,11 @@
   ENGINE_INSPECTED(1818, Level.INFO),
   REQUEST_RESTRICTED(1819, Level.WARNING),
   SUSPECT_RECORD_INVALID(1820, Level.WARNING),
+  RESPONSE_SKIPPED(1821, Level.INFO),
 
   // 1900-1999: stand-ins.
-  STANDIN_READY(1901, Level.INFO);
+  STANDIN_READY(1901, Level.INFO),
+  STANDIN_RECORD_FAILED(1902, Level.SEVERE);
 
   private final int number;
   private final Level level;
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -20,32 +20,33 @@
 import org.tanagerbank.platformclient.SocketAddresses;
 import org.tanagerbank.upstream.HeaderCodec;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.ResponseFacts;
+import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Reads and writes the HTTP headers of the platform. Immutable and thread-safe. */
 public final class PlatformHeaderCodec implements HeaderCodec {
-  private static final String REQUEST_ID = "Request-Id";
+  static final String REQUEST_ID = "Request-Id";
   private static final String DEADLINE = "Deadline-Ms";
   private static final String AUTHORIZATION = "Authorization";
   private static final String BEARER_SCHEME = "Bearer ";
   private static final String MODEL = "Model";
   private static final String TOKEN_COUNTS = "Token-Counts";
   private static final String PROMPT_PREFIX = "Prompt-Prefix";
-  private static final String LAST_EVENT_ID = "Last-Event-Id";
-  private static final String EXPECT_INSTANCE = "Expect-Instance";
+  static final String LAST_EVENT_ID = "Last-Event-Id";
+  static final String EXPECT_INSTANCE = "Expect-Instance";
   private static final String TENANT = "Tenant";
-  private static final String PRIORITY = "Request-Priority";
+  static final String PRIORITY = "Request-Priority";
 
   /** The address of the engine from which the called engine fetches cached prompt parts. */
   private static final String CACHE_SOURCE = "Kv-Fetch";
 
   /** The signature that an upstream adds to a response. */
-  private static final String SIGNATURE = "Server-Stamp";
+  static final String SIGNATURE = "Server-Stamp";
 
-  private static final String NOT_EXECUTED = "Not-Executed";
-  private static final String LOAD = "Server-Load";
+  static final String NOT_EXECUTED = "Not-Executed";
+  static final String LOAD = "Server-Load";
   private static final String CONTENT_ENCODING = "Content-Encoding";
-  private static final int STATUS_MISDIRECTED_REQUEST = 421;
   private static final int HEX_RADIX = 16;
 
   /** Headers for a single connection or for the framing of a body, in lower case. */
@@ -95,7 +96,8 @@
 
   @Override
   public String requestId(HttpHeaders request) {
-    return request.get(REQUEST_ID, "");
+    List<String> ids = request.getAll(REQUEST_ID);
+    return ids.size() == 1 ? ids.get(0) : "";
   }
 
   @Override
@@ -188,18 +190,19 @@
   }
 
   @Override
-  public boolean isResponseTo(HttpHeaders response, String requestId) {
-    return response.get(REQUEST_ID, "").equals(requestId);
+  public ResponseFacts responseFacts(HttpHeaders response, String requestId) {
+    return new ResponseFacts(
+        idRelation(response.getAll(REQUEST_ID), requestId),
+        response.contains(NOT_EXECUTED),
+        response.contains(SIGNATURE),
+        response.contains(CONTENT_ENCODING));
   }
 
-  @Override
-  public boolean statesNotRun(int status, HttpHeaders response) {
-    return status == STATUS_MISDIRECTED_REQUEST || response.contains(NOT_EXECUTED);
-  }
-
-  @Override
-  public boolean hasUpstreamSignature(HttpHeaders response) {
-    return response.contains(SIGNATURE) && !response.contains(CONTENT_ENCODING);
+  private static IdRelation idRelation(List<String> responseIds, String requestId) {
+    if (requestId.isEmpty() || responseIds.stream().allMatch(String::isEmpty)) {
+      return IdRelation.MISSING;
+    }
+    return responseIds.stream().allMatch(requestId::equals) ? IdRelation.OWN : IdRelation.FOREIGN;
   }
 
   @Override
