Give instances of a first start an eighth of the retries

With a sixteenth, an instance that had just started for the first time sent three retries in its first 11 s: ResponseProofTest sends five refused requests, two of which were answered 503. With an eighth all five are sent on. Four restarts that keep the setting of a first start then take half of the share again, so the share of the fixed number is 0.66 instead of 0.75 (RetryFleetTest).

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -26,10 +26,10 @@
  */
 final class GatewayCommand implements Command {
   /**
-   * The share of the platform's retry slack that this fleet uses. Up to a quarter of this share is
-   * taken again when four instances restart with the setting of a first start.
+   * The share of the platform's retry slack that this fleet uses. Up to half of this share is taken
+   * again when four instances restart with the setting of a first start.
    */
-  private static final double RETRY_FLOOR_SHARE = 0.75;
+  private static final double RETRY_FLOOR_SHARE = 0.66;
 
   /**
    * The share of the platform's retry ratio that this fleet uses. The rest covers messages that
--- a/src/main/java/org/tanagerbank/dispatch/RetryShare.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryShare.java
@@ -28,7 +28,7 @@
  */
 final class RetryShare {
   /** The number of instances that may start for the first time before they know each other. */
-  private static final int FIRST_START_FLEET_SIZE = 16;
+  private static final int FIRST_START_FLEET_SIZE = 8;
 
   /** The time for which an instance that is no longer known still counts. */
   private static final long RETENTION_MILLIS = 3_600_000;
