--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -112,7 +112,7 @@
 
   private void place(boolean isTrial) {
     if (sentAttempts > 0 && !retry.acquire()) {
-      endWithError(Refusal.notRun("no retry is left"));
+      endWithError(canPromise() ? Refusal.notRun("no retry is left") : Refusal.timedOut());
       return;
     }
     List<UpstreamHandle> candidates = dispatcher.upstreams().candidates(service, tried);
