--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.FileInputStream;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A gateway that runs as a separate process and keeps its ports when relaunched. Thread-safe. */
@@ -21,6 +23,10 @@
   private static final RetryLimits AMPLE_RETRIES = new RetryLimits(0.2, 10, 54);
 
   private static final long STOP_TIMEOUT_SECONDS = 15;
+  private static final int FIRST_PORT = 20_000;
+
+  /** The first port that Linux gives to outgoing connections by default. */
+  private static final int EPHEMERAL_PORT_BEGIN = 32_768;
 
   /**
    * The event that a process logs when its signal handlers are set.
@@ -80,9 +86,18 @@
     launch();
   }
 
+  /**
+   * Returns a free port that the system does not give to outgoing connections. Such a connection
+   * could take it while the gateway is down, and the gateway would not start again.
+   */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, EPHEMERAL_PORT_BEGIN);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // The port is in use; another one is tried.
+      }
     }
   }
 
