--- a/src/test/java/org/tanagerbank/soak/FaultProxy.java
+++ b/src/test/java/org/tanagerbank/soak/FaultProxy.java
@@ -34,7 +34,7 @@
   private static final int DELAY_MILLIS = 80;
   private static final int BUFFER_BYTES = 8_192;
 
-  private final InetSocketAddress target;
+  private volatile InetSocketAddress target;
   private final ExecutorService executor;
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
   private final int port;
@@ -61,6 +61,11 @@
     }
   }
 
+  /** Sets the target of new connections. */
+  void setTarget(InetSocketAddress next) {
+    target = next;
+  }
+
   /** Accepts connections at the same port again. */
   void listenAgain() throws IOException {
     serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -109,12 +109,18 @@
     Files.deleteIfExists(record());
     String config = SoakEntries.config(MAX_CONNECTIONS, SLOTS, MEMORY_TOKENS);
     store.put("keyed.op", "config", Optional.of(config.getBytes(UTF_8)));
+    List<EngineProcess> processes = new ArrayList<>();
     for (int i = 0; i < STREAM_ENGINES + PLAIN_ENGINES; i++) {
-      addEngine(i < STREAM_ENGINES ? SoakRoute.ENGINE_SERVICE : SoakRoute.PLAIN_SERVICE);
+      var settings = new EngineProcess.Settings(seed, ENGINE_OPTIONS, record(), logs);
+      processes.add(new EngineProcess(nextEngineId(), settings));
     }
     for (int i = 0; i < FIRST_GATEWAYS; i++) {
       addGateway();
     }
+    for (EngineProcess process : processes) {
+      boolean isFirst = engines.size() < STREAM_ENGINES;
+      addEngine(isFirst ? SoakRoute.ENGINE_SERVICE : SoakRoute.PLAIN_SERVICE, process);
+    }
   }
 
   /** Returns the present time in microseconds of the Unix epoch. */
@@ -163,10 +169,8 @@
     gatewaySpans.put(index, new Span(nowMicros(), nowMicros()));
   }
 
-  private synchronized void addEngine(String service) throws IOException {
-    var settings = new EngineProcess.Settings(seed, ENGINE_OPTIONS, record(), logs);
-    EngineProcess process = new EngineProcess(nextEngineId(), settings);
-    FaultProxy proxy = new FaultProxy(process.address(), executor);
+  private synchronized void addEngine(String service, EngineProcess process) throws IOException {
+    FaultProxy proxy = new FaultProxy(process.awaitAddress(), executor);
     Engine engine = new Engine(service, process, proxy, new AtomicBoolean());
     engines.add(engine);
     publishState(engine, "ready");
@@ -294,6 +298,7 @@
   private void restart(Engine engine, String nextId) throws IOException {
     String id = engine.process().id();
     engine.process().launch(nextId);
+    engine.proxy().setTarget(engine.process().awaitAddress());
     engine.proxy().listenAgain();
     if (!nextId.equals(id)) {
       store.put("keyed.servers", id, Optional.empty());
