--- a/src/main/java/org/tanagerbank/dispatch/RetryShare.java
+++ b/src/main/java/org/tanagerbank/dispatch/RetryShare.java
@@ -8,20 +8,21 @@
 import java.util.Set;
 
 /**
- * Decides which part of the retries that the fleet may send beyond the ratio this instance has.
+ * Decides the share of this instance in the retries that the fleet may send beyond the ratio.
  *
- * <p>Invariant: what the instances of a fleet have in one window adds up to no more than the whole.
- * An instance divides by all instances that it knows, whether it hears them or not, and takes a
- * smaller part at once when it learns of another. It has no part until all others whose part counts
- * are known to count it: it has registered, has then read the others from the directory, and has
- * heard from each of them, which only tell an instance that they know. Of two instances the one
- * that registers later finds the other. After that it waits until the window contains neither what
- * the others sent while their parts were larger nor what this instance sent before a restart.
+ * <p>Invariant: the shares that the instances of a fleet use in one window add up to no more than
+ * the fleet may send. An instance divides by all instances that it knows, whether it hears them or
+ * not, and takes a smaller share at once when it learns of another. It has none until all others
+ * that have one are known to count it: it has registered, has then read the others from the
+ * directory, and has received a digest from each of them, as they send digests only to instances
+ * that they know. Of two instances the one that registers later finds the other. After that it
+ * waits until the window contains neither what the others sent while their shares were larger nor
+ * what this instance sent before a restart.
  *
  * <p>Two cases are outside the invariant: an instance that is not heard for two minutes after the
  * start of this one but still serves, and one that is silent for longer than {@link
  * #RETENTION_MILLIS}. At the first start of a whole fleet there is nothing to wait for, so each
- * instance has a part that fits {@link #FIRST_START_FLEET_SIZE} of them until it has its regular
+ * instance has a share that fits {@link #FIRST_START_FLEET_SIZE} of them until it has its regular
  * one.
  *
  * <p>Decision logic without I/O. Not thread-safe; confined to the event loop.
@@ -67,22 +68,22 @@
     members.replaceAll(
         (id, lostAt) -> lostAt == NOT_LOST && !ids.contains(id) ? nowMillis : lostAt);
     ids.forEach(id -> members.put(id, NOT_LOST));
-    checkCounted(nowMillis);
+    updateCountedSince(nowMillis);
   }
 
   /** Records a digest of another instance, which shows that it counts this one. */
   void recordHeard(String id, long nowMillis) {
     heard.add(id);
-    checkCounted(nowMillis);
+    updateCountedSince(nowMillis);
   }
 
   /** Records that the others were read from the directory after this instance had registered. */
   void recordDirectoryRead(long nowMillis) {
     isDirectoryRead = true;
-    checkCounted(nowMillis);
+    updateCountedSince(nowMillis);
   }
 
-  private void checkCounted(long nowMillis) {
+  private void updateCountedSince(long nowMillis) {
     boolean isCounted =
         isDirectoryRead
             && members.entrySet().stream()
@@ -96,10 +97,10 @@
   double retries(long nowMillis) {
     members.values().removeIf(l -> l != NOT_LOST && nowMillis - l > RETENTION_MILLIS);
     int fleetSize = members.size() + 1;
-    boolean hasRegularPart =
+    boolean hasRegularShare =
         countedSinceMillis.isPresent()
             && nowMillis - countedSinceMillis.getAsLong() >= settleMillis;
-    if (hasRegularPart) {
+    if (hasRegularShare) {
       return fleetRetries / fleetSize;
     }
     return isFirstStart ? fleetRetries / Math.max(FIRST_START_FLEET_SIZE, fleetSize) : 0;
--- a/src/main/java/org/tanagerbank/link/LinkChannel.java
+++ b/src/main/java/org/tanagerbank/link/LinkChannel.java
@@ -42,7 +42,7 @@
   private long pingNonce;
   private boolean heartbeatScheduled;
   private long heartbeatDueMillis;
-  private boolean isSilenceInDoubt;
+  private boolean isSilenceUnconfirmed;
   private String closeReason = "closed by the peer";
   private volatile Optional<CloseCause> closeCause = Optional.empty();
 
@@ -200,8 +200,8 @@
     // After a pause of this process, frames that have arrived may not be read yet. They are read
     // before the next check.
     boolean isLate = now - heartbeatDueMillis >= timings.pingIntervalMillis();
-    isSilenceInDoubt = isSilent && isLate && !isSilenceInDoubt;
-    if (isSilent && !isSilenceInDoubt) {
+    isSilenceUnconfirmed = isSilent && isLate && !isSilenceUnconfirmed;
+    if (isSilent && !isSilenceUnconfirmed) {
       EventLog.emit(LogEvent.LINK_SILENT, "remote", remoteAddress(), "quietMillis", silentMillis);
       closeWith(CloseCause.SILENT, "silent: no frame received for " + silentMillis + " ms");
       return;
