Read the software version of upstreams and log it

Upstreams of several software versions may serve side by side. An entry without one counts as of the version "". The test of the decoder covers both. No decision uses it yet.

The simulated caller of the dispatch tests moves to a file of its own.

--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -35,6 +35,8 @@
         routeName,
         "upstream",
         upstream.report().id(),
+        "version",
+        upstream.report().softwareVersion(),
         "report",
         upstream.report().reportNumber(),
         "inFlight",
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -95,6 +95,8 @@
         report.id(),
         "service",
         report.service(),
+        "version",
+        report.softwareVersion(),
         "address",
         report.address(),
         "startedAt",
--- a/src/main/java/org/tanagerbank/platform/UpstreamDecoder.java
+++ b/src/main/java/org/tanagerbank/platform/UpstreamDecoder.java
@@ -43,6 +43,8 @@
         new UpstreamReport(
             id,
             node.path("service").textValue(),
+            // "version" is the version of the software of the upstream, not of the model weights.
+            node.path("version").asText(),
             SocketAddresses.parse(node.path("addr").textValue()),
             node.path("zone").asText(),
             node.path("slots").intValue(),
--- a/src/main/java/org/tanagerbank/upstream/UpstreamReport.java
+++ b/src/main/java/org/tanagerbank/upstream/UpstreamReport.java
@@ -10,6 +10,8 @@
  *
  * @param id the id of the upstream; not empty
  * @param service the name of the service that it belongs to
+ * @param softwareVersion the version of its software; empty if it reports none. Upstreams of
+ *     several versions may serve side by side, and the versions have no order
  * @param address the address on which it serves requests
  * @param zone its availability zone
  * @param slots the number of requests that it processes at the same time
@@ -22,6 +24,7 @@
 public record UpstreamReport(
     String id,
     String service,
+    String softwareVersion,
     InetSocketAddress address,
     String zone,
     int slots,
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -0,0 +1,78 @@
+package org.tanagerbank.dispatch;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.tanagerbank.caller.CallerExchange;
+
+/** A request of a caller and the response to it. Not thread-safe. */
+final class Call implements CallerExchange {
+  final String id;
+  final String path;
+  final String body;
+  final long sentAtMillis;
+  int status;
+  HttpHeaders headers = new DefaultHttpHeaders();
+  private String text = "";
+  boolean isEnded;
+
+  Call(String id, String path, String body, long sentAtMillis) {
+    this.id = id;
+    this.path = path;
+    this.body = body;
+    this.sentAtMillis = sentAtMillis;
+  }
+
+  @Override
+  public String toString() {
+    return id + " \"" + body + "\" at " + sentAtMillis + ": " + status + " " + text.trim();
+  }
+
+  /** Returns whether the request was refused because it crashes upstreams. */
+  boolean wasQuarantined() {
+    return text.startsWith(Refusal.QUARANTINED);
+  }
+
+  @Override
+  public void respond(int responseStatus, HttpHeaders responseHeaders, ByteBuf content) {
+    text = content.toString(ISO_8859_1);
+    content.release();
+    status = responseStatus;
+    headers = responseHeaders;
+    isEnded = true;
+  }
+
+  @Override
+  public void beginResponse(int responseStatus, HttpHeaders responseHeaders) {
+    status = responseStatus;
+  }
+
+  @Override
+  public void write(ByteBuf part) {
+    part.release();
+  }
+
+  @Override
+  public void endResponse() {
+    isEnded = true;
+  }
+
+  @Override
+  public void abort() {
+    status = 0;
+    isEnded = true;
+  }
+
+  @Override
+  public boolean isWritable() {
+    return true;
+  }
+
+  @Override
+  public void onWritable(Runnable action) {}
+
+  @Override
+  public void onDisconnect(Runnable action) {}
+}
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
@@ -9,7 +9,6 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 import org.tanagerbank.dispatch.SimulatedUpstream.Run;
 
 /**
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
@@ -6,7 +6,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 import org.tanagerbank.dispatch.SimulatedUpstream.Run;
 
 /**
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -16,7 +15,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.peer.DigestSchedule;
 import org.tanagerbank.platform.PlatformHeaderCodec;
@@ -46,76 +44,6 @@
   private static final long MESSAGE_MILLIS = 2;
   static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
-  /** A request of a caller and the response to it. */
-  static final class Call implements CallerExchange {
-    final String id;
-    final String path;
-    final String body;
-    final long sentAtMillis;
-    int status;
-    HttpHeaders headers = new DefaultHttpHeaders();
-    private String text = "";
-    boolean isEnded;
-
-    private Call(String id, String path, String body, long sentAtMillis) {
-      this.id = id;
-      this.path = path;
-      this.body = body;
-      this.sentAtMillis = sentAtMillis;
-    }
-
-    @Override
-    public String toString() {
-      return id + " \"" + body + "\" at " + sentAtMillis + ": " + status + " " + text.trim();
-    }
-
-    /** Returns whether the request was refused because it crashes upstreams. */
-    boolean wasQuarantined() {
-      return text.startsWith(Refusal.QUARANTINED);
-    }
-
-    @Override
-    public void respond(int responseStatus, HttpHeaders responseHeaders, ByteBuf content) {
-      text = content.toString(ISO_8859_1);
-      content.release();
-      status = responseStatus;
-      headers = responseHeaders;
-      isEnded = true;
-    }
-
-    @Override
-    public void beginResponse(int responseStatus, HttpHeaders responseHeaders) {
-      status = responseStatus;
-    }
-
-    @Override
-    public void write(ByteBuf part) {
-      part.release();
-    }
-
-    @Override
-    public void endResponse() {
-      isEnded = true;
-    }
-
-    @Override
-    public void abort() {
-      status = 0;
-      isEnded = true;
-    }
-
-    @Override
-    public boolean isWritable() {
-      return true;
-    }
-
-    @Override
-    public void onWritable(Runnable action) {}
-
-    @Override
-    public void onDisconnect(Runnable action) {}
-  }
-
   /** What one gateway tells another, on its way. */
   private record Message(
       long arrivesAtMillis,
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -46,7 +46,7 @@
 
   private UpstreamHandle engine(String id, OptionalDouble transferMillisPerToken) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-    UpstreamReport upstream = new UpstreamReport(id, "s", address, "z", 64, false, 0, 1, 1);
+    UpstreamReport upstream = new UpstreamReport(id, "s", "v1", address, "z", 64, false, 0, 1, 1);
     UpstreamHandle handle =
         new UpstreamHandle(upstream, ConnectionPool.create(group.next(), address, () -> 0));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
--- a/src/test/java/org/tanagerbank/dispatch/PromiseCheck.java
+++ b/src/test/java/org/tanagerbank/dispatch/PromiseCheck.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.ImmutableSet;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 
 /** Checks the responses of a simulation against what its upstreams ran. */
 final class PromiseCheck {
--- a/src/test/java/org/tanagerbank/dispatch/RequestRetryTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/RequestRetryTest.java
@@ -9,7 +9,6 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 
 /**
  * Guards against retries that are taken from the budget and not sent, and against requests that are
--- a/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/ResponseProofTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 import org.tanagerbank.dispatch.UpstreamBehavior.Write;
 
 /**
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -92,6 +92,7 @@
   private int starts = 1;
   private long startedAtMillis = 1;
   private boolean isUp = true;
+  private String version = "v1";
   private long endedAtMillis;
   private Function<String, UpstreamBehavior> script = id -> UpstreamBehavior.NORMAL;
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
@@ -144,7 +145,8 @@
   }
 
   UpstreamReport report() {
-    return new UpstreamReport(id(), "s", address(), "z", 64, false, 0, startedAtMillis, starts);
+    return new UpstreamReport(
+        id(), "s", version, address(), "z", 64, false, 0, startedAtMillis, starts);
   }
 
   ChannelFuture connect(int gateway, ChannelHandler... handlers) {
--- a/src/test/java/org/tanagerbank/dispatch/SkippedResponseTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/SkippedResponseTest.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.tanagerbank.dispatch.DispatchSimulation.Call;
 
 /**
  * Guards against an idempotent request that waits until its time limit for a response that does not
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -36,7 +36,7 @@
 
   private static UpstreamReport report(String id, long started, boolean draining) {
     return new UpstreamReport(
-        id, "s", new InetSocketAddress("127.0.0.1", 1), "z", 64, draining, 0, started, 1);
+        id, "s", "v1", new InetSocketAddress("127.0.0.1", 1), "z", 64, draining, 0, started, 1);
   }
 
   private static final Optional<RoutingConfig> CONFIG =
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -95,7 +95,7 @@
 
   private UpstreamReport report(int index) {
     return new UpstreamReport(
-        "i-" + index, "s", upstreams.get(index).address(), "z", 8, false, 0, 1, 1);
+        "i-" + index, "s", "v1", upstreams.get(index).address(), "z", 8, false, 0, 1, 1);
   }
 
   private static RoutingConfig config() {
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -24,8 +24,8 @@
  */
 final class DecodersTest {
   private static final String REPORT =
-      "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z\",\"slots\":64,"
-          + "\"state\":\"ready\",\"cold-left-ms\":5,\"seq\":4,\"born\":1234}";
+      "{\"service\":\"s\",\"version\":\"v1.2\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z\","
+          + "\"slots\":64,\"state\":\"ready\",\"cold-left-ms\":5,\"seq\":4,\"born\":1234}";
 
   private static final String CONFIG =
       "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"A.example\",\"path-prefix\":\"/p/\","
@@ -46,12 +46,18 @@
   void reportIsDecoded() {
     UpstreamReport upstream = upstream(REPORT).get();
     assertThat(upstream.service()).isEqualTo("s");
+    assertThat(upstream.softwareVersion()).isEqualTo("v1.2");
     assertThat(upstream.address().getPort()).isEqualTo(8080);
     assertThat(upstream.isDraining()).isFalse();
     assertThat(upstream.startedAtMillis()).isEqualTo(1234);
     assertThat(upstream.reportNumber()).isEqualTo(4);
   }
 
+  @Test
+  void reportWithoutVersionNamesNone() {
+    assertThat(upstream(REPORT.replace("version", "other")).get().softwareVersion()).isEmpty();
+  }
+
   @Test
   void invalidReportIsIgnored() {
     assertThat(upstream("not json")).isEmpty();
--- a/src/test/java/org/tanagerbank/store/UpstreamDirectoryTest.java
+++ b/src/test/java/org/tanagerbank/store/UpstreamDirectoryTest.java
@@ -20,6 +20,7 @@
     return new UpstreamReport(
         id,
         "s",
+        "v1",
         InetSocketAddress.createUnresolved("10.0.0.1", 80),
         "z",
         8,
