Add failing tests of requests that end upstreams and are not stopped

The simulation of gateways knew one kind of deadly request: one that ends each upstream that begins it. A request may also become deadly after it completed, end upstreams of one software version only, come from callers that leave, or end its upstream shortly after other bytes ended the attempt.

--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -17,6 +17,7 @@
   HttpHeaders headers = new DefaultHttpHeaders();
   private String text = "";
   boolean isEnded;
+  private Runnable disconnectAction = () -> {};
 
   Call(String id, String path, String body, long sentAtMillis) {
     this.id = id;
@@ -74,5 +75,15 @@
   public void onWritable(Runnable action) {}
 
   @Override
-  public void onDisconnect(Runnable action) {}
+  public void onDisconnect(Runnable action) {
+    disconnectAction = action;
+  }
+
+  /** Closes the caller's connection, unless the response is complete. */
+  void leave() {
+    if (!isEnded) {
+      isEnded = true;
+      disconnectAction.run();
+    }
+  }
 }
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
@@ -49,6 +49,7 @@
     int deadlyAtOnce = 1 + random.nextInt(fleet.gatewayCount());
     int deadlyContents = 1 + random.nextInt(2);
     String deadlyPath = random.nextBoolean() ? "/safe/x" : "/once/x";
+    selectDeadlyRule();
     long start = fleet.nowMillis();
     while (fleet.nowMillis() - start < DAY_MILLIS) {
       if (fleet.nowMillis() - start < DAY_MILLIS - CALM_MILLIS && random.nextInt(30) == 0) {
@@ -66,6 +67,18 @@
     check(seed);
   }
 
+  /** Lets requests be deadly from the start, after some runs, or at upstreams of one version. */
+  private void selectDeadlyRule() {
+    DeadlyRule rule =
+        switch (random.nextInt(3)) {
+          case 0 -> DeadlyRule.ALWAYS;
+          case 1 -> DeadlyRule.afterRuns(1 + random.nextInt(20));
+          default -> DeadlyRule.atVersion("v2");
+        };
+    fleet.upstreams().forEach(u -> u.setDeadlyRule(rule));
+    fleet.upstreams().stream().filter(u -> random.nextBoolean()).forEach(u -> u.setVersion("v2"));
+  }
+
   private int anyGateway() {
     return random.nextInt(fleet.gatewayCount());
   }
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.dispatch.SimulatedUpstream.Run;
 
@@ -105,6 +107,75 @@
     assertThat(fleet.deadlyRuns()).hasSize(before + 1);
   }
 
+  /** Guards against a completed run that makes crashes before or after it not count. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 7, 50})
+  void requestThatBecomesDeadlyAfterItCompletedIsStopped(long completedRuns) {
+    DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
+    fleet.upstreams().forEach(u -> u.setDeadlyRule(DeadlyRule.afterRuns(completedRuns)));
+    sendInTurn(fleet, 100, "/once/x");
+    assertThat(lateRetries(fleet)).isAtMost(MAX_LATE_RETRIES);
+    assertNoInnocentIsRefused(fleet);
+  }
+
+  /** Guards against runs at upstreams that survive a request which clear it for the others. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 4})
+  void requestThatEndsUpstreamsOfOneVersionIsStopped(int deadlyUpstreams) {
+    DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
+    fleet.upstreams().forEach(u -> u.setDeadlyRule(DeadlyRule.atVersion("v2")));
+    fleet.upstreams().subList(0, deadlyUpstreams).forEach(u -> u.setVersion("v2"));
+    sendInTurn(fleet, 100, "/safe/x");
+    assertThat(lateRetries(fleet)).isAtMost(MAX_LATE_RETRIES);
+    assertNoInnocentIsRefused(fleet);
+  }
+
+  /** Guards against callers whose leaving hides that their requests end upstreams. */
+  @ParameterizedTest
+  @ValueSource(longs = {10, 300})
+  void requestWhoseCallersLeaveSoonIsStopped(long millisToCrash) {
+    DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
+    fleet.upstreams().forEach(u -> u.setCrashMillis(millisToCrash));
+    for (int i = 0; i < 60; i++) {
+      Call call = fleet.send(i % GATEWAYS, "/once/x", "deadly");
+      fleet.advance(5);
+      call.leave();
+      sendInnocents(fleet, 10, 100);
+    }
+    assertThat(lateRetries(fleet)).isAtMost(MAX_LATE_RETRIES);
+    assertNoInnocentIsRefused(fleet);
+  }
+
+  static Stream<String> bytesBeforeTheEnd() {
+    String end = "Content-Length: 2\r\n\r\nok";
+    return Stream.of(
+        "no response\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Stamp: s\r\n" + end,
+        "HTTP/1.1 200 OK\r\n" + end,
+        "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + end);
+  }
+
+  /** Guards against bytes that end an attempt before the upstream ends, so that it goes unseen. */
+  @ParameterizedTest
+  @MethodSource("bytesBeforeTheEnd")
+  void requestIsStoppedWhoseUpstreamsSendOtherBytesBeforeTheyEnd(String bytes) {
+    DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
+    for (SimulatedUpstream upstream : fleet.upstreams()) {
+      upstream.setCrashMillis(30);
+      upstream.setScript(
+          id ->
+              id.startsWith("deadly")
+                  ? UpstreamBehavior.runsAndSends(10, bytes)
+                  : UpstreamBehavior.NORMAL);
+    }
+    for (int i = 0; i < 60; i++) {
+      fleet.sendWithId(i % GATEWAYS, "/safe/x", "deadly", "deadly" + i);
+      sendInnocents(fleet, 10, 100);
+    }
+    assertThat(lateRetries(fleet)).isAtMost(MAX_LATE_RETRIES);
+    assertNoInnocentIsRefused(fleet);
+  }
+
   @Test
   void quarantinedRequestIsRefusedAtOnceAsNotRun() {
     DispatchSimulation fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, true);
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -16,13 +16,14 @@
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
- * An upstream in memory that ends when it begins a request whose body starts with {@link #DEADLY}.
+ * An upstream in memory that ends when it begins a request whose body starts with {@link #DEADLY},
+ * if its {@link DeadlyRule} says so.
  *
  * <p>It is back some seconds later, under its old id or under a new one. Its connections end with
  * it. Not thread-safe.
  */
 final class SimulatedUpstream {
-  static final String DEADLY = "deadly";
+  static final String DEADLY = DeadlyRule.DEADLY;
 
   /** Retries that are sent sooner than this after the third crash do not count. */
   private static final long STABLE_MILLIS = 3_000;
@@ -32,6 +33,9 @@
   /** The time from the start of a deadly request to the end of the upstream. */
   private static final long CRASH_MILLIS = 2;
 
+  private long crashMillis = CRASH_MILLIS;
+  private DeadlyRule deadlyRule = DeadlyRule.ALWAYS;
+
   /** The time from the end of an upstream to its next start. */
   static final long RESTART_MILLIS = 3_000;
 
@@ -39,23 +43,30 @@
    * One request that an upstream began to run.
    *
    * @param process the start of the upstream that began it
+   * @param endsUpstream whether the run ends the upstream
    * @param isFromInTouch whether the gateway had not been interrupted or cut off shortly before
    */
   record Run(
       long atMillis,
       String process,
       int gateway,
+      boolean endsUpstream,
       boolean isFromInTouch,
       String requestId,
       String body) {
     /** Returns the retries that count as late: those well after the end of the third upstream. */
     static List<Run> lateRetries(List<Run> runs) {
-      List<String> ended = runs.stream().map(Run::process).distinct().toList();
+      List<Run> deadly = runs.stream().filter(Run::endsUpstream).toList();
+      List<String> ended = deadly.stream().map(Run::process).distinct().toList();
       if (ended.size() < 3) {
         return List.of();
       }
       long thirdAtMillis =
-          runs.stream().filter(r -> r.process().equals(ended.get(2))).findFirst().get().atMillis();
+          deadly.stream()
+              .filter(r -> r.process().equals(ended.get(2)))
+              .findFirst()
+              .get()
+              .atMillis();
       return runs.stream()
           .filter(r -> r.atMillis() > thirdAtMillis + STABLE_MILLIS && r.isFromInTouch())
           .toList();
@@ -72,7 +83,7 @@
     private final StringBuilder received = new StringBuilder();
     private String requestId = "";
     private long endsAtMillis = Long.MAX_VALUE;
-    private boolean isDeadly;
+    private boolean endsUpstream;
 
     private Connection(EmbeddedChannel channel, int gateway) {
       this.channel = channel;
@@ -121,6 +132,21 @@
     script = newScript;
   }
 
+  /** Sets which runs of deadly requests end the upstream. */
+  void setDeadlyRule(DeadlyRule rule) {
+    deadlyRule = rule;
+  }
+
+  /** Sets the time from the start of a deadly request to the end of the upstream. */
+  void setCrashMillis(long millis) {
+    crashMillis = millis;
+  }
+
+  /** Sets the software version that the upstream has from now on. */
+  void setVersion(String newVersion) {
+    version = newVersion;
+  }
+
   /** Sets whether new connections stay unopened, until it is set to false again. */
   void holdConnections(boolean holds) {
     holdsConnections = holds;
@@ -196,7 +222,8 @@
         finish(connection, nowMillis);
       }
     }
-    connections.removeIf(c -> !c.channel.isActive());
+    // Most upstreams drop a request when its connection closes; a deadly one has begun its damage.
+    connections.removeIf(c -> !c.channel.isActive() && !c.endsUpstream);
   }
 
   private void sendPending(long nowMillis) {
@@ -212,7 +239,7 @@
   }
 
   private void finish(Connection connection, long nowMillis) {
-    if (connection.isDeadly) {
+    if (connection.endsUpstream) {
       crash(nowMillis);
       return;
     }
@@ -225,6 +252,9 @@
   }
 
   private void read(Connection connection, long nowMillis) {
+    if (!connection.channel.isActive()) {
+      return;
+    }
     for (ByteBuf piece = connection.channel.readOutbound();
         piece != null;
         piece = connection.channel.readOutbound()) {
@@ -265,15 +295,18 @@
   }
 
   private void run(Connection connection, String body, boolean answers, long nowMillis) {
-    connection.isDeadly = body.startsWith(DEADLY);
+    long earlierRuns = runs.stream().filter(r -> r.body().equals(body)).count();
+    connection.endsUpstream =
+        body.startsWith(DEADLY) && deadlyRule.endsUpstream(version, earlierRuns);
     if (answers) {
-      connection.endsAtMillis = nowMillis + (connection.isDeadly ? CRASH_MILLIS : WORK_MILLIS);
+      connection.endsAtMillis = nowMillis + (connection.endsUpstream ? crashMillis : WORK_MILLIS);
     }
     runs.add(
         new Run(
             nowMillis,
             name + "/" + starts,
             connection.gateway,
+            connection.endsUpstream,
             isInTouch.test(connection.gateway),
             connection.requestId,
             body));
