Keep evidence of runs that end before their upstream does

What callers saw: a request whose callers leave within a second, or whose engine sends other bytes before it ends, ended engine after engine, as no run of it counted as lost in a crash.

Cause: an attempt that this instance ended itself (the caller left, its time was over after the head of the response, a malformed or not skippable response, one of another request, without an id or a signature) left no evidence; only ends of connections and silence of a second did. Class: loss of evidence on a path that ends the wait for a response.

Such a run is now kept, and its upstream is checked half a second later: an upstream that keeps an idle connection open, or accepts a new one, has survived it. One that refuses a connection has crashed; without an answer its report decides, as the network may have failed. The check costs a connection only where none is idle.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -142,9 +142,9 @@
     if (!hasReceivedHead && dispatcher.nowMillis() - sentMillis >= MIN_SILENCE_MILLIS) {
       upstream.health().requestFailed();
       upstream.connections().closeIdle();
-      dispatcher.crashGuard().runLost(run, /* wasClosed= */ false);
+      dispatcher.crashGuard().runLost(run, RunLoss.SILENT);
     } else {
-      dispatcher.crashGuard().runCancelled(run);
+      dispatcher.crashGuard().runLost(run, RunLoss.GIVEN_UP);
     }
   }
 
@@ -170,8 +170,10 @@
           .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     }
     switch (proof) {
-      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED ->
-          fail(AttemptFailure.responseLost(proof.description()));
+      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED -> {
+        dispatcher.crashGuard().runLost(run, RunLoss.GIVEN_UP);
+        fail(AttemptFailure.responseLost(proof.description()));
+      }
       default -> beginReceiving();
     }
     return HeadAction.RECEIVE;
@@ -319,9 +321,9 @@
     if (isEnded) {
       return;
     }
-    if (failure != ExchangeFailure.MALFORMED && failure != ExchangeFailure.NOT_SKIPPABLE) {
-      dispatcher.crashGuard().runLost(run, /* wasClosed= */ true);
-    }
+    boolean isOwnClose =
+        failure == ExchangeFailure.MALFORMED || failure == ExchangeFailure.NOT_SKIPPABLE;
+    dispatcher.crashGuard().runLost(run, isOwnClose ? RunLoss.GIVEN_UP : RunLoss.CLOSED);
     fail(AttemptFailure.responseLost(failure.name()));
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
@@ -7,17 +7,21 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.store.Scheduler;
+import org.tanagerbank.upstream.ProbeResult;
 
 /**
  * Finds out which runs were lost because their upstream crashed.
  *
  * <p>A lost connection alone does not show a crash. The upstream has crashed if it then refuses or
  * does not answer a new connection, or if its report says that it started again or is gone. A run
- * that was lost by silence needs the report, because the network may have failed. At most {@link
- * #MAX_PENDING} undecided runs are kept, for {@link #PENDING_MILLIS}. Not thread-safe; confined to
- * the event loop.
+ * that was lost by silence needs the report, because the network may have failed. A run that was
+ * given up is decided by a check shortly after: an upstream that keeps an idle connection open or
+ * accepts a new one has survived it. At most {@link #MAX_PENDING} undecided runs are kept, for
+ * {@link #PENDING_MILLIS}. Not thread-safe; confined to the event loop.
  */
 final class CrashDetector {
   /** Covers the time until a restart or an end of an upstream shows in its report. */
@@ -25,6 +29,9 @@
 
   private static final int MAX_PENDING = 2_000;
 
+  /** The time from a run that was given up to the check of its upstream, in milliseconds. */
+  private static final long CHECK_DELAY_MILLIS = 500;
+
   /** Receives the runs that were lost in a crash. */
   @FunctionalInterface
   interface Listener {
@@ -32,33 +39,38 @@
     void onRunCrashed(TrackedRun run, String crashId);
   }
 
-  private record LostRun(TrackedRun run, long lostAtMillis) {}
+  private record LostRun(TrackedRun run, RunLoss loss, long lostAtMillis) {}
 
   private final Listener listener;
+  private final Scheduler scheduler;
+  private final LongSupplier clockMillis;
   private final Deque<LostRun> pending = new ArrayDeque<>();
   private final Set<UpstreamHandle> probed = new HashSet<>();
+  private final Set<UpstreamHandle> awaitingCheck = new HashSet<>();
 
-  CrashDetector(Listener listener) {
+  CrashDetector(Listener listener, Scheduler scheduler, LongSupplier clockMillis) {
     this.listener = listener;
+    this.scheduler = scheduler;
+    this.clockMillis = clockMillis;
   }
 
-  /**
-   * Records a run that ended without a result.
-   *
-   * @param wasClosed whether its connection ended, rather than stayed silent
-   */
-  void runLost(TrackedRun run, boolean wasClosed, long nowMillis) {
+  /** Records a run that ended without a result. */
+  void runLost(TrackedRun run, RunLoss loss) {
+    long now = clockMillis.getAsLong();
     if (run.upstream().crashes() > run.crashesBefore()) {
       listener.onRunCrashed(run, crashId(run));
       return;
     }
-    pending.removeIf(p -> nowMillis - p.lostAtMillis() > PENDING_MILLIS);
-    pending.addLast(new LostRun(run, nowMillis));
+    pending.removeIf(p -> now - p.lostAtMillis() > PENDING_MILLIS);
+    pending.addLast(new LostRun(run, loss, now));
     if (pending.size() > MAX_PENDING) {
       pending.removeFirst();
     }
-    if (wasClosed) {
-      probe(run.upstream());
+    switch (loss) {
+      case CLOSED -> probe(run.upstream());
+      case GIVEN_UP -> checkLater(run.upstream());
+      case SILENT -> {}
+      default -> throw new AssertionError("unknown loss");
     }
   }
 
@@ -67,15 +79,56 @@
       upstream
           .connections()
           .probe(
-              isAccepted -> {
+              result -> {
                 probed.remove(upstream);
-                if (!isAccepted) {
+                if (result != ProbeResult.ACCEPTED) {
                   recordCrash(upstream);
                 }
               });
     }
   }
 
+  private void checkLater(UpstreamHandle upstream) {
+    if (awaitingCheck.add(upstream)) {
+      scheduler.schedule(() -> check(upstream), CHECK_DELAY_MILLIS);
+    }
+  }
+
+  private void check(UpstreamHandle upstream) {
+    awaitingCheck.remove(upstream);
+    if (pending.stream().noneMatch(p -> isGivenUpAt(p, upstream))) {
+      return;
+    }
+    if (upstream.connections().hasIdle()) {
+      recordSurvival(upstream);
+      return;
+    }
+    upstream
+        .connections()
+        .probe(
+            result -> {
+              switch (result) {
+                case ACCEPTED -> recordSurvival(upstream);
+                case REFUSED -> recordCrash(upstream);
+                case UNANSWERED -> {}
+                default -> throw new AssertionError("unknown result");
+              }
+            });
+  }
+
+  /** Drops the runs that an upstream has survived; those given up just now are checked later. */
+  private void recordSurvival(UpstreamHandle upstream) {
+    long latest = clockMillis.getAsLong() - CHECK_DELAY_MILLIS;
+    pending.removeIf(p -> isGivenUpAt(p, upstream) && p.lostAtMillis() <= latest);
+    if (pending.stream().anyMatch(p -> isGivenUpAt(p, upstream))) {
+      checkLater(upstream);
+    }
+  }
+
+  private static boolean isGivenUpAt(LostRun lost, UpstreamHandle upstream) {
+    return lost.loss() == RunLoss.GIVEN_UP && lost.run().upstream() == upstream;
+  }
+
   /** Records that the process of an upstream has ended, by its report. */
   void upstreamEnded(UpstreamHandle upstream) {
     if (!upstream.report().isDraining()) {
--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -21,6 +21,7 @@
 import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.quarantine.TrialClaims;
 import org.tanagerbank.request.Fingerprint;
+import org.tanagerbank.store.Scheduler;
 
 /**
  * Keeps requests that crash upstreams away from them, by the history that all instances share.
@@ -46,7 +47,7 @@
 
   private final LongSupplier clockMillis;
   private final Quarantine quarantine = new Quarantine(QuarantineRule.SHARED_ACCESS);
-  private final CrashDetector detector = new CrashDetector(this::runCrashed);
+  private final CrashDetector detector;
   private final SuspectNews news = new SuspectNews();
   private final TrialClaims claims;
   private Runnable urgentNews = () -> {};
@@ -55,8 +56,10 @@
    * Creates a guard without history.
    *
    * @param clockMillis the monotonic clock, in milliseconds
+   * @param scheduler runs tasks later on the event loop
    */
-  public CrashGuard(String instanceId, LongSupplier clockMillis) {
+  public CrashGuard(String instanceId, LongSupplier clockMillis, Scheduler scheduler) {
+    this.detector = new CrashDetector(this::runCrashed, scheduler, clockMillis);
     this.claims = new TrialClaims(instanceId);
     this.clockMillis = clockMillis;
   }
@@ -185,21 +188,13 @@
     claims.end(run.fingerprint(), run.holder(), /* wasLost= */ false, clockMillis.getAsLong());
   }
 
-  /** Records that a run was cancelled; its upstream may still crash. */
-  void runCancelled(TrackedRun run) {
-    recordIfUndecidedTrial(run, /* wasMisdirected= */ false);
+  /** Records that a run ended without a result. */
+  void runLost(TrackedRun run, RunLoss loss) {
+    if (loss == RunLoss.GIVEN_UP) {
+      recordIfUndecidedTrial(run, /* wasMisdirected= */ false);
+    }
     claims.end(run.fingerprint(), run.holder(), /* wasLost= */ true, clockMillis.getAsLong());
-  }
-
-  /**
-   * Records that a run ended without a result.
-   *
-   * @param wasClosed whether its connection ended, rather than stayed silent
-   */
-  void runLost(TrackedRun run, boolean wasClosed) {
-    long now = clockMillis.getAsLong();
-    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ true, now);
-    detector.runLost(run, wasClosed, now);
+    detector.runLost(run, loss);
   }
 
   /** Drops what a request that has ended without a run holds. */
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -85,7 +85,7 @@
     this.settings = settings;
     this.observer = observer;
     this.upstreams = new Upstreams(runtime.connector(), runtime.clockMillis());
-    this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis());
+    this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
     this.sharedUpstreamState =
@@ -317,6 +317,10 @@
     exchange.respond(refusal.status(), headers, Unpooled.wrappedBuffer(text));
   }
 
+  private void runLater(Runnable task, long delayMillis) {
+    var unused = loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
   RetryBudgets retryBudgets() {
     return retryBudgets;
   }
--- a/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
@@ -1,8 +1,10 @@
 package org.tanagerbank.upstream;
 
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -66,10 +68,10 @@
       ready.accept(reused);
       return;
     }
-    connectNew(ready, failed);
+    connectNew(ready, cause -> failed.run());
   }
 
-  private void connectNew(Consumer<HttpConnection> ready, Runnable failed) {
+  private void connectNew(Consumer<HttpConnection> ready, Consumer<Throwable> failed) {
     ResponseDecoder decoder = new ResponseDecoder();
     HttpConnection connection = new HttpConnection(decoder, this::release, this::remove);
     connector
@@ -81,24 +83,33 @@
    * Opens a connection to find out whether the server is there. An accepted connection is kept for
    * later use.
    *
-   * @param callback receives whether the connection was accepted
+   * @param callback receives what became of it
    */
-  public void probe(Consumer<Boolean> callback) {
+  public void probe(Consumer<ProbeResult> callback) {
     connectNew(
         opened -> {
           release(opened);
-          callback.accept(true);
+          callback.accept(ProbeResult.ACCEPTED);
         },
-        () -> callback.accept(false));
+        cause -> callback.accept(isRefusal(cause) ? ProbeResult.REFUSED : ProbeResult.UNANSWERED));
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
+  /** Returns whether the server keeps an idle connection open. */
+  public boolean hasIdle() {
+    return idle.stream().anyMatch(HttpConnection::isOpen);
   }
 
   private void onConnect(
       ChannelFuture connected,
       HttpConnection connection,
       Consumer<HttpConnection> ready,
-      Runnable failed) {
+      Consumer<Throwable> failed) {
     if (!connected.isSuccess()) {
-      failed.run();
+      failed.accept(connected.cause());
       return;
     }
     connection.opened(connected.channel(), clockMillis.getAsLong());
--- a/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
+++ b/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
@@ -59,7 +59,7 @@
   }
 
   private CrashGuard guard(String id) {
-    return new CrashGuard(id, () -> nowMillis);
+    return new CrashGuard(id, () -> nowMillis, (task, delayMillis) -> {});
   }
 
   private SuspectStore store(CrashGuard guard, String id) {
