Add failing tests of streams that go on at another software version

The simulation of gateways knew upstreams of one version and no streams. Its upstreams now stream events that name their version, and callers take streams up at other gateways with Resumes.

--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -31,6 +32,14 @@
     return id + " \"" + body + "\" at " + sentAtMillis + ": " + status + " " + text.trim();
   }
 
+  /** Returns the lines with the given field in the events that the caller received. */
+  ImmutableList<String> eventFields(String field) {
+    return text.lines()
+        .filter(l -> l.startsWith(field + ": "))
+        .map(l -> l.substring(field.length() + 2))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns whether the request was refused because it crashes upstreams. */
   boolean wasQuarantined() {
     return text.startsWith(Refusal.QUARANTINED);
@@ -52,6 +61,7 @@
 
   @Override
   public void write(ByteBuf part) {
+    text += part.toString(ISO_8859_1);
     part.release();
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -150,7 +150,13 @@
             ImmutableList.of(
                 route("/safe/", RequestKind.IDEMPOTENT, 2),
                 route("/once/", RequestKind.NON_IDEMPOTENT, 2),
-                route("/stream/", RequestKind.STREAM, 2))),
+                route("/stream/", RequestKind.STREAM, 2),
+                TestRoutes.route(
+                    "/resume/",
+                    RequestKind.STREAM,
+                    3,
+                    ROUTE_TIMEOUT_MILLIS,
+                    /* resumable= */ true))),
         ImmutableMap.of("s", new Service("s", 1_000, Optional.empty())),
         ImmutableMap.of("key", new Workspace("w", 0)),
         true,
@@ -197,6 +203,22 @@
 
   /** Sends a request to a gateway; an empty id sends none. */
   Call sendWithId(int gateway, String path, String body, String id) {
+    return sendWithHeaders(gateway, path, body, id, ImmutableMap.of());
+  }
+
+  /** Takes up a stream at a gateway, after the last event that the caller received. */
+  Call takeUp(int gateway, Call interrupted, String firstId) {
+    ImmutableList<String> ids = interrupted.eventFields("id");
+    return sendWithHeaders(
+        gateway,
+        interrupted.path,
+        interrupted.body,
+        "r" + ++lastCallNumber,
+        ImmutableMap.of("Resumes", firstId, "Last-Event-Id", ids.get(ids.size() - 1)));
+  }
+
+  private Call sendWithHeaders(
+      int gateway, String path, String body, String id, ImmutableMap<String, String> extra) {
     Call call = new Call(id, path, body, nowMillis);
     calls.add(call);
     HttpHeaders headers = new DefaultHttpHeaders();
@@ -206,6 +228,7 @@
       headers.set("Request-Id", id);
     }
     headers.set("Content-Length", body.length());
+    extra.forEach(headers::set);
     CallerRequest request =
         new CallerRequest(
             HttpMethod.POST, path, headers, Unpooled.copiedBuffer(body, ISO_8859_1), nowMillis);
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -302,7 +302,11 @@
       write(connection, response);
       return;
     }
-    UpstreamBehavior behavior = script.apply(connection.requestId);
+    UpstreamBehavior behavior =
+        head.startsWith("POST /resume/")
+            ? UpstreamBehavior.streams(
+                connection.requestId, Integer.parseInt(header(head, "last-event-id", "0")), version)
+            : script.apply(connection.requestId);
     behavior
         .writes()
         .forEach(
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/StreamVersionTest.java
@@ -0,0 +1,132 @@
+package org.tanagerbank.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against streams that hold events of upstreams of two software versions, within a response
+ * or over the attempts of a caller, and against streams that do not go on although they could.
+ */
+final class StreamVersionTest {
+  private static final int GATEWAYS = 4;
+  private static final int UPSTREAMS = 6;
+
+  /** The time until gateways trust that the versions that they know are all that there were. */
+  private static final long WARM_UP_MILLIS = 30_000;
+
+  private DispatchSimulation fleet = mixedFleet();
+
+  private static DispatchSimulation mixedFleet() {
+    return new DispatchSimulation(
+        GATEWAYS, UPSTREAMS, false, upstream -> upstream % 2 == 0 ? "v1" : "v2");
+  }
+
+  private List<Call> startStreams(int count) {
+    List<Call> started = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      started.add(fleet.send(i % GATEWAYS, "/resume/x", "stream " + i));
+    }
+    return started;
+  }
+
+  private static ImmutableList<String> versions(Call... parts) {
+    return ImmutableList.copyOf(parts).stream()
+        .flatMap(c -> c.eventFields("data").stream())
+        .distinct()
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static boolean isWhole(Call... parts) {
+    long events =
+        ImmutableList.copyOf(parts).stream().mapToInt(c -> c.eventFields("id").size()).sum();
+    return events == SimulatedStream.EVENTS;
+  }
+
+  @Test
+  void streamGoesOnWithinAResponseOnlyAtTheVersionThatBeganIt() {
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    fleet.upstreams().subList(0, 2).forEach(u -> u.crash(fleet.nowMillis()));
+    fleet.advance(1_000);
+    for (Call stream : streams) {
+      assertWithMessage("versions of %s", stream).that(versions(stream)).hasSize(1);
+    }
+    assertThat(streams.stream().filter(StreamVersionTest::isWhole).count()).isEqualTo(24);
+  }
+
+  @Test
+  void streamEndsAtOnceWhenNoUpstreamOfItsVersionIsLeft() {
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    for (int i = 0; i < UPSTREAMS; i += 2) {
+      fleet.upstreams().get(i).crash(fleet.nowMillis());
+    }
+    fleet.advance(10);
+    fleet.advance(1_000);
+    for (Call stream : streams) {
+      assertWithMessage("versions of %s", stream).that(versions(stream)).hasSize(1);
+      assertThat(stream.isEnded).isTrue();
+    }
+  }
+
+  /** Takes up streams at the next gateway after theirs has ended, as callers do. */
+  private List<Call> takeUpAfterEndOfGateway(List<Call> streams, int gateway) {
+    List<Call> taken = new ArrayList<>();
+    fleet.restart(gateway);
+    // Other work in between, so that the order of placements is not the same again.
+    fleet.send((gateway + 1) % GATEWAYS, "/resume/x", "other");
+    for (int i = gateway; i < streams.size(); i += GATEWAYS) {
+      taken.add(fleet.takeUp((gateway + 1) % GATEWAYS, streams.get(i), streams.get(i).id));
+    }
+    return taken;
+  }
+
+  @Test
+  void callersTakeUpStreamsAtTheVersionThatBeganThem() {
+    List<Call> streams = startStreams(48);
+    fleet.advance(50);
+    List<Call> taken = takeUpAfterEndOfGateway(streams, 1);
+    fleet.advance(1_000);
+    int whole = 0;
+    for (int i = 0; i < taken.size(); i++) {
+      Call first = streams.get(1 + GATEWAYS * i);
+      assertWithMessage("versions of %s", first).that(versions(first, taken.get(i))).hasSize(1);
+      whole += isWhole(first, taken.get(i)) ? 1 : 0;
+    }
+    assertThat(whole).isEqualTo(taken.size());
+  }
+
+  @Test
+  void streamOfUnknownVersionIsRefusedAtOnceAsNotRun() {
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(4);
+    fleet.advance(50);
+    int runs = fleet.runs().size();
+    Call taken = fleet.takeUp(0, streams.get(1), "unknown");
+    fleet.advance(200);
+    assertThat(taken.status).isEqualTo(503);
+    assertThat(taken.headers.get("Retry-After")).isNotNull();
+    assertThat(fleet.runs()).hasSize(runs);
+  }
+
+  /** A gateway that restarted does not know which versions there were before. */
+  @Test
+  void streamOfUnknownVersionIsTakenUpWhereThereWasOneVersionForLong() {
+    fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, false);
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(4);
+    fleet.advance(50);
+    Call taken = fleet.takeUp(0, streams.get(1), "unknown");
+    fleet.restart(2);
+    Call refused = fleet.takeUp(2, streams.get(1), "unknown");
+    fleet.advance(1_000);
+    assertThat(isWhole(streams.get(1))).isTrue();
+    assertThat(taken.status).isEqualTo(200);
+    assertThat(refused.status).isEqualTo(503);
+  }
+}
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
@@ -25,6 +25,11 @@
     return new UpstreamBehavior(true, false, ImmutableList.of(new Write(delayMillis, text)));
   }
 
+  /** Returns the behavior of an upstream that streams the events after a given one. */
+  static UpstreamBehavior streams(String requestId, int lastEvent, String version) {
+    return new UpstreamBehavior(true, false, SimulatedStream.writes(requestId, lastEvent, version));
+  }
+
   /** Returns the behavior of an upstream that does not run the request. */
   static UpstreamBehavior sends(Write... writes) {
     return new UpstreamBehavior(false, false, ImmutableList.copyOf(writes));
