Go on with a stream only at the software version that began it

Cause: a retry of a begun stream chose among all upstreams of the service. Nothing read the version of an upstream's entry. Class: a choice that leaves out a condition under which its candidates are alike.

The execution of a stream now keeps the service and version of the upstream that wrote the first event that the caller got, and later attempts see only upstreams of these.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -220,7 +220,7 @@
       return;
     }
     recordFirstEvent();
-    execution.beginResponse(status, headers);
+    execution.beginResponse(upstream, status, headers);
     execution.writeBody(piece, events == null ? Optional.empty() : events.lastEventId());
   }
 
@@ -251,7 +251,7 @@
     if (events != null) {
       forward(events.takeRemainder());
     }
-    execution.beginResponse(status, headers);
+    execution.beginResponse(upstream, status, headers);
     dispatcher.crashGuard().runCompleted(run);
     close();
     execution.endResponse(status);
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -22,6 +22,7 @@
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.Workspace;
+import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /**
@@ -57,6 +58,9 @@
   private boolean ended;
   private Optional<String> lastEventId = Optional.empty();
 
+  /** What wrote the events that the caller has; empty before the first event of a stream. */
+  private Optional<StreamOrigin> origin = Optional.empty();
+
   RequestExecution(
       Dispatcher dispatcher,
       CallerRequest request,
@@ -112,8 +116,11 @@
     }
   }
 
+  /** Returns the upstreams that can run the request, or go on with the stream that it began. */
   private List<UpstreamHandle> candidates() {
-    return dispatcher.upstreams().candidates(service, tried);
+    return dispatcher.upstreams().candidates(service, tried).stream()
+        .filter(u -> origin.isEmpty() || origin.get().equals(StreamOrigin.of(u.report())))
+        .toList();
   }
 
   private void place(List<UpstreamHandle> candidates, boolean isTrial) {
@@ -201,9 +208,12 @@
   }
 
   /** Forwards the head of a response unless this or an earlier attempt has already done so. */
-  void beginResponse(int status, HttpHeaders headers) {
+  void beginResponse(UpstreamHandle upstream, int status, HttpHeaders headers) {
     if (!hasBegun) {
       hasBegun = true;
+      if (isStream()) {
+        origin = Optional.of(StreamOrigin.of(upstream.report()));
+      }
       exchange.beginResponse(status, dispatcher.headerCodec().toCaller(headers));
       exchange.onWritable(() -> attempt.setReading(true));
     }
