--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 import org.tanagerbank.caller.CallerExchange;
@@ -25,7 +26,9 @@
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Workspace;
+import org.tanagerbank.stream.StreamOrigins;
 import org.tanagerbank.upstream.HeaderCodec;
+import org.tanagerbank.upstream.TakenUpStream;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -66,6 +69,7 @@
   private final RetryBudgets retryBudgets;
   private final CrashGuard crashGuard;
   private final SharedUpstreamState sharedUpstreamState;
+  private final StreamOrigins streamOrigins;
   private final Set<WaitingRequest> waiting = new LinkedHashSet<>();
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
@@ -88,6 +92,7 @@
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
+    this.streamOrigins = new StreamOrigins(runtime.clockMillis());
     this.sharedUpstreamState =
         new SharedUpstreamState(
             upstreams,
@@ -152,6 +157,11 @@
     return sharedUpstreamState;
   }
 
+  /** Returns where the streams began that callers may take up here. */
+  public StreamOrigins streamOrigins() {
+    return streamOrigins;
+  }
+
   /** Returns what keeps requests that crash upstreams away from them. */
   public CrashGuard crashGuard() {
     return crashGuard;
@@ -262,8 +272,28 @@
       refuse(request, exchange, Refusal.instanceStopping());
       return;
     }
-    new RequestExecution(this, request, exchange, route, needsKey ? workspace : Optional.empty())
-        .start();
+    Consumer<Optional<ResumedStream>> start =
+        resumed ->
+            new RequestExecution(
+                    this,
+                    request,
+                    exchange,
+                    route,
+                    needsKey ? workspace : Optional.empty(),
+                    resumed)
+                .start();
+    Optional<TakenUpStream> stream =
+        route.isResumable() ? headerCodec.takenUpStream(request.headers()) : Optional.empty();
+    if (stream.isEmpty()) {
+      start.accept(Optional.empty());
+    } else {
+      new StreamTakeUp(this, route, request, exchange, start).find(stream.get().id());
+    }
+  }
+
+  /** Returns whether the configuration and the upstreams are certainly the newest. */
+  boolean isCurrent() {
+    return config.isCurrent(storeNowMillis());
   }
 
   /**
@@ -286,7 +316,7 @@
   }
 
   /** Responds to a request that is not executed, and releases its body. */
-  private void refuse(CallerRequest request, CallerExchange exchange, Refusal refusal) {
+  void refuse(CallerRequest request, CallerExchange exchange, Refusal refusal) {
     request.body().release();
     respond(headerCodec.requestId(request.headers()), exchange, refusal);
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -59,14 +59,18 @@
   private Optional<String> lastEventId = Optional.empty();
 
   /** What wrote the events that the caller has; empty before the first event of a stream. */
-  private Optional<StreamOrigin> origin = Optional.empty();
+  private Optional<StreamOrigin> origin;
+
+  /** The id under which the stream is known if the caller takes it up again. */
+  private final String streamId;
 
   RequestExecution(
       Dispatcher dispatcher,
       CallerRequest request,
       CallerExchange exchange,
       Route route,
-      Optional<Workspace> workspace) {
+      Optional<Workspace> workspace,
+      Optional<ResumedStream> resumed) {
     this.dispatcher = dispatcher;
     this.request = request;
     this.exchange = exchange;
@@ -79,7 +83,10 @@
             workspace.map(Workspace::name).orElse(""),
             request.body().nioBuffers());
     this.prompt = dispatcher.headerCodec().prompt(request.headers());
-    this.service = route.pickService(dispatcher.random());
+    this.origin = resumed.map(ResumedStream::origin);
+    this.streamId = resumed.map(ResumedStream::id).orElse(requestId);
+    this.service =
+        origin.map(StreamOrigin::service).orElseGet(() -> route.pickService(dispatcher.random()));
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
     this.log = new RequestLog(dispatcher, requestId, fingerprint, route.name());
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
@@ -212,13 +219,20 @@
     if (!hasBegun) {
       hasBegun = true;
       if (isStream()) {
-        origin = Optional.of(StreamOrigin.of(upstream.report()));
+        recordOrigin(StreamOrigin.of(upstream.report()));
       }
       exchange.beginResponse(status, dispatcher.headerCodec().toCaller(headers));
       exchange.onWritable(() -> attempt.setReading(true));
     }
   }
 
+  private void recordOrigin(StreamOrigin begun) {
+    origin = Optional.of(begun);
+    if (route.isResumable() && !streamId.isEmpty()) {
+      dispatcher.streamOrigins().recordBegun(streamId, begun);
+    }
+  }
+
   /**
    * Forwards a piece of a response body, and stops reading from the upstream while the caller's
    * connection is not writable.
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -19,6 +19,7 @@
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
+import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.UpstreamReport;
@@ -31,6 +32,7 @@
   private final Connector connector;
   private final LongSupplier clockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
+  private final VersionHistory versionHistory = new VersionHistory();
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
   Upstreams(Connector connector, LongSupplier clockMillis) {
@@ -51,6 +53,7 @@
    * @param config the configuration, which holds the engine limits of the services
    */
   void update(Collection<UpstreamReport> reports, Optional<RoutingConfig> config) {
+    versionHistory.record(reports, clockMillis.getAsLong());
     Set<String> reportedIds = new HashSet<>();
     for (UpstreamReport report : reports) {
       reportedIds.add(report.id());
@@ -124,6 +127,14 @@
         .collect(Collectors.toList());
   }
 
+  /**
+   * Returns the only origin that streams of a service can have, if its upstreams had one version
+   * for as long as streams may last.
+   */
+  Optional<StreamOrigin> soleOrigin(String service) {
+    return versionHistory.soleVersion(service, clockMillis.getAsLong());
+  }
+
   ImmutableList<UpstreamHandle> all() {
     return ImmutableList.copyOf(byId.values());
   }
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -211,7 +211,8 @@
         self,
         store.fleetTopic(PEER_TOPIC),
         dispatcher.sharedUpstreamState(),
-        dispatcher.sharedUpstreamState());
+        dispatcher.sharedUpstreamState(),
+        dispatcher.streamOrigins());
   }
 
   private SuspectStore createSuspectStore(FleetStore store) {
--- a/src/main/java/org/tanagerbank/peer/MessageCodec.java
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -20,6 +20,12 @@
       datagram.setQuestion(toProto(question));
     } else if (message instanceof TopicAnswer answer) {
       datagram.setAnswer(toProto(answer));
+    } else if (message instanceof OriginNotice notice) {
+      datagram.setOriginNotice(OriginCodec.toProto(notice));
+    } else if (message instanceof OriginQuestion question) {
+      datagram.setOriginQuestion(OriginCodec.toProto(question));
+    } else if (message instanceof OriginAnswer answer) {
+      datagram.setOriginAnswer(OriginCodec.toProto(answer));
     }
     return datagram.build().toByteArray();
   }
@@ -35,9 +41,12 @@
       case DIGEST -> DigestCodec.fromProto(datagram.getDigest());
       case QUESTION -> fromProto(datagram.getQuestion());
       case ANSWER -> fromProto(datagram.getAnswer());
+      case ORIGIN_NOTICE -> OriginCodec.fromProto(datagram.getOriginNotice());
+      case ORIGIN_QUESTION -> OriginCodec.fromProto(datagram.getOriginQuestion());
+      case ORIGIN_ANSWER -> OriginCodec.fromProto(datagram.getOriginAnswer());
       case CONTENT_NOT_SET ->
           throw new InvalidProtocolBufferException(
-              "datagram without content, expected a digest, a question or an answer");
+              "datagram without content, expected a digest, notice, question or answer");
     };
   }
 
--- a/src/main/java/org/tanagerbank/peer/PeerMessage.java
+++ b/src/main/java/org/tanagerbank/peer/PeerMessage.java
@@ -1,4 +1,5 @@
 package org.tanagerbank.peer;
 
 /** A message that one instance sends to another in a datagram. Implementations are immutable. */
-sealed interface PeerMessage permits PeerDigest, TopicQuestion, TopicAnswer {}
+public sealed interface PeerMessage
+    permits PeerDigest, TopicQuestion, TopicAnswer, OriginNotice, OriginQuestion, OriginAnswer {}
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -35,6 +35,7 @@
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.RecordRelay;
 import org.tanagerbank.store.RelayedRecords;
+import org.tanagerbank.stream.StreamOrigins;
 
 /**
  * Exchanges digests with the other instances of the fleet over UDP.
@@ -60,6 +61,7 @@
   private final DigestSource source;
   private final PeerTable table;
   private final TopicRelay relay;
+  private final OriginExchange originExchange;
   private final PeerRegistration registration;
   private final PlacementLog placements = new PlacementLog();
   private final DigestSchedule digestSchedule = new DigestSchedule();
@@ -82,7 +84,8 @@
       PeerAddress self,
       KeyedTopic directory,
       PeerListener listener,
-      DigestSource source) {
+      DigestSource source,
+      StreamOrigins origins) {
     this.loop = loop;
     this.clockMillis = clockMillis;
     this.self = self;
@@ -92,6 +95,9 @@
     this.relay =
         new TopicRelay(
             self.instanceId(), self.incarnation(), this::schedule, table::live, this::send);
+    this.originExchange =
+        new OriginExchange(self.incarnation(), origins, this::schedule, table::live, this::send);
+    origins.setNetwork(originExchange);
     this.registration =
         new PeerRegistration(
             self,
@@ -106,6 +112,7 @@
    *
    * @param directory the topic in which instances register their addresses
    * @param source provides what this instance tells the others
+   * @param origins where streams began, of which this service tells and asks the others
    */
   public static PeerService create(
       EventLoop loop,
@@ -113,8 +120,9 @@
       PeerAddress self,
       KeyedTopic directory,
       PeerListener listener,
-      DigestSource source) {
-    return new PeerService(loop, clockMillis, self, directory, listener, source);
+      DigestSource source,
+      StreamOrigins origins) {
+    return new PeerService(loop, clockMillis, self, directory, listener, source, origins);
   }
 
   @Override
@@ -325,6 +333,8 @@
         relay.onQuestion(from, question);
       } else if (message instanceof TopicAnswer answer) {
         relay.onAnswer(answer);
+      } else {
+        originExchange.onMessage(from, message);
       }
     } catch (InvalidProtocolBufferException e) {
       EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "datagram", "error", e.getMessage());
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -22,6 +22,7 @@
 import org.tanagerbank.upstream.LoadReport;
 import org.tanagerbank.upstream.ResponseFacts;
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
+import org.tanagerbank.upstream.TakenUpStream;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Reads and writes the HTTP headers of the platform. Immutable and thread-safe. */
@@ -34,6 +35,10 @@
   private static final String TOKEN_COUNTS = "Token-Counts";
   private static final String PROMPT_PREFIX = "Prompt-Prefix";
   static final String LAST_EVENT_ID = "Last-Event-Id";
+
+  /** The id of the request that brought the first event of the stream that a request takes up. */
+  private static final String RESUMES = "Resumes";
+
   static final String EXPECT_INSTANCE = "Expect-Instance";
   private static final String TENANT = "Tenant";
   static final String PRIORITY = "Request-Priority";
@@ -106,6 +111,15 @@
     return value == null ? OptionalLong.empty() : OptionalLong.of(value);
   }
 
+  @Override
+  public Optional<TakenUpStream> takenUpStream(HttpHeaders request) {
+    if (request.get(LAST_EVENT_ID, "").isBlank() && !request.contains(RESUMES)) {
+      return Optional.empty();
+    }
+    List<String> ids = request.getAll(RESUMES);
+    return Optional.of(new TakenUpStream(ids.size() == 1 ? ids.get(0).trim() : ""));
+  }
+
   @Override
   public Optional<String> key(HttpHeaders request) {
     String value = request.get(AUTHORIZATION, "");
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -74,6 +74,51 @@
      */
     org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder();
 
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     * @return Whether the originNotice field is set.
+     */
+    boolean hasOriginNotice();
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     * @return The originNotice.
+     */
+    org.tanagerbank.proto.PeerProto.OriginNotice getOriginNotice();
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     */
+    org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder getOriginNoticeOrBuilder();
+
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     * @return Whether the originQuestion field is set.
+     */
+    boolean hasOriginQuestion();
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     * @return The originQuestion.
+     */
+    org.tanagerbank.proto.PeerProto.OriginQuestion getOriginQuestion();
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     */
+    org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder getOriginQuestionOrBuilder();
+
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     * @return Whether the originAnswer field is set.
+     */
+    boolean hasOriginAnswer();
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     * @return The originAnswer.
+     */
+    org.tanagerbank.proto.PeerProto.OriginAnswer getOriginAnswer();
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     */
+    org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder getOriginAnswerOrBuilder();
+
     org.tanagerbank.proto.PeerProto.Datagram.ContentCase getContentCase();
   }
   /**
@@ -126,6 +171,9 @@
       DIGEST(1),
       QUESTION(2),
       ANSWER(3),
+      ORIGIN_NOTICE(4),
+      ORIGIN_QUESTION(5),
+      ORIGIN_ANSWER(6),
       CONTENT_NOT_SET(0);
       private final int value;
       private ContentCase(int value) {
@@ -146,6 +194,9 @@
           case 1: return DIGEST;
           case 2: return QUESTION;
           case 3: return ANSWER;
+          case 4: return ORIGIN_NOTICE;
+          case 5: return ORIGIN_QUESTION;
+          case 6: return ORIGIN_ANSWER;
           case 0: return CONTENT_NOT_SET;
           default: return null;
         }
@@ -254,6 +305,99 @@
       return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
     }
 
+    public static final int ORIGIN_NOTICE_FIELD_NUMBER = 4;
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     * @return Whether the originNotice field is set.
+     */
+    @java.lang.Override
+    public boolean hasOriginNotice() {
+      return contentCase_ == 4;
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     * @return The originNotice.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginNotice getOriginNotice() {
+      if (contentCase_ == 4) {
+         return (org.tanagerbank.proto.PeerProto.OriginNotice) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder getOriginNoticeOrBuilder() {
+      if (contentCase_ == 4) {
+         return (org.tanagerbank.proto.PeerProto.OriginNotice) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+    }
+
+    public static final int ORIGIN_QUESTION_FIELD_NUMBER = 5;
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     * @return Whether the originQuestion field is set.
+     */
+    @java.lang.Override
+    public boolean hasOriginQuestion() {
+      return contentCase_ == 5;
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     * @return The originQuestion.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginQuestion getOriginQuestion() {
+      if (contentCase_ == 5) {
+         return (org.tanagerbank.proto.PeerProto.OriginQuestion) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder getOriginQuestionOrBuilder() {
+      if (contentCase_ == 5) {
+         return (org.tanagerbank.proto.PeerProto.OriginQuestion) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+    }
+
+    public static final int ORIGIN_ANSWER_FIELD_NUMBER = 6;
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     * @return Whether the originAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasOriginAnswer() {
+      return contentCase_ == 6;
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     * @return The originAnswer.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginAnswer getOriginAnswer() {
+      if (contentCase_ == 6) {
+         return (org.tanagerbank.proto.PeerProto.OriginAnswer) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder getOriginAnswerOrBuilder() {
+      if (contentCase_ == 6) {
+         return (org.tanagerbank.proto.PeerProto.OriginAnswer) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -277,6 +421,15 @@
       if (contentCase_ == 3) {
         output.writeMessage(3, (org.tanagerbank.proto.PeerProto.TopicAnswer) content_);
       }
+      if (contentCase_ == 4) {
+        output.writeMessage(4, (org.tanagerbank.proto.PeerProto.OriginNotice) content_);
+      }
+      if (contentCase_ == 5) {
+        output.writeMessage(5, (org.tanagerbank.proto.PeerProto.OriginQuestion) content_);
+      }
+      if (contentCase_ == 6) {
+        output.writeMessage(6, (org.tanagerbank.proto.PeerProto.OriginAnswer) content_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -298,6 +451,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (org.tanagerbank.proto.PeerProto.TopicAnswer) content_);
       }
+      if (contentCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.tanagerbank.proto.PeerProto.OriginNotice) content_);
+      }
+      if (contentCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.tanagerbank.proto.PeerProto.OriginQuestion) content_);
+      }
+      if (contentCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (org.tanagerbank.proto.PeerProto.OriginAnswer) content_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -327,6 +492,18 @@
           if (!getAnswer()
               .equals(other.getAnswer())) return false;
           break;
+        case 4:
+          if (!getOriginNotice()
+              .equals(other.getOriginNotice())) return false;
+          break;
+        case 5:
+          if (!getOriginQuestion()
+              .equals(other.getOriginQuestion())) return false;
+          break;
+        case 6:
+          if (!getOriginAnswer()
+              .equals(other.getOriginAnswer())) return false;
+          break;
         case 0:
         default:
       }
@@ -354,6 +531,18 @@
           hash = (37 * hash) + ANSWER_FIELD_NUMBER;
           hash = (53 * hash) + getAnswer().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + ORIGIN_NOTICE_FIELD_NUMBER;
+          hash = (53 * hash) + getOriginNotice().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + ORIGIN_QUESTION_FIELD_NUMBER;
+          hash = (53 * hash) + getOriginQuestion().hashCode();
+          break;
+        case 6:
+          hash = (37 * hash) + ORIGIN_ANSWER_FIELD_NUMBER;
+          hash = (53 * hash) + getOriginAnswer().hashCode();
+          break;
         case 0:
         default:
       }
@@ -501,6 +690,15 @@
         if (answerBuilder_ != null) {
           answerBuilder_.clear();
         }
+        if (originNoticeBuilder_ != null) {
+          originNoticeBuilder_.clear();
+        }
+        if (originQuestionBuilder_ != null) {
+          originQuestionBuilder_.clear();
+        }
+        if (originAnswerBuilder_ != null) {
+          originAnswerBuilder_.clear();
+        }
         contentCase_ = 0;
         content_ = null;
         return this;
@@ -554,6 +752,18 @@
             answerBuilder_ != null) {
           result.content_ = answerBuilder_.build();
         }
+        if (contentCase_ == 4 &&
+            originNoticeBuilder_ != null) {
+          result.content_ = originNoticeBuilder_.build();
+        }
+        if (contentCase_ == 5 &&
+            originQuestionBuilder_ != null) {
+          result.content_ = originQuestionBuilder_.build();
+        }
+        if (contentCase_ == 6 &&
+            originAnswerBuilder_ != null) {
+          result.content_ = originAnswerBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -581,6 +791,18 @@
             mergeAnswer(other.getAnswer());
             break;
           }
+          case ORIGIN_NOTICE: {
+            mergeOriginNotice(other.getOriginNotice());
+            break;
+          }
+          case ORIGIN_QUESTION: {
+            mergeOriginQuestion(other.getOriginQuestion());
+            break;
+          }
+          case ORIGIN_ANSWER: {
+            mergeOriginAnswer(other.getOriginAnswer());
+            break;
+          }
           case CONTENT_NOT_SET: {
             break;
           }
@@ -632,6 +854,27 @@
                 contentCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetOriginNoticeFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetOriginQuestionFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 5;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetOriginAnswerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 6;
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -907,206 +1150,3402 @@
         return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicQuestion.Builder getQuestionBuilder() {
+        return internalGetQuestionFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder getQuestionOrBuilder() {
+        if ((contentCase_ == 2) && (questionBuilder_ != null)) {
+          return questionBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 2) {
+            return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder> 
+          internalGetQuestionFieldBuilder() {
+        if (questionBuilder_ == null) {
+          if (!(contentCase_ == 2)) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
+          }
+          questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.TopicQuestion) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 2;
+        onChanged();
+        return questionBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> answerBuilder_;
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * @return Whether the answer field is set.
+       */
+      @java.lang.Override
+      public boolean hasAnswer() {
+        return contentCase_ == 3;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * @return The answer.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswer getAnswer() {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3) {
+            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        } else {
+          if (contentCase_ == 3) {
+            return answerBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder setAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
+        if (answerBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          answerBuilder_.setMessage(value);
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder setAnswer(
+          org.tanagerbank.proto.PeerProto.TopicAnswer.Builder builderForValue) {
+        if (answerBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          answerBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder mergeAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3 &&
+              content_ != org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.newBuilder((org.tanagerbank.proto.PeerProto.TopicAnswer) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 3) {
+            answerBuilder_.mergeFrom(value);
+          } else {
+            answerBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public Builder clearAnswer() {
+        if (answerBuilder_ == null) {
+          if (contentCase_ == 3) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 3) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          answerBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.TopicAnswer.Builder getAnswerBuilder() {
+        return internalGetAnswerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder() {
+        if ((contentCase_ == 3) && (answerBuilder_ != null)) {
+          return answerBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 3) {
+            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> 
+          internalGetAnswerFieldBuilder() {
+        if (answerBuilder_ == null) {
+          if (!(contentCase_ == 3)) {
+            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+          }
+          answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.TopicAnswer) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 3;
+        onChanged();
+        return answerBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginNotice, org.tanagerbank.proto.PeerProto.OriginNotice.Builder, org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder> originNoticeBuilder_;
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       * @return Whether the originNotice field is set.
+       */
+      @java.lang.Override
+      public boolean hasOriginNotice() {
+        return contentCase_ == 4;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       * @return The originNotice.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginNotice getOriginNotice() {
+        if (originNoticeBuilder_ == null) {
+          if (contentCase_ == 4) {
+            return (org.tanagerbank.proto.PeerProto.OriginNotice) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+        } else {
+          if (contentCase_ == 4) {
+            return originNoticeBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      public Builder setOriginNotice(org.tanagerbank.proto.PeerProto.OriginNotice value) {
+        if (originNoticeBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          originNoticeBuilder_.setMessage(value);
+        }
+        contentCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      public Builder setOriginNotice(
+          org.tanagerbank.proto.PeerProto.OriginNotice.Builder builderForValue) {
+        if (originNoticeBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          originNoticeBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      public Builder mergeOriginNotice(org.tanagerbank.proto.PeerProto.OriginNotice value) {
+        if (originNoticeBuilder_ == null) {
+          if (contentCase_ == 4 &&
+              content_ != org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginNotice.newBuilder((org.tanagerbank.proto.PeerProto.OriginNotice) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 4) {
+            originNoticeBuilder_.mergeFrom(value);
+          } else {
+            originNoticeBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      public Builder clearOriginNotice() {
+        if (originNoticeBuilder_ == null) {
+          if (contentCase_ == 4) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 4) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          originNoticeBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.OriginNotice.Builder getOriginNoticeBuilder() {
+        return internalGetOriginNoticeFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder getOriginNoticeOrBuilder() {
+        if ((contentCase_ == 4) && (originNoticeBuilder_ != null)) {
+          return originNoticeBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 4) {
+            return (org.tanagerbank.proto.PeerProto.OriginNotice) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginNotice origin_notice = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginNotice, org.tanagerbank.proto.PeerProto.OriginNotice.Builder, org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder> 
+          internalGetOriginNoticeFieldBuilder() {
+        if (originNoticeBuilder_ == null) {
+          if (!(contentCase_ == 4)) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+          }
+          originNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.OriginNotice, org.tanagerbank.proto.PeerProto.OriginNotice.Builder, org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.OriginNotice) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 4;
+        onChanged();
+        return originNoticeBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginQuestion, org.tanagerbank.proto.PeerProto.OriginQuestion.Builder, org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder> originQuestionBuilder_;
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       * @return Whether the originQuestion field is set.
+       */
+      @java.lang.Override
+      public boolean hasOriginQuestion() {
+        return contentCase_ == 5;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       * @return The originQuestion.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginQuestion getOriginQuestion() {
+        if (originQuestionBuilder_ == null) {
+          if (contentCase_ == 5) {
+            return (org.tanagerbank.proto.PeerProto.OriginQuestion) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+        } else {
+          if (contentCase_ == 5) {
+            return originQuestionBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      public Builder setOriginQuestion(org.tanagerbank.proto.PeerProto.OriginQuestion value) {
+        if (originQuestionBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          originQuestionBuilder_.setMessage(value);
+        }
+        contentCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      public Builder setOriginQuestion(
+          org.tanagerbank.proto.PeerProto.OriginQuestion.Builder builderForValue) {
+        if (originQuestionBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          originQuestionBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      public Builder mergeOriginQuestion(org.tanagerbank.proto.PeerProto.OriginQuestion value) {
+        if (originQuestionBuilder_ == null) {
+          if (contentCase_ == 5 &&
+              content_ != org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginQuestion.newBuilder((org.tanagerbank.proto.PeerProto.OriginQuestion) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 5) {
+            originQuestionBuilder_.mergeFrom(value);
+          } else {
+            originQuestionBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      public Builder clearOriginQuestion() {
+        if (originQuestionBuilder_ == null) {
+          if (contentCase_ == 5) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 5) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          originQuestionBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.OriginQuestion.Builder getOriginQuestionBuilder() {
+        return internalGetOriginQuestionFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder getOriginQuestionOrBuilder() {
+        if ((contentCase_ == 5) && (originQuestionBuilder_ != null)) {
+          return originQuestionBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 5) {
+            return (org.tanagerbank.proto.PeerProto.OriginQuestion) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginQuestion origin_question = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginQuestion, org.tanagerbank.proto.PeerProto.OriginQuestion.Builder, org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder> 
+          internalGetOriginQuestionFieldBuilder() {
+        if (originQuestionBuilder_ == null) {
+          if (!(contentCase_ == 5)) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+          }
+          originQuestionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.OriginQuestion, org.tanagerbank.proto.PeerProto.OriginQuestion.Builder, org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.OriginQuestion) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 5;
+        onChanged();
+        return originQuestionBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginAnswer, org.tanagerbank.proto.PeerProto.OriginAnswer.Builder, org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder> originAnswerBuilder_;
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       * @return Whether the originAnswer field is set.
+       */
+      @java.lang.Override
+      public boolean hasOriginAnswer() {
+        return contentCase_ == 6;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       * @return The originAnswer.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginAnswer getOriginAnswer() {
+        if (originAnswerBuilder_ == null) {
+          if (contentCase_ == 6) {
+            return (org.tanagerbank.proto.PeerProto.OriginAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+        } else {
+          if (contentCase_ == 6) {
+            return originAnswerBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      public Builder setOriginAnswer(org.tanagerbank.proto.PeerProto.OriginAnswer value) {
+        if (originAnswerBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          originAnswerBuilder_.setMessage(value);
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      public Builder setOriginAnswer(
+          org.tanagerbank.proto.PeerProto.OriginAnswer.Builder builderForValue) {
+        if (originAnswerBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          originAnswerBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      public Builder mergeOriginAnswer(org.tanagerbank.proto.PeerProto.OriginAnswer value) {
+        if (originAnswerBuilder_ == null) {
+          if (contentCase_ == 6 &&
+              content_ != org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginAnswer.newBuilder((org.tanagerbank.proto.PeerProto.OriginAnswer) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 6) {
+            originAnswerBuilder_.mergeFrom(value);
+          } else {
+            originAnswerBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      public Builder clearOriginAnswer() {
+        if (originAnswerBuilder_ == null) {
+          if (contentCase_ == 6) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 6) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          originAnswerBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.OriginAnswer.Builder getOriginAnswerBuilder() {
+        return internalGetOriginAnswerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder getOriginAnswerOrBuilder() {
+        if ((contentCase_ == 6) && (originAnswerBuilder_ != null)) {
+          return originAnswerBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 6) {
+            return (org.tanagerbank.proto.PeerProto.OriginAnswer) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.OriginAnswer origin_answer = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.OriginAnswer, org.tanagerbank.proto.PeerProto.OriginAnswer.Builder, org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder> 
+          internalGetOriginAnswerFieldBuilder() {
+        if (originAnswerBuilder_ == null) {
+          if (!(contentCase_ == 6)) {
+            content_ = org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+          }
+          originAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.OriginAnswer, org.tanagerbank.proto.PeerProto.OriginAnswer.Builder, org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.OriginAnswer) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 6;
+        onChanged();
+        return originAnswerBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Datagram)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Datagram)
+    private static final org.tanagerbank.proto.PeerProto.Datagram DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Datagram();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Datagram getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Datagram>
+        PARSER = new com.google.protobuf.AbstractParser<Datagram>() {
+      @java.lang.Override
+      public Datagram parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Datagram> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Datagram> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Datagram getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OriginOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Origin)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>string software_version = 2;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <code>string software_version = 2;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
+  }
+  /**
+   * <pre>
+   * The software that wrote the first event of a stream.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Origin}
+   */
+  public static final class Origin extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Origin)
+      OriginOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Origin.class.getName());
+    }
+    // Use Origin.newBuilder() to construct.
+    private Origin(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Origin() {
+      service_ = "";
+      softwareVersion_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Origin_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Origin_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Origin.class, org.tanagerbank.proto.PeerProto.Origin.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 2;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string software_version = 2;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, softwareVersion_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, softwareVersion_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Origin)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Origin other = (org.tanagerbank.proto.PeerProto.Origin) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getSoftwareVersion()
+          .equals(other.getSoftwareVersion())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSoftwareVersion().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Origin parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Origin parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Origin parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Origin prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The software that wrote the first event of a stream.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Origin}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Origin)
+        org.tanagerbank.proto.PeerProto.OriginOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Origin_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Origin_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Origin.class, org.tanagerbank.proto.PeerProto.Origin.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Origin.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        softwareVersion_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Origin_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Origin getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Origin build() {
+        org.tanagerbank.proto.PeerProto.Origin result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Origin buildPartial() {
+        org.tanagerbank.proto.PeerProto.Origin result = new org.tanagerbank.proto.PeerProto.Origin(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Origin result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Origin) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Origin)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Origin other) {
+        if (other == org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getSoftwareVersion().isEmpty()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <code>string software_version = 2;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 2;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 2;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 2;</code>
+       * @param value The bytes for softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Origin)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Origin)
+    private static final org.tanagerbank.proto.PeerProto.Origin DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Origin();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Origin getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Origin>
+        PARSER = new com.google.protobuf.AbstractParser<Origin>() {
+      @java.lang.Override
+      public Origin parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Origin> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Origin> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Origin getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OriginNoticeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.OriginNotice)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Id of the request that brought the first event.
+     * </pre>
+     *
+     * <code>string stream_id = 1;</code>
+     * @return The streamId.
+     */
+    java.lang.String getStreamId();
+    /**
+     * <pre>
+     * Id of the request that brought the first event.
+     * </pre>
+     *
+     * <code>string stream_id = 1;</code>
+     * @return The bytes for streamId.
+     */
+    com.google.protobuf.ByteString
+        getStreamIdBytes();
+
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return Whether the origin field is set.
+     */
+    boolean hasOrigin();
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return The origin.
+     */
+    org.tanagerbank.proto.PeerProto.Origin getOrigin();
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder();
+  }
+  /**
+   * <pre>
+   * Tells another gateway where a stream began.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.OriginNotice}
+   */
+  public static final class OriginNotice extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.OriginNotice)
+      OriginNoticeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        OriginNotice.class.getName());
+    }
+    // Use OriginNotice.newBuilder() to construct.
+    private OriginNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private OriginNotice() {
+      streamId_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginNotice_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginNotice_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.OriginNotice.class, org.tanagerbank.proto.PeerProto.OriginNotice.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int STREAM_ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object streamId_ = "";
+    /**
+     * <pre>
+     * Id of the request that brought the first event.
+     * </pre>
+     *
+     * <code>string stream_id = 1;</code>
+     * @return The streamId.
+     */
+    @java.lang.Override
+    public java.lang.String getStreamId() {
+      java.lang.Object ref = streamId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        streamId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the request that brought the first event.
+     * </pre>
+     *
+     * <code>string stream_id = 1;</code>
+     * @return The bytes for streamId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getStreamIdBytes() {
+      java.lang.Object ref = streamId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        streamId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ORIGIN_FIELD_NUMBER = 2;
+    private org.tanagerbank.proto.PeerProto.Origin origin_;
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return Whether the origin field is set.
+     */
+    @java.lang.Override
+    public boolean hasOrigin() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return The origin.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Origin getOrigin() {
+      return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+    }
+    /**
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder() {
+      return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(streamId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, streamId_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getOrigin());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(streamId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, streamId_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getOrigin());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.OriginNotice)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.OriginNotice other = (org.tanagerbank.proto.PeerProto.OriginNotice) obj;
+
+      if (!getStreamId()
+          .equals(other.getStreamId())) return false;
+      if (hasOrigin() != other.hasOrigin()) return false;
+      if (hasOrigin()) {
+        if (!getOrigin()
+            .equals(other.getOrigin())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + STREAM_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamId().hashCode();
+      if (hasOrigin()) {
+        hash = (37 * hash) + ORIGIN_FIELD_NUMBER;
+        hash = (53 * hash) + getOrigin().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginNotice parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.OriginNotice prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Tells another gateway where a stream began.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.OriginNotice}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.OriginNotice)
+        org.tanagerbank.proto.PeerProto.OriginNoticeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginNotice_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginNotice_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.OriginNotice.class, org.tanagerbank.proto.PeerProto.OriginNotice.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.OriginNotice.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetOriginFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        streamId_ = "";
+        origin_ = null;
+        if (originBuilder_ != null) {
+          originBuilder_.dispose();
+          originBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginNotice_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginNotice getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginNotice build() {
+        org.tanagerbank.proto.PeerProto.OriginNotice result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginNotice buildPartial() {
+        org.tanagerbank.proto.PeerProto.OriginNotice result = new org.tanagerbank.proto.PeerProto.OriginNotice(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.OriginNotice result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.streamId_ = streamId_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.origin_ = originBuilder_ == null
+              ? origin_
+              : originBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.OriginNotice) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.OriginNotice)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.OriginNotice other) {
+        if (other == org.tanagerbank.proto.PeerProto.OriginNotice.getDefaultInstance()) return this;
+        if (!other.getStreamId().isEmpty()) {
+          streamId_ = other.streamId_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.hasOrigin()) {
+          mergeOrigin(other.getOrigin());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                streamId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetOriginFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object streamId_ = "";
+      /**
+       * <pre>
+       * Id of the request that brought the first event.
+       * </pre>
+       *
+       * <code>string stream_id = 1;</code>
+       * @return The streamId.
+       */
+      public java.lang.String getStreamId() {
+        java.lang.Object ref = streamId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          streamId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the request that brought the first event.
+       * </pre>
+       *
+       * <code>string stream_id = 1;</code>
+       * @return The bytes for streamId.
+       */
+      public com.google.protobuf.ByteString
+          getStreamIdBytes() {
+        java.lang.Object ref = streamId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          streamId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the request that brought the first event.
+       * </pre>
+       *
+       * <code>string stream_id = 1;</code>
+       * @param value The streamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStreamId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        streamId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the request that brought the first event.
+       * </pre>
+       *
+       * <code>string stream_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStreamId() {
+        streamId_ = getDefaultInstance().getStreamId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the request that brought the first event.
+       * </pre>
+       *
+       * <code>string stream_id = 1;</code>
+       * @param value The bytes for streamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStreamIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        streamId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private org.tanagerbank.proto.PeerProto.Origin origin_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder> originBuilder_;
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       * @return Whether the origin field is set.
+       */
+      public boolean hasOrigin() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       * @return The origin.
+       */
+      public org.tanagerbank.proto.PeerProto.Origin getOrigin() {
+        if (originBuilder_ == null) {
+          return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+        } else {
+          return originBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public Builder setOrigin(org.tanagerbank.proto.PeerProto.Origin value) {
+        if (originBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          origin_ = value;
+        } else {
+          originBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public Builder setOrigin(
+          org.tanagerbank.proto.PeerProto.Origin.Builder builderForValue) {
+        if (originBuilder_ == null) {
+          origin_ = builderForValue.build();
+        } else {
+          originBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public Builder mergeOrigin(org.tanagerbank.proto.PeerProto.Origin value) {
+        if (originBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            origin_ != null &&
+            origin_ != org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance()) {
+            getOriginBuilder().mergeFrom(value);
+          } else {
+            origin_ = value;
+          }
+        } else {
+          originBuilder_.mergeFrom(value);
+        }
+        if (origin_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public Builder clearOrigin() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        origin_ = null;
+        if (originBuilder_ != null) {
+          originBuilder_.dispose();
+          originBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Origin.Builder getOriginBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetOriginFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder() {
+        if (originBuilder_ != null) {
+          return originBuilder_.getMessageOrBuilder();
+        } else {
+          return origin_ == null ?
+              org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder> 
+          internalGetOriginFieldBuilder() {
+        if (originBuilder_ == null) {
+          originBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder>(
+                  getOrigin(),
+                  getParentForChildren(),
+                  isClean());
+          origin_ = null;
+        }
+        return originBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.OriginNotice)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.OriginNotice)
+    private static final org.tanagerbank.proto.PeerProto.OriginNotice DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.OriginNotice();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginNotice getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<OriginNotice>
+        PARSER = new com.google.protobuf.AbstractParser<OriginNotice>() {
+      @java.lang.Override
+      public OriginNotice parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<OriginNotice> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<OriginNotice> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginNotice getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OriginQuestionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.OriginQuestion)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Matches the answer to the question: the answer carries the same value.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    long getNonce();
+
+    /**
+     * <code>string stream_id = 2;</code>
+     * @return The streamId.
+     */
+    java.lang.String getStreamId();
+    /**
+     * <code>string stream_id = 2;</code>
+     * @return The bytes for streamId.
+     */
+    com.google.protobuf.ByteString
+        getStreamIdBytes();
+  }
+  /**
+   * <pre>
+   * Asks another gateway where a stream began.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.OriginQuestion}
+   */
+  public static final class OriginQuestion extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.OriginQuestion)
+      OriginQuestionOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        OriginQuestion.class.getName());
+    }
+    // Use OriginQuestion.newBuilder() to construct.
+    private OriginQuestion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private OriginQuestion() {
+      streamId_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginQuestion_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginQuestion_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.OriginQuestion.class, org.tanagerbank.proto.PeerProto.OriginQuestion.Builder.class);
+    }
+
+    public static final int NONCE_FIELD_NUMBER = 1;
+    private long nonce_ = 0L;
+    /**
+     * <pre>
+     * Matches the answer to the question: the answer carries the same value.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public long getNonce() {
+      return nonce_;
+    }
+
+    public static final int STREAM_ID_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object streamId_ = "";
+    /**
+     * <code>string stream_id = 2;</code>
+     * @return The streamId.
+     */
+    @java.lang.Override
+    public java.lang.String getStreamId() {
+      java.lang.Object ref = streamId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        streamId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string stream_id = 2;</code>
+     * @return The bytes for streamId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getStreamIdBytes() {
+      java.lang.Object ref = streamId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        streamId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (nonce_ != 0L) {
+        output.writeFixed64(1, nonce_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(streamId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, streamId_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (nonce_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, nonce_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(streamId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, streamId_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.OriginQuestion)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.OriginQuestion other = (org.tanagerbank.proto.PeerProto.OriginQuestion) obj;
+
+      if (getNonce()
+          != other.getNonce()) return false;
+      if (!getStreamId()
+          .equals(other.getStreamId())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NONCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNonce());
+      hash = (37 * hash) + STREAM_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamId().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.OriginQuestion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Asks another gateway where a stream began.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.OriginQuestion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.OriginQuestion)
+        org.tanagerbank.proto.PeerProto.OriginQuestionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginQuestion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.OriginQuestion.class, org.tanagerbank.proto.PeerProto.OriginQuestion.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.OriginQuestion.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        nonce_ = 0L;
+        streamId_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginQuestion getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginQuestion build() {
+        org.tanagerbank.proto.PeerProto.OriginQuestion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginQuestion buildPartial() {
+        org.tanagerbank.proto.PeerProto.OriginQuestion result = new org.tanagerbank.proto.PeerProto.OriginQuestion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.OriginQuestion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.nonce_ = nonce_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.streamId_ = streamId_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.OriginQuestion) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.OriginQuestion)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.OriginQuestion other) {
+        if (other == org.tanagerbank.proto.PeerProto.OriginQuestion.getDefaultInstance()) return this;
+        if (other.getNonce() != 0L) {
+          setNonce(other.getNonce());
+        }
+        if (!other.getStreamId().isEmpty()) {
+          streamId_ = other.streamId_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                nonce_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 18: {
+                streamId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long nonce_ ;
+      /**
+       * <pre>
+       * Matches the answer to the question: the answer carries the same value.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return The nonce.
+       */
+      @java.lang.Override
+      public long getNonce() {
+        return nonce_;
+      }
+      /**
+       * <pre>
+       * Matches the answer to the question: the answer carries the same value.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @param value The nonce to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNonce(long value) {
+
+        nonce_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Matches the answer to the question: the answer carries the same value.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNonce() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        nonce_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object streamId_ = "";
+      /**
+       * <code>string stream_id = 2;</code>
+       * @return The streamId.
+       */
+      public java.lang.String getStreamId() {
+        java.lang.Object ref = streamId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          streamId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string stream_id = 2;</code>
+       * @return The bytes for streamId.
+       */
+      public com.google.protobuf.ByteString
+          getStreamIdBytes() {
+        java.lang.Object ref = streamId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          streamId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string stream_id = 2;</code>
+       * @param value The streamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStreamId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        streamId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string stream_id = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStreamId() {
+        streamId_ = getDefaultInstance().getStreamId();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string stream_id = 2;</code>
+       * @param value The bytes for streamId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStreamIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        streamId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.OriginQuestion)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.OriginQuestion)
+    private static final org.tanagerbank.proto.PeerProto.OriginQuestion DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.OriginQuestion();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginQuestion getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<OriginQuestion>
+        PARSER = new com.google.protobuf.AbstractParser<OriginQuestion>() {
+      @java.lang.Override
+      public OriginQuestion parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<OriginQuestion> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<OriginQuestion> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginQuestion getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OriginAnswerOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.OriginAnswer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Nonce of the question.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    long getNonce();
+
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return Whether the origin field is set.
+     */
+    boolean hasOrigin();
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return The origin.
+     */
+    org.tanagerbank.proto.PeerProto.Origin getOrigin();
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder();
+  }
+  /**
+   * <pre>
+   * Answers an OriginQuestion.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.OriginAnswer}
+   */
+  public static final class OriginAnswer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.OriginAnswer)
+      OriginAnswerOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        OriginAnswer.class.getName());
+    }
+    // Use OriginAnswer.newBuilder() to construct.
+    private OriginAnswer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private OriginAnswer() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginAnswer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.OriginAnswer.class, org.tanagerbank.proto.PeerProto.OriginAnswer.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int NONCE_FIELD_NUMBER = 1;
+    private long nonce_ = 0L;
+    /**
+     * <pre>
+     * Nonce of the question.
+     * </pre>
+     *
+     * <code>fixed64 nonce = 1;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public long getNonce() {
+      return nonce_;
+    }
+
+    public static final int ORIGIN_FIELD_NUMBER = 2;
+    private org.tanagerbank.proto.PeerProto.Origin origin_;
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return Whether the origin field is set.
+     */
+    @java.lang.Override
+    public boolean hasOrigin() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     * @return The origin.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Origin getOrigin() {
+      return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+    }
+    /**
+     * <pre>
+     * Absent when the sender does not know it.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.Origin origin = 2;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder() {
+      return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (nonce_ != 0L) {
+        output.writeFixed64(1, nonce_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getOrigin());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (nonce_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, nonce_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getOrigin());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.OriginAnswer)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.OriginAnswer other = (org.tanagerbank.proto.PeerProto.OriginAnswer) obj;
+
+      if (getNonce()
+          != other.getNonce()) return false;
+      if (hasOrigin() != other.hasOrigin()) return false;
+      if (hasOrigin()) {
+        if (!getOrigin()
+            .equals(other.getOrigin())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NONCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNonce());
+      if (hasOrigin()) {
+        hash = (37 * hash) + ORIGIN_FIELD_NUMBER;
+        hash = (53 * hash) + getOrigin().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.OriginAnswer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Answers an OriginQuestion.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.OriginAnswer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.OriginAnswer)
+        org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginAnswer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.OriginAnswer.class, org.tanagerbank.proto.PeerProto.OriginAnswer.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.OriginAnswer.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetOriginFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        nonce_ = 0L;
+        origin_ = null;
+        if (originBuilder_ != null) {
+          originBuilder_.dispose();
+          originBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_OriginAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginAnswer getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginAnswer build() {
+        org.tanagerbank.proto.PeerProto.OriginAnswer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.OriginAnswer buildPartial() {
+        org.tanagerbank.proto.PeerProto.OriginAnswer result = new org.tanagerbank.proto.PeerProto.OriginAnswer(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.OriginAnswer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.nonce_ = nonce_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.origin_ = originBuilder_ == null
+              ? origin_
+              : originBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.OriginAnswer) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.OriginAnswer)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.OriginAnswer other) {
+        if (other == org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance()) return this;
+        if (other.getNonce() != 0L) {
+          setNonce(other.getNonce());
+        }
+        if (other.hasOrigin()) {
+          mergeOrigin(other.getOrigin());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                nonce_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 18: {
+                input.readMessage(
+                    internalGetOriginFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long nonce_ ;
+      /**
+       * <pre>
+       * Nonce of the question.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return The nonce.
        */
-      public org.tanagerbank.proto.PeerProto.TopicQuestion.Builder getQuestionBuilder() {
-        return internalGetQuestionFieldBuilder().getBuilder();
+      @java.lang.Override
+      public long getNonce() {
+        return nonce_;
       }
       /**
-       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       * <pre>
+       * Nonce of the question.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @param value The nonce to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder getQuestionOrBuilder() {
-        if ((contentCase_ == 2) && (questionBuilder_ != null)) {
-          return questionBuilder_.getMessageOrBuilder();
-        } else {
-          if (contentCase_ == 2) {
-            return (org.tanagerbank.proto.PeerProto.TopicQuestion) content_;
-          }
-          return org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
-        }
+      public Builder setNonce(long value) {
+
+        nonce_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicQuestion question = 2;</code>
+       * <pre>
+       * Nonce of the question.
+       * </pre>
+       *
+       * <code>fixed64 nonce = 1;</code>
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder> 
-          internalGetQuestionFieldBuilder() {
-        if (questionBuilder_ == null) {
-          if (!(contentCase_ == 2)) {
-            content_ = org.tanagerbank.proto.PeerProto.TopicQuestion.getDefaultInstance();
-          }
-          questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.tanagerbank.proto.PeerProto.TopicQuestion, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder, org.tanagerbank.proto.PeerProto.TopicQuestionOrBuilder>(
-                  (org.tanagerbank.proto.PeerProto.TopicQuestion) content_,
-                  getParentForChildren(),
-                  isClean());
-          content_ = null;
-        }
-        contentCase_ = 2;
+      public Builder clearNonce() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        nonce_ = 0L;
         onChanged();
-        return questionBuilder_;
+        return this;
       }
 
+      private org.tanagerbank.proto.PeerProto.Origin origin_;
       private com.google.protobuf.SingleFieldBuilder<
-          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> answerBuilder_;
+          org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder> originBuilder_;
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
-       * @return Whether the answer field is set.
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       * @return Whether the origin field is set.
        */
-      @java.lang.Override
-      public boolean hasAnswer() {
-        return contentCase_ == 3;
+      public boolean hasOrigin() {
+        return ((bitField0_ & 0x00000002) != 0);
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
-       * @return The answer.
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
+       * @return The origin.
        */
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.TopicAnswer getAnswer() {
-        if (answerBuilder_ == null) {
-          if (contentCase_ == 3) {
-            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
-          }
-          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+      public org.tanagerbank.proto.PeerProto.Origin getOrigin() {
+        if (originBuilder_ == null) {
+          return origin_ == null ? org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
         } else {
-          if (contentCase_ == 3) {
-            return answerBuilder_.getMessage();
-          }
-          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+          return originBuilder_.getMessage();
         }
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      public Builder setAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
-        if (answerBuilder_ == null) {
+      public Builder setOrigin(org.tanagerbank.proto.PeerProto.Origin value) {
+        if (originBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          content_ = value;
-          onChanged();
+          origin_ = value;
         } else {
-          answerBuilder_.setMessage(value);
+          originBuilder_.setMessage(value);
         }
-        contentCase_ = 3;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      public Builder setAnswer(
-          org.tanagerbank.proto.PeerProto.TopicAnswer.Builder builderForValue) {
-        if (answerBuilder_ == null) {
-          content_ = builderForValue.build();
-          onChanged();
+      public Builder setOrigin(
+          org.tanagerbank.proto.PeerProto.Origin.Builder builderForValue) {
+        if (originBuilder_ == null) {
+          origin_ = builderForValue.build();
         } else {
-          answerBuilder_.setMessage(builderForValue.build());
+          originBuilder_.setMessage(builderForValue.build());
         }
-        contentCase_ = 3;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      public Builder mergeAnswer(org.tanagerbank.proto.PeerProto.TopicAnswer value) {
-        if (answerBuilder_ == null) {
-          if (contentCase_ == 3 &&
-              content_ != org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance()) {
-            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.newBuilder((org.tanagerbank.proto.PeerProto.TopicAnswer) content_)
-                .mergeFrom(value).buildPartial();
+      public Builder mergeOrigin(org.tanagerbank.proto.PeerProto.Origin value) {
+        if (originBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            origin_ != null &&
+            origin_ != org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance()) {
+            getOriginBuilder().mergeFrom(value);
           } else {
-            content_ = value;
+            origin_ = value;
           }
-          onChanged();
         } else {
-          if (contentCase_ == 3) {
-            answerBuilder_.mergeFrom(value);
-          } else {
-            answerBuilder_.setMessage(value);
-          }
+          originBuilder_.mergeFrom(value);
+        }
+        if (origin_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
         }
-        contentCase_ = 3;
         return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      public Builder clearAnswer() {
-        if (answerBuilder_ == null) {
-          if (contentCase_ == 3) {
-            contentCase_ = 0;
-            content_ = null;
-            onChanged();
-          }
-        } else {
-          if (contentCase_ == 3) {
-            contentCase_ = 0;
-            content_ = null;
-          }
-          answerBuilder_.clear();
+      public Builder clearOrigin() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        origin_ = null;
+        if (originBuilder_ != null) {
+          originBuilder_.dispose();
+          originBuilder_ = null;
         }
+        onChanged();
         return this;
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      public org.tanagerbank.proto.PeerProto.TopicAnswer.Builder getAnswerBuilder() {
-        return internalGetAnswerFieldBuilder().getBuilder();
+      public org.tanagerbank.proto.PeerProto.Origin.Builder getOriginBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetOriginFieldBuilder().getBuilder();
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder getAnswerOrBuilder() {
-        if ((contentCase_ == 3) && (answerBuilder_ != null)) {
-          return answerBuilder_.getMessageOrBuilder();
+      public org.tanagerbank.proto.PeerProto.OriginOrBuilder getOriginOrBuilder() {
+        if (originBuilder_ != null) {
+          return originBuilder_.getMessageOrBuilder();
         } else {
-          if (contentCase_ == 3) {
-            return (org.tanagerbank.proto.PeerProto.TopicAnswer) content_;
-          }
-          return org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
+          return origin_ == null ?
+              org.tanagerbank.proto.PeerProto.Origin.getDefaultInstance() : origin_;
         }
       }
       /**
-       * <code>.tanagerbank.peer.TopicAnswer answer = 3;</code>
+       * <pre>
+       * Absent when the sender does not know it.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.Origin origin = 2;</code>
        */
       private com.google.protobuf.SingleFieldBuilder<
-          org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder> 
-          internalGetAnswerFieldBuilder() {
-        if (answerBuilder_ == null) {
-          if (!(contentCase_ == 3)) {
-            content_ = org.tanagerbank.proto.PeerProto.TopicAnswer.getDefaultInstance();
-          }
-          answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.tanagerbank.proto.PeerProto.TopicAnswer, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder, org.tanagerbank.proto.PeerProto.TopicAnswerOrBuilder>(
-                  (org.tanagerbank.proto.PeerProto.TopicAnswer) content_,
+          org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder> 
+          internalGetOriginFieldBuilder() {
+        if (originBuilder_ == null) {
+          originBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Origin, org.tanagerbank.proto.PeerProto.Origin.Builder, org.tanagerbank.proto.PeerProto.OriginOrBuilder>(
+                  getOrigin(),
                   getParentForChildren(),
                   isClean());
-          content_ = null;
+          origin_ = null;
         }
-        contentCase_ = 3;
-        onChanged();
-        return answerBuilder_;
+        return originBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Datagram)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.OriginAnswer)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Datagram)
-    private static final org.tanagerbank.proto.PeerProto.Datagram DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.OriginAnswer)
+    private static final org.tanagerbank.proto.PeerProto.OriginAnswer DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Datagram();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.OriginAnswer();
     }
 
-    public static org.tanagerbank.proto.PeerProto.Datagram getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.OriginAnswer getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Datagram>
-        PARSER = new com.google.protobuf.AbstractParser<Datagram>() {
+    private static final com.google.protobuf.Parser<OriginAnswer>
+        PARSER = new com.google.protobuf.AbstractParser<OriginAnswer>() {
       @java.lang.Override
-      public Datagram parsePartialFrom(
+      public OriginAnswer parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1125,17 +4564,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Datagram> parser() {
+    public static com.google.protobuf.Parser<OriginAnswer> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Datagram> getParserForType() {
+    public com.google.protobuf.Parser<OriginAnswer> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Datagram getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.OriginAnswer getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -15922,6 +19361,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_Datagram_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_Origin_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_Origin_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_OriginNotice_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_OriginNotice_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_OriginQuestion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_OriginQuestion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_OriginAnswer_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_OriginAnswer_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_TopicQuestion_descriptor;
   private static final 
@@ -15996,52 +19455,63 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020tanagerbank.peer\"\247\001\n\010Datag" +
+      "\n\npeer.proto\022\020tanagerbank.peer\"\326\002\n\010Datag" +
       "ram\022*\n\006digest\030\001 \001(\0132\030.tanagerbank.peer.D" +
       "igestH\000\0223\n\010question\030\002 \001(\0132\037.tanagerbank." +
       "peer.TopicQuestionH\000\022/\n\006answer\030\003 \001(\0132\035.t" +
-      "anagerbank.peer.TopicAnswerH\000B\t\n\007content" +
-      "\";\n\rTopicQuestion\022\r\n\005nonce\030\001 \001(\006\022\r\n\005topi" +
-      "c\030\002 \001(\t\022\014\n\004from\030\003 \001(\004\"\250\001\n\013TopicAnswer\022\r\n" +
-      "\005nonce\030\001 \001(\006\022.\n\007records\030\002 \003(\0132\035.tanagerb" +
-      "ank.peer.TopicRecord\022\014\n\004next\030\003 \001(\004\022\014\n\004mo" +
-      "re\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\022\033\n\023since_ou" +
-      "tage_millis\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\"8\n\013Topi" +
-      "cRecord\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001" +
-      "B\010\n\006_value\"\364\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031." +
-      "tanagerbank.peer.Address\022\016\n\006number\030\002 \001(\004" +
-      "\022\026\n\016config_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036" +
-      ".tanagerbank.peer.UpstreamWork\022/\n\nplacem" +
-      "ents\030\005 \003(\0132\033.tanagerbank.peer.Placement\022" +
-      "(\n\005peers\030\006 \003(\0132\031.tanagerbank.peer.Addres" +
-      "s\022-\n\006caches\030\007 \003(\0132\035.tanagerbank.peer.Eng" +
-      "ineCache\022+\n\010suspects\030\010 \003(\0132\031.tanagerbank" +
-      ".peer.Suspect\0222\n\014trial_claims\030\t \003(\0132\034.ta" +
-      "nagerbank.peer.TrialClaim\"\274\001\n\007Suspect\022\023\n" +
-      "\013fingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.ta" +
-      "nagerbank.peer.Crash\022\030\n\020undecided_trials" +
-      "\030\004 \001(\r\022\"\n\025last_trial_age_millis\030\005 \001(\004H\000\210" +
-      "\001\001B\030\n\026_last_trial_age_millisJ\004\010\003\020\004R\024comp" +
-      "leted_age_millis\"\240\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r" +
-      "\n\005depth\030\002 \001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_m" +
-      "illis\030\004 \001(\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030" +
-      "\006 \001(\007\0224\n\013completions\030\007 \003(\0132\037.tanagerbank" +
-      ".peer.CompletedRuns\"/\n\rCompletedRuns\022\020\n\010" +
-      "software\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialCla" +
-      "im\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010" +
-      "\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007s" +
-      "uspect\030\001 \001(\0132\031.tanagerbank.peer.Suspect\022" +
-      "\037\n\027written_at_epoch_millis\030\002 \001(\004\"M\n\007Addr" +
-      "ess\022\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004" +
-      "port\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014Upstr" +
-      "eamWork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_fligh" +
-      "t\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n" +
-      "\013upstream_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(" +
-      "\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r" +
-      "\022\026\n\016fetched_tokens\030\006 \001(\r\"I\n\013EngineCache\022" +
-      "\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023" +
-      "\n\013part_tokens\030\003 \003(\rB\"\n\025org.tanagerbank.p" +
-      "rotoB\tPeerProtob\006proto3"
+      "anagerbank.peer.TopicAnswerH\000\0227\n\rorigin_" +
+      "notice\030\004 \001(\0132\036.tanagerbank.peer.OriginNo" +
+      "ticeH\000\022;\n\017origin_question\030\005 \001(\0132 .tanage" +
+      "rbank.peer.OriginQuestionH\000\0227\n\rorigin_an" +
+      "swer\030\006 \001(\0132\036.tanagerbank.peer.OriginAnsw" +
+      "erH\000B\t\n\007content\"3\n\006Origin\022\017\n\007service\030\001 \001" +
+      "(\t\022\030\n\020software_version\030\002 \001(\t\"K\n\014OriginNo" +
+      "tice\022\021\n\tstream_id\030\001 \001(\t\022(\n\006origin\030\002 \001(\0132" +
+      "\030.tanagerbank.peer.Origin\"2\n\016OriginQuest" +
+      "ion\022\r\n\005nonce\030\001 \001(\006\022\021\n\tstream_id\030\002 \001(\t\"G\n" +
+      "\014OriginAnswer\022\r\n\005nonce\030\001 \001(\006\022(\n\006origin\030\002" +
+      " \001(\0132\030.tanagerbank.peer.Origin\";\n\rTopicQ" +
+      "uestion\022\r\n\005nonce\030\001 \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n" +
+      "\004from\030\003 \001(\004\"\250\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001" +
+      "(\006\022.\n\007records\030\002 \003(\0132\035.tanagerbank.peer.T" +
+      "opicRecord\022\014\n\004next\030\003 \001(\004\022\014\n\004more\030\004 \001(\010\022\022" +
+      "\n\nage_millis\030\005 \001(\004\022\033\n\023since_outage_milli" +
+      "s\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\"8\n\013TopicRecord\022\013\n" +
+      "\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010\n\006_value" +
+      "\"\364\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031.tanagerban" +
+      "k.peer.Address\022\016\n\006number\030\002 \001(\004\022\026\n\016config" +
+      "_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerba" +
+      "nk.peer.UpstreamWork\022/\n\nplacements\030\005 \003(\013" +
+      "2\033.tanagerbank.peer.Placement\022(\n\005peers\030\006" +
+      " \003(\0132\031.tanagerbank.peer.Address\022-\n\006cache" +
+      "s\030\007 \003(\0132\035.tanagerbank.peer.EngineCache\022+" +
+      "\n\010suspects\030\010 \003(\0132\031.tanagerbank.peer.Susp" +
+      "ect\0222\n\014trial_claims\030\t \003(\0132\034.tanagerbank." +
+      "peer.TrialClaim\"\274\001\n\007Suspect\022\023\n\013fingerpri" +
+      "nt\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tanagerbank." +
+      "peer.Crash\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025" +
+      "last_trial_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_las" +
+      "t_trial_age_millisJ\004\010\003\020\004R\024completed_age_" +
+      "millis\"\240\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 " +
+      "\001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(" +
+      "\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013c" +
+      "ompletions\030\007 \003(\0132\037.tanagerbank.peer.Comp" +
+      "letedRuns\"/\n\rCompletedRuns\022\020\n\010software\030\001" +
+      " \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023\n\013fing" +
+      "erprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010upstre" +
+      "am\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001" +
+      "(\0132\031.tanagerbank.peer.Suspect\022\037\n\027written" +
+      "_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013ins" +
+      "tance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r" +
+      "\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n" +
+      "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001" +
+      "\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_" +
+      "id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_" +
+      "ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetche" +
+      "d_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstrea" +
+      "m_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_tok" +
+      "ens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeer" +
+      "Protob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -16052,81 +19522,105 @@
     internal_static_tanagerbank_peer_Datagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Datagram_descriptor,
-        new java.lang.String[] { "Digest", "Question", "Answer", "Content", });
-    internal_static_tanagerbank_peer_TopicQuestion_descriptor =
+        new java.lang.String[] { "Digest", "Question", "Answer", "OriginNotice", "OriginQuestion", "OriginAnswer", "Content", });
+    internal_static_tanagerbank_peer_Origin_descriptor =
       getDescriptor().getMessageTypes().get(1);
+    internal_static_tanagerbank_peer_Origin_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_Origin_descriptor,
+        new java.lang.String[] { "Service", "SoftwareVersion", });
+    internal_static_tanagerbank_peer_OriginNotice_descriptor =
+      getDescriptor().getMessageTypes().get(2);
+    internal_static_tanagerbank_peer_OriginNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_OriginNotice_descriptor,
+        new java.lang.String[] { "StreamId", "Origin", });
+    internal_static_tanagerbank_peer_OriginQuestion_descriptor =
+      getDescriptor().getMessageTypes().get(3);
+    internal_static_tanagerbank_peer_OriginQuestion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_OriginQuestion_descriptor,
+        new java.lang.String[] { "Nonce", "StreamId", });
+    internal_static_tanagerbank_peer_OriginAnswer_descriptor =
+      getDescriptor().getMessageTypes().get(4);
+    internal_static_tanagerbank_peer_OriginAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_OriginAnswer_descriptor,
+        new java.lang.String[] { "Nonce", "Origin", });
+    internal_static_tanagerbank_peer_TopicQuestion_descriptor =
+      getDescriptor().getMessageTypes().get(5);
     internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicQuestion_descriptor,
         new java.lang.String[] { "Nonce", "Topic", "From", });
     internal_static_tanagerbank_peer_TopicAnswer_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicAnswer_descriptor,
         new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", });
     internal_static_tanagerbank_peer_TopicRecord_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicRecord_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_tanagerbank_peer_Digest_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_tanagerbank_peer_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Digest_descriptor,
         new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", "Suspects", "TrialClaims", });
     internal_static_tanagerbank_peer_Suspect_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_tanagerbank_peer_Suspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Suspect_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "UndecidedTrials", "LastTrialAgeMillis", });
     internal_static_tanagerbank_peer_Crash_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Crash_descriptor,
         new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", });
     internal_static_tanagerbank_peer_CompletedRuns_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_tanagerbank_peer_CompletedRuns_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_CompletedRuns_descriptor,
         new java.lang.String[] { "Software", "Runs", });
     internal_static_tanagerbank_peer_TrialClaim_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TrialClaim_descriptor,
         new java.lang.String[] { "Fingerprint", "Running", "Upstream", });
     internal_static_tanagerbank_peer_StoredSuspect_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_StoredSuspect_descriptor,
         new java.lang.String[] { "Suspect", "WrittenAtEpochMillis", });
     internal_static_tanagerbank_peer_Address_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
+++ b/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
@@ -21,6 +21,9 @@
    */
   OptionalLong timeLeftMillis(HttpHeaders request);
 
+  /** Returns the stream that the request takes up, or empty if it begins a new one. */
+  Optional<TakenUpStream> takenUpStream(HttpHeaders request);
+
   /** Returns the API key of the caller, or empty if the request has none. */
   Optional<String> key(HttpHeaders request);
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -9,26 +9,21 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.peer.DigestSchedule;
+import org.tanagerbank.peer.OriginExchange;
+import org.tanagerbank.peer.PeerAddress;
+import org.tanagerbank.peer.PeerMessage;
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
-import org.tanagerbank.route.CallerLimits;
-import org.tanagerbank.route.RequestKind;
-import org.tanagerbank.route.Route;
-import org.tanagerbank.route.RouteTable;
-import org.tanagerbank.route.RoutingConfig;
-import org.tanagerbank.route.Service;
-import org.tanagerbank.route.TestRoutes;
-import org.tanagerbank.route.Workspace;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -54,6 +49,9 @@
       ImmutableList<SuspectRecord> suspects,
       ImmutableList<TrialClaim> claims) {}
 
+  /** A question on the origin of a stream, an answer or a notice, on its way. */
+  private record OriginMessage(long arrivesAtMillis, int from, int to, PeerMessage message) {}
+
   /** A gateway, which is replaced by a new one when it restarts. */
   private final class SimulatedGateway {
     private final DigestSchedule schedule = new DigestSchedule();
@@ -65,6 +63,7 @@
     private final EmbeddedChannel clock = new EmbeddedChannel();
     private final ConfigState config = new ConfigState(5_000, 2_000);
     private final Dispatcher dispatcher;
+    private final OriginExchange origins;
     private long ranUntilMillis = nowMillis;
 
     private SimulatedGateway(int index) {
@@ -84,10 +83,18 @@
               config,
               new DispatchSettings("g" + index, "z", 2, 0.2, 10_000, 50, 5_000),
               new SilentObserver());
-      config.adopt(routingConfig());
+      config.adopt(SimulationRoutes.config(ROUTE_TIMEOUT_MILLIS));
       config.confirmCurrentAsOf(nowMillis);
       dispatcher.updateUpstreams(reports);
       dispatcher.crashGuard().setUrgentNewsAction(() -> tellUrgently(index));
+      origins =
+          new OriginExchange(
+              nowMillis,
+              dispatcher.streamOrigins(),
+              (task, delayMillis) -> laterOnLoop(delayMillis, task),
+              () -> othersOf(index),
+              (to, message) -> sendOriginMessage(index, to.getPort() - 1, message));
+      dispatcher.streamOrigins().setNetwork(origins);
     }
 
     private void laterOnLoop(long delayMillis, Runnable task) {
@@ -115,6 +122,7 @@
   private long nowMillis = 1_000;
   private int lastCallNumber;
   private final List<Message> messages = new ArrayList<>();
+  private final List<OriginMessage> originMessages = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom(1);
   private double lossShare;
 
@@ -143,30 +151,6 @@
     return upstreams.get(port - 1);
   }
 
-  private static RoutingConfig routingConfig() {
-    return new RoutingConfig(
-        1,
-        RouteTable.of(
-            ImmutableList.of(
-                route("/safe/", RequestKind.IDEMPOTENT, 2),
-                route("/once/", RequestKind.NON_IDEMPOTENT, 2),
-                route("/stream/", RequestKind.STREAM, 2),
-                TestRoutes.route(
-                    "/resume/",
-                    RequestKind.STREAM,
-                    3,
-                    ROUTE_TIMEOUT_MILLIS,
-                    /* resumable= */ true))),
-        ImmutableMap.of("s", new Service("s", 1_000, Optional.empty())),
-        ImmutableMap.of("key", new Workspace("w", 0)),
-        true,
-        CallerLimits.INITIAL);
-  }
-
-  private static Route route(String prefix, RequestKind kind, int attempts) {
-    return TestRoutes.route(prefix, kind, attempts, ROUTE_TIMEOUT_MILLIS, /* resumable= */ false);
-  }
-
   private ImmutableList<UpstreamReport> currentReports() {
     return upstreams.stream()
         .filter(SimulatedUpstream::isUp)
@@ -275,6 +259,30 @@
     return gateways.size();
   }
 
+  private ImmutableList<PeerAddress> othersOf(int gateway) {
+    return IntStream.range(0, gateways.size())
+        .filter(i -> i != gateway)
+        .mapToObj(i -> new PeerAddress("g" + i, addressOf(i), 1))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static InetSocketAddress addressOf(int gateway) {
+    return InetSocketAddress.createUnresolved("gateway", gateway + 1);
+  }
+
+  private void sendOriginMessage(int from, int to, PeerMessage message) {
+    if (random.nextDouble() >= lossShare) {
+      originMessages.add(new OriginMessage(nowMillis + MESSAGE_MILLIS, from, to, message));
+    }
+  }
+
+  private void deliver(OriginMessage due) {
+    SimulatedGateway to = gateways.get(due.to());
+    if (!to.isPaused && !to.isCutOff && !gateways.get(due.from()).isCutOff) {
+      to.origins.onMessage(addressOf(due.from()), due.message());
+    }
+  }
+
   private void tellUrgently(int from) {
     SimulatedGateway gateway = gateways.get(from);
     if (!gateway.isUrgentDigestPending) {
@@ -317,6 +325,10 @@
     List<Message> due = messages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
     messages.removeAll(due);
     due.forEach(this::deliver);
+    List<OriginMessage> dueOrigins =
+        originMessages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
+    originMessages.removeAll(dueOrigins);
+    dueOrigins.forEach(this::deliver);
   }
 
   private void deliver(Message message) {
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
@@ -0,0 +1,39 @@
+package org.tanagerbank.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.RequestKind;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.RouteTable;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.Service;
+import org.tanagerbank.route.TestRoutes;
+import org.tanagerbank.route.Workspace;
+
+/** The configuration of simulated gateways: one route of each kind. Stateless and thread-safe. */
+final class SimulationRoutes {
+  private SimulationRoutes() {}
+
+  /** Returns a configuration whose routes have the given timeout in milliseconds. */
+  static RoutingConfig config(long timeoutMillis) {
+    return new RoutingConfig(
+        1,
+        RouteTable.of(
+            ImmutableList.of(
+                route("/safe/", RequestKind.IDEMPOTENT, timeoutMillis),
+                route("/once/", RequestKind.NON_IDEMPOTENT, timeoutMillis),
+                route("/stream/", RequestKind.STREAM, timeoutMillis),
+                TestRoutes.route(
+                    "/resume/", RequestKind.STREAM, 3, timeoutMillis, /* resumable= */ true))),
+        ImmutableMap.of("s", new Service("s", 1_000, Optional.empty())),
+        ImmutableMap.of("key", new Workspace("w", 0)),
+        true,
+        CallerLimits.INITIAL);
+  }
+
+  private static Route route(String prefix, RequestKind kind, long timeoutMillis) {
+    return TestRoutes.route(prefix, kind, 2, timeoutMillis, /* resumable= */ false);
+  }
+}
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -13,6 +13,7 @@
 import org.tanagerbank.upstream.LoadReport;
 import org.tanagerbank.upstream.ResponseFacts;
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
+import org.tanagerbank.upstream.TakenUpStream;
 import org.tanagerbank.upstream.UpstreamCall;
 
 /** Guards against forged or lost headers, and against headers that must not be forwarded. */
@@ -170,4 +171,16 @@
     assertThat(headerCodec.load(headers("Server-Load", "3,1"))).isEmpty();
     assertThat(headerCodec.load(headers("Server-Load", "3,-1,8"))).isEmpty();
   }
+
+  @Test
+  void takenUpStreamIsNamedByTheRequestThatBroughtItsFirstEvent() {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    assertThat(headerCodec.takenUpStream(headers)).isEmpty();
+    headers.set("Last-Event-Id", "3");
+    assertThat(headerCodec.takenUpStream(headers)).hasValue(new TakenUpStream(""));
+    headers.set("Resumes", "r1");
+    assertThat(headerCodec.takenUpStream(headers)).hasValue(new TakenUpStream("r1"));
+    headers.add("Resumes", "r2");
+    assertThat(headerCodec.takenUpStream(headers)).hasValue(new TakenUpStream(""));
+  }
 }
