Fetch cached prompt parts only between engines of one software version

Fault: a cached part was fetched from any engine of the service that had it, also of another software version.

The cost of a rolling release is that engines of the new version read shared prompts once themselves.

--- a/src/main/java/org/tanagerbank/dispatch/CacheSources.java
+++ b/src/main/java/org/tanagerbank/dispatch/CacheSources.java
@@ -13,7 +13,9 @@
  * The engines that are expected to have the beginning of a prompt cached.
  *
  * <p>Engines that are avoided as unhealthy are left out, because a transfer from them may fail. A
- * draining engine accepts no new requests but remains a source. Immutable.
+ * draining engine accepts no new requests but remains a source. Cached parts are fetched only
+ * between engines of one software version, because what two versions write may not fit together.
+ * Immutable.
  */
 final class CacheSources {
   /** The fewest tokens that are fetched; prefilling fewer takes no longer than a transfer. */
@@ -51,13 +53,18 @@
     if (!target.engine().map(EngineModel::canFetch).orElse(false)) {
       return Optional.empty();
     }
-    int missingTokens = maxCachedTokens() - target.engine().get().cachedTokens(prompt);
+    ImmutableList<Source> compatible =
+        sources.stream()
+            .filter(s -> s.handle().softwareHash() == target.softwareHash())
+            .collect(toImmutableList());
+    int most = compatible.isEmpty() ? 0 : compatible.get(0).tokens();
+    int missingTokens = most - target.engine().get().cachedTokens(prompt);
     if (missingTokens < MIN_FETCHED_TOKENS) {
       return Optional.empty();
     }
     String zone = target.report().zone();
-    return sources.stream()
-        .takeWhile(s -> s.tokens() == maxCachedTokens())
+    return compatible.stream()
+        .takeWhile(s -> s.tokens() == most)
         .map(Source::handle)
         .max(Comparator.comparing(u -> u.report().zone().equals(zone)))
         .map(source -> new CacheFetch(source, missingTokens));
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -45,8 +45,13 @@
   }
 
   private UpstreamHandle engine(String id, OptionalDouble transferMillisPerToken) {
+    return engine(id, "v1", transferMillisPerToken);
+  }
+
+  private UpstreamHandle engine(String id, String version, OptionalDouble transferMillisPerToken) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
-    UpstreamReport upstream = new UpstreamReport(id, "s", "v1", address, "z", 64, false, 0, 1, 1);
+    UpstreamReport upstream =
+        new UpstreamReport(id, "s", version, address, "z", 64, false, 0, 1, 1);
     UpstreamHandle handle =
         new UpstreamHandle(upstream, ConnectionPool.create(group.next(), address, () -> 0));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
@@ -144,6 +149,16 @@
     assertThat(choice.fetch()).hasValue(new CacheFetch(draining, 8_500));
   }
 
+  /** Guards against cached parts that another software version wrote. */
+  @Test
+  void nothingIsFetchedFromEngineOfAnotherVersion() {
+    send(prompt(7, 1), "r1", 0);
+    UpstreamHandle updated = engine("i-new", "v2", OptionalDouble.of(0.001));
+    List<UpstreamHandle> all = new ArrayList<>(engines);
+    all.add(updated);
+    assertThat(choose(List.of(updated), all, prompt(7, 2), 2_000).fetch()).isEmpty();
+  }
+
   /** Loss of a third of the workers: parts cached only on an unreachable engine are not fetched. */
   @Test
   void nothingIsFetchedFromUnreachableEngine() {
