Bound the bodies that a buffered exchange collects

Fault: an answer of the store, of a health check or of a report, and each buffered response of a sidecar, was collected without a bound until its time was over (1 s and more); bytes without an end would fill the memory (the gateway's heap has 48 MB). A head without an end was bounded already (32 KB, shown by a test).

BufferedExchange gives up beyond 4 MB, BufferingListener beyond 8 MB and then cancels its call.

--- a/src/main/java/org/tanagerbank/http/BufferingListener.java
+++ b/src/main/java/org/tanagerbank/http/BufferingListener.java
@@ -16,6 +16,9 @@
   /** The maximum time to wait until a cancelled call reports its end. */
   private static final long CANCEL_TIMEOUT_MILLIS = 1_000;
 
+  /** The largest body, in bytes. */
+  static final int MAX_BODY_BYTES = 8 << 20;
+
   private final String description;
   private final CompletableFuture<HttpResponseMessage> future = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -34,6 +37,14 @@
 
   @Override
   public void onData(byte[] data) {
+    if (future.isDone()) {
+      return;
+    }
+    if (body.size() + data.length > MAX_BODY_BYTES) {
+      String reason = " failed: the body is larger than " + MAX_BODY_BYTES + " bytes";
+      future.completeExceptionally(failure(Verdict.MAY_HAVE_RUN, reason));
+      return;
+    }
     body.writeBytes(data);
   }
 
@@ -64,6 +75,8 @@
       call.cancel();
       throw failure(Verdict.MAY_HAVE_RUN, " failed: the waiting thread was interrupted");
     } catch (ExecutionException e) {
+      // Ends a response that was given up before its end.
+      call.cancel();
       throw (TanagerException) e.getCause();
     }
   }
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -14,6 +14,9 @@
  * loop.
  */
 public final class BufferedExchange implements ExchangeListener {
+  /** The largest body, in bytes; more than the largest answer of the platform's store. */
+  static final int MAX_BODY_BYTES = 4 << 20;
+
   private final Consumer<BufferedResponse> callback;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpConnection connection;
@@ -91,6 +94,13 @@
 
   @Override
   public void onData(ByteBuf piece) {
+    if (done) {
+      return;
+    }
+    if (body.size() + piece.readableBytes() > MAX_BODY_BYTES) {
+      fail("a body of more than " + MAX_BODY_BYTES + " bytes");
+      return;
+    }
     body.writeBytes(ByteBufUtil.getBytes(piece));
   }
 
