Bound the error bodies and events that an attempt buffers

Fault: an attempt buffered the body of a response that is no success, and the event splitter an event, without a bound. Bytes without an end filled the memory until the time of the request was over; a splitter that got small pieces copied and scanned the whole event with each of them.

An error body beyond 256 KB is given up (502), a refusal of that length stays a refusal, both with the connection closed; an event beyond 256 KB is given up. Both count as given-up runs for crash evidence. The splitter appends in place and looks at each byte once.

Tests: EndlessResponseTest. On the code before, its four cases of bodies and events fail (3.2 MB are read and the connection stays open). The test of time was not seen failing: its form reuses a piece, which the code before consumed.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -25,8 +25,9 @@
  */
 final class Attempt implements ExchangeListener {
   /**
-   * The largest successful response body, in bytes, that is buffered as a whole. A larger one is
-   * forwarded as it arrives, and from then on the request cannot be retried.
+   * The largest response body, in bytes, that is buffered as a whole. A larger one of a success is
+   * forwarded as it arrives, and from then on the request cannot be retried. A larger one of an
+   * error is given up.
    */
   private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
@@ -201,19 +202,49 @@
     if (isEnded) {
       return;
     }
-    if (isForwarding) {
-      forward(events == null ? piece.retain() : events.add(piece));
+    if (events != null) {
+      addToEvents(piece);
+    } else if (isForwarding) {
+      forward(piece.retain());
+    } else {
+      addToBuffer(piece);
+    }
+  }
+
+  private void addToEvents(ByteBuf piece) {
+    ByteBuf complete;
+    try {
+      complete = events.add(piece);
+    } catch (EventTooLongException e) {
+      giveUp(e.getMessage());
       return;
     }
+    forward(complete);
+  }
+
+  private void addToBuffer(ByteBuf piece) {
     buffered.addComponent(true, piece.retain());
-    if (buffered.readableBytes() > MAX_BUFFERED_BYTES && isSuccess()) {
+    if (buffered.readableBytes() <= MAX_BUFFERED_BYTES) {
+      return;
+    }
+    if (isSuccess()) {
       isForwarding = true;
       ByteBuf first = buffered;
       buffered = null;
       forward(first);
+    } else if (proof == ResponseProof.REFUSAL) {
+      finishBuffered();
+      connection.cancel();
+    } else {
+      giveUp("the body of an error response is larger than " + MAX_BUFFERED_BYTES + " bytes");
     }
   }
 
+  private void giveUp(String reason) {
+    dispatcher.crashGuard().runLost(run, RunLoss.GIVEN_UP);
+    fail(AttemptFailure.responseLost(reason));
+  }
+
   private void forward(ByteBuf piece) {
     if (!piece.isReadable()) {
       piece.release();
--- a/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
+++ b/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
@@ -10,13 +10,21 @@
  * Splits a stream of server-sent events at event boundaries, so that an incomplete event is never
  * forwarded.
  *
- * <p>Not thread-safe; confined to one thread. Call {@link #release} to free the buffered bytes.
+ * <p>At most {@link #MAX_EVENT_BYTES} of an event are buffered, and each byte is looked at once.
+ * Not thread-safe; confined to one thread. Call {@link #release} to free the buffered bytes.
  */
 final class EventSplitter {
+  /** The largest event, in bytes. */
+  static final int MAX_EVENT_BYTES = 256 << 10;
+
   private static final String ID_FIELD = "id:";
 
   private final ByteBufAllocator allocator;
   private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+
+  /** The index in the pending bytes before which no event ends. */
+  private int scannedIndex;
+
   private Optional<String> lastEventId = Optional.empty();
 
   EventSplitter(ByteBufAllocator allocator) {
@@ -26,14 +34,20 @@
   /**
    * Adds a piece of the stream and returns all events that are now complete, or an empty buffer if
    * there are none. The caller releases the returned buffer and keeps ownership of the piece.
+   *
+   * @throws EventTooLongException if an event is larger than {@link #MAX_EVENT_BYTES}
    */
   ByteBuf add(ByteBuf piece) {
     append(piece);
     int end = endOfLastEvent();
-    if (end <= pending.readerIndex()) {
+    if (end <= 0) {
+      scannedIndex = pending.writerIndex();
+      checkLength();
       return Unpooled.EMPTY_BUFFER;
     }
-    ByteBuf events = pending.readRetainedSlice(end - pending.readerIndex());
+    ByteBuf events = allocator.buffer(end).writeBytes(pending, end);
+    pending.discardReadBytes();
+    scannedIndex = pending.writerIndex();
     recordLastEventId(events);
     if (!pending.isReadable()) {
       release();
@@ -41,12 +55,19 @@
     return events;
   }
 
+  private void checkLength() {
+    if (pending.readableBytes() > MAX_EVENT_BYTES) {
+      throw new EventTooLongException(MAX_EVENT_BYTES);
+    }
+  }
+
   /**
    * Removes and returns the bytes after the last complete event. The caller releases the buffer.
    */
   ByteBuf takeRemainder() {
     ByteBuf remainder = pending;
     pending = Unpooled.EMPTY_BUFFER;
+    scannedIndex = 0;
     return remainder;
   }
 
@@ -59,32 +80,26 @@
   void release() {
     pending.release();
     pending = Unpooled.EMPTY_BUFFER;
+    scannedIndex = 0;
   }
 
   private void append(ByteBuf piece) {
     if (!pending.isReadable()) {
       release();
-      pending = piece.retain();
-      return;
+      pending = allocator.buffer(piece.readableBytes());
     }
-    ByteBuf joined = allocator.buffer(pending.readableBytes() + piece.readableBytes());
-    joined.writeBytes(pending).writeBytes(piece);
-    release();
-    pending = joined;
+    pending.writeBytes(piece, piece.readerIndex(), piece.readableBytes());
   }
 
   /** Returns the index after the last blank line in the pending bytes, or -1 if there is none. */
   private int endOfLastEvent() {
-    for (int i = pending.writerIndex() - 1; i > pending.readerIndex(); i--) {
+    for (int i = pending.writerIndex() - 1; i >= Math.max(1, scannedIndex); i--) {
       if (pending.getByte(i) != '\n') {
         continue;
       }
       byte before = pending.getByte(i - 1);
       boolean isBlankLine =
-          before == '\n'
-              || (before == '\r'
-                  && i - 2 >= pending.readerIndex()
-                  && pending.getByte(i - 2) == '\n');
+          before == '\n' || (before == '\r' && i >= 2 && pending.getByte(i - 2) == '\n');
       if (isBlankLine) {
         return i + 1;
       }
