Add random histories of streams that are taken up while versions change

Upstreams of up to three versions crash and come back with another; gateways restart, are added, paused, cut off; messages are lost; callers take interrupted streams up at any gateway. Checked from both sides: no stream holds events of two versions or one event twice, and of 12 streams or more that are taken up at gateways in touch while two upstreams of their version serve, at least half of the share of new streams goes on.

--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -10,6 +10,7 @@
 
 /** A request of a caller and the response to it. Not thread-safe. */
 final class Call implements CallerExchange {
+  final int gateway;
   final String id;
   final String path;
   final String body;
@@ -18,9 +19,11 @@
   HttpHeaders headers = new DefaultHttpHeaders();
   private String text = "";
   boolean isEnded;
+  private boolean isCutOff;
   private Runnable disconnectAction = () -> {};
 
-  Call(String id, String path, String body, long sentAtMillis) {
+  Call(int gateway, String id, String path, String body, long sentAtMillis) {
+    this.gateway = gateway;
     this.id = id;
     this.path = path;
     this.body = body;
@@ -61,7 +64,7 @@
 
   @Override
   public void write(ByteBuf part) {
-    text += part.toString(ISO_8859_1);
+    text += isCutOff ? "" : part.toString(ISO_8859_1);
     part.release();
   }
 
@@ -89,6 +92,12 @@
     disconnectAction = action;
   }
 
+  /** Ends the response because its gateway has ended; what that one still writes is lost. */
+  void cutOff() {
+    isEnded = true;
+    isCutOff = true;
+  }
+
   /** Closes the caller's connection, unless the response is complete. */
   void leave() {
     if (!isEnded) {
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -193,17 +193,21 @@
   /** Takes up a stream at a gateway, after the last event that the caller received. */
   Call takeUp(int gateway, Call interrupted, String firstId) {
     ImmutableList<String> ids = interrupted.eventFields("id");
+    return takeUp(gateway, interrupted, firstId, ids.get(ids.size() - 1));
+  }
+
+  Call takeUp(int gateway, Call interrupted, String firstId, String lastEventId) {
     return sendWithHeaders(
         gateway,
         interrupted.path,
         interrupted.body,
         "r" + ++lastCallNumber,
-        ImmutableMap.of("Resumes", firstId, "Last-Event-Id", ids.get(ids.size() - 1)));
+        ImmutableMap.of("Resumes", firstId, "Last-Event-Id", lastEventId));
   }
 
   private Call sendWithHeaders(
       int gateway, String path, String body, String id, ImmutableMap<String, String> extra) {
-    Call call = new Call(id, path, body, nowMillis);
+    Call call = new Call(gateway, id, path, body, nowMillis);
     calls.add(call);
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Host", "h");
@@ -243,7 +247,8 @@
     gateways.set(gateway, new SimulatedGateway(gateway));
   }
 
-  private boolean isInTouch(int gateway) {
+  /** Returns whether a gateway was not interrupted or cut off lately. */
+  boolean isInTouch(int gateway) {
     SimulatedGateway asked = gateways.get(gateway);
     return !asked.isPaused
         && !asked.isCutOff
@@ -255,6 +260,13 @@
     gateways.add(new SimulatedGateway(gateways.size()));
   }
 
+  /** Returns the number of upstreams with a software version that are up and known. */
+  long serving(String version) {
+    return reports.stream()
+        .filter(r -> r.softwareVersion().equals(version) && currentReports().contains(r))
+        .count();
+  }
+
   int gatewayCount() {
     return gateways.size();
   }
