Let callers' connections break in the histories of streams

The histories took up few streams at gateways in touch, so their check of the share that goes on judged little.

--- a/src/test/java/org/tanagerbank/dispatch/StreamVersionHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/StreamVersionHistoriesTest.java
@@ -87,6 +87,9 @@
       }
       fleet.advance(STEP_MILLIS);
       endFaults();
+      if (random.nextInt(3) == 0) {
+        resetConnection();
+      }
       takeUpInterrupted();
     }
     fleet.advance(5_000);
@@ -137,6 +140,15 @@
         .forEach(Call::cutOff);
   }
 
+  /** Breaks the connection of a caller in the middle of its stream. */
+  private void resetConnection() {
+    streams.stream()
+        .skip(Math.max(0, streams.size() - 10))
+        .filter(s -> !s.last().isEnded && !s.fields("id").isEmpty() && !s.isWhole())
+        .findFirst()
+        .ifPresent(s -> s.last().leave());
+  }
+
   private void endFaults() {
     List<Ongoing> over =
         ongoing.stream().filter(o -> o.untilMillis() <= fleet.nowMillis()).toList();
