Let any completed runs forgive crashes of unknown conditions

Found while reading the diff: a crash that a gateway of an older build reports names neither software nor prompt, so no completed run matched it and its request stayed restricted for an hour. SharedAccessRuleTest#anyCompletionsForgiveCrashesOfUnknownConditions guards against it; it was not run on the code before.

--- a/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
@@ -65,20 +65,23 @@
 
   /**
    * Returns this record with one more completed run, which tells nothing about the crash if its
-   * prompt was another one.
+   * prompt was another one. Any run counts if the conditions of the lost one are not known, as an
+   * instance of an older build reports them.
    *
    * @param maxCompletions the number up to which completed runs are counted
    */
   CrashRecord withCompletion(RunConditions completed, int maxCompletions) {
-    boolean isSamePrompt = conditions.prompt() == completed.prompt();
-    int known = completionsAt(completed.software());
+    boolean isUnknown = conditions.equals(RunConditions.UNKNOWN);
+    int software = isUnknown ? conditions.software() : completed.software();
+    int known = completionsAt(software);
+    boolean isSamePrompt = isUnknown || conditions.prompt() == completed.prompt();
     if (!isSamePrompt || known >= maxCompletions) {
       return this;
     }
     ImmutableMap<Integer, Integer> counted =
         ImmutableMap.<Integer, Integer>builder()
             .putAll(completions)
-            .put(completed.software(), known + 1)
+            .put(software, known + 1)
             .buildKeepingLast();
     return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, counted);
   }
--- a/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
@@ -172,6 +172,17 @@
     assertThat(quarantine.crashedSoftware(fingerprint(1), 40)).containsExactly(1);
   }
 
+  /** Guards against crashes that an instance of an older build reports and nothing forgives. */
+  @Test
+  void anyCompletionsForgiveCrashesOfUnknownConditions() {
+    for (String id : ImmutableList.of("a", "b")) {
+      CrashRecord crash = new CrashRecord(id, 1, false, 10, RunConditions.UNKNOWN);
+      quarantine.recordLostRun(fingerprint(1), crash, 10);
+    }
+    complete(ENOUGH, V2, 40);
+    assertThat(status(1, 40)).isEqualTo(QuarantineStatus.CLEAR);
+  }
+
   /** Guards against requests that are restricted where they are harmless, or free where not. */
   @Test
   void requestIsHarmlessToSoftwareWhereRunsCompletedSinceTheCrashes() {
