Decide once on a request and the upstreams that it may be sent to

CrashGuard.admit returns the decision with its candidates; a run works out its conditions on demand.

--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.CrashEvidence;
@@ -15,7 +14,6 @@
 import org.tanagerbank.quarantine.Quarantine;
 import org.tanagerbank.quarantine.QuarantineRule;
 import org.tanagerbank.quarantine.QuarantineStatus;
-import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.quarantine.SuspectNews;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
@@ -42,6 +40,17 @@
     REFUSED
   }
 
+  /**
+   * How a request may proceed, and to which upstreams it may be sent. Immutable.
+   *
+   * @param candidates the upstreams among which one is chosen; empty unless the request may be sent
+   */
+  record Decision(Admission admission, List<UpstreamHandle> candidates) {
+    private static Decision without(Admission admission) {
+      return new Decision(admission, List.of());
+    }
+  }
+
   /** The longest pause between trials, in milliseconds, that a request waits for. */
   private static final long MAX_WAITED_PAUSE_MILLIS = 1_000;
 
@@ -70,52 +79,47 @@
   }
 
   /**
-   * Returns how a request may proceed; called again after each failed attempt.
+   * Decides how a request may proceed; called again after each failed attempt.
    *
    * @param candidates the upstreams to which it could be sent
    */
-  Admission admit(Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates) {
+  Decision admit(Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates) {
     long now = clockMillis.getAsLong();
     return switch (quarantine.status(fingerprint, now)) {
-      case CLEAR, SUSPECT -> Admission.RUN;
-      case TRIAL_ONLY ->
-          harmlessCandidates(fingerprint, candidates).isEmpty()
-              ? claimTrial(fingerprint, holder, candidates, now)
-              : Admission.RUN;
-      case QUARANTINED -> Admission.REFUSED;
+      case CLEAR, SUSPECT -> new Decision(Admission.RUN, candidates);
+      case TRIAL_ONLY -> admitRestricted(fingerprint, holder, candidates, now);
+      case QUARANTINED -> Decision.without(Admission.REFUSED);
     };
   }
 
-  /** Returns the upstreams that an admitted request may be sent to without a trial. */
-  List<UpstreamHandle> runCandidates(Fingerprint fingerprint, List<UpstreamHandle> candidates) {
-    boolean isRestricted =
-        quarantine.status(fingerprint, clockMillis.getAsLong()) == QuarantineStatus.TRIAL_ONLY;
-    return isRestricted ? harmlessCandidates(fingerprint, candidates) : candidates;
-  }
-
-  private List<UpstreamHandle> harmlessCandidates(
-      Fingerprint fingerprint, List<UpstreamHandle> candidates) {
-    long now = clockMillis.getAsLong();
-    return candidates.stream()
-        .filter(u -> quarantine.isHarmlessTo(u.softwareHash(), fingerprint, now))
-        .toList();
+  private Decision admitRestricted(
+      Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates, long now) {
+    List<UpstreamHandle> harmless =
+        candidates.stream()
+            .filter(u -> quarantine.isHarmlessTo(u.softwareHash(), fingerprint, now))
+            .toList();
+    return harmless.isEmpty()
+        ? claimTrial(fingerprint, holder, candidates, now)
+        : new Decision(Admission.RUN, harmless);
   }
 
-  private Admission claimTrial(
+  private Decision claimTrial(
       Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates, long now) {
     long pause = quarantine.nextTrialMillis(fingerprint) - now;
     if (pause > 0) {
-      return pause <= MAX_WAITED_PAUSE_MILLIS ? Admission.WAIT : Admission.REFUSED;
+      return Decision.without(
+          pause <= MAX_WAITED_PAUSE_MILLIS ? Admission.WAIT : Admission.REFUSED);
     }
-    if (!candidates.isEmpty() && trialCandidates(fingerprint, candidates).isEmpty()) {
-      return Admission.WAIT;
+    List<UpstreamHandle> eligible = trialCandidates(fingerprint, candidates, now);
+    if (eligible.isEmpty() && !candidates.isEmpty()) {
+      return Decision.without(Admission.WAIT);
     }
     ImmutableList<TrialClaim> before = claims.ownClaims(now);
     boolean mayStart = claims.tryStart(fingerprint, holder, now);
     if (!claims.ownClaims(now).equals(before)) {
       urgentNews.run();
     }
-    return mayStart ? Admission.TRIAL : Admission.WAIT;
+    return mayStart ? new Decision(Admission.TRIAL, eligible) : Decision.without(Admission.WAIT);
   }
 
   /** Returns the time in milliseconds until a refused request may be sent again. */
@@ -133,8 +137,8 @@
    * there. Those with software that has not crashed under the request go first, because it may be
    * harmless there.
    */
-  List<UpstreamHandle> trialCandidates(Fingerprint fingerprint, List<UpstreamHandle> candidates) {
-    long now = clockMillis.getAsLong();
+  private List<UpstreamHandle> trialCandidates(
+      Fingerprint fingerprint, List<UpstreamHandle> candidates, long now) {
     ImmutableSet<Integer> inTrial = claims.upstreamsInTrial(fingerprint, now);
     ImmutableSet<Integer> crashed = quarantine.crashedSoftware(fingerprint, now);
     List<UpstreamHandle> free =
@@ -152,16 +156,13 @@
       urgentNews.run();
     }
     int depth = quarantine.depth(fingerprint, clockMillis.getAsLong()) + 1;
-    RunConditions conditions =
-        new RunConditions(
-            upstream.softwareHash(), request.prompt().map(Prompt::stableHash).orElse(0));
     return new TrackedRun(
-        fingerprint, request, upstream, upstream.crashes(), depth, isTrial, conditions);
+        fingerprint, request, upstream, upstream.crashes(), depth, isTrial, request.prompt());
   }
 
   /** Records that the upstream ran the request to its end. */
   void runCompleted(TrackedRun run) {
-    if (quarantine.recordCompletion(run.fingerprint(), run.conditions(), clockMillis.getAsLong())) {
+    if (quarantine.recordCompletion(run.fingerprint(), run::conditions, clockMillis.getAsLong())) {
       news.add(run.fingerprint());
     }
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -107,11 +107,10 @@
   }
 
   private void place() {
-    List<UpstreamHandle> candidates = candidates();
-    CrashGuard guard = dispatcher.crashGuard();
-    switch (guard.admit(fingerprint, this, candidates)) {
-      case RUN -> place(guard.runCandidates(fingerprint, candidates), /* isTrial= */ false);
-      case TRIAL -> place(guard.trialCandidates(fingerprint, candidates), /* isTrial= */ true);
+    CrashGuard.Decision decision = dispatcher.crashGuard().admit(fingerprint, this, candidates());
+    switch (decision.admission()) {
+      case RUN -> place(decision.candidates(), /* isTrial= */ false);
+      case TRIAL -> place(decision.candidates(), /* isTrial= */ true);
       case WAIT -> {
         retry.release();
         var unused =
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import java.util.Optional;
+import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.request.Fingerprint;
 
@@ -11,7 +13,7 @@
  * @param depth 1 more than the number of crashes, one after the other, that were on record for the
  *     fingerprint when it was sent
  * @param isTrial whether it is the only run of its fingerprint in the fleet
- * @param conditions what its outcome depends on besides the fingerprint
+ * @param prompt the description of the prompt, if the request has one
  */
 record TrackedRun(
     Fingerprint fingerprint,
@@ -20,4 +22,12 @@
     int crashesBefore,
     int depth,
     boolean isTrial,
-    RunConditions conditions) {}
+    Optional<Prompt> prompt) {
+  /**
+   * Returns what the outcome of the run depends on besides its fingerprint. Computed on demand,
+   * because only crashes and completed runs of suspects need it.
+   */
+  RunConditions conditions() {
+    return new RunConditions(upstream.softwareHash(), prompt.map(Prompt::stableHash).orElse(0));
+  }
+}
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.tanagerbank.request.Fingerprint;
 
 /**
@@ -124,20 +125,22 @@
    * whether a crash counted against it.
    */
   public boolean recordCompletion(Fingerprint fingerprint, long nowMillis) {
-    return recordCompletion(fingerprint, RunConditions.UNKNOWN, nowMillis);
+    return recordCompletion(fingerprint, () -> RunConditions.UNKNOWN, nowMillis);
   }
 
   /**
    * Records that a request ran to its end without a crash, and returns whether that is new evidence
    * about a crash that counted against it.
+   *
+   * @param conditions returns the conditions of the run; called only if a crash counts
    */
   public synchronized boolean recordCompletion(
-      Fingerprint fingerprint, RunConditions conditions, long nowMillis) {
+      Fingerprint fingerprint, Supplier<RunConditions> conditions, long nowMillis) {
     if (countedCrashes(fingerprint, nowMillis).isEmpty()) {
       return false;
     }
     CrashEvidence before = suspects.get(fingerprint);
-    CrashEvidence after = before.plusCompletion(conditions, rule.forgivingCompletions());
+    CrashEvidence after = before.plusCompletion(conditions.get(), rule.forgivingCompletions());
     suspects.put(fingerprint, after);
     return !after.equals(before);
   }
--- a/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
@@ -34,7 +34,7 @@
   /** Completes runs of fingerprint 1. */
   private void complete(int runs, RunConditions conditions, long now) {
     for (int i = 0; i < runs; i++) {
-      quarantine.recordCompletion(fingerprint(1), conditions, now);
+      quarantine.recordCompletion(fingerprint(1), () -> conditions, now);
     }
   }
 
