Give lost responses and the choice of stream candidates one place each

The hash of an upstream's id was written again beside SlotTable.idHash, which it now calls. The candidates of each request were copied once more also where no stream had begun.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -171,10 +171,7 @@
           .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     }
     switch (proof) {
-      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED -> {
-        dispatcher.crashGuard().runLost(run, RunLoss.GIVEN_UP);
-        fail(AttemptFailure.responseLost(proof.description()));
-      }
+      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED -> giveUp(proof.description());
       default -> beginReceiving();
     }
     return HeadAction.RECEIVE;
@@ -241,8 +238,7 @@
   }
 
   private void giveUp(String reason) {
-    dispatcher.crashGuard().runLost(run, RunLoss.GIVEN_UP);
-    fail(AttemptFailure.responseLost(reason));
+    loseResponse(reason, RunLoss.GIVEN_UP);
   }
 
   private void forward(ByteBuf piece) {
@@ -354,15 +350,16 @@
     }
     boolean isOwnClose =
         failure == ExchangeFailure.MALFORMED || failure == ExchangeFailure.NOT_SKIPPABLE;
-    dispatcher.crashGuard().runLost(run, isOwnClose ? RunLoss.GIVEN_UP : RunLoss.CLOSED);
-    fail(AttemptFailure.responseLost(failure.name()));
+    loseResponse(failure.name(), isOwnClose ? RunLoss.GIVEN_UP : RunLoss.CLOSED);
   }
 
-  private void fail(AttemptFailure failure) {
+  private void loseResponse(String reason, RunLoss loss) {
+    dispatcher.crashGuard().runLost(run, loss);
     upstream.health().requestFailed();
     close();
     connection.cancel();
-    execution.handleFailure(upstream, failure, evidence(), Optional.empty());
+    execution.handleFailure(
+        upstream, AttemptFailure.responseLost(reason), evidence(), Optional.empty());
   }
 
   private AttemptEvidence evidence() {
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -124,9 +124,8 @@
 
   /** Returns the upstreams that can run the request, or go on with the stream that it began. */
   private List<UpstreamHandle> candidates() {
-    return dispatcher.upstreams().candidates(service, tried).stream()
-        .filter(u -> origin.isEmpty() || origin.get().equals(StreamOrigin.of(u.report())))
-        .toList();
+    List<UpstreamHandle> all = dispatcher.upstreams().candidates(service, tried);
+    return origin.map(o -> all.stream().filter(u -> u.canGoOn(o)).toList()).orElse(all);
   }
 
   private void place(List<UpstreamHandle> candidates, boolean isTrial) {
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -1,7 +1,5 @@
 package org.tanagerbank.dispatch;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +7,8 @@
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.route.EngineLimits;
+import org.tanagerbank.routing.SlotTable;
+import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.LoadReport;
 import org.tanagerbank.upstream.UpstreamReport;
@@ -50,7 +50,7 @@
 
   /** Returns a hash of its id, the same at all instances and never 0. */
   int idHash() {
-    int hash = Hashing.murmur3_32_fixed().hashString(report.id(), StandardCharsets.UTF_8).asInt();
+    int hash = Long.hashCode(SlotTable.idHash(report.id()));
     return hash == 0 ? 1 : hash;
   }
 
@@ -59,6 +59,11 @@
     return softwareHash;
   }
 
+  /** Returns whether the upstream can go on with a stream that began at an origin. */
+  boolean canGoOn(StreamOrigin origin) {
+    return origin.equals(StreamOrigin.of(report));
+  }
+
   /** Creates the model of the engine unless there is one; later calls have no effect. */
   void setEngineLimits(EngineLimits limits) {
     if (engine.isEmpty()) {
