Share the faults of gateways between the two random histories

Found in the reading: StreamVersionHistoriesTest repeated the faults of DeadlyRequestHistoriesTest. GatewayFaults holds them. The order of random draws is as it was, so seeds play the same histories; no check changed.

--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestHistoriesTest.java
@@ -30,13 +30,10 @@
     return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[1]));
   }
 
-  /** A fault that ends at a given time. */
-  private record Ongoing(long untilMillis, Runnable end) {}
-
-  private final List<Ongoing> ongoing = new ArrayList<>();
   private final List<Call> retried = new ArrayList<>();
   private SplittableRandom random;
   private DispatchSimulation fleet;
+  private GatewayFaults faults;
 
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
@@ -48,6 +45,7 @@
             3 + random.nextInt(7),
             random.nextBoolean(),
             upstream -> anyVersion());
+    faults = new GatewayFaults(fleet, 10);
     fleet.setLossShare(random.nextInt(3) * 0.03);
     int deadlyPeriod = STEP_MILLIS * (1 + random.nextInt(40));
     int deadlyAtOnce = 1 + random.nextInt(fleet.gatewayCount());
@@ -65,7 +63,7 @@
       }
       sendInnocents();
       fleet.advance(STEP_MILLIS);
-      endFaults();
+      faults.endDue();
     }
     fleet.advance(5_000);
     check(seed);
@@ -93,21 +91,9 @@
   private void injectFault() {
     int gateway = anyGateway();
     long until = fleet.nowMillis() + 500 + random.nextInt(5_000);
-    switch (random.nextInt(6)) {
-      case 0 -> fleet.restart(gateway);
-      case 1 -> {
-        if (fleet.gatewayCount() < 10) {
-          fleet.addGateway();
-        }
-      }
-      case 2 -> {
-        fleet.setPaused(gateway, true);
-        ongoing.add(new Ongoing(until, () -> fleet.setPaused(gateway, false)));
-      }
-      case 3 -> {
-        fleet.setCutOff(gateway, true);
-        ongoing.add(new Ongoing(until, () -> fleet.setCutOff(gateway, false)));
-      }
+    int kind = random.nextInt(GatewayFaults.KINDS + 2);
+    switch (kind) {
+      case 0, 1, 2, 3 -> faults.inject(kind, gateway, until);
       case 4 -> replace(fleet.upstreams().get(random.nextInt(fleet.upstreams().size())));
       default ->
           fleet
@@ -123,13 +109,6 @@
     upstream.crash(fleet.nowMillis());
   }
 
-  private void endFaults() {
-    List<Ongoing> over =
-        ongoing.stream().filter(o -> o.untilMillis() <= fleet.nowMillis()).toList();
-    ongoing.removeAll(over);
-    over.forEach(o -> o.end().run());
-  }
-
   /** Sends new contents and one that many callers share; callers repeat what failed, once. */
   private void sendInnocents() {
     for (int i = 0; i < 3; i++) {
--- a/src/test/java/org/tanagerbank/dispatch/StreamVersionHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/StreamVersionHistoriesTest.java
@@ -56,14 +56,11 @@
     }
   }
 
-  /** A fault that ends at a given time. */
-  private record Ongoing(long untilMillis, Runnable end) {}
-
-  private final List<Ongoing> ongoing = new ArrayList<>();
   private final List<CallerStream> streams = new ArrayList<>();
   private final Set<CallerStream> takenUpInTouch = new HashSet<>();
   private SplittableRandom random;
   private DispatchSimulation fleet;
+  private GatewayFaults faults;
   private int versions;
 
   @ParameterizedTest(name = "seed {0}")
@@ -77,6 +74,7 @@
             3 + random.nextInt(8),
             random.nextBoolean(),
             upstream -> anyVersion());
+    faults = new GatewayFaults(fleet, 8);
     fleet.setLossShare(random.nextInt(3) * 0.03);
     for (long start = fleet.nowMillis(); fleet.nowMillis() - start < DAY_MILLIS; ) {
       if (random.nextInt(20) == 0) {
@@ -86,7 +84,7 @@
         streams.add(new CallerStream(fleet.send(anyGateway(), "/resume/x", "s" + streams.size())));
       }
       fleet.advance(STEP_MILLIS);
-      endFaults();
+      faults.endDue();
       if (random.nextInt(3) == 0) {
         resetConnection();
       }
@@ -107,21 +105,13 @@
   private void injectFault() {
     int gateway = anyGateway();
     long until = fleet.nowMillis() + 500 + random.nextInt(4_000);
-    switch (random.nextInt(6)) {
-      case 0 -> restart(gateway);
-      case 1 -> {
-        if (fleet.gatewayCount() < 8) {
-          fleet.addGateway();
-        }
-      }
-      case 2 -> {
-        fleet.setPaused(gateway, true);
-        ongoing.add(new Ongoing(until, () -> fleet.setPaused(gateway, false)));
-      }
-      case 3 -> {
-        fleet.setCutOff(gateway, true);
-        ongoing.add(new Ongoing(until, () -> fleet.setCutOff(gateway, false)));
+    int kind = random.nextInt(GatewayFaults.KINDS + 2);
+    switch (kind) {
+      case 0 -> {
+        faults.inject(kind, gateway, until);
+        cutOffResponses(gateway);
       }
+      case 1, 2, 3 -> faults.inject(kind, gateway, until);
       default -> {
         SimulatedUpstream upstream =
             fleet.upstreams().get(random.nextInt(fleet.upstreams().size()));
@@ -131,9 +121,8 @@
     }
   }
 
-  /** Ends a gateway with the responses that it was sending. */
-  private void restart(int gateway) {
-    fleet.restart(gateway);
+  /** Ends the responses that a gateway was sending when it ended. */
+  private void cutOffResponses(int gateway) {
     streams.stream()
         .map(CallerStream::last)
         .filter(c -> !c.isEnded && c.gateway == gateway)
@@ -149,13 +138,6 @@
         .ifPresent(s -> s.last().leave());
   }
 
-  private void endFaults() {
-    List<Ongoing> over =
-        ongoing.stream().filter(o -> o.untilMillis() <= fleet.nowMillis()).toList();
-    ongoing.removeAll(over);
-    over.forEach(o -> o.end().run());
-  }
-
   /** Callers take up each stream once more within two seconds, as long as it has begun. */
   private void takeUpInterrupted() {
     List<CallerStream> interrupted =
