Give the caller's response and the head of an upstream's response classes of their own

RequestExecution (398 lines) also wrote the response to the caller and built the requests to upstreams; Attempt (390) kept the head of a response in four fields. CallerResponse, UpstreamRequests and ResponseHead take these over, before both classes learn how a response may end.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -5,8 +5,6 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.tanagerbank.engine.Prompt;
@@ -47,10 +45,10 @@
   private TrackedRun run;
   private boolean isEnded;
   private long sentMillis;
-  private int status;
-  private HttpHeaders headers;
-  private Optional<ResponseFacts> response = Optional.empty();
-  private ResponseProof proof;
+
+  /** The head of the response, or null before one is received. */
+  private ResponseHead head;
+
   private boolean hasReceivedHead;
   private boolean isForwarding;
   private boolean firstEventSeen;
@@ -154,31 +152,30 @@
     hasReceivedHead = true;
     ResponseFacts facts =
         dispatcher.headerCodec().responseFacts(responseHeaders, execution.requestId());
-    ResponseProof responseProof = ResponseProof.of(responseStatus, facts);
-    if (responseProof == ResponseProof.OTHER_REQUEST && !execution.isRepeatable()) {
+    ResponseHead received = ResponseHead.of(responseStatus, responseHeaders, facts);
+    boolean isOtherRequest = received.proof() == ResponseProof.OTHER_REQUEST;
+    if (isOtherRequest && !execution.isRepeatable()) {
       // Only this upstream may answer the request, so its response is awaited.
       execution.responseSkipped(upstream, evidence(responseStatus, Optional.of(facts)));
       return HeadAction.SKIP;
     }
-    status = responseStatus;
-    headers = responseHeaders;
-    response = Optional.of(facts);
-    proof = responseProof;
-    if (proof != ResponseProof.OTHER_REQUEST) {
+    head = received;
+    if (!isOtherRequest) {
       dispatcher
           .headerCodec()
-          .load(headers)
+          .load(responseHeaders)
           .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     }
-    switch (proof) {
-      case OTHER_REQUEST, WITHOUT_ID, CONTRADICTORY, UNSIGNED -> giveUp(proof.description());
-      default -> beginReceiving();
+    if (head.isUnusable()) {
+      giveUp(head.proof().description());
+    } else {
+      beginReceiving();
     }
     return HeadAction.RECEIVE;
   }
 
   private void beginReceiving() {
-    isForwarding = isSuccess() && execution.isStream();
+    isForwarding = head.isSuccess() && execution.isStream();
     if (isForwarding) {
       events = new EventSplitter(allocator);
     } else {
@@ -186,14 +183,6 @@
     }
   }
 
-  private boolean isMisdirected() {
-    return status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-  }
-
-  private boolean isSuccess() {
-    return proof == ResponseProof.SUCCESS;
-  }
-
   @Override
   public void onData(ByteBuf piece) {
     if (isEnded) {
@@ -224,12 +213,12 @@
     if (buffered.readableBytes() <= MAX_BUFFERED_BYTES) {
       return;
     }
-    if (isSuccess()) {
+    if (head.isSuccess()) {
       isForwarding = true;
       ByteBuf first = buffered;
       buffered = null;
       forward(first);
-    } else if (proof == ResponseProof.REFUSAL) {
+    } else if (head.proof() == ResponseProof.REFUSAL) {
       finishBuffered();
       connection.cancel();
     } else {
@@ -247,7 +236,7 @@
       return;
     }
     recordFirstEvent();
-    execution.beginResponse(upstream, status, headers);
+    execution.beginResponse(upstream, head.status(), head.headers());
     execution.writeBody(piece, events == null ? Optional.empty() : events.lastEventId());
   }
 
@@ -278,10 +267,10 @@
     if (events != null) {
       forward(events.takeRemainder());
     }
-    execution.beginResponse(upstream, status, headers);
+    execution.beginResponse(upstream, head.status(), head.headers());
     dispatcher.crashGuard().runCompleted(run);
     close();
-    execution.endResponse(status);
+    execution.endResponse(head.status());
   }
 
   private void finishBuffered() {
@@ -289,19 +278,19 @@
     buffered = null;
     recordResult();
     close();
-    if (proof == ResponseProof.REFUSAL) {
+    if (head.proof() == ResponseProof.REFUSAL) {
       body.release();
-      if (isMisdirected()) {
+      if (head.isMisdirected()) {
         // Another process has the address, so the upstream is down.
         upstream.health().connectFailed(dispatcher.nowMillis());
       }
       execution.handleFailure(
-          upstream, AttemptFailure.refused(status, false), evidence(), Optional.empty());
+          upstream, AttemptFailure.refused(head.status(), false), evidence(), Optional.empty());
       return;
     }
-    if (isSuccess()) {
+    if (head.isSuccess()) {
       upstream.health().requestSucceeded();
-      execution.forwardResponse(status, headers, body);
+      execution.forwardResponse(head.status(), head.headers(), body);
       return;
     }
     finishError(body);
@@ -309,37 +298,36 @@
 
   /** Records whether the response proves that the upstream survives the request. */
   private void recordResult() {
-    boolean isSignedFault =
-        status == HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
-            && response.filter(r -> r.hasSignature() && !r.isEncoded()).isPresent();
-    if (isSuccess() || isSignedFault) {
+    if (head.isSuccess() || head.isSignedFault()) {
       dispatcher.crashGuard().runCompleted(run);
     } else {
-      dispatcher.crashGuard().runRejected(run, isMisdirected());
+      dispatcher.crashGuard().runRejected(run, head.isMisdirected());
     }
   }
 
   /** Handles a complete response whose status reports an error. */
   private void finishError(ByteBuf body) {
-    boolean isServerFault = HttpStatusClass.valueOf(status) == HttpStatusClass.SERVER_ERROR;
-    if (isServerFault) {
+    if (head.isServerFault()) {
       upstream.health().requestFailed();
     }
-    if (proof == ResponseProof.UNMARKED_REFUSAL) {
+    if (head.proof() == ResponseProof.UNMARKED_REFUSAL) {
       // The caller would read this status as "not run", so it is not forwarded.
       body.release();
       execution.handleFailure(
-          upstream, AttemptFailure.responseLost("status " + status), evidence(), Optional.empty());
-    } else if (isServerFault && !execution.hasBegun()) {
-      ErrorResponse answer = new ErrorResponse(status, headers, body);
+          upstream,
+          AttemptFailure.responseLost("status " + head.status()),
+          evidence(),
+          Optional.empty());
+    } else if (head.isServerFault() && !execution.hasBegun()) {
+      ErrorResponse answer = new ErrorResponse(head.status(), head.headers(), body);
       execution.handleFailure(
-          upstream, AttemptFailure.errorStatus(status), evidence(), Optional.of(answer));
+          upstream, AttemptFailure.errorStatus(head.status()), evidence(), Optional.of(answer));
     } else if (execution.hasBegun()) {
       body.release();
       execution.handleFailure(
-          upstream, AttemptFailure.errorStatus(status), evidence(), Optional.empty());
+          upstream, AttemptFailure.errorStatus(head.status()), evidence(), Optional.empty());
     } else {
-      execution.forwardResponse(status, headers, body);
+      execution.forwardResponse(head.status(), head.headers(), body);
     }
   }
 
@@ -363,7 +351,9 @@
   }
 
   private AttemptEvidence evidence() {
-    return evidence(status, response);
+    return head == null
+        ? evidence(0, Optional.empty())
+        : evidence(head.status(), Optional.of(head.facts()));
   }
 
   private AttemptEvidence evidence(int responseStatus, Optional<ResponseFacts> facts) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -1,12 +1,8 @@
 package org.tanagerbank.dispatch;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -39,6 +35,7 @@
   private final Dispatcher dispatcher;
   private final CallerRequest request;
   private final CallerExchange exchange;
+  private final CallerResponse response;
   private final Route route;
   private final Optional<Workspace> workspace;
   private final String requestId;
@@ -54,9 +51,7 @@
   private ScheduledFuture<?> timeout;
   private int sentAttempts;
   private int connectFailures;
-  private boolean hasBegun;
   private boolean ended;
-  private Optional<String> lastEventId = Optional.empty();
 
   /** What wrote the events that the caller has; empty before the first event of a stream. */
   private Optional<StreamOrigin> origin;
@@ -74,6 +69,7 @@
     this.dispatcher = dispatcher;
     this.request = request;
     this.exchange = exchange;
+    this.response = new CallerResponse(exchange, dispatcher.headerCodec());
     this.route = route;
     this.workspace = workspace;
     this.requestId = dispatcher.headerCodec().requestId(request.headers());
@@ -164,21 +160,9 @@
             Math.max(1, timeLeftMillis()),
             workspace.map(Workspace::name),
             OptionalInt.empty(),
-            lastEventId,
+            response.lastEventId(),
             choice.fetch().map(f -> f.source().report().address()));
-    HttpHeaders headers = dispatcher.headerCodec().toUpstream(request.headers(), call);
-    if (request.body().isReadable()
-        || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        request.method(),
-        request.target(),
-        request.body().retainedDuplicate(),
-        headers,
-        new DefaultHttpHeaders());
+    return UpstreamRequests.of(request, call, dispatcher.headerCodec());
   }
 
   Fingerprint fingerprint() {
@@ -202,25 +186,22 @@
   }
 
   boolean hasBegun() {
-    return hasBegun;
+    return response.hasBegun();
   }
 
   /** Forwards a complete response of an upstream and ends the request; takes over the body. */
   void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
-    HttpHeaders callerHeaders = dispatcher.headerCodec().toCaller(headers);
     finish(status, "answered");
-    exchange.respond(status, callerHeaders, body);
+    response.respond(status, headers, body);
   }
 
   /** Forwards the head of a response unless this or an earlier attempt has already done so. */
   void beginResponse(UpstreamHandle upstream, int status, HttpHeaders headers) {
-    if (!hasBegun) {
-      hasBegun = true;
+    if (!response.hasBegun()) {
       if (isStream()) {
         recordOrigin(StreamOrigin.of(upstream.report()));
       }
-      exchange.beginResponse(status, dispatcher.headerCodec().toCaller(headers));
-      exchange.onWritable(() -> attempt.setReading(true));
+      response.begin(status, headers, () -> attempt.setReading(true));
     }
   }
 
@@ -238,11 +219,7 @@
    * @param eventId the id of the last complete event, from which another attempt can resume
    */
   void writeBody(ByteBuf piece, Optional<String> eventId) {
-    if (eventId.isPresent()) {
-      lastEventId = eventId;
-    }
-    exchange.write(piece);
-    if (!exchange.isWritable()) {
+    if (!response.write(piece, eventId)) {
       attempt.setReading(false);
     }
   }
@@ -250,7 +227,7 @@
   /** Ends a response whose body was completely forwarded by {@link #writeBody}. */
   void endResponse(int status) {
     finish(status, "answered");
-    exchange.endResponse();
+    response.end();
   }
 
   /**
@@ -263,7 +240,7 @@
       AttemptEvidence evidence,
       Optional<ErrorResponse> errorResponse) {
     recordFailure(upstream, failure, evidence);
-    boolean canResume = !hasBegun || lastEventId.isPresent();
+    boolean canResume = !response.hasBegun() || response.lastEventId().isPresent();
     boolean hasOtherCandidate = !candidates().isEmpty();
     boolean isRetried =
         canResume
@@ -329,9 +306,9 @@
     if (ended) {
       return;
     }
-    if (hasBegun) {
+    if (response.hasBegun()) {
       finish(0, ifNotRun.reason());
-      exchange.abort();
+      response.abort();
       return;
     }
     Refusal refusal = atMost(ifNotRun);
@@ -358,9 +335,9 @@
     }
     boolean wasSent = sentAttempts > 0 || (attempt != null && attempt.wasSent());
     cancelAttempt();
-    if (hasBegun) {
+    if (response.hasBegun()) {
       finish(0, "timeout");
-      exchange.abort();
+      response.abort();
       return;
     }
     Refusal refusal = wasSent ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
