Log responses that end with their connection, and what is left of their last event

HttpConnection now says how the end of a response became known, and TB1822 names such a response with its bytes after the last complete event. A reset stays TB1805 with CUT_OFF. No decision changed.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -11,6 +11,7 @@
 import org.tanagerbank.upstream.ExchangeFailure;
 import org.tanagerbank.upstream.ExchangeListener;
 import org.tanagerbank.upstream.HttpConnection;
+import org.tanagerbank.upstream.ResponseEnd;
 import org.tanagerbank.upstream.ResponseFacts;
 
 /**
@@ -251,10 +252,14 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(ResponseEnd end) {
     if (isEnded) {
       return;
     }
+    if (end == ResponseEnd.CONNECTION_CLOSED) {
+      execution.responseEndedWithConnection(
+          upstream, events == null ? 0 : events.unfinishedBytes(), evidence());
+    }
     if (isForwarding) {
       finishForwarded();
     } else {
--- a/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
+++ b/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
@@ -71,6 +71,11 @@
     return remainder;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  int unfinishedBytes() {
+    return pending.readableBytes();
+  }
+
   /** Returns the id of the last returned event that had one, or empty if none had. */
   Optional<String> lastEventId() {
     return lastEventId;
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -266,6 +266,16 @@
     log.responseSkipped(upstream, evidence);
   }
 
+  /**
+   * Records that a response ended with its connection, without a length or chunks.
+   *
+   * @param unfinishedBytes the number of bytes after the last complete event of a stream
+   */
+  void responseEndedWithConnection(
+      UpstreamHandle upstream, int unfinishedBytes, AttemptEvidence evidence) {
+    log.responseEndedWithConnection(upstream, unfinishedBytes, evidence);
+  }
+
   private void observe(AttemptEvidence evidence) {
     dispatcher
         .observer()
--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -108,6 +108,22 @@
         evidence.millisSinceSend().orElse(NOT_SENT));
   }
 
+  void responseEndedWithConnection(
+      UpstreamHandle upstream, int unfinishedBytes, AttemptEvidence evidence) {
+    EventLog.emit(
+        LogEvent.RESPONSE_ENDED_WITH_CONNECTION,
+        "request",
+        requestId,
+        "upstream",
+        upstream.report().id(),
+        "status",
+        evidence.status(),
+        "unfinishedBytes",
+        unfinishedBytes,
+        "millisSinceSend",
+        evidence.millisSinceSend().orElse(NOT_SENT));
+  }
+
   void ended(int status, String reason, int sentAttempts, long millis) {
     EventLog.emit(
         LogEvent.REQUEST_ENDED,
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -105,7 +105,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(ResponseEnd end) {
     finish(BufferedResponse.answered(status, body.toByteArray()));
   }
 
--- a/src/main/java/org/tanagerbank/upstream/ExchangeListener.java
+++ b/src/main/java/org/tanagerbank/upstream/ExchangeListener.java
@@ -22,8 +22,11 @@
   /** Called for each piece of the body. The buffer is released after the call. */
   void onData(ByteBuf piece);
 
-  /** Called once when the response is complete. */
-  void onEnd();
+  /**
+   * Called once when the response has ended without a failure of its connection. One that ended
+   * with its connection may be incomplete.
+   */
+  void onEnd(ResponseEnd end);
 
   /** Called once if the response cannot be completed. No other call follows. */
   void onFailure(ExchangeFailure failure);
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -36,6 +36,7 @@
   private boolean hasSkipped;
   private boolean hasSentHeadRequest;
   private boolean isReset;
+  private ResponseEnd responseEnd;
   private boolean keepAlive;
   private boolean requestWritten;
   private boolean endPending;
@@ -141,6 +142,7 @@
       return;
     }
     hasHead = true;
+    responseEnd = decoder.endOf(response);
     keepAlive = HttpUtil.isKeepAlive(response);
     keepAliveMillis = KeepAlive.timeoutMillis(response.headers());
     HeadAction action = listener.onHead(response.status().code(), response.headers());
@@ -204,7 +206,7 @@
       channel.close();
     }
     if (ended != null) {
-      ended.onEnd();
+      ended.onEnd(responseEnd);
     }
   }
 
--- a/src/main/java/org/tanagerbank/upstream/ResponseDecoder.java
+++ b/src/main/java/org/tanagerbank/upstream/ResponseDecoder.java
@@ -2,7 +2,9 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * Decodes responses and reports whether bytes remain after a response. Not thread-safe; confined to
@@ -26,6 +28,15 @@
     isHeadResponse = head;
   }
 
+  /** Returns how the end of a response with the given head will become known. */
+  ResponseEnd endOf(HttpResponse head) {
+    boolean isFramed =
+        isContentAlwaysEmpty(head)
+            || HttpUtil.isTransferEncodingChunked(head)
+            || HttpUtil.isContentLengthSet(head);
+    return isFramed ? ResponseEnd.FRAMED : ResponseEnd.CONNECTION_CLOSED;
+  }
+
   /** Returns whether received bytes remain that belong to no response. */
   boolean hasRemainingBytes() {
     return actualReadableBytes() > 0;
--- a/src/test/java/org/tanagerbank/upstream/EarlyRefusalTest.java
+++ b/src/test/java/org/tanagerbank/upstream/EarlyRefusalTest.java
@@ -131,7 +131,7 @@
     public void onData(ByteBuf piece) {}
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
       ended.complete(status);
     }
 
--- a/src/test/java/org/tanagerbank/upstream/SkippedResponseTest.java
+++ b/src/test/java/org/tanagerbank/upstream/SkippedResponseTest.java
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
       received.append(" end");
     }
 
