--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -35,6 +35,11 @@
     return id + " \"" + body + "\" at " + sentAtMillis + ": " + status + " " + text.trim();
   }
 
+  /** Returns the body as far as the caller received it. */
+  String text() {
+    return text;
+  }
+
   /** Returns the lines with the given field in the events that the caller received. */
   ImmutableList<String> eventFields(String field) {
     return text.lines()
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -8,11 +8,14 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.IntPredicate;
+import org.tanagerbank.dispatch.UpstreamBehavior.Write;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -95,7 +98,7 @@
   }
 
   /** Bytes that are sent on a connection at a later time. */
-  private record PendingWrite(long atMillis, Connection connection, String text) {}
+  private record PendingWrite(long atMillis, Connection connection, Write write) {}
 
   private final String name;
   private final int port;
@@ -109,7 +112,7 @@
   private String version;
   private String nextVersion;
   private long endedAtMillis;
-  private Function<String, UpstreamBehavior> script = id -> UpstreamBehavior.NORMAL;
+  private Optional<Function<String, UpstreamBehavior>> script = Optional.empty();
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
   private boolean holdsConnections;
   private final List<Runnable> connecting = new ArrayList<>();
@@ -138,9 +141,12 @@
     return keepsId ? name : name + "-" + starts;
   }
 
-  /** Sets what the upstream does with a request, by the id of the request. */
+  /**
+   * Sets what the upstream does with a request, by the id of the request. It goes on with streams
+   * that another one began in the usual way.
+   */
   void setScript(Function<String, UpstreamBehavior> newScript) {
-    script = newScript;
+    script = Optional.of(newScript);
   }
 
   /** Sets which runs of deadly requests end the upstream. */
@@ -249,7 +255,21 @@
   private void sendPending(long nowMillis) {
     List<PendingWrite> due = pendingWrites.stream().filter(w -> w.atMillis() <= nowMillis).toList();
     pendingWrites.removeAll(due);
-    due.forEach(w -> write(w.connection(), w.text()));
+    due.forEach(w -> send(w.connection(), w.write(), nowMillis));
+  }
+
+  private void send(Connection connection, Write write, long nowMillis) {
+    write(connection, write.text());
+    switch (write.then()) {
+      case NOTHING -> {}
+      case CLOSE -> connection.channel.close();
+      case RESET -> {
+        connection.channel.pipeline().fireExceptionCaught(new IOException("reset"));
+        connection.channel.close();
+      }
+      case CRASH -> crash(nowMillis);
+      default -> throw new AssertionError("unknown action");
+    }
   }
 
   private static void write(Connection connection, String text) {
@@ -302,22 +322,26 @@
       write(connection, response);
       return;
     }
-    UpstreamBehavior behavior =
-        head.startsWith("POST /resume/")
-            ? UpstreamBehavior.streams(
-                connection.requestId, Integer.parseInt(header(head, "last-event-id", "0")), version)
-            : script.apply(connection.requestId);
+    UpstreamBehavior behavior = behavior(head, connection.requestId);
     behavior
         .writes()
         .forEach(
-            w ->
-                pendingWrites.add(
-                    new PendingWrite(nowMillis + w.delayMillis(), connection, w.text())));
+            w -> pendingWrites.add(new PendingWrite(nowMillis + w.delayMillis(), connection, w)));
     if (behavior.runs()) {
       run(connection, body, behavior.answers(), nowMillis);
     }
   }
 
+  private UpstreamBehavior behavior(String head, String requestId) {
+    int lastEvent = Integer.parseInt(header(head, "last-event-id", "0"));
+    if (script.isPresent() && lastEvent == 0) {
+      return script.get().apply(requestId);
+    }
+    return head.startsWith("POST /resume/")
+        ? UpstreamBehavior.streams(requestId, lastEvent, version)
+        : UpstreamBehavior.NORMAL;
+  }
+
   private void run(Connection connection, String body, boolean answers, long nowMillis) {
     long earlierRuns = runs.stream().filter(r -> r.body().equals(body)).count();
     connection.endsUpstream =
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
@@ -12,8 +12,21 @@
 record UpstreamBehavior(boolean runs, boolean answers, ImmutableList<Write> writes) {
   static final UpstreamBehavior NORMAL = new UpstreamBehavior(true, true, ImmutableList.of());
 
+  /** What an upstream does to the connection right after it has sent bytes. */
+  enum Then {
+    NOTHING,
+    CLOSE,
+    RESET,
+    /** Ends the upstream with all its connections. */
+    CRASH
+  }
+
   /** Bytes that are sent some time after the request was read. */
-  record Write(long delayMillis, String text) {}
+  record Write(long delayMillis, String text, Then then) {
+    Write(long delayMillis, String text) {
+      this(delayMillis, text, Then.NOTHING);
+    }
+  }
 
   /** Returns the behavior of an upstream that runs the request and also sends other bytes. */
   static UpstreamBehavior runsAndSends(long delayMillis, String text) {
