Treat a stream that ends inside an event as broken off

Cause: at the end of a stream Attempt.finishForwarded forwarded the bytes after the last complete event, ended the response and counted the run as completed, whatever had ended the connection. No byte of an unfinished event is forwarded any more.

The loss counts as one of the connection: it weighs on the upstream's health, is checked for a crash, and is retried or resumed where the route allows it. The simulated upstreams answered requests of streams with two letters that are no event; they send an event now. Ends between events and bodies without a length are not mended by this.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -260,6 +260,10 @@
       execution.responseEndedWithConnection(
           upstream, events == null ? 0 : events.unfinishedBytes(), evidence());
     }
+    if (events != null && events.unfinishedBytes() > 0) {
+      loseResponse("the stream ended inside an event", RunLoss.CLOSED);
+      return;
+    }
     if (isForwarding) {
       finishForwarded();
     } else {
@@ -269,9 +273,6 @@
 
   private void finishForwarded() {
     upstream.health().requestSucceeded();
-    if (events != null) {
-      forward(events.takeRemainder());
-    }
     execution.beginResponse(upstream, head.status(), head.headers());
     dispatcher.crashGuard().runCompleted(run);
     close();
--- a/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
+++ b/src/main/java/org/tanagerbank/dispatch/EventSplitter.java
@@ -61,16 +61,6 @@
     }
   }
 
-  /**
-   * Removes and returns the bytes after the last complete event. The caller releases the buffer.
-   */
-  ByteBuf takeRemainder() {
-    ByteBuf remainder = pending;
-    pending = Unpooled.EMPTY_BUFFER;
-    scannedIndex = 0;
-    return remainder;
-  }
-
   /** Returns the number of bytes after the last complete event. */
   int unfinishedBytes() {
     return pending.readableBytes();
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -88,6 +88,7 @@
     private final int gateway;
     private final StringBuilder received = new StringBuilder();
     private String requestId = "";
+    private String path = "";
     private long endsAtMillis = Long.MAX_VALUE;
     private boolean endsUpstream;
 
@@ -284,10 +285,14 @@
       return;
     }
     connection.endsAtMillis = Long.MAX_VALUE;
+    String body = connection.path.startsWith("/stream/") ? "data: ok\n\n" : "ok";
     String response =
         "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
             + connection.requestId
-            + "\r\nContent-Length: 2\r\n\r\nok";
+            + "\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body;
     write(connection, response);
   }
 
@@ -316,6 +321,7 @@
 
   private void begin(Connection connection, String head, String body, long nowMillis) {
     connection.requestId = header(head, "request-id", "");
+    connection.path = head.split(" ", 3)[1];
     if (!header(head, "expect-instance", "").equals(id())) {
       String response =
           "HTTP/1.1 421 X\r\nRequest-Id: " + connection.requestId + "\r\nContent-Length: 0\r\n\r\n";
