Count a response without a length or chunks as complete only if its upstream survived

Cause: a process that ends closes its connections in the same way as one that has answered, and HttpConnection took each orderly close for the end of the response.

SurvivalCheck holds back only the end, not the events: it opens a connection (one round trip; the connection is kept for the next request, which needs a new one). Refused means that the process has ended; accepted means that it lives, unless all other connections to it closed in the meantime, or the close may have waited so long that another process can have the address: while a slow caller kept the connection from being read, or while this process stood still. Then, and without an answer within the connect timeout, the end is not known: the response is not framed as complete but retried, resumed or broken off. The bodies of refusals are not forwarded and need no check. What a complete response leads to is now in CompleteResponse, as Attempt grew.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -256,14 +256,29 @@
     if (isEnded) {
       return;
     }
-    if (end == ResponseEnd.CONNECTION_CLOSED) {
-      execution.responseEndedWithConnection(
-          upstream, events == null ? 0 : events.unfinishedBytes(), evidence());
-    }
     if (events != null && events.unfinishedBytes() > 0) {
       loseResponse("the stream ended inside an event", RunLoss.CLOSED);
+    } else if (end == ResponseEnd.FRAMED || !head.hasForwardedBody()) {
+      finishResponse();
+    } else {
+      dispatcher.survivalCheck().start(upstream.connections(), connection, this::endChecked);
+    }
+  }
+
+  /** Ends a response without a length or chunks, once it is known what closed its connection. */
+  private void endChecked(SurvivalCheck.Result upstreamState) {
+    if (isEnded) {
       return;
     }
+    execution.responseEndedWithConnection(upstream, upstreamState, evidence());
+    if (upstreamState == SurvivalCheck.Result.SURVIVED) {
+      finishResponse();
+    } else {
+      loseResponse("the end of the response is not known", RunLoss.CLOSED);
+    }
+  }
+
+  private void finishResponse() {
     if (isForwarding) {
       finishForwarded();
     } else {
@@ -282,59 +297,11 @@
   private void finishBuffered() {
     ByteBuf body = buffered;
     buffered = null;
-    recordResult();
+    CompleteResponse complete =
+        new CompleteResponse(dispatcher, execution, upstream, head, evidence());
+    complete.record(run);
     close();
-    if (head.proof() == ResponseProof.REFUSAL) {
-      body.release();
-      if (head.isMisdirected()) {
-        // Another process has the address, so the upstream is down.
-        upstream.health().connectFailed(dispatcher.nowMillis());
-      }
-      execution.handleFailure(
-          upstream, AttemptFailure.refused(head.status(), false), evidence(), Optional.empty());
-      return;
-    }
-    if (head.isSuccess()) {
-      upstream.health().requestSucceeded();
-      execution.forwardResponse(head.status(), head.headers(), body);
-      return;
-    }
-    finishError(body);
-  }
-
-  /** Records whether the response proves that the upstream survives the request. */
-  private void recordResult() {
-    if (head.isSuccess() || head.isSignedFault()) {
-      dispatcher.crashGuard().runCompleted(run);
-    } else {
-      dispatcher.crashGuard().runRejected(run, head.isMisdirected());
-    }
-  }
-
-  /** Handles a complete response whose status reports an error. */
-  private void finishError(ByteBuf body) {
-    if (head.isServerFault()) {
-      upstream.health().requestFailed();
-    }
-    if (head.proof() == ResponseProof.UNMARKED_REFUSAL) {
-      // The caller would read this status as "not run", so it is not forwarded.
-      body.release();
-      execution.handleFailure(
-          upstream,
-          AttemptFailure.responseLost("status " + head.status()),
-          evidence(),
-          Optional.empty());
-    } else if (head.isServerFault() && !execution.hasBegun()) {
-      ErrorResponse answer = new ErrorResponse(head.status(), head.headers(), body);
-      execution.handleFailure(
-          upstream, AttemptFailure.errorStatus(head.status()), evidence(), Optional.of(answer));
-    } else if (execution.hasBegun()) {
-      body.release();
-      execution.handleFailure(
-          upstream, AttemptFailure.errorStatus(head.status()), evidence(), Optional.empty());
-    } else {
-      execution.forwardResponse(head.status(), head.headers(), body);
-    }
+    complete.deliver(body);
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
@@ -36,6 +36,14 @@
    */
   void responseObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature);
 
+  /**
+   * Called when a response without a length or chunks has ended with its connection.
+   *
+   * @param upstreamState what became of the upstream; the value of a metric label, one of a small
+   *     fixed set
+   */
+  void responseEndedWithConnection(String upstreamState);
+
   /**
    * Called when the first token of a response arrives.
    *
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -68,6 +68,7 @@
   private final Upstreams upstreams;
   private final RetryBudgets retryBudgets;
   private final CrashGuard crashGuard;
+  private final SurvivalCheck survivalCheck;
   private final SharedUpstreamState sharedUpstreamState;
   private final StreamOrigins streamOrigins;
   private final Set<WaitingRequest> waiting = new LinkedHashSet<>();
@@ -90,6 +91,7 @@
     this.observer = observer;
     this.upstreams = new Upstreams(runtime.connector(), runtime.clockMillis());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
+    this.survivalCheck = new SurvivalCheck(runtime.clockMillis());
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
     this.streamOrigins = new StreamOrigins(runtime.clockMillis());
@@ -171,8 +173,12 @@
     placementListener.placed(choice.upstream().report().id(), prompt, choice.fetchedTokens());
   }
 
-  /** Closes idle connections that the upstream is about to close. */
-  public void closeExpiredConnections() {
+  /**
+   * Closes idle connections that the upstream is about to close, and notices pauses of this
+   * process. Must be called a few times a second.
+   */
+  public void tick() {
+    survivalCheck.beat();
     upstreams.closeExpired();
   }
 
@@ -371,6 +377,10 @@
     return headerCodec;
   }
 
+  SurvivalCheck survivalCheck() {
+    return survivalCheck;
+  }
+
   DispatchSettings settings() {
     return settings;
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -266,14 +266,11 @@
     log.responseSkipped(upstream, evidence);
   }
 
-  /**
-   * Records that a response ended with its connection, without a length or chunks.
-   *
-   * @param unfinishedBytes the number of bytes after the last complete event of a stream
-   */
+  /** Records that a response ended with its connection, without a length or chunks. */
   void responseEndedWithConnection(
-      UpstreamHandle upstream, int unfinishedBytes, AttemptEvidence evidence) {
-    log.responseEndedWithConnection(upstream, unfinishedBytes, evidence);
+      UpstreamHandle upstream, SurvivalCheck.Result upstreamState, AttemptEvidence evidence) {
+    dispatcher.observer().responseEndedWithConnection(upstreamState.name());
+    log.responseEndedWithConnection(upstream, upstreamState, evidence);
   }
 
   private void observe(AttemptEvidence evidence) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -109,7 +109,7 @@
   }
 
   void responseEndedWithConnection(
-      UpstreamHandle upstream, int unfinishedBytes, AttemptEvidence evidence) {
+      UpstreamHandle upstream, SurvivalCheck.Result upstreamState, AttemptEvidence evidence) {
     EventLog.emit(
         LogEvent.RESPONSE_ENDED_WITH_CONNECTION,
         "request",
@@ -118,8 +118,8 @@
         upstream.report().id(),
         "status",
         evidence.status(),
-        "unfinishedBytes",
-        unfinishedBytes,
+        "upstreamState",
+        upstreamState,
         "millisSinceSend",
         evidence.millisSinceSend().orElse(NOT_SENT));
   }
--- a/src/main/java/org/tanagerbank/dispatch/ResponseHead.java
+++ b/src/main/java/org/tanagerbank/dispatch/ResponseHead.java
@@ -37,6 +37,11 @@
         && !facts.isEncoded();
   }
 
+  /** Returns whether the body of the response is forwarded to the caller if it is complete. */
+  boolean hasForwardedBody() {
+    return proof == ResponseProof.SUCCESS || proof == ResponseProof.ERROR;
+  }
+
   /** Returns whether nothing of the response may be forwarded, nor read as a result. */
   boolean isUnusable() {
     return switch (proof) {
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -289,7 +289,7 @@
 
   private void tick() {
     upstreamListener.updateDispatcher();
-    dispatcher.closeExpiredConnections();
+    dispatcher.tick();
     suspectStore.saveChanges();
     logReadinessChange(isReady());
   }
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -42,6 +42,13 @@
               "Responses skipped and attempts failed after a send, by what the response head said.")
           .labelNames("id", "not_run_marker", "signature")
           .register(registry);
+  private final Counter connectionEnds =
+      Counter.builder()
+          .name("tanagerbank_gateway_responses_ended_with_connection_total")
+          .help(
+              "Responses without a length or chunks, by what became of the upstream at their end.")
+          .labelNames("upstream_state")
+          .register(registry);
   private final Histogram requestSeconds =
       Histogram.builder()
           .name("tanagerbank_gateway_request_seconds")
@@ -80,6 +87,11 @@
         .inc();
   }
 
+  @Override
+  public void responseEndedWithConnection(String upstreamState) {
+    connectionEnds.labelValues(upstreamState).inc();
+  }
+
   @Override
   public void firstTokenReceived(double ratio) {
     firstTokenRatio.observe(ratio);
--- a/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
@@ -1,5 +1,8 @@
 package org.tanagerbank.upstream;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
@@ -8,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -36,6 +41,7 @@
   private final InetSocketAddress address;
   private final LongSupplier clockMillis;
   private final Deque<HttpConnection> idle = new ArrayDeque<>();
+  private final Set<HttpConnection> open = new HashSet<>();
   private boolean closed;
 
   private ConnectionPool(Connector connector, InetSocketAddress address, LongSupplier clockMillis) {
@@ -73,7 +79,8 @@
 
   private void connectNew(Consumer<HttpConnection> ready, Consumer<Throwable> failed) {
     ResponseDecoder decoder = new ResponseDecoder();
-    HttpConnection connection = new HttpConnection(decoder, this::release, this::remove);
+    HttpConnection connection =
+        new HttpConnection(decoder, clockMillis, this::release, this::remove);
     connector
         .connect(address, decoder, new HttpRequestEncoder(), connection)
         .addListener((ChannelFuture f) -> onConnect(f, connection, ready, failed));
@@ -98,6 +105,15 @@
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
+  /**
+   * Returns the connections, idle or in use, that were opened at a time or before and still are.
+   */
+  public ImmutableList<HttpConnection> openSince(long millis) {
+    return open.stream()
+        .filter(c -> c.isOpen() && c.openedMillis() <= millis)
+        .collect(toImmutableList());
+  }
+
   /** Returns whether the server keeps an idle connection open. */
   public boolean hasIdle() {
     return idle.stream().anyMatch(HttpConnection::isOpen);
@@ -112,7 +128,8 @@
       failed.accept(connected.cause());
       return;
     }
-    connection.opened(connected.channel(), clockMillis.getAsLong());
+    connection.opened(connected.channel());
+    open.add(connection);
     ready.accept(connection);
   }
 
@@ -168,6 +185,7 @@
   }
 
   private void remove(HttpConnection connection) {
+    open.remove(connection);
     idle.remove(connection);
   }
 }
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -13,7 +13,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.tanagerbank.upstream.ExchangeListener.HeadAction;
 
 /**
@@ -25,7 +27,14 @@
  * of its channel.
  */
 public final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /**
+   * The time after reading was resumed, in milliseconds, in which everything that had waited for it
+   * is read.
+   */
+  private static final long CATCH_UP_MILLIS = 500;
+
   private final ResponseDecoder decoder;
+  private final LongSupplier clockMillis;
   private final Consumer<HttpConnection> onIdle;
   private final Consumer<HttpConnection> onClosed;
   private Channel channel;
@@ -40,19 +49,35 @@
   private boolean keepAlive;
   private boolean requestWritten;
   private boolean endPending;
+  private boolean isReading = true;
+
+  /** The time at which reading stopped, if what has arrived since may not all be read. */
+  private OptionalLong behindSinceMillis = OptionalLong.empty();
+
+  private long readingSinceMillis;
+  private long openedMillis;
   private long idleSinceMillis;
   private long keepAliveMillis;
 
   HttpConnection(
-      ResponseDecoder decoder, Consumer<HttpConnection> onIdle, Consumer<HttpConnection> onClosed) {
+      ResponseDecoder decoder,
+      LongSupplier clockMillis,
+      Consumer<HttpConnection> onIdle,
+      Consumer<HttpConnection> onClosed) {
     this.decoder = decoder;
+    this.clockMillis = clockMillis;
     this.onIdle = onIdle;
     this.onClosed = onClosed;
   }
 
-  void opened(Channel opened, long nowMillis) {
+  void opened(Channel opened) {
     channel = opened;
-    idleSinceMillis = nowMillis;
+    openedMillis = clockMillis.getAsLong();
+    idleSinceMillis = openedMillis;
+  }
+
+  long openedMillis() {
+    return openedMillis;
   }
 
   /**
@@ -68,6 +93,8 @@
     isSkipping = false;
     endPending = false;
     requestWritten = false;
+    isReading = true;
+    behindSinceMillis = OptionalLong.empty();
     boolean isHeadRequest = request.method().equals(HttpMethod.HEAD);
     hasSentHeadRequest |= isHeadRequest;
     decoder.expectHeadResponse(isHeadRequest);
@@ -90,15 +117,33 @@
 
   /** Stops or resumes reading, for callers that read more slowly than the upstream sends. */
   public void setReading(boolean reading) {
+    long now = clockMillis.getAsLong();
+    if (isReading && !reading && caughtUpMillis(now) == now) {
+      behindSinceMillis = OptionalLong.of(now);
+    }
+    if (!isReading && reading) {
+      readingSinceMillis = now;
+    }
+    isReading = reading;
     channel.config().setAutoRead(reading);
   }
 
+  /**
+   * Returns the latest time up to which everything that had arrived was certainly read, which is
+   * earlier than now while the caller reads slowly.
+   */
+  public long caughtUpMillis(long nowMillis) {
+    boolean isCaughtUp = isReading && nowMillis - readingSinceMillis >= CATCH_UP_MILLIS;
+    return isCaughtUp ? nowMillis : behindSinceMillis.orElse(nowMillis);
+  }
+
   /** Closes the connection; an exchange in progress fails. */
   public void close() {
     channel.close();
   }
 
-  boolean isOpen() {
+  /** Returns whether neither side has closed the connection. */
+  public boolean isOpen() {
     return channel.isActive() && !isReset;
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -37,6 +37,9 @@
   /** The time without interruption after which the bounds of the platform hold for a gateway. */
   private static final long STABLE_MILLIS = 3_000;
 
+  /** The interval at which gateways close connections and notice their pauses. */
+  private static final long TICK_MILLIS = 250;
+
   private static final long MESSAGE_MILLIS = 2;
   static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
@@ -106,6 +109,9 @@
         return;
       }
       config.confirmCurrentAsOf(nowMillis);
+      if (nowMillis % TICK_MILLIS == 0) {
+        dispatcher.tick();
+      }
       clock.advanceTimeBy(nowMillis - ranUntilMillis, TimeUnit.MILLISECONDS);
       ranUntilMillis = nowMillis;
       clock.runPendingTasks();
--- a/src/test/java/org/tanagerbank/dispatch/SilentObserver.java
+++ b/src/test/java/org/tanagerbank/dispatch/SilentObserver.java
@@ -14,6 +14,9 @@
   @Override
   public void responseObserved(String responseId, boolean hasNotRunMarker, boolean hasSignature) {}
 
+  @Override
+  public void responseEndedWithConnection(String upstreamState) {}
+
   @Override
   public void firstTokenReceived(double ratio) {}
 }
