Do not read part of an answer of the store or of an engine as the whole

An empty body of a newest page was read as an empty topic at offset 0, a read that lost its records as the proof that there are none, which confirms a configuration as the newest, and an empty body of a cache list as an engine without cached parts. BufferedResponse now says how its end became known. A newest page must state its records and its end, a cache list its parts, and a read that ended with its connection must reach the end that it states.

--- a/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
@@ -67,8 +67,12 @@
       return Optional.empty();
     }
     try {
+      JsonNode entries = MAPPER.readTree(response.body()).path(CACHED_PARTS);
+      if (!entries.isArray()) {
+        return Optional.empty();
+      }
       ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
-      for (JsonNode entry : MAPPER.readTree(response.body()).path(CACHED_PARTS)) {
+      for (JsonNode entry : entries) {
         long id = Long.parseUnsignedLong(entry.path(1).asText(), HEX_RADIX);
         parts.add(new PromptPart(id, entry.path(2).asInt()));
       }
--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -28,6 +28,7 @@
 import org.tanagerbank.upstream.BufferedExchange;
 import org.tanagerbank.upstream.BufferedResponse;
 import org.tanagerbank.upstream.ConnectionPool;
+import org.tanagerbank.upstream.ResponseEnd;
 
 /** A client of the platform's metadata store. Confined to one event loop. */
 public final class StoreClient {
@@ -92,6 +93,10 @@
       }
       try {
         JsonNode page = MAPPER.readTree(reply.body());
+        if (!page.path("items").isArray() || !page.path("end").isIntegralNumber()) {
+          callback.accept(new Unavailable("the answer of the store lacks its records or its end"));
+          return;
+        }
         String last = "";
         for (JsonNode item : page.path("items")) {
           last = item.path("key").asText();
@@ -137,14 +142,17 @@
       return unavailable(reply);
     }
     ByteBuffer bytes = ByteBuffer.wrap(reply.body());
-    // Skips the end of the partition, which may lie beyond the records in this answer.
-    bytes.getLong();
+    // The end of the partition, which may lie beyond the records in this answer.
+    long end = bytes.getLong();
     // The offset of the first record that the store still has.
     long first = bytes.getLong();
     if (first > from) {
       return new Trimmed();
     }
     ImmutableList<Optional<KeyedRecord>> records = RecordCodec.decode(bytes);
+    if (reply.end() == ResponseEnd.CONNECTION_CLOSED && from + records.size() < end) {
+      return new Unavailable("the answer of the store was broken off");
+    }
     return new Records(
         records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()),
         from + records.size());
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -106,7 +106,7 @@
 
   @Override
   public void onEnd(ResponseEnd end) {
-    finish(BufferedResponse.answered(status, body.toByteArray()));
+    finish(BufferedResponse.answered(status, body.toByteArray(), end));
   }
 
   @Override
--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -18,6 +18,7 @@
 import org.tanagerbank.standin.direct.EngineRequest;
 import org.tanagerbank.upstream.BufferedResponse;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.ResponseEnd;
 import org.tanagerbank.upstream.ResponseFacts;
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.UpstreamCall;
@@ -78,7 +79,9 @@
   void gatewayUnderstandsTheListOfCachedParts() {
     assertThat(engine.query(request("/-/kv-list"))).isEqualTo(Query.CACHED_PARTS);
     byte[] body = engine.cachedParts(ImmutableList.of(new CachedPrompt("m", -2, 40)));
-    assertThat(PlatformEngineInspector.decode(BufferedResponse.answered(200, body)))
+    assertThat(
+            PlatformEngineInspector.decode(
+                BufferedResponse.answered(200, body, ResponseEnd.FRAMED)))
         .hasValue(ImmutableList.of(new PromptPart(-2, 40)));
   }
 
