Do not end a sidecar's run at a close that its upstream may not have survived

HttpResponseListener.onEndWithConnection tells such an end apart; UpstreamMonitor, which already decides what a broken connection means, now also decides whether the answer is whole: only if the upstream passes its health check, and not if a stream ends inside an event. The new tests of UpstreamRunTest and HttpRoundTripTest cannot be expressed on the code before, where the listener has no such call; there a response that was cut after its head ended as "end". entry/ gets only frames with the total length of the answer and needed no change.

--- a/src/main/java/org/tanagerbank/http/ClientAttempt.java
+++ b/src/main/java/org/tanagerbank/http/ClientAttempt.java
@@ -37,6 +37,9 @@
   private volatile SocketAddress localAddress;
   private volatile boolean requestStarted;
 
+  /** Whether the response has a length or chunks, or no body. */
+  private boolean isFramed = true;
+
   ClientAttempt(
       ClientCall call, AsyncClientEndpoint endpoint, HttpHost host, HttpRequestMessage request) {
     this.call = call;
@@ -89,6 +92,11 @@
 
   @Override
   public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+    // EntityDetails.isChunked is also true for a body that ends with its connection.
+    isFramed =
+        entity == null
+            || entity.getContentLength() >= 0
+            || response.containsHeader(org.apache.hc.core5.http.HttpHeaders.TRANSFER_ENCODING);
     call.headReceived(response.getCode(), HttpHeaders.read(response));
     if (entity == null) {
       streamEnd(null);
@@ -117,7 +125,7 @@
       } else {
         endpoint.releaseAndReuse();
       }
-      call.responseEnded();
+      call.responseEnded(isFramed);
     }
   }
 
--- a/src/main/java/org/tanagerbank/http/ClientCall.java
+++ b/src/main/java/org/tanagerbank/http/ClientCall.java
@@ -118,9 +118,19 @@
     listener.onData(chunk);
   }
 
-  void responseEnded() {
-    if (markFinished()) {
+  /**
+   * Ends the call with a response.
+   *
+   * @param isFramed whether the response had a length or chunks, or no body at all
+   */
+  void responseEnded(boolean isFramed) {
+    if (!markFinished()) {
+      return;
+    }
+    if (isFramed) {
       listener.onEnd();
+    } else {
+      listener.onEndWithConnection();
     }
   }
 
--- a/src/main/java/org/tanagerbank/http/ExceptionLoggingListener.java
+++ b/src/main/java/org/tanagerbank/http/ExceptionLoggingListener.java
@@ -27,6 +27,11 @@
     CallbackRunner.run(description, listener::onEnd);
   }
 
+  @Override
+  public void onEndWithConnection() {
+    CallbackRunner.run(description, listener::onEndWithConnection);
+  }
+
   @Override
   public void onFailure(Exception cause, boolean mayHaveRun) {
     CallbackRunner.run(description, () -> listener.onFailure(cause, mayHaveRun));
--- a/src/main/java/org/tanagerbank/http/HttpResponseListener.java
+++ b/src/main/java/org/tanagerbank/http/HttpResponseListener.java
@@ -6,7 +6,8 @@
  * Receives the response to a call.
  *
  * <p>The methods are called in order and never concurrently. They must not block, because they
- * usually run on an I/O thread. The last call is either {@link #onEnd} or {@link #onFailure}.
+ * usually run on an I/O thread. The last call is {@link #onEnd}, {@link #onEndWithConnection} or
+ * {@link #onFailure}.
  */
 public interface HttpResponseListener {
   /** Called once with the status and the headers by lower-case name. */
@@ -18,6 +19,14 @@
   /** Called once when the complete body has arrived. */
   void onEnd();
 
+  /**
+   * Called instead of {@link #onEnd} when a response without a length or chunks has ended with its
+   * connection. A server that ends closes its connections too, so the body may be incomplete.
+   */
+  default void onEndWithConnection() {
+    onEnd();
+  }
+
   /**
    * Called once when the call has failed.
    *
--- a/src/main/java/org/tanagerbank/sidecar/UpstreamMonitor.java
+++ b/src/main/java/org/tanagerbank/sidecar/UpstreamMonitor.java
@@ -18,9 +18,10 @@
  *
  * <p>If a run's connection broke and the upstream fails its health check, the upstream has crashed
  * and all runs in flight have failed. If the upstream passes the health check, only the run whose
- * connection broke has failed. Before an engine that was not healthy becomes healthy, all work that
- * it may still have is cancelled, including the work that an earlier incarnation of the sidecar
- * left behind. Calls of {@link #probe} must not overlap; the other methods are thread-safe.
+ * connection broke has failed, or has ended if its response came without a length or chunks. Before
+ * an engine that was not healthy becomes healthy, all work that it may still have is cancelled,
+ * including the work that an earlier incarnation of the sidecar left behind. Calls of {@link
+ * #probe} must not overlap; the other methods are thread-safe.
  */
 final class UpstreamMonitor {
   /** Receives the crashes of the upstream. */
@@ -79,12 +80,7 @@
     // that breaks meanwhile, so such a run is left to the next probe.
     ImmutableList<UpstreamRun> disconnected = takeDisconnectedRuns();
     if (upstream.isHealthy()) {
-      disconnected.forEach(
-          run ->
-              run.fail(
-                  ErrorCode.ENGINE_ERROR,
-                  Verdict.MAY_HAVE_RUN,
-                  "the connection broke, but the upstream still passes its health check"));
+      disconnected.forEach(UpstreamRun::upstreamSurvived);
       becomeHealthy();
       return;
     }
--- a/src/main/java/org/tanagerbank/sidecar/UpstreamRun.java
+++ b/src/main/java/org/tanagerbank/sidecar/UpstreamRun.java
@@ -1,9 +1,12 @@
 package org.tanagerbank.sidecar;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.tanagerbank.answer.StreamEvents;
 import org.tanagerbank.http.HttpCall;
 import org.tanagerbank.http.HttpResponseListener;
 import org.tanagerbank.ledger.AnswerBuffer;
@@ -34,6 +37,11 @@
    */
   private static final int RETAINED_BYTES = 2 * WINDOW_BYTES;
 
+  /** The number of last bytes of an answer that show whether a stream ends with a whole event. */
+  private static final int TAIL_BYTES = 4;
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
   /**
    * Receives the end of a run. Either {@link #onFinished} or {@link #onFailed} is called, and only
    * once. All methods are called under the run's monitor.
@@ -48,7 +56,7 @@
     /**
      * Called when the connection broke after the upstream may have started the run. The run has not
      * ended; the listener has to find out whether the upstream crashed and then call {@link
-     * UpstreamRun#fail}.
+     * UpstreamRun#fail} or {@link UpstreamRun#upstreamSurvived}.
      */
     void onConnectionLost(UpstreamRun run, Exception cause);
   }
@@ -68,6 +76,10 @@
   private int inFlightAtEnd;
   private Failure failure;
   private long unattendedSinceMillis;
+  private ByteString tail = ByteString.EMPTY;
+
+  /** Whether the answer is complete if the upstream has survived the end of its connection. */
+  private boolean isWholeIfSurvived;
 
   private record Failure(ErrorCode code, Verdict verdict, String message) {}
 
@@ -228,15 +240,54 @@
   public synchronized void onData(byte[] data) {
     if (!isEnded()) {
       answer.append(data);
+      recordTail(data);
       sendAvailable();
     }
   }
 
+  private void recordTail(byte[] data) {
+    int added = Math.min(TAIL_BYTES, data.length);
+    ByteString last = tail.concat(ByteString.copyFrom(data, data.length - added, added));
+    tail = last.substring(Math.max(0, last.size() - TAIL_BYTES));
+  }
+
   @Override
   public synchronized void onEnd() {
+    if (!isEnded()) {
+      finish();
+    }
+  }
+
+  @Override
+  public synchronized void onEndWithConnection() {
+    if (isEnded()) {
+      return;
+    }
+    boolean isInsideEvent =
+        contentType.startsWith(EVENT_STREAM)
+            && StreamEvents.endOfLastEvent(tail, tail.size()) < tail.size();
+    isWholeIfSurvived = !isInsideEvent;
+    listener.onConnectionLost(this, new IOException("the response ended with its connection"));
+  }
+
+  /**
+   * Ends a run whose connection broke or ended with the response, and whose upstream is healthy.
+   */
+  synchronized void upstreamSurvived() {
     if (isEnded()) {
       return;
     }
+    if (isWholeIfSurvived) {
+      finish();
+    } else {
+      fail(
+          ErrorCode.ENGINE_ERROR,
+          Verdict.MAY_HAVE_RUN,
+          "the connection broke, but the upstream still passes its health check");
+    }
+  }
+
+  private void finish() {
     answer.end();
     call = null;
     inFlightAtEnd = listener.onFinished(this);
--- a/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
+++ b/src/test/java/org/tanagerbank/http/HttpRoundTripTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableMap;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -256,6 +258,23 @@
     assertThat(listener.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("may have run");
   }
 
+  /** Without a length or chunks, a response that was broken off ends as a whole one does. */
+  @Test
+  void endOfAResponseWithoutLengthIsToldApart() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress address =
+          new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+      RecordingListener listener = new RecordingListener();
+      client.send(address, message("GET", "/", ""), Integer.MAX_VALUE, listener);
+      try (Socket accepted = socket.accept()) {
+        accepted.getInputStream().read();
+        accepted.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nbody".getBytes(UTF_8));
+        accepted.shutdownOutput();
+        assertThat(listener.outcome.get(20, TimeUnit.SECONDS)).isEqualTo("end with connection");
+      }
+    }
+  }
+
   @Test
   void requestMayHaveRunIfTheConnectionIsDroppedButNotIfItIsRefused() throws Exception {
     TanagerException dropped =
--- a/src/test/java/org/tanagerbank/http/RecordingListener.java
+++ b/src/test/java/org/tanagerbank/http/RecordingListener.java
@@ -46,6 +46,11 @@
     outcome.complete("end");
   }
 
+  @Override
+  public void onEndWithConnection() {
+    outcome.complete("end with connection");
+  }
+
   @Override
   public void onFailure(Exception cause, boolean mayHaveRun) {
     outcome.complete(mayHaveRun ? "may have run" : "not run");
--- a/src/test/java/org/tanagerbank/sidecar/UpstreamRunTest.java
+++ b/src/test/java/org/tanagerbank/sidecar/UpstreamRunTest.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.sidecar;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
@@ -196,4 +197,31 @@
     attach(run, 1, 0, 1 << 20);
     assertThat(link.lastFrame().getFailed().getCode()).isEqualTo("ANSWER_EXPIRED");
   }
+
+  /**
+   * A crash closes the connection in the same way as a response without a length or chunks ends.
+   */
+  @Test
+  void answerThatEndsWithItsConnectionIsWholeOnlyIfTheUpstreamSurvives() {
+    UpstreamRun run = run(false);
+    attach(run, 1, 0, 1 << 20);
+    run.onData("data: x\n\n".getBytes(UTF_8));
+    run.onEndWithConnection();
+    assertThat(ended).isEqualTo("aborted");
+    assertThat(link.lastFrame().hasEnd()).isFalse();
+    run.upstreamSurvived();
+    assertThat(ended).isEqualTo("finished");
+    assertThat(link.lastFrame().getEnd().getTotalBytes()).isEqualTo(9);
+  }
+
+  @Test
+  void answerThatEndsWithItsConnectionInsideAnEventIsBrokenOff() {
+    UpstreamRun run = run(false);
+    attach(run, 1, 0, 1 << 20);
+    run.onData("data: x\n\ndata:".getBytes(UTF_8));
+    run.onEndWithConnection();
+    run.upstreamSurvived();
+    assertThat(ended).isEqualTo("ENGINE_ERROR MAY_HAVE_RUN");
+    assertThat(link.lastFrame().hasEnd()).isFalse();
+  }
 }
