Log pauses that upstreams ask for, and upstreams that say that they leave

A pause is read from any 503, also an unmarked one or one with the id of another request: the process at the other end of the connection wrote it, and an upstream that is left alone without need costs less than one that is not left alone. A 421 says nothing of the upstream, since another process wrote it. Nothing decides by it yet.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -13,6 +13,7 @@
 import org.tanagerbank.upstream.HttpConnection;
 import org.tanagerbank.upstream.ResponseEnd;
 import org.tanagerbank.upstream.ResponseFacts;
+import org.tanagerbank.upstream.UpstreamNotice;
 
 /**
  * One attempt to get a response to a request from one upstream.
@@ -155,18 +156,13 @@
         dispatcher.headerCodec().responseFacts(responseHeaders, execution.requestId());
     ResponseHead received = ResponseHead.of(responseStatus, responseHeaders, facts);
     boolean isOtherRequest = received.proof() == ResponseProof.OTHER_REQUEST;
+    recordNotice(received, isOtherRequest);
     if (isOtherRequest && !execution.isRepeatable()) {
       // Only this upstream may answer the request, so its response is awaited.
       execution.responseSkipped(upstream, evidence(responseStatus, Optional.of(facts)));
       return HeadAction.SKIP;
     }
     head = received;
-    if (!isOtherRequest) {
-      dispatcher
-          .headerCodec()
-          .load(responseHeaders)
-          .ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
-    }
     if (head.isUnusable()) {
       giveUp(head.proof().description());
     } else {
@@ -175,6 +171,22 @@
     return HeadAction.RECEIVE;
   }
 
+  /**
+   * Records what a response says of its process. It comes from the process at the other end of the
+   * connection also if it belongs to another request; only its load is as old as that request.
+   */
+  private void recordNotice(ResponseHead received, boolean isOtherRequest) {
+    if (received.isMisdirected()) {
+      // The process is not the one that the upstream's report describes.
+      return;
+    }
+    UpstreamNotice notice = dispatcher.headerCodec().notice(received.status(), received.headers());
+    upstream.recordNotice(notice, dispatcher.nowMillis());
+    if (!isOtherRequest) {
+      notice.load().ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
+    }
+  }
+
   private void beginReceiving() {
     isForwarding = head.isSuccess() && execution.isStream();
     if (isForwarding) {
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -5,12 +5,15 @@
 import java.util.Optional;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.routing.SlotTable;
 import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -25,6 +28,7 @@
   private final int softwareHash;
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
+  private final SendPermission permission = new SendPermission();
   private UpstreamReport report;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
@@ -109,6 +113,29 @@
     inFlight--;
   }
 
+  /** Records what a response of the process says of it; the load is passed to updateLoad. */
+  void recordNotice(UpstreamNotice notice, long nowMillis) {
+    boolean wasLeaving = permission.isLeaving();
+    boolean wasPaused = permission.isPaused(nowMillis);
+    permission.record(notice, nowMillis);
+    if (permission.isLeaving() && !wasLeaving) {
+      EventLog.emit(LogEvent.UPSTREAM_LEAVING, "upstream", report.id());
+    }
+    if (permission.isPaused(nowMillis) && !wasPaused) {
+      EventLog.emit(
+          LogEvent.UPSTREAM_PAUSED,
+          "upstream",
+          report.id(),
+          "pauseMillis",
+          notice.pauseMillis().orElse(0));
+    }
+  }
+
+  /** Returns what the process said of whether it wants requests. */
+  SendPermission permission() {
+    return permission;
+  }
+
   /** Records the load that the upstream reported, less the requests of this instance. */
   void updateLoad(LoadReport report, long nowMillis) {
     reportedOtherRequests = Math.max(0, report.running() + report.waiting() - inFlight);
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -5,10 +5,13 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +27,7 @@
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
 import org.tanagerbank.upstream.TakenUpStream;
 import org.tanagerbank.upstream.UpstreamCall;
+import org.tanagerbank.upstream.UpstreamNotice;
 
 /** Reads and writes the HTTP headers of the platform. Immutable and thread-safe. */
 public final class PlatformHeaderCodec implements HeaderCodec {
@@ -52,6 +56,16 @@
   static final String NOT_EXECUTED = "Not-Executed";
   static final String LOAD = "Server-Load";
   private static final String CONTENT_ENCODING = "Content-Encoding";
+
+  /** The header by which an upstream that shuts down says so. */
+  static final String LEAVING = "Server-Leaving";
+
+  private static final String IS_LEAVING = "1";
+
+  /** A day; an upstream that asks for more is asked again then. */
+  private static final double MAX_PAUSE_SECONDS = 86_400;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final int HEX_RADIX = 16;
 
   /** Headers for a single connection or for the framing of a body, in lower case. */
@@ -223,7 +237,26 @@
   }
 
   @Override
-  public Optional<LoadReport> load(HttpHeaders response) {
+  public UpstreamNotice notice(int status, HttpHeaders response) {
+    return new UpstreamNotice(
+        response.getAll(LEAVING).stream().anyMatch(v -> v.trim().equals(IS_LEAVING)),
+        status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+            ? pauseMillis(response)
+            : OptionalLong.empty(),
+        load(response));
+  }
+
+  /** Returns the longest pause that a refusal asks for; values that are no time are passed over. */
+  private static OptionalLong pauseMillis(HttpHeaders response) {
+    return response.getAll(HttpHeaderNames.RETRY_AFTER).stream()
+        .map(v -> Doubles.tryParse(v.trim()))
+        .filter(seconds -> seconds != null && seconds > 0)
+        .mapToLong(
+            seconds -> (long) Math.ceil(Math.min(MAX_PAUSE_SECONDS, seconds) * MILLIS_PER_SECOND))
+        .max();
+  }
+
+  private static Optional<LoadReport> load(HttpHeaders response) {
     List<String> numbers = COMMAS.splitToList(response.get(LOAD, ""));
     if (numbers.size() != 3
         || !numbers.stream().allMatch(CharMatcher.inRange('0', '9')::matchesAllOf)) {
--- a/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
+++ b/src/main/java/org/tanagerbank/upstream/HeaderCodec.java
@@ -45,6 +45,6 @@
   /** Returns what the head of a response says about the request with the given id. */
   ResponseFacts responseFacts(HttpHeaders response, String requestId);
 
-  /** Returns the load that a response reports, or empty if it has no valid report. */
-  Optional<LoadReport> load(HttpHeaders response);
+  /** Returns what the head of a response says of the process that sent it. */
+  UpstreamNotice notice(int status, HttpHeaders response);
 }
--- /dev/null
+++ b/src/main/java/org/tanagerbank/upstream/UpstreamNotice.java
@@ -0,0 +1,19 @@
+package org.tanagerbank.upstream;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a response says of the process that sent it, whichever request it answers. Immutable.
+ *
+ * @param isLeaving whether the process is shutting down and wants no new requests
+ * @param pauseMillis the time in milliseconds, counted from the response, for which the process
+ *     wants no request from this instance; empty if it asks for no pause
+ * @param load the load that it reports, or empty if it has no valid report
+ */
+public record UpstreamNotice(
+    boolean isLeaving, OptionalLong pauseMillis, Optional<LoadReport> load) {
+  /** A notice that says nothing. */
+  public static final UpstreamNotice NONE =
+      new UpstreamNotice(false, OptionalLong.empty(), Optional.empty());
+}
--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -50,7 +50,7 @@
                 /* hasNotRunMarker= */ false,
                 /* hasSignature= */ true,
                 /* isEncoded= */ false));
-    assertThat(gateway.load(success)).hasValue(new LoadReport(3, 2, 8));
+    assertThat(gateway.notice(200, success).load()).hasValue(new LoadReport(3, 2, 8));
     assertThat(success.get("Keep-Alive")).isEqualTo("timeout=7");
   }
 
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.upstream.LoadReport;
@@ -167,9 +169,45 @@
 
   @Test
   void incompleteOrInvalidLoadIsIgnored() {
-    assertThat(headerCodec.load(headers("Server-Load", "3,1,8"))).hasValue(new LoadReport(3, 1, 8));
-    assertThat(headerCodec.load(headers("Server-Load", "3,1"))).isEmpty();
-    assertThat(headerCodec.load(headers("Server-Load", "3,-1,8"))).isEmpty();
+    assertThat(headerCodec.notice(200, headers("Server-Load", "3,1,8")).load())
+        .hasValue(new LoadReport(3, 1, 8));
+    assertThat(headerCodec.notice(200, headers("Server-Load", "3,1")).load()).isEmpty();
+    assertThat(headerCodec.notice(200, headers("Server-Load", "3,-1,8")).load()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "3,3000",
+    "0.25,250",
+    "0.0004,1",
+    "1e3,1000000",
+    "0,-1",
+    "-1,-1",
+    "soon,-1",
+    "'',-1",
+    "NaN,-1",
+    "99999999999999,86400000",
+    "Infinity,86400000"
+  })
+  void pauseOfARefusalIsRead(String value, long expectedMillis) {
+    HttpHeaders refusal = headers("Retry-After", value);
+    assertThat(headerCodec.notice(503, refusal).pauseMillis().orElse(-1)).isEqualTo(expectedMillis);
+    assertThat(headerCodec.notice(200, refusal).pauseMillis()).isEmpty();
+  }
+
+  @Test
+  void longestOfSeveralPausesCounts() {
+    HttpHeaders refusal = headers("Retry-After", "1");
+    refusal.add("Retry-After", "2.5").add("Retry-After", "later");
+    assertThat(headerCodec.notice(503, refusal).pauseMillis()).hasValue(2_500);
+  }
+
+  @Test
+  void leavingUpstreamSaysSoInAnyResponse() {
+    assertThat(headerCodec.notice(200, headers("Server-Leaving", "1")).isLeaving()).isTrue();
+    assertThat(headerCodec.notice(503, headers("Server-Leaving", "1")).isLeaving()).isTrue();
+    assertThat(headerCodec.notice(200, headers("Server-Leaving", "0")).isLeaving()).isFalse();
+    assertThat(headerCodec.notice(200, headers()).isLeaving()).isFalse();
   }
 
   @Test
