--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -114,6 +114,8 @@
   private String nextVersion;
   private long endedAtMillis;
   private Optional<Function<String, UpstreamBehavior>> script = Optional.empty();
+  private final UpstreamTraffic traffic = new UpstreamTraffic();
+  private String extraHeaders = "";
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
   private boolean holdsConnections;
   private final List<Runnable> connecting = new ArrayList<>();
@@ -150,6 +152,15 @@
     script = Optional.of(newScript);
   }
 
+  /** Sets headers, each with its line end, that the usual responses have besides others. */
+  void setExtraHeaders(String headers) {
+    extraHeaders = headers;
+  }
+
+  UpstreamTraffic traffic() {
+    return traffic;
+  }
+
   /** Sets which runs of deadly requests end the upstream. */
   void setDeadlyRule(DeadlyRule rule) {
     deadlyRule = rule;
@@ -260,7 +271,7 @@
   }
 
   private void send(Connection connection, Write write, long nowMillis) {
-    write(connection, write.text());
+    respond(connection, write.text(), nowMillis);
     switch (write.then()) {
       case NOTHING -> {}
       case CLOSE -> connection.channel.close();
@@ -273,6 +284,16 @@
     }
   }
 
+  /** Sends a response, and records what its head says of the upstream. */
+  private void respond(Connection connection, String text, long nowMillis) {
+    traffic.recordResponse(nowMillis, process(), connection.gateway, text);
+    write(connection, text);
+  }
+
+  private String process() {
+    return name + "/" + starts;
+  }
+
   private static void write(Connection connection, String text) {
     if (connection.channel.isActive()) {
       connection.channel.writeInbound(Unpooled.copiedBuffer(text, ISO_8859_1));
@@ -289,11 +310,13 @@
     String response =
         "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
             + connection.requestId
-            + "\r\nContent-Length: "
+            + "\r\n"
+            + extraHeaders
+            + "Content-Length: "
             + body.length()
             + "\r\n\r\n"
             + body;
-    write(connection, response);
+    respond(connection, response, nowMillis);
   }
 
   private void read(Connection connection, long nowMillis) {
@@ -311,7 +334,7 @@
     if (headEnd < 0) {
       return;
     }
-    int length = Integer.parseInt(header(text, "content-length", "0"));
+    int length = Integer.parseInt(RawHead.header(text, "content-length", "0"));
     if (text.length() < headEnd + 4 + length) {
       return;
     }
@@ -320,14 +343,21 @@
   }
 
   private void begin(Connection connection, String head, String body, long nowMillis) {
-    connection.requestId = header(head, "request-id", "");
+    connection.requestId = RawHead.header(head, "request-id", "");
     connection.path = head.split(" ", 3)[1];
-    if (!header(head, "expect-instance", "").equals(id())) {
+    if (!RawHead.header(head, "expect-instance", "").equals(id())) {
       String response =
           "HTTP/1.1 421 X\r\nRequest-Id: " + connection.requestId + "\r\nContent-Length: 0\r\n\r\n";
       write(connection, response);
       return;
     }
+    traffic.recordArrival(
+        new UpstreamTraffic.Arrival(
+            nowMillis,
+            process(),
+            connection.gateway,
+            isInTouch.test(connection.gateway),
+            connection.requestId));
     UpstreamBehavior behavior = behavior(head, connection.requestId);
     behavior
         .writes()
@@ -339,7 +369,7 @@
   }
 
   private UpstreamBehavior behavior(String head, String requestId) {
-    int lastEvent = Integer.parseInt(header(head, "last-event-id", "0"));
+    int lastEvent = Integer.parseInt(RawHead.header(head, "last-event-id", "0"));
     if (script.isPresent() && lastEvent == 0) {
       return script.get().apply(requestId);
     }
@@ -358,19 +388,11 @@
     runs.add(
         new Run(
             nowMillis,
-            name + "/" + starts,
+            process(),
             connection.gateway,
             connection.endsUpstream,
             isInTouch.test(connection.gateway),
             connection.requestId,
             body));
   }
-
-  private static String header(String head, String name, String otherwise) {
-    return head.lines()
-        .filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
-        .map(l -> l.substring(name.length() + 1).trim())
-        .findFirst()
-        .orElse(otherwise);
-  }
 }
--- /dev/null
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamTraffic.java
@@ -0,0 +1,42 @@
+package org.tanagerbank.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What passed between gateways and one simulated upstream, over all its starts. Not thread-safe.
+ */
+final class UpstreamTraffic {
+  /** A request that reached the upstream that was meant, whether or not that ran it. */
+  record Arrival(
+      long atMillis, String process, int gateway, boolean isFromInTouch, String requestId) {}
+
+  /** The head of a response by which the upstream told a gateway that it leaves or pauses. */
+  record Notice(long atMillis, String process, int gateway, String head) {}
+
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<Notice> notices = new ArrayList<>();
+
+  List<Arrival> arrivals() {
+    return arrivals;
+  }
+
+  List<Notice> notices() {
+    return notices;
+  }
+
+  void recordArrival(Arrival arrival) {
+    arrivals.add(arrival);
+  }
+
+  /** Records a response if its head says that the upstream leaves or wants a pause. */
+  void recordResponse(long atMillis, String process, int gateway, String response) {
+    String head = response.substring(0, Math.max(0, response.indexOf("\r\n\r\n")));
+    boolean isNotice =
+        !RawHead.header(head, "retry-after", "").isEmpty()
+            || !RawHead.header(head, "server-leaving", "").isEmpty();
+    if (isNotice) {
+      notices.add(new Notice(atMillis, process, gateway, head));
+    }
+  }
+}
