Leave an upstream alone for the pause that it asks for

UpstreamHandle.acceptsRequests is the one place that decides whether an upstream may be sent to now. Candidates of first attempts, retries, trials and resumed streams ask it, the queries of cache contents ask it, and an attempt asks again when its connection is open; paused engines are no sources of cached parts. Probes of a connection send no request. Each pause holds to its end, for this gateway and this process only: a restarted process has a new handle.

While all upstreams of a service pause, requests are refused at once with the time to the earliest end, spread over 0.3 to 1 s so that callers do not return as one wave. While some pause, the others get at most two requests for each of their slots, and what is beyond is refused in the same way, so that the last free one is not overloaded and asks for a pause itself.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -86,9 +86,14 @@
       opened.close();
       return;
     }
+    if (!upstream.acceptsRequests(dispatcher.nowMillis())) {
+      opened.close();
+      failUnsent(AttemptFailure.notWanted());
+      return;
+    }
     if (!execution.maySend()) {
       opened.close();
-      failUnsent();
+      failUnsent(AttemptFailure.notConnected());
       return;
     }
     connection = opened;
@@ -100,14 +105,13 @@
   private void notConnected() {
     if (!isEnded) {
       upstream.health().connectFailed(dispatcher.nowMillis());
-      failUnsent();
+      failUnsent(AttemptFailure.notConnected());
     }
   }
 
-  private void failUnsent() {
+  private void failUnsent(AttemptFailure failure) {
     close();
-    execution.handleFailure(
-        upstream, AttemptFailure.notConnected(), AttemptEvidence.notSent(), Optional.empty());
+    execution.handleFailure(upstream, failure, AttemptEvidence.notSent(), Optional.empty());
   }
 
   boolean wasSent() {
--- a/src/main/java/org/tanagerbank/dispatch/AttemptFailure.java
+++ b/src/main/java/org/tanagerbank/dispatch/AttemptFailure.java
@@ -15,6 +15,11 @@
     return new AttemptFailure(Verdict.NOT_RUN, false, true, "no connection");
   }
 
+  /** Returns the failure of an attempt that did not send, as the upstream wants no requests now. */
+  static AttemptFailure notWanted() {
+    return new AttemptFailure(Verdict.NOT_RUN, false, false, "the upstream wants no requests now");
+  }
+
   static AttemptFailure refused(int status, boolean blamesUpstream) {
     return new AttemptFailure(Verdict.NOT_RUN, true, blamesUpstream, "refused with " + status);
   }
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import java.util.random.RandomGenerator;
+
 /**
  * A response that the router generates itself instead of forwarding one of an upstream. Immutable.
  *
@@ -19,6 +21,18 @@
   /** The reason for the refusal of a request that crashes upstreams. */
   static final String QUARANTINED = "the request crashed several upstreams";
 
+  /** The reason for the refusal of a request while upstreams of its service pause. */
+  static final String UPSTREAMS_PAUSED = "upstreams of the service have asked for a pause";
+
+  /**
+   * The shortest and the longest time, in milliseconds, over which callers are spread that were
+   * refused in a pause. They return over as long a time as they were refused, so that they are no
+   * wave, but not so late that they give up.
+   */
+  private static final long MIN_SPREAD_MILLIS = 300;
+
+  private static final long MAX_SPREAD_MILLIS = 1_000;
+
   /** The time to connect to another instance, in milliseconds. */
   private static final long OTHER_INSTANCE_RETRY_MILLIS = 20;
 
@@ -28,7 +42,12 @@
   /** Returns the reason as a metric label, which takes one of a few values. */
   String metricReason() {
     return switch (status) {
-      case STATUS_UNAVAILABLE -> reason.equals(QUARANTINED) ? "quarantined" : "not run";
+      case STATUS_UNAVAILABLE ->
+          switch (reason) {
+            case QUARANTINED -> "quarantined";
+            case UPSTREAMS_PAUSED -> "upstreams paused";
+            default -> "not run";
+          };
       case STATUS_BAD_GATEWAY -> "may have run";
       default -> reason;
     };
@@ -57,6 +76,17 @@
     return new Refusal(STATUS_UNAVAILABLE, RECOVERY_RETRY_MILLIS, reason);
   }
 
+  /**
+   * Returns the refusal of a request for which no upstream has room while some pause.
+   *
+   * @param pauseLeftMillis the time until the first of the pauses ends, in milliseconds
+   */
+  static Refusal upstreamsPaused(long pauseLeftMillis, RandomGenerator random) {
+    long spread = Math.max(MIN_SPREAD_MILLIS, Math.min(MAX_SPREAD_MILLIS, pauseLeftMillis));
+    return new Refusal(
+        STATUS_UNAVAILABLE, pauseLeftMillis + random.nextLong(spread), UPSTREAMS_PAUSED);
+  }
+
   /**
    * Returns the refusal of a request that did not run and will not, because it crashes upstreams.
    */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagerbank.caller.CallerExchange;
@@ -142,7 +143,7 @@
             ? Placement.chooseForTrial(candidates, fingerprint, dispatcher.nowMillis())
             : Placement.choose(candidates, placement);
     if (chosen.isEmpty()) {
-      endWithError(Refusal.notRun("no upstream of the service is left"));
+      endWithError(noUpstreamLeft("no upstream of the service is left"));
       return;
     }
     UpstreamChoice choice = chosen.get();
@@ -257,7 +258,17 @@
           errorResponse.get().status(), errorResponse.get().headers(), errorResponse.get().body());
       return;
     }
-    endWithError(Refusal.notRun(failure.reason()));
+    endWithError(
+        hasOtherCandidate ? Refusal.notRun(failure.reason()) : noUpstreamLeft(failure.reason()));
+  }
+
+  /** Returns the refusal of a request that no upstream can run now. */
+  private Refusal noUpstreamLeft(String reason) {
+    long now = dispatcher.nowMillis();
+    OptionalLong pauseEnd = dispatcher.upstreams().firstPauseEndMillis(service);
+    return pauseEnd.isPresent()
+        ? Refusal.upstreamsPaused(pauseEnd.getAsLong() - now, dispatcher.random())
+        : Refusal.notRun(reason);
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -15,6 +15,7 @@
 import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.upstream.ConnectionPool;
+import org.tanagerbank.upstream.UpstreamNotice;
 
 /**
  * Merges the reports of other instances into this instance's state of the upstreams, and provides
@@ -84,9 +85,25 @@
     return engine(upstreamId).map(EngineModel::sharedParts).orElse(ImmutableList.of());
   }
 
-  /** Returns the connection pool of an upstream, or empty for an unknown upstream. */
+  /**
+   * Returns the connection pool of an upstream, or empty for an unknown upstream or one that
+   * accepts no requests now.
+   */
   public Optional<ConnectionPool> connections(String upstreamId) {
-    return upstreams.find(upstreamId).map(UpstreamHandle::connections);
+    return upstreams
+        .find(upstreamId)
+        .filter(u -> u.acceptsRequests(clockMillis.getAsLong()))
+        .map(UpstreamHandle::connections);
+  }
+
+  /** Records what a response to a query says of its upstream. */
+  public void recordNotice(String upstreamId, UpstreamNotice notice) {
+    upstreams.find(upstreamId).ifPresent(u -> u.recordNotice(notice, clockMillis.getAsLong()));
+  }
+
+  /** Returns the number of upstreams that have asked this instance for a pause. */
+  public int pausedUpstreams() {
+    return upstreams.pausedCount();
   }
 
   private Optional<EngineModel> engine(String upstreamId) {
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
@@ -24,6 +25,9 @@
   /** The time, in milliseconds, for which the load reported with a response is used. */
   private static final long LOAD_REPORT_VALID_MILLIS = 300;
 
+  /** The requests that an upstream gets for each of its slots while others of its service pause. */
+  private static final int MAX_LOAD_PER_SLOT_BESIDE_PAUSES = 2;
+
   private final ConnectionPool connections;
   private final int softwareHash;
   private Optional<EngineModel> engine = Optional.empty();
@@ -131,9 +135,27 @@
     }
   }
 
-  /** Returns what the process said of whether it wants requests. */
-  SendPermission permission() {
-    return permission;
+  /**
+   * Returns whether requests may be sent to the upstream now. All that sends requests asks this,
+   * again at the moment of the send if that comes later than the choice.
+   */
+  boolean acceptsRequests(long nowMillis) {
+    return !closed && !report.isDraining() && !permission.isPaused(nowMillis);
+  }
+
+  /** Returns the end of the pause that keeps requests away, or empty if it is not a pause. */
+  OptionalLong pausedUntilMillis(long nowMillis) {
+    return closed || report.isDraining()
+        ? OptionalLong.empty()
+        : permission.pausedUntilMillis(nowMillis);
+  }
+
+  /**
+   * Returns whether the upstream can take over requests of others that pause: it is working on
+   * fewer requests than twice its slots, so that none waits longer than another one takes.
+   */
+  boolean hasRoomBesidePauses(long nowMillis) {
+    return fleetInFlight(nowMillis) < MAX_LOAD_PER_SLOT_BESIDE_PAUSES * report.slots();
   }
 
   /** Records the load that the upstream reported, less the requests of this instance. */
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -111,15 +112,35 @@
     endListener.accept(ended);
   }
 
-  /** Returns the upstreams of a service that are not draining and whose ids were not tried. */
+  /**
+   * Returns the upstreams of a service that accept requests and whose ids were not tried. While
+   * some of the service pause, those that have no room for the requests of these are left out.
+   */
   List<UpstreamHandle> candidates(String service, Set<String> tried) {
-    return byId.values().stream()
-        .filter(u -> u.report().service().equals(service))
-        .filter(u -> !u.report().isDraining())
+    long now = clockMillis.getAsLong();
+    List<UpstreamHandle> all = allOfService(service);
+    boolean isAnyPaused = all.stream().anyMatch(u -> u.pausedUntilMillis(now).isPresent());
+    return all.stream()
+        .filter(u -> u.acceptsRequests(now))
         .filter(u -> !tried.contains(u.report().id()))
+        .filter(u -> !isAnyPaused || u.hasRoomBesidePauses(now))
         .collect(Collectors.toList());
   }
 
+  /** Returns the time at which the first pause of an upstream of a service ends, if one pauses. */
+  OptionalLong firstPauseEndMillis(String service) {
+    long now = clockMillis.getAsLong();
+    return allOfService(service).stream()
+        .flatMapToLong(u -> u.pausedUntilMillis(now).stream())
+        .min();
+  }
+
+  /** Returns the number of upstreams that have asked for a pause that is not over. */
+  int pausedCount() {
+    long now = clockMillis.getAsLong();
+    return (int) byId.values().stream().filter(u -> u.pausedUntilMillis(now).isPresent()).count();
+  }
+
   /** Returns the upstreams of a service, including draining ones. */
   List<UpstreamHandle> allOfService(String service) {
     return byId.values().stream()
--- a/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
@@ -216,8 +216,14 @@
   private void query(String engine, ImmutableList<PeerAddress> recipients) {
     sharedUpstreamState
         .connections(engine)
-        .ifPresent(
-            c -> inspector.cachedParts(loop, c, parts -> onAnswer(engine, parts, recipients)));
+        .ifPresentOrElse(
+            c ->
+                inspector.cachedParts(
+                    loop,
+                    c,
+                    notice -> sharedUpstreamState.recordNotice(engine, notice),
+                    parts -> onAnswer(engine, parts, recipients)),
+            () -> unansweredEngines.remove(engine));
   }
 
   private void onAnswer(
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -196,6 +196,10 @@
         "engines",
         "Engines that the gateway knows.",
         () -> dispatcher.sharedUpstreamState().engineIds().size());
+    metrics.addGauge(
+        "paused_upstreams",
+        "Upstreams that have asked this gateway for a pause that is not over.",
+        () -> dispatcher.sharedUpstreamState().pausedUpstreams());
     metrics.addGauge(
         "restricted_requests",
         "Fingerprints of requests that crashed upstreams and may not run freely.",
--- a/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
@@ -18,10 +18,13 @@
 import org.tanagerbank.upstream.BufferedResponse;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.EngineInspector;
+import org.tanagerbank.upstream.HeaderCodec;
+import org.tanagerbank.upstream.UpstreamNotice;
 
 /** Queries the cached prompt parts of the platform's engines. Immutable and thread-safe. */
 public final class PlatformEngineInspector implements EngineInspector {
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final HeaderCodec HEADERS = new PlatformHeaderCodec();
 
   /** The field of the response that lists the cached parts. */
   static final String CACHED_PARTS = "held";
@@ -49,13 +52,21 @@
   public void cachedParts(
       EventLoop loop,
       ConnectionPool connections,
+      Consumer<UpstreamNotice> notices,
       Consumer<Optional<ImmutableList<PromptPart>>> callback) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1, HttpMethod.GET, CACHED_PARTS_PATH, Unpooled.EMPTY_BUFFER);
     request.headers().set(HttpHeaderNames.HOST, "engine");
     BufferedExchange.send(
-        loop, connections, request, timeoutMillis, r -> callback.accept(decode(r)));
+        loop,
+        connections,
+        request,
+        timeoutMillis,
+        r -> {
+          notices.accept(HEADERS.notice(r.status(), r.headers()));
+          callback.accept(decode(r));
+        });
   }
 
   /**
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -21,6 +21,7 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpConnection connection;
   private int status;
+  private HttpHeaders headers;
   private boolean done;
 
   private BufferedExchange(Consumer<BufferedResponse> callback) {
@@ -87,8 +88,9 @@
   }
 
   @Override
-  public HeadAction onHead(int responseStatus, HttpHeaders headers) {
+  public HeadAction onHead(int responseStatus, HttpHeaders responseHeaders) {
     status = responseStatus;
+    headers = responseHeaders;
     return HeadAction.RECEIVE;
   }
 
@@ -106,7 +108,7 @@
 
   @Override
   public void onEnd(ResponseEnd end) {
-    finish(BufferedResponse.answered(status, body.toByteArray(), end));
+    finish(BufferedResponse.answered(status, headers, body.toByteArray(), end));
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/upstream/EngineInspector.java
+++ b/src/main/java/org/tanagerbank/upstream/EngineInspector.java
@@ -18,10 +18,12 @@
    *
    * @param loop the event loop on which the callback runs
    * @param connections the connection pool of the engine
+   * @param notices receives what a response says of the engine, before the callback
    * @param callback receives the parts, or empty if there is no valid response
    */
   void cachedParts(
       EventLoop loop,
       ConnectionPool connections,
+      Consumer<UpstreamNotice> notices,
       Consumer<Optional<ImmutableList<PromptPart>>> callback);
 }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
@@ -131,7 +131,7 @@
   void pauseCountsWhateverElseTheRefusalSays(String head) {
     for (String id : List.of("Request-Id: other\r\n", "")) {
       String text = head + id + "Retry-After: 5\r\nContent-Length: 0\r\n\r\n";
-      DispatchSimulation fleet = new DispatchSimulation(1, 2, true);
+      DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
       SimulatedUpstream upstream = fleet.upstreams().get(0);
       upstream.setScript(
           unused ->
--- a/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
+++ b/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
@@ -130,7 +130,9 @@
         ConnectionPool.create(loop, address(), () -> System.nanoTime() / 1_000_000);
     Optional<?> parts =
         this.<Optional<? extends Iterable<PromptPart>>>await(
-            c -> PlatformEngineInspector.create(1_000).cachedParts(loop, pool, c::accept));
+            c ->
+                PlatformEngineInspector.create(1_000)
+                    .cachedParts(loop, pool, notice -> {}, c::accept));
     assertThat(parts).isEqualTo(Optional.empty());
   }
 }
--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -81,7 +82,8 @@
     byte[] body = engine.cachedParts(ImmutableList.of(new CachedPrompt("m", -2, 40)));
     assertThat(
             PlatformEngineInspector.decode(
-                BufferedResponse.answered(200, body, ResponseEnd.FRAMED)))
+                BufferedResponse.answered(
+                    200, EmptyHttpHeaders.INSTANCE, body, ResponseEnd.FRAMED)))
         .hasValue(ImmutableList.of(new PromptPart(-2, 40)));
   }
 
