Send nothing more to an upstream that says in a response that it leaves

UpstreamHandle.acceptsRequests, which all that sends requests asks, now also asks what the process said in its responses, whether or not the gateway is in touch with the store.

The end of an upstream that said that it leaves is no longer taken for a crash, which blamed requests that were in flight there.

--- a/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
@@ -131,7 +131,7 @@
 
   /** Records that the process of an upstream has ended, by its report. */
   void upstreamEnded(UpstreamHandle upstream) {
-    if (!upstream.report().isDraining()) {
+    if (!upstream.hasAnnouncedEnd()) {
       recordCrash(upstream);
     }
   }
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -140,14 +140,21 @@
    * again at the moment of the send if that comes later than the choice.
    */
   boolean acceptsRequests(long nowMillis) {
-    return !closed && !report.isDraining() && !permission.isPaused(nowMillis);
+    return !isLeaving() && !permission.isPaused(nowMillis);
   }
 
   /** Returns the end of the pause that keeps requests away, or empty if it is not a pause. */
   OptionalLong pausedUntilMillis(long nowMillis) {
-    return closed || report.isDraining()
-        ? OptionalLong.empty()
-        : permission.pausedUntilMillis(nowMillis);
+    return isLeaving() ? OptionalLong.empty() : permission.pausedUntilMillis(nowMillis);
+  }
+
+  private boolean isLeaving() {
+    return closed || hasAnnouncedEnd();
+  }
+
+  /** Returns whether the process said in a report or in a response that it shuts down. */
+  boolean hasAnnouncedEnd() {
+    return report.isDraining() || permission.isLeaving();
   }
 
   /**
