Play responses without a length, pauses and leaving in the engine stand-in and the overload soak

The stand-in now answers without length or chunks (fault unframed), whole or cut inside an event, asks for pauses (fault pause) and says in all responses that it leaves while it drains; its record tells both. The soak ends half of its engines without a report to the store, kills an engine so that the ends of its connections arrive before anything else, and checks both rules by what engines recorded (NoticeRule). The proxy passed a reset on as an orderly close; it resets the other side now.

--- a/src/main/java/org/tanagerbank/platform/PlatformEngineHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineHeaderCodec.java
@@ -6,10 +6,12 @@
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.tanagerbank.http.Json;
@@ -75,6 +77,14 @@
     LoadReport load = marks.load();
     headers.set(
         PlatformHeaderCodec.LOAD, load.running() + "," + load.waiting() + "," + load.slots());
+    if (marks.isLeaving()) {
+      headers.set(PlatformHeaderCodec.LEAVING, STATED);
+    }
+    if (marks.pauseMillis() > 0) {
+      headers.set(
+          HttpHeaderNames.RETRY_AFTER,
+          String.format(Locale.ROOT, "%.3f", marks.pauseMillis() / (double) MILLIS_PER_SECOND));
+    }
     long keepAliveSeconds = marks.keepAliveMillis() / MILLIS_PER_SECOND;
     if (keepAliveSeconds > 0) {
       headers.set(KEEP_ALIVE, "timeout=" + keepAliveSeconds);
--- a/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
+++ b/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
@@ -63,9 +63,9 @@
     this.codec = codec;
     LongSupplier clockMicros = () -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
     EngineCore core = new EngineCore(settings, new Random(settings.seed()));
-    RunLog log = new RunLog(settings.id(), record, clockMicros);
+    RunLog log = new RunLog(settings.id(), record, clockMicros, this::isDraining);
     this.driver = new EngineDriver(core, group.next(), clockMicros, log);
-    this.formatter = new ResponseFormatter(codec, settings, core::load);
+    this.formatter = new ResponseFormatter(codec, settings, core::load, this::isDraining);
     this.control = new EngineControl(controlBind, group.next(), driver);
   }
 
--- a/src/main/java/org/tanagerbank/standin/direct/EngineFaults.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineFaults.java
@@ -28,6 +28,9 @@
  * @param hang a request begins and never gets a response
  * @param refusedAfterPreemption a request that was preempted is refused if it cannot continue,
  *     although it has begun
+ * @param unframed the response to a request that ran has neither a length nor chunks and ends with
+ *     its connection
+ * @param pause a refusal asks the caller for a pause
  * @param slowFactor the factor by which all work takes longer
  */
 public record EngineFaults(
@@ -45,10 +48,12 @@
     double errorStatus,
     double hang,
     double refusedAfterPreemption,
+    double unframed,
+    double pause,
     @JsonProperty(defaultValue = "1") double slowFactor) {
   /** An engine without faults. */
   public static final EngineFaults NONE =
-      new EngineFaults(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1);
+      new EngineFaults(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1);
 
   private static final ObjectReader READER =
       new ObjectMapper()
@@ -73,6 +78,8 @@
     checkProbability("errorStatus", errorStatus);
     checkProbability("hang", hang);
     checkProbability("refusedAfterPreemption", refusedAfterPreemption);
+    checkProbability("unframed", unframed);
+    checkProbability("pause", pause);
     checkArgument(slowFactor >= 0, "slowFactor must not be negative: %s", slowFactor);
     // An absent field is read as 0.
     slowFactor = slowFactor == 0 ? 1 : slowFactor;
--- a/src/main/java/org/tanagerbank/standin/direct/EngineHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineHeaderCodec.java
@@ -19,6 +19,8 @@
    * @param signature the signature of the engine, if it signs the response
    * @param instanceId the id of the engine, if the head names it
    * @param load the load of the engine
+   * @param isLeaving whether the engine is shutting down
+   * @param pauseMillis the pause in milliseconds that the engine asks for, or 0 for none
    * @param keepAliveMillis the announced idle timeout in milliseconds
    */
   record ResponseMarks(
@@ -27,6 +29,8 @@
       Optional<String> signature,
       Optional<String> instanceId,
       LoadReport load,
+      boolean isLeaving,
+      long pauseMillis,
       long keepAliveMillis) {}
 
   /** What callers may ask an engine about itself. */
--- a/src/main/java/org/tanagerbank/standin/direct/ResponseFormatter.java
+++ b/src/main/java/org/tanagerbank/standin/direct/ResponseFormatter.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.tanagerbank.standin.direct.EngineHeaderCodec.ResponseMarks;
 import org.tanagerbank.upstream.LoadReport;
@@ -25,19 +26,29 @@
   private final EngineHeaderCodec codec;
   private final DirectEngineSettings settings;
   private final Supplier<LoadReport> load;
+  private final BooleanSupplier isLeaving;
 
   ResponseFormatter(
-      EngineHeaderCodec codec, DirectEngineSettings settings, Supplier<LoadReport> load) {
+      EngineHeaderCodec codec,
+      DirectEngineSettings settings,
+      Supplier<LoadReport> load,
+      BooleanSupplier isLeaving) {
     this.codec = codec;
     this.settings = settings;
     this.load = load;
+    this.isLeaving = isLeaving;
   }
 
-  /** Returns a response without signature to a request that was not run. */
-  ByteBuf refusal(String requestId, int status, boolean isMarked, boolean closes) {
+  /**
+   * Returns a response without signature to a request that was not run.
+   *
+   * @param pauseMillis the pause in milliseconds that the engine asks for, or 0 for none
+   */
+  ByteBuf refusal(
+      String requestId, int status, boolean isMarked, long pauseMillis, boolean closes) {
     Optional<String> instanceId =
         status == Refusal.MISDIRECTED.status() ? Optional.of(settings.id()) : Optional.empty();
-    HttpHeaders headers = encode(requestId, isMarked, Optional.empty(), instanceId);
+    HttpHeaders headers = encode(requestId, isMarked, Optional.empty(), instanceId, pauseMillis);
     return full(status, headers, PLAIN_TEXT, bytes("not run\n"), closes);
   }
 
@@ -68,6 +79,20 @@
     return head(status, headers, closes);
   }
 
+  /** Returns the head of a stream whose end is the end of its connection. */
+  ByteBuf unframedStreamHead(String requestId) {
+    int status = HttpResponseStatus.OK.code();
+    HttpHeaders headers = signedHeaders(requestId, status);
+    headers.set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
+    return head(status, headers, /* closes= */ false);
+  }
+
+  /** Returns a response with signature whose end is the end of its connection. */
+  ByteBuf unframed(String requestId, int status, String body) {
+    ByteBuf head = head(status, signedHeaders(requestId, status), /* closes= */ false);
+    return Unpooled.wrappedBuffer(head, bytes(body));
+  }
+
   /** Returns a part of a chunked body. */
   static ByteBuf chunk(String text) {
     ByteBuf content = bytes(text);
@@ -95,9 +120,25 @@
 
   private HttpHeaders encode(
       String requestId, boolean isNotRun, Optional<String> signature, Optional<String> instance) {
+    return encode(requestId, isNotRun, signature, instance, /* pauseMillis= */ 0);
+  }
+
+  private HttpHeaders encode(
+      String requestId,
+      boolean isNotRun,
+      Optional<String> signature,
+      Optional<String> instance,
+      long pauseMillis) {
     return codec.encode(
         new ResponseMarks(
-            requestId, isNotRun, signature, instance, load.get(), settings.idleTimeoutMillis()));
+            requestId,
+            isNotRun,
+            signature,
+            instance,
+            load.get(),
+            isLeaving.getAsBoolean(),
+            pauseMillis,
+            settings.idleTimeoutMillis()));
   }
 
   private static ByteBuf full(
--- a/src/main/java/org/tanagerbank/standin/direct/RunFaults.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunFaults.java
@@ -21,6 +21,8 @@
  *     than directly before the response
  * @param cutShare the share of the response after which it is cut, from 0 to 1
  * @param resets whether a connection is reset rather than closed
+ * @param unframed whether the response to a run has neither a length nor chunks
+ * @param pauseMillis the pause in milliseconds that a refusal asks for, or 0 for none
  */
 record RunFaults(
     boolean doubledRefusal,
@@ -36,11 +38,17 @@
     long bodyPauseMicros,
     boolean extrasAtBegin,
     double cutShare,
-    boolean resets) {
+    boolean resets,
+    boolean unframed,
+    long pauseMillis) {
   private static final int MAX_REPEAT_DELAY_MICROS = 3_000;
 
   private static final int MAX_BODY_PAUSE_MICROS = 50_000;
 
+  private static final int MIN_PAUSE_MILLIS = 200;
+
+  private static final int MAX_PAUSE_MILLIS = 3_000;
+
   /** What becomes of the response to a request that ran. */
   enum Outcome {
     SENT,
@@ -68,7 +76,15 @@
         (long) (random.nextDouble() * MAX_BODY_PAUSE_MICROS),
         random.nextBoolean(),
         random.nextDouble(),
-        random.nextBoolean());
+        random.nextBoolean(),
+        random.nextDouble() < faults.unframed(),
+        drawPauseMillis(faults, random));
+  }
+
+  private static long drawPauseMillis(EngineFaults faults, Random random) {
+    boolean isAsked = random.nextDouble() < faults.pause();
+    long millis = MIN_PAUSE_MILLIS + random.nextInt(MAX_PAUSE_MILLIS - MIN_PAUSE_MILLIS);
+    return isAsked ? millis : 0;
   }
 
   /** Draws an outcome. The probabilities of the faults add up, as they exclude each other. */
--- a/src/main/java/org/tanagerbank/standin/direct/RunLog.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunLog.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -14,6 +15,7 @@
   private final String engineId;
   private final Consumer<RunRecord> sink;
   private final LongSupplier steadyMicros;
+  private final BooleanSupplier isLeaving;
   private final EngineStatistics statistics = new EngineStatistics();
 
   /**
@@ -21,8 +23,14 @@
    *
    * @param sink receives each record
    * @param steadyMicros the steady clock in microseconds
+   * @param isLeaving returns whether responses say that the engine leaves
    */
-  RunLog(String engineId, Consumer<RunRecord> sink, LongSupplier steadyMicros) {
+  RunLog(
+      String engineId,
+      Consumer<RunRecord> sink,
+      LongSupplier steadyMicros,
+      BooleanSupplier isLeaving) {
+    this.isLeaving = isLeaving;
     this.engineId = engineId;
     this.sink = sink;
     this.steadyMicros = steadyMicros;
@@ -47,6 +55,8 @@
             request.lastEventId().isPresent()
                 ? Long.toString(request.lastEventId().getAsLong())
                 : null,
+            null,
+            null,
             null));
   }
 
@@ -64,8 +74,14 @@
     add(run, RunEvent.PREEMPTED, null, null, null);
   }
 
-  void refused(EngineRun run, Refusal refusal) {
-    add(run, RunEvent.REFUSED, refusal.status(), null, refusal.name());
+  /**
+   * Records a refusal.
+   *
+   * @param pauseMillis the pause in milliseconds that it asks for, or 0 for none
+   */
+  void refused(EngineRun run, Refusal refusal, long pauseMillis) {
+    Long pause = pauseMillis > 0 ? pauseMillis : null;
+    add(run, RunEvent.REFUSED, refusal.status(), null, pause, refusal.name());
   }
 
   void ended(EngineRun run, int status, boolean isComplete, String detail) {
@@ -83,6 +99,16 @@
 
   private void add(
       EngineRun run, RunEvent event, Integer status, Boolean isComplete, String detail) {
+    add(run, event, status, isComplete, null, detail);
+  }
+
+  private void add(
+      EngineRun run,
+      RunEvent event,
+      Integer status,
+      Boolean isComplete,
+      Long pauseMillis,
+      String detail) {
     EngineRequest request = run.request;
     add(
         new RunRecord(
@@ -95,6 +121,8 @@
             request.path(),
             null,
             null,
+            pauseMillis,
+            status != null && isLeaving.getAsBoolean() ? true : null,
             detail));
   }
 
--- a/src/main/java/org/tanagerbank/standin/direct/RunRecord.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunRecord.java
@@ -14,6 +14,8 @@
  * @param path the path and query of the request
  * @param deadlineMillis the time that the caller left, in milliseconds
  * @param lastEventId the event after which the caller resumes
+ * @param pauseMillis the pause in milliseconds that a refusal asks for
+ * @param leaving whether the response says that the engine leaves
  * @param detail the kind of refusal or fault, or what was received
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -27,4 +29,6 @@
     String path,
     Long deadlineMillis,
     String lastEventId,
+    Long pauseMillis,
+    Boolean leaving,
     String detail) {}
--- a/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
@@ -108,10 +108,12 @@
     if (run.hasBegun) {
       log.fault(run, "refusedAfterPreemption");
     }
-    log.refused(run, refused.refusal());
     int status = refused.refusal().status();
+    long pauseMillis = status == SERVICE_UNAVAILABLE ? run.faults.pauseMillis() : 0;
+    log.refused(run, refused.refusal(), pauseMillis);
     ByteBuf response =
-        formatter.refusal(run.request.id(), status, refused.isMarked(), connection.closes());
+        formatter.refusal(
+            run.request.id(), status, refused.isMarked(), pauseMillis, connection.closes());
     if (run.faults.doubledRefusal() || run.faults.doubledResponse()) {
       sendAgain("doubledRefusal", response);
     }
@@ -125,10 +127,12 @@
     if (!isSent && !isCut) {
       return;
     }
-    ByteBuf chunk = ResponseFormatter.chunk(ExpectedResponse.event(run.request.id(), number));
-    ByteBuf bytes = isHeadSent ? chunk : Unpooled.wrappedBuffer(streamHead(), chunk);
+    String event = ExpectedResponse.event(run.request.id(), number);
+    ByteBuf part =
+        run.faults.unframed() ? ResponseFormatter.bytes(event) : ResponseFormatter.chunk(event);
+    ByteBuf bytes = isHeadSent ? part : Unpooled.wrappedBuffer(streamHead(), part);
     if (isCut && isCutAt(number)) {
-      cut(bytes);
+      cut(bytes, part.readableBytes());
     } else {
       beforeSend();
       connection.send(bytes, IGNORE_RESULT);
@@ -145,7 +149,7 @@
   private void onCompleted() {
     switch (run.faults.outcome()) {
       case SENT -> succeed();
-      case CUT -> cut(run.isGeneration() ? streamHead() : plainSuccess());
+      case CUT -> cut(run.isGeneration() ? streamHead() : plainSuccess(), /* partBytes= */ 0);
       case GARBLED -> garble();
       case LOST -> {
         log.fault(run, "lostAnswer");
@@ -175,7 +179,7 @@
       finish(OK, null, plainSuccess());
       return;
     }
-    ByteBuf end = ResponseFormatter.lastChunk();
+    ByteBuf end = run.faults.unframed() ? Unpooled.EMPTY_BUFFER : ResponseFormatter.lastChunk();
     finish(OK, null, isHeadSent ? end : Unpooled.wrappedBuffer(streamHead(), end));
   }
 
@@ -191,18 +195,29 @@
     connection.sendAndBreakOff(ResponseFormatter.bytes(GARBAGE), run.faults.resets());
   }
 
-  /** Sends a part of some bytes and closes the connection. */
-  private void cut(ByteBuf bytes) {
+  /**
+   * Sends a part of some bytes and closes the connection. The close of a response that has no
+   * length or chunks leaves a part of an event behind, or is a reset, as it could not be told from
+   * the end.
+   *
+   * @param partBytes the number of last bytes that are one event
+   */
+  private void cut(ByteBuf bytes, int partBytes) {
     beforeSend();
     log.fault(run, "cutResponse");
     log.ended(run, OK, false, "cutResponse");
     driver.remove(run);
-    int length = Math.max(1, (int) (run.faults.cutShare() * bytes.readableBytes()));
-    connection.sendAndBreakOff(bytes.slice(bytes.readerIndex(), length), run.faults.resets());
+    boolean isCutInPart = run.faults.unframed() && partBytes > 0;
+    int wholeBytes = isCutInPart ? bytes.readableBytes() - partBytes : 0;
+    int cutBytes = (int) (run.faults.cutShare() * (bytes.readableBytes() - wholeBytes));
+    int length = Math.max(1, Math.min(bytes.readableBytes(), wholeBytes + Math.max(1, cutBytes)));
+    boolean resets = run.faults.resets() || (run.faults.unframed() && !isCutInPart);
+    connection.sendAndBreakOff(bytes.slice(bytes.readerIndex(), length), resets);
   }
 
   private void breakOff() {
-    connection.sendAndBreakOff(Unpooled.EMPTY_BUFFER, run.faults.resets());
+    boolean isUnframed = run.faults.unframed() && isHeadSent;
+    connection.sendAndBreakOff(Unpooled.EMPTY_BUFFER, run.faults.resets() || isUnframed);
   }
 
   private void finish(int status, String detail, ByteBuf response) {
@@ -212,7 +227,11 @@
     }
     beforeSend();
     connection.send(response, isWritten -> log.ended(run, status, isWritten, detail));
-    connection.finishExchange();
+    if (run.faults.unframed() && status == OK) {
+      connection.sendAndBreakOff(Unpooled.EMPTY_BUFFER, /* resets= */ false);
+    } else {
+      connection.finishExchange();
+    }
   }
 
   private void sendExtra(String fault, ByteBuf response) {
@@ -226,13 +245,16 @@
   }
 
   private ByteBuf refusal(String requestId, int status, boolean isMarked) {
-    return formatter.refusal(requestId, status, isMarked, /* closes= */ false);
+    return formatter.refusal(
+        requestId, status, isMarked, /* pauseMillis= */ 0, /* closes= */ false);
   }
 
   private ByteBuf plainSuccess() {
     String id = run.request.id();
     String body = ExpectedResponse.plainBody(id, run.plainLength);
-    return formatter.signed(id, OK, body, connection.closes());
+    return run.faults.unframed()
+        ? formatter.unframed(id, OK, body)
+        : formatter.signed(id, OK, body, connection.closes());
   }
 
   private ByteBuf signedFailure(int status) {
@@ -240,7 +262,9 @@
   }
 
   private ByteBuf streamHead() {
-    return formatter.streamHead(run.request.id(), connection.closes());
+    return run.faults.unframed()
+        ? formatter.unframedStreamHead(run.request.id())
+        : formatter.streamHead(run.request.id(), connection.closes());
   }
 
   /** Returns the whole stream as it is repeated by a fault. */
@@ -253,6 +277,7 @@
     }
     ByteBuf body =
         events.length() == 0 ? Unpooled.EMPTY_BUFFER : ResponseFormatter.chunk(events.toString());
-    return Unpooled.wrappedBuffer(streamHead(), body, ResponseFormatter.lastChunk());
+    ByteBuf head = formatter.streamHead(run.request.id(), connection.closes());
+    return Unpooled.wrappedBuffer(head, body, ResponseFormatter.lastChunk());
   }
 }
--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -52,6 +52,8 @@
                 /* hasSignature= */ true,
                 /* isEncoded= */ false));
     assertThat(gateway.notice(200, success).load()).hasValue(new LoadReport(3, 2, 8));
+    assertThat(gateway.notice(503, success).isLeaving()).isTrue();
+    assertThat(gateway.notice(503, success).pauseMillis()).hasValue(1_500);
     assertThat(success.get("Keep-Alive")).isEqualTo("timeout=7");
   }
 
@@ -93,6 +95,6 @@
 
   private static ResponseMarks marks(boolean isNotRun, Optional<String> signature) {
     return new ResponseMarks(
-        "r1", isNotRun, signature, Optional.empty(), new LoadReport(3, 2, 8), 7_900);
+        "r1", isNotRun, signature, Optional.empty(), new LoadReport(3, 2, 8), true, 1_500, 7_900);
   }
 }
--- a/src/test/java/org/tanagerbank/soak/EngineFaultSets.java
+++ b/src/test/java/org/tanagerbank/soak/EngineFaultSets.java
@@ -29,6 +29,10 @@
               "{\"earlyRefusal\":0.5}",
               "{\"earlyRefusal\":0.3,\"doubledRefusal\":0.5}",
               "{\"hang\":0.1,\"lostAnswer\":0.2}",
+              "{\"unframed\":0.7}",
+              "{\"unframed\":0.8,\"cutResponse\":0.3}",
+              "{\"pause\":0.5}",
+              "{\"pause\":0.3,\"unframed\":0.5,\"doubledRefusal\":0.3}",
               "{\"slowFactor\":5}"));
 
   /**
--- a/src/test/java/org/tanagerbank/soak/FaultProxy.java
+++ b/src/test/java/org/tanagerbank/soak/FaultProxy.java
@@ -61,6 +61,11 @@
     }
   }
 
+  /** Refuses new connections; open ones go on until their other side ends them. */
+  void refuseConnections() throws IOException {
+    serverSocket.close();
+  }
+
   /** Sets the target of new connections. */
   void setTarget(InetSocketAddress next) {
     target = next;
@@ -128,9 +133,23 @@
   }
 
   private void forward(Socket from, Socket to, boolean isResponse) {
-    byte[] buffer = new byte[BUFFER_BYTES];
     try (from;
         to) {
+      copy(from, to, isResponse);
+    } catch (IOException e) {
+      // One side closed the connection, so the other side is closed too.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      openSockets.remove(from);
+      openSockets.remove(to);
+    }
+  }
+
+  private void copy(Socket from, Socket to, boolean isResponse)
+      throws IOException, InterruptedException {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
@@ -142,13 +161,9 @@
           out.write(buffer, 0, n);
         }
       }
-    } catch (IOException e) {
-      // One side closed the connection, so the other side is closed too.
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } finally {
-      openSockets.remove(from);
-      openSockets.remove(to);
+    } catch (SocketException e) {
+      // One side reset the connection, which must not look like an orderly close to the other.
+      reset(to);
     }
   }
 
--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -52,6 +52,12 @@
   private static final int MAX_CONNECTIONS = 60;
   private static final int DRAIN_MILLIS = 2_000;
 
+  /** Longer than the time in which engines that leave may still get requests. */
+  private static final int ENGINE_DRAIN_MILLIS = 3_500;
+
+  /** The time in which the ends of connections pass a proxy. */
+  private static final int PASS_MILLIS = 50;
+
   /** Misbehaviour lasts longer than other faults, so that some of it meets full engines. */
   private static final int MISBEHAVIOUR_FACTOR = 2;
 
@@ -69,9 +75,12 @@
           .put("tokens-per-event", TOKENS_PER_EVENT)
           .put("work-millis", 20)
           .put("idle-timeout-millis", 3_000)
-          .put("drain-millis", DRAIN_MILLIS)
+          .put("drain-millis", ENGINE_DRAIN_MILLIS)
           .buildOrThrow();
 
+  /** The last part of the time in which an engine ends, in which its requests may be broken off. */
+  private static final long ENDING_MICROS = 500_000;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final Mode[] LINK_MODES = {Mode.DELAY, Mode.RESET, Mode.SILENT, Mode.NO_RESPONSES};
@@ -266,7 +275,7 @@
     switch (fault.kind()) {
       case ENGINE_KILLED -> killEngine(engine, engine.process().id());
       case ENGINE_KILLED_AND_REPLACED -> killEngine(engine, nextEngineId());
-      default -> terminateEngine(engine);
+      default -> terminateEngine(engine, /* isReported= */ fault.variant() % 2 == 0);
     }
     engine.isEnding().set(false);
   }
@@ -275,20 +284,30 @@
   private void killEngine(Engine engine, String nextId) throws IOException, InterruptedException {
     String id = engine.process().id();
     long from = nowMicros();
-    engine.proxy().stopListening();
+    engine.proxy().refuseConnections();
     engine.process().kill();
+    Thread.sleep(PASS_MILLIS);
+    engine.proxy().stopListening();
     Thread.sleep(RESTART_MILLIS);
     restart(engine, nextId);
     recordEngineSpan(id, from);
   }
 
-  /** Announces the end of an engine, then stops it with SIGTERM and starts another in its place. */
-  private void terminateEngine(Engine engine) throws IOException, InterruptedException {
+  /**
+   * Stops an engine with SIGTERM, after which its responses say that it leaves, and starts another
+   * in its place.
+   *
+   * @param isReported whether the store tells its end before
+   */
+  private void terminateEngine(Engine engine, boolean isReported)
+      throws IOException, InterruptedException {
     String id = engine.process().id();
-    publishState(engine, "draining");
-    Thread.sleep(DRAIN_MILLIS);
-    long from = nowMicros();
+    if (isReported) {
+      publishState(engine, "draining");
+      Thread.sleep(DRAIN_MILLIS);
+    }
     engine.process().terminate();
+    long from = nowMicros() - ENDING_MICROS;
     engine.proxy().stopListening();
     Thread.sleep(RESTART_MILLIS);
     restart(engine, nextEngineId());
--- a/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
@@ -56,6 +56,7 @@
           new RequestRules(interruptions, OverloadFleet.TOKENS_PER_EVENT).check(requests, events));
       new DeadlineRule(interruptions).check(requests, events).ifPresent(violations::add);
       violations.addAll(RETRY_WINDOW_RULE.check(requests, events));
+      violations.addAll(new NoticeRule(interruptions).check(requests, events));
       return violations;
     }
 
--- a/src/test/java/org/tanagerbank/soak/RequestRulesTest.java
+++ b/src/test/java/org/tanagerbank/soak/RequestRulesTest.java
@@ -150,7 +150,8 @@
     assertThat(broken(request, SoakSamples.event(1_100, "e-1", RunEvent.BEGAN, "smuggled")))
         .containsExactly(Rule.UNASKED);
     RunRecord changed =
-        new RunRecord(1_100, "e-1", RunEvent.BEGAN, "r", null, null, null, null, null, "GET 5 1");
+        new RunRecord(
+            1_100, "e-1", RunEvent.BEGAN, "r", null, null, null, null, null, null, null, "GET 5 1");
     assertThat(broken(request, changed)).containsExactly(Rule.UNASKED);
   }
 
--- a/src/test/java/org/tanagerbank/soak/SoakSamples.java
+++ b/src/test/java/org/tanagerbank/soak/SoakSamples.java
@@ -62,6 +62,8 @@
         /* path= */ null,
         deadlineMillis,
         /* lastEventId= */ null,
+        /* pauseMillis= */ null,
+        /* leaving= */ null,
         received);
   }
 }
--- a/src/test/java/org/tanagerbank/soak/Violation.java
+++ b/src/test/java/org/tanagerbank/soak/Violation.java
@@ -17,6 +17,10 @@
     /** Upstreams were given more time than callers had left. */
     DEADLINE,
     /** A service got more retries in a window than the budget allows. */
-    RETRIES
+    RETRIES,
+    /** Requests reached an upstream in a pause that it had asked the gateway for. */
+    PAUSE,
+    /** Requests reached an upstream long after it had told the gateway that it leaves. */
+    LEAVING
   }
 }
--- a/src/test/java/org/tanagerbank/standin/direct/RunRecordFileTest.java
+++ b/src/test/java/org/tanagerbank/standin/direct/RunRecordFileTest.java
@@ -18,7 +18,8 @@
         RunRecordFile b = RunRecordFile.open(path)) {
       for (RunRecordFile writer : ImmutableList.of(a, b, a)) {
         writer.accept(
-            new RunRecord(7, "i-1", RunEvent.BEGAN, "r1", null, null, "/a", null, null, null));
+            new RunRecord(
+                7, "i-1", RunEvent.BEGAN, "r1", null, null, "/a", null, null, null, null, null));
       }
     }
     String line =
