--- a/src/main/java/org/tanagerbank/dispatch/DispatchRuntime.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchRuntime.java
@@ -12,6 +12,7 @@
  * @param connector opens the connections to upstreams on that loop
  * @param clockMillis the monotonic clock, in milliseconds
  * @param storeClockMillis the clock that measures the age of the configuration, in milliseconds
+ * @param wallClockMillis the time of day, in milliseconds since the epoch, as upstreams state it
  * @param random the source of random choices
  */
 public record DispatchRuntime(
@@ -19,4 +20,5 @@
     Connector connector,
     LongSupplier clockMillis,
     LongSupplier storeClockMillis,
+    LongSupplier wallClockMillis,
     RandomGenerator random) {}
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -89,7 +89,7 @@
     this.config = config;
     this.settings = settings;
     this.observer = observer;
-    this.upstreams = new Upstreams(runtime.connector(), runtime.clockMillis());
+    this.upstreams = Upstreams.on(runtime);
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     this.survivalCheck = new SurvivalCheck(runtime.clockMillis());
     upstreams.setEndListener(crashGuard::upstreamEnded);
--- a/src/main/java/org/tanagerbank/dispatch/SendPermission.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendPermission.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.dispatch;
 
 import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 import org.tanagerbank.upstream.UpstreamNotice;
 
 /**
@@ -10,14 +11,48 @@
  * A process that leaves does not come back. Not thread-safe; confined to the event loop.
  */
 final class SendPermission {
+  private final LongSupplier wallClockMillis;
   private boolean isLeaving;
   private long pausedUntilMillis = Long.MIN_VALUE;
 
+  /** The time of the latest response that said so, in milliseconds since the epoch. */
+  private long leavingNoticedAtMillis;
+
+  private long pauseNoticedAtMillis;
+
+  /** Creates a permission for a process that has said nothing yet. */
+  SendPermission(LongSupplier wallClockMillis) {
+    this.wallClockMillis = wallClockMillis;
+  }
+
+  /**
+   * Returns the permission for the process that has followed under the same id and address. It may
+   * have answered before its report arrived, so what was said since its start is its own.
+   *
+   * @param startedAtMillis the start of the process, in milliseconds since the epoch
+   */
+  SendPermission ofProcessStartedAt(long startedAtMillis) {
+    SendPermission next = new SendPermission(wallClockMillis);
+    if (isLeaving && leavingNoticedAtMillis >= startedAtMillis) {
+      next.isLeaving = true;
+      next.leavingNoticedAtMillis = leavingNoticedAtMillis;
+    }
+    if (pauseNoticedAtMillis >= startedAtMillis) {
+      next.pausedUntilMillis = pausedUntilMillis;
+      next.pauseNoticedAtMillis = pauseNoticedAtMillis;
+    }
+    return next;
+  }
+
   /** Records what a response of the process says. */
   void record(UpstreamNotice notice, long nowMillis) {
-    isLeaving |= notice.isLeaving();
+    if (notice.isLeaving()) {
+      isLeaving = true;
+      leavingNoticedAtMillis = wallClockMillis.getAsLong();
+    }
     if (notice.pauseMillis().isPresent()) {
       pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + notice.pauseMillis().getAsLong());
+      pauseNoticedAtMillis = wallClockMillis.getAsLong();
     }
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -32,7 +32,7 @@
   private final int softwareHash;
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
-  private final SendPermission permission = new SendPermission();
+  private final SendPermission permission;
   private UpstreamReport report;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
@@ -42,7 +42,8 @@
   private boolean closed;
   private int crashes;
 
-  UpstreamHandle(UpstreamReport report, ConnectionPool connections) {
+  UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
+    this.permission = permission;
     this.report = report;
     this.connections = connections;
     this.softwareHash = RunConditions.softwareHash(report.service(), report.softwareVersion());
@@ -135,6 +136,11 @@
     }
   }
 
+  /** Returns the permission for the process that has followed this one. */
+  SendPermission permissionOf(UpstreamReport next) {
+    return permission.ofProcessStartedAt(next.startedAtMillis());
+  }
+
   /**
    * Returns whether requests may be sent to the upstream now. All that sends requests asks this,
    * again at the moment of the send if that comes later than the choice.
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -32,15 +32,22 @@
 final class Upstreams {
   private final Connector connector;
   private final LongSupplier clockMillis;
+  private final LongSupplier wallClockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
-  Upstreams(Connector connector, LongSupplier clockMillis) {
+  Upstreams(Connector connector, LongSupplier clockMillis, LongSupplier wallClockMillis) {
+    this.wallClockMillis = wallClockMillis;
     this.connector = connector;
     this.clockMillis = clockMillis;
   }
 
+  /** Returns an empty list of upstreams. */
+  static Upstreams on(DispatchRuntime runtime) {
+    return new Upstreams(runtime.connector(), runtime.clockMillis(), runtime.wallClockMillis());
+  }
+
   /** Sets the listener that is notified of upstreams that restarted or are gone. */
   void setEndListener(Consumer<UpstreamHandle> listener) {
     endListener = listener;
@@ -92,7 +99,11 @@
       end(known);
     }
     ConnectionPool connections = ConnectionPool.create(connector, report.address(), clockMillis);
-    byId.put(report.id(), new UpstreamHandle(report, connections));
+    SendPermission permission =
+        known != null && known.report().address().equals(report.address())
+            ? known.permissionOf(report)
+            : new SendPermission(wallClockMillis);
+    byId.put(report.id(), new UpstreamHandle(report, connections, permission));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -118,13 +118,7 @@
     this.settings = settings;
     configState = new ConfigState(settings.keyRevocationMillis(), settings.configAdoptionMillis());
     dispatcher =
-        Dispatcher.create(
-            new DispatchRuntime(
-                loop, Connector.tcp(loop), clockMillis, storeClockMillis, new SplittableRandom()),
-            headerCodec,
-            configState,
-            settings.dispatch(),
-            metrics);
+        Dispatcher.create(createRuntime(), headerCodec, configState, settings.dispatch(), metrics);
     FleetStore store = storeFactory.apply(loop);
     PeerAddress self =
         new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
@@ -175,6 +169,16 @@
     addGauges();
   }
 
+  private DispatchRuntime createRuntime() {
+    return new DispatchRuntime(
+        loop,
+        Connector.tcp(loop),
+        clockMillis,
+        storeClockMillis,
+        System::currentTimeMillis,
+        new SplittableRandom());
+  }
+
   private ImmutableSet<String> liveInstanceIds() {
     return Stream.concat(
             Stream.of(settings.instanceId()),
--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -97,6 +97,11 @@
     disconnectAction = action;
   }
 
+  /** Returns whether the gateway of the response has ended. */
+  boolean wasCutOff() {
+    return isCutOff;
+  }
+
   /** Ends the response because its gateway has ended; what that one still writes is lost. */
   void cutOff() {
     isEnded = true;
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyRequestTest.java
@@ -192,7 +192,7 @@
             }
             refused.incrementAndGet();
             return UpstreamBehavior.sends(
-                new UpstreamBehavior.Write(1, SimulatedUpstream.refusal(id)));
+                new UpstreamBehavior.Write(1, UpstreamBehavior.refusal(id)));
           });
     }
     for (int i = 0; i < 90; i++) {
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -5,10 +5,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,7 +26,6 @@
 import org.tanagerbank.peer.PeerMessage;
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
-import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -43,15 +45,6 @@
   private static final long MESSAGE_MILLIS = 2;
   static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
-  /** What one gateway tells another, on its way. */
-  private record Message(
-      long arrivesAtMillis,
-      int from,
-      int to,
-      ImmutableMap<String, Integer> inFlight,
-      ImmutableList<SuspectRecord> suspects,
-      ImmutableList<TrialClaim> claims) {}
-
   /** A question on the origin of a stream, an answer or a notice, on its way. */
   private record OriginMessage(long arrivesAtMillis, int from, int to, PeerMessage message) {}
 
@@ -75,7 +68,8 @@
       DispatchRuntime runtime =
           new DispatchRuntime(
               clock.eventLoop(),
-              (address, handlers) -> upstreamAt(address.getPort()).connect(index, handlers),
+              (address, handlers) -> connect(this, index, address.getPort(), handlers),
+              () -> nowMillis,
               () -> nowMillis,
               () -> nowMillis,
               new SplittableRandom(index));
@@ -127,7 +121,7 @@
   private long reportsChangeAtMillis = Long.MAX_VALUE;
   private long nowMillis = 1_000;
   private int lastCallNumber;
-  private final List<Message> messages = new ArrayList<>();
+  private final List<DigestMessage> messages = new ArrayList<>();
   private final List<OriginMessage> originMessages = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom(1);
   private double lossShare;
@@ -146,15 +140,26 @@
     for (int i = 0; i < upstreamCount; i++) {
       upstreams.add(
           new SimulatedUpstream(
-              "u" + i, versions.apply(i), i + 1, upstreamsKeepIds, runs, this::isInTouch));
+              "u" + i,
+              versions.apply(i),
+              i + 1,
+              upstreamsKeepIds,
+              runs,
+              this::isInTouch,
+              g -> gateways.get(g).interruptedAtMillis));
     }
     reports = currentReports();
     nextReports = reports;
     IntStream.range(0, gatewayCount).forEach(i -> gateways.add(new SimulatedGateway(i)));
   }
 
-  private SimulatedUpstream upstreamAt(int port) {
-    return upstreams.get(port - 1);
+  /** Connects a gateway to an upstream, unless it has ended and another one is in its place. */
+  private ChannelFuture connect(
+      SimulatedGateway from, int index, int port, ChannelHandler... handlers) {
+    boolean hasEnded = index < gateways.size() && gateways.get(index) != from;
+    return hasEnded
+        ? new EmbeddedChannel().newFailedFuture(new ConnectException("the gateway has ended"))
+        : upstreams.get(port - 1).connect(index, handlers);
   }
 
   private ImmutableList<UpstreamReport> currentReports() {
@@ -249,8 +254,8 @@
 
   /** Ends a gateway and starts it again without memory. */
   void restart(int gateway) {
-    upstreams.forEach(u -> u.disconnect(gateway));
     gateways.set(gateway, new SimulatedGateway(gateway));
+    upstreams.forEach(u -> u.disconnect(gateway));
   }
 
   /** Returns whether a gateway was not interrupted or cut off lately. */
@@ -321,7 +326,7 @@
     for (int to = 0; to < gateways.size(); to++) {
       if (to != from && random.nextDouble() >= lossShare) {
         messages.add(
-            new Message(
+            new DigestMessage(
                 nowMillis + MESSAGE_MILLIS,
                 from,
                 to,
@@ -340,7 +345,8 @@
         tellOthers(i);
       }
     }
-    List<Message> due = messages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
+    List<DigestMessage> due =
+        messages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
     messages.removeAll(due);
     due.forEach(this::deliver);
     List<OriginMessage> dueOrigins =
@@ -349,7 +355,7 @@
     dueOrigins.forEach(this::deliver);
   }
 
-  private void deliver(Message message) {
+  private void deliver(DigestMessage message) {
     SimulatedGateway to = gateways.get(message.to());
     if (to.isPaused || to.isCutOff || gateways.get(message.from()).isCutOff) {
       return;
--- a/src/test/java/org/tanagerbank/dispatch/NoticeRules.java
+++ b/src/test/java/org/tanagerbank/dispatch/NoticeRules.java
@@ -34,10 +34,14 @@
         .toList();
   }
 
-  /** Returns what the process at which a request arrived had told its gateway. */
+  /**
+   * Returns what the process at which a request arrived had told its gateway. A gateway that was
+   * interrupted since then need not know it.
+   */
   private static Stream<Notice> told(SimulatedUpstream upstream, Arrival arrival) {
     return upstream.traffic().notices().stream()
-        .filter(t -> t.process().equals(arrival.process()) && t.gateway() == arrival.gateway());
+        .filter(t -> t.process().equals(arrival.process()) && t.gateway() == arrival.gateway())
+        .filter(t -> arrival.gatewaySinceMillis() <= t.atMillis());
   }
 
   private static boolean isInPause(Notice told, Arrival arrival) {
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -53,7 +53,10 @@
     UpstreamReport upstream =
         new UpstreamReport(id, "s", version, address, "z", 64, false, 0, 1, 1);
     UpstreamHandle handle =
-        new UpstreamHandle(upstream, ConnectionPool.create(group.next(), address, () -> 0));
+        new UpstreamHandle(
+            upstream,
+            ConnectionPool.create(group.next(), address, () -> 0),
+            new SendPermission(() -> 0));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.IntPredicate;
+import java.util.function.IntToLongFunction;
 import org.tanagerbank.dispatch.UpstreamBehavior.Write;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -106,6 +107,7 @@
   private final boolean keepsId;
   private final List<Run> runs;
   private final IntPredicate isInTouch;
+  private final IntToLongFunction interruptedAt;
   private final List<Connection> connections = new ArrayList<>();
   private int starts = 1;
   private long startedAtMillis = 1;
@@ -126,7 +128,9 @@
       int port,
       boolean keepsId,
       List<Run> runs,
-      IntPredicate isInTouch) {
+      IntPredicate isInTouch,
+      IntToLongFunction interruptedAt) {
+    this.interruptedAt = interruptedAt;
     this.version = version;
     this.nextVersion = version;
     this.isInTouch = isInTouch;
@@ -224,13 +228,6 @@
     return opened;
   }
 
-  /** Returns the response of an upstream that does not run a request. */
-  static String refusal(String requestId) {
-    return "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: "
-        + requestId
-        + "\r\nContent-Length: 0\r\n\r\n";
-  }
-
   /** Ends the upstream with all its connections. */
   void crash(long nowMillis) {
     if (!isUp) {
@@ -286,7 +283,9 @@
 
   /** Sends a response, and records what its head says of the upstream. */
   private void respond(Connection connection, String text, long nowMillis) {
-    traffic.recordResponse(nowMillis, process(), connection.gateway, text);
+    if (connection.channel.isActive()) {
+      traffic.recordResponse(nowMillis, process(), connection.gateway, text);
+    }
     write(connection, text);
   }
 
@@ -356,7 +355,7 @@
             nowMillis,
             process(),
             connection.gateway,
-            isInTouch.test(connection.gateway),
+            interruptedAt.applyAsLong(connection.gateway),
             connection.requestId));
     UpstreamBehavior behavior = behavior(head, connection.requestId);
     behavior
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamBehavior.java
@@ -47,4 +47,11 @@
   static UpstreamBehavior sends(Write... writes) {
     return new UpstreamBehavior(false, false, ImmutableList.copyOf(writes));
   }
+
+  /** Returns the response of an upstream that does not run a request. */
+  static String refusal(String requestId) {
+    return "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: "
+        + requestId
+        + "\r\nContent-Length: 0\r\n\r\n";
+  }
 }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
@@ -177,6 +177,20 @@
     assertThat(served(calls)).isEqualTo(10);
   }
 
+  /** A restarted process may answer before the gateway learns from its report that it started. */
+  @Test
+  void pauseOfARestartedProcessOutlastsItsReport() {
+    DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
+    SimulatedUpstream upstream = fleet.upstreams().get(0);
+    send(fleet, 2, 100);
+    upstream.crash(fleet.nowMillis());
+    refuseAll(upstream, "3");
+    fleet.advance(SimulatedUpstream.RESTART_MILLIS);
+    send(fleet, 100, 30);
+    assertThat(upstream.traffic().notices()).isNotEmpty();
+    assertThat(inPauses(fleet)).isEmpty();
+  }
+
   /** One free upstream must not get the requests of all that pause beyond what it can work on. */
   @Test
   void lastFreeUpstreamIsNotOverloaded() {
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamTraffic.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamTraffic.java
@@ -7,9 +7,13 @@
  * What passed between gateways and one simulated upstream, over all its starts. Not thread-safe.
  */
 final class UpstreamTraffic {
-  /** A request that reached the upstream that was meant, whether or not that ran it. */
+  /**
+   * A request that reached the upstream that was meant, whether or not that ran it.
+   *
+   * @param gatewaySinceMillis the time of the last start, pause or cut of the gateway
+   */
   record Arrival(
-      long atMillis, String process, int gateway, boolean isFromInTouch, String requestId) {}
+      long atMillis, String process, int gateway, long gatewaySinceMillis, String requestId) {}
 
   /** The head of a response by which the upstream told a gateway that it leaves or pauses. */
   record Notice(long atMillis, String process, int gateway, String head) {}
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -27,7 +27,7 @@
  */
 final class UpstreamsTest {
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private final Upstreams upstreams = new Upstreams(Connector.tcp(group.next()), () -> 0);
+  private final Upstreams upstreams = new Upstreams(Connector.tcp(group.next()), () -> 0, () -> 0);
 
   @AfterEach
   void stop() {
