Test that a pause holds for the process that asked for it

The test that came with the carry-over of pauses passes also without it: in the simulation gateways learn of an end before the restart. UpstreamsTest#pauseHoldsForTheProcessThatAskedForIt fails without it and passes with it, and shows that the pause of the process before is dropped. With the bound beside pauses taken out, UpstreamNoticeTest#lastFreeUpstreamIsNotOverloaded fails.

--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.route.CallerLimits;
@@ -17,6 +18,7 @@
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 import org.tanagerbank.upstream.Connector;
+import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -27,7 +29,9 @@
  */
 final class UpstreamsTest {
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private final Upstreams upstreams = new Upstreams(Connector.tcp(group.next()), () -> 0, () -> 0);
+  private long wallMillis;
+  private final Upstreams upstreams =
+      new Upstreams(Connector.tcp(group.next()), () -> 0, () -> wallMillis);
 
   @AfterEach
   void stop() {
@@ -69,6 +73,21 @@
     assertThat(before.isClosed()).isTrue();
   }
 
+  /** A restarted process may answer before its report is read. */
+  @Test
+  void pauseHoldsForTheProcessThatAskedForIt() {
+    for (long startedMillis : new long[] {900, 1_100}) {
+      upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+      wallMillis = 1_000;
+      UpstreamNotice pause = new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty());
+      upstreams.find("a").get().recordNotice(pause, 0);
+      upstreams.update(ImmutableList.of(report("a", startedMillis, false)), CONFIG);
+      boolean askedByThisProcess = startedMillis <= wallMillis;
+      assertThat(upstreams.find("a").get().acceptsRequests(0)).isEqualTo(!askedByThisProcess);
+      upstreams.update(ImmutableList.of(), CONFIG);
+    }
+  }
+
   @Test
   void drainingAndRemovedUpstreamsAreNotCandidates() {
     upstreams.update(
