Log the parts of a prompt with the upstream that was chosen

The log named the session of a request only, so that it could not tell which part the runs share that were lost when upstreams crashed, if their sessions differ.

--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.dispatch;
 
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -45,6 +46,8 @@
         candidates,
         "session",
         prompt.map(p -> Long.toHexString(p.sessionId())).orElse(""),
+        "parts",
+        prompt.map(RequestLog::sharedPartIds).orElse(""),
         "freshTokens",
         upstream.uncachedTokens(prompt),
         "fetchedTokens",
@@ -57,6 +60,12 @@
         timeLeftMillis);
   }
 
+  private static String sharedPartIds(Prompt prompt) {
+    return prompt.sharedParts().stream()
+        .map(p -> Long.toHexString(p.id()))
+        .collect(Collectors.joining(","));
+  }
+
   void attemptFailed(
       UpstreamHandle upstream,
       AttemptFailure failure,
--- a/src/main/java/org/tanagerbank/engine/Prompt.java
+++ b/src/main/java/org/tanagerbank/engine/Prompt.java
@@ -37,11 +37,16 @@
     return parts.isEmpty() ? 0 : parts.get(Math.max(0, parts.size() - 2)).id();
   }
 
+  /** Returns the parts that other requests may share: all but the last. */
+  public ImmutableList<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
+
   /**
    * Returns the number of tokens of all parts except the last, which is specific to the request.
    */
   public int sharedTokens() {
-    return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(PromptPart::tokens).sum();
+    return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
   }
 
   /**
