Add failing tests of a part of prompts that ends upstreams

Messages between simulated gateways are actions that arrive later, in place of two lists of records.

--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.tanagerbank.caller.CallerRequest;
@@ -26,6 +27,7 @@
 import org.tanagerbank.peer.PeerMessage;
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
+import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
@@ -45,8 +47,8 @@
   private static final long MESSAGE_MILLIS = 2;
   static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
-  /** A question on the origin of a stream, an answer or a notice, on its way. */
-  private record OriginMessage(long arrivesAtMillis, int from, int to, PeerMessage message) {}
+  /** A message between gateways on its way, and what it does when it arrives. */
+  private record Delivery(long atMillis, int from, int to, Consumer<SimulatedGateway> action) {}
 
   /** A gateway, which is replaced by a new one when it restarts. */
   private final class SimulatedGateway {
@@ -121,8 +123,7 @@
   private long reportsChangeAtMillis = Long.MAX_VALUE;
   private long nowMillis = 1_000;
   private int lastCallNumber;
-  private final List<DigestMessage> messages = new ArrayList<>();
-  private final List<OriginMessage> originMessages = new ArrayList<>();
+  private final List<Delivery> deliveries = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom(1);
   private double lossShare;
 
@@ -201,6 +202,11 @@
     return sendWithHeaders(gateway, path, body, id, ImmutableMap.of());
   }
 
+  /** Sends a request under a new id with a prompt; its last part is its own. */
+  Call sendPrompt(int gateway, String path, String body, SimulatedPrompt prompt) {
+    return sendWithHeaders(gateway, path, body, "r" + ++lastCallNumber, prompt.headers());
+  }
+
   /** Takes up a stream at a gateway, after the last event that the caller received. */
   Call takeUp(int gateway, Call interrupted, String firstId) {
     ImmutableList<String> ids = interrupted.eventFields("id");
@@ -294,15 +300,19 @@
   }
 
   private void sendOriginMessage(int from, int to, PeerMessage message) {
+    deliverLater(from, to, g -> g.origins.onMessage(addressOf(from), message));
+  }
+
+  private void deliverLater(int from, int to, Consumer<SimulatedGateway> action) {
     if (random.nextDouble() >= lossShare) {
-      originMessages.add(new OriginMessage(nowMillis + MESSAGE_MILLIS, from, to, message));
+      deliveries.add(new Delivery(nowMillis + MESSAGE_MILLIS, from, to, action));
     }
   }
 
-  private void deliver(OriginMessage due) {
+  private void deliver(Delivery due) {
     SimulatedGateway to = gateways.get(due.to());
     if (!to.isPaused && !to.isCutOff && !gateways.get(due.from()).isCutOff) {
-      to.origins.onMessage(addressOf(due.from()), due.message());
+      due.action().accept(to);
     }
   }
 
@@ -322,17 +332,20 @@
   private void tellOthers(int from) {
     gateways.get(from).schedule.recordSent(nowMillis);
     SharedUpstreamState state = gateways.get(from).dispatcher.sharedUpstreamState();
+    ImmutableMap<String, Integer> inFlight = state.inFlight();
     ImmutableList<SuspectRecord> suspects = state.nextSuspects();
+    ImmutableList<TrialClaim> claims = state.trialClaims();
+    String sender = "g" + from;
     for (int to = 0; to < gateways.size(); to++) {
-      if (to != from && random.nextDouble() >= lossShare) {
-        messages.add(
-            new DigestMessage(
-                nowMillis + MESSAGE_MILLIS,
-                from,
-                to,
-                state.inFlight(),
-                suspects,
-                state.trialClaims()));
+      if (to != from) {
+        deliverLater(
+            from,
+            to,
+            g -> {
+              SharedUpstreamState other = g.dispatcher.sharedUpstreamState();
+              other.onPeerInFlight(sender, inFlight);
+              other.onPeerSuspects(sender, suspects, claims);
+            });
       }
     }
   }
@@ -345,25 +358,9 @@
         tellOthers(i);
       }
     }
-    List<DigestMessage> due =
-        messages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
-    messages.removeAll(due);
+    List<Delivery> due = deliveries.stream().filter(d -> d.atMillis() <= nowMillis).toList();
+    deliveries.removeAll(due);
     due.forEach(this::deliver);
-    List<OriginMessage> dueOrigins =
-        originMessages.stream().filter(m -> m.arrivesAtMillis() <= nowMillis).toList();
-    originMessages.removeAll(dueOrigins);
-    dueOrigins.forEach(this::deliver);
-  }
-
-  private void deliver(DigestMessage message) {
-    SimulatedGateway to = gateways.get(message.to());
-    if (to.isPaused || to.isCutOff || gateways.get(message.from()).isCutOff) {
-      return;
-    }
-    SharedUpstreamState state = to.dispatcher.sharedUpstreamState();
-    String sender = "g" + message.from();
-    state.onPeerInFlight(sender, message.inFlight());
-    state.onPeerSuspects(sender, message.suspects(), message.claims());
   }
 
   /** Lets time pass until a gateway has just sent a regular digest. */
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -1,9 +1,5 @@
 package org.tanagerbank.dispatch;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPromise;
@@ -39,6 +35,7 @@
 
   private long crashMillis = CRASH_MILLIS;
   private DeadlyRule deadlyRule = DeadlyRule.ALWAYS;
+  private DeadlyParts deadlyParts = DeadlyParts.NONE;
 
   /** The time from the end of an upstream to its next start. */
   static final long RESTART_MILLIS = 3_000;
@@ -84,23 +81,8 @@
     }
   }
 
-  private static final class Connection {
-    private final EmbeddedChannel channel;
-    private final int gateway;
-    private final StringBuilder received = new StringBuilder();
-    private String requestId = "";
-    private String path = "";
-    private long endsAtMillis = Long.MAX_VALUE;
-    private boolean endsUpstream;
-
-    private Connection(EmbeddedChannel channel, int gateway) {
-      this.channel = channel;
-      this.gateway = gateway;
-    }
-  }
-
   /** Bytes that are sent on a connection at a later time. */
-  private record PendingWrite(long atMillis, Connection connection, Write write) {}
+  private record PendingWrite(long atMillis, SimulatedConnection connection, Write write) {}
 
   private final String name;
   private final int port;
@@ -108,7 +90,7 @@
   private final List<Run> runs;
   private final IntPredicate isInTouch;
   private final IntToLongFunction interruptedAt;
-  private final List<Connection> connections = new ArrayList<>();
+  private final List<SimulatedConnection> connections = new ArrayList<>();
   private int starts = 1;
   private long startedAtMillis = 1;
   private boolean isUp = true;
@@ -170,6 +152,11 @@
     deadlyRule = rule;
   }
 
+  /** Sets which parts of prompts end the upstream. */
+  void setDeadlyParts(DeadlyParts parts) {
+    deadlyParts = parts;
+  }
+
   /** Sets the time from the start of a deadly request to the end of the upstream. */
   void setCrashMillis(long millis) {
     crashMillis = millis;
@@ -195,7 +182,8 @@
 
   /** Closes the connections of a gateway that has ended. */
   void disconnect(int gateway) {
-    List<Connection> closing = connections.stream().filter(c -> c.gateway == gateway).toList();
+    List<SimulatedConnection> closing =
+        connections.stream().filter(c -> c.gateway == gateway).toList();
     closing.forEach(c -> c.channel.close());
     connections.removeIf(c -> c.gateway == gateway);
   }
@@ -217,7 +205,7 @@
     ChannelPromise opened = channel.newPromise();
     Runnable open =
         () -> {
-          connections.add(new Connection(channel, gateway));
+          connections.add(new SimulatedConnection(channel, gateway));
           opened.setSuccess();
         };
     if (holdsConnections) {
@@ -235,7 +223,7 @@
     }
     isUp = false;
     endedAtMillis = nowMillis;
-    List<Connection> open = new ArrayList<>(connections);
+    List<SimulatedConnection> open = new ArrayList<>(connections);
     connections.clear();
     open.forEach(c -> c.channel.close());
   }
@@ -248,11 +236,11 @@
       version = nextVersion;
       startedAtMillis = nowMillis;
     }
-    for (Connection connection : new ArrayList<>(connections)) {
+    for (SimulatedConnection connection : new ArrayList<>(connections)) {
       read(connection, nowMillis);
     }
     sendPending(nowMillis);
-    for (Connection connection : new ArrayList<>(connections)) {
+    for (SimulatedConnection connection : new ArrayList<>(connections)) {
       if (isUp && nowMillis >= connection.endsAtMillis) {
         finish(connection, nowMillis);
       }
@@ -267,7 +255,7 @@
     due.forEach(w -> send(w.connection(), w.write(), nowMillis));
   }
 
-  private void send(Connection connection, Write write, long nowMillis) {
+  private void send(SimulatedConnection connection, Write write, long nowMillis) {
     respond(connection, write.text(), nowMillis);
     switch (write.then()) {
       case NOTHING -> {}
@@ -282,25 +270,20 @@
   }
 
   /** Sends a response, and records what its head says of the upstream. */
-  private void respond(Connection connection, String text, long nowMillis) {
+  private void respond(SimulatedConnection connection, String text, long nowMillis) {
     if (connection.channel.isActive()) {
       traffic.recordResponse(nowMillis, process(), connection.gateway, text);
     }
-    write(connection, text);
+    connection.write(text);
   }
 
   private String process() {
     return name + "/" + starts;
   }
 
-  private static void write(Connection connection, String text) {
-    if (connection.channel.isActive()) {
-      connection.channel.writeInbound(Unpooled.copiedBuffer(text, ISO_8859_1));
-    }
-  }
-
-  private void finish(Connection connection, long nowMillis) {
+  private void finish(SimulatedConnection connection, long nowMillis) {
     if (connection.endsUpstream) {
+      traffic.recordCrash(nowMillis, process(), connection.parts);
       crash(nowMillis);
       return;
     }
@@ -318,55 +301,44 @@
     respond(connection, response, nowMillis);
   }
 
-  private void read(Connection connection, long nowMillis) {
-    if (!connection.channel.isActive()) {
-      return;
-    }
-    for (ByteBuf piece = connection.channel.readOutbound();
-        piece != null;
-        piece = connection.channel.readOutbound()) {
-      connection.received.append(piece.toString(ISO_8859_1));
-      piece.release();
-    }
-    String text = connection.received.toString();
-    int headEnd = text.indexOf("\r\n\r\n");
-    if (headEnd < 0) {
-      return;
-    }
-    int length = Integer.parseInt(RawHead.header(text, "content-length", "0"));
-    if (text.length() < headEnd + 4 + length) {
-      return;
-    }
-    connection.received.setLength(0);
-    begin(connection, text, text.substring(headEnd + 4), nowMillis);
+  private void read(SimulatedConnection connection, long nowMillis) {
+    connection.readRequest().ifPresent(r -> begin(connection, r.head(), r.body(), nowMillis));
   }
 
-  private void begin(Connection connection, String head, String body, long nowMillis) {
+  private void begin(SimulatedConnection connection, String head, String body, long nowMillis) {
     connection.requestId = RawHead.header(head, "request-id", "");
     connection.path = head.split(" ", 3)[1];
     if (!RawHead.header(head, "expect-instance", "").equals(id())) {
       String response =
           "HTTP/1.1 421 X\r\nRequest-Id: " + connection.requestId + "\r\nContent-Length: 0\r\n\r\n";
-      write(connection, response);
+      connection.write(response);
       return;
     }
+    connection.parts = SimulatedPrompt.sharedParts(head);
     traffic.recordArrival(
         new UpstreamTraffic.Arrival(
             nowMillis,
             process(),
             connection.gateway,
             interruptedAt.applyAsLong(connection.gateway),
-            connection.requestId));
+            isInTouch.test(connection.gateway),
+            connection.requestId,
+            connection.parts));
     UpstreamBehavior behavior = behavior(head, connection.requestId);
     behavior
         .writes()
         .forEach(
             w -> pendingWrites.add(new PendingWrite(nowMillis + w.delayMillis(), connection, w)));
     if (behavior.runs()) {
-      run(connection, body, behavior.answers(), nowMillis);
+      run(connection, head, body, behavior.answers(), nowMillis);
     }
   }
 
+  private boolean isDeadlyBody(String body) {
+    long earlierRuns = runs.stream().filter(r -> r.body().equals(body)).count();
+    return body.startsWith(DEADLY) && deadlyRule.endsUpstream(version, earlierRuns);
+  }
+
   private UpstreamBehavior behavior(String head, String requestId) {
     int lastEvent = Integer.parseInt(RawHead.header(head, "last-event-id", "0"));
     if (script.isPresent() && lastEvent == 0) {
@@ -377,10 +349,10 @@
         : UpstreamBehavior.NORMAL;
   }
 
-  private void run(Connection connection, String body, boolean answers, long nowMillis) {
-    long earlierRuns = runs.stream().filter(r -> r.body().equals(body)).count();
+  private void run(
+      SimulatedConnection connection, String head, String body, boolean answers, long nowMillis) {
     connection.endsUpstream =
-        body.startsWith(DEADLY) && deadlyRule.endsUpstream(version, earlierRuns);
+        isDeadlyBody(body) || deadlyParts.endsUpstream(head, version, nowMillis);
     if (answers) {
       connection.endsAtMillis = nowMillis + (connection.endsUpstream ? crashMillis : WORK_MILLIS);
     }
