--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.upstream.ExchangeFailure;
 import org.tanagerbank.upstream.ExchangeListener;
 import org.tanagerbank.upstream.HttpConnection;
@@ -41,7 +42,7 @@
   private final Dispatcher dispatcher;
   private final UpstreamChoice choice;
   private final UpstreamHandle upstream;
-  private final boolean isTrial;
+  private final Optional<Fingerprint> onTrial;
   private final ByteBufAllocator allocator = UnpooledByteBufAllocator.DEFAULT;
   private HttpConnection connection;
   private TrackedRun run;
@@ -58,8 +59,11 @@
   private EventSplitter events;
 
   Attempt(
-      RequestExecution execution, Dispatcher dispatcher, UpstreamChoice choice, boolean isTrial) {
-    this.isTrial = isTrial;
+      RequestExecution execution,
+      Dispatcher dispatcher,
+      UpstreamChoice choice,
+      Optional<Fingerprint> onTrial) {
+    this.onTrial = onTrial;
     this.execution = execution;
     this.dispatcher = dispatcher;
     this.choice = choice;
@@ -98,7 +102,7 @@
     }
     connection = opened;
     sentMillis = dispatcher.nowMillis();
-    run = dispatcher.crashGuard().runStarted(execution, upstream, isTrial);
+    run = dispatcher.crashGuard().runStarted(execution.suspects(), execution, upstream, onTrial);
     connection.send(execution.upstreamRequest(choice), this);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -1,16 +1,18 @@
 package org.tanagerbank.dispatch;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.CrashEvidence;
-import org.tanagerbank.quarantine.CrashRecord;
 import org.tanagerbank.quarantine.Quarantine;
 import org.tanagerbank.quarantine.QuarantineRule;
 import org.tanagerbank.quarantine.QuarantineStatus;
@@ -25,17 +27,20 @@
  * Keeps requests that crash upstreams away from them, by the history that all instances share.
  *
  * <p>A request is known by its fingerprint, whichever caller's id it has and whichever instance it
- * comes to. Not thread-safe; confined to the event loop.
+ * comes to, and by the parts of its prompt; the worst of these suspects decides. Not thread-safe;
+ * confined to the event loop.
  */
 public final class CrashGuard {
   /** How a request may proceed. */
   enum Admission {
     /** It may be sent, together with others. */
     RUN,
-    /** It may be sent as the only run of its fingerprint in the fleet. */
+    /** It may be sent as the only run of a suspect in the fleet. */
     TRIAL,
-    /** It must ask again shortly, because another run decides on it. */
+    /** It must ask again shortly, because it is not known yet whether it may be sent. */
     WAIT,
+    /** It must not be sent now, because another run decides on a part of its prompt. */
+    REFUSED_FOR_NOW,
     /** It must not be sent. */
     REFUSED
   }
@@ -44,10 +49,28 @@
    * How a request may proceed, and to which upstreams it may be sent. Immutable.
    *
    * @param candidates the upstreams among which one is chosen; empty unless the request may be sent
+   * @param onTrial the suspect that is on trial, if the request may be sent as its only run
+   * @param retryAfterMillis the time in milliseconds after which a refused request may come again
    */
-  record Decision(Admission admission, List<UpstreamHandle> candidates) {
-    private static Decision without(Admission admission) {
-      return new Decision(admission, List.of());
+  record Decision(
+      Admission admission,
+      List<UpstreamHandle> candidates,
+      Optional<Fingerprint> onTrial,
+      long retryAfterMillis) {
+    private static Decision run(List<UpstreamHandle> candidates) {
+      return new Decision(Admission.RUN, candidates, Optional.empty(), 0);
+    }
+
+    private static Decision trial(Fingerprint suspect, List<UpstreamHandle> candidates) {
+      return new Decision(Admission.TRIAL, candidates, Optional.of(suspect), 0);
+    }
+
+    private static Decision waiting() {
+      return new Decision(Admission.WAIT, List.of(), Optional.empty(), 0);
+    }
+
+    private static Decision refused(Admission admission, long retryAfterMillis) {
+      return new Decision(admission, List.of(), Optional.empty(), retryAfterMillis);
     }
   }
 
@@ -83,52 +106,102 @@
    *
    * @param candidates the upstreams to which it could be sent
    */
-  Decision admit(Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates) {
+  Decision admit(RequestSuspects suspects, Object holder, List<UpstreamHandle> candidates) {
     long now = clockMillis.getAsLong();
-    return switch (quarantine.status(fingerprint, now)) {
-      case CLEAR, SUSPECT -> new Decision(Admission.RUN, candidates);
-      case TRIAL_ONLY -> admitRestricted(fingerprint, holder, candidates, now);
-      case QUARANTINED -> Decision.without(Admission.REFUSED);
-    };
-  }
-
-  private Decision admitRestricted(
-      Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates, long now) {
+    ImmutableMap<Fingerprint, QuarantineStatus> statuses =
+        Maps.toMap(suspects.all(), s -> quarantine.status(s, suspects.all(), now));
+    Optional<Fingerprint> condemned =
+        having(statuses, QuarantineStatus.QUARANTINED).stream().findFirst();
+    if (condemned.isPresent()) {
+      return Decision.refused(Admission.REFUSED, quarantineLeftMillis(condemned.get(), now));
+    }
+    ImmutableList<Fingerprint> restricted = having(statuses, QuarantineStatus.TRIAL_ONLY);
+    if (restricted.isEmpty()) {
+      return Decision.run(outsideTrials(candidates, now));
+    }
     List<UpstreamHandle> harmless =
         candidates.stream()
-            .filter(u -> quarantine.isHarmlessTo(u.softwareHash(), fingerprint, now))
+            .filter(
+                u ->
+                    restricted.stream()
+                        .allMatch(s -> quarantine.isHarmlessTo(u.softwareHash(), s, now)))
             .toList();
     return harmless.isEmpty()
-        ? claimTrial(fingerprint, holder, candidates, now)
-        : new Decision(Admission.RUN, harmless);
+        ? claimTrial(suspects, suspects.narrowest(restricted), holder, candidates, now)
+        : Decision.run(harmless);
+  }
+
+  private static ImmutableList<Fingerprint> having(
+      ImmutableMap<Fingerprint, QuarantineStatus> statuses, QuarantineStatus status) {
+    return statuses.keySet().stream()
+        .filter(s -> statuses.get(s) == status)
+        .collect(toImmutableList());
+  }
+
+  /**
+   * Returns the upstreams at which no suspect is on trial, which may crash under it. Returns all if
+   * these are less than half.
+   */
+  private List<UpstreamHandle> outsideTrials(List<UpstreamHandle> candidates, long now) {
+    ImmutableSet<Integer> inTrial = claims.upstreamsInTrial(now);
+    if (inTrial.isEmpty()) {
+      return candidates;
+    }
+    List<UpstreamHandle> others =
+        candidates.stream().filter(u -> !inTrial.contains(u.idHash())).toList();
+    return 2 * others.size() < candidates.size() ? candidates : others;
   }
 
   private Decision claimTrial(
-      Fingerprint fingerprint, Object holder, List<UpstreamHandle> candidates, long now) {
-    long pause = quarantine.nextTrialMillis(fingerprint) - now;
+      RequestSuspects suspects,
+      Fingerprint suspect,
+      Object holder,
+      List<UpstreamHandle> candidates,
+      long now) {
+    long pause = quarantine.nextTrialMillis(suspect) - now;
+    boolean isPart = suspects.isPart(suspect);
     if (pause > 0) {
-      return Decision.without(
-          pause <= MAX_WAITED_PAUSE_MILLIS ? Admission.WAIT : Admission.REFUSED);
+      return pauseBeforeTrial(isPart, pause);
     }
-    List<UpstreamHandle> eligible = trialCandidates(fingerprint, candidates, now);
+    List<UpstreamHandle> eligible = trialCandidates(suspect, candidates, now);
     if (eligible.isEmpty() && !candidates.isEmpty()) {
-      return Decision.without(Admission.WAIT);
+      return isPart ? trialElsewhere() : Decision.waiting();
     }
     ImmutableList<TrialClaim> before = claims.ownClaims(now);
-    boolean mayStart = claims.tryStart(fingerprint, holder, now);
+    boolean mayStart = claims.tryStart(suspect, holder, now);
+    boolean isTaken = !mayStart && isPart && claims.isTaken(suspect, holder, now);
+    if (isTaken) {
+      claims.abandon(suspect, holder);
+    }
     if (!claims.ownClaims(now).equals(before)) {
       urgentNews.run();
     }
-    return mayStart ? new Decision(Admission.TRIAL, eligible) : Decision.without(Admission.WAIT);
+    if (isTaken) {
+      return trialElsewhere();
+    }
+    return mayStart ? Decision.trial(suspect, eligible) : Decision.waiting();
   }
 
-  /** Returns the time in milliseconds until a refused request may be sent again. */
-  long refusedMillis(Fingerprint fingerprint) {
-    long now = clockMillis.getAsLong();
+  /**
+   * A whole request waits for a short pause. Requests with a part come many at a time, so that one
+   * that waited would mostly wait in vain.
+   */
+  private static Decision pauseBeforeTrial(boolean isPart, long pauseMillis) {
+    if (isPart) {
+      return Decision.refused(Admission.REFUSED_FOR_NOW, pauseMillis);
+    }
+    return pauseMillis <= MAX_WAITED_PAUSE_MILLIS
+        ? Decision.waiting()
+        : Decision.refused(Admission.REFUSED, pauseMillis);
+  }
+
+  private static Decision trialElsewhere() {
+    return Decision.refused(Admission.REFUSED_FOR_NOW, TrialClaims.SETTLE_MILLIS);
+  }
+
+  private long quarantineLeftMillis(Fingerprint suspect, long now) {
     long until =
-        quarantine
-            .expiryMillis(fingerprint, now)
-            .orElseGet(() -> quarantine.nextTrialMillis(fingerprint));
+        quarantine.expiryMillis(suspect, now).orElseGet(() -> quarantine.nextTrialMillis(suspect));
     return Math.max(0, until - now);
   }
 
@@ -139,7 +212,7 @@
    */
   private List<UpstreamHandle> trialCandidates(
       Fingerprint fingerprint, List<UpstreamHandle> candidates, long now) {
-    ImmutableSet<Integer> inTrial = claims.upstreamsInTrial(fingerprint, now);
+    ImmutableSet<Integer> inTrial = claims.upstreamsInOtherTrials(fingerprint, now);
     ImmutableSet<Integer> crashed = quarantine.crashedSoftware(fingerprint, now);
     List<UpstreamHandle> free =
         candidates.stream().filter(u -> !inTrial.contains(u.idHash())).toList();
@@ -148,23 +221,37 @@
     return others.isEmpty() ? free : others;
   }
 
-  /** Records that a request is sent to an upstream. */
-  TrackedRun runStarted(RequestExecution request, UpstreamHandle upstream, boolean isTrial) {
-    Fingerprint fingerprint = request.fingerprint();
-    if (isTrial) {
-      claims.setUpstream(fingerprint, upstream.idHash());
-      urgentNews.run();
-    }
-    int depth = quarantine.depth(fingerprint, clockMillis.getAsLong()) + 1;
-    return new TrackedRun(
-        fingerprint, request, upstream, upstream.crashes(), depth, isTrial, request.prompt());
+  /**
+   * Records that a request is sent to an upstream.
+   *
+   * @param onTrial the suspect of which it is the only run in the fleet, if there is one
+   */
+  TrackedRun runStarted(
+      RequestSuspects suspects,
+      Object holder,
+      UpstreamHandle upstream,
+      Optional<Fingerprint> onTrial) {
+    onTrial.ifPresent(
+        s -> {
+          claims.setUpstream(s, upstream.idHash());
+          urgentNews.run();
+        });
+    long now = clockMillis.getAsLong();
+    ImmutableMap<Fingerprint, Integer> depths =
+        suspects.all().stream()
+            .filter(s -> quarantine.depth(s, now) > 0)
+            .collect(toImmutableMap(s -> s, s -> quarantine.depth(s, now)));
+    return new TrackedRun(suspects, holder, upstream, upstream.crashes(), depths, onTrial);
   }
 
   /** Records that the upstream ran the request to its end. */
   void runCompleted(TrackedRun run) {
-    if (quarantine.recordCompletion(run.fingerprint(), run::conditions, clockMillis.getAsLong())) {
-      news.add(run.fingerprint());
-    }
+    long now = clockMillis.getAsLong();
+    int software = run.upstream().softwareHash();
+    run.suspects().all().stream()
+        .filter(
+            s -> quarantine.recordCompletion(s, () -> run.suspects().conditions(s, software), now))
+        .forEach(news::add);
   }
 
   /**
@@ -177,16 +264,18 @@
   }
 
   private void recordIfUndecidedTrial(TrackedRun run, boolean wasMisdirected) {
-    if (run.isTrial()) {
-      quarantine.recordUndecidedTrial(run.fingerprint(), wasMisdirected, clockMillis.getAsLong());
-      news.add(run.fingerprint());
-      urgentNews.run();
-    }
+    run.onTrial()
+        .ifPresent(
+            s -> {
+              quarantine.recordUndecidedTrial(s, wasMisdirected, clockMillis.getAsLong());
+              news.add(s);
+              urgentNews.run();
+            });
   }
 
   /** Ends a run. Has no effect on the claim of one that was lost or cancelled. */
   void runEnded(TrackedRun run) {
-    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ false, clockMillis.getAsLong());
+    endClaims(run, /* wasLost= */ false);
   }
 
   /** Records that a run ended without a result. */
@@ -194,13 +283,18 @@
     if (loss == RunLoss.GIVEN_UP) {
       recordIfUndecidedTrial(run, /* wasMisdirected= */ false);
     }
-    claims.end(run.fingerprint(), run.holder(), /* wasLost= */ true, clockMillis.getAsLong());
+    endClaims(run, /* wasLost= */ true);
     detector.runLost(run, loss);
   }
 
+  private void endClaims(TrackedRun run, boolean wasLost) {
+    long now = clockMillis.getAsLong();
+    run.suspects().all().forEach(s -> claims.end(s, run.holder(), wasLost, now));
+  }
+
   /** Drops what a request that has ended without a run holds. */
-  void abandon(Fingerprint fingerprint, Object holder) {
-    claims.abandon(fingerprint, holder);
+  void abandon(RequestSuspects suspects, Object holder) {
+    suspects.all().forEach(s -> claims.abandon(s, holder));
   }
 
   /** Records that the process of an upstream has ended, by its report. */
@@ -209,20 +303,25 @@
   }
 
   private void runCrashed(TrackedRun run, String crashId) {
+    run.suspects().all().forEach(s -> recordCrash(run, s, crashId));
+  }
+
+  private void recordCrash(TrackedRun run, Fingerprint suspect, String crashId) {
     long now = clockMillis.getAsLong();
-    QuarantineStatus before = quarantine.status(run.fingerprint(), now);
-    CrashRecord crash = new CrashRecord(crashId, run.depth(), run.isTrial(), now, run.conditions());
-    if (quarantine.recordLostRun(run.fingerprint(), crash, now)) {
-      news.add(run.fingerprint());
+    QuarantineStatus before = quarantine.status(suspect, run.suspects().all(), now);
+    boolean isNew = quarantine.recordLostRun(suspect, run.crash(suspect, crashId, now), now);
+    QuarantineStatus after = quarantine.status(suspect, run.suspects().all(), now);
+    if (isNew) {
+      news.add(suspect);
     }
-    if (run.isTrial()) {
+    if (isNew && after.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
       urgentNews.run();
     }
-    logChange(run.fingerprint(), before, now);
+    logChange(suspect, run.suspects().partId(suspect), before, after);
   }
 
-  private void logChange(Fingerprint fingerprint, QuarantineStatus before, long now) {
-    QuarantineStatus after = quarantine.status(fingerprint, now);
+  private void logChange(
+      Fingerprint fingerprint, String partId, QuarantineStatus before, QuarantineStatus after) {
     if (after != before && after.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
       EventLog.emit(
           after == QuarantineStatus.QUARANTINED
@@ -230,6 +329,8 @@
               : LogEvent.REQUEST_RESTRICTED,
           "fingerprint",
           fingerprint,
+          "part",
+          partId,
           "crashes",
           quarantine.evidence(fingerprint).map(e -> e.crashes().size()).orElse(0));
     }
@@ -267,7 +368,11 @@
       // The sender does not know it yet, and what is forgiven is not repeated.
       news.add(suspect.fingerprint());
     }
-    logChange(suspect.fingerprint(), before, now);
+    logChange(
+        suspect.fingerprint(),
+        /* partId= */ "",
+        before,
+        quarantine.status(suspect.fingerprint(), now));
   }
 
   /** Replaces the trial claims of another instance. */
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -81,21 +81,30 @@
 
   /**
    * Returns the upstream for a trial of a request that may crash it, or empty if there are no
-   * candidates. It has few requests, which a crash would end too. Different requests get different
-   * upstreams where possible, so that two trials do not end at one crash.
+   * candidates. It has few requests and few cached parts that others share, which a crash would end
+   * too. Different requests get different upstreams where possible, so that two trials do not end
+   * at one crash.
    */
   static Optional<UpstreamChoice> chooseForTrial(
       List<UpstreamHandle> upstreams, Fingerprint fingerprint, long nowMillis) {
     ImmutableList<UpstreamHandle> usable = preferHealthy(upstreams, nowMillis);
-    return usable.stream()
-        .sorted(Comparator.comparingInt(u -> u.fleetInFlight(nowMillis)))
-        .limit((usable.size() + 1) / 2)
+    ImmutableList<UpstreamHandle> idle =
+        lowerHalf(usable, Comparator.comparingInt(u -> u.fleetInFlight(nowMillis)));
+    return lowerHalf(idle, Comparator.comparingInt(UpstreamHandle::sharedCachedTokens)).stream()
         .max(
             Comparator.comparingLong(
                 u -> SlotTable.mixBits(SlotTable.idHash(u.report().id()) ^ fingerprint.value())))
         .map(u -> new UpstreamChoice(u, Optional.empty()));
   }
 
+  private static ImmutableList<UpstreamHandle> lowerHalf(
+      List<UpstreamHandle> upstreams, Comparator<UpstreamHandle> order) {
+    return upstreams.stream()
+        .sorted(order)
+        .limit((upstreams.size() + 1) / 2)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns the upstreams that are not avoided, or all if there are no others. */
   private static ImmutableList<UpstreamHandle> preferHealthy(
       List<UpstreamHandle> upstreams, long nowMillis) {
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -19,7 +19,10 @@
   private static final int STATUS_TIMEOUT = 504;
 
   /** The reason for the refusal of a request that crashes upstreams. */
-  static final String QUARANTINED = "the request crashed several upstreams";
+  static final String QUARANTINED = "the request or a part of its prompt crashed several upstreams";
+
+  /** The reason for the refusal of a request while a part of its prompt is on trial. */
+  static final String ON_TRIAL = "a part of the prompt may crash upstreams and is on trial";
 
   /** The reason for the refusal of a request while upstreams of its service pause. */
   static final String UPSTREAMS_PAUSED = "upstreams of the service have asked for a pause";
@@ -45,6 +48,7 @@
       case STATUS_UNAVAILABLE ->
           switch (reason) {
             case QUARANTINED -> "quarantined";
+            case ON_TRIAL -> "on trial";
             case UPSTREAMS_PAUSED -> "upstreams paused";
             default -> "not run";
           };
@@ -94,6 +98,17 @@
     return new Refusal(STATUS_UNAVAILABLE, retryAfterMillis, QUARANTINED);
   }
 
+  /**
+   * Returns the refusal of a request that did not run, because another one decides whether a part
+   * of its prompt crashes upstreams.
+   *
+   * @param decidedAfterMillis the time in milliseconds until that is known
+   */
+  static Refusal onTrial(long decidedAfterMillis, RandomGenerator random) {
+    return new Refusal(
+        STATUS_UNAVAILABLE, decidedAfterMillis + random.nextLong(MAX_SPREAD_MILLIS), ON_TRIAL);
+  }
+
   /** Returns the refusal of a request that may have run without a response to forward. */
   static Refusal mayHaveRun(String reason) {
     return new Refusal(STATUS_BAD_GATEWAY, 0, reason);
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -42,6 +42,7 @@
   private final String requestId;
   private final Fingerprint fingerprint;
   private final Optional<Prompt> prompt;
+  private final RequestSuspects suspects;
   private final String service;
   private final long deadline;
   private final RequestLog log;
@@ -80,6 +81,7 @@
             workspace.map(Workspace::name).orElse(""),
             request.body().nioBuffers());
     this.prompt = dispatcher.headerCodec().prompt(request.headers());
+    this.suspects = RequestSuspects.of(fingerprint, prompt);
     this.origin = resumed.map(ResumedStream::origin);
     this.streamId = resumed.map(ResumedStream::id).orElse(requestId);
     this.service =
@@ -104,17 +106,17 @@
   }
 
   private void place() {
-    CrashGuard.Decision decision = dispatcher.crashGuard().admit(fingerprint, this, candidates());
+    CrashGuard.Decision decision = dispatcher.crashGuard().admit(suspects, this, candidates());
     switch (decision.admission()) {
-      case RUN -> place(decision.candidates(), /* isTrial= */ false);
-      case TRIAL -> place(decision.candidates(), /* isTrial= */ true);
+      case RUN, TRIAL -> place(decision.candidates(), decision.onTrial());
       case WAIT -> {
         retry.release();
         var unused =
             dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
       }
-      case REFUSED ->
-          endWithError(Refusal.quarantined(dispatcher.crashGuard().refusedMillis(fingerprint)));
+      case REFUSED_FOR_NOW ->
+          endWithError(Refusal.onTrial(decision.retryAfterMillis(), dispatcher.random()));
+      case REFUSED -> endWithError(Refusal.quarantined(decision.retryAfterMillis()));
       default -> throw new AssertionError("unknown admission");
     }
   }
@@ -125,7 +127,7 @@
     return origin.map(o -> all.stream().filter(u -> u.canGoOn(o)).toList()).orElse(all);
   }
 
-  private void place(List<UpstreamHandle> candidates, boolean isTrial) {
+  private void place(List<UpstreamHandle> candidates, Optional<Fingerprint> onTrial) {
     if (sentAttempts > 0 && !retry.acquire()) {
       endWithError(Refusal.notRun("no retry is left"));
       return;
@@ -139,7 +141,7 @@
             dispatcher.upstreams().allOfService(service),
             dispatcher.nowMillis());
     Optional<UpstreamChoice> chosen =
-        isTrial
+        onTrial.isPresent()
             ? Placement.chooseForTrial(candidates, fingerprint, dispatcher.nowMillis())
             : Placement.choose(candidates, placement);
     if (chosen.isEmpty()) {
@@ -149,7 +151,7 @@
     UpstreamChoice choice = chosen.get();
     tried.add(choice.upstream().report().id());
     log.placed(choice, candidates.size(), prompt, timeLeftMillis());
-    attempt = new Attempt(this, dispatcher, choice, isTrial);
+    attempt = new Attempt(this, dispatcher, choice, onTrial);
     attempt.start();
   }
 
@@ -166,8 +168,8 @@
     return UpstreamRequests.of(request, call, dispatcher.headerCodec());
   }
 
-  Fingerprint fingerprint() {
-    return fingerprint;
+  RequestSuspects suspects() {
+    return suspects;
   }
 
   String requestId() {
@@ -380,7 +382,7 @@
     ended = true;
     timeout.cancel(false);
     retry.release();
-    dispatcher.crashGuard().abandon(fingerprint, this);
+    dispatcher.crashGuard().abandon(suspects, this);
     request.body().release();
     long millis = dispatcher.nowMillis() - request.receivedAtMillis();
     dispatcher.observer().requestEnded(status, millis);
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -1,8 +1,8 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
-import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.quarantine.RunConditions;
+import org.tanagerbank.quarantine.CrashRecord;
 import org.tanagerbank.request.Fingerprint;
 
 /**
@@ -10,24 +10,25 @@
  *
  * @param holder the execution of the request
  * @param crashesBefore the number of crashes of the upstream that were known when it was sent
- * @param depth 1 more than the number of crashes, one after the other, that were on record for the
- *     fingerprint when it was sent
- * @param isTrial whether it is the only run of its fingerprint in the fleet
- * @param prompt the description of the prompt, if the request has one
+ * @param depths the number of crashes, one after the other, that were on record for each suspect
+ *     when it was sent; suspects without a crash are omitted
+ * @param onTrial the suspect of which it is the only run in the fleet, if there is one
  */
 record TrackedRun(
-    Fingerprint fingerprint,
+    RequestSuspects suspects,
     Object holder,
     UpstreamHandle upstream,
     int crashesBefore,
-    int depth,
-    boolean isTrial,
-    Optional<Prompt> prompt) {
-  /**
-   * Returns what the outcome of the run depends on besides its fingerprint. Computed on demand,
-   * because only crashes and completed runs of suspects need it.
-   */
-  RunConditions conditions() {
-    return new RunConditions(upstream.softwareHash(), prompt.map(Prompt::stableHash).orElse(0));
+    ImmutableMap<Fingerprint, Integer> depths,
+    Optional<Fingerprint> onTrial) {
+  /** Returns the record of the crash of the upstream for one of the suspects. */
+  CrashRecord crash(Fingerprint suspect, String crashId, long atMillis) {
+    return new CrashRecord(
+            crashId,
+            depths.getOrDefault(suspect, 0) + 1,
+            onTrial.equals(Optional.of(suspect)),
+            atMillis,
+            suspects.conditions(suspect, upstream.softwareHash()))
+        .withCompanions(suspects.companions(suspect));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.RunConditions;
@@ -106,6 +107,11 @@
         : 0;
   }
 
+  /** Returns the length in tokens of the cached prompt parts that several requests share. */
+  int sharedCachedTokens() {
+    return engine.map(e -> e.sharedParts().stream().mapToInt(PromptPart::tokens).sum()).orElse(0);
+  }
+
   UpstreamHealth health() {
     return health;
   }
--- a/src/main/java/org/tanagerbank/peer/SuspectCodec.java
+++ b/src/main/java/org/tanagerbank/peer/SuspectCodec.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -22,6 +23,9 @@
   /** The number of kinds of software for which completed runs are read from a message. */
   private static final int MAX_SOFTWARE = 16;
 
+  /** The number of companions of a suspect that are read from a message. */
+  private static final int MAX_COMPANIONS = 64;
+
   private SuspectCodec() {}
 
   static PeerProto.Suspect toProto(SuspectRecord suspect) {
@@ -46,6 +50,7 @@
             .setAgeMillis(age(crash.atMillis()))
             .setSoftware(crash.conditions().software())
             .setPrompt(crash.conditions().prompt());
+    crash.companions().forEach(c -> message.addCompanions(c.value()));
     crash
         .completions()
         .forEach(
@@ -85,7 +90,11 @@
                 toImmutableMap(
                     PeerProto.CompletedRuns::getSoftware,
                     PeerProto.CompletedRuns::getRuns,
-                    Math::max)));
+                    Math::max)),
+        message.getCompanionsList().stream()
+            .limit(MAX_COMPANIONS)
+            .map(Fingerprint::new)
+            .collect(toImmutableSet()));
   }
 
   /** Returns the time of an age; an age that no process can have counts as the oldest possible. */
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -11170,7 +11170,7 @@
   }
   /**
    * <pre>
-   * What the sender knows of the runs of one request, by its fingerprint. Clocks of gateways differ, so
+   * What the sender knows of the runs of one suspect, by its fingerprint: of a request, or of a part of prompts. Clocks of gateways differ, so
    * times are given as ages.
    * </pre>
    *
@@ -11527,7 +11527,7 @@
     }
     /**
      * <pre>
-     * What the sender knows of the runs of one request, by its fingerprint. Clocks of gateways differ, so
+     * What the sender knows of the runs of one suspect, by its fingerprint: of a request, or of a part of prompts. Clocks of gateways differ, so
      * times are given as ages.
      * </pre>
      *
@@ -12314,7 +12314,7 @@
 
     /**
      * <pre>
-     * Hash of the description of the prompt; 0 when there is none.
+     * Hash of the description of the prompt, or of the model for a part; 0 when there is none.
      * </pre>
      *
      * <code>fixed32 prompt = 6;</code>
@@ -12365,6 +12365,35 @@
      */
     org.tanagerbank.proto.PeerProto.CompletedRunsOrBuilder getCompletionsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @return A list containing the companions.
+     */
+    java.util.List<java.lang.Long> getCompanionsList();
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @return The count of companions.
+     */
+    int getCompanionsCount();
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @param index The index of the element to return.
+     * @return The companions at the given index.
+     */
+    long getCompanions(int index);
   }
   /**
    * <pre>
@@ -12394,6 +12423,7 @@
     private Crash() {
       id_ = "";
       completions_ = java.util.Collections.emptyList();
+      companions_ = emptyLongList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -12521,7 +12551,7 @@
     private int prompt_ = 0;
     /**
      * <pre>
-     * Hash of the description of the prompt; 0 when there is none.
+     * Hash of the description of the prompt, or of the model for a part; 0 when there is none.
      * </pre>
      *
      * <code>fixed32 prompt = 6;</code>
@@ -12593,6 +12623,48 @@
       return completions_.get(index);
     }
 
+    public static final int COMPANIONS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList companions_ =
+        emptyLongList();
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @return A list containing the companions.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getCompanionsList() {
+      return companions_;
+    }
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @return The count of companions.
+     */
+    public int getCompanionsCount() {
+      return companions_.size();
+    }
+    /**
+     * <pre>
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * </pre>
+     *
+     * <code>repeated fixed64 companions = 8;</code>
+     * @param index The index of the element to return.
+     * @return The companions at the given index.
+     */
+    public long getCompanions(int index) {
+      return companions_.getLong(index);
+    }
+    private int companionsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12607,6 +12679,7 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, id_);
       }
@@ -12628,6 +12701,13 @@
       for (int i = 0; i < completions_.size(); i++) {
         output.writeMessage(7, completions_.get(i));
       }
+      if (getCompanionsList().size() > 0) {
+        output.writeUInt32NoTag(66);
+        output.writeUInt32NoTag(companionsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < companions_.size(); i++) {
+        output.writeFixed64NoTag(companions_.getLong(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12664,6 +12744,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(7, completions_.get(i));
       }
+      {
+        int dataSize = 0;
+        dataSize = 8 * getCompanionsList().size();
+        size += dataSize;
+        if (!getCompanionsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        companionsMemoizedSerializedSize = dataSize;
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12693,6 +12784,8 @@
           != other.getPrompt()) return false;
       if (!getCompletionsList()
           .equals(other.getCompletionsList())) return false;
+      if (!getCompanionsList()
+          .equals(other.getCompanionsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12722,6 +12815,10 @@
         hash = (37 * hash) + COMPLETIONS_FIELD_NUMBER;
         hash = (53 * hash) + getCompletionsList().hashCode();
       }
+      if (getCompanionsCount() > 0) {
+        hash = (37 * hash) + COMPANIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getCompanionsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -12870,6 +12967,7 @@
           completionsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000040);
+        companions_ = emptyLongList();
         return this;
       }
 
@@ -12934,6 +13032,10 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.prompt_ = prompt_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          companions_.makeImmutable();
+          result.companions_ = companions_;
+        }
       }
 
       @java.lang.Override
@@ -12994,6 +13096,17 @@
             }
           }
         }
+        if (!other.companions_.isEmpty()) {
+          if (companions_.isEmpty()) {
+            companions_ = other.companions_;
+            companions_.makeImmutable();
+            bitField0_ |= 0x00000080;
+          } else {
+            ensureCompanionsIsMutable();
+            companions_.addAll(other.companions_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13063,6 +13176,23 @@
                 }
                 break;
               } // case 58
+              case 65: {
+                long v = input.readFixed64();
+                ensureCompanionsIsMutable();
+                companions_.addLong(v);
+                break;
+              } // case 65
+              case 66: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureCompanionsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  companions_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 66
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13354,7 +13484,7 @@
       private int prompt_ ;
       /**
        * <pre>
-       * Hash of the description of the prompt; 0 when there is none.
+       * Hash of the description of the prompt, or of the model for a part; 0 when there is none.
        * </pre>
        *
        * <code>fixed32 prompt = 6;</code>
@@ -13366,7 +13496,7 @@
       }
       /**
        * <pre>
-       * Hash of the description of the prompt; 0 when there is none.
+       * Hash of the description of the prompt, or of the model for a part; 0 when there is none.
        * </pre>
        *
        * <code>fixed32 prompt = 6;</code>
@@ -13382,7 +13512,7 @@
       }
       /**
        * <pre>
-       * Hash of the description of the prompt; 0 when there is none.
+       * Hash of the description of the prompt, or of the model for a part; 0 when there is none.
        * </pre>
        *
        * <code>fixed32 prompt = 6;</code>
@@ -13707,6 +13837,124 @@
         return completionsBuilder_;
       }
 
+      private com.google.protobuf.Internal.LongList companions_ = emptyLongList();
+      private void ensureCompanionsIsMutable() {
+        if (!companions_.isModifiable()) {
+          companions_ = makeMutableCopy(companions_);
+        }
+        bitField0_ |= 0x00000080;
+      }
+      private void ensureCompanionsIsMutable(int capacity) {
+        if (!companions_.isModifiable()) {
+          companions_ = makeMutableCopy(companions_, capacity);
+        }
+        bitField0_ |= 0x00000080;
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @return A list containing the companions.
+       */
+      public java.util.List<java.lang.Long>
+          getCompanionsList() {
+        companions_.makeImmutable();
+        return companions_;
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @return The count of companions.
+       */
+      public int getCompanionsCount() {
+        return companions_.size();
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @param index The index of the element to return.
+       * @return The companions at the given index.
+       */
+      public long getCompanions(int index) {
+        return companions_.getLong(index);
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @param index The index to set the value at.
+       * @param value The companions to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCompanions(
+          int index, long value) {
+
+        ensureCompanionsIsMutable();
+        companions_.setLong(index, value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @param value The companions to add.
+       * @return This builder for chaining.
+       */
+      public Builder addCompanions(long value) {
+
+        ensureCompanionsIsMutable();
+        companions_.addLong(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @param values The companions to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllCompanions(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureCompanionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, companions_);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * </pre>
+       *
+       * <code>repeated fixed64 companions = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCompanions() {
+        companions_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Crash)
     }
 
@@ -19492,26 +19740,26 @@
       "peer.Crash\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025" +
       "last_trial_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_las" +
       "t_trial_age_millisJ\004\010\003\020\004R\024completed_age_" +
-      "millis\"\240\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 " +
+      "millis\"\264\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 " +
       "\001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(" +
       "\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013c" +
       "ompletions\030\007 \003(\0132\037.tanagerbank.peer.Comp" +
-      "letedRuns\"/\n\rCompletedRuns\022\020\n\010software\030\001" +
-      " \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023\n\013fing" +
-      "erprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010upstre" +
-      "am\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001" +
-      "(\0132\031.tanagerbank.peer.Suspect\022\037\n\027written" +
-      "_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013ins" +
-      "tance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r" +
-      "\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n" +
-      "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001" +
-      "\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_" +
-      "id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_" +
-      "ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetche" +
-      "d_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstrea" +
-      "m_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_tok" +
-      "ens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeer" +
-      "Protob\006proto3"
+      "letedRuns\022\022\n\ncompanions\030\010 \003(\006\"/\n\rComplet" +
+      "edRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D" +
+      "\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007run" +
+      "ning\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStoredSu" +
+      "spect\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank.pee" +
+      "r.Suspect\022\037\n\027written_at_epoch_millis\030\002 \001" +
+      "(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip" +
+      "\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(" +
+      "\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001 \001(\t\022\021" +
+      "\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006numbe" +
+      "r\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprompt_t" +
+      "okens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013part_to" +
+      "kens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I\n\013En" +
+      "gineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_i" +
+      "ds\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.tan" +
+      "agerbank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19582,7 +19830,7 @@
     internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Crash_descriptor,
-        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", });
+        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Companions", });
     internal_static_tanagerbank_peer_CompletedRuns_descriptor =
       getDescriptor().getMessageTypes().get(11);
     internal_static_tanagerbank_peer_CompletedRuns_fieldAccessorTable = new
--- a/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
@@ -1,11 +1,14 @@
 package org.tanagerbank.quarantine;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.tanagerbank.request.Fingerprint;
 
 /**
- * One crash of an upstream at which a request was in flight.
+ * One crash of an upstream at which runs of a suspect were in flight.
  *
  * <p>Immutable and thread-safe.
  *
@@ -18,6 +21,7 @@
  * @param conditions the conditions of the run
  * @param completions the number of runs with the same prompt that are known to have completed since
  *     the crash, by the hash of their software; at least as many did
+ * @param companions the parts of prompts that each of these runs had besides the suspect
  */
 public record CrashRecord(
     String crashId,
@@ -25,13 +29,30 @@
     boolean isIsolated,
     long atMillis,
     RunConditions conditions,
-    ImmutableMap<Integer, Integer> completions) {
+    ImmutableMap<Integer, Integer> completions,
+    ImmutableSet<Fingerprint> companions) {
   /** Creates the record of a crash after which no run is known to have completed. */
   public CrashRecord(
       String crashId, int depth, boolean isIsolated, long atMillis, RunConditions conditions) {
     this(crashId, depth, isIsolated, atMillis, conditions, ImmutableMap.of());
   }
 
+  /** Creates the record of a crash under runs that have no part in common. */
+  public CrashRecord(
+      String crashId,
+      int depth,
+      boolean isIsolated,
+      long atMillis,
+      RunConditions conditions,
+      ImmutableMap<Integer, Integer> completions) {
+    this(crashId, depth, isIsolated, atMillis, conditions, completions, ImmutableSet.of());
+  }
+
+  /** Returns this record of runs that all had the given parts of prompts. */
+  public CrashRecord withCompanions(ImmutableSet<Fingerprint> parts) {
+    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, completions, parts);
+  }
+
   /** Merges two observations of the same crash; the order does not matter. */
   CrashRecord mergeWith(CrashRecord other) {
     return new CrashRecord(
@@ -42,15 +63,17 @@
         conditions.mergeWith(other.conditions),
         Stream.concat(completions.entrySet().stream(), other.completions.entrySet().stream())
             .collect(
-                ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, Math::max)));
+                ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, Math::max)),
+        Sets.intersection(companions, other.companions).immutableCopy());
   }
 
   CrashRecord shiftBy(long millis) {
-    return new CrashRecord(crashId, depth, isIsolated, atMillis + millis, conditions, completions);
+    return new CrashRecord(
+        crashId, depth, isIsolated, atMillis + millis, conditions, completions, companions);
   }
 
   CrashRecord withoutIsolation() {
-    return new CrashRecord(crashId, depth, false, atMillis, conditions, completions);
+    return new CrashRecord(crashId, depth, false, atMillis, conditions, completions, companions);
   }
 
   /** Returns the number of runs that are known to have completed since, with the given software. */
@@ -83,6 +106,6 @@
             .putAll(completions)
             .put(software, known + 1)
             .buildKeepingLast();
-    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, counted);
+    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, counted, companions);
   }
 }
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -2,9 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -16,11 +14,12 @@
  * Decides from crashes of upstreams which requests must run apart from others and which must not
  * run.
  *
- * <p>Every fingerprint in flight at a crash becomes a suspect. A crash with several requests in
- * flight does not show which of them caused it: two such crashes may each have been caused by a
- * different other request. A {@link QuarantineRule} therefore weighs the crashes of a fingerprint,
- * and suspects run under conditions that single out the cause. Runs that complete after a crash,
- * under the conditions of the run that was lost, make the crash not count any more.
+ * <p>Every fingerprint in flight at a crash, of a request or of a part of its prompt, becomes a
+ * suspect; {@link Blame} decides which of them a crash counts against. A crash with several
+ * requests in flight does not show which of them caused it: two such crashes may each have been
+ * caused by a different other request. A {@link QuarantineRule} therefore weighs the crashes of a
+ * fingerprint, and suspects run under conditions that single out the cause. Runs that complete
+ * after a crash, under the conditions of the run that was lost, make the crash not count any more.
  *
  * <p>Records from the log stream, from links and from other instances are merged; their order and
  * repetition do not matter. State is bounded: when a limit is reached, the suspect with the fewest
@@ -34,14 +33,14 @@
   /** How long a fingerprint remains a suspect after its last crash unless it runs to its end. */
   public static final long SUSPICION_MILLIS = 3_600_000;
 
-  private static final int MAX_SUSPECTS = 10_000;
   private static final int MAX_QUARANTINED = 10_000;
   private static final int MAX_CRASH_IDS = 10_000;
 
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 1_000;
 
   private final QuarantineRule rule;
-  private final Map<Fingerprint, CrashEvidence> suspects = new HashMap<>();
+  private final SuspectTable suspects = new SuspectTable();
+  private final Blame blame;
   private final Map<Fingerprint, Long> expiryMillisByFingerprint = new HashMap<>();
   private final Set<String> seenCrashIds = new LinkedHashSet<>();
 
@@ -55,6 +54,7 @@
   /** Creates a quarantine that decides by the given rule. */
   public Quarantine(QuarantineRule rule) {
     this.rule = rule;
+    this.blame = new Blame(suspects, rule);
   }
 
   /**
@@ -85,7 +85,8 @@
             crash.atMillis(),
             RunConditions.UNKNOWN),
         nowMillis);
-    if (statusByEvidence(fingerprint, nowMillis) != QuarantineStatus.QUARANTINED) {
+    if (statusByEvidence(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
+        != QuarantineStatus.QUARANTINED) {
       return Optional.empty();
     }
     long lastCrashAtMillis = suspects.remove(fingerprint).lastCrashMillis();
@@ -108,15 +109,12 @@
   public synchronized boolean mergeEvidence(
       Fingerprint fingerprint, CrashEvidence received, long nowMillis) {
     removeExpired(nowMillis);
-    CrashEvidence known = suspects.getOrDefault(fingerprint, CrashEvidence.NONE);
+    CrashEvidence known = suspects.get(fingerprint);
     CrashEvidence merged = known.mergeWith(received);
     if (merged.equals(known) || nowMillis - merged.lastCrashMillis() > SUSPICION_MILLIS) {
       return false;
     }
-    if (suspects.size() >= MAX_SUSPECTS && !suspects.containsKey(fingerprint)) {
-      dropLeastSuspect(nowMillis);
-    }
-    suspects.put(fingerprint, merged);
+    put(fingerprint, merged, nowMillis);
     return true;
   }
 
@@ -141,7 +139,7 @@
     }
     CrashEvidence before = suspects.get(fingerprint);
     CrashEvidence after = before.plusCompletion(conditions.get(), rule.forgivingCompletions());
-    suspects.put(fingerprint, after);
+    put(fingerprint, after, nowMillis);
     return !after.equals(before);
   }
 
@@ -152,21 +150,21 @@
    */
   public synchronized void recordUndecidedTrial(
       Fingerprint fingerprint, boolean wasMisdirected, long nowMillis) {
-    suspects.computeIfPresent(
+    if (!suspects.contains(fingerprint)) {
+      return;
+    }
+    CrashEvidence known = suspects.get(fingerprint);
+    UndecidedTrials trials = known.undecidedTrials();
+    put(
         fingerprint,
-        (f, e) ->
-            e.withUndecidedTrials(
-                wasMisdirected
-                    ? e.undecidedTrials().plusMisdirected(nowMillis)
-                    : e.undecidedTrials().plusOne(nowMillis)));
+        known.withUndecidedTrials(
+            wasMisdirected ? trials.plusMisdirected(nowMillis) : trials.plusOne(nowMillis)),
+        nowMillis);
   }
 
   /** Returns the time from which the next trial of a fingerprint may start, in milliseconds. */
   public synchronized long nextTrialMillis(Fingerprint fingerprint) {
-    return suspects
-        .getOrDefault(fingerprint, CrashEvidence.NONE)
-        .undecidedTrials()
-        .nextTrialMillis();
+    return suspects.get(fingerprint).undecidedTrials().nextTrialMillis();
   }
 
   /**
@@ -189,62 +187,40 @@
     return knownExpiry.isEmpty();
   }
 
-  /** Returns how requests with a fingerprint may run. */
-  public synchronized QuarantineStatus status(Fingerprint fingerprint, long nowMillis) {
-    return recordedExpiry(fingerprint, nowMillis).isPresent()
+  /** Returns how requests may run that have a fingerprint and no other suspect. */
+  public QuarantineStatus status(Fingerprint fingerprint, long nowMillis) {
+    return status(fingerprint, ImmutableSet.of(fingerprint), nowMillis);
+  }
+
+  /**
+   * Returns how a request may run because of one of its suspects.
+   *
+   * @param ofRequest the fingerprints of the request and of the parts of its prompt
+   */
+  public synchronized QuarantineStatus status(
+      Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
+    return recordedExpiry(suspect, nowMillis).isPresent()
         ? QuarantineStatus.QUARANTINED
-        : statusByEvidence(fingerprint, nowMillis);
+        : statusByEvidence(suspect, ofRequest, nowMillis);
   }
 
-  private QuarantineStatus statusByEvidence(Fingerprint fingerprint, long nowMillis) {
-    ImmutableList<CrashRecord> crashes = countedCrashes(fingerprint, nowMillis);
-    if (crashes.isEmpty()) {
-      return QuarantineStatus.CLEAR;
-    }
-    ImmutableList<CrashRecord> weighed =
-        crashes.stream()
-            .map(c -> isExplainedOtherwise(c, fingerprint) ? c.withoutIsolation() : c)
-            .collect(ImmutableList.toImmutableList());
-    return rule.status(weighed, c -> singlesOut(c, fingerprint, nowMillis));
+  private QuarantineStatus statusByEvidence(
+      Fingerprint fingerprint, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
+    return blame.status(fingerprint, ofRequest, nowMillis);
   }
 
-  /**
-   * Returns whether something else may explain the crash of an isolated run: an isolated run of
-   * another fingerprint at the same upstream, or crashes of other upstreams at the same time that
-   * no isolated run explains, as when a rack is lost.
-   */
-  private boolean isExplainedOtherwise(CrashRecord crash, Fingerprint fingerprint) {
-    if (!crash.isIsolated()) {
-      return false;
-    }
-    Set<String> elsewhere = new HashSet<>();
-    Set<String> isolated = new HashSet<>();
-    suspects.entrySet().stream()
-        .filter(e -> !e.getKey().equals(fingerprint))
-        .flatMap(e -> e.getValue().crashes().values().stream())
-        .filter(c -> Math.abs(c.atMillis() - crash.atMillis()) <= rule.sameTimeMillis())
-        .forEach(c -> (c.isIsolated() ? isolated : elsewhere).add(c.crashId()));
-    elsewhere.remove(crash.crashId());
-    elsewhere.removeAll(isolated);
-    return isolated.contains(crash.crashId()) || !elsewhere.isEmpty();
-  }
-
-  /** Returns the crashes that count against a fingerprint. */
   private ImmutableList<CrashRecord> countedCrashes(Fingerprint fingerprint, long nowMillis) {
-    CrashEvidence evidence = suspects.get(fingerprint);
-    if (evidence == null) {
-      return ImmutableList.of();
-    }
-    return evidence.crashes().values().stream()
-        .filter(c -> c.completionsAtSameSoftware() < rule.forgivingCompletions())
-        .filter(c -> nowMillis - c.atMillis() <= SUSPICION_MILLIS)
-        .collect(ImmutableList.toImmutableList());
+    return blame.countedCrashes(fingerprint, nowMillis);
+  }
+
+  private int countedCrashCount(Fingerprint fingerprint, long nowMillis) {
+    return countedCrashes(fingerprint, nowMillis).size();
   }
 
   /** Returns whether no crash counts against a fingerprint here, but some do in other evidence. */
   public synchronized boolean hasForgiven(
       Fingerprint fingerprint, CrashEvidence other, long nowMillis) {
-    return suspects.containsKey(fingerprint)
+    return suspects.contains(fingerprint)
         && countedCrashes(fingerprint, nowMillis).isEmpty()
         && other.crashes().values().stream()
             .anyMatch(c -> c.completionsAtSameSoftware() < rule.forgivingCompletions());
@@ -271,20 +247,6 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
-  /**
-   * Returns whether no other fingerprint that was in flight at a crash was so at another crash, as
-   * all instances must have reported by now.
-   */
-  private boolean singlesOut(CrashRecord crash, Fingerprint fingerprint, long nowMillis) {
-    if (nowMillis - crash.atMillis() < rule.reportMillis()) {
-      return false;
-    }
-    return suspects.entrySet().stream()
-        .filter(e -> e.getValue().crashes().containsKey(crash.crashId()))
-        .filter(e -> !e.getKey().equals(fingerprint))
-        .noneMatch(e -> countedCrashes(e.getKey(), nowMillis).size() > 1);
-  }
-
   /**
    * Returns the number of crashes on record that followed one another, each in a run that was sent
    * when the one before was known.
@@ -302,7 +264,8 @@
   public synchronized Optional<Long> expiryMillis(Fingerprint fingerprint, long nowMillis) {
     Optional<Long> recorded = recordedExpiry(fingerprint, nowMillis);
     if (recorded.isPresent()
-        || statusByEvidence(fingerprint, nowMillis) != QuarantineStatus.QUARANTINED) {
+        || statusByEvidence(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
+            != QuarantineStatus.QUARANTINED) {
       return recorded;
     }
     return Optional.of(suspects.get(fingerprint).lastCrashMillis() + SUSPICION_MILLIS);
@@ -323,22 +286,31 @@
 
   /** Returns what is known of the crashes of a fingerprint, or empty if nothing is. */
   public synchronized Optional<CrashEvidence> evidence(Fingerprint fingerprint) {
-    return Optional.ofNullable(suspects.get(fingerprint));
+    return Optional.of(fingerprint).filter(suspects::contains).map(suspects::get);
+  }
+
+  /** Returns whether a suspect was in flight at several crashes, forgiven or not. */
+  synchronized boolean hasSeveralCrashes(Fingerprint suspect) {
+    return suspects.get(suspect).crashes().size() > 1;
   }
 
   /** Returns the suspects against which at least the given number of crashes counts. */
   synchronized ImmutableList<Fingerprint> suspects(int minCrashes, long nowMillis) {
-    return suspects.entrySet().stream()
+    return suspects.entries().stream()
         .filter(e -> e.getValue().crashes().size() >= minCrashes)
         .map(Map.Entry::getKey)
-        .filter(f -> countedCrashes(f, nowMillis).size() >= minCrashes)
+        .filter(f -> countedCrashCount(f, nowMillis) >= minCrashes)
         .collect(ImmutableList.toImmutableList());
   }
 
   /** Returns the suspects whose requests may run only in trials, or not at all. */
   public synchronized ImmutableList<Fingerprint> restricted(long nowMillis) {
     return suspects(2, nowMillis).stream()
-        .filter(f -> statusByEvidence(f, nowMillis).compareTo(QuarantineStatus.TRIAL_ONLY) >= 0)
+        .filter(
+            f ->
+                statusByEvidence(f, ImmutableSet.of(f), nowMillis)
+                        .compareTo(QuarantineStatus.TRIAL_ONLY)
+                    >= 0)
         .collect(ImmutableList.toImmutableList());
   }
 
@@ -353,15 +325,11 @@
     }
     nextExpiryCheckMillis = nowMillis + EXPIRY_CHECK_INTERVAL_MILLIS;
     expiryMillisByFingerprint.values().removeIf(untilMillis -> untilMillis <= nowMillis);
-    suspects.values().removeIf(e -> nowMillis - e.lastCrashMillis() > SUSPICION_MILLIS);
+    suspects.removeOlderThan(nowMillis - SUSPICION_MILLIS);
   }
 
-  private void dropLeastSuspect(long nowMillis) {
-    suspects.keySet().stream()
-        .min(
-            Comparator.<Fingerprint>comparingInt(f -> countedCrashes(f, nowMillis).size())
-                .thenComparingLong(f -> suspects.get(f).lastCrashMillis()))
-        .ifPresent(suspects::remove);
+  private void put(Fingerprint suspect, CrashEvidence updated, long nowMillis) {
+    suspects.put(suspect, updated, f -> countedCrashCount(f, nowMillis));
   }
 
   private void dropEarliestExpiry() {
--- a/src/main/java/org/tanagerbank/quarantine/QuarantineRule.java
+++ b/src/main/java/org/tanagerbank/quarantine/QuarantineRule.java
@@ -34,6 +34,11 @@
         public long sameTimeMillis() {
           return -1;
         }
+
+        @Override
+        public boolean comparesSuspects() {
+          return false;
+        }
       };
 
   /** For processes that share their upstreams with others, so that no run is ever alone there. */
@@ -62,4 +67,10 @@
    * explain them; negative if the crashes of other upstreams do not matter.
    */
   long sameTimeMillis();
+
+  /**
+   * Returns whether a suspect that explains a crash better clears the others that were in flight at
+   * it.
+   */
+  boolean comparesSuspects();
 }
--- a/src/main/java/org/tanagerbank/quarantine/SharedAccessRule.java
+++ b/src/main/java/org/tanagerbank/quarantine/SharedAccessRule.java
@@ -66,4 +66,9 @@
   public long sameTimeMillis() {
     return SAME_TIME_MILLIS;
   }
+
+  @Override
+  public boolean comparesSuspects() {
+    return true;
+  }
 }
--- a/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -14,8 +15,8 @@
  *
  * <p>Each change is sent several times, because a message can be lost. All suspects are repeated in
  * turn, so that an instance that was absent learns of them, and the others learn what it knows;
- * those with several crashes more often. The number of suspects in a message is bounded. Not
- * thread-safe; confined to one thread.
+ * those with several crashes more often, and first. The number of suspects in a message is bounded.
+ * Not thread-safe; confined to one thread.
  */
 public final class SuspectNews {
   private static final int MESSAGES_PER_CHANGE = 3;
@@ -49,7 +50,7 @@
   /** Returns the suspects for the next message, and counts their changes as sent. */
   public ImmutableSet<Fingerprint> nextBatch(Quarantine quarantine, long nowMillis) {
     ImmutableSet.Builder<Fingerprint> batch = ImmutableSet.builder();
-    batch.addAll(nextChanges());
+    batch.addAll(nextChanges(quarantine));
     if (nowMillis - repeatedAtMillis >= REPEAT_INTERVAL_MILLIS) {
       repeatedAtMillis = nowMillis;
       batch.addAll(inTurn(quarantine.suspects(2, nowMillis), nextRepeated));
@@ -59,12 +60,13 @@
     return batch.build();
   }
 
-  private ImmutableList<Fingerprint> nextChanges() {
+  private ImmutableList<Fingerprint> nextChanges(Quarantine quarantine) {
     ImmutableList<Fingerprint> changed =
         sentCounts.entrySet().stream()
             .sorted(Map.Entry.comparingByValue())
-            .limit(MAX_CHANGES_PER_MESSAGE)
             .map(Map.Entry::getKey)
+            .sorted(Comparator.comparing(f -> !quarantine.hasSeveralCrashes(f)))
+            .limit(MAX_CHANGES_PER_MESSAGE)
             .collect(toImmutableList());
     changed.forEach(f -> sentCounts.merge(f, 1, Integer::sum));
     sentCounts.values().removeIf(n -> n >= MESSAGES_PER_CHANGE);
--- /dev/null
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectTable.java
@@ -0,0 +1,93 @@
+package org.tanagerbank.quarantine;
+
+import com.google.common.collect.HashMultimap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.SetMultimap;
+import com.google.common.collect.Sets;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.tanagerbank.request.Fingerprint;
+
+/**
+ * The evidence on all suspects, with an index by crash.
+ *
+ * <p>At most {@link #MAX_SUSPECTS} suspects are kept. A suspect with evidence is in the index for
+ * exactly the crashes of its evidence. Not thread-safe.
+ */
+final class SuspectTable {
+  static final int MAX_SUSPECTS = 10_000;
+
+  private final Map<Fingerprint, CrashEvidence> evidence = new HashMap<>();
+  private final SetMultimap<String, Fingerprint> byCrash = HashMultimap.create();
+
+  /** Returns what is known of a suspect, which is nothing for one that is not in the table. */
+  CrashEvidence get(Fingerprint suspect) {
+    return evidence.getOrDefault(suspect, CrashEvidence.NONE);
+  }
+
+  boolean contains(Fingerprint suspect) {
+    return evidence.containsKey(suspect);
+  }
+
+  /** Returns the suspects that were in flight at a crash. */
+  Set<Fingerprint> inFlightAt(String crashId) {
+    return Collections.unmodifiableSet(byCrash.get(crashId));
+  }
+
+  Set<Fingerprint> suspects() {
+    return Collections.unmodifiableSet(evidence.keySet());
+  }
+
+  Collection<Map.Entry<Fingerprint, CrashEvidence>> entries() {
+    return Collections.unmodifiableCollection(evidence.entrySet());
+  }
+
+  int size() {
+    return evidence.size();
+  }
+
+  /**
+   * Replaces what is known of a suspect. If the table is full, the suspect with the fewest crashes
+   * that count makes room, of those the one whose last crash is the oldest.
+   *
+   * @param countedCrashes returns the number of crashes that count against a suspect
+   */
+  void put(Fingerprint suspect, CrashEvidence updated, ToIntFunction<Fingerprint> countedCrashes) {
+    if (evidence.size() >= MAX_SUSPECTS && !evidence.containsKey(suspect)) {
+      evidence.keySet().stream()
+          .min(
+              Comparator.comparingInt(countedCrashes)
+                  .thenComparingLong(f -> evidence.get(f).lastCrashMillis()))
+          .ifPresent(this::remove);
+    }
+    ImmutableSet<String> before = get(suspect).crashes().keySet();
+    ImmutableSet<String> after = updated.crashes().keySet();
+    Sets.difference(before, after).forEach(c -> byCrash.remove(c, suspect));
+    Sets.difference(after, before).forEach(c -> byCrash.put(c, suspect));
+    evidence.put(suspect, updated);
+  }
+
+  /** Removes a suspect, and returns what was known of it. */
+  CrashEvidence remove(Fingerprint suspect) {
+    CrashEvidence removed = evidence.remove(suspect);
+    if (removed == null) {
+      return CrashEvidence.NONE;
+    }
+    removed.crashes().keySet().forEach(c -> byCrash.remove(c, suspect));
+    return removed;
+  }
+
+  /** Removes the suspects whose last crash was before a time in milliseconds. */
+  void removeOlderThan(long millis) {
+    evidence.entrySet().stream()
+        .filter(e -> e.getValue().lastCrashMillis() < millis)
+        .map(Map.Entry::getKey)
+        .collect(ImmutableSet.toImmutableSet())
+        .forEach(this::remove);
+  }
+}
--- a/src/main/java/org/tanagerbank/quarantine/TrialClaims.java
+++ b/src/main/java/org/tanagerbank/quarantine/TrialClaims.java
@@ -30,7 +30,7 @@
   static final long CLAIM_WAIT_MILLIS = 100;
 
   /** The time in which a lost run is found to be a crash or not, and reported to all instances. */
-  static final long SETTLE_MILLIS = 1_500;
+  public static final long SETTLE_MILLIS = 1_500;
 
   private static final HashFunction RANK = Hashing.murmur3_128(0x7a6f);
 
@@ -77,6 +77,18 @@
     return claim.isRunning;
   }
 
+  /** Returns whether a request need not wait for its turn, because another one has the claim. */
+  public boolean isTaken(Fingerprint fingerprint, Object holder, long nowMillis) {
+    OwnClaim claim = own.get(fingerprint);
+    if (claim == null || !claim.isHeldBy(holder)) {
+      return true;
+    }
+    return nowMillis - claim.sinceMillis >= CLAIM_WAIT_MILLIS
+        || byPeer.values().stream()
+            .flatMap(List::stream)
+            .anyMatch(c -> c.fingerprint().equals(fingerprint) && c.isRunning());
+  }
+
   /** Records at which upstream a claimed run takes place, by a hash of its id. */
   public void setUpstream(Fingerprint fingerprint, int upstream) {
     OwnClaim claim = own.get(fingerprint);
@@ -89,14 +101,24 @@
    * Returns the upstreams at which other fingerprints run in trials, as far as is known. Two trials
    * at one upstream would not show which of them crashed it.
    */
-  public ImmutableSet<Integer> upstreamsInTrial(Fingerprint fingerprint, long nowMillis) {
-    return Stream.concat(
-            ownClaims(nowMillis).stream(), byPeer.values().stream().flatMap(List::stream))
-        .filter(c -> c.isRunning() && !c.fingerprint().equals(fingerprint))
+  public ImmutableSet<Integer> upstreamsInOtherTrials(Fingerprint fingerprint, long nowMillis) {
+    return runningClaims(nowMillis)
+        .filter(c -> !c.fingerprint().equals(fingerprint))
         .map(TrialClaim::upstream)
         .collect(toImmutableSet());
   }
 
+  /** Returns the upstreams at which fingerprints run in trials, as far as is known. */
+  public ImmutableSet<Integer> upstreamsInTrial(long nowMillis) {
+    return runningClaims(nowMillis).map(TrialClaim::upstream).collect(toImmutableSet());
+  }
+
+  private Stream<TrialClaim> runningClaims(long nowMillis) {
+    return Stream.concat(
+            ownClaims(nowMillis).stream(), byPeer.values().stream().flatMap(List::stream))
+        .filter(TrialClaim::isRunning);
+  }
+
   private boolean goesBefore(String peer, Fingerprint fingerprint) {
     return byPeer.get(peer).stream()
         .filter(c -> c.fingerprint().equals(fingerprint))
--- a/src/main/java/org/tanagerbank/request/Fingerprint.java
+++ b/src/main/java/org/tanagerbank/request/Fingerprint.java
@@ -18,6 +18,9 @@
 public record Fingerprint(long value) {
   private static final HashFunction HASH = Hashing.murmur3_128(0x7a6e);
 
+  /** Set in the fingerprints of parts of prompts, and in no fingerprint of a call. */
+  private static final long PROMPT_PART_BIT = 1L << 63;
+
   /** Returns the fingerprint of a request body for a service. */
   public static Fingerprint of(String service, byte[] body) {
     return new Fingerprint(
@@ -46,7 +49,27 @@
     for (ByteBuffer piece : body) {
       hasher.putBytes(piece);
     }
-    return new Fingerprint(hasher.hash().asLong());
+    return new Fingerprint(hasher.hash().asLong() & ~PROMPT_PART_BIT);
+  }
+
+  /**
+   * Returns the fingerprint of a part of prompts, which is the same whatever its place in a prompt,
+   * its length and the model are.
+   */
+  public static Fingerprint ofPromptPart(long partId) {
+    return new Fingerprint(
+        HASH.newHasher()
+                .putString("prompt part", StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putLong(partId)
+                .hash()
+                .asLong()
+            | PROMPT_PART_BIT);
+  }
+
+  /** Returns whether this is the fingerprint of a part of prompts, if it is not one of a body. */
+  public boolean isPromptPart() {
+    return (value & PROMPT_PART_BIT) != 0;
   }
 
   @Override
