Send upstreams no more requests than the limit that they name

What callers and upstreams saw: upstreams in need name Server-Limit, the requests a second that they take from all gateways together, and nothing read it.

The notice of a response carries the limit; SendPermission keeps it for the process, and UpstreamHandle.acceptsRequests asks SendRate, so that first attempts, retries, trials, resumed streams and cache queries all count. A request takes its token when it is chosen, and gives it back if it is not sent. SendShares divides the limit by the requests in flight, which the digests tell already: the shares add up but for the delay of a digest. Instances with shares far below a request a second begin with part of a token, and an idle one seldom keeps a whole one, so that 40 do not send at once. A limit ends by a response without one to a request that was sent after it was named; after a second without word it is tried again. Placement keeps the room for sessions with cached parts. Where no upstream has room, requests are refused at once, spread.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -90,7 +90,7 @@
       opened.close();
       return;
     }
-    if (!upstream.acceptsRequests(dispatcher.nowMillis())) {
+    if (!upstream.takesStartedRequests(dispatcher.nowMillis())) {
       opened.close();
       failUnsent(AttemptFailure.notWanted());
       return;
@@ -114,6 +114,7 @@
   }
 
   private void failUnsent(AttemptFailure failure) {
+    upstream.requestNotSent();
     close();
     execution.handleFailure(upstream, failure, AttemptEvidence.notSent(), Optional.empty());
   }
@@ -135,6 +136,8 @@
     }
     if (wasSent()) {
       recordCancellation();
+    } else {
+      upstream.requestNotSent();
     }
     close();
     if (connection != null) {
@@ -189,7 +192,7 @@
       return;
     }
     UpstreamNotice notice = dispatcher.headerCodec().notice(received.status(), received.headers());
-    upstream.recordNotice(notice, dispatcher.nowMillis());
+    upstream.recordNotice(notice, sentMillis, dispatcher.nowMillis());
     if (!isOtherRequest) {
       notice.load().ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     }
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -46,6 +46,15 @@
   /** The cost of fetching a token from another engine, relative to prefilling it. */
   private static final double FETCHED_TOKEN_COST = 0.2;
 
+  /**
+   * The cost of one of the few requests that an upstream with a limit takes, in prefilled tokens.
+   * Sessions whose parts it has cached are worth more.
+   */
+  private static final double LIMITED_REQUEST_TOKENS = 400;
+
+  /** The same for an upstream that is no engine, in fully loaded upstreams. */
+  private static final double LIMITED_REQUEST_LOAD = 0.5;
+
   /** The cost of missing the objective. Exceeds the cost of every engine that meets it. */
   private static final double MISSED_OBJECTIVE_COST = 1e9;
 
@@ -147,6 +156,7 @@
     return engine.uncachedTokens(prompt)
         - (1 - FETCHED_TOKEN_COST) * choice.fetchedTokens()
         + TOKENS_PER_RUNNING_REQUEST * handle.fleetInFlight(request.nowMillis())
+        + (handle.isSavingRoom(request.nowMillis()) ? LIMITED_REQUEST_TOKENS : 0)
         - HOME_DISCOUNT_SHARE * uncachedEverywhere * homeAffinity(handle, prompt);
   }
 
@@ -164,6 +174,7 @@
   private static double nonEngineCost(UpstreamHandle handle, String zone, long nowMillis) {
     double load = (double) handle.fleetInFlight(nowMillis) / handle.report().slots();
     double zoneMillis = handle.report().zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
-    return load + handle.health().failureShare() + zoneMillis / 10;
+    double limitCost = handle.isSavingRoom(nowMillis) ? LIMITED_REQUEST_LOAD : 0;
+    return load + handle.health().failureShare() + zoneMillis / 10 + limitCost;
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -24,13 +24,14 @@
   /** The reason for the refusal of a request while a part of its prompt is on trial. */
   static final String ON_TRIAL = "a part of the prompt may crash upstreams and is on trial";
 
-  /** The reason for the refusal of a request while upstreams of its service pause. */
-  static final String UPSTREAMS_PAUSED = "upstreams of the service have asked for a pause";
+  /** The reason for the refusal of a request while upstreams of its service take none. */
+  static final String UPSTREAMS_BUSY =
+      "upstreams of the service have asked for a pause or fewer requests";
 
   /**
    * The shortest and the longest time, in milliseconds, over which callers are spread that were
-   * refused in a pause. They return over as long a time as they were refused, so that they are no
-   * wave, but not so late that they give up.
+   * refused in a pause or by a limit. They return over as long a time as they were refused, so that
+   * they are no wave, but not so late that they give up.
    */
   private static final long MIN_SPREAD_MILLIS = 300;
 
@@ -49,7 +50,7 @@
           switch (reason) {
             case QUARANTINED -> "quarantined";
             case ON_TRIAL -> "on trial";
-            case UPSTREAMS_PAUSED -> "upstreams paused";
+            case UPSTREAMS_BUSY -> "upstreams paused";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
@@ -81,14 +82,15 @@
   }
 
   /**
-   * Returns the refusal of a request for which no upstream has room while some pause.
+   * Returns the refusal of a request for which no upstream has room while some pause or are
+   * limited.
    *
-   * @param pauseLeftMillis the time until the first of the pauses ends, in milliseconds
+   * @param millisUntilRoom the time until the first of them takes requests again, in milliseconds
    */
-  static Refusal upstreamsPaused(long pauseLeftMillis, RandomGenerator random) {
-    long spread = Math.max(MIN_SPREAD_MILLIS, Math.min(MAX_SPREAD_MILLIS, pauseLeftMillis));
+  static Refusal upstreamsBusy(long millisUntilRoom, RandomGenerator random) {
+    long spread = Math.max(MIN_SPREAD_MILLIS, Math.min(MAX_SPREAD_MILLIS, millisUntilRoom));
     return new Refusal(
-        STATUS_UNAVAILABLE, pauseLeftMillis + random.nextLong(spread), UPSTREAMS_PAUSED);
+        STATUS_UNAVAILABLE, millisUntilRoom + random.nextLong(spread), UPSTREAMS_BUSY);
   }
 
   /**
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -267,9 +267,9 @@
   /** Returns the refusal of a request that no upstream can run now. */
   private Refusal noUpstreamLeft(String reason) {
     long now = dispatcher.nowMillis();
-    OptionalLong pauseEnd = dispatcher.upstreams().firstPauseEndMillis(service);
-    return pauseEnd.isPresent()
-        ? Refusal.upstreamsPaused(pauseEnd.getAsLong() - now, dispatcher.random())
+    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
+    return roomAt.isPresent()
+        ? Refusal.upstreamsBusy(roomAt.getAsLong() - now, dispatcher.random())
         : Refusal.notRun(reason);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -86,19 +86,26 @@
   }
 
   /**
-   * Returns the connection pool of an upstream, or empty for an unknown upstream or one that
-   * accepts no requests now.
+   * Returns the connection pool of an upstream for one query, which counts as a request, or empty
+   * for an unknown upstream or one that accepts no requests now.
    */
-  public Optional<ConnectionPool> connections(String upstreamId) {
+  public Optional<ConnectionPool> connectionsForQuery(String upstreamId) {
     return upstreams
         .find(upstreamId)
         .filter(u -> u.acceptsRequests(clockMillis.getAsLong()))
-        .map(UpstreamHandle::connections);
+        .map(UpstreamHandle::connectionsForQuery);
   }
 
-  /** Records what a response to a query says of its upstream. */
+  /** Records what a response to a query says of its upstream; it ends no limit. */
   public void recordNotice(String upstreamId, UpstreamNotice notice) {
-    upstreams.find(upstreamId).ifPresent(u -> u.recordNotice(notice, clockMillis.getAsLong()));
+    upstreams
+        .find(upstreamId)
+        .ifPresent(u -> u.recordNotice(notice, Long.MIN_VALUE, clockMillis.getAsLong()));
+  }
+
+  /** Returns the number of upstreams that have named a limit on the requests that they take. */
+  public int limitedUpstreams() {
+    return upstreams.limitedCount();
   }
 
   /** Returns the number of upstreams that have asked this instance for a pause. */
@@ -113,6 +120,9 @@
   @Override
   public void onPeerInFlight(String instanceId, ImmutableMap<String, Integer> inFlight) {
     retryBudgets.recordHeard(instanceId, clockMillis.getAsLong());
+    upstreams
+        .shares()
+        .recordPeer(instanceId, inFlight.values().stream().mapToInt(Integer::intValue).sum());
     upstreams
         .all()
         .forEach(u -> u.setPeerInFlight(instanceId, inFlight.getOrDefault(u.report().id(), 0)));
@@ -157,6 +167,7 @@
   @Override
   public void onKnownPeersChanged(ImmutableSet<String> instanceIds) {
     retryBudgets.setKnownInstances(instanceIds, clockMillis.getAsLong());
+    upstreams.shares().setRegistered(instanceIds);
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -15,6 +15,7 @@
 import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.LoadReport;
+import org.tanagerbank.upstream.SendLimit;
 import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -85,6 +86,12 @@
     return connections;
   }
 
+  /** Returns the connections for one query, which counts as a request that was sent. */
+  ConnectionPool connectionsForQuery() {
+    permission.rate().take();
+    return connections;
+  }
+
   Optional<EngineModel> engine() {
     return engine;
   }
@@ -116,8 +123,15 @@
     return health;
   }
 
+  /** Records that a request is about to be sent, for which the upstream has room. */
   void requestStarted() {
     inFlight++;
+    permission.rate().take();
+  }
+
+  /** Records that a request that was started was not sent; {@link #requestEnded} follows. */
+  void requestNotSent() {
+    permission.rate().giveBack();
   }
 
   void requestEnded() {
@@ -125,10 +139,19 @@
   }
 
   /** Records what a response of the process says of it; the load is passed to updateLoad. */
-  void recordNotice(UpstreamNotice notice, long nowMillis) {
+  void recordNotice(UpstreamNotice notice, long sentAtMillis, long nowMillis) {
+    boolean wasLimited = isLimited();
     boolean wasLeaving = permission.isLeaving();
     boolean wasPaused = permission.isPaused(nowMillis);
-    permission.record(notice, nowMillis);
+    permission.record(notice, sentAtMillis, nowMillis);
+    if (isLimited() != wasLimited) {
+      EventLog.emit(
+          isLimited() ? LogEvent.UPSTREAM_LIMITED : LogEvent.UPSTREAM_UNLIMITED,
+          "upstream",
+          report.id(),
+          "requestsPerSecond",
+          notice.limit().map(SendLimit::requestsPerSecond).orElse(Double.NaN));
+    }
     if (permission.isLeaving() && !wasLeaving) {
       EventLog.emit(LogEvent.UPSTREAM_LEAVING, "upstream", report.id());
     }
@@ -148,18 +171,43 @@
   }
 
   /**
-   * Returns whether requests may be sent to the upstream now. All that sends requests asks this,
-   * again at the moment of the send if that comes later than the choice.
+   * Returns whether one more request may be sent to the upstream now. All that sends requests asks
+   * this, and then records the request by {@link #requestStarted}.
    */
   boolean acceptsRequests(long nowMillis) {
+    return takesStartedRequests(nowMillis) && permission.rate().millisUntilRoom(nowMillis) == 0;
+  }
+
+  /** Returns whether a request that was started may still be sent. */
+  boolean takesStartedRequests(long nowMillis) {
     return !isLeaving() && !permission.isPaused(nowMillis);
   }
 
+  /** Returns whether the process has named a limit on the requests that it takes. */
+  boolean isLimited() {
+    return permission.rate().isLimited();
+  }
+
+  /** Returns whether the process has named a limit just now, so that its room is to be saved. */
+  boolean isSavingRoom(long nowMillis) {
+    return permission.rate().isConfirmed(nowMillis);
+  }
+
   /** Returns the end of the pause that keeps requests away, or empty if it is not a pause. */
   OptionalLong pausedUntilMillis(long nowMillis) {
     return isLeaving() ? OptionalLong.empty() : permission.pausedUntilMillis(nowMillis);
   }
 
+  /**
+   * Returns the time from which the upstream takes requests again, in milliseconds, if a pause or
+   * its limit keeps them away now.
+   */
+  OptionalLong takesRequestsAgainMillis(long nowMillis) {
+    long roomAtMillis = nowMillis + permission.rate().millisUntilRoom(nowMillis);
+    long atMillis = Math.max(roomAtMillis, permission.pausedUntilMillis(nowMillis).orElse(0));
+    return isLeaving() || atMillis <= nowMillis ? OptionalLong.empty() : OptionalLong.of(atMillis);
+  }
+
   private boolean isLeaving() {
     return closed || hasAnnouncedEnd();
   }
@@ -170,8 +218,8 @@
   }
 
   /**
-   * Returns whether the upstream can take over requests of others that pause: it is working on
-   * fewer requests than twice its slots, so that none waits longer than another one takes.
+   * Returns whether the upstream can take over requests of others that take none now: it is working
+   * on fewer requests than twice its slots, so that none waits longer than another one takes.
    */
   boolean hasRoomBesidePauses(long nowMillis) {
     return fleetInFlight(nowMillis) < MAX_LOAD_PER_SLOT_BESIDE_PAUSES * report.slots();
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -35,17 +36,35 @@
   private final LongSupplier wallClockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
+  private final SendShares shares;
+  private final RandomGenerator random;
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
-  Upstreams(Connector connector, LongSupplier clockMillis, LongSupplier wallClockMillis) {
+  Upstreams(
+      Connector connector,
+      LongSupplier clockMillis,
+      LongSupplier wallClockMillis,
+      RandomGenerator random) {
     this.wallClockMillis = wallClockMillis;
     this.connector = connector;
     this.clockMillis = clockMillis;
+    this.random = random;
+    this.shares = new SendShares(clockMillis, this::ownInFlight);
   }
 
   /** Returns an empty list of upstreams. */
   static Upstreams on(DispatchRuntime runtime) {
-    return new Upstreams(runtime.connector(), runtime.clockMillis(), runtime.wallClockMillis());
+    return new Upstreams(
+        runtime.connector(), runtime.clockMillis(), runtime.wallClockMillis(), runtime.random());
+  }
+
+  private int ownInFlight() {
+    return byId.values().stream().mapToInt(UpstreamHandle::ownInFlight).sum();
+  }
+
+  /** Returns the share of this instance in what upstreams take from all instances together. */
+  SendShares shares() {
+    return shares;
   }
 
   /** Sets the listener that is notified of upstreams that restarted or are gone. */
@@ -102,7 +121,7 @@
     SendPermission permission =
         known != null && known.report().address().equals(report.address())
             ? known.permissionOf(report)
-            : new SendPermission(wallClockMillis);
+            : new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random));
     byId.put(report.id(), new UpstreamHandle(report, connections, permission));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
@@ -125,27 +144,36 @@
 
   /**
    * Returns the upstreams of a service that accept requests and whose ids were not tried. While
-   * some of the service pause, those that have no room for the requests of these are left out.
+   * some of the service take none now, those that have no room for the requests of these are left
+   * out.
    */
   List<UpstreamHandle> candidates(String service, Set<String> tried) {
     long now = clockMillis.getAsLong();
     List<UpstreamHandle> all = allOfService(service);
-    boolean isAnyPaused = all.stream().anyMatch(u -> u.pausedUntilMillis(now).isPresent());
+    boolean isAnyBusy = all.stream().anyMatch(u -> u.takesRequestsAgainMillis(now).isPresent());
     return all.stream()
         .filter(u -> u.acceptsRequests(now))
         .filter(u -> !tried.contains(u.report().id()))
-        .filter(u -> !isAnyPaused || u.hasRoomBesidePauses(now))
+        .filter(u -> !isAnyBusy || u.hasRoomBesidePauses(now))
         .collect(Collectors.toList());
   }
 
-  /** Returns the time at which the first pause of an upstream of a service ends, if one pauses. */
-  OptionalLong firstPauseEndMillis(String service) {
+  /**
+   * Returns the time at which the first upstream of a service takes requests again, if a pause or a
+   * limit keeps them away from one.
+   */
+  OptionalLong firstRoomMillis(String service) {
     long now = clockMillis.getAsLong();
     return allOfService(service).stream()
-        .flatMapToLong(u -> u.pausedUntilMillis(now).stream())
+        .flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream())
         .min();
   }
 
+  /** Returns the number of upstreams that have named a limit. */
+  int limitedCount() {
+    return (int) byId.values().stream().filter(UpstreamHandle::isLimited).count();
+  }
+
   /** Returns the number of upstreams that have asked for a pause that is not over. */
   int pausedCount() {
     long now = clockMillis.getAsLong();
--- a/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
@@ -215,7 +215,7 @@
 
   private void query(String engine, ImmutableList<PeerAddress> recipients) {
     sharedUpstreamState
-        .connections(engine)
+        .connectionsForQuery(engine)
         .ifPresentOrElse(
             c ->
                 inspector.cachedParts(
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -204,9 +204,13 @@
         "paused_upstreams",
         "Upstreams that have asked this gateway for a pause that is not over.",
         () -> dispatcher.sharedUpstreamState().pausedUpstreams());
+    metrics.addGauge(
+        "limited_upstreams",
+        "Upstreams that have named a limit on the requests that they take.",
+        () -> dispatcher.sharedUpstreamState().limitedUpstreams());
     metrics.addGauge(
         "restricted_requests",
-        "Fingerprints of requests that crashed upstreams and may not run freely.",
+        "Requests and parts of prompts that crashed upstreams and may not run freely.",
         () -> dispatcher.crashGuard().restrictedSuspects().size());
     metrics.addGauge(
         "requests_in_flight", "Requests being handled.", callerServer::requestsInFlight);
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
 import org.tanagerbank.upstream.LoadReport;
 import org.tanagerbank.upstream.ResponseFacts;
 import org.tanagerbank.upstream.ResponseFacts.IdRelation;
+import org.tanagerbank.upstream.SendLimit;
 import org.tanagerbank.upstream.TakenUpStream;
 import org.tanagerbank.upstream.UpstreamCall;
 import org.tanagerbank.upstream.UpstreamNotice;
@@ -62,6 +64,9 @@
 
   private static final String IS_LEAVING = "1";
 
+  /** The header in which an upstream names the requests a second that it takes. */
+  static final String LIMIT = "Server-Limit";
+
   /** A day; an upstream that asks for more is asked again then. */
   private static final double MAX_PAUSE_SECONDS = 86_400;
 
@@ -243,9 +248,23 @@
         status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
             ? pauseMillis(response)
             : OptionalLong.empty(),
+        limit(response),
         load(response));
   }
 
+  /** Returns the lowest limit that a response names; values that are no limit are passed over. */
+  private static Optional<SendLimit> limit(HttpHeaders response) {
+    List<String> values = response.getAll(LIMIT);
+    if (values.isEmpty()) {
+      return Optional.of(SendLimit.NONE);
+    }
+    return values.stream()
+        .map(v -> Doubles.tryParse(v.trim()))
+        .filter(perSecond -> perSecond != null && perSecond >= 0 && !perSecond.isInfinite())
+        .min(Comparator.naturalOrder())
+        .map(SendLimit::new);
+  }
+
   /** Returns the longest pause that a refusal asks for; values that are no time are passed over. */
   private static OptionalLong pauseMillis(HttpHeaders response) {
     return response.getAll(HttpHeaderNames.RETRY_AFTER).stream()
--- a/src/main/java/org/tanagerbank/upstream/UpstreamNotice.java
+++ b/src/main/java/org/tanagerbank/upstream/UpstreamNotice.java
@@ -9,11 +9,16 @@
  * @param isLeaving whether the process is shutting down and wants no new requests
  * @param pauseMillis the time in milliseconds, counted from the response, for which the process
  *     wants no request from this instance; empty if it asks for no pause
+ * @param limit the limit that it names, {@link SendLimit#NONE} if it names none, or empty if what
+ *     it names is no limit
  * @param load the load that it reports, or empty if it has no valid report
  */
 public record UpstreamNotice(
-    boolean isLeaving, OptionalLong pauseMillis, Optional<LoadReport> load) {
+    boolean isLeaving,
+    OptionalLong pauseMillis,
+    Optional<SendLimit> limit,
+    Optional<LoadReport> load) {
   /** A notice that says nothing. */
   public static final UpstreamNotice NONE =
-      new UpstreamNotice(false, OptionalLong.empty(), Optional.empty());
+      new UpstreamNotice(false, OptionalLong.empty(), Optional.empty(), Optional.empty());
 }
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -56,7 +57,7 @@
         new UpstreamHandle(
             upstream,
             ConnectionPool.create(group.next(), address, () -> 0),
-            new SendPermission(() -> 0));
+            new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamTraffic.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamTraffic.java
@@ -27,7 +27,9 @@
   /** The end of the upstream under a run with the given shared parts. */
   record Crash(long atMillis, String process, ImmutableSet<Long> parts) {}
 
-  /** The head of a response by which the upstream told a gateway that it leaves or pauses. */
+  /**
+   * The head of a response by which the upstream told a gateway that it leaves, pauses or limits.
+   */
   record Notice(long atMillis, String process, int gateway, String head) {}
 
   private final List<Arrival> arrivals = new ArrayList<>();
@@ -54,12 +56,13 @@
     arrivals.add(arrival);
   }
 
-  /** Records a response if its head says that the upstream leaves or wants a pause. */
+  /** Records a response if its head says that the upstream leaves, or wants few or no requests. */
   void recordResponse(long atMillis, String process, int gateway, String response) {
     String head = response.substring(0, Math.max(0, response.indexOf("\r\n\r\n")));
     boolean isNotice =
         !RawHead.header(head, "retry-after", "").isEmpty()
-            || !RawHead.header(head, "server-leaving", "").isEmpty();
+            || !RawHead.header(head, "server-leaving", "").isEmpty()
+            || !RawHead.header(head, "server-limit", "").isEmpty();
     if (isNotice) {
       notices.add(new Notice(atMillis, process, gateway, head));
     }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.route.CallerLimits;
@@ -31,7 +32,8 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private long wallMillis;
   private final Upstreams upstreams =
-      new Upstreams(Connector.tcp(group.next()), () -> 0, () -> wallMillis);
+      new Upstreams(
+          Connector.tcp(group.next()), () -> 0, () -> wallMillis, new SplittableRandom(1));
 
   @AfterEach
   void stop() {
@@ -79,8 +81,9 @@
     for (long startedMillis : new long[] {900, 1_100}) {
       upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
       wallMillis = 1_000;
-      UpstreamNotice pause = new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty());
-      upstreams.find("a").get().recordNotice(pause, 0);
+      UpstreamNotice pause =
+          new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty(), Optional.empty());
+      upstreams.find("a").get().recordNotice(pause, 0, 0);
       upstreams.update(ImmutableList.of(report("a", startedMillis, false)), CONFIG);
       boolean askedByThisProcess = startedMillis <= wallMillis;
       assertThat(upstreams.find("a").get().acceptsRequests(0)).isEqualTo(!askedByThisProcess);
