Send nothing to an upstream whose address another process has

Requests that were placed at the killed one reached the new one, in the pause that it had asked for, and got 421. They would count against its limit in the same way. An address belongs to one process, so an upstream has ended when another one is found there later, or started there later. UpstreamsTest#upstreamWhoseAddressAnotherProcessHasIsLeftAlone guards it.

--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -42,6 +42,7 @@
   private int reportedOtherRequests;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private boolean closed;
+  private boolean isReplaced;
   private int crashes;
 
   UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
@@ -209,7 +210,16 @@
   }
 
   private boolean isLeaving() {
-    return closed || hasAnnouncedEnd();
+    return closed || isReplaced || hasAnnouncedEnd();
+  }
+
+  /** Records that another process has its address, so that this one must have ended. */
+  void recordReplaced() {
+    if (!isReplaced) {
+      isReplaced = true;
+      EventLog.emit(
+          LogEvent.UPSTREAM_REPLACED, "upstream", report.id(), "address", report.address());
+    }
   }
 
   /** Returns whether the process said in a report or in a response that it shuts down. */
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -3,7 +3,10 @@
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Multimaps;
+import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -81,6 +84,7 @@
    */
   void update(Collection<UpstreamReport> reports, Optional<RoutingConfig> config) {
     versionHistory.record(reports, clockMillis.getAsLong());
+    ImmutableList<UpstreamHandle> before = all();
     Set<String> reportedIds = new HashSet<>();
     for (UpstreamReport report : reports) {
       reportedIds.add(report.id());
@@ -99,6 +103,30 @@
         EventLog.emit(LogEvent.UPSTREAM_GONE, "upstream", id);
       }
     }
+    recordReplaced(before);
+  }
+
+  /** Finds the upstreams that have ended, because another process has their address since. */
+  private void recordReplaced(ImmutableList<UpstreamHandle> before) {
+    ImmutableListMultimap<InetSocketAddress, UpstreamHandle> byAddress =
+        Multimaps.index(byId.values(), u -> u.report().address());
+    for (UpstreamHandle upstream : byId.values()) {
+      boolean isReplaced =
+          byAddress.get(upstream.report().address()).stream()
+              .anyMatch(u -> isSuccessor(u, upstream, before));
+      if (isReplaced) {
+        upstream.recordReplaced();
+      }
+    }
+  }
+
+  private static boolean isSuccessor(
+      UpstreamHandle later, UpstreamHandle earlier, ImmutableList<UpstreamHandle> before) {
+    boolean isNewlyFound = before.contains(earlier) && !before.contains(later);
+    boolean hasStartedLater =
+        earlier.report().startedAtMillis() > 0
+            && later.report().startedAtMillis() > earlier.report().startedAtMillis();
+    return later != earlier && (isNewlyFound || hasStartedLater);
   }
 
   private static void logDraining(UpstreamReport previous, UpstreamReport current) {
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -13,6 +13,8 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.route.CallerLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RouteTable;
@@ -101,4 +103,21 @@
     assertThat(upstreams.candidates("s", ImmutableSet.of("b"))).isEmpty();
     assertThat(upstreams.candidates("t", ImmutableSet.of())).isEmpty();
   }
+
+  /**
+   * Guards against requests for a process that has ended, which reach the one that has its address:
+   * in the pause that it asked for, or beyond its limit.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void upstreamWhoseAddressAnotherProcessHasIsLeftAlone(boolean areFoundTogether) {
+    if (!areFoundTogether) {
+      upstreams.update(ImmutableList.of(report("old", 0, false)), CONFIG);
+    }
+    long oldStarted = areFoundTogether ? 1 : 0;
+    upstreams.update(
+        ImmutableList.of(report("old", oldStarted, false), report("new", 2, false)), CONFIG);
+    assertThat(upstreams.find("old").get().acceptsRequests(0)).isFalse();
+    assertThat(upstreams.find("new").get().acceptsRequests(0)).isTrue();
+  }
 }
