Do not take crashes at the same time for the loss of a rack when no run completes after them

Five to seven requests with the part ended as many upstreams within a quarter of a second, so that the part passed for one that a lost rack's requests share, and when the upstreams were back four seconds later it ran freely again. Runs with a harmless part complete soon after the loss of a rack; if none does in two seconds, the part is restricted.

--- a/src/main/java/org/tanagerbank/quarantine/Blame.java
+++ b/src/main/java/org/tanagerbank/quarantine/Blame.java
@@ -25,6 +25,9 @@
  * share from one that crashes upstreams. Stateless but for its table; not thread-safe.
  */
 final class Blame {
+  /** The time in which runs of a harmless part that many requests share have completed. */
+  private static final long COMPLETION_MILLIS = 2_000;
+
   private final SuspectTable table;
   private final QuarantineRule rule;
 
@@ -79,7 +82,7 @@
     if (crashes.isEmpty()) {
       return QuarantineStatus.CLEAR;
     }
-    if (suspect.isPromptPart() && isOneMoment(crashes)) {
+    if (suspect.isPromptPart() && isOneMoment(crashes, nowMillis)) {
       return QuarantineStatus.SUSPECT;
     }
     ImmutableList<CrashRecord> weighed =
@@ -96,7 +99,8 @@
   private boolean isOneMoment(ImmutableList<CrashRecord> crashes) {
     LongSummaryStatistics times =
         crashes.stream().mapToLong(CrashRecord::atMillis).summaryStatistics();
-    return times.getMax() - times.getMin() <= rule.sameTimeMillis();
+    return times.getMax() - times.getMin() <= rule.sameTimeMillis()
+        && nowMillis - times.getMax() <= COMPLETION_MILLIS;
   }
 
   /** Returns the crashes that count against a suspect by its own runs. */
--- a/src/test/java/org/tanagerbank/dispatch/PartRule.java
+++ b/src/test/java/org/tanagerbank/dispatch/PartRule.java
@@ -20,23 +20,24 @@
 
   private PartRule() {}
 
-  /** Returns the number of upstreams that ended under runs with a part. */
-  static long crashes(DispatchSimulation fleet, long part) {
+  /** Returns the times at which upstreams ended under runs with a part, the earliest first. */
+  static List<Long> crashTimes(DispatchSimulation fleet, long part) {
     return fleet.upstreams().stream()
         .flatMap(u -> u.traffic().crashes().stream())
         .filter(c -> c.parts().contains(part))
-        .count();
+        .map(UpstreamTraffic.Crash::atMillis)
+        .sorted()
+        .toList();
+  }
+
+  /** Returns the number of upstreams that ended under runs with a part. */
+  static long crashes(DispatchSimulation fleet, long part) {
+    return crashTimes(fleet, part).size();
   }
 
   /** Returns the time of the fifth end of an upstream, or of the last if there are fewer. */
   static OptionalLong decisiveCrashMillis(DispatchSimulation fleet, long part) {
-    return fleet.upstreams().stream()
-        .flatMap(u -> u.traffic().crashes().stream())
-        .filter(c -> c.parts().contains(part))
-        .mapToLong(UpstreamTraffic.Crash::atMillis)
-        .sorted()
-        .limit(CRASHES)
-        .max();
+    return crashTimes(fleet, part).stream().limit(CRASHES).mapToLong(Long::longValue).max();
   }
 
   /** Returns the requests with a part that arrived late, from gateways in touch. */
