Let sessions stay at upstreams with a limit that have their parts cached

A session of 600 shared tokens costs 120 to move, so 100 keeps it in place while the upstream has room.

--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -50,7 +50,7 @@
    * The cost of one of the few requests that an upstream with a limit takes, in prefilled tokens.
    * Sessions whose parts it has cached are worth more.
    */
-  private static final double LIMITED_REQUEST_TOKENS = 400;
+  private static final double LIMITED_REQUEST_TOKENS = 100;
 
   /** The same for an upstream that is no engine, in fully loaded upstreams. */
   private static final double LIMITED_REQUEST_LOAD = 0.5;
