--- a/src/main/java/org/tanagerbank/quarantine/Blame.java
+++ b/src/main/java/org/tanagerbank/quarantine/Blame.java
@@ -94,9 +94,10 @@
 
   /**
    * Returns whether crashes of several upstreams came at the same time, as when a rack is lost.
-   * Many requests share a part, so that it may be in flight at all of them.
+   * Many requests share a part, so that it may be in flight at all of them; if it is harmless, runs
+   * with it complete soon after.
    */
-  private boolean isOneMoment(ImmutableList<CrashRecord> crashes) {
+  private boolean isOneMoment(ImmutableList<CrashRecord> crashes, long nowMillis) {
     LongSummaryStatistics times =
         crashes.stream().mapToLong(CrashRecord::atMillis).summaryStatistics();
     return times.getMax() - times.getMin() <= rule.sameTimeMillis()
