--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -31,49 +31,6 @@
  * confined to the event loop.
  */
 public final class CrashGuard {
-  /** How a request may proceed. */
-  enum Admission {
-    /** It may be sent, together with others. */
-    RUN,
-    /** It may be sent as the only run of a suspect in the fleet. */
-    TRIAL,
-    /** It must ask again shortly, because it is not known yet whether it may be sent. */
-    WAIT,
-    /** It must not be sent now, because another run decides on a part of its prompt. */
-    REFUSED_FOR_NOW,
-    /** It must not be sent. */
-    REFUSED
-  }
-
-  /**
-   * How a request may proceed, and to which upstreams it may be sent. Immutable.
-   *
-   * @param candidates the upstreams among which one is chosen; empty unless the request may be sent
-   * @param onTrial the suspect that is on trial, if the request may be sent as its only run
-   * @param retryAfterMillis the time in milliseconds after which a refused request may come again
-   */
-  record Decision(
-      Admission admission,
-      List<UpstreamHandle> candidates,
-      Optional<Fingerprint> onTrial,
-      long retryAfterMillis) {
-    private static Decision run(List<UpstreamHandle> candidates) {
-      return new Decision(Admission.RUN, candidates, Optional.empty(), 0);
-    }
-
-    private static Decision trial(Fingerprint suspect, List<UpstreamHandle> candidates) {
-      return new Decision(Admission.TRIAL, candidates, Optional.of(suspect), 0);
-    }
-
-    private static Decision waiting() {
-      return new Decision(Admission.WAIT, List.of(), Optional.empty(), 0);
-    }
-
-    private static Decision refused(Admission admission, long retryAfterMillis) {
-      return new Decision(admission, List.of(), Optional.empty(), retryAfterMillis);
-    }
-  }
-
   /** The longest pause between trials, in milliseconds, that a request waits for. */
   private static final long MAX_WAITED_PAUSE_MILLIS = 1_000;
 
@@ -106,18 +63,18 @@
    *
    * @param candidates the upstreams to which it could be sent
    */
-  Decision admit(RequestSuspects suspects, Object holder, List<UpstreamHandle> candidates) {
+  SuspectAdmission admit(RequestSuspects suspects, Object holder, List<UpstreamHandle> candidates) {
     long now = clockMillis.getAsLong();
     ImmutableMap<Fingerprint, QuarantineStatus> statuses =
         Maps.toMap(suspects.all(), s -> quarantine.status(s, suspects.all(), now));
     Optional<Fingerprint> condemned =
         having(statuses, QuarantineStatus.QUARANTINED).stream().findFirst();
     if (condemned.isPresent()) {
-      return Decision.refused(Admission.REFUSED, quarantineLeftMillis(condemned.get(), now));
+      return SuspectAdmission.refused(quarantineLeftMillis(condemned.get(), now));
     }
     ImmutableList<Fingerprint> restricted = having(statuses, QuarantineStatus.TRIAL_ONLY);
     if (restricted.isEmpty()) {
-      return Decision.run(outsideTrials(candidates, now));
+      return SuspectAdmission.run(outsideTrials(candidates, now));
     }
     List<UpstreamHandle> harmless =
         candidates.stream()
@@ -128,7 +85,7 @@
             .toList();
     return harmless.isEmpty()
         ? claimTrial(suspects, suspects.narrowest(restricted), holder, candidates, now)
-        : Decision.run(harmless);
+        : SuspectAdmission.run(harmless);
   }
 
   private static ImmutableList<Fingerprint> having(
@@ -152,7 +109,7 @@
     return 2 * others.size() < candidates.size() ? candidates : others;
   }
 
-  private Decision claimTrial(
+  private SuspectAdmission claimTrial(
       RequestSuspects suspects,
       Fingerprint suspect,
       Object holder,
@@ -165,7 +122,7 @@
     }
     List<UpstreamHandle> eligible = trialCandidates(suspect, candidates, now);
     if (eligible.isEmpty() && !candidates.isEmpty()) {
-      return isPart ? trialElsewhere() : Decision.waiting();
+      return isPart ? trialElsewhere() : SuspectAdmission.waiting();
     }
     ImmutableList<TrialClaim> before = claims.ownClaims(now);
     boolean mayStart = claims.tryStart(suspect, holder, now);
@@ -179,24 +136,24 @@
     if (isTaken) {
       return trialElsewhere();
     }
-    return mayStart ? Decision.trial(suspect, eligible) : Decision.waiting();
+    return mayStart ? SuspectAdmission.trial(suspect, eligible) : SuspectAdmission.waiting();
   }
 
   /**
    * A whole request waits for a short pause. Requests with a part come many at a time, so that one
    * that waited would mostly wait in vain.
    */
-  private static Decision pauseBeforeTrial(boolean isPart, long pauseMillis) {
+  private static SuspectAdmission pauseBeforeTrial(boolean isPart, long pauseMillis) {
     if (isPart) {
-      return Decision.refused(Admission.REFUSED_FOR_NOW, pauseMillis);
+      return SuspectAdmission.refusedForNow(pauseMillis);
     }
     return pauseMillis <= MAX_WAITED_PAUSE_MILLIS
-        ? Decision.waiting()
-        : Decision.refused(Admission.REFUSED, pauseMillis);
+        ? SuspectAdmission.waiting()
+        : SuspectAdmission.refused(pauseMillis);
   }
 
-  private static Decision trialElsewhere() {
-    return Decision.refused(Admission.REFUSED_FOR_NOW, TrialClaims.SETTLE_MILLIS);
+  private static SuspectAdmission trialElsewhere() {
+    return SuspectAdmission.refusedForNow(TrialClaims.SETTLE_MILLIS);
   }
 
   private long quarantineLeftMillis(Fingerprint suspect, long now) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -106,17 +106,17 @@
   }
 
   private void place() {
-    CrashGuard.Decision decision = dispatcher.crashGuard().admit(suspects, this, candidates());
-    switch (decision.admission()) {
-      case RUN, TRIAL -> place(decision.candidates(), decision.onTrial());
+    SuspectAdmission admission = dispatcher.crashGuard().admit(suspects, this, candidates());
+    switch (admission.kind()) {
+      case RUN, TRIAL -> place(admission.candidates(), admission.onTrial());
       case WAIT -> {
         retry.release();
         var unused =
             dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
       }
       case REFUSED_FOR_NOW ->
-          endWithError(Refusal.onTrial(decision.retryAfterMillis(), dispatcher.random()));
-      case REFUSED -> endWithError(Refusal.quarantined(decision.retryAfterMillis()));
+          endWithError(Refusal.onTrial(admission.retryAfterMillis(), dispatcher.random()));
+      case REFUSED -> endWithError(Refusal.quarantined(admission.retryAfterMillis()));
       default -> throw new AssertionError("unknown admission");
     }
   }
