--- a/src/main/java/org/tanagerbank/dispatch/SendRate.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendRate.java
@@ -18,7 +18,7 @@
   private static final double MIN_REQUESTS_PER_SECOND = 0.25;
 
   /** The time for which tokens are kept, as far as they are more than one. */
-  private static final double BURST_MILLIS = 1_500;
+  private static final double BURST_MILLIS = 250;
 
   /** The time after which a single token that nobody takes is drawn anew. */
   private static final long IDLE_MILLIS = 1_000;
