Keep and time parts that are restricted only together with another one

Found by reading. The store keeps, and a refusal is timed by, the status of a suspect alone. A part that always comes with another one is restricted only in requests that have both, so each of the two counted as explained by the other: the topic of suspects did not get them, so that a fleet that restarts as a whole would have forgotten them, and the refusal had no Retry-After. Both now ask about requests like those that were lost. The depth of a suspect is looked up once for each run instead of twice.

--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -1,7 +1,6 @@
 package org.tanagerbank.dispatch;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
-import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -70,7 +69,7 @@
     Optional<Fingerprint> condemned =
         having(statuses, QuarantineStatus.QUARANTINED).stream().findFirst();
     if (condemned.isPresent()) {
-      return SuspectAdmission.refused(quarantineLeftMillis(condemned.get(), now));
+      return SuspectAdmission.refused(quarantineLeftMillis(condemned.get(), suspects, now));
     }
     ImmutableList<Fingerprint> restricted = having(statuses, QuarantineStatus.TRIAL_ONLY);
     if (restricted.isEmpty()) {
@@ -156,10 +155,8 @@
     return SuspectAdmission.refusedForNow(TrialClaims.SETTLE_MILLIS);
   }
 
-  private long quarantineLeftMillis(Fingerprint suspect, long now) {
-    long until =
-        quarantine.expiryMillis(suspect, now).orElseGet(() -> quarantine.nextTrialMillis(suspect));
-    return Math.max(0, until - now);
+  private long quarantineLeftMillis(Fingerprint condemned, RequestSuspects suspects, long now) {
+    return Math.max(0, quarantine.expiryMillis(condemned, suspects.all(), now).orElse(now) - now);
   }
 
   /**
@@ -195,9 +192,7 @@
         });
     long now = clockMillis.getAsLong();
     ImmutableMap<Fingerprint, Integer> depths =
-        suspects.all().stream()
-            .filter(s -> quarantine.depth(s, now) > 0)
-            .collect(toImmutableMap(s -> s, s -> quarantine.depth(s, now)));
+        Maps.toMap(suspects.all(), s -> quarantine.depth(s, now));
     return new TrackedRun(suspects, holder, upstream, upstream.crashes(), depths, onTrial);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/SendShares.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendShares.java
@@ -10,9 +10,10 @@
  * The share of this instance in what upstreams take from all instances together.
  *
  * <p>All instances divide by the same rule, in proportion to their requests in flight, of which
- * they tell each other, plus one: so the shares add up to one but for the delay of these messages.
- * The counts are smoothed over that delay. An instance that is silent, but was heard lately or is
- * registered, keeps the share of one without requests. Not thread-safe; confined to the event loop.
+ * they tell each other, plus a constant: so the shares add up to one but for the delay of these
+ * messages. The counts are smoothed over that delay. An instance that is silent, but was heard
+ * lately or is registered, keeps the share of one without requests. Not thread-safe; confined to
+ * the event loop.
  */
 final class SendShares {
   /** The time for which an instance that is not heard any more keeps a share. */
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -11,7 +11,7 @@
  * @param holder the execution of the request
  * @param crashesBefore the number of crashes of the upstream that were known when it was sent
  * @param depths the number of crashes, one after the other, that were on record for each suspect
- *     when it was sent; suspects without a crash are omitted
+ *     when it was sent
  * @param onTrial the suspect of which it is the only run in the fleet, if there is one
  */
 record TrackedRun(
@@ -25,7 +25,7 @@
   CrashRecord crash(Fingerprint suspect, String crashId, long atMillis) {
     return new CrashRecord(
             crashId,
-            depths.getOrDefault(suspect, 0) + 1,
+            depths.get(suspect) + 1,
             onTrial.equals(Optional.of(suspect)),
             atMillis,
             suspects.conditions(suspect, upstream.softwareHash()))
--- a/src/main/java/org/tanagerbank/quarantine/Blame.java
+++ b/src/main/java/org/tanagerbank/quarantine/Blame.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LongSummaryStatistics;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.tanagerbank.request.Fingerprint;
 
 /**
@@ -54,6 +55,14 @@
     return weigh(suspect, unexplained, nowMillis);
   }
 
+  /** Returns a suspect, and the parts that runs with it had which were lost. */
+  ImmutableSet<Fingerprint> suspectsOfLostRuns(Fingerprint suspect) {
+    return Stream.concat(
+            Stream.of(suspect),
+            table.get(suspect).crashes().values().stream().flatMap(c -> c.companions().stream()))
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   private boolean isExplainedBetter(
       CrashRecord crash,
       Fingerprint suspect,
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -85,7 +85,7 @@
             crash.atMillis(),
             RunConditions.UNKNOWN),
         nowMillis);
-    if (statusByEvidence(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
+    if (blame.status(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
         != QuarantineStatus.QUARANTINED) {
       return Optional.empty();
     }
@@ -201,12 +201,7 @@
       Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
     return recordedExpiry(suspect, nowMillis).isPresent()
         ? QuarantineStatus.QUARANTINED
-        : statusByEvidence(suspect, ofRequest, nowMillis);
-  }
-
-  private QuarantineStatus statusByEvidence(
-      Fingerprint fingerprint, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
-    return blame.status(fingerprint, ofRequest, nowMillis);
+        : blame.status(suspect, ofRequest, nowMillis);
   }
 
   private ImmutableList<CrashRecord> countedCrashes(Fingerprint fingerprint, long nowMillis) {
@@ -261,14 +256,24 @@
   /**
    * Returns when the quarantine of a fingerprint ends, in milliseconds, or empty if there is none.
    */
-  public synchronized Optional<Long> expiryMillis(Fingerprint fingerprint, long nowMillis) {
-    Optional<Long> recorded = recordedExpiry(fingerprint, nowMillis);
+  public Optional<Long> expiryMillis(Fingerprint fingerprint, long nowMillis) {
+    return expiryMillis(fingerprint, ImmutableSet.of(fingerprint), nowMillis);
+  }
+
+  /**
+   * Returns when the quarantine of a request because of one of its suspects ends, in milliseconds,
+   * or empty if there is none.
+   *
+   * @param ofRequest the fingerprints of the request and of the parts of its prompt
+   */
+  public synchronized Optional<Long> expiryMillis(
+      Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
+    Optional<Long> recorded = recordedExpiry(suspect, nowMillis);
     if (recorded.isPresent()
-        || statusByEvidence(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
-            != QuarantineStatus.QUARANTINED) {
+        || blame.status(suspect, ofRequest, nowMillis) != QuarantineStatus.QUARANTINED) {
       return recorded;
     }
-    return Optional.of(suspects.get(fingerprint).lastCrashMillis() + SUSPICION_MILLIS);
+    return Optional.of(suspects.get(suspect).lastCrashMillis() + SUSPICION_MILLIS);
   }
 
   private Optional<Long> recordedExpiry(Fingerprint fingerprint, long nowMillis) {
@@ -303,12 +308,16 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Returns the suspects whose requests may run only in trials, or not at all. */
+  /**
+   * Returns the suspects for which requests like those that were lost may run only in trials, or
+   * not at all.
+   */
   public synchronized ImmutableList<Fingerprint> restricted(long nowMillis) {
     return suspects(2, nowMillis).stream()
         .filter(
             f ->
-                statusByEvidence(f, ImmutableSet.of(f), nowMillis)
+                blame
+                        .status(f, blame.suspectsOfLostRuns(f), nowMillis)
                         .compareTo(QuarantineStatus.TRIAL_ONLY)
                     >= 0)
         .collect(ImmutableList.toImmutableList());
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -60,7 +61,8 @@
                                 false,
                                 -50,
                                 new RunConditions(-7, 8),
-                                ImmutableMap.of(-7, 1, 9, 2)),
+                                ImmutableMap.of(-7, 1, 9, 2),
+                                ImmutableSet.of(new Fingerprint(-3), new Fingerprint(4))),
                             new CrashRecord("c2", 2, true, 0, RunConditions.UNKNOWN)))),
                 new SuspectRecord(
                     new Fingerprint(8),
