Let the engine stand-in name a limit and end at a deadly part

DirectEngineTest shows the header in answers and refusals, the end at a part that is not the last, and none at a last part.

--- a/src/main/java/org/tanagerbank/cli/StandinDirectEngineCommand.java
+++ b/src/main/java/org/tanagerbank/cli/StandinDirectEngineCommand.java
@@ -75,6 +75,12 @@
   @Option(name = "--drain-millis", usage = "how long the engine serves on after SIGTERM")
   private long drainMillis = 2_000;
 
+  @Option(name = "--request-limit", usage = "requests a second named as limit; 0: none")
+  private double requestLimit;
+
+  @Option(name = "--deadly-part", usage = "id of the prompt part that ends the engine; 0: none")
+  private long deadlyPart;
+
   @Option(name = "--health-path", usage = "path of the health check")
   private String healthPath = "/healthz";
 
@@ -97,6 +103,9 @@
     StandinCommand.checkAtLeast(invalid, "--work-millis", workMillis, 0);
     StandinCommand.checkAtLeast(invalid, "--idle-timeout-millis", idleTimeoutMillis, 1);
     StandinCommand.checkAtLeast(invalid, "--drain-millis", drainMillis, 0);
+    if (!(requestLimit >= 0 && requestLimit < Double.POSITIVE_INFINITY)) {
+      invalid.add("--request-limit: must be a number of at least 0: " + requestLimit);
+    }
     readFaults(invalid);
   }
 
@@ -148,6 +157,7 @@
     SignalHandler previous = Signal.handle(term, signal -> terminated.countDown());
     try {
       engine.setFaults(faults);
+      engine.setCrashAction(() -> Runtime.getRuntime().halt(FAILED));
       engine.start();
       announce(engine, out);
       terminated.await();
@@ -190,6 +200,7 @@
         new DirectEngineSettings.Limits(slots, queue, maxConnections, memoryTokens),
         new DirectEngineSettings.Speed(
             stepMillis, prefillTokensPerMilli, tokensPerEvent, workMillis),
+        new DirectEngineSettings.Trouble(requestLimit, deadlyPart),
         idleTimeoutMillis,
         drainMillis);
   }
--- a/src/main/java/org/tanagerbank/platform/PlatformEngineHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineHeaderCodec.java
@@ -85,6 +85,9 @@
           HttpHeaderNames.RETRY_AFTER,
           String.format(Locale.ROOT, "%.3f", marks.pauseMillis() / (double) MILLIS_PER_SECOND));
     }
+    if (marks.requestLimit() > 0) {
+      headers.set(PlatformHeaderCodec.LIMIT, Double.toString(marks.requestLimit()));
+    }
     long keepAliveSeconds = marks.keepAliveMillis() / MILLIS_PER_SECOND;
     if (keepAliveSeconds > 0) {
       headers.set(KEEP_ALIVE, "timeout=" + keepAliveSeconds);
--- a/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
+++ b/src/main/java/org/tanagerbank/standin/direct/DirectEngine.java
@@ -1,7 +1,9 @@
 package org.tanagerbank.standin.direct;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -63,8 +65,16 @@
     this.codec = codec;
     LongSupplier clockMicros = () -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
     EngineCore core = new EngineCore(settings, new Random(settings.seed()));
-    RunLog log = new RunLog(settings.id(), record, clockMicros, this::isDraining);
-    this.driver = new EngineDriver(core, group.next(), clockMicros, log);
+    RunLog log =
+        new RunLog(
+            settings.id(),
+            record,
+            clockMicros,
+            this::isDraining,
+            settings.trouble().requestLimit());
+    this.driver =
+        new EngineDriver(core, group.next(), clockMicros, log, settings.trouble().deadlyPart());
+    driver.setCrashAction(this::breakOff);
     this.formatter = new ResponseFormatter(codec, settings, core::load, this::isDraining);
     this.control = new EngineControl(controlBind, group.next(), driver);
   }
@@ -124,6 +134,20 @@
     Thread.sleep(settings.drainMillis());
   }
 
+  /**
+   * Sets the action that ends the engine when it begins a request with its deadly part. By default
+   * all its connections are closed and it accepts no others.
+   */
+  public void setCrashAction(Runnable action) {
+    runOnLoop(() -> driver.setCrashAction(action));
+  }
+
+  private void breakOff() {
+    serverChannel.close();
+    ImmutableList.copyOf(connections)
+        .forEach(c -> c.sendAndBreakOff(Unpooled.EMPTY_BUFFER, /* resets= */ true));
+  }
+
   /** Replaces the faults; they apply to requests that arrive after this method has returned. */
   public void setFaults(EngineFaults faults) {
     runOnLoop(() -> driver.core().setFaults(faults));
--- a/src/main/java/org/tanagerbank/standin/direct/DirectEngineSettings.java
+++ b/src/main/java/org/tanagerbank/standin/direct/DirectEngineSettings.java
@@ -8,6 +8,7 @@
  * @param healthPath the path whose {@code GET} reports the health of the engine
  * @param limits what the engine accepts
  * @param speed how long the work takes
+ * @param trouble what the engine suffers from
  * @param idleTimeoutMillis the time after which an idle connection is closed
  * @param drainMillis how long a draining engine continues to serve
  */
@@ -17,6 +18,7 @@
     String healthPath,
     Limits limits,
     Speed speed,
+    Trouble trouble,
     long idleTimeoutMillis,
     long drainMillis) {
 
@@ -40,4 +42,15 @@
    */
   public record Speed(
       long stepMillis, int prefillTokensPerMilli, int tokensPerEvent, long workMillis) {}
+
+  /**
+   * What an engine suffers from for as long as it runs. Immutable.
+   *
+   * @param requestLimit the requests a second that it names as its limit, or 0 to name none
+   * @param deadlyPart the id of the part of prompts that ends the engine when it begins a request
+   *     which has it before its last part, or 0 if none does
+   */
+  public record Trouble(double requestLimit, long deadlyPart) {
+    public static final Trouble NONE = new Trouble(0, 0);
+  }
 }
--- a/src/main/java/org/tanagerbank/standin/direct/EngineDriver.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineDriver.java
@@ -27,15 +27,27 @@
   private final ScheduledExecutorService loop;
   private final LongSupplier clockMicros;
   private final RunLog log;
+  private final long deadlyPart;
   private final Map<EngineRun, RunResponder> responders = new HashMap<>();
   private final Deque<EngineAction> pendingActions = new ArrayDeque<>();
   private final Deque<String> recentIds = new ArrayDeque<>();
+  private Runnable crashAction = () -> {};
   private boolean isDispatching;
   private ScheduledFuture<?> wake;
   private long wakeMicros = EngineCore.NEVER;
 
+  /**
+   * Creates a driver.
+   *
+   * @param deadlyPart the id of the part of prompts that ends the engine, or 0 if none does
+   */
   EngineDriver(
-      EngineCore core, ScheduledExecutorService loop, LongSupplier clockMicros, RunLog log) {
+      EngineCore core,
+      ScheduledExecutorService loop,
+      LongSupplier clockMicros,
+      RunLog log,
+      long deadlyPart) {
+    this.deadlyPart = deadlyPart;
     this.core = core;
     this.loop = loop;
     this.clockMicros = clockMicros;
@@ -50,6 +62,24 @@
     return log;
   }
 
+  /** Sets the action that ends the engine when it begins a request with the deadly part. */
+  void setCrashAction(Runnable action) {
+    crashAction = action;
+  }
+
+  /** Ends the engine if a run that begins has the deadly part; its record is complete by then. */
+  void crashIfDeadly(EngineRun run) {
+    boolean isDeadly =
+        deadlyPart != 0
+            && run.request.prompt().stream()
+                .flatMap(p -> p.sharedParts().stream())
+                .anyMatch(p -> p.id() == deadlyPart);
+    if (isDeadly) {
+      log.fault(run, "deadlyPart");
+      crashAction.run();
+    }
+  }
+
   /** Registers the arrival of the head of a request. */
   EngineRun arrive(EngineRequest request) {
     EngineRun run = core.arrive(request, clockMicros.getAsLong());
--- a/src/main/java/org/tanagerbank/standin/direct/EngineHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/standin/direct/EngineHeaderCodec.java
@@ -21,6 +21,7 @@
    * @param load the load of the engine
    * @param isLeaving whether the engine is shutting down
    * @param pauseMillis the pause in milliseconds that the engine asks for, or 0 for none
+   * @param requestLimit the requests a second that the engine names as its limit, or 0 for none
    * @param keepAliveMillis the announced idle timeout in milliseconds
    */
   record ResponseMarks(
@@ -31,6 +32,7 @@
       LoadReport load,
       boolean isLeaving,
       long pauseMillis,
+      double requestLimit,
       long keepAliveMillis) {}
 
   /** What callers may ask an engine about itself. */
--- a/src/main/java/org/tanagerbank/standin/direct/ResponseFormatter.java
+++ b/src/main/java/org/tanagerbank/standin/direct/ResponseFormatter.java
@@ -138,6 +138,7 @@
             load.get(),
             isLeaving.getAsBoolean(),
             pauseMillis,
+            settings.trouble().requestLimit(),
             settings.idleTimeoutMillis()));
   }
 
--- a/src/main/java/org/tanagerbank/standin/direct/RunLog.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunLog.java
@@ -16,6 +16,7 @@
   private final Consumer<RunRecord> sink;
   private final LongSupplier steadyMicros;
   private final BooleanSupplier isLeaving;
+  private final double requestLimit;
   private final EngineStatistics statistics = new EngineStatistics();
 
   /**
@@ -24,13 +25,16 @@
    * @param sink receives each record
    * @param steadyMicros the steady clock in microseconds
    * @param isLeaving returns whether responses say that the engine leaves
+   * @param requestLimit the limit that responses name, or 0 for none
    */
   RunLog(
       String engineId,
       Consumer<RunRecord> sink,
       LongSupplier steadyMicros,
-      BooleanSupplier isLeaving) {
+      BooleanSupplier isLeaving,
+      double requestLimit) {
     this.isLeaving = isLeaving;
+    this.requestLimit = requestLimit;
     this.engineId = engineId;
     this.sink = sink;
     this.steadyMicros = steadyMicros;
@@ -57,6 +61,7 @@
                 : null,
             null,
             null,
+            null,
             null));
   }
 
@@ -123,6 +128,7 @@
             null,
             pauseMillis,
             status != null && isLeaving.getAsBoolean() ? true : null,
+            status != null && requestLimit > 0 ? requestLimit : null,
             detail));
   }
 
--- a/src/main/java/org/tanagerbank/standin/direct/RunRecord.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunRecord.java
@@ -16,6 +16,7 @@
  * @param lastEventId the event after which the caller resumes
  * @param pauseMillis the pause in milliseconds that a refusal asks for
  * @param leaving whether the response says that the engine leaves
+ * @param limit the requests a second that the response names as the engine's limit
  * @param detail the kind of refusal or fault, or what was received
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -31,4 +32,5 @@
     String lastEventId,
     Long pauseMillis,
     Boolean leaving,
+    Double limit,
     String detail) {}
--- a/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
+++ b/src/main/java/org/tanagerbank/standin/direct/RunResponder.java
@@ -64,6 +64,7 @@
 
   private void onBegan() {
     log.began(run, received.get());
+    driver.crashIfDeadly(run);
     if (run.faults.extrasAtBegin()) {
       sendExtras();
     }
--- a/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformEngineHeaderCodecTest.java
@@ -95,6 +95,14 @@
 
   private static ResponseMarks marks(boolean isNotRun, Optional<String> signature) {
     return new ResponseMarks(
-        "r1", isNotRun, signature, Optional.empty(), new LoadReport(3, 2, 8), true, 1_500, 7_900);
+        "r1",
+        isNotRun,
+        signature,
+        Optional.empty(),
+        new LoadReport(3, 2, 8),
+        true,
+        1_500,
+        2.5,
+        7_900);
   }
 }
--- a/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
@@ -24,7 +24,19 @@
     requests.add(SoakSamples.request(id, atMicros));
     events.add(
         new RunRecord(
-            atMicros, "e-1", event, id, null, null, null, null, null, pauseMillis, leaving, null));
+            atMicros,
+            "e-1",
+            event,
+            id,
+            null,
+            null,
+            null,
+            null,
+            null,
+            pauseMillis,
+            leaving,
+            null,
+            null));
   }
 
   private void addArrivals(int count, long firstMicros) {
--- a/src/test/java/org/tanagerbank/soak/RequestRulesTest.java
+++ b/src/test/java/org/tanagerbank/soak/RequestRulesTest.java
@@ -151,7 +151,19 @@
         .containsExactly(Rule.UNASKED);
     RunRecord changed =
         new RunRecord(
-            1_100, "e-1", RunEvent.BEGAN, "r", null, null, null, null, null, null, null, "GET 5 1");
+            1_100,
+            "e-1",
+            RunEvent.BEGAN,
+            "r",
+            null,
+            null,
+            null,
+            null,
+            null,
+            null,
+            null,
+            null,
+            "GET 5 1");
     assertThat(broken(request, changed)).containsExactly(Rule.UNASKED);
   }
 
--- a/src/test/java/org/tanagerbank/soak/SoakSamples.java
+++ b/src/test/java/org/tanagerbank/soak/SoakSamples.java
@@ -64,6 +64,7 @@
         /* lastEventId= */ null,
         /* pauseMillis= */ null,
         /* leaving= */ null,
+        /* limit= */ null,
         received);
   }
 }
--- a/src/test/java/org/tanagerbank/standin/direct/DirectEngineTest.java
+++ b/src/test/java/org/tanagerbank/standin/direct/DirectEngineTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
@@ -37,6 +38,10 @@
 
   @BeforeEach
   void start() {
+    start(DirectEngineSettings.Trouble.NONE);
+  }
+
+  private void start(DirectEngineSettings.Trouble trouble) {
     engine =
         DirectEngine.create(
             new DirectEngineSettings(
@@ -45,6 +50,7 @@
                 "/healthz",
                 new DirectEngineSettings.Limits(2, 1, MAX_CONNECTIONS, 1_000),
                 new DirectEngineSettings.Speed(2, 100, 4, 10),
+                trouble,
                 IDLE_TIMEOUT_MILLIS,
                 0),
             ANY_PORT,
@@ -90,6 +96,34 @@
     }
   }
 
+  @Test
+  void engineInNeedNamesItsLimitInAnswersAndRefusals() throws IOException {
+    engine.stop();
+    start(new DirectEngineSettings.Trouble(2.5, 0));
+    try (RawCaller caller = call()) {
+      assertThat(caller.request("r1").response().head()).contains("Server-Limit: 2.5\r\n");
+      Received refusal = caller.request("r2", "Expect-Instance: i-9").response();
+      assertThat(refusal.status()).isEqualTo(421);
+      assertThat(refusal.head()).contains("Server-Limit: 2.5\r\n");
+    }
+    awaitEvents("r1", RunEvent.ARRIVED, RunEvent.BEGAN, RunEvent.ENDED);
+    assertThat(records.get(2).limit()).isEqualTo(2.5);
+  }
+
+  @Test
+  void engineEndsWhenItBeginsARequestWithItsDeadlyPart() throws IOException {
+    engine.stop();
+    start(new DirectEngineSettings.Trouble(0, 0xab));
+    try (RawCaller caller = call()) {
+      String sound = "Prompt-Prefix: 1:50,ab:50";
+      assertThat(caller.request("r1", STREAM, sound).response().status()).isEqualTo(200);
+      caller.request("r2", STREAM, "Prompt-Prefix: 1:50,ab:20,2:30");
+      assertThrows(IOException.class, caller::response);
+    }
+    awaitEvents("r2", RunEvent.ARRIVED, RunEvent.BEGAN, RunEvent.FAULT);
+    assertThrows(IOException.class, this::call);
+  }
+
   @ParameterizedTest
   @CsvSource({
     "errorStatus, 500, ENDED",
--- a/src/test/java/org/tanagerbank/standin/direct/EngineCoreTest.java
+++ b/src/test/java/org/tanagerbank/standin/direct/EngineCoreTest.java
@@ -37,6 +37,7 @@
         "/healthz",
         new DirectEngineSettings.Limits(SLOTS, QUEUE, 8, MEMORY_TOKENS),
         new DirectEngineSettings.Speed(STEP_MICROS / 1_000, 20, TOKENS_PER_EVENT, 10),
+        DirectEngineSettings.Trouble.NONE,
         5_000,
         0);
   }
--- a/src/test/java/org/tanagerbank/standin/direct/RunRecordFileTest.java
+++ b/src/test/java/org/tanagerbank/standin/direct/RunRecordFileTest.java
@@ -19,7 +19,19 @@
       for (RunRecordFile writer : ImmutableList.of(a, b, a)) {
         writer.accept(
             new RunRecord(
-                7, "i-1", RunEvent.BEGAN, "r1", null, null, "/a", null, null, null, null, null));
+                7,
+                "i-1",
+                RunEvent.BEGAN,
+                "r1",
+                null,
+                null,
+                "/a",
+                null,
+                null,
+                null,
+                null,
+                null,
+                null));
       }
     }
     String line =
