Let the soaks play deadly parts of prompts and limits of upstreams

SoakIT plays the seeds of the deadly request a third time, with requests no two alike that share a part; all requests of the soak now have prompts with a common first part, so that sound ones share parts with deadly ones and recovery is checked for them. The bound is the rule's: at most three requests later than 3 s after the fifth crash. OverloadSoakIT checks by what engines recorded that one which names a limit gets no more than the rule allows.

--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ListMultimap;
 import com.google.common.collect.MultimapBuilder;
 import java.io.File;
@@ -38,23 +37,12 @@
   /** So few that the callers of one machine make gateways use them up. */
   static final RetryLimits RETRIES = new RetryLimits(0.01, 10, 40);
 
-  static final int TOKENS_PER_EVENT = 4;
-
   private static final int FIRST_GATEWAYS = 4;
   private static final int MAX_GATEWAYS = 6;
   private static final int STREAM_ENGINES = 4;
   private static final int PLAIN_ENGINES = 2;
-  private static final int SLOTS = 4;
-
-  /** Too few for the prompts and outputs of all slots, so that engines preempt. */
-  private static final int MEMORY_TOKENS = 1_300;
-
-  private static final int MAX_CONNECTIONS = 60;
   private static final int DRAIN_MILLIS = 2_000;
 
-  /** Longer than the time in which engines that leave may still get requests. */
-  private static final int ENGINE_DRAIN_MILLIS = 3_500;
-
   /** The time in which the ends of connections pass a proxy. */
   private static final int PASS_MILLIS = 50;
 
@@ -64,20 +52,6 @@
   /** The time from the end of an engine to its next start. */
   private static final int RESTART_MILLIS = 1_500;
 
-  private static final ImmutableMap<String, Integer> ENGINE_OPTIONS =
-      ImmutableMap.<String, Integer>builder()
-          .put("slots", SLOTS)
-          .put("queue", SLOTS)
-          .put("max-connections", MAX_CONNECTIONS)
-          .put("memory-tokens", MEMORY_TOKENS)
-          .put("step-millis", 3)
-          .put("prefill-tokens-per-milli", 20)
-          .put("tokens-per-event", TOKENS_PER_EVENT)
-          .put("work-millis", 20)
-          .put("idle-timeout-millis", 3_000)
-          .put("drain-millis", ENGINE_DRAIN_MILLIS)
-          .buildOrThrow();
-
   /** The last part of the time in which an engine ends, in which its requests may be broken off. */
   private static final long ENDING_MICROS = 500_000;
 
@@ -116,11 +90,17 @@
     this.seed = seed;
     this.engineFaults = engineFaults;
     Files.deleteIfExists(record());
-    String config = SoakEntries.config(MAX_CONNECTIONS, SLOTS, MEMORY_TOKENS);
+    String config =
+        SoakEntries.config(
+            OverloadEngineOptions.MAX_CONNECTIONS,
+            OverloadEngineOptions.SLOTS,
+            OverloadEngineOptions.MEMORY_TOKENS);
     store.put("keyed.op", "config", Optional.of(config.getBytes(UTF_8)));
     List<EngineProcess> processes = new ArrayList<>();
     for (int i = 0; i < STREAM_ENGINES + PLAIN_ENGINES; i++) {
-      var settings = new EngineProcess.Settings(seed, ENGINE_OPTIONS, record(), logs);
+      var settings =
+          new EngineProcess.Settings(
+              seed, OverloadEngineOptions.of(seed, i % STREAM_ENGINES), record(), logs);
       processes.add(new EngineProcess(nextEngineId(), settings));
     }
     for (int i = 0; i < FIRST_GATEWAYS; i++) {
@@ -190,7 +170,9 @@
   }
 
   private void publishState(Engine engine, String state) {
-    String entry = SoakEntries.upstream(engine.service(), engine.proxy().port(), SLOTS, state);
+    String entry =
+        SoakEntries.upstream(
+            engine.service(), engine.proxy().port(), OverloadEngineOptions.SLOTS, state);
     store.put("keyed.servers", engine.process().id(), Optional.of(entry.getBytes(UTF_8)));
   }
 
--- a/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
@@ -53,10 +53,12 @@
     List<Violation> violations() {
       List<Violation> violations = new ArrayList<>();
       violations.addAll(
-          new RequestRules(interruptions, OverloadFleet.TOKENS_PER_EVENT).check(requests, events));
+          new RequestRules(interruptions, OverloadEngineOptions.TOKENS_PER_EVENT)
+              .check(requests, events));
       new DeadlineRule(interruptions).check(requests, events).ifPresent(violations::add);
       violations.addAll(RETRY_WINDOW_RULE.check(requests, events));
       violations.addAll(new NoticeRule(interruptions).check(requests, events));
+      violations.addAll(new LimitWindowRule(interruptions).check(requests, events));
       return violations;
     }
 
--- a/src/test/java/org/tanagerbank/soak/SoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/SoakIT.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerbank.soak.FaultPlan.Fault;
 import org.tanagerbank.soak.SoakCaller.Outcome;
+import org.tanagerbank.soak.SoakCaller.Request;
 import org.tanagerbank.soak.SoakCaller.Response;
 
 /**
@@ -43,21 +44,43 @@
   private static final long DEADLY_TRAFFIC_SECONDS = Math.max(12, TRAFFIC_SECONDS);
 
   private static final int CALLERS_PER_GATEWAY = 3;
+  private static final int DEADLINE_MILLIS = 4_000;
   private static final long AVAILABILITY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
   private static final int RECOVERY_REQUESTS = 20;
   private static final String[] PATHS = {"/once/x", "/safe/x", "/stream/x"};
 
-  /** Retries of a deadly request sooner than this after its third crash do not count. */
+  /** Deadly requests sooner than this after the crashes that must be enough do not count. */
   private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  private static final int MAX_LATE_RETRIES = 3;
-  private static final int DEADLY_CALLERS_PER_GATEWAY = 2;
+  private static final int MAX_LATE_REQUESTS = 3;
   private static final int DEADLY_PAUSE_MILLIS = 100;
   private static final File LOGS = new File("target/process-logs/soak");
 
   @TempDir private Path folder;
   private final List<CompletedRequest> completedRequests = new CopyOnWriteArrayList<>();
 
+  /**
+   * What comes beside the usual requests, to end upstreams.
+   *
+   * @param callersPerGateway the callers that send it
+   * @param enoughCrashes the number of crashes after which it must be known
+   */
+  private enum Deadly {
+    NOTHING(0, 0),
+    /** One request that comes again under other ids. */
+    REQUEST(2, 3),
+    /** Requests no two alike, with one part of their prompts in common. */
+    PART(2, 5);
+
+    private final int callersPerGateway;
+    private final int enoughCrashes;
+
+    Deadly(int callersPerGateway, int enoughCrashes) {
+      this.callersPerGateway = callersPerGateway;
+      this.enoughCrashes = enoughCrashes;
+    }
+  }
+
   /** A request and its response, with the times of both by the nanosecond clock. */
   private record CompletedRequest(
       String id,
@@ -81,7 +104,7 @@
     LOGS.mkdirs();
     FaultPlan plan =
         FaultPlan.generate(seed, TimeUnit.SECONDS.toMillis(TRAFFIC_SECONDS), SoakFleet.GATEWAYS);
-    play(seed, plan, /* deadlyCallers= */ 0);
+    play(seed, plan, Deadly.NOTHING);
   }
 
   /**
@@ -90,31 +113,39 @@
   @ParameterizedTest(name = "deadly request, seed {0}")
   @MethodSource("deadlySeeds")
   void deadlyRequestIsStoppedUnderRandomFaults(long seed) throws Exception {
+    playDeadly(seed, Deadly.REQUEST);
+  }
+
+  /** Requests no two alike end each upstream that begins one, beside sound ones. */
+  @ParameterizedTest(name = "deadly part, seed {0}")
+  @MethodSource("deadlySeeds")
+  void deadlyPartIsStoppedUnderRandomFaults(long seed) throws Exception {
+    playDeadly(seed, Deadly.PART);
+  }
+
+  private void playDeadly(long seed, Deadly deadly) throws Exception {
     LOGS.mkdirs();
     FaultPlan plan =
         FaultPlan.generate(
             seed, TimeUnit.SECONDS.toMillis(DEADLY_TRAFFIC_SECONDS), SoakFleet.GATEWAYS);
-    play(seed, plan, DEADLY_CALLERS_PER_GATEWAY);
+    play(seed, plan, deadly);
   }
 
-  private void play(long seed, FaultPlan plan, int deadlyCallers) throws Exception {
+  private void play(long seed, FaultPlan plan, Deadly deadly) throws Exception {
     try (SoakFleet fleet = new SoakFleet(folder, LOGS)) {
       awaitAvailability(fleet, "/safe/x", seed);
-      runTrafficAndFaults(fleet, plan, seed, deadlyCallers);
+      runTrafficAndFaults(fleet, plan, seed, deadly);
       awaitAvailability(fleet, fleet.newestConfigPath(), seed);
       List<String> violations = new ArrayList<>(fleet.violations());
       violations.addAll(checkRecovery(fleet, seed));
       completedRequests.forEach(
           request -> checkGuarantees(fleet, request).ifPresent(violations::add));
-      lateRetries(fleet)
-          .filter(n -> n > MAX_LATE_RETRIES)
-          .ifPresent(n -> violations.add(n + " retries of a deadly request after its third crash"));
+      long late = lateRequests(fleet, deadly.enoughCrashes);
+      if (late > MAX_LATE_REQUESTS) {
+        violations.add(late + " deadly requests after enough crashes");
+      }
       System.out.println(
-          summary(seed, plan)
-              + ", deadly runs "
-              + fleet.deadlyRuns.size()
-              + ", late "
-              + lateRetries(fleet).orElse(0L));
+          summary(seed, plan) + ", deadly runs " + fleet.deadlyRuns.size() + ", late " + late);
       assertWithMessage("violations with seed %s, fault plan %s", seed, plan)
           .that(violations)
           .isEmpty();
@@ -137,41 +168,42 @@
   }
 
   /**
-   * Returns how often the deadly request was sent later than the platform allows after its third
-   * crash, by gateways that were not interrupted shortly before; empty without a third crash.
+   * Returns how often deadly requests were sent later than the platform allows after enough
+   * crashes, by gateways that were not interrupted shortly before.
    */
-  private static Optional<Long> lateRetries(SoakFleet fleet) {
-    if (fleet.deadlyRuns.size() < 3) {
-      return Optional.empty();
+  private static long lateRequests(SoakFleet fleet, int enoughCrashes) {
+    if (fleet.deadlyRuns.size() < Math.max(1, enoughCrashes)) {
+      return 0;
     }
-    long countsFrom = fleet.deadlyRuns.get(2).atNanos() + STABLE_NANOS;
-    return Optional.of(
-        fleet.deadlyRuns.stream()
-            .filter(run -> run.atNanos() > countsFrom)
-            .filter(
-                run ->
-                    !fleet
-                        .gateway(callerNumber(run.requestId()) % SoakFleet.GATEWAYS)
-                        .wasInterrupted(run.atNanos() - STABLE_NANOS, run.atNanos()))
-            .count());
+    long countsFrom = fleet.deadlyRuns.get(enoughCrashes - 1).atNanos() + STABLE_NANOS;
+    return fleet.deadlyRuns.stream()
+        .filter(run -> run.atNanos() > countsFrom)
+        .filter(
+            run ->
+                !fleet
+                    .gateway(callerNumber(run.requestId()) % SoakFleet.GATEWAYS)
+                    .wasInterrupted(run.atNanos() - STABLE_NANOS, run.atNanos()))
+        .count();
   }
 
   private static int callerNumber(String requestId) {
     return Integer.parseInt(requestId.split("-")[1]);
   }
 
-  private void runTrafficAndFaults(
-      SoakFleet fleet, FaultPlan plan, long seed, int deadlyCallersPerGateway) throws Exception {
+  private void runTrafficAndFaults(SoakFleet fleet, FaultPlan plan, long seed, Deadly deadly)
+      throws Exception {
     AtomicBoolean stopped = new AtomicBoolean();
     List<Future<?>> callers = new ArrayList<>();
     for (int i = 0; i < SoakFleet.GATEWAYS * CALLERS_PER_GATEWAY; i++) {
       int caller = i;
       callers.add(fleet.executor().submit(() -> sendUntilStopped(fleet, caller, seed, stopped)));
     }
-    for (int i = 0; i < SoakFleet.GATEWAYS * deadlyCallersPerGateway; i++) {
+    for (int i = 0; i < SoakFleet.GATEWAYS * deadly.callersPerGateway; i++) {
       int caller = i;
       callers.add(
-          fleet.executor().submit(() -> sendDeadlyUntilStopped(fleet, caller, seed, stopped)));
+          fleet
+              .executor()
+              .submit(() -> sendDeadlyUntilStopped(fleet, caller, seed, deadly, stopped)));
     }
     long startNanos = System.nanoTime();
     List<Future<?>> faults = new ArrayList<>();
@@ -198,7 +230,8 @@
       String path = PATHS[sent.get() % PATHS.length];
       String id = "s" + seed + "-" + callerNumber + "-" + sent.incrementAndGet();
       long from = System.nanoTime();
-      Response response = caller.send(path, id);
+      Response response =
+          caller.send(withPrompt(path, id, Integer.toHexString(0x200 + sent.get() % 8)));
       completedRequests.add(
           new CompletedRequest(id, path, gateway, from, System.nanoTime(), response));
       pause();
@@ -206,14 +239,33 @@
     caller.close();
   }
 
-  /** Sends the deadly request over a new connection each time, as a caller that comes again. */
+  /** Returns a request whose prompt begins with the part that all share and a given one. */
+  private static Request withPrompt(String path, String id, String part) {
+    String own = Integer.toHexString(id.hashCode());
+    Map<String, String> headers =
+        Map.of(
+            "Model",
+            "m",
+            "Token-Counts",
+            "30,5",
+            "Prompt-Prefix",
+            "f1:10," + part + ":10," + own + ":10");
+    return new Request(path, id, DEADLINE_MILLIS, headers, /* body= */ "");
+  }
+
+  /** Sends deadly requests, each over a new connection as a caller that comes again. */
   private static void sendDeadlyUntilStopped(
-      SoakFleet fleet, int callerNumber, long seed, AtomicBoolean stopped) {
+      SoakFleet fleet, int callerNumber, long seed, Deadly deadly, AtomicBoolean stopped) {
     int port = fleet.gateway(callerNumber % SoakFleet.GATEWAYS).callerPort();
     int sent = 0;
     while (!stopped.get()) {
       SoakCaller caller = new SoakCaller(port);
-      caller.send(SoakUpstream.DEADLY_PATH + seed, "d" + seed + "-" + callerNumber + "-" + ++sent);
+      String id = "d" + seed + "-" + callerNumber + "-" + ++sent;
+      if (deadly == Deadly.PART) {
+        caller.send(withPrompt("/safe/" + id, id, SoakUpstream.DEADLY_PART));
+      } else {
+        caller.send(SoakUpstream.DEADLY_PATH + seed, id);
+      }
       caller.close();
       pause(DEADLY_PAUSE_MILLIS);
     }
@@ -260,7 +312,8 @@
       }
       SoakCaller caller = new SoakCaller(fleet.gateway(gateway).callerPort());
       for (int i = 0; i < RECOVERY_REQUESTS; i++) {
-        Response response = caller.send("/safe/x", "end" + seed + "-" + gateway + "-" + i);
+        String id = "end" + seed + "-" + gateway + "-" + i;
+        Response response = caller.send(withPrompt("/safe/x", id, "200"));
         if (response.status() != 200) {
           violations.add(
               "after the faults ended, expected status 200 from gateway "
--- a/src/test/java/org/tanagerbank/soak/SoakUpstream.java
+++ b/src/test/java/org/tanagerbank/soak/SoakUpstream.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import com.google.common.base.Splitter;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -10,16 +11,22 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An HTTP upstream that counts the runs of each request, and that ends when it begins a request for
- * a path below {@link #DEADLY_PATH}. Thread-safe.
+ * a path below {@link #DEADLY_PATH}, or one with {@link #DEADLY_PART} before the last part of its
+ * prompt. Thread-safe.
  */
 final class SoakUpstream implements AutoCloseable {
   static final String DEADLY_PATH = "/deadly/";
+
+  /** The id of a part of prompts. */
+  static final String DEADLY_PART = "dead";
+
   private static final int WORK_MILLIS = 10;
   private static final int EVENTS = 5;
 
@@ -96,14 +103,16 @@
       for (String requestLine = in.readLine(); requestLine != null; requestLine = in.readLine()) {
         String requestId = "";
         String expectedInstance = id;
+        String prompt = "";
         for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
           requestId = headerValue(line, "Request-Id", requestId);
           expectedInstance = headerValue(line, "Expect-Instance", expectedInstance);
+          prompt = headerValue(line, "Prompt-Prefix", prompt);
         }
         if (!expectedInstance.equals(id)) {
           send(out, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
         } else {
-          run(requestLine, requestId, out);
+          run(requestLine, requestId, prompt, out);
         }
       }
     } catch (IOException | NullPointerException e) {
@@ -119,11 +128,11 @@
         : defaultValue;
   }
 
-  private void run(String requestLine, String requestId, OutputStream out)
+  private void run(String requestLine, String requestId, String prompt, OutputStream out)
       throws IOException, InterruptedException {
     runCounts.computeIfAbsent(requestId, unused -> new AtomicInteger()).incrementAndGet();
     String path = requestLine.split(" ")[1];
-    if (path.startsWith(DEADLY_PATH)) {
+    if (path.startsWith(DEADLY_PATH) || hasDeadlyPart(prompt)) {
       crashListener.onDeadlyRun(id, path, requestId);
       throw new IOException("the upstream has ended");
     }
@@ -143,6 +152,12 @@
     }
   }
 
+  private static boolean hasDeadlyPart(String prompt) {
+    List<String> parts = Splitter.on(',').splitToList(prompt);
+    return parts.subList(0, parts.size() - 1).stream()
+        .anyMatch(p -> p.startsWith(DEADLY_PART + ":"));
+  }
+
   private static void send(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(ISO_8859_1));
     out.flush();
--- a/src/test/java/org/tanagerbank/soak/Violation.java
+++ b/src/test/java/org/tanagerbank/soak/Violation.java
@@ -21,6 +21,8 @@
     /** Requests reached an upstream in a pause that it had asked the gateway for. */
     PAUSE,
     /** Requests reached an upstream long after it had told the gateway that it leaves. */
-    LEAVING
+    LEAVING,
+    /** An upstream got many more requests than the limit that it had named to the gateways. */
+    LIMIT
   }
 }
