Do not run a request whose caller left before it was read

What callers saw: nothing; engines worked for callers that had left. Cause: a gateway that is back after a loss of power is behind by a second (PROCESS_STARTED 36.30 s, first request placed 37.44 s, 20 to 40 ms a request at first). Requests and the ends of their connections lie unread together. A read that returned less than its buffer holds ended the round for that connection, so that the request was dispatched and sent one round before the end of its connection was read. Evidence: in the logs of edge-se-c-1 requests that were placed 1.0 to 1.5 s after they had come end as 'caller gone' later. Now a connection is read until nothing is left, and a request is handled by a task after the round, unless its connection has ended by then. DepartedCallerTest failed in all of three cases before (open connection, new connection, reset). Ruled out: waiting for a placement, which has an action for the end of the connection. Requests that wait for the store are another matter.

--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -149,13 +149,19 @@
     isHandling = true;
     ByteBuf body = requestBody;
     requestBody = null;
-    HttpRequest request = requestHead;
-    server
-        .handler()
-        .handle(
-            new CallerRequest(
-                request.method(), request.uri(), request.headers(), body, server.nowMillis()),
-            this);
+    HttpRequest head = requestHead;
+    CallerRequest request =
+        new CallerRequest(head.method(), head.uri(), head.headers(), body, server.nowMillis());
+    // The end of the connection may be unread behind the request. It is read before this task runs.
+    channel.eventLoop().execute(() -> handleUnlessDisconnected(request));
+  }
+
+  private void handleUnlessDisconnected(CallerRequest request) {
+    if (channel.isActive()) {
+      server.handler().handle(request, this);
+    } else {
+      request.body().release();
+    }
   }
 
   /**
--- a/src/main/java/org/tanagerbank/caller/CallerServer.java
+++ b/src/main/java/org/tanagerbank/caller/CallerServer.java
@@ -1,12 +1,14 @@
 package org.tanagerbank.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -41,6 +43,9 @@
   private static final WriteBufferWaterMark WRITE_BUFFER_BYTES =
       new WriteBufferWaterMark(16 << 10, 64 << 10);
 
+  /** How often a connection is read before other connections have their turn. */
+  private static final int MAX_READS = 16;
+
   private final EventLoopGroup group;
   private final InetSocketAddress address;
   private final Supplier<CallerLimits> limits;
@@ -95,6 +100,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_BYTES)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, untilNothingIsLeft())
             .childHandler(new ConnectionInitializer());
     var binding = bootstrap.bind(address).awaitUninterruptibly();
     if (!binding.isSuccess()) {
@@ -112,6 +118,16 @@
                 TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Returns an allocator with which a channel is read until nothing is left, and not only until a
+   * read returns less than it could, so that the end of a connection is read with what precedes it.
+   */
+  private static RecvByteBufAllocator untilNothingIsLeft() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS);
+  }
+
   @Override
   public void stop() {
     if (serverChannel != null) {
