Read on from the end that the first page of newest records names

What callers saw: requests refused with 503 for as long as a gateway lived that had just started; engines got requests meant for a process that had left. It never learnt of the removal of e-5, of e-10, nor of the new start of e-3, all written within 350 ms, and sent 60 requests to e-5 that e-10 answered with 421. A key whose page was read may change before the last page is read, but reading went on at the end that the last page named, so that such a change was never read. With one page (up to 500 records) this does not happen; the soak's store has pages of two. Class: state read in parts, continued from the position of the last part. The only other such read, the caches of engines, has no position. Now reading goes on at the end that the first page named; records may come twice, which all listeners allow. StoreClientTest.changesOfKeysWhosePageWasReadAreReadNext failed before: no change was read.

--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -16,6 +16,7 @@
 import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.platformclient.SocketAddresses;
@@ -62,6 +63,34 @@
     return new StoreTopic(name);
   }
 
+  /**
+   * The newest records of a topic, read page by page. The pages are not one snapshot: a key whose
+   * page was read may change before the next page is read. So the next read starts at the end that
+   * the first page names, and some records may be read twice. Not thread-safe.
+   */
+  private static final class NewestRecords {
+    private final ImmutableList.Builder<KeyedRecord> records = ImmutableList.builder();
+    private OptionalLong firstEnd = OptionalLong.empty();
+
+    /** Adds the records of a page and returns the last key, which is empty on an empty page. */
+    private String add(JsonNode page) {
+      if (firstEnd.isEmpty()) {
+        firstEnd = OptionalLong.of(page.path("end").asLong());
+      }
+      String last = "";
+      for (JsonNode item : page.path("items")) {
+        last = item.path("key").asText();
+        byte[] value = Base64.getDecoder().decode(item.path("value").asText());
+        records.add(new KeyedRecord(last, Optional.of(value)));
+      }
+      return last;
+    }
+
+    private Records toRecords() {
+      return new Records(records.build(), firstEnd.orElseThrow());
+    }
+  }
+
   private final class StoreTopic implements KeyedTopic {
     private final String query;
 
@@ -71,22 +100,20 @@
 
     @Override
     public void readNewest(Consumer<ReadResult> callback) {
-      newestPage("", ImmutableList.builder(), callback);
+      newestPage("", new NewestRecords(), callback);
     }
 
     private void newestPage(
-        String after, ImmutableList.Builder<KeyedRecord> records, Consumer<ReadResult> callback) {
+        String after, NewestRecords newest, Consumer<ReadResult> callback) {
       String position = after.isEmpty() ? "" : "&after=" + after;
       send(
           request(HttpMethod.GET, "/-/log-newest" + query + position, Unpooled.EMPTY_BUFFER),
           0,
-          reply -> onNewestPage(reply, records, callback));
+          reply -> onNewestPage(reply, newest, callback));
     }
 
     private void onNewestPage(
-        BufferedResponse reply,
-        ImmutableList.Builder<KeyedRecord> records,
-        Consumer<ReadResult> callback) {
+        BufferedResponse reply, NewestRecords newest, Consumer<ReadResult> callback) {
       if (reply.status() != STATUS_OK) {
         callback.accept(unavailable(reply));
         return;
@@ -97,17 +124,11 @@
           callback.accept(new Unavailable("the answer of the store lacks its records or its end"));
           return;
         }
-        String last = "";
-        for (JsonNode item : page.path("items")) {
-          last = item.path("key").asText();
-          byte[] value = Base64.getDecoder().decode(item.path("value").asText());
-          records.add(new KeyedRecord(last, Optional.of(value)));
-        }
+        String last = newest.add(page);
         if (page.path("more").asBoolean() && !last.isEmpty()) {
-          newestPage(last, records, callback);
+          newestPage(last, newest, callback);
         } else {
-          // The pages are not one snapshot. The next read starts at the "end" of the last page.
-          callback.accept(new Records(records.build(), page.path("end").asLong()));
+          callback.accept(newest.toRecords());
         }
       } catch (IOException | IllegalArgumentException e) {
         callback.accept(
--- a/src/test/java/org/tanagerbank/platform/FakeStore.java
+++ b/src/test/java/org/tanagerbank/platform/FakeStore.java
@@ -36,6 +36,7 @@
   private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
   private int status = STATUS_OK;
   private long first;
+  private Runnable afterPage = () -> {};
 
   /** Starts a fake store that listens on a free port. */
   public FakeStore() throws IOException {
@@ -69,6 +70,11 @@
     first = offset;
   }
 
+  /** Sets an action that runs once, after the next page of newest records was read. */
+  public synchronized void afterNextPage(Runnable action) {
+    afterPage = action;
+  }
+
   private record Reply(int status, byte[] body) {}
 
   @FunctionalInterface
@@ -118,7 +124,11 @@
     keys.stream().limit(PAGE_ITEMS).forEach(k -> page.add(items.get(k)));
     boolean more = keys.size() > PAGE_ITEMS;
     Map<String, Object> reply = Map.of("items", page, "more", more, "end", records.size());
-    return new Reply(STATUS_OK, MAPPER.writeValueAsBytes(reply));
+    byte[] encoded = MAPPER.writeValueAsBytes(reply);
+    Runnable action = afterPage;
+    afterPage = () -> {};
+    action.run();
+    return new Reply(STATUS_OK, encoded);
   }
 
   private synchronized Reply read(Map<String, String> query, byte[] body)
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -71,6 +71,24 @@
     assertThat(((Records) result).next()).isEqualTo(10);
   }
 
+  /** Guards against an upstream that left while a gateway started and stays in use there. */
+  @Test
+  void changesOfKeysWhosePageWasReadAreReadNext() {
+    put("a", "1");
+    put("b", "2");
+    put("c", "3");
+    store.afterNextPage(
+        () -> {
+          store.put("keyed.t", "a", Optional.empty());
+          put("b", "4");
+          put("bb", "5");
+        });
+    Records newest = (Records) this.<ReadResult>await(topic::readNewest);
+    assertThat(text(newest)).isEqualTo("a=1 b=2 bb=5 c=3");
+    ReadResult changes = await(callback -> topic.read(newest.next(), 0, callback));
+    assertThat(text(changes)).isEqualTo("a=- b=4 bb=5");
+  }
+
   @Test
   void recordsAndRemovalsAreReadInOrder() {
     put("a", "1");
