Resume requests that waited for the store a few at a time

Cause: the second of two by which a gateway that has just started works for callers that have left (GONE). Up to 200 requests that wait for the configuration, the upstreams and the caches were started in one go, each a few milliseconds of code that is not compiled yet, and no end of a caller's connection was read meanwhile. Now eight are started, then the event loop reads before the next ones. WaitingRequestsTest: with all resumed at once, as before, the caller that leaves meanwhile is served (50 of 50 resumed, 49 expected).

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -6,13 +6,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
@@ -46,20 +42,8 @@
    */
   private static final long STORE_RESPONSE_WAIT_MILLIS = 60;
 
-  /** The largest number of requests that wait for the store at the same time. */
-  private static final int MAX_WAITING_REQUESTS = 200;
-
   private static final String CONFIG_OUTDATED = "keys cannot be checked: configuration too old";
 
-  /** A request that waits for the store. Compared by identity. */
-  private static final class WaitingRequest {
-    private final Runnable proceed;
-
-    private WaitingRequest(Runnable proceed) {
-      this.proceed = proceed;
-    }
-  }
-
   private final DispatchRuntime runtime;
   private final HeaderCodec headerCodec;
   private final ConfigState config;
@@ -71,7 +55,7 @@
   private final SurvivalCheck survivalCheck;
   private final SharedUpstreamState sharedUpstreamState;
   private final StreamOrigins streamOrigins;
-  private final Set<WaitingRequest> waiting = new LinkedHashSet<>();
+  private final WaitingRequests waiting;
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
   private boolean upstreamsLoaded;
@@ -90,6 +74,7 @@
     this.settings = settings;
     this.observer = observer;
     this.upstreams = Upstreams.on(runtime);
+    this.waiting = new WaitingRequests(runtime.loop());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     this.survivalCheck = new SurvivalCheck(runtime.clockMillis());
     upstreams.setEndListener(crashGuard::upstreamEnded);
@@ -192,12 +177,9 @@
    * nothing until the configuration, the list of upstreams and the cache contents are loaded.
    */
   public void onConfigConfirmed() {
-    if (!isStarted()) {
-      return;
+    if (isStarted()) {
+      waiting.resumeAll();
     }
-    List<WaitingRequest> ready = new ArrayList<>(waiting);
-    waiting.clear();
-    ready.forEach(w -> w.proceed.run());
   }
 
   @Override
@@ -223,28 +205,11 @@
 
   /** Routes a request once the store has responded, or after {@code limitMillis}. */
   private void waitForStore(CallerRequest request, CallerExchange exchange, long limitMillis) {
-    if (waiting.size() >= MAX_WAITING_REQUESTS) {
+    if (waiting.isFull()) {
       refuse(request, exchange, Refusal.notRun(CONFIG_OUTDATED));
-      return;
+    } else {
+      waiting.add(request, exchange, () -> route(request, exchange), limitMillis);
     }
-    WaitingRequest waitingRequest = new WaitingRequest(() -> route(request, exchange));
-    waiting.add(waitingRequest);
-    exchange.onDisconnect(
-        () -> {
-          if (waiting.remove(waitingRequest)) {
-            request.body().release();
-          }
-        });
-    var unused =
-        loop()
-            .schedule(
-                () -> {
-                  if (waiting.remove(waitingRequest)) {
-                    route(request, exchange);
-                  }
-                },
-                limitMillis,
-                TimeUnit.MILLISECONDS);
   }
 
   private void route(CallerRequest request, CallerExchange exchange) {
--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -103,8 +103,7 @@
       newestPage("", new NewestRecords(), callback);
     }
 
-    private void newestPage(
-        String after, NewestRecords newest, Consumer<ReadResult> callback) {
+    private void newestPage(String after, NewestRecords newest, Consumer<ReadResult> callback) {
       String position = after.isEmpty() ? "" : "&after=" + after;
       send(
           request(HttpMethod.GET, "/-/log-newest" + query + position, Unpooled.EMPTY_BUFFER),
