Hear what an upstream says at the time limit of a request

Cause: an attempt that is cancelled at its time limit drops what its upstream says then, and engines refuse just then. The rule counts from the engine's answer. Now the connection is read for 200 ms longer unless a response has begun, for the notice alone; then it is closed, so that work of the engine ends in time. The caller is answered at once as before. A caller that leaves still closes it at once.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -38,6 +38,12 @@
    */
   private static final long MIN_SILENCE_MILLIS = 1_000;
 
+  /**
+   * The time, in milliseconds, for which a connection stays open after the time limit of its
+   * request. An upstream that refuses the request then may ask for a pause.
+   */
+  private static final long LAST_NOTICE_MILLIS = 200;
+
   private final RequestExecution execution;
   private final Dispatcher dispatcher;
   private final UpstreamChoice choice;
@@ -131,18 +137,34 @@
 
   /** Cancels the attempt and closes its connection, which makes the upstream stop its work. */
   void cancel() {
-    if (isEnded) {
+    if (!isEnded) {
+      end();
+      if (connection != null) {
+        connection.cancel();
+      }
+    }
+  }
+
+  /**
+   * Cancels the attempt at the time limit of its request. Unless a response has begun, its
+   * connection is read for a moment longer, for what the upstream says of itself.
+   */
+  void cancelAtTimeLimit() {
+    if (isEnded || !wasSent() || hasReceivedHead) {
+      cancel();
       return;
     }
+    end();
+    dispatcher.runLater(connection::cancel, LAST_NOTICE_MILLIS);
+  }
+
+  private void end() {
     if (wasSent()) {
       recordCancellation();
     } else {
       upstream.requestNotSent();
     }
     close();
-    if (connection != null) {
-      connection.cancel();
-    }
   }
 
   /**
@@ -168,6 +190,10 @@
     ResponseHead received = ResponseHead.of(responseStatus, responseHeaders, facts);
     boolean isOtherRequest = received.proof() == ResponseProof.OTHER_REQUEST;
     recordNotice(received, isOtherRequest);
+    if (isEnded) {
+      connection.cancel();
+      return HeadAction.RECEIVE;
+    }
     if (isOtherRequest && !execution.isRepeatable()) {
       // Only this upstream may answer the request, so its response is awaited.
       execution.responseSkipped(upstream, evidence(responseStatus, Optional.of(facts)));
@@ -175,7 +201,7 @@
     }
     head = received;
     if (head.isUnusable()) {
-      giveUp(head.proof().description());
+      loseResponse(head.proof().description(), RunLoss.GIVEN_UP);
     } else {
       beginReceiving();
     }
@@ -226,7 +252,7 @@
     try {
       complete = events.add(piece);
     } catch (EventTooLongException e) {
-      giveUp(e.getMessage());
+      loseResponse(e.getMessage(), RunLoss.GIVEN_UP);
       return;
     }
     forward(complete);
@@ -246,14 +272,12 @@
       finishBuffered();
       connection.cancel();
     } else {
-      giveUp("the body of an error response is larger than " + MAX_BUFFERED_BYTES + " bytes");
+      loseResponse(
+          "the body of an error response is larger than " + MAX_BUFFERED_BYTES + " bytes",
+          RunLoss.GIVEN_UP);
     }
   }
 
-  private void giveUp(String reason) {
-    loseResponse(reason, RunLoss.GIVEN_UP);
-  }
-
   private void forward(ByteBuf piece) {
     if (!piece.isReadable()) {
       piece.release();
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -318,7 +318,7 @@
     exchange.respond(refusal.status(), headers, Unpooled.wrappedBuffer(text));
   }
 
-  private void runLater(Runnable task, long delayMillis) {
+  void runLater(Runnable task, long delayMillis) {
     var unused = loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -354,7 +354,9 @@
       return;
     }
     boolean wasSent = sentAttempts > 0 || (attempt != null && attempt.wasSent());
-    cancelAttempt();
+    if (attempt != null) {
+      attempt.cancelAtTimeLimit();
+    }
     if (response.hasBegun()) {
       finish(0, "timeout");
       response.abort();
@@ -366,16 +368,13 @@
   }
 
   private void callerDisconnected() {
-    if (!ended) {
-      cancelAttempt();
-      finish(0, "caller gone");
+    if (ended) {
+      return;
     }
-  }
-
-  private void cancelAttempt() {
     if (attempt != null) {
       attempt.cancel();
     }
+    finish(0, "caller gone");
   }
 
   private void finish(int status, String reason) {
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamNoticeTest.java
@@ -126,6 +126,23 @@
     assertThat(served(later)).isEqualTo(6);
   }
 
+  /** An engine refuses what has waited too long at the moment at which the gateway gives it up. */
+  @Test
+  void pauseThatArrivesJustAfterTheTimeLimitIsKept() {
+    DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
+    SimulatedUpstream upstream = fleet.upstreams().get(0);
+    long lateMillis = DispatchSimulation.ROUTE_TIMEOUT_MILLIS + 50;
+    upstream.setScript(id -> UpstreamBehavior.sends(new Write(lateMillis, refusal(id, "5"))));
+    Call first = send(fleet, 1, lateMillis + 100).get(0);
+    assertThat(first.status).isEqualTo(504);
+    upstream.setScript(id -> UpstreamBehavior.NORMAL);
+    List<Call> calls = send(fleet, 60, 50);
+    assertThat(inPauses(fleet)).isEmpty();
+    assertThat(upstream.traffic().arrivals()).hasSize(1);
+    assertThat(served(calls)).isEqualTo(0);
+    assertThat(upstream.openConnections()).isEqualTo(0);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"HTTP/1.1 503 X\r\n", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"})
   void pauseCountsWhateverElseTheRefusalSays(String head) {
