--- a/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
@@ -73,6 +73,14 @@
     assertThat(broken(Interruptions.none())).containsExactly(Rule.LEAVING);
   }
 
+  @Test
+  void requestSentBeforeAnEngineSaidThatItLeavesMayBeDelayedOnItsWay() {
+    add(START_MICROS, RunEvent.ENDED, null, true);
+    requests.add(SoakSamples.request("delayed", START_MICROS - 1));
+    events.add(SoakSamples.event(START_MICROS + 2_100_000, "e-1", RunEvent.ARRIVED, "delayed"));
+    assertThat(broken(Interruptions.none())).isEmpty();
+  }
+
   @Test
   void restartedGatewayKnowsNothingOfPauses() {
     add(START_MICROS, RunEvent.REFUSED, 2_000L, null);
