Log the time to the first part of a response, the objective and the route of each request

An account of what was lost cannot tell from the log which responses were late: REQUEST_ENDED named the time to the end alone, and streams last as long as they are. Three fields more in a line that each request has anyway.

--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -87,7 +87,8 @@
     this.service =
         origin.map(StreamOrigin::service).orElseGet(() -> route.pickService(dispatcher.random()));
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
-    this.log = new RequestLog(dispatcher, requestId, fingerprint, route.name());
+    this.log =
+        new RequestLog(dispatcher, requestId, fingerprint, route, request.receivedAtMillis());
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
   }
 
@@ -194,6 +195,7 @@
 
   /** Forwards a complete response of an upstream and ends the request; takes over the body. */
   void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
+    log.responseBegun();
     finish(status, "answered");
     response.respond(status, headers, body);
   }
@@ -204,6 +206,7 @@
       if (isStream()) {
         recordOrigin(StreamOrigin.of(upstream.report()));
       }
+      log.responseBegun();
       response.begin(status, headers, () -> attempt.setReading(true));
     }
   }
--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -1,27 +1,40 @@
 package org.tanagerbank.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.request.Fingerprint;
+import org.tanagerbank.route.Route;
 
 /** Logs the events of one request. Not thread-safe; confined to the event loop. */
 final class RequestLog {
   /** The value of {@code millisSinceSend} for an attempt that sent no request. */
   private static final long NOT_SENT = -1;
 
+  /** The value of {@code firstMillis} for a request that got no response of an upstream. */
+  private static final long NOT_BEGUN = -1;
+
   private final Dispatcher dispatcher;
   private final String requestId;
   private final Fingerprint fingerprint;
-  private final String routeName;
+  private final Route route;
+  private final long receivedAtMillis;
+  private OptionalLong firstMillis = OptionalLong.empty();
 
-  RequestLog(Dispatcher dispatcher, String requestId, Fingerprint fingerprint, String routeName) {
+  RequestLog(
+      Dispatcher dispatcher,
+      String requestId,
+      Fingerprint fingerprint,
+      Route route,
+      long receivedAtMillis) {
     this.dispatcher = dispatcher;
     this.requestId = requestId;
     this.fingerprint = fingerprint;
-    this.routeName = routeName;
+    this.route = route;
+    this.receivedAtMillis = receivedAtMillis;
   }
 
   void placed(UpstreamChoice choice, int candidates, Optional<Prompt> prompt, long timeLeftMillis) {
@@ -33,7 +46,7 @@
         "fingerprint",
         fingerprint,
         "route",
-        routeName,
+        route.name(),
         "upstream",
         upstream.report().id(),
         "version",
@@ -133,11 +146,18 @@
         evidence.millisSinceSend().orElse(NOT_SENT));
   }
 
+  /** Records that the caller gets the first part of a response of an upstream. */
+  void responseBegun() {
+    firstMillis = OptionalLong.of(dispatcher.nowMillis() - receivedAtMillis);
+  }
+
   void ended(int status, String reason, int sentAttempts, long millis) {
     EventLog.emit(
         LogEvent.REQUEST_ENDED,
         "request",
         requestId,
+        "route",
+        route.name(),
         "status",
         status,
         "reason",
@@ -145,6 +165,10 @@
         "sent",
         sentAttempts,
         "millis",
-        millis);
+        millis,
+        "firstMillis",
+        firstMillis.orElse(NOT_BEGUN),
+        "objectiveMillis",
+        route.objectiveMillis());
   }
 }
