Add an account of lost requests from the logs of gateways

Lines that cannot be read are counted and named. The reader of logs is a package of its own, logfile, which explain and losses share.

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -5,6 +5,7 @@
 import org.tanagerbank.bench.BenchRoutingCommand;
 import org.tanagerbank.bench.SlopeCommand;
 import org.tanagerbank.explain.ExplainCommand;
+import org.tanagerbank.losses.LossesCommand;
 import org.tanagerbank.status.StatusCommand;
 
 /**
@@ -45,6 +46,10 @@
           .put(
               "explain",
               new Row("explain from logs what happened to a request", ExplainCommand::new))
+          .put(
+              "losses",
+              new Row(
+                  "sum up from logs which requests were lost, when and why", LossesCommand::new))
           .put("demo", new Row("run a complete deployment on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
--- a/src/main/java/org/tanagerbank/explain/ExplainCommand.java
+++ b/src/main/java/org/tanagerbank/explain/ExplainCommand.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import org.kohsuke.args4j.Argument;
 import org.tanagerbank.cli.Command;
+import org.tanagerbank.logfile.LogLine;
+import org.tanagerbank.logfile.LogReader;
 
 /** Prints the timeline of one request from the logs of several processes. Not thread-safe. */
 public final class ExplainCommand implements Command {
--- a/src/main/java/org/tanagerbank/explain/RequestTimeline.java
+++ b/src/main/java/org/tanagerbank/explain/RequestTimeline.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.tanagerbank.logfile.LogLine;
 
 /**
  * The log events of one request, with the state changes of the same processes that may have
--- a/src/main/java/org/tanagerbank/explain/LogLine.java
+++ b/src/main/java/org/tanagerbank/logfile/LogLine.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.explain;
+package org.tanagerbank.logfile;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
@@ -13,17 +13,24 @@
  * @param name the name of the event
  * @param fields the fields of the event except its time, level, event number and name
  */
-record LogLine(Instant time, String process, String name, ObjectNode fields) {
-  boolean concernsRequest(String requestId) {
+public record LogLine(Instant time, String process, String name, ObjectNode fields) {
+  /** Returns whether the event belongs to a request. */
+  public boolean concernsRequest(String requestId) {
     return text("request").equals(requestId);
   }
 
   /** Returns the value of a field as text, or an empty string if the field is missing. */
-  String text(String field) {
+  public String text(String field) {
     return fields.path(field).asText();
   }
 
-  double secondsAfter(Instant start) {
+  /** Returns the time of the event after another time, in seconds. */
+  public double secondsAfter(Instant start) {
     return Duration.between(start, time).toNanos() / 1e9;
   }
+
+  /** Returns the value of a field as a whole number, or a default if the field has none. */
+  public long number(String field, long defaultValue) {
+    return fields.path(field).asLong(defaultValue);
+  }
 }
--- a/src/main/java/org/tanagerbank/explain/LogReader.java
+++ b/src/main/java/org/tanagerbank/logfile/LogReader.java
@@ -1,4 +1,4 @@
-package org.tanagerbank.explain;
+package org.tanagerbank.logfile;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,6 +16,7 @@
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Reads the events in a log.
@@ -24,13 +25,16 @@
  * word of the prefix then names the process. Lines without an event are ignored; incomplete and
  * invalid events are counted. Stateless and thread-safe.
  */
-final class LogReader {
+public final class LogReader {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final Splitter WORDS = Splitter.on(' ').omitEmptyStrings().trimResults();
   private static final String EVENT_START = "{\"";
   private static final ImmutableSet<String> COMMON_FIELDS =
       ImmutableSet.of("time", "level", "event", "name");
 
+  /** The number of malformed lines whose numbers are kept. */
+  private static final int MAX_NAMED_LINES = 5;
+
   private LogReader() {}
 
   /**
@@ -39,28 +43,52 @@
    * @param lines the events in the order of the file
    * @param malformedLines the number of lines that begin an event but contain no complete one
    */
-  record Content(ImmutableList<LogLine> lines, long malformedLines) {}
+  public record Content(ImmutableList<LogLine> lines, long malformedLines) {}
+
+  /**
+   * The lines that begin an event but contain no complete one.
+   *
+   * @param count the number of such lines
+   * @param first the numbers of the first ones in the file, from 1
+   */
+  public record Malformed(long count, ImmutableList<Long> first) {}
 
   /**
    * Reads the events in a log file.
    *
    * @throws IOException if the file cannot be read
    */
-  static Content read(Path file) throws IOException {
+  public static Content read(Path file) throws IOException {
     ImmutableList.Builder<LogLine> lines = ImmutableList.builder();
+    Malformed malformed = forEach(file, lines::add);
+    return new Content(lines.build(), malformed.count());
+  }
+
+  /**
+   * Passes the events in a log file to an action one by one, in bounded memory.
+   *
+   * @throws IOException if the file cannot be read
+   */
+  public static Malformed forEach(Path file, Consumer<LogLine> action) throws IOException {
+    ImmutableList.Builder<Long> first = ImmutableList.builder();
     long malformedLines = 0;
+    long number = 0;
     try (BufferedReader in = Files.newBufferedReader(file, StandardCharsets.ISO_8859_1)) {
       for (String text = in.readLine(); text != null; text = in.readLine()) {
+        number++;
         int eventStart = text.indexOf(EVENT_START);
         if (eventStart < 0) {
           continue;
         }
         Optional<LogLine> line = parse(text, eventStart, String.valueOf(file.getFileName()));
-        line.ifPresent(lines::add);
-        malformedLines += line.isPresent() ? 0 : 1;
+        if (line.isPresent()) {
+          action.accept(line.get());
+        } else if (++malformedLines <= MAX_NAMED_LINES) {
+          first.add(number);
+        }
       }
     }
-    return new Content(lines.build(), malformedLines);
+    return new Malformed(malformedLines, first.build());
   }
 
   private static Optional<LogLine> parse(String text, int eventStart, String fileName) {
--- a/src/test/java/org/tanagerbank/explain/ExplainTest.java
+++ b/src/test/java/org/tanagerbank/explain/ExplainTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.tanagerbank.logfile.LogReader;
 
 /** Guards against timelines that mix requests, or that hide that events are missing. */
 final class ExplainTest {
