--- a/src/test/java/org/tanagerbank/soak/LimitWindowRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/LimitWindowRuleTest.java
@@ -55,6 +55,22 @@
     assertThat(broken(Interruptions.none())).isEmpty();
   }
 
+  @Test
+  void gatewayIsToldWhenItPassesOnTheAnswer() {
+    add(START_MICROS, RunEvent.ENDED, 2.0);
+    Interruptions restarted =
+        new Interruptions(
+            ImmutableListMultimap.of(0, new Span(BOUND_MICROS, BOUND_MICROS + 10)),
+            ImmutableList.of(),
+            ImmutableListMultimap.of());
+    add(BOUND_MICROS + 100_000, RunEvent.ENDED, 2.0);
+    requests.set(1, SoakSamples.request("r1", BOUND_MICROS + 500_000));
+    addArrivals(18, BOUND_MICROS + 900_000);
+    assertThat(broken(restarted)).isEmpty();
+    addArrivals(18, BOUND_MICROS + 1_100_000);
+    assertThat(broken(restarted)).containsExactly(Rule.LIMIT);
+  }
+
   @Test
   void arrivalsFromAnInterruptedGatewayAreAllowed() {
     add(START_MICROS, RunEvent.ENDED, 2.0);
--- a/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
+++ b/src/test/java/org/tanagerbank/soak/NoticeRuleTest.java
@@ -81,6 +81,44 @@
     assertThat(broken(Interruptions.none())).isEmpty();
   }
 
+  @Test
+  void responsesThatAreCutOrDisownedTellNothing() {
+    requests.add(SoakSamples.request("cut", START_MICROS));
+    events.add(
+        new RunRecord(
+            START_MICROS,
+            "e-1",
+            RunEvent.ENDED,
+            "cut",
+            200,
+            false,
+            null,
+            null,
+            null,
+            null,
+            true,
+            null,
+            null));
+    requests.add(SoakSamples.request("disowned", START_MICROS));
+    events.add(
+        new RunRecord(
+            START_MICROS,
+            "e-1",
+            RunEvent.REFUSED,
+            "disowned",
+            421,
+            null,
+            null,
+            null,
+            null,
+            null,
+            true,
+            null,
+            null));
+    addArrivals(1, START_MICROS + 2_100_000);
+    assertThat(broken(Interruptions.none())).isEmpty();
+  }
+
   @Test
   void restartedGatewayKnowsNothingOfPauses() {
     add(START_MICROS, RunEvent.REFUSED, 2_000L, null);
