Ask each engine once for its cached parts after a restart, when the other gateways are known

Cause: the query of the engines that nobody has told was timed from the start of the process. A fleet that starts at 0.57 of a core has read the engines by then, but not the other gateways; so each gateway took all engines for its own, asked all, decoded some 5,000 parts, and asked the same engines again when it knew the others. Those answers came after the timeout of 0.5 s (16 times parts -1). At 33 gateways and 42 engines that makes 1,386 queries and more, 12,000 engines for each of 380 gateways. Now the first queries wait for the other gateways (0.2 s at most, as the store may be away), the query of the rest follows 0.3 s later, and none is asked twice (CacheQueryPlan).

--- a/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -18,7 +17,6 @@
 import org.tanagerbank.peer.CachedParts;
 import org.tanagerbank.peer.PeerAddress;
 import org.tanagerbank.peer.PeerService;
-import org.tanagerbank.routing.Rendezvous;
 import org.tanagerbank.upstream.EngineInspector;
 
 /**
@@ -44,11 +42,10 @@
   private static final long REMAINING_QUERY_DELAY_MILLIS = 300;
 
   /**
-   * Limits how many instances query the same engine after the whole fleet has restarted: the first
-   * queries of all instances together exceed this number only when there are more engines, each
-   * then queried once. A query takes processing time of the engine.
+   * The time from when the engines are known for which the first queries wait for the registered
+   * instances, which cannot be read while the store is unavailable.
    */
-  private static final int MAX_ENGINE_QUERIES = 80;
+  private static final long INSTANCES_WAIT_MILLIS = 200;
 
   private final EventLoop loop;
   private final SharedUpstreamState sharedUpstreamState;
@@ -58,10 +55,7 @@
   private final long maxRequestWaitMillis;
   private final Set<String> unansweredEngines = new HashSet<>();
   private Runnable onWaitEnded = () -> {};
-  private boolean isRestarted;
-  private boolean areEnginesKnown;
-  private boolean arePeersKnown;
-  private boolean hasQueriedEngines;
+  private final CacheQueryPlan plan;
 
   /**
    * Creates the state transfer of one instance.
@@ -82,27 +76,7 @@
     this.peers = peers;
     this.inspector = inspector;
     this.self = self;
-  }
-
-  /** Returns the engines that are assigned to an instance; each engine has one instance. */
-  static ImmutableList<String> assignedEngines(
-      Collection<String> engineIds, String instanceId, ImmutableSet<String> instanceIds) {
-    return assignedEngines(engineIds, instanceId, instanceIds, 1);
-  }
-
-  private static ImmutableList<String> assignedEngines(
-      Collection<String> engineIds,
-      String instanceId,
-      ImmutableSet<String> instanceIds,
-      int instancesPerEngine) {
-    return engineIds.stream()
-        .filter(e -> Rendezvous.choose(e, instanceIds, instancesPerEngine).contains(instanceId))
-        .collect(toImmutableList());
-  }
-
-  /** Returns how many instances query the same engine after all of them have restarted. */
-  static int instancesPerEngine(int engines) {
-    return Math.max(1, MAX_ENGINE_QUERIES / Math.max(1, engines));
+    this.plan = new CacheQueryPlan(self.instanceId());
   }
 
   /**
@@ -116,7 +90,8 @@
     ImmutableSet<String> olderIds =
         instanceIdsWithSelf(peers.livePeers().stream().filter(p -> isOlder(p, started)));
     ImmutableList<CachedParts> caches =
-        assignedEngines(sharedUpstreamState.engineIds(), self.instanceId(), olderIds).stream()
+        CacheQueryPlan.assignedEngines(sharedUpstreamState.engineIds(), self.instanceId(), olderIds)
+            .stream()
             .map(e -> new CachedParts(e, sharedUpstreamState.cachedParts(e)))
             .filter(c -> !c.parts().isEmpty())
             .collect(toImmutableList());
@@ -140,42 +115,41 @@
    * @param action run once, when the queried engines have answered or the longest wait is over
    */
   void collectAfterRestart(Runnable action) {
-    isRestarted = true;
     onWaitEnded = action;
-    var unused =
-        loop.schedule(
-            this::queryRemainingEngines, REMAINING_QUERY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    plan.recordRestart();
     queryEnginesWhenReady();
   }
 
   /** Records that the engines of the deployment are known. */
   void onEnginesKnown() {
-    if (!areEnginesKnown) {
-      areEnginesKnown = true;
-      var unused = loop.schedule(this::endWait, maxRequestWaitMillis, TimeUnit.MILLISECONDS);
+    if (plan.recordEnginesKnown()) {
+      runLater(this::endWait, maxRequestWaitMillis);
+      runLater(this::onPeersKnown, INSTANCES_WAIT_MILLIS);
       queryEnginesWhenReady();
     }
   }
 
   /** Records that the other instances of the fleet are known. */
   void onPeersKnown() {
-    arePeersKnown = true;
+    plan.recordInstancesKnown();
     queryEnginesWhenReady();
   }
 
   private void queryEnginesWhenReady() {
-    if (!isRestarted || !areEnginesKnown || !arePeersKnown || hasQueriedEngines) {
+    if (!plan.mayBegin()) {
       return;
     }
-    hasQueriedEngines = true;
     ImmutableSet<String> all = instanceIdsWithSelf(peers.knownPeers().stream());
-    int queriersPerEngine = instancesPerEngine(sharedUpstreamState.engineIds().size());
-    ImmutableList<PeerAddress> recipients =
-        queriersPerEngine < all.size() ? peers.knownPeers() : ImmutableList.of();
-    ImmutableList<String> engines =
-        assignedEngines(sharedUpstreamState.engineIds(), self.instanceId(), all, queriersPerEngine);
-    queryAll(engines, recipients);
+    ImmutableSet<String> engineIds = ImmutableSet.copyOf(sharedUpstreamState.engineIds());
+    boolean isShared = CacheQueryPlan.instancesPerEngine(engineIds.size()) < all.size();
+    ImmutableList<PeerAddress> recipients = isShared ? peers.knownPeers() : ImmutableList.of();
+    queryAll(plan.begin(engineIds, all), recipients);
     endWaitIfAllAnswered();
+    runLater(this::queryRemainingEngines, REMAINING_QUERY_DELAY_MILLIS);
+  }
+
+  private void runLater(Runnable task, long delayMillis) {
+    var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   private void queryAll(ImmutableList<String> engines, ImmutableList<PeerAddress> recipients) {
@@ -204,13 +178,12 @@
     if (hasOlderPeer) {
       return;
     }
-    ImmutableSet<String> all = instanceIdsWithSelf(peers.livePeers().stream());
-    queryAll(
-        assignedEngines(sharedUpstreamState.engineIds(), self.instanceId(), all).stream()
-            .filter(
-                e -> !unansweredEngines.contains(e) && sharedUpstreamState.cachedParts(e).isEmpty())
-            .collect(toImmutableList()),
-        peers.livePeers());
+    ImmutableList<String> unknown =
+        sharedUpstreamState.engineIds().stream()
+            .filter(e -> sharedUpstreamState.cachedParts(e).isEmpty())
+            .collect(toImmutableList());
+    ImmutableSet<String> live = instanceIdsWithSelf(peers.livePeers().stream());
+    queryAll(plan.queryRemaining(unknown, live), peers.livePeers());
   }
 
   private void query(String engine, ImmutableList<PeerAddress> recipients) {
--- a/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayPartsTest.java
@@ -52,18 +52,17 @@
     ImmutableSet<String> instances = ImmutableSet.of("g-1", "g-2", "g-3");
     ImmutableList<String> engines = ImmutableList.of("e-1", "e-2", "e-3", "e-4", "e-5", "e-6");
     List<String> assigned = new ArrayList<>();
-    instances.forEach(
-        i -> assigned.addAll(CacheStateTransfer.assignedEngines(engines, i, instances)));
+    instances.forEach(i -> assigned.addAll(CacheQueryPlan.assignedEngines(engines, i, instances)));
     assertThat(assigned).containsExactlyElementsIn(engines);
   }
 
   /** Without a limit, 380 restarted instances would query 12,000 engines millions of times. */
   @Test
   void engineQueriesAfterARestartAreBounded() {
-    assertThat(CacheStateTransfer.instancesPerEngine(6)).isAtLeast(4);
-    assertThat(CacheStateTransfer.instancesPerEngine(36)).isEqualTo(2);
-    assertThat(CacheStateTransfer.instancesPerEngine(12_000)).isEqualTo(1);
-    assertThat(CacheStateTransfer.instancesPerEngine(0)).isAtLeast(1);
+    assertThat(CacheQueryPlan.instancesPerEngine(6)).isAtLeast(4);
+    assertThat(CacheQueryPlan.instancesPerEngine(36)).isEqualTo(2);
+    assertThat(CacheQueryPlan.instancesPerEngine(12_000)).isEqualTo(1);
+    assertThat(CacheQueryPlan.instancesPerEngine(0)).isAtLeast(1);
   }
 
   @Test
