Let a gateway that the store turns away ask any other gateway for records

Cause: only instances that do not read the store for all ask others, and they ask the readers alone. A reader whose own reads fail asks nobody, and with both readers turned away the others could not learn from each other either. Keys stopped to work after 4.4 s although three gateways knew the configuration to be the newest. Now a follower whose own reads fail asks the live gateways in turn, up to four until one has fresh records, and reads the store beside that each 2 s to find out whether it is served again. What is relayed still carries the age that an answer of the store proves, so a revoked key works no longer than before. TopicFollowerTest: three new cases failed with the readers asked as before.

--- a/src/main/java/org/tanagerbank/peer/StoreReaders.java
+++ b/src/main/java/org/tanagerbank/peer/StoreReaders.java
@@ -52,6 +52,18 @@
     return livePeers.stream().filter(p -> p.instanceId().equals(chosen)).findFirst();
   }
 
+  /**
+   * Returns one of the live peers, reader or not, or nothing when there is none.
+   *
+   * @param turn a number that increases with each question, so that each peer has its turn
+   */
+  static Optional<PeerAddress> chooseAny(Collection<PeerAddress> livePeers, long turn) {
+    return livePeers.stream()
+        .sorted(Comparator.comparingLong(p -> rank(p.instanceId())))
+        .skip(livePeers.isEmpty() ? 0 : Math.floorMod(turn, (long) livePeers.size()))
+        .findFirst();
+  }
+
   private static long rank(String instanceId) {
     return SlotTable.mixBits(SlotTable.idHash(instanceId));
   }
--- a/src/main/java/org/tanagerbank/peer/TopicRelay.java
+++ b/src/main/java/org/tanagerbank/peer/TopicRelay.java
@@ -10,6 +10,7 @@
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.tanagerbank.store.RecordRelay;
+import org.tanagerbank.store.RecordRelay.Respondents;
 import org.tanagerbank.store.RelayedRecords;
 import org.tanagerbank.store.Scheduler;
 
@@ -61,31 +62,45 @@
 
   /** Returns a relay that asks other instances for the records of a topic. */
   RecordRelay relayFor(String topic) {
-    return (from, callback) -> sendQuestion(topic, from, callback, 1);
+    return (from, respondents, callback) ->
+        sendQuestion(new Question(topic, from, respondents, callback), 1);
   }
 
-  private void sendQuestion(
-      String topic, long from, Consumer<Optional<RelayedRecords>> callback, int attempt) {
+  /** A question for the records of a topic from an offset on. */
+  private record Question(
+      String topic,
+      long from,
+      Respondents respondents,
+      Consumer<Optional<RelayedRecords>> callback) {}
+
+  private void sendQuestion(Question question, int attempt) {
     long nonce = ++lastNonce;
-    Optional<PeerAddress> reader = StoreReaders.choose(ownId, livePeers.get(), nonce);
-    if (reader.isEmpty()) {
-      callback.accept(Optional.empty());
+    Optional<PeerAddress> respondent = choose(question.respondents(), nonce);
+    if (respondent.isEmpty()) {
+      question.callback().accept(Optional.empty());
       return;
     }
-    pendingCallbacks.put(nonce, callback);
-    scheduler.schedule(() -> onTimeout(nonce, topic, from, attempt), ANSWER_TIMEOUT_MILLIS);
-    sender.accept(reader.get().address(), new TopicQuestion(nonce, topic, from));
+    pendingCallbacks.put(nonce, question.callback());
+    scheduler.schedule(() -> onTimeout(nonce, question, attempt), ANSWER_TIMEOUT_MILLIS);
+    sender.accept(
+        respondent.get().address(), new TopicQuestion(nonce, question.topic(), question.from()));
+  }
+
+  private Optional<PeerAddress> choose(Respondents respondents, long nonce) {
+    return switch (respondents) {
+      case READERS -> StoreReaders.choose(ownId, livePeers.get(), nonce);
+      case ALL -> StoreReaders.chooseAny(livePeers.get(), nonce);
+    };
   }
 
-  private void onTimeout(long nonce, String topic, long from, int attempt) {
-    Consumer<Optional<RelayedRecords>> callback = pendingCallbacks.remove(nonce);
-    if (callback == null) {
+  private void onTimeout(long nonce, Question question, int attempt) {
+    if (pendingCallbacks.remove(nonce) == null) {
       return;
     }
     if (attempt < MAX_ATTEMPTS) {
-      sendQuestion(topic, from, callback, attempt + 1);
+      sendQuestion(question, attempt + 1);
     } else {
-      callback.accept(Optional.empty());
+      question.callback().accept(Optional.empty());
     }
   }
 
--- a/src/main/java/org/tanagerbank/store/RecordRelay.java
+++ b/src/main/java/org/tanagerbank/store/RecordRelay.java
@@ -6,13 +6,22 @@
 /** Requests the records of a topic that another instance has already read from the store. */
 @FunctionalInterface
 public interface RecordRelay {
+  /** Which instances are asked. */
+  enum Respondents {
+    /** The few that read the store for all. A reader asks nobody. */
+    READERS,
+    /** Any live instance, another one for each question, because the own store does not answer. */
+    ALL
+  }
+
   /** A relay without other instances: each question is answered with nothing at once. */
-  RecordRelay NONE = (from, callback) -> callback.accept(Optional.empty());
+  RecordRelay NONE = (from, respondents, callback) -> callback.accept(Optional.empty());
 
   /**
    * Requests the records from an offset on.
    *
    * @param callback called once, with nothing when no other instance could provide the records
    */
-  void requestRecords(long from, Consumer<Optional<RelayedRecords>> callback);
+  void requestRecords(
+      long from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback);
 }
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -7,15 +7,17 @@
 import java.util.function.LongSupplier;
 import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.RecordRelay.Respondents;
 
 /**
  * Follows a keyed topic: reads the newest record of each key, then every new record.
  *
  * <p>A follower first asks another instance for the records that it has read, and reads the store
  * itself when no other instance has fresh records. It waits between reads, and retries after a
- * growing delay while the store does not answer. The time up to which the records are reported as
- * complete never exceeds what an answer of the store proves, whichever instance got the answer.
- * Confined to one thread.
+ * growing delay while the store does not answer. The store may refuse one instance and serve the
+ * others, so a follower whose own reads fail asks any instance. The time up to which the records
+ * are reported as complete never exceeds what an answer of the store proves, whichever instance got
+ * the answer. Confined to one thread.
  */
 public final class TopicFollower {
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
@@ -39,6 +41,12 @@
    */
   private static final long LATE_ANSWER_MILLIS = 600;
 
+  /** The number of instances that are asked in turn for fresh records when the own reads fail. */
+  private static final int MAX_STALE_ANSWERS = 4;
+
+  /** Interval of the reads that find out whether the own reads work again. */
+  private static final long PROBE_INTERVAL_MILLIS = 2_000;
+
   /** An outage that ended longer ago than this no longer makes records doubtful. */
   private static final long RECENT_OUTAGE_MILLIS = 5_000;
 
@@ -60,6 +68,9 @@
   private boolean isStopped;
   private boolean isRefreshing;
   private boolean isAwaitingRetry;
+  private boolean doOwnReadsFail;
+  private int staleAnswers;
+  private long lastProbeMillis = Long.MIN_VALUE / 2;
   private int lastCallNumber;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
@@ -123,8 +134,13 @@
    * an outage of the store, when only retries call the store.
    */
   public void refresh() {
-    if (!isRefreshing && !isStoreLost && nextOffset >= 0) {
-      isRefreshing = true;
+    if (isRefreshing || isStoreLost || nextOffset < 0) {
+      return;
+    }
+    isRefreshing = true;
+    if (doOwnReadsFail) {
+      readNext();
+    } else {
       read(0);
     }
   }
@@ -168,7 +184,9 @@
     long askedAt = clockMillis.getAsLong();
     if (nextOffset >= 0) {
       relay.requestRecords(
-          nextOffset, answer -> ifLatest(callNumber, () -> onRelayedRecords(answer, askedAt)));
+          nextOffset,
+          doOwnReadsFail ? Respondents.ALL : Respondents.READERS,
+          answer -> ifLatest(callNumber, () -> onRelayedRecords(answer, askedAt)));
     } else {
       topic.readNewest(result -> ifLatest(callNumber, () -> onSnapshot(result, askedAt)));
     }
@@ -177,6 +195,11 @@
   private void onRelayedRecords(Optional<RelayedRecords> answer, long askedAt) {
     Optional<RelayedRecords> fresh =
         answer.filter(a -> a.ageMillis() <= waitMillis * MAX_RELAY_AGE_WAITS);
+    if (fresh.isEmpty() && doOwnReadsFail && ++staleAnswers < MAX_STALE_ANSWERS) {
+      readNext();
+      return;
+    }
+    staleAnswers = 0;
     if (fresh.isEmpty()) {
       // During an outage the read does not wait, because any answer proves that the store is back.
       read(isStoreLost ? 0 : waitMillis);
@@ -190,6 +213,16 @@
       reportCurrentAsOf(askedAt - page.ageMillis());
     }
     readLater(page.hasMore() ? 0 : RELAY_DELAY_MILLIS);
+    probeStore();
+  }
+
+  /** Reads the store beside the questions to others, to find out whether it answers again. */
+  private void probeStore() {
+    long now = clockMillis.getAsLong();
+    if (doOwnReadsFail && now - lastProbeMillis >= PROBE_INTERVAL_MILLIS) {
+      lastProbeMillis = now;
+      topic.read(nextOffset, 0, result -> doOwnReadsFail &= result instanceof Unavailable);
+    }
   }
 
   /**
@@ -253,6 +286,7 @@
 
   private void onSnapshot(ReadResult result, long sentAt) {
     if (result instanceof Records page) {
+      doOwnReadsFail = false;
       recordStoreAnswered();
       nextOffset = page.next();
       history.restart(nextOffset);
@@ -269,6 +303,7 @@
       retry(result);
       return;
     }
+    doOwnReadsFail = false;
     if (clockMillis.getAsLong() - sentAt > wait + LATE_ANSWER_MILLIS) {
       recordStoreLost("late answer");
     }
@@ -314,6 +349,7 @@
   }
 
   private void retry(ReadResult result) {
+    doOwnReadsFail = true;
     recordStoreLost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
     isAwaitingRetry = true;
     readLater(retryDelayMillis);
--- a/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
+++ b/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
@@ -5,10 +5,13 @@
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.tanagerbank.store.RecordRelay.Respondents;
 import org.tanagerbank.store.RelayedRecords;
 
 /**
@@ -72,9 +75,22 @@
         .isNotEqualTo(StoreReaders.choose(own, others(fleet, own), 2));
   }
 
+  /** An instance that the store turns away must come upon one that it serves. */
+  @Test
+  void instancesWhoseOwnReadsFailAskEachPeerInTurn() {
+    ImmutableList<PeerAddress> fleet = fleet(5);
+    String own = fleet.get(0).instanceId();
+    Set<PeerAddress> asked = new HashSet<>();
+    for (long turn = 0; turn < 4; turn++) {
+      asked.add(StoreReaders.chooseAny(others(fleet, own), turn).orElseThrow());
+    }
+    assertThat(asked).hasSize(4);
+    assertThat(StoreReaders.chooseAny(List.of(), 1)).isEmpty();
+  }
+
   @Test
   void readerSendsNoQuestion() {
-    relay(fleet(1), "gw-0").relayFor("t").requestRecords(3, results::add);
+    relay(fleet(1), "gw-0").relayFor("t").requestRecords(3, Respondents.READERS, results::add);
     assertThat(results).containsExactly(Optional.empty());
     assertThat(sent).isEmpty();
   }
@@ -82,7 +98,9 @@
   @Test
   void unansweredQuestionIsSentTwiceAndThenAnsweredWithNothing() {
     ImmutableList<PeerAddress> fleet = fleet(8);
-    relay(fleet, nonReader(fleet)).relayFor("t").requestRecords(3, results::add);
+    relay(fleet, nonReader(fleet))
+        .relayFor("t")
+        .requestRecords(3, Respondents.READERS, results::add);
     scheduled.remove(0).run();
     assertThat(results).isEmpty();
     assertThat(sent).hasSize(2);
@@ -94,7 +112,7 @@
   void repeatedAnswerIsIgnored() {
     ImmutableList<PeerAddress> fleet = fleet(8);
     TopicRelay relay = relay(fleet, nonReader(fleet));
-    relay.relayFor("t").requestRecords(3, results::add);
+    relay.relayFor("t").requestRecords(3, Respondents.READERS, results::add);
     TopicQuestion question = (TopicQuestion) sent.get(0);
     RelayedRecords records = new RelayedRecords(ImmutableList.of(), 3, false, 10, 1_000);
     relay.onAnswer(new TopicAnswer(question.nonce(), Optional.of(records)));
--- a/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
@@ -12,6 +12,7 @@
 import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.ReadResult.Trimmed;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.RecordRelay.Respondents;
 
 /**
  * Guards against missed records, and against a time of freshness later than the answers of the
@@ -29,7 +30,9 @@
   private final List<String> events = new ArrayList<>();
   private long now;
   private Optional<RelayedRecords> relayed = Optional.empty();
-  private final RecordRelay relay = (from, callback) -> callback.accept(relayed);
+  private Optional<RelayedRecords> relayedByAll = Optional.empty();
+  private int questionsToAll;
+  private final RecordRelay relay = this::requestRecords;
   private TopicFollower follower;
 
   private final class FakeTopic implements KeyedTopic {
@@ -92,6 +95,21 @@
     follower.start();
   }
 
+  private void requestRecords(
+      long from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback) {
+    if (respondents == Respondents.READERS) {
+      callback.accept(relayed);
+    } else {
+      questionsToAll++;
+      callback.accept(relayedByAll);
+    }
+  }
+
+  private static Optional<RelayedRecords> fresh(long next) {
+    return Optional.of(
+        new RelayedRecords(ImmutableList.of(), next, false, /* ageMillis= */ 50, LONG_AGO_MILLIS));
+  }
+
   private void answer(int call, ReadResult result) {
     answers.get(call).accept(result);
   }
@@ -160,6 +178,46 @@
         .inOrder();
   }
 
+  /**
+   * The store may turn away a reader and serve all others; the reader must not serve stale keys.
+   */
+  @Test
+  void readerThatTheStoreTurnsAwayAsksAnyInstance() {
+    snapshotRead();
+    relayedByAll = fresh(7);
+    now = 1_000;
+    answer(1, new Unavailable("refused"));
+    for (int i = 0; i < 10; i++) {
+      now += 400;
+      runScheduled();
+      assertThat(events.get(events.size() - 1)).isEqualTo("current " + (now - 50));
+    }
+    long probes = calls.stream().filter("read 7 wait 0"::equals).count();
+    assertThat(probes).isEqualTo(2);
+  }
+
+  @Test
+  void readerThatIsServedAgainReadsTheStoreAgain() {
+    snapshotRead();
+    relayedByAll = fresh(7);
+    answer(1, new Unavailable("refused"));
+    runScheduled();
+    assertThat(questionsToAll).isEqualTo(1);
+    answer(2, records(0, 7));
+    runScheduled();
+    assertThat(questionsToAll).isEqualTo(1);
+    assertThat(calls.get(calls.size() - 1)).isEqualTo("read 7 wait 1000");
+  }
+
+  @Test
+  void whenNobodyIsServedTheStoreIsAskedAgain() {
+    snapshotRead();
+    answer(1, new Unavailable("down"));
+    runScheduled();
+    assertThat(questionsToAll).isEqualTo(4);
+    assertThat(calls.get(calls.size() - 1)).isEqualTo("read 7 wait 0");
+  }
+
   /**
    * Each digest of a peer with a newer configuration triggers a refresh. Without this rule, each
    * would be a call to a store that is already overloaded.
