--- a/src/main/java/org/tanagerbank/losses/RequestTracker.java
+++ b/src/main/java/org/tanagerbank/losses/RequestTracker.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.tanagerbank.logfile.LogLine;
 
@@ -116,16 +117,21 @@
     process.lastEnded = id;
     Instant receivedAt = line.time().minusMillis(line.number("millis", 0));
     Placement placement = process.open.remove(id);
-    Outcome outcome = outcome(line);
-    if (outcome == null) {
+    Optional<Outcome> outcome = outcome(line);
+    if (outcome.isPresent()) {
+      Cause cause = cause(process, line, placement, receivedAt, outcome.get());
+      emit(receivedAt, route(line, placement), outcome.get(), cause);
+    } else {
       notOwed++;
-      return;
     }
-    String route = line.text("route");
-    if (route.isEmpty()) {
-      route = placement == null ? EndedRequest.NO_ROUTE : placement.route();
+  }
+
+  /** Returns the route of a request; older logs name it only when the request is placed. */
+  private static String route(LogLine ended, Placement placement) {
+    if (!ended.text("route").isEmpty()) {
+      return ended.text("route");
     }
-    emit(receivedAt, route, outcome, cause(process, line, placement, receivedAt, outcome));
+    return placement == null ? EndedRequest.NO_ROUTE : placement.route();
   }
 
   /** Handles a request that was refused before it was executed; others have ended already. */
@@ -146,23 +152,24 @@
     sink.accept(new EndedRequest(receivedAt, route, outcome, cause));
   }
 
-  /** Returns the outcome of a request, or null if it was rightly turned away. */
-  private static Outcome outcome(LogLine line) {
+  /** Returns the outcome of a request, or empty if it was rightly turned away. */
+  private static Optional<Outcome> outcome(LogLine line) {
     long status = line.number("status", 0);
     if (line.text("reason").equals("caller gone")) {
-      return Outcome.GIVEN_UP;
+      return Optional.of(Outcome.GIVEN_UP);
     }
     if (isRefusal(status)) {
-      return Outcome.REFUSED;
+      return Optional.of(Outcome.REFUSED);
     }
     if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR) {
-      return null;
+      return Optional.empty();
     }
     if (status == 0 || status >= FIRST_SERVER_ERROR) {
-      return Outcome.FAILED;
+      return Optional.of(Outcome.FAILED);
     }
     long objective = line.number("objectiveMillis", Long.MAX_VALUE);
-    return line.number("firstMillis", 0) > objective ? Outcome.LATE : Outcome.IN_TIME;
+    boolean isLate = line.number("firstMillis", 0) > objective;
+    return Optional.of(isLate ? Outcome.LATE : Outcome.IN_TIME);
   }
 
   private static boolean isRefusal(long status) {
