--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/tanagerbank-all.jar ] && [ -f target/review/TwoStops.class ] || exit 2
-exec java -cp target/review TwoStops review/4/record.txt
+[ -f target/tanagerbank-all.jar ] && [ -f target/review/DeadlyPart.class ] || exit 2
+exec java -cp target/review DeadlyPart review/4/record.txt
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/tanagerbank-all.jar ] && [ -f target/review/Drill.class ] || exit 2
+exec java -cp target/review Drill review/5/record.txt
--- a/review/standin/Drill.java
+++ b/review/standin/Drill.java
@@ -11,10 +11,12 @@
 
 /** The store comes back from an old copy in a drill; later a worker leaves. */
 final class Drill {
-  private static final int GATEWAYS = 4;
+  private static final int GATEWAYS = 8;
   private static final int WORKERS = 6;
+  private static final int REQUESTS_PER_GATEWAY = 24;
+  private static final int FIRST_REQUESTS = 5;
   private static final int LOST_MILLIS = 8_000;
-  private static final int AWAY_MILLIS = 300;
+  private static final int AWAY_MILLIS = 100;
   private static final int STABLE_MILLIS = 3_000;
   private static final int DRAIN_MILLIS = 2_000;
   private static final int TIME_BUDGET_MILLIS = 1_500;
@@ -38,6 +40,11 @@
         List.of("key1"));
     all.startGateways(GATEWAYS);
     Thread.sleep(LOST_MILLIS + 4_000);
+    for (int i = 0; i < FIRST_REQUESTS; i++) {
+      for (GatewayProcess gateway : all.gateways) {
+        Caller.send(all.record, gateway, "GET", "/status/first", "key1", TIME_BUDGET_MILLIS, "");
+      }
+    }
     all.record.add("the topic of the workers ends at %d", all.store.end("keyed.servers"));
     if (Installation.hasTrouble()) {
       long since = System.nanoTime();
@@ -59,7 +66,7 @@
     Thread.sleep(DRAIN_MILLIS + 1_000);
     ExecutorService callers = Executors.newCachedThreadPool();
     List<Future<Caller.Answer>> answers = new ArrayList<>();
-    for (int i = 0; i < 12; i++) {
+    for (int i = 0; i < REQUESTS_PER_GATEWAY; i++) {
       for (GatewayProcess gateway : all.gateways) {
         String path = "/status/" + answers.size();
         answers.add(
--- a/review/standin/Endless.java
+++ b/review/standin/Endless.java
@@ -81,7 +81,8 @@
       late += timed.millis() > TIMEOUT_MILLIS + SLACK_MILLIS ? 1 : 0;
       never += timed.answer().status() == 0 ? 1 : 0;
     }
-    callers.shutdownNow();
+    callers.shutdown();
+    callers.awaitTermination(FAULTY_BUDGET_MILLIS + 5_000, TimeUnit.MILLISECONDS);
     all.record.add(
         "%d requests for the sound service: %d unanswered at the timeout of their route, %d of"
             + " these also %d ms later, %d never answered",
