--- a/review/standin/DeadlyPart.java
+++ b/review/standin/DeadlyPart.java
@@ -11,7 +11,7 @@
 
 /** A part of long prompts crashes each worker that begins to write an answer on it. */
 final class DeadlyPart {
-  private static final int GATEWAYS = 4;
+  private static final int GATEWAYS = 8;
   private static final int WORKERS = 8;
   private static final int OTHER_PARTS = 20;
   private static final String DEADLY = "dead00dead";
--- a/review/standin/Endless.java
+++ b/review/standin/Endless.java
@@ -14,7 +14,7 @@
  * its connection is closed. Callers of another service use the same gateway.
  */
 final class Endless {
-  private static final int REQUESTS_TO_FAULTY = 24;
+  private static final int REQUESTS_TO_FAULTY = 60;
   private static final int FAULTY_BUDGET_MILLIS = 15_000;
   private static final int REQUESTS = 100;
   private static final int GAP_MILLIS = 100;
