--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.Scheduler;
 import org.tanagerbank.store.TopicFollower;
+import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.EngineInspector;
 import org.tanagerbank.upstream.HeaderCodec;
@@ -147,8 +148,8 @@
             (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_INTERVAL_FRACTION),
             (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_WAIT_FRACTION));
     dispatcher.setConfigRefresh(configFollower::refresh);
-    peers.serve(CONFIG_TOPIC, configFollower::recordsFrom);
-    peers.serve(UPSTREAM_TOPIC, upstreamFollower::recordsFrom);
+    peers.serve(CONFIG_TOPIC, configFollower);
+    peers.serve(UPSTREAM_TOPIC, upstreamFollower);
     dispatcher.setPlacementListener(peers::addPlacement);
     dispatcher.crashGuard().setUrgentNewsAction(peers::sendUrgently);
     cacheTransfer =
@@ -166,6 +167,7 @@
         createServer(settings.readinessAddress(), this::answerReadiness, status -> {});
     metricsServer =
         settings.metricsAddress().map(a -> createServer(a, this::answerMetrics, status -> {}));
+    store.setRestoredAction(this::onStoreRestored);
     addGauges();
   }
 
@@ -195,6 +197,10 @@
         "config_version",
         "Version of the configuration in force.",
         () -> configState.config().map(RoutingConfig::version).orElse(0L));
+    metrics.addGauge(
+        "store_era",
+        "Era of the store in which the configuration was read, which grows with each restore.",
+        () -> configFollower.position().map(TopicPosition::era).orElse(0L));
     metrics.addGauge("peers", "Other gateways that are heard of.", () -> peers.livePeers().size());
     metrics.addGauge(
         "engines",
@@ -295,6 +301,19 @@
     }
   }
 
+  private void onStoreRestored(long era) {
+    EventLog.emit(
+        LogEvent.STORE_RESTORED,
+        "era",
+        era,
+        "configVersion",
+        configState.config().map(RoutingConfig::version).orElse(0L));
+    configFollower.refresh();
+    upstreamFollower.refresh();
+    peers.onStoreRestored();
+    suspectStore.onStoreRestored();
+  }
+
   private void schedule(Runnable task, long delayMillis) {
     var unused = loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/tanagerbank/gateway/SuspectStore.java
+++ b/src/main/java/org/tanagerbank/gateway/SuspectStore.java
@@ -35,6 +35,9 @@
   /** Bounds the calls to the store when many suspects change at once. */
   private static final int MAX_CALLS_PER_UPDATE = 4;
 
+  /** The number of crashes of a suspect whose record may have been lost or be older. */
+  private static final int UNKNOWN_CRASHES = -1;
+
   private final KeyedTopic topic;
   private final CrashGuard crashGuard;
   private final String ownId;
@@ -98,6 +101,11 @@
     }
   }
 
+  /** Called when the store was restored from an older copy; the suspects are written again. */
+  void onStoreRestored() {
+    savedCrashes.replaceAll((key, crashes) -> UNKNOWN_CRASHES);
+  }
+
   /** Writes the suspects that changed since they were written. To be called regularly. */
   void saveChanges() {
     ImmutableList<SuspectRecord> restricted = crashGuard.restrictedSuspects();
--- a/src/main/java/org/tanagerbank/peer/MessageCodec.java
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -7,6 +7,7 @@
 import org.tanagerbank.proto.PeerProto;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.RelayedRecords;
+import org.tanagerbank.store.TopicPosition;
 
 /** Encodes and decodes the datagrams between instances. Stateless and thread-safe. */
 final class MessageCodec {
@@ -54,17 +55,21 @@
     return PeerProto.TopicQuestion.newBuilder()
         .setNonce(question.nonce())
         .setTopic(question.topic())
-        .setFrom(question.from())
+        .setFrom(question.from().offset())
+        .setEra(question.from().era())
         .build();
   }
 
   private static TopicQuestion fromProto(PeerProto.TopicQuestion message) {
-    return new TopicQuestion(message.getNonce(), message.getTopic(), message.getFrom());
+    return new TopicQuestion(
+        message.getNonce(),
+        message.getTopic(),
+        new TopicPosition(message.getEra(), message.getFrom()));
   }
 
   private static PeerProto.TopicAnswer toProto(TopicAnswer answer) {
     PeerProto.TopicAnswer.Builder message =
-        PeerProto.TopicAnswer.newBuilder().setNonce(answer.nonce());
+        PeerProto.TopicAnswer.newBuilder().setNonce(answer.nonce()).setEra(answer.era());
     answer.records().ifPresent(records -> addRecords(message, records));
     return message.build();
   }
@@ -72,7 +77,7 @@
   private static void addRecords(PeerProto.TopicAnswer.Builder message, RelayedRecords relayed) {
     message
         .setKnown(true)
-        .setNext(relayed.next())
+        .setNext(relayed.next().offset())
         .setMore(relayed.hasMore())
         .setAgeMillis(relayed.ageMillis())
         .setSinceOutageMillis(relayed.sinceOutageMillis());
@@ -88,6 +93,7 @@
   private static TopicAnswer fromProto(PeerProto.TopicAnswer message) {
     return new TopicAnswer(
         message.getNonce(),
+        message.getEra(),
         message.getKnown() ? Optional.of(relayedRecordsFromProto(message)) : Optional.empty());
   }
 
@@ -96,7 +102,7 @@
         message.getRecordsList().stream()
             .map(MessageCodec::fromProto)
             .collect(ImmutableList.toImmutableList()),
-        message.getNext(),
+        new TopicPosition(message.getEra(), message.getNext()),
         message.getMore(),
         message.getAgeMillis(),
         message.getSinceOutageMillis());
--- a/src/main/java/org/tanagerbank/peer/PeerRegistration.java
+++ b/src/main/java/org/tanagerbank/peer/PeerRegistration.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.peer;
 
+import com.google.common.hash.Hashing;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -21,6 +22,9 @@
 final class PeerRegistration {
   private static final long STORE_RETRY_MILLIS = 700;
 
+  /** Spreads the calls of instances that all learn of a restored store at the same time. */
+  private static final int RENEWAL_SPREAD_MILLIS = 1_000;
+
   private final PeerAddress self;
   private final KeyedTopic directory;
   private final Scheduler scheduler;
@@ -43,6 +47,9 @@
   }
 
   void start() {
+    if (stopped) {
+      return;
+    }
     KeyedRecord entry = new KeyedRecord(self.instanceId(), Optional.of(DigestCodec.encode(self)));
     directory.append(entry, done -> retryUnless(done, this::start, this::findPeers));
   }
@@ -51,6 +58,15 @@
     stopped = true;
   }
 
+  /**
+   * Registers and reads the others again, because a store that was restored from an older copy may
+   * lack entries.
+   */
+  void renew() {
+    int delayMillis = Hashing.consistentHash(self.instanceId().hashCode(), RENEWAL_SPREAD_MILLIS);
+    scheduler.schedule(this::start, delayMillis);
+  }
+
   private void findPeers() {
     directory.readNewest(
         result -> retryUnless(result instanceof Records, this::findPeers, () -> addPeers(result)));
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -18,10 +18,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.tanagerbank.engine.Prompt;
@@ -34,7 +32,7 @@
 import org.tanagerbank.request.TanagerException;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.RecordRelay;
-import org.tanagerbank.store.RelayedRecords;
+import org.tanagerbank.store.TopicSource;
 import org.tanagerbank.stream.StreamOrigins;
 
 /**
@@ -173,9 +171,9 @@
   /**
    * Answers questions of other instances about a topic.
    *
-   * @param source returns the records from an offset, or nothing when they are not available
+   * @param source the records that this instance has read
    */
-  public void serve(String topic, LongFunction<Optional<RelayedRecords>> source) {
+  public void serve(String topic, TopicSource source) {
     relay.serve(topic, source);
   }
 
@@ -195,6 +193,11 @@
     registration.retryNow();
   }
 
+  /** Called when the store was restored from an older copy, which may lack entries. */
+  public void onStoreRestored() {
+    registration.renew();
+  }
+
   private void tick() {
     if (stopped) {
       return;
--- a/src/main/java/org/tanagerbank/peer/TopicQuestion.java
+++ b/src/main/java/org/tanagerbank/peer/TopicQuestion.java
@@ -1,10 +1,12 @@
 package org.tanagerbank.peer;
 
+import org.tanagerbank.store.TopicPosition;
+
 /**
  * A request for the records of a topic that another instance has read. Immutable.
  *
  * @param nonce a number that the answer repeats
  * @param topic the name of the topic
- * @param from the offset of the first record that the sender does not have
+ * @param from the position up to which the sender has read the topic
  */
-record TopicQuestion(long nonce, String topic, long from) implements PeerMessage {}
+record TopicQuestion(long nonce, String topic, TopicPosition from) implements PeerMessage {}
--- a/src/main/java/org/tanagerbank/peer/TopicRelay.java
+++ b/src/main/java/org/tanagerbank/peer/TopicRelay.java
@@ -7,12 +7,13 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.tanagerbank.store.RecordRelay;
 import org.tanagerbank.store.RecordRelay.Respondents;
 import org.tanagerbank.store.RelayedRecords;
 import org.tanagerbank.store.Scheduler;
+import org.tanagerbank.store.TopicPosition;
+import org.tanagerbank.store.TopicSource;
 
 /**
  * Asks other instances for records that they have read from the store, and answers their questions.
@@ -30,8 +31,8 @@
   private final Scheduler scheduler;
   private final Supplier<ImmutableList<PeerAddress>> livePeers;
   private final BiConsumer<InetSocketAddress, PeerMessage> sender;
-  private final Map<String, LongFunction<Optional<RelayedRecords>>> sources = new HashMap<>();
-  private final Map<Long, Consumer<Optional<RelayedRecords>>> pendingCallbacks = new HashMap<>();
+  private final Map<String, TopicSource> sources = new HashMap<>();
+  private final Map<Long, Question> pending = new HashMap<>();
   private long lastNonce;
 
   /**
@@ -55,8 +56,8 @@
     this.sender = sender;
   }
 
-  /** Answers questions about a topic with the records that a source returns from an offset on. */
-  void serve(String topic, LongFunction<Optional<RelayedRecords>> source) {
+  /** Answers questions about a topic with the records of a source. */
+  void serve(String topic, TopicSource source) {
     sources.put(topic, source);
   }
 
@@ -66,10 +67,10 @@
         sendQuestion(new Question(topic, from, respondents, callback), 1);
   }
 
-  /** A question for the records of a topic from an offset on. */
+  /** A question for the records of a topic from a position on. */
   private record Question(
       String topic,
-      long from,
+      TopicPosition from,
       Respondents respondents,
       Consumer<Optional<RelayedRecords>> callback) {}
 
@@ -80,7 +81,7 @@
       question.callback().accept(Optional.empty());
       return;
     }
-    pendingCallbacks.put(nonce, question.callback());
+    pending.put(nonce, question);
     scheduler.schedule(() -> onTimeout(nonce, question, attempt), ANSWER_TIMEOUT_MILLIS);
     sender.accept(
         respondent.get().address(), new TopicQuestion(nonce, question.topic(), question.from()));
@@ -94,7 +95,7 @@
   }
 
   private void onTimeout(long nonce, Question question, int attempt) {
-    if (pendingCallbacks.remove(nonce) == null) {
+    if (pending.remove(nonce) == null) {
       return;
     }
     if (attempt < MAX_ATTEMPTS) {
@@ -106,17 +107,20 @@
 
   /** Answers a question of another instance. */
   void onQuestion(InetSocketAddress from, TopicQuestion question) {
-    LongFunction<Optional<RelayedRecords>> source = sources.get(question.topic());
-    Optional<RelayedRecords> records =
-        source == null ? Optional.empty() : source.apply(question.from());
-    sender.accept(from, new TopicAnswer(question.nonce(), records));
+    Optional<TopicSource> source = Optional.ofNullable(sources.get(question.topic()));
+    long era = source.flatMap(TopicSource::position).map(TopicPosition::era).orElse(0L);
+    Optional<RelayedRecords> records = source.flatMap(s -> s.recordsFrom(question.from()));
+    sender.accept(from, new TopicAnswer(question.nonce(), era, records));
+    source.ifPresent(s -> s.onPeerEra(question.from().era()));
   }
 
   /** Passes an answer to the callback of its question. Late and repeated answers are ignored. */
   void onAnswer(TopicAnswer answer) {
-    Consumer<Optional<RelayedRecords>> callback = pendingCallbacks.remove(answer.nonce());
-    if (callback != null) {
-      callback.accept(answer.records());
+    Question question = pending.remove(answer.nonce());
+    if (question == null) {
+      return;
     }
+    question.callback().accept(answer.records());
+    Optional.ofNullable(sources.get(question.topic())).ifPresent(s -> s.onPeerEra(answer.era()));
   }
 }
--- a/src/main/java/org/tanagerbank/platform/PlatformStore.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformStore.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.KeyedRecord;
@@ -49,6 +50,11 @@
     return client.keyedTopic(FLEET_TOPIC_PREFIX + name);
   }
 
+  @Override
+  public void setRestoredAction(LongConsumer action) {
+    client.setRestoredAction(action);
+  }
+
   @Override
   public Optional<RoutingConfig> decodeConfig(KeyedRecord keyed) throws IOException {
     if (!keyed.key().equals(CONFIG_KEY) || keyed.value().isEmpty()) {
--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -18,32 +19,48 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.platformclient.SocketAddresses;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
 import org.tanagerbank.store.ReadResult.Records;
+import org.tanagerbank.store.ReadResult.Restored;
 import org.tanagerbank.store.ReadResult.Trimmed;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.BufferedExchange;
 import org.tanagerbank.upstream.BufferedResponse;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.ResponseEnd;
 
-/** A client of the platform's metadata store. Confined to one event loop. */
+/**
+ * A client of the platform's metadata store. Confined to one event loop.
+ *
+ * <p>An answer of an era before the newest one counts as no answer: what it says was lost when the
+ * store was restored from an older copy.
+ */
 public final class StoreClient {
   /** The store answers in milliseconds. A call fails this long after its requested wait. */
   private static final long CALL_TIMEOUT_MILLIS = 1_500;
 
   private static final int STATUS_OK = 200;
   private static final int STATUS_GONE = 410;
+
+  /** Names the era of the store, which begins anew when the store is restored from a copy. */
+  private static final String ERA_HEADER = "Store-Era";
+
   private static final int PAGE_HEADER_BYTES = 2 * Long.BYTES;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final EventLoop loop;
   private final String host;
   private final ConnectionPool connections;
+  private LongConsumer restoredAction = era -> {};
+
+  /** The newest era that an answer named; nothing before the first answer with an era. */
+  private OptionalLong newestEra = OptionalLong.empty();
 
   private StoreClient(EventLoop loop, String host, ConnectionPool connections) {
     this.loop = loop;
@@ -58,6 +75,13 @@
         loop, SocketAddresses.format(address), ConnectionPool.create(loop, address, clockMillis));
   }
 
+  /**
+   * Sets the action that runs with the new era when the store has been restored from an older copy.
+   */
+  void setRestoredAction(LongConsumer action) {
+    restoredAction = action;
+  }
+
   /** Returns a keyed topic. All its records are in partition 0, its only partition. */
   public KeyedTopic keyedTopic(String name) {
     return new StoreTopic(name);
@@ -66,17 +90,25 @@
   /**
    * The newest records of a topic, read page by page. The pages are not one snapshot: a key whose
    * page was read may change before the next page is read. So the next read starts at the end that
-   * the first page names, and some records may be read twice. Not thread-safe.
+   * the first page names, and some records may be read twice. All pages are of one era. Not
+   * thread-safe.
    */
   private static final class NewestRecords {
     private final ImmutableList.Builder<KeyedRecord> records = ImmutableList.builder();
-    private OptionalLong firstEnd = OptionalLong.empty();
+    private Optional<TopicPosition> firstEnd = Optional.empty();
 
-    /** Adds the records of a page and returns the last key, which is empty on an empty page. */
-    private String add(JsonNode page) {
-      if (firstEnd.isEmpty()) {
-        firstEnd = OptionalLong.of(page.path("end").asLong());
+    /**
+     * Adds the records of a page and returns the last key, which is empty on an empty page.
+     *
+     * @throws IOException if the store was restored since the first page
+     */
+    private String add(JsonNode page, long era) throws IOException {
+      TopicPosition end =
+          firstEnd.orElseGet(() -> new TopicPosition(era, page.path("end").asLong()));
+      if (end.era() != era) {
+        throw new IOException("the store was restored between two pages");
       }
+      firstEnd = Optional.of(end);
       String last = "";
       for (JsonNode item : page.path("items")) {
         last = item.path("key").asText();
@@ -123,7 +155,7 @@
           callback.accept(new Unavailable("the answer of the store lacks its records or its end"));
           return;
         }
-        String last = newest.add(page);
+        String last = newest.add(page, era(reply));
         if (page.path("more").asBoolean() && !last.isEmpty()) {
           newestPage(last, newest, callback);
         } else {
@@ -136,8 +168,8 @@
     }
 
     @Override
-    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
-      String path = "/-/log-read" + query + "&from=" + from + "&wait-ms=" + waitMillis;
+    public void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback) {
+      String path = "/-/log-read" + query + "&from=" + from.offset() + "&wait-ms=" + waitMillis;
       send(
           request(HttpMethod.GET, path, Unpooled.EMPTY_BUFFER),
           waitMillis,
@@ -154,11 +186,17 @@
     }
   }
 
-  private static ReadResult page(BufferedResponse reply, long from) {
+  private ReadResult page(BufferedResponse reply, TopicPosition from) {
+    if (reply.status() != STATUS_OK && reply.status() != STATUS_GONE) {
+      return unavailable(reply);
+    }
+    if (era(reply) != from.era()) {
+      return new Restored(era(reply));
+    }
     if (reply.status() == STATUS_GONE) {
       return new Trimmed();
     }
-    if (reply.status() != STATUS_OK || reply.body().length < PAGE_HEADER_BYTES) {
+    if (reply.body().length < PAGE_HEADER_BYTES) {
       return unavailable(reply);
     }
     ByteBuffer bytes = ByteBuffer.wrap(reply.body());
@@ -166,16 +204,16 @@
     long end = bytes.getLong();
     // The offset of the first record that the store still has.
     long first = bytes.getLong();
-    if (first > from) {
+    if (first > from.offset()) {
       return new Trimmed();
     }
     ImmutableList<Optional<KeyedRecord>> records = RecordCodec.decode(bytes);
-    if (reply.end() == ResponseEnd.CONNECTION_CLOSED && from + records.size() < end) {
+    TopicPosition next = from.plus(records.size());
+    if (reply.end() == ResponseEnd.CONNECTION_CLOSED && next.offset() < end) {
       return new Unavailable("the answer of the store was broken off");
     }
     return new Records(
-        records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()),
-        from + records.size());
+        records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()), next);
   }
 
   private static Unavailable unavailable(BufferedResponse reply) {
@@ -192,6 +230,39 @@
   }
 
   private void send(FullHttpRequest request, long waitMillis, Consumer<BufferedResponse> callback) {
-    BufferedExchange.send(loop, connections, request, waitMillis + CALL_TIMEOUT_MILLIS, callback);
+    BufferedExchange.send(
+        loop,
+        connections,
+        request,
+        waitMillis + CALL_TIMEOUT_MILLIS,
+        reply -> callback.accept(noteEra(reply)));
+  }
+
+  /** Notes the era of an answer. An answer of an older era becomes one that failed. */
+  private BufferedResponse noteEra(BufferedResponse reply) {
+    String named = reply.headers().get(ERA_HEADER);
+    if (named == null) {
+      return reply;
+    }
+    Long era = Longs.tryParse(named);
+    if (era == null || era < 0) {
+      return BufferedResponse.failed("unreadable era of the store: " + named);
+    }
+    if (era < newestEra.orElse(0)) {
+      return BufferedResponse.failed("an answer from before the store was restored");
+    }
+    boolean isRestored = newestEra.isPresent() && era > newestEra.getAsLong();
+    newestEra = OptionalLong.of(era);
+    if (isRestored) {
+      // Runs after the answer was handled, so that the caller's own position is corrected first.
+      loop.execute(() -> restoredAction.accept(era));
+    }
+    return reply;
+  }
+
+  /** Returns the era of an answer; one that names none belongs to the newest era. */
+  private long era(BufferedResponse reply) {
+    Long named = Longs.tryParse(reply.headers().get(ERA_HEADER, ""));
+    return named == null ? newestEra.orElse(0) : named;
   }
 }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -4615,6 +4615,17 @@
      * @return The from.
      */
     long getFrom();
+
+    /**
+     * <pre>
+     * Era of the store to which the offset belongs. The store begins a new era, and gives out offsets again,
+     * when it is restored from an older copy.
+     * </pre>
+     *
+     * <code>uint64 era = 4;</code>
+     * @return The era.
+     */
+    long getEra();
   }
   /**
    * <pre>
@@ -4727,6 +4738,22 @@
       return from_;
     }
 
+    public static final int ERA_FIELD_NUMBER = 4;
+    private long era_ = 0L;
+    /**
+     * <pre>
+     * Era of the store to which the offset belongs. The store begins a new era, and gives out offsets again,
+     * when it is restored from an older copy.
+     * </pre>
+     *
+     * <code>uint64 era = 4;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4750,6 +4777,9 @@
       if (from_ != 0L) {
         output.writeUInt64(3, from_);
       }
+      if (era_ != 0L) {
+        output.writeUInt64(4, era_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -4770,6 +4800,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, from_);
       }
+      if (era_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, era_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -4791,6 +4825,8 @@
           .equals(other.getTopic())) return false;
       if (getFrom()
           != other.getFrom()) return false;
+      if (getEra()
+          != other.getEra()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4810,6 +4846,9 @@
       hash = (37 * hash) + FROM_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getFrom());
+      hash = (37 * hash) + ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEra());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4948,6 +4987,7 @@
         nonce_ = 0L;
         topic_ = "";
         from_ = 0L;
+        era_ = 0L;
         return this;
       }
 
@@ -4990,6 +5030,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.from_ = from_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.era_ = era_;
+        }
       }
 
       @java.lang.Override
@@ -5015,6 +5058,9 @@
         if (other.getFrom() != 0L) {
           setFrom(other.getFrom());
         }
+        if (other.getEra() != 0L) {
+          setEra(other.getEra());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5056,6 +5102,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                era_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5233,6 +5284,53 @@
         return this;
       }
 
+      private long era_ ;
+      /**
+       * <pre>
+       * Era of the store to which the offset belongs. The store begins a new era, and gives out offsets again,
+       * when it is restored from an older copy.
+       * </pre>
+       *
+       * <code>uint64 era = 4;</code>
+       * @return The era.
+       */
+      @java.lang.Override
+      public long getEra() {
+        return era_;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the offset belongs. The store begins a new era, and gives out offsets again,
+       * when it is restored from an older copy.
+       * </pre>
+       *
+       * <code>uint64 era = 4;</code>
+       * @param value The era to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEra(long value) {
+
+        era_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Era of the store to which the offset belongs. The store begins a new era, and gives out offsets again,
+       * when it is restored from an older copy.
+       * </pre>
+       *
+       * <code>uint64 era = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEra() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        era_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicQuestion)
     }
 
@@ -5386,13 +5484,24 @@
     /**
      * <pre>
      * Whether the sender still holds the records from the requested offset on. When false, all fields but
-     * the nonce are unset and the gateway that asked reads the store itself.
+     * the nonce and the era are unset and the gateway that asked reads the store itself.
      * </pre>
      *
      * <code>bool known = 7;</code>
      * @return The known.
      */
     boolean getKnown();
+
+    /**
+     * <pre>
+     * Era of the store in which the sender has read the topic; 0 when it has not read it. The records and
+     * their offsets belong to this era.
+     * </pre>
+     *
+     * <code>uint64 era = 8;</code>
+     * @return The era.
+     */
+    long getEra();
   }
   /**
    * <pre>
@@ -5578,7 +5687,7 @@
     /**
      * <pre>
      * Whether the sender still holds the records from the requested offset on. When false, all fields but
-     * the nonce are unset and the gateway that asked reads the store itself.
+     * the nonce and the era are unset and the gateway that asked reads the store itself.
      * </pre>
      *
      * <code>bool known = 7;</code>
@@ -5589,6 +5698,22 @@
       return known_;
     }
 
+    public static final int ERA_FIELD_NUMBER = 8;
+    private long era_ = 0L;
+    /**
+     * <pre>
+     * Era of the store in which the sender has read the topic; 0 when it has not read it. The records and
+     * their offsets belong to this era.
+     * </pre>
+     *
+     * <code>uint64 era = 8;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5624,6 +5749,9 @@
       if (known_ != false) {
         output.writeBool(7, known_);
       }
+      if (era_ != 0L) {
+        output.writeUInt64(8, era_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -5661,6 +5789,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(7, known_);
       }
+      if (era_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, era_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -5690,6 +5822,8 @@
           != other.getSinceOutageMillis()) return false;
       if (getKnown()
           != other.getKnown()) return false;
+      if (getEra()
+          != other.getEra()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -5723,6 +5857,9 @@
       hash = (37 * hash) + KNOWN_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getKnown());
+      hash = (37 * hash) + ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEra());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -5871,6 +6008,7 @@
         ageMillis_ = 0L;
         sinceOutageMillis_ = 0L;
         known_ = false;
+        era_ = 0L;
         return this;
       }
 
@@ -5935,6 +6073,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.known_ = known_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.era_ = era_;
+        }
       }
 
       @java.lang.Override
@@ -5993,6 +6134,9 @@
         if (other.getKnown() != false) {
           setKnown(other.getKnown());
         }
+        if (other.getEra() != 0L) {
+          setEra(other.getEra());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6062,6 +6206,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                era_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6618,7 +6767,7 @@
       /**
        * <pre>
        * Whether the sender still holds the records from the requested offset on. When false, all fields but
-       * the nonce are unset and the gateway that asked reads the store itself.
+       * the nonce and the era are unset and the gateway that asked reads the store itself.
        * </pre>
        *
        * <code>bool known = 7;</code>
@@ -6631,7 +6780,7 @@
       /**
        * <pre>
        * Whether the sender still holds the records from the requested offset on. When false, all fields but
-       * the nonce are unset and the gateway that asked reads the store itself.
+       * the nonce and the era are unset and the gateway that asked reads the store itself.
        * </pre>
        *
        * <code>bool known = 7;</code>
@@ -6648,7 +6797,7 @@
       /**
        * <pre>
        * Whether the sender still holds the records from the requested offset on. When false, all fields but
-       * the nonce are unset and the gateway that asked reads the store itself.
+       * the nonce and the era are unset and the gateway that asked reads the store itself.
        * </pre>
        *
        * <code>bool known = 7;</code>
@@ -6661,6 +6810,53 @@
         return this;
       }
 
+      private long era_ ;
+      /**
+       * <pre>
+       * Era of the store in which the sender has read the topic; 0 when it has not read it. The records and
+       * their offsets belong to this era.
+       * </pre>
+       *
+       * <code>uint64 era = 8;</code>
+       * @return The era.
+       */
+      @java.lang.Override
+      public long getEra() {
+        return era_;
+      }
+      /**
+       * <pre>
+       * Era of the store in which the sender has read the topic; 0 when it has not read it. The records and
+       * their offsets belong to this era.
+       * </pre>
+       *
+       * <code>uint64 era = 8;</code>
+       * @param value The era to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEra(long value) {
+
+        era_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Era of the store in which the sender has read the topic; 0 when it has not read it. The records and
+       * their offsets belong to this era.
+       * </pre>
+       *
+       * <code>uint64 era = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEra() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        era_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicAnswer)
     }
 
@@ -19718,48 +19914,49 @@
       "\030.tanagerbank.peer.Origin\"2\n\016OriginQuest" +
       "ion\022\r\n\005nonce\030\001 \001(\006\022\021\n\tstream_id\030\002 \001(\t\"G\n" +
       "\014OriginAnswer\022\r\n\005nonce\030\001 \001(\006\022(\n\006origin\030\002" +
-      " \001(\0132\030.tanagerbank.peer.Origin\";\n\rTopicQ" +
+      " \001(\0132\030.tanagerbank.peer.Origin\"H\n\rTopicQ" +
       "uestion\022\r\n\005nonce\030\001 \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n" +
-      "\004from\030\003 \001(\004\"\250\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001" +
-      "(\006\022.\n\007records\030\002 \003(\0132\035.tanagerbank.peer.T" +
-      "opicRecord\022\014\n\004next\030\003 \001(\004\022\014\n\004more\030\004 \001(\010\022\022" +
-      "\n\nage_millis\030\005 \001(\004\022\033\n\023since_outage_milli" +
-      "s\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\"8\n\013TopicRecord\022\013\n" +
-      "\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010\n\006_value" +
-      "\"\364\002\n\006Digest\022)\n\006sender\030\001 \001(\0132\031.tanagerban" +
-      "k.peer.Address\022\016\n\006number\030\002 \001(\004\022\026\n\016config" +
-      "_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerba" +
-      "nk.peer.UpstreamWork\022/\n\nplacements\030\005 \003(\013" +
-      "2\033.tanagerbank.peer.Placement\022(\n\005peers\030\006" +
-      " \003(\0132\031.tanagerbank.peer.Address\022-\n\006cache" +
-      "s\030\007 \003(\0132\035.tanagerbank.peer.EngineCache\022+" +
-      "\n\010suspects\030\010 \003(\0132\031.tanagerbank.peer.Susp" +
-      "ect\0222\n\014trial_claims\030\t \003(\0132\034.tanagerbank." +
-      "peer.TrialClaim\"\274\001\n\007Suspect\022\023\n\013fingerpri" +
-      "nt\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tanagerbank." +
-      "peer.Crash\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025" +
-      "last_trial_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_las" +
-      "t_trial_age_millisJ\004\010\003\020\004R\024completed_age_" +
-      "millis\"\264\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 " +
-      "\001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(" +
-      "\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013c" +
-      "ompletions\030\007 \003(\0132\037.tanagerbank.peer.Comp" +
-      "letedRuns\022\022\n\ncompanions\030\010 \003(\006\"/\n\rComplet" +
-      "edRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D" +
-      "\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007run" +
-      "ning\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStoredSu" +
-      "spect\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank.pee" +
-      "r.Suspect\022\037\n\027written_at_epoch_millis\030\002 \001" +
-      "(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip" +
-      "\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(" +
-      "\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001 \001(\t\022\021" +
-      "\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006numbe" +
-      "r\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprompt_t" +
-      "okens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013part_to" +
-      "kens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I\n\013En" +
-      "gineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_i" +
-      "ds\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.tan" +
-      "agerbank.protoB\tPeerProtob\006proto3"
+      "\004from\030\003 \001(\004\022\013\n\003era\030\004 \001(\004\"\265\001\n\013TopicAnswer" +
+      "\022\r\n\005nonce\030\001 \001(\006\022.\n\007records\030\002 \003(\0132\035.tanag" +
+      "erbank.peer.TopicRecord\022\014\n\004next\030\003 \001(\004\022\014\n" +
+      "\004more\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\022\033\n\023since" +
+      "_outage_millis\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003e" +
+      "ra\030\010 \001(\004\"8\n\013TopicRecord\022\013\n\003key\030\001 \001(\t\022\022\n\005" +
+      "value\030\002 \001(\014H\000\210\001\001B\010\n\006_value\"\364\002\n\006Digest\022)\n" +
+      "\006sender\030\001 \001(\0132\031.tanagerbank.peer.Address" +
+      "\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version\030\003 \001(\004" +
+      "\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer.Upstre" +
+      "amWork\022/\n\nplacements\030\005 \003(\0132\033.tanagerbank" +
+      ".peer.Placement\022(\n\005peers\030\006 \003(\0132\031.tanager" +
+      "bank.peer.Address\022-\n\006caches\030\007 \003(\0132\035.tana" +
+      "gerbank.peer.EngineCache\022+\n\010suspects\030\010 \003" +
+      "(\0132\031.tanagerbank.peer.Suspect\0222\n\014trial_c" +
+      "laims\030\t \003(\0132\034.tanagerbank.peer.TrialClai" +
+      "m\"\274\001\n\007Suspect\022\023\n\013fingerprint\030\001 \001(\006\022(\n\007cr" +
+      "ashes\030\002 \003(\0132\027.tanagerbank.peer.Crash\022\030\n\020" +
+      "undecided_trials\030\004 \001(\r\022\"\n\025last_trial_age" +
+      "_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_last_trial_age_mi" +
+      "llisJ\004\010\003\020\004R\024completed_age_millis\"\264\001\n\005Cra" +
+      "sh\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010isolate" +
+      "d\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\022\020\n\010software\030" +
+      "\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013completions\030\007 \003" +
+      "(\0132\037.tanagerbank.peer.CompletedRuns\022\022\n\nc" +
+      "ompanions\030\010 \003(\006\"/\n\rCompletedRuns\022\020\n\010soft" +
+      "ware\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023" +
+      "\n\013fingerprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010" +
+      "upstream\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspe" +
+      "ct\030\001 \001(\0132\031.tanagerbank.peer.Suspect\022\037\n\027w" +
+      "ritten_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022" +
+      "\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port" +
+      "\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamW" +
+      "ork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 " +
+      "\001(\r\"\206\001\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013ups" +
+      "tream_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n" +
+      "\010part_ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016" +
+      "fetched_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013u" +
+      "pstream_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013pa" +
+      "rt_tokens\030\003 \003(\rB\"\n\025org.tanagerbank.proto" +
+      "B\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19800,13 +19997,13 @@
     internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicQuestion_descriptor,
-        new java.lang.String[] { "Nonce", "Topic", "From", });
+        new java.lang.String[] { "Nonce", "Topic", "From", "Era", });
     internal_static_tanagerbank_peer_TopicAnswer_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicAnswer_descriptor,
-        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", });
+        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", "Era", });
     internal_static_tanagerbank_peer_TopicRecord_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable = new
--- a/src/main/java/org/tanagerbank/store/FleetStore.java
+++ b/src/main/java/org/tanagerbank/store/FleetStore.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -20,6 +21,11 @@
   /** Returns a topic through which the instances of the fleet exchange records. */
   KeyedTopic fleetTopic(String name);
 
+  /**
+   * Sets the action that runs with the new era when the store has been restored from an older copy.
+   */
+  void setRestoredAction(LongConsumer action);
+
   /**
    * Decodes a record of the configuration topic. Returns nothing when the record is stored under
    * another key than the configuration, or removes it.
--- a/src/main/java/org/tanagerbank/store/KeyedTopic.java
+++ b/src/main/java/org/tanagerbank/store/KeyedTopic.java
@@ -12,13 +12,13 @@
   void readNewest(Consumer<ReadResult> callback);
 
   /**
-   * Reads records from an offset on.
+   * Reads records from a position on.
    *
-   * @param from the offset of the first record to read
+   * @param from the position before the first record to read
    * @param waitMillis the time in milliseconds that the store may wait for a record before it
    *     answers without records
    */
-  void read(long from, long waitMillis, Consumer<ReadResult> callback);
+  void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback);
 
   /** Appends a record. The callback gets whether the store confirmed the record. */
   void append(KeyedRecord record, Consumer<Boolean> callback);
--- a/src/main/java/org/tanagerbank/store/RecordHistory.java
+++ b/src/main/java/org/tanagerbank/store/RecordHistory.java
@@ -10,8 +10,8 @@
 /**
  * The latest records of a topic with their offsets, for instances that lack only a few records.
  *
- * <p>Contains all records from offset {@code first}, inclusive, to {@code next}, exclusive. Not
- * thread-safe.
+ * <p>Contains all records from offset {@code first}, inclusive, to {@code next}, exclusive, all of
+ * one era. Not thread-safe.
  */
 final class RecordHistory {
   /** More records than an instance misses between two of its questions. */
@@ -25,32 +25,32 @@
 
   private final Deque<KeyedRecord> records = new ArrayDeque<>();
   private long first;
-  private long next;
+  private TopicPosition next = new TopicPosition(0, 0);
 
   /**
    * Consecutive records of the history.
    *
    * @param records the records in the order of their offsets
-   * @param next the offset after the last of the records
+   * @param next the position after the last of the records
    * @param hasMore whether the history contains further records
    */
-  record Slice(ImmutableList<KeyedRecord> records, long next, boolean hasMore) {}
+  record Slice(ImmutableList<KeyedRecord> records, TopicPosition next, boolean hasMore) {}
 
-  /** Removes all records; the history then starts at an offset. */
-  void restart(long offset) {
+  /** Removes all records; the history then starts at a position. */
+  void restart(TopicPosition position) {
     records.clear();
-    first = offset;
-    next = offset;
+    first = position.offset();
+    next = position;
   }
 
   /**
    * Adds the records that were read from the end of the history on.
    *
    * @param added the records that could be decoded
-   * @param newNext the offset after the last record read
+   * @param newNext the position after the last record read, in the era of the history
    */
-  void add(ImmutableList<KeyedRecord> added, long newNext) {
-    boolean hasUnreadableRecords = newNext - next != added.size();
+  void add(ImmutableList<KeyedRecord> added, TopicPosition newNext) {
+    boolean hasUnreadableRecords = newNext.offset() - next.offset() != added.size();
     if (hasUnreadableRecords) {
       // Records that could not be decoded are missing, so the offsets of the others are unknown.
       restart(newNext);
@@ -65,17 +65,19 @@
   }
 
   /**
-   * Returns the records from an offset on, as many as fit one answer. Returns nothing when the
-   * history starts after the offset, or when the first record alone is too large for an answer.
+   * Returns the records from a position on, as many as fit one answer. Returns nothing when the
+   * position is of another era or not within the history, or when the first record alone is too
+   * large for an answer.
    */
-  Optional<Slice> since(long from) {
-    if (from < first) {
+  Optional<Slice> since(TopicPosition from) {
+    boolean isWithin =
+        from.era() == next.era() && from.offset() >= first && from.offset() <= next.offset();
+    if (!isWithin) {
       return Optional.empty();
     }
     ImmutableList.Builder<KeyedRecord> slice = ImmutableList.builder();
-    long end = from;
     int bytes = 0;
-    for (KeyedRecord keyed : Iterables.skip(records, Ints.saturatedCast(from - first))) {
+    for (KeyedRecord keyed : Iterables.skip(records, Ints.saturatedCast(from.offset() - first))) {
       bytes +=
           keyed.key().length()
               + keyed.value().map(v -> v.length).orElse(0)
@@ -84,11 +86,12 @@
         break;
       }
       slice.add(keyed);
-      end++;
     }
-    boolean isFirstTooLarge = end == from && end < next;
-    return isFirstTooLarge
+    ImmutableList<KeyedRecord> fitting = slice.build();
+    TopicPosition end = from.plus(fitting.size());
+    boolean hasMore = next.isAfter(end);
+    return hasMore && fitting.isEmpty()
         ? Optional.empty()
-        : Optional.of(new Slice(slice.build(), end, end < next));
+        : Optional.of(new Slice(fitting, end, hasMore));
   }
 }
--- a/src/main/java/org/tanagerbank/store/RecordRelay.java
+++ b/src/main/java/org/tanagerbank/store/RecordRelay.java
@@ -18,10 +18,10 @@
   RecordRelay NONE = (from, respondents, callback) -> callback.accept(Optional.empty());
 
   /**
-   * Requests the records from an offset on.
+   * Requests the records from a position on.
    *
    * @param callback called once, with nothing when no other instance could provide the records
    */
   void requestRecords(
-      long from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback);
+      TopicPosition from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback);
 }
--- a/src/main/java/org/tanagerbank/store/RelayedRecords.java
+++ b/src/main/java/org/tanagerbank/store/RelayedRecords.java
@@ -5,8 +5,9 @@
 /**
  * Records of a topic that another instance has read. Immutable.
  *
- * @param records the records from the requested offset on, in the order in which they were written
- * @param next the offset after the last of the records
+ * @param records the records from the requested position on, in the order in which they were
+ *     written
+ * @param next the position after the last of the records
  * @param hasMore whether the other instance has further records
  * @param ageMillis the time in milliseconds since the other instance was known to have read all
  *     records of the topic
@@ -15,7 +16,7 @@
  */
 public record RelayedRecords(
     ImmutableList<KeyedRecord> records,
-    long next,
+    TopicPosition next,
     boolean hasMore,
     long ageMillis,
     long sinceOutageMillis) {}
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tanagerbank.store.ReadResult.Records;
+import org.tanagerbank.store.ReadResult.Restored;
 import org.tanagerbank.store.ReadResult.Unavailable;
 import org.tanagerbank.store.RecordRelay.Respondents;
 
@@ -17,9 +18,11 @@
  * growing delay while the store does not answer. The store may refuse one instance and serve the
  * others, so a follower whose own reads fail asks any instance. The time up to which the records
  * are reported as complete never exceeds what an answer of the store proves, whichever instance got
- * the answer. Confined to one thread.
+ * the answer. A position belongs to one era of the store: after a restore the newest record of each
+ * key is read again, and records of other instances count only in the same era. Confined to one
+ * thread.
  */
-public final class TopicFollower {
+public final class TopicFollower implements TopicSource {
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
   private static final long MAX_RETRY_DELAY_MILLIS = 400;
 
@@ -61,7 +64,7 @@
   private final long readDelayMillis;
   private final long waitMillis;
   private final RecordHistory history = new RecordHistory();
-  private long nextOffset = -1;
+  private Optional<TopicPosition> position = Optional.empty();
   private long currentAsOf;
   private long regainedAtMillis = Long.MIN_VALUE / 2;
   private boolean isStoreLost;
@@ -134,24 +137,26 @@
    * an outage of the store, when only retries call the store.
    */
   public void refresh() {
-    if (isRefreshing || isStoreLost || nextOffset < 0) {
+    if (isRefreshing || isStoreLost || position.isEmpty()) {
       return;
     }
     isRefreshing = true;
     if (doOwnReadsFail) {
       readNext();
     } else {
-      read(0);
+      read(position.get(), 0);
     }
   }
 
-  /**
-   * Returns the records from an offset on, for other instances. Returns nothing before the first
-   * snapshot, or when this instance does not have all of these records.
-   */
-  public Optional<RelayedRecords> recordsFrom(long from) {
+  @Override
+  public Optional<TopicPosition> position() {
+    return position;
+  }
+
+  @Override
+  public Optional<RelayedRecords> recordsFrom(TopicPosition from) {
     long now = clockMillis.getAsLong();
-    return nextOffset < 0
+    return position.isEmpty()
         ? Optional.empty()
         : history
             .since(from)
@@ -165,6 +170,14 @@
                         now - regainedAtMillis));
   }
 
+  @Override
+  public void onPeerEra(long era) {
+    // Only the store's own answer proves a restore. A wrong era of an instance costs a read.
+    if (position.filter(p -> p.era() < era).isPresent()) {
+      refresh();
+    }
+  }
+
   /**
    * Repeats a read that the store did not answer without waiting for its retry. Called when the
    * store has answered another call.
@@ -182,19 +195,21 @@
     }
     int callNumber = ++lastCallNumber;
     long askedAt = clockMillis.getAsLong();
-    if (nextOffset >= 0) {
-      relay.requestRecords(
-          nextOffset,
-          doOwnReadsFail ? Respondents.ALL : Respondents.READERS,
-          answer -> ifLatest(callNumber, () -> onRelayedRecords(answer, askedAt)));
-    } else {
+    if (position.isEmpty()) {
       topic.readNewest(result -> ifLatest(callNumber, () -> onSnapshot(result, askedAt)));
+      return;
     }
+    TopicPosition from = position.get();
+    relay.requestRecords(
+        from,
+        doOwnReadsFail ? Respondents.ALL : Respondents.READERS,
+        answer -> ifLatest(callNumber, () -> onRelayedRecords(answer, from, askedAt)));
   }
 
-  private void onRelayedRecords(Optional<RelayedRecords> answer, long askedAt) {
+  private void onRelayedRecords(Optional<RelayedRecords> answer, TopicPosition from, long askedAt) {
     Optional<RelayedRecords> fresh =
-        answer.filter(a -> a.ageMillis() <= waitMillis * MAX_RELAY_AGE_WAITS);
+        answer.filter(
+            a -> a.next().era() == from.era() && a.ageMillis() <= waitMillis * MAX_RELAY_AGE_WAITS);
     if (fresh.isEmpty() && doOwnReadsFail && ++staleAnswers < MAX_STALE_ANSWERS) {
       readNext();
       return;
@@ -202,26 +217,26 @@
     staleAnswers = 0;
     if (fresh.isEmpty()) {
       // During an outage the read does not wait, because any answer proves that the store is back.
-      read(isStoreLost ? 0 : waitMillis);
+      read(from, isStoreLost ? 0 : waitMillis);
       return;
     }
     RelayedRecords page = fresh.get();
     recordStoreAnswered();
     recordRelayedOutage(page.sinceOutageMillis());
-    deliver(page.records(), page.next());
+    deliver(page.records(), from, page.next());
     if (!page.hasMore()) {
       reportCurrentAsOf(askedAt - page.ageMillis());
     }
     readLater(page.hasMore() ? 0 : RELAY_DELAY_MILLIS);
-    probeStore();
+    probeStore(page.next());
   }
 
   /** Reads the store beside the questions to others, to find out whether it answers again. */
-  private void probeStore() {
+  private void probeStore(TopicPosition from) {
     long now = clockMillis.getAsLong();
     if (doOwnReadsFail && now - lastProbeMillis >= PROBE_INTERVAL_MILLIS) {
       lastProbeMillis = now;
-      topic.read(nextOffset, 0, result -> doOwnReadsFail &= result instanceof Unavailable);
+      topic.read(from, 0, result -> doOwnReadsFail &= result instanceof Unavailable);
     }
   }
 
@@ -241,10 +256,11 @@
    * Passes records to the listener, unless they are known already because the instance that sent
    * them has read less.
    */
-  private void deliver(ImmutableList<KeyedRecord> records, long newNext) {
-    if (newNext > nextOffset) {
+  private void deliver(
+      ImmutableList<KeyedRecord> records, TopicPosition from, TopicPosition newNext) {
+    if (newNext.isAfter(from)) {
       history.add(records, newNext);
-      nextOffset = newNext;
+      position = Optional.of(newNext);
       if (!records.isEmpty()) {
         listener.onRecords(records);
       }
@@ -256,12 +272,12 @@
     listener.onCurrentAsOf(atMillis);
   }
 
-  private void read(long wait) {
+  private void read(TopicPosition from, long wait) {
     if (!isStopped) {
       int callNumber = ++lastCallNumber;
       long sentAt = clockMillis.getAsLong();
       topic.read(
-          nextOffset, wait, result -> ifLatest(callNumber, () -> onRead(result, sentAt, wait)));
+          from, wait, result -> ifLatest(callNumber, () -> onRead(result, from, sentAt, wait)));
     }
   }
 
@@ -288,8 +304,8 @@
     if (result instanceof Records page) {
       doOwnReadsFail = false;
       recordStoreAnswered();
-      nextOffset = page.next();
-      history.restart(nextOffset);
+      position = Optional.of(page.next());
+      history.restart(page.next());
       listener.onSnapshot(page.records());
       reportCurrentAsOf(sentAt);
       readLater(readDelayMillis);
@@ -298,7 +314,7 @@
     }
   }
 
-  private void onRead(ReadResult result, long sentAt, long wait) {
+  private void onRead(ReadResult result, TopicPosition from, long sentAt, long wait) {
     if (result instanceof Unavailable) {
       retry(result);
       return;
@@ -307,13 +323,17 @@
     if (clockMillis.getAsLong() - sentAt > wait + LATE_ANSWER_MILLIS) {
       recordStoreLost("late answer");
     }
+    if (result instanceof Restored) {
+      // Entries that the copy lacks are as doubtful as those that expired in an outage.
+      recordStoreLost("restored from an older copy");
+    }
     recordStoreAnswered();
     if (!(result instanceof Records page)) {
-      nextOffset = -1;
+      position = Optional.empty();
       readNext();
       return;
     }
-    deliver(page.records(), page.next());
+    deliver(page.records(), from, page.next());
     if (!page.records().isEmpty()) {
       reportCurrentAsOf(sentAt);
       readLater(readDelayMillis);
--- a/src/test/java/org/tanagerbank/gateway/MemoryStore.java
+++ b/src/test/java/org/tanagerbank/gateway/MemoryStore.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.KeyedRecord;
@@ -13,6 +14,7 @@
 import org.tanagerbank.store.ReadResult;
 import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.UpstreamReport;
 
 /** An in-memory store with one configuration and a fixed set of upstreams. Thread-safe. */
@@ -47,14 +49,16 @@
     }
 
     @Override
-    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
+    public void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback) {
       deliver(ImmutableList.of(), waitMillis, callback);
     }
 
     private void deliver(
         ImmutableList<KeyedRecord> page, long delayMillis, Consumer<ReadResult> callback) {
       ReadResult result =
-          isUnavailable ? new Unavailable("store unavailable") : new Records(page, records.size());
+          isUnavailable
+              ? new Unavailable("store unavailable")
+              : new Records(page, new TopicPosition(0, records.size()));
       var unused = loop.schedule(() -> callback.accept(result), delayMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -82,6 +86,9 @@
     return new Topic(ImmutableList.of());
   }
 
+  @Override
+  public void setRestoredAction(LongConsumer action) {}
+
   @Override
   public Optional<RoutingConfig> decodeConfig(KeyedRecord keyedRecord) {
     return Optional.of(config);
--- a/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
+++ b/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
@@ -20,6 +20,7 @@
 import org.tanagerbank.store.ReadResult;
 import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.TopicPosition;
 
 /** Guards against a fleet that forgets at its restart which requests crash upstreams. */
 final class SuspectStoreTest {
@@ -38,11 +39,13 @@
       ImmutableList.Builder<KeyedRecord> records = ImmutableList.builder();
       values.forEach((k, v) -> records.add(new KeyedRecord(k, Optional.of(v))));
       callback.accept(
-          isAvailable ? new Records(records.build(), values.size()) : new Unavailable("down"));
+          isAvailable
+              ? new Records(records.build(), new TopicPosition(0, values.size()))
+              : new Unavailable("down"));
     }
 
     @Override
-    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
+    public void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback) {
       throw new UnsupportedOperationException();
     }
 
@@ -100,6 +103,24 @@
     assertThat(restarted.restrictedSuspects()).hasSize(1);
   }
 
+  /** A fleet that starts again after a restore of the store would otherwise forget the suspect. */
+  @Test
+  void suspectIsWrittenAgainAfterTheStoreWasRestored() {
+    CrashGuard guard = guard("a");
+    guard.mergeSuspects(ImmutableList.of(suspect(4)));
+    SuspectStore store =
+        new SuspectStore(topic, guard, "a", () -> ImmutableSet.of("a"), () -> nowMillis);
+    store.saveChanges();
+    topic.values.clear();
+    store.saveChanges();
+    assertThat(topic.values).isEmpty();
+    store.onStoreRestored();
+    store.saveChanges();
+    store.saveChanges();
+    assertThat(topic.values).hasSize(1);
+    assertThat(topic.appends).isEqualTo(2);
+  }
+
   @Test
   void writeAndReadAreRepeatedWhileTheStoreIsAway() {
     topic.isAvailable = false;
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -26,6 +26,7 @@
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.RelayedRecords;
+import org.tanagerbank.store.TopicPosition;
 
 /**
  * Guards against outdated state of other instances. UDP delivers digests late, twice or not at all,
@@ -76,13 +77,17 @@
 
   @Test
   void decodedQuestionAndAnswerEqualTheEncodedOnes() throws InvalidProtocolBufferException {
-    TopicQuestion question = new TopicQuestion(-3, "upstreams", 12);
+    TopicQuestion question = new TopicQuestion(-3, "upstreams", new TopicPosition(2, 12));
     assertThat(MessageCodec.decode(MessageCodec.encode(question))).isEqualTo(question);
-    TopicAnswer unknown = new TopicAnswer(7, Optional.empty());
+    TopicAnswer unknown = new TopicAnswer(7, 2, Optional.empty());
     assertThat(MessageCodec.decode(MessageCodec.encode(unknown))).isEqualTo(unknown);
     ImmutableList<KeyedRecord> removed = ImmutableList.of(new KeyedRecord("i-1", Optional.empty()));
     TopicAnswer known =
-        new TopicAnswer(8, Optional.of(new RelayedRecords(removed, 13, true, 40, Long.MAX_VALUE)));
+        new TopicAnswer(
+            8,
+            2,
+            Optional.of(
+                new RelayedRecords(removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE)));
     assertThat(MessageCodec.decode(MessageCodec.encode(known))).isEqualTo(known);
   }
 
--- a/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
+++ b/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
@@ -13,12 +13,15 @@
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.store.RecordRelay.Respondents;
 import org.tanagerbank.store.RelayedRecords;
+import org.tanagerbank.store.TopicPosition;
 
 /**
  * Guards against callers that never get a result because a question or its answer was lost, and
  * against too many instances that read the store themselves.
  */
 final class TopicRelayTest {
+  private static final TopicPosition FROM = new TopicPosition(/* era= */ 1, 3);
+
   private final List<PeerMessage> sent = new ArrayList<>();
   private final List<Runnable> scheduled = new ArrayList<>();
   private final List<Optional<RelayedRecords>> results = new ArrayList<>();
@@ -90,7 +93,7 @@
 
   @Test
   void readerSendsNoQuestion() {
-    relay(fleet(1), "gw-0").relayFor("t").requestRecords(3, Respondents.READERS, results::add);
+    relay(fleet(1), "gw-0").relayFor("t").requestRecords(FROM, Respondents.READERS, results::add);
     assertThat(results).containsExactly(Optional.empty());
     assertThat(sent).isEmpty();
   }
@@ -100,7 +103,7 @@
     ImmutableList<PeerAddress> fleet = fleet(8);
     relay(fleet, nonReader(fleet))
         .relayFor("t")
-        .requestRecords(3, Respondents.READERS, results::add);
+        .requestRecords(FROM, Respondents.READERS, results::add);
     scheduled.remove(0).run();
     assertThat(results).isEmpty();
     assertThat(sent).hasSize(2);
@@ -112,11 +115,11 @@
   void repeatedAnswerIsIgnored() {
     ImmutableList<PeerAddress> fleet = fleet(8);
     TopicRelay relay = relay(fleet, nonReader(fleet));
-    relay.relayFor("t").requestRecords(3, Respondents.READERS, results::add);
+    relay.relayFor("t").requestRecords(FROM, Respondents.READERS, results::add);
     TopicQuestion question = (TopicQuestion) sent.get(0);
-    RelayedRecords records = new RelayedRecords(ImmutableList.of(), 3, false, 10, 1_000);
-    relay.onAnswer(new TopicAnswer(question.nonce(), Optional.of(records)));
-    relay.onAnswer(new TopicAnswer(question.nonce(), Optional.of(records)));
+    RelayedRecords records = new RelayedRecords(ImmutableList.of(), FROM, false, 10, 1_000);
+    relay.onAnswer(new TopicAnswer(question.nonce(), 1, Optional.of(records)));
+    relay.onAnswer(new TopicAnswer(question.nonce(), 1, Optional.of(records)));
     scheduled.remove(0).run();
     assertThat(results).containsExactly(Optional.of(records));
     assertThat(sent).hasSize(1);
@@ -125,7 +128,7 @@
   @Test
   void unknownTopicIsAnsweredWithNothing() {
     TopicRelay relay = relay(fleet(2), "gw-0");
-    relay.onQuestion(new InetSocketAddress("10.0.0.1", 7_001), new TopicQuestion(5, "other", 0));
-    assertThat(sent).containsExactly(new TopicAnswer(5, Optional.empty()));
+    relay.onQuestion(new InetSocketAddress("10.0.0.1", 7_001), new TopicQuestion(5, "other", FROM));
+    assertThat(sent).containsExactly(new TopicAnswer(5, 0, Optional.empty()));
   }
 }
--- a/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
+++ b/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
@@ -29,6 +29,7 @@
 import org.tanagerbank.store.ReadResult;
 import org.tanagerbank.store.ReadResult.Records;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.ConnectionPool;
 
 /**
@@ -38,6 +39,7 @@
 @Timeout(60)
 final class BrokenOffAnswerTest {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+  private static final TopicPosition FROM = new TopicPosition(/* era= */ 0, 2);
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final ExecutorService executor = Executors.newCachedThreadPool();
@@ -110,15 +112,15 @@
   void readWithoutItsRecordsProvesNothing() {
     answer(ByteBuffer.allocate(16).putLong(3).putLong(0).array());
     KeyedTopic topic = topic();
-    assertThat(this.<ReadResult>await(c -> topic.read(2, 0, c))).isInstanceOf(Unavailable.class);
+    assertThat(this.<ReadResult>await(c -> topic.read(FROM, 0, c))).isInstanceOf(Unavailable.class);
   }
 
   @Test
   void wholeReadIsUsed() {
     answer(ByteBuffer.allocate(16).putLong(2).putLong(0).array());
     KeyedTopic topic = topic();
-    ReadResult read = this.<ReadResult>await(c -> topic.read(2, 0, c));
-    assertThat(((Records) read).next()).isEqualTo(2);
+    ReadResult read = this.<ReadResult>await(c -> topic.read(FROM, 0, c));
+    assertThat(((Records) read).next()).isEqualTo(FROM);
   }
 
   @ParameterizedTest
--- a/src/test/java/org/tanagerbank/platform/FakeStore.java
+++ b/src/test/java/org/tanagerbank/platform/FakeStore.java
@@ -23,7 +23,8 @@
 /**
  * A fake of the platform's store for tests: keyed topics with one partition each. Thread-safe.
  *
- * <p>{@link #setStatus} makes all calls fail, and {@link #trim} deletes old records.
+ * <p>{@link #setStatus} makes all calls fail, {@link #trim} deletes old records, and {@link
+ * #restore} goes back to an earlier copy of all topics.
  */
 public final class FakeStore implements AutoCloseable {
   private static final int STATUS_OK = 200;
@@ -36,6 +37,7 @@
   private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
   private int status = STATUS_OK;
   private long first;
+  private long era = 1;
   private Runnable afterPage = () -> {};
 
   /** Starts a fake store that listens on a free port. */
@@ -70,6 +72,29 @@
     first = offset;
   }
 
+  /** The records of all topics at one time. Immutable. */
+  public record Copy(Map<String, List<KeyedRecord>> topics) {}
+
+  /** Returns a copy to which the store can go back. */
+  public synchronized Copy copy() {
+    Map<String, List<KeyedRecord>> copied = new HashMap<>();
+    topics.forEach((topic, records) -> copied.put(topic, List.copyOf(records)));
+    return new Copy(copied);
+  }
+
+  /** Goes back to a copy, in a new era. What was written since is lost; offsets go back. */
+  public synchronized void restore(Copy copy) {
+    topics.clear();
+    copy.topics().forEach((topic, records) -> topics.put(topic, new ArrayList<>(records)));
+    era++;
+    notifyAll();
+  }
+
+  /** Makes the store name another era in its answers. */
+  synchronized void setEra(long value) {
+    era = value;
+  }
+
   /** Sets an action that runs once, after the next page of newest records was read. */
   public synchronized void afterNextPage(Runnable action) {
     afterPage = action;
@@ -88,6 +113,7 @@
       Reply reply = call.handle(query(exchange.getRequestURI().getRawQuery()), body);
       synchronized (this) {
         reply = status == STATUS_OK ? reply : new Reply(status, new byte[0]);
+        exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
       }
       exchange.sendResponseHeaders(
           reply.status(), reply.body().length == 0 ? -1 : reply.body().length);
@@ -134,14 +160,21 @@
   private synchronized Reply read(Map<String, String> query, byte[] body)
       throws IOException, InterruptedException {
     long from = Long.parseLong(query.get("from"));
-    if (from < first) {
+    if (from < first || from > end(query)) {
       return new Reply(STATUS_GONE, MAPPER.writeValueAsBytes(Map.of("first", first)));
     }
     long until = System.nanoTime() + Long.parseLong(query.get("wait-ms")) * 1_000_000;
-    List<KeyedRecord> records = topics.computeIfAbsent(query.get("topic"), t -> new ArrayList<>());
-    while (records.size() <= from && status == STATUS_OK && System.nanoTime() < until) {
+    long askedIn = era;
+    while (end(query) <= from
+        && era == askedIn
+        && status == STATUS_OK
+        && System.nanoTime() < until) {
       wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
     }
+    if (from > end(query)) {
+      return new Reply(STATUS_GONE, MAPPER.writeValueAsBytes(Map.of("first", first)));
+    }
+    List<KeyedRecord> records = topics.getOrDefault(query.get("topic"), List.of());
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     DataOutputStream out = new DataOutputStream(bytes);
     out.writeLong(records.size());
@@ -153,6 +186,10 @@
     return new Reply(STATUS_OK, bytes.toByteArray());
   }
 
+  private long end(Map<String, String> query) {
+    return topics.getOrDefault(query.get("topic"), List.of()).size();
+  }
+
   private synchronized Reply append(Map<String, String> query, byte[] body) throws IOException {
     for (Optional<KeyedRecord> entry : RecordCodec.decode(ByteBuffer.wrap(body))) {
       put(query.get("topic"), entry.get().key(), entry.get().value());
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -17,8 +17,10 @@
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
 import org.tanagerbank.store.ReadResult.Records;
+import org.tanagerbank.store.ReadResult.Restored;
 import org.tanagerbank.store.ReadResult.Trimmed;
 import org.tanagerbank.store.ReadResult.Unavailable;
+import org.tanagerbank.store.TopicPosition;
 
 /**
  * Guards against misread answers of the store: pages, removals, deleted records and error statuses.
@@ -53,6 +55,10 @@
     store.put("keyed.t", key, Optional.of(value.getBytes(UTF_8)));
   }
 
+  private static TopicPosition position(long offset) {
+    return new TopicPosition(/* era= */ 1, offset);
+  }
+
   private static String text(ReadResult result) {
     return ((Records) result)
         .records().stream()
@@ -68,7 +74,7 @@
     }
     ReadResult result = await(topic::readNewest);
     assertThat(text(result)).isEqualTo("k0=v0 k1=v1 k2=v2 k3=v3 k4=v4");
-    assertThat(((Records) result).next()).isEqualTo(10);
+    assertThat(((Records) result).next()).isEqualTo(position(10));
   }
 
   /** Guards against an upstream that left while a gateway started and stays in use there. */
@@ -94,19 +100,39 @@
     put("a", "1");
     store.put("keyed.t", "a", Optional.empty());
     put("b", "2");
-    ReadResult result = await(callback -> topic.read(1, 0, callback));
+    ReadResult result = await(callback -> topic.read(position(1), 0, callback));
     assertThat(text(result)).isEqualTo("a=- b=2");
-    assertThat(((Records) result).next()).isEqualTo(3);
+    assertThat(((Records) result).next()).isEqualTo(position(3));
   }
 
   @Test
   void readOfDeletedRecordsIsReportedAsTrimmed() {
     put("a", "1");
     store.trim(1);
-    assertThat(this.<ReadResult>await(callback -> topic.read(0, 0, callback)))
+    assertThat(this.<ReadResult>await(callback -> topic.read(position(0), 0, callback)))
         .isInstanceOf(Trimmed.class);
   }
 
+  /** What such an answer says was lost in the restore, so it would undo what was read since. */
+  @Test
+  void answerFromBeforeARestoreIsNotUsed() {
+    put("a", "1");
+    store.setEra(2);
+    assertThat(this.<ReadResult>await(topic::readNewest)).isInstanceOf(Records.class);
+    store.setEra(1);
+    assertThat(this.<ReadResult>await(topic::readNewest)).isInstanceOf(Unavailable.class);
+    assertThat(this.<ReadResult>await(c -> topic.read(position(1), 0, c)))
+        .isInstanceOf(Unavailable.class);
+  }
+
+  @Test
+  void positionOfAnEarlierEraIsNotRead() {
+    put("a", "1");
+    store.restore(store.copy());
+    assertThat(this.<ReadResult>await(c -> topic.read(position(0), 0, c)))
+        .isEqualTo(new Restored(2));
+  }
+
   @Test
   void errorStatusIsReportedAsUnavailable() {
     store.setStatus(503);
--- a/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.store.ReadResult.Records;
+import org.tanagerbank.store.ReadResult.Restored;
 import org.tanagerbank.store.ReadResult.Trimmed;
 import org.tanagerbank.store.ReadResult.Unavailable;
 import org.tanagerbank.store.RecordRelay.Respondents;
@@ -23,6 +24,7 @@
   private static final long READ_DELAY_MILLIS = 100;
   private static final long WAIT_MILLIS = 1_000;
   private static final long LONG_AGO_MILLIS = 1_000_000;
+  private static final long ERA = 4;
 
   private final List<String> calls = new ArrayList<>();
   private final List<Consumer<ReadResult>> answers = new ArrayList<>();
@@ -43,8 +45,8 @@
     }
 
     @Override
-    public void read(long from, long waitMillis, Consumer<ReadResult> callback) {
-      calls.add("read " + from + " wait " + waitMillis);
+    public void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback) {
+      calls.add("read " + from.offset() + " wait " + waitMillis);
       answers.add(callback);
     }
 
@@ -96,7 +98,7 @@
   }
 
   private void requestRecords(
-      long from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback) {
+      TopicPosition from, Respondents respondents, Consumer<Optional<RelayedRecords>> callback) {
     if (respondents == Respondents.READERS) {
       callback.accept(relayed);
     } else {
@@ -107,7 +109,12 @@
 
   private static Optional<RelayedRecords> fresh(long next) {
     return Optional.of(
-        new RelayedRecords(ImmutableList.of(), next, false, /* ageMillis= */ 50, LONG_AGO_MILLIS));
+        new RelayedRecords(
+            ImmutableList.of(), at(next), false, /* ageMillis= */ 50, LONG_AGO_MILLIS));
+  }
+
+  private static TopicPosition at(long offset) {
+    return new TopicPosition(ERA, offset);
   }
 
   private void answer(int call, ReadResult result) {
@@ -125,7 +132,7 @@
     for (int i = 0; i < count; i++) {
       list.add(new KeyedRecord("k" + i, Optional.of(new byte[] {1})));
     }
-    return new Records(list.build(), next);
+    return new Records(list.build(), at(next));
   }
 
   private void snapshotRead() {
@@ -265,7 +272,7 @@
   }
 
   private static RelayedRecords relayed(int count, long next, long age, long sinceOutage) {
-    return new RelayedRecords(records(count, next).records(), next, false, age, sinceOutage);
+    return new RelayedRecords(records(count, next).records(), at(next), false, age, sinceOutage);
   }
 
   /**
@@ -345,19 +352,55 @@
     assertThat(events).containsAtLeast("lost late answer", "regained", "records 1").inOrder();
   }
 
+  /** Records of another era have offsets that name other records here. */
+  @Test
+  void recordsOfAnotherEraAreIgnored() {
+    relayed =
+        Optional.of(
+            new RelayedRecords(
+                records(1, 8).records(), new TopicPosition(ERA - 1, 8), false, 50, 50));
+    snapshotRead();
+    assertThat(calls).containsExactly("newest", "read 7 wait 1000").inOrder();
+    assertThat(events).hasSize(2);
+  }
+
+  /** Upstreams that the older copy lacks would otherwise count as gone at once. */
+  @Test
+  void restoreIsReportedAsAnOutageBeforeTheNewSnapshot() {
+    snapshotRead();
+    answer(1, new Restored(ERA + 1));
+    assertThat(calls.get(2)).isEqualTo("newest");
+    answer(2, records(1, 3));
+    assertThat(events.subList(2, 5))
+        .containsExactly("lost restored from an older copy", "regained", "snapshot 1")
+        .inOrder();
+  }
+
+  /** Between its reads an instance learns of a restore from others, not only after its wait. */
+  @Test
+  void newerEraOfAnotherInstanceCausesAReadWithoutWait() {
+    snapshotRead();
+    follower.onPeerEra(ERA);
+    assertThat(calls).hasSize(2);
+    follower.onPeerEra(ERA + 1);
+    assertThat(calls.get(2)).isEqualTo("read 7 wait 0");
+  }
+
   @Test
   void providesItsRecordsAndTheirAgeToOthers() {
-    assertThat(follower.recordsFrom(7)).isEmpty();
+    assertThat(follower.recordsFrom(at(7))).isEmpty();
     snapshotRead();
     now = 50;
     answer(1, records(3, 10));
     now = 200;
-    RelayedRecords known = follower.recordsFrom(8).orElseThrow();
+    RelayedRecords known = follower.recordsFrom(at(8)).orElseThrow();
     assertThat(known.records()).hasSize(2);
-    assertThat(known.next()).isEqualTo(10);
+    assertThat(known.next()).isEqualTo(at(10));
     assertThat(known.ageMillis()).isEqualTo(200);
-    assertThat(follower.recordsFrom(6)).isEmpty();
-    assertThat(follower.recordsFrom(11).orElseThrow().records()).isEmpty();
+    assertThat(follower.recordsFrom(at(6))).isEmpty();
+    assertThat(follower.recordsFrom(at(10)).orElseThrow().records()).isEmpty();
+    assertThat(follower.recordsFrom(at(11))).isEmpty();
+    assertThat(follower.recordsFrom(new TopicPosition(ERA + 1, 8))).isEmpty();
   }
 
   /** A datagram that networks fragment is lost when any of its fragments is lost. */
@@ -365,13 +408,13 @@
   void providesNoMoreRecordsThanFitOneDatagram() {
     snapshotRead();
     answer(1, records(150, 157));
-    RelayedRecords known = follower.recordsFrom(7).orElseThrow();
+    RelayedRecords known = follower.recordsFrom(at(7)).orElseThrow();
     assertThat(known.hasMore()).isTrue();
     assertThat(known.records().size()).isLessThan(150);
-    assertThat(known.next()).isEqualTo(7 + known.records().size());
+    assertThat(known.next()).isEqualTo(at(7 + known.records().size()));
     KeyedRecord large = new KeyedRecord("large", Optional.of(new byte[5_000]));
     runScheduled();
-    answer(2, new Records(ImmutableList.of(large), 158));
-    assertThat(follower.recordsFrom(157)).isEmpty();
+    answer(2, new Records(ImmutableList.of(large), at(158)));
+    assertThat(follower.recordsFrom(at(157))).isEmpty();
   }
 }
