--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -143,11 +143,12 @@
   }
 
   @Override
-  public void onPeerSuspects(
-      String instanceId,
-      ImmutableList<SuspectRecord> suspects,
-      ImmutableList<TrialClaim> trialClaims) {
+  public void onPeerSuspects(ImmutableList<SuspectRecord> suspects) {
     crashGuard.mergeSuspects(suspects);
+  }
+
+  @Override
+  public void onPeerTrialClaims(String instanceId, ImmutableList<TrialClaim> trialClaims) {
     crashGuard.setPeerClaims(instanceId, trialClaims);
   }
 
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -31,7 +31,6 @@
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.Scheduler;
 import org.tanagerbank.store.TopicFollower;
-import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.EngineInspector;
 import org.tanagerbank.upstream.HeaderCodec;
@@ -168,7 +167,9 @@
     metricsServer =
         settings.metricsAddress().map(a -> createServer(a, this::answerMetrics, status -> {}));
     store.setRestoredAction(this::onStoreRestored);
-    addGauges();
+    metrics.addStoreGauges(configState, configFollower, storeClockMillis);
+    metrics.addPeerGauges(peers);
+    metrics.addDispatchGauges(dispatcher, callerServer::requestsInFlight);
   }
 
   private DispatchRuntime createRuntime() {
@@ -188,40 +189,6 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
-  private void addGauges() {
-    metrics.addGauge(
-        "config_age_seconds",
-        "Time since the configuration was last known to be the newest.",
-        () -> configState.ageMillis(storeClockMillis.getAsLong()) / 1_000.0);
-    metrics.addGauge(
-        "config_version",
-        "Version of the configuration in force.",
-        () -> configState.config().map(RoutingConfig::version).orElse(0L));
-    metrics.addGauge(
-        "store_era",
-        "Era of the store in which the configuration was read, which grows with each restore.",
-        () -> configFollower.position().map(TopicPosition::era).orElse(0L));
-    metrics.addGauge("peers", "Other gateways that are heard of.", () -> peers.livePeers().size());
-    metrics.addGauge(
-        "engines",
-        "Engines that the gateway knows.",
-        () -> dispatcher.sharedUpstreamState().engineIds().size());
-    metrics.addGauge(
-        "paused_upstreams",
-        "Upstreams that have asked this gateway for a pause that is not over.",
-        () -> dispatcher.sharedUpstreamState().pausedUpstreams());
-    metrics.addGauge(
-        "limited_upstreams",
-        "Upstreams that have named a limit on the requests that they take.",
-        () -> dispatcher.sharedUpstreamState().limitedUpstreams());
-    metrics.addGauge(
-        "restricted_requests",
-        "Requests and parts of prompts that crashed upstreams and may not run freely.",
-        () -> dispatcher.crashGuard().restrictedSuspects().size());
-    metrics.addGauge(
-        "requests_in_flight", "Requests being handled.", callerServer::requestsInFlight);
-  }
-
   private PeerService createPeerService(FleetStore store, PeerAddress self) {
     return PeerService.create(
         loop,
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -5,8 +5,17 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.DispatchObserver;
+import org.tanagerbank.dispatch.Dispatcher;
+import org.tanagerbank.dispatch.SharedUpstreamState;
 import org.tanagerbank.events.MetricsText;
+import org.tanagerbank.peer.PeerService;
+import org.tanagerbank.peer.PeerTraffic;
+import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.store.TopicPosition;
+import org.tanagerbank.store.TopicSource;
 
 /**
  * The Prometheus metrics of a gateway. Every label takes only a few values, so that the number of
@@ -98,7 +107,7 @@
   }
 
   /** Adds a gauge whose value is read each time the metrics are exported. */
-  void addGauge(String name, String help, DoubleSupplier value) {
+  private void addGauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
         .name("tanagerbank_gateway_" + name)
         .help(help)
@@ -106,6 +115,59 @@
         .register(registry);
   }
 
+  /** Adds the gauges of what is known of the store. */
+  void addStoreGauges(ConfigState config, TopicSource configTopic, LongSupplier clockMillis) {
+    addGauge(
+        "config_age_seconds",
+        "Time since the configuration was last known to be the newest.",
+        () -> config.ageMillis(clockMillis.getAsLong()) / MILLIS_PER_SECOND);
+    addGauge(
+        "config_version",
+        "Version of the configuration in force.",
+        () -> config.config().map(RoutingConfig::version).orElse(0L));
+    addGauge(
+        "store_era",
+        "Era of the store in which the configuration was read, which grows with each restore.",
+        () -> configTopic.position().map(TopicPosition::era).orElse(0L));
+  }
+
+  /** Adds the gauges of the other gateways. */
+  void addPeerGauges(PeerService peers) {
+    PeerTraffic traffic = peers.traffic();
+    addGauge("peers", "Other gateways that are heard of.", () -> peers.livePeers().size());
+    addGauge("peer_datagrams_sent", "Datagrams sent to other gateways.", traffic::datagramsSent);
+    addGauge(
+        "peer_bytes_sent", "Bytes of the datagrams sent to other gateways.", traffic::bytesSent);
+    addGauge("peer_datagrams_received", "Datagrams received.", traffic::datagramsReceived);
+    addGauge(
+        "peer_datagrams_unreadable",
+        "Datagrams received that are no message of a gateway.",
+        traffic::datagramsUnreadable);
+    addGauge(
+        "peer_datagrams_too_large",
+        "Messages that were not sent because they do not fit a datagram.",
+        traffic::datagramsTooLarge);
+  }
+
+  /** Adds the gauges of the upstreams and of the requests. */
+  void addDispatchGauges(Dispatcher dispatcher, DoubleSupplier requestsInFlight) {
+    SharedUpstreamState upstreams = dispatcher.sharedUpstreamState();
+    addGauge("engines", "Engines that the gateway knows.", () -> upstreams.engineIds().size());
+    addGauge(
+        "paused_upstreams",
+        "Upstreams that have asked this gateway for a pause that is not over.",
+        upstreams::pausedUpstreams);
+    addGauge(
+        "limited_upstreams",
+        "Upstreams that have named a limit on the requests that they take.",
+        upstreams::limitedUpstreams);
+    addGauge(
+        "restricted_requests",
+        "Requests and parts of prompts that crashed upstreams and may not run freely.",
+        () -> dispatcher.crashGuard().restrictedSuspects().size());
+    addGauge("requests_in_flight", "Requests being handled.", requestsInFlight);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   byte[] toPrometheusText() {
     return MetricsText.format(registry);
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -1,11 +1,14 @@
 package org.tanagerbank.peer;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Iterables;
 import com.google.common.net.InetAddresses;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -15,26 +18,27 @@
 final class DigestCodec {
   private static final int MAX_PORT = 65_535;
 
+  /** The first parts of a prompt, of which a placement tells; a later part matters little. */
+  private static final int MAX_PARTS = 64;
+
   private DigestCodec() {}
 
-  static PeerProto.Digest toProto(PeerDigest digest) {
+  /** Converts the state that a digest tells, without its requests in flight and its news. */
+  static PeerProto.Digest.Builder stateToProto(PeerDigest digest) {
     PeerProto.Digest.Builder message =
         PeerProto.Digest.newBuilder()
             .setSender(toProto(digest.sender()))
             .setNumber(digest.number())
             .setConfigVersion(digest.configVersion());
-    digest
-        .inFlight()
-        .forEach(
-            (id, n) ->
-                message.addWork(
-                    PeerProto.UpstreamWork.newBuilder().setUpstreamId(id).setInFlight(n)));
-    digest.placements().forEach(p -> message.addPlacements(toProto(p)));
-    digest.peers().forEach(p -> message.addPeers(toProto(p)));
-    digest.suspects().forEach(s -> message.addSuspects(SuspectCodec.toProto(s)));
     digest.trialClaims().forEach(c -> message.addTrialClaims(SuspectCodec.toProto(c)));
-    digest.caches().forEach(c -> message.addCaches(toProto(c)));
-    return message.build();
+    return message;
+  }
+
+  static PeerProto.UpstreamWork toProto(String upstreamId, int inFlight) {
+    return PeerProto.UpstreamWork.newBuilder()
+        .setUpstreamId(upstreamId)
+        .setInFlight(inFlight)
+        .build();
   }
 
   static byte[] encode(PeerAddress address) {
@@ -56,36 +60,80 @@
    * @throws InvalidProtocolBufferException if an address in the message is invalid
    */
   static PeerDigest fromProto(PeerProto.Digest message) throws InvalidProtocolBufferException {
-    ImmutableMap.Builder<String, Integer> inFlight = ImmutableMap.builder();
-    message.getWorkList().forEach(w -> inFlight.put(w.getUpstreamId(), w.getInFlight()));
-    ImmutableList.Builder<PeerAddress> peers = ImmutableList.builder();
-    for (PeerProto.Address peer : message.getPeersList()) {
-      peers.add(fromProto(peer));
-    }
     return new PeerDigest(
         fromProto(message.getSender()),
         message.getNumber(),
         message.getConfigVersion(),
-        inFlight.buildKeepingLast(),
-        message.getPlacementsList().stream()
-            .map(DigestCodec::fromProto)
-            .collect(ImmutableList.toImmutableList()),
-        peers.build(),
-        message.getSuspectsList().stream()
-            .map(SuspectCodec::fromProto)
-            .collect(ImmutableList.toImmutableList()),
+        new WorkRange("", message.getWorkUntil(), inFlight(message.getWorkList())),
         message.getTrialClaimsList().stream()
             .map(SuspectCodec::fromProto)
             .collect(ImmutableList.toImmutableList()),
-        message.getCachesList().stream()
-            .map(
-                c ->
-                    new CachedParts(
-                        c.getUpstreamId(), parts(c.getPartIdsList(), c.getPartTokensList())))
-            .collect(ImmutableList.toImmutableList()));
+        new DigestNews(
+            placements(message.getPlacementsList()),
+            addresses(message.getPeersList()),
+            SuspectCodec.fromProto(message.getSuspectsList(), ImmutableList.of()),
+            caches(message.getCachesList())));
+  }
+
+  /**
+   * Converts a protobuf message to a continuation.
+   *
+   * @throws InvalidProtocolBufferException if an address or an index in the message is invalid
+   */
+  static DigestContinuation fromProto(PeerProto.DigestContinuation message)
+      throws InvalidProtocolBufferException {
+    PeerProto.WorkRange work = message.getWork();
+    return new DigestContinuation(
+        fromProto(message.getSender()),
+        message.getNumber(),
+        message.hasWork()
+            ? Optional.of(
+                new WorkRange(work.getAfter(), work.getUntil(), inFlight(work.getWorkList())))
+            : Optional.empty(),
+        new DigestNews(
+            placements(message.getPlacementsList()),
+            addresses(message.getPeersList()),
+            SuspectCodec.fromProto(
+                message.getSuspectsList(),
+                message.getPartSetsList().stream()
+                    .map(SuspectCodec::fromProto)
+                    .collect(ImmutableList.toImmutableList())),
+            caches(message.getCachesList())));
+  }
+
+  private static ImmutableSortedMap<String, Integer> inFlight(List<PeerProto.UpstreamWork> work) {
+    return work.stream()
+        .collect(
+            ImmutableSortedMap.toImmutableSortedMap(
+                Comparator.naturalOrder(),
+                PeerProto.UpstreamWork::getUpstreamId,
+                PeerProto.UpstreamWork::getInFlight,
+                (first, last) -> last));
+  }
+
+  private static ImmutableList<PeerPlacement> placements(List<PeerProto.Placement> messages) {
+    return messages.stream().map(DigestCodec::fromProto).collect(ImmutableList.toImmutableList());
+  }
+
+  private static ImmutableList<CachedParts> caches(List<PeerProto.EngineCache> messages) {
+    return messages.stream()
+        .map(
+            c ->
+                new CachedParts(
+                    c.getUpstreamId(), parts(c.getPartIdsList(), c.getPartTokensList())))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static ImmutableList<PeerAddress> addresses(List<PeerProto.Address> messages)
+      throws InvalidProtocolBufferException {
+    ImmutableList.Builder<PeerAddress> addresses = ImmutableList.builder();
+    for (PeerProto.Address message : messages) {
+      addresses.add(fromProto(message));
+    }
+    return addresses.build();
   }
 
-  private static PeerProto.Address toProto(PeerAddress address) {
+  static PeerProto.Address toProto(PeerAddress address) {
     return PeerProto.Address.newBuilder()
         .setInstanceId(address.instanceId())
         .setIp(InetAddresses.toAddrString(address.address().getAddress()))
@@ -116,14 +164,14 @@
         message.getIncarnation());
   }
 
-  private static PeerProto.Placement toProto(PeerPlacement placement) {
+  static PeerProto.Placement toProto(PeerPlacement placement) {
     PeerProto.Placement.Builder message =
         PeerProto.Placement.newBuilder()
             .setNumber(placement.number())
             .setUpstreamId(placement.upstreamId())
             .setPromptTokens(placement.prompt().promptTokens())
             .setFetchedTokens(placement.fetchedTokens());
-    for (PromptPart part : placement.prompt().parts()) {
+    for (PromptPart part : Iterables.limit(placement.prompt().parts(), MAX_PARTS)) {
       message.addPartIds(part.id());
       message.addPartTokens(part.tokens());
     }
@@ -137,7 +185,7 @@
         message.getNumber(), message.getUpstreamId(), prompt, message.getFetchedTokens());
   }
 
-  private static PeerProto.EngineCache toProto(CachedParts caches) {
+  static PeerProto.EngineCache toProto(CachedParts caches) {
     PeerProto.EngineCache.Builder message =
         PeerProto.EngineCache.newBuilder().setUpstreamId(caches.upstreamId());
     for (PromptPart part : caches.parts()) {
--- a/src/main/java/org/tanagerbank/peer/MessageCodec.java
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -9,15 +9,21 @@
 import org.tanagerbank.store.RelayedRecords;
 import org.tanagerbank.store.TopicPosition;
 
-/** Encodes and decodes the datagrams between instances. Stateless and thread-safe. */
+/**
+ * Encodes and decodes the datagrams between instances. Stateless and thread-safe.
+ *
+ * <p>{@link DigestPacker} encodes digests, which may take several datagrams.
+ */
 final class MessageCodec {
   private MessageCodec() {}
 
-  static byte[] encode(PeerMessage message) {
-    PeerProto.Datagram.Builder datagram = PeerProto.Datagram.newBuilder();
+  /** Returns the datagrams of a message: several only for a digest. */
+  static ImmutableList<byte[]> encode(PeerMessage message) {
     if (message instanceof PeerDigest digest) {
-      datagram.setDigest(DigestCodec.toProto(digest));
-    } else if (message instanceof TopicQuestion question) {
+      return DigestPacker.pack(digest);
+    }
+    PeerProto.Datagram.Builder datagram = PeerProto.Datagram.newBuilder();
+    if (message instanceof TopicQuestion question) {
       datagram.setQuestion(toProto(question));
     } else if (message instanceof TopicAnswer answer) {
       datagram.setAnswer(toProto(answer));
@@ -27,8 +33,10 @@
       datagram.setOriginQuestion(OriginCodec.toProto(question));
     } else if (message instanceof OriginAnswer answer) {
       datagram.setOriginAnswer(OriginCodec.toProto(answer));
+    } else {
+      throw new IllegalArgumentException("expected a message that is sent alone: " + message);
     }
-    return datagram.build().toByteArray();
+    return ImmutableList.of(datagram.build().toByteArray());
   }
 
   /**
@@ -40,6 +48,7 @@
     PeerProto.Datagram datagram = PeerProto.Datagram.parseFrom(bytes);
     return switch (datagram.getContentCase()) {
       case DIGEST -> DigestCodec.fromProto(datagram.getDigest());
+      case CONTINUATION -> DigestCodec.fromProto(datagram.getContinuation());
       case QUESTION -> fromProto(datagram.getQuestion());
       case ANSWER -> fromProto(datagram.getAnswer());
       case ORIGIN_NOTICE -> OriginCodec.fromProto(datagram.getOriginNotice());
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -18,14 +18,14 @@
   void onPeerCaches(CachedParts caches);
 
   /**
-   * Called with the suspects that an instance reports and with all its trial claims.
+   * Called with suspects that an instance reports, each with some or all of its crashes.
    *
    * @param suspects the suspects, with times relative to now
    */
-  void onPeerSuspects(
-      String instanceId,
-      ImmutableList<SuspectRecord> suspects,
-      ImmutableList<TrialClaim> trialClaims);
+  void onPeerSuspects(ImmutableList<SuspectRecord> suspects);
+
+  /** Called with all trial claims of an instance. */
+  void onPeerTrialClaims(String instanceId, ImmutableList<TrialClaim> trialClaims);
 
   /** Called with the version of the configuration in force at another instance. */
   void onPeerConfigVersion(long version);
--- a/src/main/java/org/tanagerbank/peer/PeerMessage.java
+++ b/src/main/java/org/tanagerbank/peer/PeerMessage.java
@@ -2,4 +2,10 @@
 
 /** A message that one instance sends to another in a datagram. Implementations are immutable. */
 public sealed interface PeerMessage
-    permits PeerDigest, TopicQuestion, TopicAnswer, OriginNotice, OriginQuestion, OriginAnswer {}
+    permits PeerDigest,
+        DigestContinuation,
+        TopicQuestion,
+        TopicAnswer,
+        OriginNotice,
+        OriginQuestion,
+        OriginAnswer {}
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Lists;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -10,14 +11,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -26,7 +27,6 @@
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.request.ErrorCode;
 import org.tanagerbank.request.Lifecycle;
 import org.tanagerbank.request.TanagerException;
@@ -40,7 +40,8 @@
  *
  * <p>Instances discover each other through a topic of the store and through the peer lists in
  * digests. A lost digest does no harm, because the next one contains all counts of requests in
- * flight and repeats the latest placements. {@link #start} and {@link #stop} may be called from any
+ * flight and repeats the latest placements. No datagram is larger than networks deliver in one
+ * piece; a digest takes several if it must. {@link #start} and {@link #stop} may be called from any
  * thread; all other methods are called on the event loop.
  */
 public final class PeerService implements Lifecycle {
@@ -52,6 +53,9 @@
 
   private static final int MAX_LISTED_PEERS = 20;
 
+  /** More than any datagram that an instance sends, so that none is cut off when it is read. */
+  private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
   private final EventLoop loop;
   private final LongSupplier clockMillis;
   private final PeerAddress self;
@@ -64,8 +68,8 @@
   private final PlacementLog placements = new PlacementLog();
   private final DigestSchedule digestSchedule = new DigestSchedule();
 
-  /** The number of the newest placement received, by instance id and incarnation. */
-  private final Map<String, Long> lastPlacement = new HashMap<>();
+  private final DigestReceiver digestReceiver;
+  private final PeerTraffic traffic = new PeerTraffic();
 
   private Channel channel;
   private ImmutableMap<String, Integer> lastInFlight = ImmutableMap.of();
@@ -73,7 +77,6 @@
   private boolean isUrgentDigestPending;
   private ImmutableSet<String> lastKnownIds = ImmutableSet.of();
   private boolean stopped;
-  private Consumer<PeerAddress> peerStartedAction = started -> {};
   private Runnable peersReadAction = () -> {};
 
   private PeerService(
@@ -90,6 +93,7 @@
     this.listener = listener;
     this.source = source;
     this.table = new PeerTable(self.instanceId());
+    this.digestReceiver = new DigestReceiver(table, listener);
     this.relay =
         new TopicRelay(
             self.instanceId(), self.incarnation(), this::schedule, table::live, this::send);
@@ -129,6 +133,8 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
             .handler(new Receiver())
             .bind(self.address())
             .awaitUninterruptibly();
@@ -155,7 +161,7 @@
    * first digest after an incarnation was lost.
    */
   public void setPeerStartedAction(Consumer<PeerAddress> action) {
-    peerStartedAction = action;
+    digestReceiver.setStartedAction(action);
   }
 
   /** Sets the action that runs after the registered instances were read from the store. */
@@ -218,7 +224,7 @@
   }
 
   private void onPeerLost(String instanceId) {
-    lastPlacement.keySet().removeIf(k -> k.startsWith(instanceId + " "));
+    digestReceiver.onPeerLost(instanceId);
     listener.onPeerLost(instanceId);
     EventLog.emit(LogEvent.PEER_LOST, "peer", instanceId);
   }
@@ -243,11 +249,9 @@
   public void sendCaches(ImmutableList<PeerAddress> targets, ImmutableList<CachedParts> caches) {
     for (CachedParts cache : caches) {
       for (List<PromptPart> parts : Lists.partition(cache.parts(), PARTS_PER_DATAGRAM)) {
-        digestNumber++;
         CachedParts part = new CachedParts(cache.upstreamId(), ImmutableList.copyOf(parts));
-        send(
-            digest(lastInFlight, ImmutableList.of(), ImmutableList.of(), ImmutableList.of(part)),
-            targets);
+        PeerDigest digest = digest(DigestNews.ofCaches(ImmutableList.of(part)));
+        send(DigestPacker.packNews(digest), targets.stream().map(PeerAddress::address));
       }
     }
   }
@@ -270,9 +274,15 @@
     lastInFlight = current;
     digestSchedule.recordSent(now);
     digestNumber++;
-    send(
-        digest(current, placements.nextBatch(), source.nextSuspects(), ImmutableList.of()),
-        targets);
+    boolean listsPeers = digestNumber % DIGESTS_PER_PEER_LIST == 1;
+    DigestNews news =
+        new DigestNews(
+            placements.nextBatch(),
+            listsPeers ? peersToList() : ImmutableList.of(),
+            source.nextSuspects(),
+            ImmutableList.of());
+    reportKnownPeers();
+    send(MessageCodec.encode(digest(news)), targets.stream().map(PeerAddress::address));
   }
 
   /** Sends a digest as soon as the schedule allows, without waiting for the next regular one. */
@@ -290,48 +300,52 @@
     }
   }
 
-  private PeerDigest digest(
-      ImmutableMap<String, Integer> current,
-      ImmutableList<PeerPlacement> recentPlacements,
-      ImmutableList<SuspectRecord> suspects,
-      ImmutableList<CachedParts> caches) {
-    boolean listsPeers = digestNumber % DIGESTS_PER_PEER_LIST == 1;
+  private PeerDigest digest(DigestNews news) {
     return new PeerDigest(
         self,
         digestNumber,
         source.configVersion(),
-        current,
-        recentPlacements,
-        listsPeers ? peersToList() : ImmutableList.of(),
-        suspects,
+        WorkRange.ofAll(ImmutableSortedMap.copyOf(lastInFlight)),
         source.trialClaims(),
-        caches);
-  }
-
-  private void send(PeerDigest digest, ImmutableList<PeerAddress> targets) {
-    reportKnownPeers();
-    send(digest, targets.stream().map(PeerAddress::address));
+        news);
   }
 
   private void send(InetSocketAddress target, PeerMessage message) {
-    send(message, Stream.of(target));
+    send(MessageCodec.encode(message), Stream.of(target));
   }
 
-  private void send(PeerMessage message, Stream<InetSocketAddress> targets) {
-    byte[] bytes = MessageCodec.encode(message);
-    targets.forEach(t -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), t)));
+  private void send(ImmutableList<byte[]> datagrams, Stream<InetSocketAddress> targets) {
+    targets.forEach(t -> datagrams.forEach(d -> write(d, t)));
     channel.flush();
   }
 
+  private void write(byte[] datagram, InetSocketAddress target) {
+    if (datagram.length > RECEIVE_BUFFER_BYTES) {
+      traffic.recordTooLarge();
+      EventLog.emit(LogEvent.PEER_MESSAGE_TOO_LARGE, "bytes", datagram.length);
+      return;
+    }
+    traffic.recordSent(datagram.length);
+    channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), target));
+  }
+
+  /** Returns the counts of the datagrams of this instance. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   private ImmutableList<PeerAddress> peersToList() {
     return table.live().stream().limit(MAX_LISTED_PEERS).collect(ImmutableList.toImmutableList());
   }
 
   private void receive(InetSocketAddress from, byte[] bytes) {
+    traffic.recordReceived();
     try {
       PeerMessage message = MessageCodec.decode(bytes);
       if (message instanceof PeerDigest digest) {
-        onDigest(digest);
+        digestReceiver.onDigest(digest, clockMillis.getAsLong());
+      } else if (message instanceof DigestContinuation continuation) {
+        digestReceiver.onContinuation(continuation, clockMillis.getAsLong());
       } else if (message instanceof TopicQuestion question) {
         relay.onQuestion(from, question);
       } else if (message instanceof TopicAnswer answer) {
@@ -340,38 +354,11 @@
         originExchange.onMessage(from, message);
       }
     } catch (InvalidProtocolBufferException e) {
+      traffic.recordUnreadable();
       EventLog.emit(LogEvent.PEER_MESSAGE_UNREADABLE, "where", "datagram", "error", e.getMessage());
     }
   }
 
-  private void onDigest(PeerDigest digest) {
-    long now = clockMillis.getAsLong();
-    digest.peers().forEach(p -> table.add(p, now));
-    if (!table.recordDigest(digest.sender(), digest.number(), now)) {
-      return;
-    }
-    String sender = digest.sender().instanceId();
-    String incarnation = sender + " " + digest.sender().incarnation();
-    long newestKnown = lastPlacement.getOrDefault(incarnation, 0L);
-    if (!lastPlacement.containsKey(incarnation)) {
-      EventLog.emit(
-          LogEvent.PEER_FOUND, "peer", sender, "incarnation", digest.sender().incarnation());
-      peerStartedAction.accept(digest.sender());
-    }
-    long newest = newestKnown;
-    for (PeerPlacement placement : digest.placements()) {
-      if (placement.number() > newestKnown) {
-        listener.onPeerPlacement(placement);
-        newest = Math.max(newest, placement.number());
-      }
-    }
-    lastPlacement.put(incarnation, newest);
-    digest.caches().forEach(listener::onPeerCaches);
-    listener.onPeerInFlight(sender, digest.inFlight());
-    listener.onPeerSuspects(sender, digest.suspects(), digest.trialClaims());
-    listener.onPeerConfigVersion(digest.configVersion());
-  }
-
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/src/main/java/org/tanagerbank/peer/PeerTable.java
+++ b/src/main/java/org/tanagerbank/peer/PeerTable.java
@@ -77,6 +77,18 @@
     return true;
   }
 
+  /** Returns whether an instance is live in the given incarnation. */
+  boolean isFromLiveIncarnation(PeerAddress sender) {
+    Peer peer = peers.get(sender.instanceId());
+    return peer != null && peer.live && peer.address.incarnation() == sender.incarnation();
+  }
+
+  /** Returns whether no digest of a live instance with a higher number has arrived. */
+  boolean isLatestDigest(PeerAddress sender, long number) {
+    return isFromLiveIncarnation(sender)
+        && number >= peers.get(sender.instanceId()).lastDigestNumber;
+  }
+
   /**
    * Marks the live instances whose digests have stopped as silent, and returns their ids. Each
    * instance is returned once per silence. Also removes instances after a long silence.
--- a/src/main/java/org/tanagerbank/peer/SuspectCodec.java
+++ b/src/main/java/org/tanagerbank/peer/SuspectCodec.java
@@ -1,11 +1,13 @@
 package org.tanagerbank.peer;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
 import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
 import org.tanagerbank.proto.PeerProto;
 import org.tanagerbank.quarantine.CrashEvidence;
 import org.tanagerbank.quarantine.CrashRecord;
@@ -28,20 +30,48 @@
 
   private SuspectCodec() {}
 
-  static PeerProto.Suspect toProto(SuspectRecord suspect) {
-    CrashEvidence evidence = suspect.evidence();
+  /** Converts a suspect, each crash with its companions. */
+  private static PeerProto.Suspect toProto(SuspectRecord suspect) {
     PeerProto.Suspect.Builder message =
-        PeerProto.Suspect.newBuilder().setFingerprint(suspect.fingerprint().value());
-    evidence.crashes().values().forEach(c -> message.addCrashes(toProto(c)));
-    UndecidedTrials trials = evidence.undecidedTrials();
+        toProto(suspect.fingerprint(), suspect.evidence().undecidedTrials());
+    for (CrashRecord crash : suspect.evidence().crashes().values()) {
+      PeerProto.Crash.Builder element = toProtoWithoutCompanions(crash);
+      crash.companions().forEach(c -> element.addCompanions(c.value()));
+      message.addCrashes(element);
+    }
+    return message.build();
+  }
+
+  /** Converts a suspect without its crashes. */
+  static PeerProto.Suspect.Builder toProto(Fingerprint suspect, UndecidedTrials trials) {
+    PeerProto.Suspect.Builder message =
+        PeerProto.Suspect.newBuilder().setFingerprint(suspect.value());
     if (!trials.isNone()) {
       message.setUndecidedTrials(trials.count());
       message.setLastTrialAgeMillis(age(trials.lastAtMillis()));
     }
+    return message;
+  }
+
+  static PeerProto.PartSet toProto(ImmutableSet<Fingerprint> parts) {
+    PeerProto.PartSet.Builder message = PeerProto.PartSet.newBuilder();
+    parts.forEach(p -> message.addFingerprints(p.value()));
     return message.build();
   }
 
-  private static PeerProto.Crash toProto(CrashRecord crash) {
+  static ImmutableSet<Fingerprint> fromProto(PeerProto.PartSet message) {
+    return fingerprints(message.getFingerprintsList());
+  }
+
+  private static ImmutableSet<Fingerprint> fingerprints(List<Long> values) {
+    // A set of parts may hold the suspect itself beside its companions.
+    return values.stream()
+        .limit(MAX_COMPANIONS + 1L)
+        .map(Fingerprint::new)
+        .collect(toImmutableSet());
+  }
+
+  static PeerProto.Crash.Builder toProtoWithoutCompanions(CrashRecord crash) {
     PeerProto.Crash.Builder message =
         PeerProto.Crash.newBuilder()
             .setId(crash.crashId())
@@ -50,34 +80,68 @@
             .setAgeMillis(age(crash.atMillis()))
             .setSoftware(crash.conditions().software())
             .setPrompt(crash.conditions().prompt());
-    crash.companions().forEach(c -> message.addCompanions(c.value()));
     crash
         .completions()
         .forEach(
             (software, runs) ->
                 message.addCompletions(
                     PeerProto.CompletedRuns.newBuilder().setSoftware(software).setRuns(runs)));
-    return message.build();
+    return message;
   }
 
   private static long age(long relativeMillis) {
     return Math.max(0, -relativeMillis);
   }
 
-  static SuspectRecord fromProto(PeerProto.Suspect message) {
-    ImmutableList<CrashRecord> crashes =
-        message.getCrashesList().stream().map(SuspectCodec::fromProto).collect(toImmutableList());
+  /**
+   * Converts suspects.
+   *
+   * @param partSets the sets of parts to which crashes refer by their index
+   * @throws InvalidProtocolBufferException if there is no set with an index
+   */
+  static ImmutableList<SuspectRecord> fromProto(
+      List<PeerProto.Suspect> messages, ImmutableList<ImmutableSet<Fingerprint>> partSets)
+      throws InvalidProtocolBufferException {
+    ImmutableList.Builder<SuspectRecord> suspects = ImmutableList.builder();
+    for (PeerProto.Suspect message : messages) {
+      suspects.add(fromProto(message, partSets));
+    }
+    return suspects.build();
+  }
+
+  private static SuspectRecord fromProto(
+      PeerProto.Suspect message, ImmutableList<ImmutableSet<Fingerprint>> partSets)
+      throws InvalidProtocolBufferException {
+    Fingerprint suspect = new Fingerprint(message.getFingerprint());
+    ImmutableList.Builder<CrashRecord> crashes = ImmutableList.builder();
+    for (PeerProto.Crash crash : message.getCrashesList()) {
+      crashes.add(fromProto(crash, companions(crash, suspect, partSets)));
+    }
     UndecidedTrials trials =
         !message.hasLastTrialAgeMillis()
             ? UndecidedTrials.NONE
             : new UndecidedTrials(
                 Math.max(0, message.getUndecidedTrials()),
                 relativeTime(message.getLastTrialAgeMillis()));
-    return new SuspectRecord(
-        new Fingerprint(message.getFingerprint()), CrashEvidence.of(crashes, trials));
+    return new SuspectRecord(suspect, CrashEvidence.of(crashes.build(), trials));
+  }
+
+  private static ImmutableSet<Fingerprint> companions(
+      PeerProto.Crash crash, Fingerprint suspect, ImmutableList<ImmutableSet<Fingerprint>> partSets)
+      throws InvalidProtocolBufferException {
+    if (!crash.hasPartSet()) {
+      return fingerprints(crash.getCompanionsList());
+    }
+    int index = crash.getPartSet();
+    if (index < 0 || index >= partSets.size()) {
+      throw new InvalidProtocolBufferException(
+          "expected one of " + partSets.size() + " sets of parts, got the index " + index);
+    }
+    return Sets.difference(partSets.get(index), ImmutableSet.of(suspect)).immutableCopy();
   }
 
-  private static CrashRecord fromProto(PeerProto.Crash message) {
+  private static CrashRecord fromProto(
+      PeerProto.Crash message, ImmutableSet<Fingerprint> companions) {
     return new CrashRecord(
         message.getId(),
         message.getDepth(),
@@ -91,10 +155,7 @@
                     PeerProto.CompletedRuns::getSoftware,
                     PeerProto.CompletedRuns::getRuns,
                     Math::max)),
-        message.getCompanionsList().stream()
-            .limit(MAX_COMPANIONS)
-            .map(Fingerprint::new)
-            .collect(toImmutableSet()));
+        companions);
   }
 
   /** Returns the time of an age; an age that no process can have counts as the oldest possible. */
@@ -136,7 +197,7 @@
   public static SuspectRecord decodeStored(byte[] bytes, long nowEpochMillis)
       throws InvalidProtocolBufferException {
     PeerProto.StoredSuspect message = PeerProto.StoredSuspect.parseFrom(bytes);
-    SuspectRecord suspect = fromProto(message.getSuspect());
+    SuspectRecord suspect = fromProto(message.getSuspect(), ImmutableList.of());
     long storedMillis = Math.max(0, nowEpochMillis - message.getWrittenAtEpochMillis());
     return new SuspectRecord(suspect.fingerprint(), suspect.evidence().shiftBy(-storedMillis));
   }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -119,6 +119,21 @@
      */
     org.tanagerbank.proto.PeerProto.OriginAnswerOrBuilder getOriginAnswerOrBuilder();
 
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     * @return Whether the continuation field is set.
+     */
+    boolean hasContinuation();
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     * @return The continuation.
+     */
+    org.tanagerbank.proto.PeerProto.DigestContinuation getContinuation();
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     */
+    org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder getContinuationOrBuilder();
+
     org.tanagerbank.proto.PeerProto.Datagram.ContentCase getContentCase();
   }
   /**
@@ -174,6 +189,7 @@
       ORIGIN_NOTICE(4),
       ORIGIN_QUESTION(5),
       ORIGIN_ANSWER(6),
+      CONTINUATION(7),
       CONTENT_NOT_SET(0);
       private final int value;
       private ContentCase(int value) {
@@ -197,6 +213,7 @@
           case 4: return ORIGIN_NOTICE;
           case 5: return ORIGIN_QUESTION;
           case 6: return ORIGIN_ANSWER;
+          case 7: return CONTINUATION;
           case 0: return CONTENT_NOT_SET;
           default: return null;
         }
@@ -398,6 +415,37 @@
       return org.tanagerbank.proto.PeerProto.OriginAnswer.getDefaultInstance();
     }
 
+    public static final int CONTINUATION_FIELD_NUMBER = 7;
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     * @return Whether the continuation field is set.
+     */
+    @java.lang.Override
+    public boolean hasContinuation() {
+      return contentCase_ == 7;
+    }
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     * @return The continuation.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestContinuation getContinuation() {
+      if (contentCase_ == 7) {
+         return (org.tanagerbank.proto.PeerProto.DigestContinuation) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+    }
+    /**
+     * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder getContinuationOrBuilder() {
+      if (contentCase_ == 7) {
+         return (org.tanagerbank.proto.PeerProto.DigestContinuation) content_;
+      }
+      return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -430,6 +478,9 @@
       if (contentCase_ == 6) {
         output.writeMessage(6, (org.tanagerbank.proto.PeerProto.OriginAnswer) content_);
       }
+      if (contentCase_ == 7) {
+        output.writeMessage(7, (org.tanagerbank.proto.PeerProto.DigestContinuation) content_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -463,6 +514,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, (org.tanagerbank.proto.PeerProto.OriginAnswer) content_);
       }
+      if (contentCase_ == 7) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, (org.tanagerbank.proto.PeerProto.DigestContinuation) content_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -504,6 +559,10 @@
           if (!getOriginAnswer()
               .equals(other.getOriginAnswer())) return false;
           break;
+        case 7:
+          if (!getContinuation()
+              .equals(other.getContinuation())) return false;
+          break;
         case 0:
         default:
       }
@@ -543,6 +602,10 @@
           hash = (37 * hash) + ORIGIN_ANSWER_FIELD_NUMBER;
           hash = (53 * hash) + getOriginAnswer().hashCode();
           break;
+        case 7:
+          hash = (37 * hash) + CONTINUATION_FIELD_NUMBER;
+          hash = (53 * hash) + getContinuation().hashCode();
+          break;
         case 0:
         default:
       }
@@ -699,6 +762,9 @@
         if (originAnswerBuilder_ != null) {
           originAnswerBuilder_.clear();
         }
+        if (continuationBuilder_ != null) {
+          continuationBuilder_.clear();
+        }
         contentCase_ = 0;
         content_ = null;
         return this;
@@ -764,6 +830,10 @@
             originAnswerBuilder_ != null) {
           result.content_ = originAnswerBuilder_.build();
         }
+        if (contentCase_ == 7 &&
+            continuationBuilder_ != null) {
+          result.content_ = continuationBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -803,6 +873,10 @@
             mergeOriginAnswer(other.getOriginAnswer());
             break;
           }
+          case CONTINUATION: {
+            mergeContinuation(other.getContinuation());
+            break;
+          }
           case CONTENT_NOT_SET: {
             break;
           }
@@ -875,6 +949,13 @@
                 contentCase_ = 6;
                 break;
               } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetContinuationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 7;
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1759,6 +1840,148 @@
         return originAnswerBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.DigestContinuation, org.tanagerbank.proto.PeerProto.DigestContinuation.Builder, org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder> continuationBuilder_;
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       * @return Whether the continuation field is set.
+       */
+      @java.lang.Override
+      public boolean hasContinuation() {
+        return contentCase_ == 7;
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       * @return The continuation.
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestContinuation getContinuation() {
+        if (continuationBuilder_ == null) {
+          if (contentCase_ == 7) {
+            return (org.tanagerbank.proto.PeerProto.DigestContinuation) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+        } else {
+          if (contentCase_ == 7) {
+            return continuationBuilder_.getMessage();
+          }
+          return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      public Builder setContinuation(org.tanagerbank.proto.PeerProto.DigestContinuation value) {
+        if (continuationBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          continuationBuilder_.setMessage(value);
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      public Builder setContinuation(
+          org.tanagerbank.proto.PeerProto.DigestContinuation.Builder builderForValue) {
+        if (continuationBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          continuationBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      public Builder mergeContinuation(org.tanagerbank.proto.PeerProto.DigestContinuation value) {
+        if (continuationBuilder_ == null) {
+          if (contentCase_ == 7 &&
+              content_ != org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance()) {
+            content_ = org.tanagerbank.proto.PeerProto.DigestContinuation.newBuilder((org.tanagerbank.proto.PeerProto.DigestContinuation) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 7) {
+            continuationBuilder_.mergeFrom(value);
+          } else {
+            continuationBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      public Builder clearContinuation() {
+        if (continuationBuilder_ == null) {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          continuationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.DigestContinuation.Builder getContinuationBuilder() {
+        return internalGetContinuationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder getContinuationOrBuilder() {
+        if ((contentCase_ == 7) && (continuationBuilder_ != null)) {
+          return continuationBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 7) {
+            return (org.tanagerbank.proto.PeerProto.DigestContinuation) content_;
+          }
+          return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.DigestContinuation continuation = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.DigestContinuation, org.tanagerbank.proto.PeerProto.DigestContinuation.Builder, org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder> 
+          internalGetContinuationFieldBuilder() {
+        if (continuationBuilder_ == null) {
+          if (!(contentCase_ == 7)) {
+            content_ = org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+          }
+          continuationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.DigestContinuation, org.tanagerbank.proto.PeerProto.DigestContinuation.Builder, org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder>(
+                  (org.tanagerbank.proto.PeerProto.DigestContinuation) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 7;
+        onChanged();
+        return continuationBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Datagram)
     }
 
@@ -7602,7 +7825,7 @@
 
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7611,7 +7834,7 @@
         getWorkList();
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7619,7 +7842,7 @@
     org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index);
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7627,7 +7850,7 @@
     int getWorkCount();
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7636,7 +7859,7 @@
         getWorkOrBuilderList();
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7739,7 +7962,7 @@
 
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -7748,7 +7971,7 @@
         getCachesList();
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -7756,7 +7979,7 @@
     org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index);
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -7764,7 +7987,7 @@
     int getCachesCount();
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -7773,7 +7996,7 @@
         getCachesOrBuilderList();
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -7783,7 +8006,7 @@
 
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -7792,7 +8015,7 @@
         getSuspectsList();
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -7800,7 +8023,7 @@
     org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index);
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -7808,7 +8031,7 @@
     int getSuspectsCount();
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -7817,7 +8040,7 @@
         getSuspectsOrBuilderList();
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -7868,11 +8091,33 @@
      */
     org.tanagerbank.proto.PeerProto.TrialClaimOrBuilder getTrialClaimsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+     * that is not listed has no requests of the sender.
+     * </pre>
+     *
+     * <code>string work_until = 10;</code>
+     * @return The workUntil.
+     */
+    java.lang.String getWorkUntil();
+    /**
+     * <pre>
+     * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+     * that is not listed has no requests of the sender.
+     * </pre>
+     *
+     * <code>string work_until = 10;</code>
+     * @return The bytes for workUntil.
+     */
+    com.google.protobuf.ByteString
+        getWorkUntilBytes();
   }
   /**
    * <pre>
    * Reports a gateway's requests in flight and recent placements to another gateway. A later digest
-   * replaces an earlier one.
+   * replaces an earlier one. What does not fit into the datagram of a digest follows in continuations.
    * </pre>
    *
    * Protobuf type {@code tanagerbank.peer.Digest}
@@ -7902,6 +8147,7 @@
       caches_ = java.util.Collections.emptyList();
       suspects_ = java.util.Collections.emptyList();
       trialClaims_ = java.util.Collections.emptyList();
+      workUntil_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -7979,7 +8225,7 @@
     private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_;
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -7990,7 +8236,7 @@
     }
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -8002,7 +8248,7 @@
     }
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -8013,7 +8259,7 @@
     }
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -8024,7 +8270,7 @@
     }
     /**
      * <pre>
-     * Upstreams at which the sender has requests in flight.
+     * Upstreams at which the sender has requests in flight, in the order of their ids.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -8167,7 +8413,7 @@
     private java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> caches_;
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -8178,7 +8424,7 @@
     }
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -8190,7 +8436,7 @@
     }
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -8201,7 +8447,7 @@
     }
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -8212,7 +8458,7 @@
     }
     /**
      * <pre>
-     * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -8228,7 +8474,7 @@
     private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_;
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -8239,7 +8485,7 @@
     }
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -8251,7 +8497,7 @@
     }
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -8262,7 +8508,7 @@
     }
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -8273,7 +8519,7 @@
     }
     /**
      * <pre>
-     * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+     * Read from gateways of earlier versions only; now part of DigestContinuation.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -8345,6 +8591,55 @@
       return trialClaims_.get(index);
     }
 
+    public static final int WORK_UNTIL_FIELD_NUMBER = 10;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object workUntil_ = "";
+    /**
+     * <pre>
+     * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+     * that is not listed has no requests of the sender.
+     * </pre>
+     *
+     * <code>string work_until = 10;</code>
+     * @return The workUntil.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkUntil() {
+      java.lang.Object ref = workUntil_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workUntil_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+     * that is not listed has no requests of the sender.
+     * </pre>
+     *
+     * <code>string work_until = 10;</code>
+     * @return The bytes for workUntil.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkUntilBytes() {
+      java.lang.Object ref = workUntil_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workUntil_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8386,6 +8681,9 @@
       for (int i = 0; i < trialClaims_.size(); i++) {
         output.writeMessage(9, trialClaims_.get(i));
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workUntil_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 10, workUntil_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -8431,6 +8729,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(9, trialClaims_.get(i));
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workUntil_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(10, workUntil_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -8467,6 +8768,8 @@
           .equals(other.getSuspectsList())) return false;
       if (!getTrialClaimsList()
           .equals(other.getTrialClaimsList())) return false;
+      if (!getWorkUntil()
+          .equals(other.getWorkUntil())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8512,6 +8815,8 @@
         hash = (37 * hash) + TRIAL_CLAIMS_FIELD_NUMBER;
         hash = (53 * hash) + getTrialClaimsList().hashCode();
       }
+      hash = (37 * hash) + WORK_UNTIL_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkUntil().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -8612,7 +8917,7 @@
     /**
      * <pre>
      * Reports a gateway's requests in flight and recent placements to another gateway. A later digest
-     * replaces an earlier one.
+     * replaces an earlier one. What does not fit into the datagram of a digest follows in continuations.
      * </pre>
      *
      * Protobuf type {@code tanagerbank.peer.Digest}
@@ -8709,6 +9014,7 @@
           trialClaimsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000100);
+        workUntil_ = "";
         return this;
       }
 
@@ -8813,6 +9119,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.configVersion_ = configVersion_;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.workUntil_ = workUntil_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -8993,6 +9302,11 @@
             }
           }
         }
+        if (!other.getWorkUntil().isEmpty()) {
+          workUntil_ = other.workUntil_;
+          bitField0_ |= 0x00000200;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9114,6 +9428,11 @@
                 }
                 break;
               } // case 74
+              case 82: {
+                workUntil_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 82
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9354,7 +9673,7 @@
 
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9368,7 +9687,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9382,7 +9701,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9396,7 +9715,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9417,7 +9736,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9435,7 +9754,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9455,7 +9774,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9476,7 +9795,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9494,7 +9813,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9512,7 +9831,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9531,7 +9850,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9548,7 +9867,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9565,7 +9884,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9576,7 +9895,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9590,7 +9909,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9605,7 +9924,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9616,7 +9935,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -9628,7 +9947,7 @@
       }
       /**
        * <pre>
-       * Upstreams at which the sender has requests in flight.
+       * Upstreams at which the sender has requests in flight, in the order of their ids.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.UpstreamWork work = 4;</code>
@@ -10308,7 +10627,7 @@
 
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10322,7 +10641,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10336,7 +10655,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10350,7 +10669,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10371,7 +10690,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10389,7 +10708,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10409,7 +10728,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10430,7 +10749,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10448,7 +10767,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10466,7 +10785,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10485,7 +10804,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10502,7 +10821,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10519,7 +10838,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10530,7 +10849,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10544,7 +10863,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10559,7 +10878,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10570,7 +10889,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10582,7 +10901,7 @@
       }
       /**
        * <pre>
-       * Contents of engine caches, sent to gateways that have just started. Empty in regular digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.EngineCache caches = 7;</code>
@@ -10620,7 +10939,7 @@
 
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10634,7 +10953,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10648,7 +10967,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10662,7 +10981,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10683,7 +11002,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10701,7 +11020,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10721,7 +11040,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10742,7 +11061,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10760,7 +11079,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10778,7 +11097,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10797,7 +11116,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10814,7 +11133,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10831,7 +11150,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10842,7 +11161,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10856,7 +11175,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10871,7 +11190,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10882,7 +11201,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -10894,7 +11213,7 @@
       }
       /**
        * <pre>
-       * Requests that were in flight at crashes of upstreams. A suspect is repeated in several digests.
+       * Read from gateways of earlier versions only; now part of DigestContinuation.
        * </pre>
        *
        * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -11230,6 +11549,103 @@
         return trialClaimsBuilder_;
       }
 
+      private java.lang.Object workUntil_ = "";
+      /**
+       * <pre>
+       * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+       * that is not listed has no requests of the sender.
+       * </pre>
+       *
+       * <code>string work_until = 10;</code>
+       * @return The workUntil.
+       */
+      public java.lang.String getWorkUntil() {
+        java.lang.Object ref = workUntil_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          workUntil_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+       * that is not listed has no requests of the sender.
+       * </pre>
+       *
+       * <code>string work_until = 10;</code>
+       * @return The bytes for workUntil.
+       */
+      public com.google.protobuf.ByteString
+          getWorkUntilBytes() {
+        java.lang.Object ref = workUntil_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          workUntil_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+       * that is not listed has no requests of the sender.
+       * </pre>
+       *
+       * <code>string work_until = 10;</code>
+       * @param value The workUntil to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkUntil(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        workUntil_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+       * that is not listed has no requests of the sender.
+       * </pre>
+       *
+       * <code>string work_until = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkUntil() {
+        workUntil_ = getDefaultInstance().getWorkUntil();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id of the last upstream of which the work tells; empty when it tells of all. An upstream up to this id
+       * that is not listed has no requests of the sender.
+       * </pre>
+       *
+       * <code>string work_until = 10;</code>
+       * @param value The bytes for workUntil to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkUntilBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        workUntil_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Digest)
     }
 
@@ -11281,33 +11697,5003 @@
 
   }
 
-  public interface SuspectOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Suspect)
+  public interface DigestContinuationOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.DigestContinuation)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>fixed64 fingerprint = 1;</code>
-     * @return The fingerprint.
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     * @return Whether the sender field is set.
      */
-    long getFingerprint();
+    boolean hasSender();
+    /**
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     * @return The sender.
+     */
+    org.tanagerbank.proto.PeerProto.Address getSender();
+    /**
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     */
+    org.tanagerbank.proto.PeerProto.AddressOrBuilder getSenderOrBuilder();
 
     /**
      * <pre>
-     * Crashes at which the request was in flight.
+     * Number of the digest.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     * <code>uint64 number = 2;</code>
+     * @return The number.
      */
-    java.util.List<org.tanagerbank.proto.PeerProto.Crash> 
-        getCrashesList();
+    long getNumber();
+
     /**
      * <pre>
-     * Crashes at which the request was in flight.
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     * @return Whether the work field is set.
      */
-    org.tanagerbank.proto.PeerProto.Crash getCrashes(int index);
+    boolean hasWork();
+    /**
+     * <pre>
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     * @return The work.
+     */
+    org.tanagerbank.proto.PeerProto.WorkRange getWork();
+    /**
+     * <pre>
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder getWorkOrBuilder();
+
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Placement> 
+        getPlacementsList();
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Placement getPlacements(int index);
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    int getPlacementsCount();
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.PlacementOrBuilder> 
+        getPlacementsOrBuilderList();
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    org.tanagerbank.proto.PeerProto.PlacementOrBuilder getPlacementsOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Address> 
+        getPeersList();
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Address getPeers(int index);
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    int getPeersCount();
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.AddressOrBuilder> 
+        getPeersOrBuilderList();
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    org.tanagerbank.proto.PeerProto.AddressOrBuilder getPeersOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> 
+        getCachesList();
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index);
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    int getCachesCount();
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+        getCachesOrBuilderList();
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.PartSet> 
+        getPartSetsList();
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index);
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    int getPartSetsCount();
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
+        getPartSetsOrBuilderList();
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Suspect> 
+        getSuspectsList();
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index);
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    int getSuspectsCount();
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+        getSuspectsOrBuilderList();
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * What did not fit into the datagram of a digest. A digest has any number of continuations, and each can be
+   * used without the others.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.DigestContinuation}
+   */
+  public static final class DigestContinuation extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.DigestContinuation)
+      DigestContinuationOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        DigestContinuation.class.getName());
+    }
+    // Use DigestContinuation.newBuilder() to construct.
+    private DigestContinuation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DigestContinuation() {
+      placements_ = java.util.Collections.emptyList();
+      peers_ = java.util.Collections.emptyList();
+      caches_ = java.util.Collections.emptyList();
+      partSets_ = java.util.Collections.emptyList();
+      suspects_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_DigestContinuation_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.DigestContinuation.class, org.tanagerbank.proto.PeerProto.DigestContinuation.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int SENDER_FIELD_NUMBER = 1;
+    private org.tanagerbank.proto.PeerProto.Address sender_;
+    /**
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     * @return Whether the sender field is set.
+     */
+    @java.lang.Override
+    public boolean hasSender() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     * @return The sender.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Address getSender() {
+      return sender_ == null ? org.tanagerbank.proto.PeerProto.Address.getDefaultInstance() : sender_;
+    }
+    /**
+     * <code>.tanagerbank.peer.Address sender = 1;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.AddressOrBuilder getSenderOrBuilder() {
+      return sender_ == null ? org.tanagerbank.proto.PeerProto.Address.getDefaultInstance() : sender_;
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 2;
+    private long number_ = 0L;
+    /**
+     * <pre>
+     * Number of the digest.
+     * </pre>
+     *
+     * <code>uint64 number = 2;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int WORK_FIELD_NUMBER = 3;
+    private org.tanagerbank.proto.PeerProto.WorkRange work_;
+    /**
+     * <pre>
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     * @return Whether the work field is set.
+     */
+    @java.lang.Override
+    public boolean hasWork() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     * @return The work.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.WorkRange getWork() {
+      return work_ == null ? org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance() : work_;
+    }
+    /**
+     * <pre>
+     * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder getWorkOrBuilder() {
+      return work_ == null ? org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance() : work_;
+    }
+
+    public static final int PLACEMENTS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Placement> placements_;
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Placement> getPlacementsList() {
+      return placements_;
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.PlacementOrBuilder> 
+        getPlacementsOrBuilderList() {
+      return placements_;
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    @java.lang.Override
+    public int getPlacementsCount() {
+      return placements_.size();
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Placement getPlacements(int index) {
+      return placements_.get(index);
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.PlacementOrBuilder getPlacementsOrBuilder(
+        int index) {
+      return placements_.get(index);
+    }
+
+    public static final int PEERS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Address> peers_;
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Address> getPeersList() {
+      return peers_;
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.AddressOrBuilder> 
+        getPeersOrBuilderList() {
+      return peers_;
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    @java.lang.Override
+    public int getPeersCount() {
+      return peers_.size();
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Address getPeers(int index) {
+      return peers_.get(index);
+    }
+    /**
+     * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.AddressOrBuilder getPeersOrBuilder(
+        int index) {
+      return peers_.get(index);
+    }
+
+    public static final int CACHES_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> caches_;
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> getCachesList() {
+      return caches_;
+    }
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+        getCachesOrBuilderList() {
+      return caches_;
+    }
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    @java.lang.Override
+    public int getCachesCount() {
+      return caches_.size();
+    }
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index) {
+      return caches_.get(index);
+    }
+    /**
+     * <pre>
+     * Contents of engine caches, sent to gateways that have just started.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+        int index) {
+      return caches_.get(index);
+    }
+
+    public static final int PART_SETS_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.PartSet> partSets_;
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.PartSet> getPartSetsList() {
+      return partSets_;
+    }
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
+        getPartSetsOrBuilderList() {
+      return partSets_;
+    }
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    @java.lang.Override
+    public int getPartSetsCount() {
+      return partSets_.size();
+    }
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index) {
+      return partSets_.get(index);
+    }
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
+        int index) {
+      return partSets_.get(index);
+    }
+
+    public static final int SUSPECTS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_;
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
+      return suspects_;
+    }
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+        getSuspectsOrBuilderList() {
+      return suspects_;
+    }
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public int getSuspectsCount() {
+      return suspects_.size();
+    }
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
+      return suspects_.get(index);
+    }
+    /**
+     * <pre>
+     * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+     * digests. Its crashes may be spread over several elements.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+        int index) {
+      return suspects_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getSender());
+      }
+      if (number_ != 0L) {
+        output.writeUInt64(2, number_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeMessage(3, getWork());
+      }
+      for (int i = 0; i < placements_.size(); i++) {
+        output.writeMessage(4, placements_.get(i));
+      }
+      for (int i = 0; i < peers_.size(); i++) {
+        output.writeMessage(5, peers_.get(i));
+      }
+      for (int i = 0; i < caches_.size(); i++) {
+        output.writeMessage(6, caches_.get(i));
+      }
+      for (int i = 0; i < partSets_.size(); i++) {
+        output.writeMessage(7, partSets_.get(i));
+      }
+      for (int i = 0; i < suspects_.size(); i++) {
+        output.writeMessage(8, suspects_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getSender());
+      }
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, number_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, getWork());
+      }
+      for (int i = 0; i < placements_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, placements_.get(i));
+      }
+      for (int i = 0; i < peers_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, peers_.get(i));
+      }
+      for (int i = 0; i < caches_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, caches_.get(i));
+      }
+      for (int i = 0; i < partSets_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, partSets_.get(i));
+      }
+      for (int i = 0; i < suspects_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, suspects_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.DigestContinuation)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.DigestContinuation other = (org.tanagerbank.proto.PeerProto.DigestContinuation) obj;
+
+      if (hasSender() != other.hasSender()) return false;
+      if (hasSender()) {
+        if (!getSender()
+            .equals(other.getSender())) return false;
+      }
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (hasWork() != other.hasWork()) return false;
+      if (hasWork()) {
+        if (!getWork()
+            .equals(other.getWork())) return false;
+      }
+      if (!getPlacementsList()
+          .equals(other.getPlacementsList())) return false;
+      if (!getPeersList()
+          .equals(other.getPeersList())) return false;
+      if (!getCachesList()
+          .equals(other.getCachesList())) return false;
+      if (!getPartSetsList()
+          .equals(other.getPartSetsList())) return false;
+      if (!getSuspectsList()
+          .equals(other.getSuspectsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasSender()) {
+        hash = (37 * hash) + SENDER_FIELD_NUMBER;
+        hash = (53 * hash) + getSender().hashCode();
+      }
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      if (hasWork()) {
+        hash = (37 * hash) + WORK_FIELD_NUMBER;
+        hash = (53 * hash) + getWork().hashCode();
+      }
+      if (getPlacementsCount() > 0) {
+        hash = (37 * hash) + PLACEMENTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPlacementsList().hashCode();
+      }
+      if (getPeersCount() > 0) {
+        hash = (37 * hash) + PEERS_FIELD_NUMBER;
+        hash = (53 * hash) + getPeersList().hashCode();
+      }
+      if (getCachesCount() > 0) {
+        hash = (37 * hash) + CACHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCachesList().hashCode();
+      }
+      if (getPartSetsCount() > 0) {
+        hash = (37 * hash) + PART_SETS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartSetsList().hashCode();
+      }
+      if (getSuspectsCount() > 0) {
+        hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+        hash = (53 * hash) + getSuspectsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.DigestContinuation prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What did not fit into the datagram of a digest. A digest has any number of continuations, and each can be
+     * used without the others.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.DigestContinuation}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.DigestContinuation)
+        org.tanagerbank.proto.PeerProto.DigestContinuationOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_DigestContinuation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.DigestContinuation.class, org.tanagerbank.proto.PeerProto.DigestContinuation.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.DigestContinuation.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetSenderFieldBuilder();
+          internalGetWorkFieldBuilder();
+          internalGetPlacementsFieldBuilder();
+          internalGetPeersFieldBuilder();
+          internalGetCachesFieldBuilder();
+          internalGetPartSetsFieldBuilder();
+          internalGetSuspectsFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        sender_ = null;
+        if (senderBuilder_ != null) {
+          senderBuilder_.dispose();
+          senderBuilder_ = null;
+        }
+        number_ = 0L;
+        work_ = null;
+        if (workBuilder_ != null) {
+          workBuilder_.dispose();
+          workBuilder_ = null;
+        }
+        if (placementsBuilder_ == null) {
+          placements_ = java.util.Collections.emptyList();
+        } else {
+          placements_ = null;
+          placementsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (peersBuilder_ == null) {
+          peers_ = java.util.Collections.emptyList();
+        } else {
+          peers_ = null;
+          peersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        if (cachesBuilder_ == null) {
+          caches_ = java.util.Collections.emptyList();
+        } else {
+          caches_ = null;
+          cachesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        if (partSetsBuilder_ == null) {
+          partSets_ = java.util.Collections.emptyList();
+        } else {
+          partSets_ = null;
+          partSetsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
+        } else {
+          suspects_ = null;
+          suspectsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000080);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_DigestContinuation_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestContinuation build() {
+        org.tanagerbank.proto.PeerProto.DigestContinuation result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.DigestContinuation buildPartial() {
+        org.tanagerbank.proto.PeerProto.DigestContinuation result = new org.tanagerbank.proto.PeerProto.DigestContinuation(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.DigestContinuation result) {
+        if (placementsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            placements_ = java.util.Collections.unmodifiableList(placements_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.placements_ = placements_;
+        } else {
+          result.placements_ = placementsBuilder_.build();
+        }
+        if (peersBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            peers_ = java.util.Collections.unmodifiableList(peers_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.peers_ = peers_;
+        } else {
+          result.peers_ = peersBuilder_.build();
+        }
+        if (cachesBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            caches_ = java.util.Collections.unmodifiableList(caches_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.caches_ = caches_;
+        } else {
+          result.caches_ = cachesBuilder_.build();
+        }
+        if (partSetsBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            partSets_ = java.util.Collections.unmodifiableList(partSets_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.partSets_ = partSets_;
+        } else {
+          result.partSets_ = partSetsBuilder_.build();
+        }
+        if (suspectsBuilder_ == null) {
+          if (((bitField0_ & 0x00000080) != 0)) {
+            suspects_ = java.util.Collections.unmodifiableList(suspects_);
+            bitField0_ = (bitField0_ & ~0x00000080);
+          }
+          result.suspects_ = suspects_;
+        } else {
+          result.suspects_ = suspectsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.DigestContinuation result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.sender_ = senderBuilder_ == null
+              ? sender_
+              : senderBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.work_ = workBuilder_ == null
+              ? work_
+              : workBuilder_.build();
+          to_bitField0_ |= 0x00000002;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.DigestContinuation) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.DigestContinuation)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.DigestContinuation other) {
+        if (other == org.tanagerbank.proto.PeerProto.DigestContinuation.getDefaultInstance()) return this;
+        if (other.hasSender()) {
+          mergeSender(other.getSender());
+        }
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (other.hasWork()) {
+          mergeWork(other.getWork());
+        }
+        if (placementsBuilder_ == null) {
+          if (!other.placements_.isEmpty()) {
+            if (placements_.isEmpty()) {
+              placements_ = other.placements_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensurePlacementsIsMutable();
+              placements_.addAll(other.placements_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.placements_.isEmpty()) {
+            if (placementsBuilder_.isEmpty()) {
+              placementsBuilder_.dispose();
+              placementsBuilder_ = null;
+              placements_ = other.placements_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              placementsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPlacementsFieldBuilder() : null;
+            } else {
+              placementsBuilder_.addAllMessages(other.placements_);
+            }
+          }
+        }
+        if (peersBuilder_ == null) {
+          if (!other.peers_.isEmpty()) {
+            if (peers_.isEmpty()) {
+              peers_ = other.peers_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensurePeersIsMutable();
+              peers_.addAll(other.peers_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.peers_.isEmpty()) {
+            if (peersBuilder_.isEmpty()) {
+              peersBuilder_.dispose();
+              peersBuilder_ = null;
+              peers_ = other.peers_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              peersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPeersFieldBuilder() : null;
+            } else {
+              peersBuilder_.addAllMessages(other.peers_);
+            }
+          }
+        }
+        if (cachesBuilder_ == null) {
+          if (!other.caches_.isEmpty()) {
+            if (caches_.isEmpty()) {
+              caches_ = other.caches_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureCachesIsMutable();
+              caches_.addAll(other.caches_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.caches_.isEmpty()) {
+            if (cachesBuilder_.isEmpty()) {
+              cachesBuilder_.dispose();
+              cachesBuilder_ = null;
+              caches_ = other.caches_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              cachesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCachesFieldBuilder() : null;
+            } else {
+              cachesBuilder_.addAllMessages(other.caches_);
+            }
+          }
+        }
+        if (partSetsBuilder_ == null) {
+          if (!other.partSets_.isEmpty()) {
+            if (partSets_.isEmpty()) {
+              partSets_ = other.partSets_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensurePartSetsIsMutable();
+              partSets_.addAll(other.partSets_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.partSets_.isEmpty()) {
+            if (partSetsBuilder_.isEmpty()) {
+              partSetsBuilder_.dispose();
+              partSetsBuilder_ = null;
+              partSets_ = other.partSets_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              partSetsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPartSetsFieldBuilder() : null;
+            } else {
+              partSetsBuilder_.addAllMessages(other.partSets_);
+            }
+          }
+        }
+        if (suspectsBuilder_ == null) {
+          if (!other.suspects_.isEmpty()) {
+            if (suspects_.isEmpty()) {
+              suspects_ = other.suspects_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+            } else {
+              ensureSuspectsIsMutable();
+              suspects_.addAll(other.suspects_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.suspects_.isEmpty()) {
+            if (suspectsBuilder_.isEmpty()) {
+              suspectsBuilder_.dispose();
+              suspectsBuilder_ = null;
+              suspects_ = other.suspects_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+              suspectsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSuspectsFieldBuilder() : null;
+            } else {
+              suspectsBuilder_.addAllMessages(other.suspects_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetSenderFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                input.readMessage(
+                    internalGetWorkFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                org.tanagerbank.proto.PeerProto.Placement m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Placement.parser(),
+                        extensionRegistry);
+                if (placementsBuilder_ == null) {
+                  ensurePlacementsIsMutable();
+                  placements_.add(m);
+                } else {
+                  placementsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              case 42: {
+                org.tanagerbank.proto.PeerProto.Address m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Address.parser(),
+                        extensionRegistry);
+                if (peersBuilder_ == null) {
+                  ensurePeersIsMutable();
+                  peers_.add(m);
+                } else {
+                  peersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              case 50: {
+                org.tanagerbank.proto.PeerProto.EngineCache m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.EngineCache.parser(),
+                        extensionRegistry);
+                if (cachesBuilder_ == null) {
+                  ensureCachesIsMutable();
+                  caches_.add(m);
+                } else {
+                  cachesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                org.tanagerbank.proto.PeerProto.PartSet m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.PartSet.parser(),
+                        extensionRegistry);
+                if (partSetsBuilder_ == null) {
+                  ensurePartSetsIsMutable();
+                  partSets_.add(m);
+                } else {
+                  partSetsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
+              case 66: {
+                org.tanagerbank.proto.PeerProto.Suspect m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Suspect.parser(),
+                        extensionRegistry);
+                if (suspectsBuilder_ == null) {
+                  ensureSuspectsIsMutable();
+                  suspects_.add(m);
+                } else {
+                  suspectsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private org.tanagerbank.proto.PeerProto.Address sender_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder> senderBuilder_;
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       * @return Whether the sender field is set.
+       */
+      public boolean hasSender() {
+        return ((bitField0_ & 0x00000001) != 0);
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       * @return The sender.
+       */
+      public org.tanagerbank.proto.PeerProto.Address getSender() {
+        if (senderBuilder_ == null) {
+          return sender_ == null ? org.tanagerbank.proto.PeerProto.Address.getDefaultInstance() : sender_;
+        } else {
+          return senderBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public Builder setSender(org.tanagerbank.proto.PeerProto.Address value) {
+        if (senderBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          sender_ = value;
+        } else {
+          senderBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public Builder setSender(
+          org.tanagerbank.proto.PeerProto.Address.Builder builderForValue) {
+        if (senderBuilder_ == null) {
+          sender_ = builderForValue.build();
+        } else {
+          senderBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public Builder mergeSender(org.tanagerbank.proto.PeerProto.Address value) {
+        if (senderBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            sender_ != null &&
+            sender_ != org.tanagerbank.proto.PeerProto.Address.getDefaultInstance()) {
+            getSenderBuilder().mergeFrom(value);
+          } else {
+            sender_ = value;
+          }
+        } else {
+          senderBuilder_.mergeFrom(value);
+        }
+        if (sender_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public Builder clearSender() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        sender_ = null;
+        if (senderBuilder_ != null) {
+          senderBuilder_.dispose();
+          senderBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Address.Builder getSenderBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetSenderFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.AddressOrBuilder getSenderOrBuilder() {
+        if (senderBuilder_ != null) {
+          return senderBuilder_.getMessageOrBuilder();
+        } else {
+          return sender_ == null ?
+              org.tanagerbank.proto.PeerProto.Address.getDefaultInstance() : sender_;
+        }
+      }
+      /**
+       * <code>.tanagerbank.peer.Address sender = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder> 
+          internalGetSenderFieldBuilder() {
+        if (senderBuilder_ == null) {
+          senderBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder>(
+                  getSender(),
+                  getParentForChildren(),
+                  isClean());
+          sender_ = null;
+        }
+        return senderBuilder_;
+      }
+
+      private long number_ ;
+      /**
+       * <pre>
+       * Number of the digest.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <pre>
+       * Number of the digest.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Number of the digest.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private org.tanagerbank.proto.PeerProto.WorkRange work_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.WorkRange, org.tanagerbank.proto.PeerProto.WorkRange.Builder, org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder> workBuilder_;
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       * @return Whether the work field is set.
+       */
+      public boolean hasWork() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       * @return The work.
+       */
+      public org.tanagerbank.proto.PeerProto.WorkRange getWork() {
+        if (workBuilder_ == null) {
+          return work_ == null ? org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance() : work_;
+        } else {
+          return workBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public Builder setWork(org.tanagerbank.proto.PeerProto.WorkRange value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          work_ = value;
+        } else {
+          workBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public Builder setWork(
+          org.tanagerbank.proto.PeerProto.WorkRange.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          work_ = builderForValue.build();
+        } else {
+          workBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public Builder mergeWork(org.tanagerbank.proto.PeerProto.WorkRange value) {
+        if (workBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0) &&
+            work_ != null &&
+            work_ != org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance()) {
+            getWorkBuilder().mergeFrom(value);
+          } else {
+            work_ = value;
+          }
+        } else {
+          workBuilder_.mergeFrom(value);
+        }
+        if (work_ != null) {
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public Builder clearWork() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        work_ = null;
+        if (workBuilder_ != null) {
+          workBuilder_.dispose();
+          workBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.WorkRange.Builder getWorkBuilder() {
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return internalGetWorkFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder getWorkOrBuilder() {
+        if (workBuilder_ != null) {
+          return workBuilder_.getMessageOrBuilder();
+        } else {
+          return work_ == null ?
+              org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance() : work_;
+        }
+      }
+      /**
+       * <pre>
+       * Further upstreams at which the sender has requests in flight; absent when it tells of none.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.WorkRange work = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.WorkRange, org.tanagerbank.proto.PeerProto.WorkRange.Builder, org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder> 
+          internalGetWorkFieldBuilder() {
+        if (workBuilder_ == null) {
+          workBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.WorkRange, org.tanagerbank.proto.PeerProto.WorkRange.Builder, org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder>(
+                  getWork(),
+                  getParentForChildren(),
+                  isClean());
+          work_ = null;
+        }
+        return workBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Placement> placements_ =
+        java.util.Collections.emptyList();
+      private void ensurePlacementsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          placements_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Placement>(placements_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Placement, org.tanagerbank.proto.PeerProto.Placement.Builder, org.tanagerbank.proto.PeerProto.PlacementOrBuilder> placementsBuilder_;
+
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Placement> getPlacementsList() {
+        if (placementsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(placements_);
+        } else {
+          return placementsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public int getPlacementsCount() {
+        if (placementsBuilder_ == null) {
+          return placements_.size();
+        } else {
+          return placementsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Placement getPlacements(int index) {
+        if (placementsBuilder_ == null) {
+          return placements_.get(index);
+        } else {
+          return placementsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder setPlacements(
+          int index, org.tanagerbank.proto.PeerProto.Placement value) {
+        if (placementsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePlacementsIsMutable();
+          placements_.set(index, value);
+          onChanged();
+        } else {
+          placementsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder setPlacements(
+          int index, org.tanagerbank.proto.PeerProto.Placement.Builder builderForValue) {
+        if (placementsBuilder_ == null) {
+          ensurePlacementsIsMutable();
+          placements_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          placementsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder addPlacements(org.tanagerbank.proto.PeerProto.Placement value) {
+        if (placementsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePlacementsIsMutable();
+          placements_.add(value);
+          onChanged();
+        } else {
+          placementsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder addPlacements(
+          int index, org.tanagerbank.proto.PeerProto.Placement value) {
+        if (placementsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePlacementsIsMutable();
+          placements_.add(index, value);
+          onChanged();
+        } else {
+          placementsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder addPlacements(
+          org.tanagerbank.proto.PeerProto.Placement.Builder builderForValue) {
+        if (placementsBuilder_ == null) {
+          ensurePlacementsIsMutable();
+          placements_.add(builderForValue.build());
+          onChanged();
+        } else {
+          placementsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder addPlacements(
+          int index, org.tanagerbank.proto.PeerProto.Placement.Builder builderForValue) {
+        if (placementsBuilder_ == null) {
+          ensurePlacementsIsMutable();
+          placements_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          placementsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder addAllPlacements(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Placement> values) {
+        if (placementsBuilder_ == null) {
+          ensurePlacementsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, placements_);
+          onChanged();
+        } else {
+          placementsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder clearPlacements() {
+        if (placementsBuilder_ == null) {
+          placements_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          placementsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public Builder removePlacements(int index) {
+        if (placementsBuilder_ == null) {
+          ensurePlacementsIsMutable();
+          placements_.remove(index);
+          onChanged();
+        } else {
+          placementsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Placement.Builder getPlacementsBuilder(
+          int index) {
+        return internalGetPlacementsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PlacementOrBuilder getPlacementsOrBuilder(
+          int index) {
+        if (placementsBuilder_ == null) {
+          return placements_.get(index);  } else {
+          return placementsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.PlacementOrBuilder> 
+           getPlacementsOrBuilderList() {
+        if (placementsBuilder_ != null) {
+          return placementsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(placements_);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Placement.Builder addPlacementsBuilder() {
+        return internalGetPlacementsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Placement.Builder addPlacementsBuilder(
+          int index) {
+        return internalGetPlacementsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Placement.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Placement placements = 4;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Placement.Builder> 
+           getPlacementsBuilderList() {
+        return internalGetPlacementsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Placement, org.tanagerbank.proto.PeerProto.Placement.Builder, org.tanagerbank.proto.PeerProto.PlacementOrBuilder> 
+          internalGetPlacementsFieldBuilder() {
+        if (placementsBuilder_ == null) {
+          placementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Placement, org.tanagerbank.proto.PeerProto.Placement.Builder, org.tanagerbank.proto.PeerProto.PlacementOrBuilder>(
+                  placements_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          placements_ = null;
+        }
+        return placementsBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Address> peers_ =
+        java.util.Collections.emptyList();
+      private void ensurePeersIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          peers_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Address>(peers_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder> peersBuilder_;
+
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Address> getPeersList() {
+        if (peersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(peers_);
+        } else {
+          return peersBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public int getPeersCount() {
+        if (peersBuilder_ == null) {
+          return peers_.size();
+        } else {
+          return peersBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Address getPeers(int index) {
+        if (peersBuilder_ == null) {
+          return peers_.get(index);
+        } else {
+          return peersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder setPeers(
+          int index, org.tanagerbank.proto.PeerProto.Address value) {
+        if (peersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePeersIsMutable();
+          peers_.set(index, value);
+          onChanged();
+        } else {
+          peersBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder setPeers(
+          int index, org.tanagerbank.proto.PeerProto.Address.Builder builderForValue) {
+        if (peersBuilder_ == null) {
+          ensurePeersIsMutable();
+          peers_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          peersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder addPeers(org.tanagerbank.proto.PeerProto.Address value) {
+        if (peersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePeersIsMutable();
+          peers_.add(value);
+          onChanged();
+        } else {
+          peersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder addPeers(
+          int index, org.tanagerbank.proto.PeerProto.Address value) {
+        if (peersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePeersIsMutable();
+          peers_.add(index, value);
+          onChanged();
+        } else {
+          peersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder addPeers(
+          org.tanagerbank.proto.PeerProto.Address.Builder builderForValue) {
+        if (peersBuilder_ == null) {
+          ensurePeersIsMutable();
+          peers_.add(builderForValue.build());
+          onChanged();
+        } else {
+          peersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder addPeers(
+          int index, org.tanagerbank.proto.PeerProto.Address.Builder builderForValue) {
+        if (peersBuilder_ == null) {
+          ensurePeersIsMutable();
+          peers_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          peersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder addAllPeers(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Address> values) {
+        if (peersBuilder_ == null) {
+          ensurePeersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, peers_);
+          onChanged();
+        } else {
+          peersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder clearPeers() {
+        if (peersBuilder_ == null) {
+          peers_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          peersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public Builder removePeers(int index) {
+        if (peersBuilder_ == null) {
+          ensurePeersIsMutable();
+          peers_.remove(index);
+          onChanged();
+        } else {
+          peersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Address.Builder getPeersBuilder(
+          int index) {
+        return internalGetPeersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.AddressOrBuilder getPeersOrBuilder(
+          int index) {
+        if (peersBuilder_ == null) {
+          return peers_.get(index);  } else {
+          return peersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.AddressOrBuilder> 
+           getPeersOrBuilderList() {
+        if (peersBuilder_ != null) {
+          return peersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(peers_);
+        }
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Address.Builder addPeersBuilder() {
+        return internalGetPeersFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Address.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Address.Builder addPeersBuilder(
+          int index) {
+        return internalGetPeersFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Address.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .tanagerbank.peer.Address peers = 5;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Address.Builder> 
+           getPeersBuilderList() {
+        return internalGetPeersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder> 
+          internalGetPeersFieldBuilder() {
+        if (peersBuilder_ == null) {
+          peersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Address, org.tanagerbank.proto.PeerProto.Address.Builder, org.tanagerbank.proto.PeerProto.AddressOrBuilder>(
+                  peers_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          peers_ = null;
+        }
+        return peersBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> caches_ =
+        java.util.Collections.emptyList();
+      private void ensureCachesIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          caches_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.EngineCache>(caches_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> cachesBuilder_;
+
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache> getCachesList() {
+        if (cachesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(caches_);
+        } else {
+          return cachesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public int getCachesCount() {
+        if (cachesBuilder_ == null) {
+          return caches_.size();
+        } else {
+          return cachesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache getCaches(int index) {
+        if (cachesBuilder_ == null) {
+          return caches_.get(index);
+        } else {
+          return cachesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder setCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.set(index, value);
+          onChanged();
+        } else {
+          cachesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder setCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder addCaches(org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache value) {
+        if (cachesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCachesIsMutable();
+          caches_.add(index, value);
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder addCaches(
+          org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder addCaches(
+          int index, org.tanagerbank.proto.PeerProto.EngineCache.Builder builderForValue) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          cachesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder addAllCaches(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.EngineCache> values) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, caches_);
+          onChanged();
+        } else {
+          cachesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder clearCaches() {
+        if (cachesBuilder_ == null) {
+          caches_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          cachesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public Builder removeCaches(int index) {
+        if (cachesBuilder_ == null) {
+          ensureCachesIsMutable();
+          caches_.remove(index);
+          onChanged();
+        } else {
+          cachesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder getCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
+          int index) {
+        if (cachesBuilder_ == null) {
+          return caches_.get(index);  } else {
+          return cachesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+           getCachesOrBuilderList() {
+        if (cachesBuilder_ != null) {
+          return cachesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(caches_);
+        }
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder() {
+        return internalGetCachesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.EngineCache.Builder addCachesBuilder(
+          int index) {
+        return internalGetCachesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.EngineCache.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Contents of engine caches, sent to gateways that have just started.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.EngineCache caches = 6;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.EngineCache.Builder> 
+           getCachesBuilderList() {
+        return internalGetCachesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder> 
+          internalGetCachesFieldBuilder() {
+        if (cachesBuilder_ == null) {
+          cachesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.EngineCache, org.tanagerbank.proto.PeerProto.EngineCache.Builder, org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder>(
+                  caches_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          caches_ = null;
+        }
+        return cachesBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.PartSet> partSets_ =
+        java.util.Collections.emptyList();
+      private void ensurePartSetsIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          partSets_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.PartSet>(partSets_);
+          bitField0_ |= 0x00000040;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder> partSetsBuilder_;
+
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.PartSet> getPartSetsList() {
+        if (partSetsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(partSets_);
+        } else {
+          return partSetsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public int getPartSetsCount() {
+        if (partSetsBuilder_ == null) {
+          return partSets_.size();
+        } else {
+          return partSetsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index) {
+        if (partSetsBuilder_ == null) {
+          return partSets_.get(index);
+        } else {
+          return partSetsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder setPartSets(
+          int index, org.tanagerbank.proto.PeerProto.PartSet value) {
+        if (partSetsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartSetsIsMutable();
+          partSets_.set(index, value);
+          onChanged();
+        } else {
+          partSetsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder setPartSets(
+          int index, org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
+        if (partSetsBuilder_ == null) {
+          ensurePartSetsIsMutable();
+          partSets_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          partSetsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder addPartSets(org.tanagerbank.proto.PeerProto.PartSet value) {
+        if (partSetsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartSetsIsMutable();
+          partSets_.add(value);
+          onChanged();
+        } else {
+          partSetsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder addPartSets(
+          int index, org.tanagerbank.proto.PeerProto.PartSet value) {
+        if (partSetsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartSetsIsMutable();
+          partSets_.add(index, value);
+          onChanged();
+        } else {
+          partSetsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder addPartSets(
+          org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
+        if (partSetsBuilder_ == null) {
+          ensurePartSetsIsMutable();
+          partSets_.add(builderForValue.build());
+          onChanged();
+        } else {
+          partSetsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder addPartSets(
+          int index, org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
+        if (partSetsBuilder_ == null) {
+          ensurePartSetsIsMutable();
+          partSets_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          partSetsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder addAllPartSets(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.PartSet> values) {
+        if (partSetsBuilder_ == null) {
+          ensurePartSetsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, partSets_);
+          onChanged();
+        } else {
+          partSetsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder clearPartSets() {
+        if (partSetsBuilder_ == null) {
+          partSets_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          partSetsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public Builder removePartSets(int index) {
+        if (partSetsBuilder_ == null) {
+          ensurePartSetsIsMutable();
+          partSets_.remove(index);
+          onChanged();
+        } else {
+          partSetsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PartSet.Builder getPartSetsBuilder(
+          int index) {
+        return internalGetPartSetsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
+          int index) {
+        if (partSetsBuilder_ == null) {
+          return partSets_.get(index);  } else {
+          return partSetsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
+           getPartSetsOrBuilderList() {
+        if (partSetsBuilder_ != null) {
+          return partSetsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(partSets_);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PartSet.Builder addPartSetsBuilder() {
+        return internalGetPartSetsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.PartSet.Builder addPartSetsBuilder(
+          int index) {
+        return internalGetPartSetsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.PartSet.Builder> 
+           getPartSetsBuilderList() {
+        return internalGetPartSetsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
+          internalGetPartSetsFieldBuilder() {
+        if (partSetsBuilder_ == null) {
+          partSetsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder>(
+                  partSets_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          partSets_ = null;
+        }
+        return partSetsBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_ =
+        java.util.Collections.emptyList();
+      private void ensureSuspectsIsMutable() {
+        if (!((bitField0_ & 0x00000080) != 0)) {
+          suspects_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Suspect>(suspects_);
+          bitField0_ |= 0x00000080;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> suspectsBuilder_;
+
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
+        if (suspectsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(suspects_);
+        } else {
+          return suspectsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public int getSuspectsCount() {
+        if (suspectsBuilder_ == null) {
+          return suspects_.size();
+        } else {
+          return suspectsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);
+        } else {
+          return suspectsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.set(index, value);
+          onChanged();
+        } else {
+          suspectsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.add(value);
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuspectsIsMutable();
+          suspects_.add(index, value);
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addAllSuspects(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, suspects_);
+          onChanged();
+        } else {
+          suspectsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder clearSuspects() {
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          suspectsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder removeSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.remove(index);
+          onChanged();
+        } else {
+          suspectsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
