+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+          int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);  } else {
+          return suspectsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+           getSuspectsOrBuilderList() {
+        if (suspectsBuilder_ != null) {
+          return suspectsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(suspects_);
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
+           getSuspectsBuilderList() {
+        return internalGetSuspectsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+          internalGetSuspectsFieldBuilder() {
+        if (suspectsBuilder_ == null) {
+          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
+                  suspects_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          suspects_ = null;
+        }
+        return suspectsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.DigestContinuation)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.DigestContinuation)
+    private static final org.tanagerbank.proto.PeerProto.DigestContinuation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.DigestContinuation();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DigestContinuation>
+        PARSER = new com.google.protobuf.AbstractParser<DigestContinuation>() {
+      @java.lang.Override
+      public DigestContinuation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DigestContinuation> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DigestContinuation> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WorkRangeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.WorkRange)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The after.
+     */
+    java.lang.String getAfter();
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The bytes for after.
+     */
+    com.google.protobuf.ByteString
+        getAfterBytes();
+
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The until.
+     */
+    java.lang.String getUntil();
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The bytes for until.
+     */
+    com.google.protobuf.ByteString
+        getUntilBytes();
+
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> 
+        getWorkList();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index);
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    int getWorkCount();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+        getWorkOrBuilderList();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * The requests of the sender at the upstreams of a range of ids.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.WorkRange}
+   */
+  public static final class WorkRange extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.WorkRange)
+      WorkRangeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        WorkRange.class.getName());
+    }
+    // Use WorkRange.newBuilder() to construct.
+    private WorkRange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WorkRange() {
+      after_ = "";
+      until_ = "";
+      work_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
+    }
+
+    public static final int AFTER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object after_ = "";
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The after.
+     */
+    @java.lang.Override
+    public java.lang.String getAfter() {
+      java.lang.Object ref = after_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        after_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The bytes for after.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAfterBytes() {
+      java.lang.Object ref = after_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        after_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int UNTIL_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object until_ = "";
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The until.
+     */
+    @java.lang.Override
+    public java.lang.String getUntil() {
+      java.lang.Object ref = until_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        until_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The bytes for until.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getUntilBytes() {
+      java.lang.Object ref = until_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        until_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int WORK_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_;
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
+      return work_;
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+        getWorkOrBuilderList() {
+      return work_;
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public int getWorkCount() {
+      return work_.size();
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
+      return work_.get(index);
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+        int index) {
+      return work_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, after_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, until_);
+      }
+      for (int i = 0; i < work_.size(); i++) {
+        output.writeMessage(3, work_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, after_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, until_);
+      }
+      for (int i = 0; i < work_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, work_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.WorkRange)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.WorkRange other = (org.tanagerbank.proto.PeerProto.WorkRange) obj;
+
+      if (!getAfter()
+          .equals(other.getAfter())) return false;
+      if (!getUntil()
+          .equals(other.getUntil())) return false;
+      if (!getWorkList()
+          .equals(other.getWorkList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAfter().hashCode();
+      hash = (37 * hash) + UNTIL_FIELD_NUMBER;
+      hash = (53 * hash) + getUntil().hashCode();
+      if (getWorkCount() > 0) {
+        hash = (37 * hash) + WORK_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.WorkRange prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The requests of the sender at the upstreams of a range of ids.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.WorkRange}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.WorkRange)
+        org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.WorkRange.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        after_ = "";
+        until_ = "";
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+        } else {
+          work_ = null;
+          workBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange build() {
+        org.tanagerbank.proto.PeerProto.WorkRange result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange buildPartial() {
+        org.tanagerbank.proto.PeerProto.WorkRange result = new org.tanagerbank.proto.PeerProto.WorkRange(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.WorkRange result) {
+        if (workBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            work_ = java.util.Collections.unmodifiableList(work_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.work_ = work_;
+        } else {
+          result.work_ = workBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.WorkRange result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.after_ = after_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.until_ = until_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.WorkRange) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.WorkRange)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.WorkRange other) {
+        if (other == org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance()) return this;
+        if (!other.getAfter().isEmpty()) {
+          after_ = other.after_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getUntil().isEmpty()) {
+          until_ = other.until_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (workBuilder_ == null) {
+          if (!other.work_.isEmpty()) {
+            if (work_.isEmpty()) {
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureWorkIsMutable();
+              work_.addAll(other.work_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.work_.isEmpty()) {
+            if (workBuilder_.isEmpty()) {
+              workBuilder_.dispose();
+              workBuilder_ = null;
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              workBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWorkFieldBuilder() : null;
+            } else {
+              workBuilder_.addAllMessages(other.work_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                after_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                until_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                org.tanagerbank.proto.PeerProto.UpstreamWork m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.UpstreamWork.parser(),
+                        extensionRegistry);
+                if (workBuilder_ == null) {
+                  ensureWorkIsMutable();
+                  work_.add(m);
+                } else {
+                  workBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object after_ = "";
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return The after.
+       */
+      public java.lang.String getAfter() {
+        java.lang.Object ref = after_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          after_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return The bytes for after.
+       */
+      public com.google.protobuf.ByteString
+          getAfterBytes() {
+        java.lang.Object ref = after_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          after_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @param value The after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAfter() {
+        after_ = getDefaultInstance().getAfter();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @param value The bytes for after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object until_ = "";
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return The until.
+       */
+      public java.lang.String getUntil() {
+        java.lang.Object ref = until_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          until_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return The bytes for until.
+       */
+      public com.google.protobuf.ByteString
+          getUntilBytes() {
+        java.lang.Object ref = until_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          until_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @param value The until to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntil(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        until_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUntil() {
+        until_ = getDefaultInstance().getUntil();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @param value The bytes for until to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntilBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        until_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_ =
+        java.util.Collections.emptyList();
+      private void ensureWorkIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          work_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.UpstreamWork>(work_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> workBuilder_;
+
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
+        if (workBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(work_);
+        } else {
+          return workBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public int getWorkCount() {
+        if (workBuilder_ == null) {
+          return work_.size();
+        } else {
+          return workBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);
+        } else {
+          return workBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder setWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.set(index, value);
+          onChanged();
+        } else {
+          workBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder setWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.add(value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.add(index, value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addAllWork(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.UpstreamWork> values) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, work_);
+          onChanged();
+        } else {
+          workBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder clearWork() {
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          workBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder removeWork(int index) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.remove(index);
+          onChanged();
+        } else {
+          workBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder getWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+          int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);  } else {
+          return workBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+           getWorkOrBuilderList() {
+        if (workBuilder_ != null) {
+          return workBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(work_);
+        }
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder() {
+        return internalGetWorkFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork.Builder> 
+           getWorkBuilderList() {
+        return internalGetWorkFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+          internalGetWorkFieldBuilder() {
+        if (workBuilder_ == null) {
+          workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder>(
+                  work_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          work_ = null;
+        }
+        return workBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.WorkRange)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.WorkRange)
+    private static final org.tanagerbank.proto.PeerProto.WorkRange DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.WorkRange();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<WorkRange>
+        PARSER = new com.google.protobuf.AbstractParser<WorkRange>() {
+      @java.lang.Override
+      public WorkRange parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<WorkRange> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<WorkRange> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartSetOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.PartSet)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @return A list containing the fingerprints.
+     */
+    java.util.List<java.lang.Long> getFingerprintsList();
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @return The count of fingerprints.
+     */
+    int getFingerprintsCount();
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @param index The index of the element to return.
+     * @return The fingerprints at the given index.
+     */
+    long getFingerprints(int index);
+  }
+  /**
+   * <pre>
+   * Parts of prompts that were in flight together.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.PartSet}
+   */
+  public static final class PartSet extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.PartSet)
+      PartSetOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        PartSet.class.getName());
+    }
+    // Use PartSet.newBuilder() to construct.
+    private PartSet(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PartSet() {
+      fingerprints_ = emptyLongList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.PartSet.class, org.tanagerbank.proto.PeerProto.PartSet.Builder.class);
+    }
+
+    public static final int FINGERPRINTS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList fingerprints_ =
+        emptyLongList();
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @return A list containing the fingerprints.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getFingerprintsList() {
+      return fingerprints_;
+    }
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @return The count of fingerprints.
+     */
+    public int getFingerprintsCount() {
+      return fingerprints_.size();
+    }
+    /**
+     * <code>repeated fixed64 fingerprints = 1;</code>
+     * @param index The index of the element to return.
+     * @return The fingerprints at the given index.
+     */
+    public long getFingerprints(int index) {
+      return fingerprints_.getLong(index);
+    }
+    private int fingerprintsMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (getFingerprintsList().size() > 0) {
+        output.writeUInt32NoTag(10);
+        output.writeUInt32NoTag(fingerprintsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < fingerprints_.size(); i++) {
+        output.writeFixed64NoTag(fingerprints_.getLong(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      {
+        int dataSize = 0;
+        dataSize = 8 * getFingerprintsList().size();
+        size += dataSize;
+        if (!getFingerprintsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        fingerprintsMemoizedSerializedSize = dataSize;
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.PartSet)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.PartSet other = (org.tanagerbank.proto.PeerProto.PartSet) obj;
+
+      if (!getFingerprintsList()
+          .equals(other.getFingerprintsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getFingerprintsCount() > 0) {
+        hash = (37 * hash) + FINGERPRINTS_FIELD_NUMBER;
+        hash = (53 * hash) + getFingerprintsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.PartSet parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.PartSet parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.PartSet prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Parts of prompts that were in flight together.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.PartSet}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.PartSet)
+        org.tanagerbank.proto.PeerProto.PartSetOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.PartSet.class, org.tanagerbank.proto.PeerProto.PartSet.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.PartSet.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprints_ = emptyLongList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.PartSet getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.PartSet build() {
+        org.tanagerbank.proto.PeerProto.PartSet result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.PartSet buildPartial() {
+        org.tanagerbank.proto.PeerProto.PartSet result = new org.tanagerbank.proto.PeerProto.PartSet(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.PartSet result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          fingerprints_.makeImmutable();
+          result.fingerprints_ = fingerprints_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.PartSet) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.PartSet)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.PartSet other) {
+        if (other == org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance()) return this;
+        if (!other.fingerprints_.isEmpty()) {
+          if (fingerprints_.isEmpty()) {
+            fingerprints_ = other.fingerprints_;
+            fingerprints_.makeImmutable();
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureFingerprintsIsMutable();
+            fingerprints_.addAll(other.fingerprints_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                long v = input.readFixed64();
+                ensureFingerprintsIsMutable();
+                fingerprints_.addLong(v);
+                break;
+              } // case 9
+              case 10: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureFingerprintsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  fingerprints_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.Internal.LongList fingerprints_ = emptyLongList();
+      private void ensureFingerprintsIsMutable() {
+        if (!fingerprints_.isModifiable()) {
+          fingerprints_ = makeMutableCopy(fingerprints_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      private void ensureFingerprintsIsMutable(int capacity) {
+        if (!fingerprints_.isModifiable()) {
+          fingerprints_ = makeMutableCopy(fingerprints_, capacity);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @return A list containing the fingerprints.
+       */
+      public java.util.List<java.lang.Long>
+          getFingerprintsList() {
+        fingerprints_.makeImmutable();
+        return fingerprints_;
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @return The count of fingerprints.
+       */
+      public int getFingerprintsCount() {
+        return fingerprints_.size();
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @param index The index of the element to return.
+       * @return The fingerprints at the given index.
+       */
+      public long getFingerprints(int index) {
+        return fingerprints_.getLong(index);
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The fingerprints to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprints(
+          int index, long value) {
+
+        ensureFingerprintsIsMutable();
+        fingerprints_.setLong(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @param value The fingerprints to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFingerprints(long value) {
+
+        ensureFingerprintsIsMutable();
+        fingerprints_.addLong(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @param values The fingerprints to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllFingerprints(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureFingerprintsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, fingerprints_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 fingerprints = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprints() {
+        fingerprints_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.PartSet)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.PartSet)
+    private static final org.tanagerbank.proto.PeerProto.PartSet DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.PartSet();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.PartSet getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartSet>
+        PARSER = new com.google.protobuf.AbstractParser<PartSet>() {
+      @java.lang.Override
+      public PartSet parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartSet> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartSet> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.PartSet getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SuspectOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Suspect)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    long getFingerprint();
+
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Crash> 
+        getCrashesList();
+    /**
+     * <pre>
+     * Crashes at which the request was in flight.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Crash crashes = 2;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Crash getCrashes(int index);
     /**
      * <pre>
      * Crashes at which the request was in flight.
@@ -12564,7 +17950,8 @@
 
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12573,7 +17960,8 @@
     java.util.List<java.lang.Long> getCompanionsList();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12582,7 +17970,8 @@
     int getCompanionsCount();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12590,6 +17979,25 @@
      * @return The companions at the given index.
      */
     long getCompanions(int index);
+
+    /**
+     * <pre>
+     * Index of the set of these parts in the continuation; the set may contain the suspect.
+     * </pre>
+     *
+     * <code>optional uint32 part_set = 9;</code>
+     * @return Whether the partSet field is set.
+     */
+    boolean hasPartSet();
+    /**
+     * <pre>
+     * Index of the set of these parts in the continuation; the set may contain the suspect.
+     * </pre>
+     *
+     * <code>optional uint32 part_set = 9;</code>
+     * @return The partSet.
+     */
+    int getPartSet();
   }
   /**
    * <pre>
@@ -12635,6 +18043,7 @@
               org.tanagerbank.proto.PeerProto.Crash.class, org.tanagerbank.proto.PeerProto.Crash.Builder.class);
     }
 
+    private int bitField0_;
     public static final int ID_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object id_ = "";
@@ -12825,7 +18234,8 @@
         emptyLongList();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12838,7 +18248,8 @@
     }
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12849,7 +18260,8 @@
     }
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+     * part_set is present.
      * </pre>
      *
      * <code>repeated fixed64 companions = 8;</code>
@@ -12861,6 +18273,33 @@
     }
     private int companionsMemoizedSerializedSize = -1;
 
+    public static final int PART_SET_FIELD_NUMBER = 9;
+    private int partSet_ = 0;
+    /**
+     * <pre>
+     * Index of the set of these parts in the continuation; the set may contain the suspect.
+     * </pre>
+     *
+     * <code>optional uint32 part_set = 9;</code>
+     * @return Whether the partSet field is set.
+     */
+    @java.lang.Override
+    public boolean hasPartSet() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Index of the set of these parts in the continuation; the set may contain the suspect.
+     * </pre>
+     *
+     * <code>optional uint32 part_set = 9;</code>
+     * @return The partSet.
+     */
+    @java.lang.Override
+    public int getPartSet() {
+      return partSet_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12904,6 +18343,9 @@
       for (int i = 0; i < companions_.size(); i++) {
         output.writeFixed64NoTag(companions_.getLong(i));
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeUInt32(9, partSet_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12951,6 +18393,10 @@
         }
         companionsMemoizedSerializedSize = dataSize;
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(9, partSet_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12982,6 +18428,11 @@
           .equals(other.getCompletionsList())) return false;
       if (!getCompanionsList()
           .equals(other.getCompanionsList())) return false;
+      if (hasPartSet() != other.hasPartSet()) return false;
+      if (hasPartSet()) {
+        if (getPartSet()
+            != other.getPartSet()) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -13015,6 +18466,10 @@
         hash = (37 * hash) + COMPANIONS_FIELD_NUMBER;
         hash = (53 * hash) + getCompanionsList().hashCode();
       }
+      if (hasPartSet()) {
+        hash = (37 * hash) + PART_SET_FIELD_NUMBER;
+        hash = (53 * hash) + getPartSet();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13164,6 +18619,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000040);
         companions_ = emptyLongList();
+        partSet_ = 0;
         return this;
       }
 
@@ -13232,6 +18688,12 @@
           companions_.makeImmutable();
           result.companions_ = companions_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.partSet_ = partSet_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -13303,6 +18765,9 @@
           }
           onChanged();
         }
+        if (other.hasPartSet()) {
+          setPartSet(other.getPartSet());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13389,6 +18854,11 @@
                 input.popLimit(limit);
                 break;
               } // case 66
+              case 72: {
+                partSet_ = input.readUInt32();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -14048,7 +19518,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14061,7 +19532,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14072,7 +19544,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14084,7 +19557,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14103,7 +19577,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14120,7 +19595,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14138,7 +19614,8 @@
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it.
+       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
+       * part_set is present.
        * </pre>
        *
        * <code>repeated fixed64 companions = 8;</code>
@@ -14151,6 +19628,62 @@
         return this;
       }
 
+      private int partSet_ ;
+      /**
+       * <pre>
+       * Index of the set of these parts in the continuation; the set may contain the suspect.
+       * </pre>
+       *
+       * <code>optional uint32 part_set = 9;</code>
+       * @return Whether the partSet field is set.
+       */
+      @java.lang.Override
+      public boolean hasPartSet() {
+        return ((bitField0_ & 0x00000100) != 0);
+      }
+      /**
+       * <pre>
+       * Index of the set of these parts in the continuation; the set may contain the suspect.
+       * </pre>
+       *
+       * <code>optional uint32 part_set = 9;</code>
+       * @return The partSet.
+       */
+      @java.lang.Override
+      public int getPartSet() {
+        return partSet_;
+      }
+      /**
+       * <pre>
+       * Index of the set of these parts in the continuation; the set may contain the suspect.
+       * </pre>
+       *
+       * <code>optional uint32 part_set = 9;</code>
+       * @param value The partSet to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPartSet(int value) {
+
+        partSet_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Index of the set of these parts in the continuation; the set may contain the suspect.
+       * </pre>
+       *
+       * <code>optional uint32 part_set = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPartSet() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        partSet_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Crash)
     }
 
@@ -19845,6 +25378,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_Digest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_DigestContinuation_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_WorkRange_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_PartSet_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_PartSet_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_Suspect_descriptor;
   private static final 
@@ -19899,7 +25447,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020tanagerbank.peer\"\326\002\n\010Datag" +
+      "\n\npeer.proto\022\020tanagerbank.peer\"\224\003\n\010Datag" +
       "ram\022*\n\006digest\030\001 \001(\0132\030.tanagerbank.peer.D" +
       "igestH\000\0223\n\010question\030\002 \001(\0132\037.tanagerbank." +
       "peer.TopicQuestionH\000\022/\n\006answer\030\003 \001(\0132\035.t" +
@@ -19908,55 +25456,70 @@
       "ticeH\000\022;\n\017origin_question\030\005 \001(\0132 .tanage" +
       "rbank.peer.OriginQuestionH\000\0227\n\rorigin_an" +
       "swer\030\006 \001(\0132\036.tanagerbank.peer.OriginAnsw" +
-      "erH\000B\t\n\007content\"3\n\006Origin\022\017\n\007service\030\001 \001" +
-      "(\t\022\030\n\020software_version\030\002 \001(\t\"K\n\014OriginNo" +
-      "tice\022\021\n\tstream_id\030\001 \001(\t\022(\n\006origin\030\002 \001(\0132" +
-      "\030.tanagerbank.peer.Origin\"2\n\016OriginQuest" +
-      "ion\022\r\n\005nonce\030\001 \001(\006\022\021\n\tstream_id\030\002 \001(\t\"G\n" +
-      "\014OriginAnswer\022\r\n\005nonce\030\001 \001(\006\022(\n\006origin\030\002" +
-      " \001(\0132\030.tanagerbank.peer.Origin\"H\n\rTopicQ" +
-      "uestion\022\r\n\005nonce\030\001 \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n" +
-      "\004from\030\003 \001(\004\022\013\n\003era\030\004 \001(\004\"\265\001\n\013TopicAnswer" +
-      "\022\r\n\005nonce\030\001 \001(\006\022.\n\007records\030\002 \003(\0132\035.tanag" +
-      "erbank.peer.TopicRecord\022\014\n\004next\030\003 \001(\004\022\014\n" +
-      "\004more\030\004 \001(\010\022\022\n\nage_millis\030\005 \001(\004\022\033\n\023since" +
-      "_outage_millis\030\006 \001(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003e" +
-      "ra\030\010 \001(\004\"8\n\013TopicRecord\022\013\n\003key\030\001 \001(\t\022\022\n\005" +
-      "value\030\002 \001(\014H\000\210\001\001B\010\n\006_value\"\364\002\n\006Digest\022)\n" +
-      "\006sender\030\001 \001(\0132\031.tanagerbank.peer.Address" +
-      "\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version\030\003 \001(\004" +
-      "\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer.Upstre" +
-      "amWork\022/\n\nplacements\030\005 \003(\0132\033.tanagerbank" +
-      ".peer.Placement\022(\n\005peers\030\006 \003(\0132\031.tanager" +
-      "bank.peer.Address\022-\n\006caches\030\007 \003(\0132\035.tana" +
-      "gerbank.peer.EngineCache\022+\n\010suspects\030\010 \003" +
-      "(\0132\031.tanagerbank.peer.Suspect\0222\n\014trial_c" +
-      "laims\030\t \003(\0132\034.tanagerbank.peer.TrialClai" +
-      "m\"\274\001\n\007Suspect\022\023\n\013fingerprint\030\001 \001(\006\022(\n\007cr" +
-      "ashes\030\002 \003(\0132\027.tanagerbank.peer.Crash\022\030\n\020" +
-      "undecided_trials\030\004 \001(\r\022\"\n\025last_trial_age" +
-      "_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_last_trial_age_mi" +
-      "llisJ\004\010\003\020\004R\024completed_age_millis\"\264\001\n\005Cra" +
-      "sh\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010isolate" +
-      "d\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\022\020\n\010software\030" +
-      "\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013completions\030\007 \003" +
-      "(\0132\037.tanagerbank.peer.CompletedRuns\022\022\n\nc" +
-      "ompanions\030\010 \003(\006\"/\n\rCompletedRuns\022\020\n\010soft" +
-      "ware\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023" +
-      "\n\013fingerprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010" +
-      "upstream\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspe" +
-      "ct\030\001 \001(\0132\031.tanagerbank.peer.Suspect\022\037\n\027w" +
-      "ritten_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022" +
-      "\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port" +
-      "\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamW" +
-      "ork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 " +
-      "\001(\r\"\206\001\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013ups" +
-      "tream_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n" +
-      "\010part_ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016" +
-      "fetched_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013u" +
-      "pstream_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013pa" +
-      "rt_tokens\030\003 \003(\rB\"\n\025org.tanagerbank.proto" +
-      "B\tPeerProtob\006proto3"
+      "erH\000\022<\n\014continuation\030\007 \001(\0132$.tanagerbank" +
+      ".peer.DigestContinuationH\000B\t\n\007content\"3\n" +
+      "\006Origin\022\017\n\007service\030\001 \001(\t\022\030\n\020software_ver" +
+      "sion\030\002 \001(\t\"K\n\014OriginNotice\022\021\n\tstream_id\030" +
+      "\001 \001(\t\022(\n\006origin\030\002 \001(\0132\030.tanagerbank.peer" +
+      ".Origin\"2\n\016OriginQuestion\022\r\n\005nonce\030\001 \001(\006" +
+      "\022\021\n\tstream_id\030\002 \001(\t\"G\n\014OriginAnswer\022\r\n\005n" +
+      "once\030\001 \001(\006\022(\n\006origin\030\002 \001(\0132\030.tanagerbank" +
+      ".peer.Origin\"H\n\rTopicQuestion\022\r\n\005nonce\030\001" +
+      " \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n\004from\030\003 \001(\004\022\013\n\003era" +
+      "\030\004 \001(\004\"\265\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001(\006\022.\n" +
+      "\007records\030\002 \003(\0132\035.tanagerbank.peer.TopicR" +
+      "ecord\022\014\n\004next\030\003 \001(\004\022\014\n\004more\030\004 \001(\010\022\022\n\nage" +
+      "_millis\030\005 \001(\004\022\033\n\023since_outage_millis\030\006 \001" +
+      "(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003era\030\010 \001(\004\"8\n\013TopicR" +
+      "ecord\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010" +
+      "\n\006_value\"\210\003\n\006Digest\022)\n\006sender\030\001 \001(\0132\031.ta" +
+      "nagerbank.peer.Address\022\016\n\006number\030\002 \001(\004\022\026" +
+      "\n\016config_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.t" +
+      "anagerbank.peer.UpstreamWork\022/\n\nplacemen" +
+      "ts\030\005 \003(\0132\033.tanagerbank.peer.Placement\022(\n" +
+      "\005peers\030\006 \003(\0132\031.tanagerbank.peer.Address\022" +
+      "-\n\006caches\030\007 \003(\0132\035.tanagerbank.peer.Engin" +
+      "eCache\022+\n\010suspects\030\010 \003(\0132\031.tanagerbank.p" +
+      "eer.Suspect\0222\n\014trial_claims\030\t \003(\0132\034.tana" +
+      "gerbank.peer.TrialClaim\022\022\n\nwork_until\030\n " +
+      "\001(\t\"\337\002\n\022DigestContinuation\022)\n\006sender\030\001 \001" +
+      "(\0132\031.tanagerbank.peer.Address\022\016\n\006number\030" +
+      "\002 \001(\004\022)\n\004work\030\003 \001(\0132\033.tanagerbank.peer.W" +
+      "orkRange\022/\n\nplacements\030\004 \003(\0132\033.tanagerba" +
+      "nk.peer.Placement\022(\n\005peers\030\005 \003(\0132\031.tanag" +
+      "erbank.peer.Address\022-\n\006caches\030\006 \003(\0132\035.ta" +
+      "nagerbank.peer.EngineCache\022,\n\tpart_sets\030" +
+      "\007 \003(\0132\031.tanagerbank.peer.PartSet\022+\n\010susp" +
+      "ects\030\010 \003(\0132\031.tanagerbank.peer.Suspect\"W\n" +
+      "\tWorkRange\022\r\n\005after\030\001 \001(\t\022\r\n\005until\030\002 \001(\t" +
+      "\022,\n\004work\030\003 \003(\0132\036.tanagerbank.peer.Upstre" +
+      "amWork\"\037\n\007PartSet\022\024\n\014fingerprints\030\001 \003(\006\"" +
+      "\274\001\n\007Suspect\022\023\n\013fingerprint\030\001 \001(\006\022(\n\007cras" +
+      "hes\030\002 \003(\0132\027.tanagerbank.peer.Crash\022\030\n\020un" +
+      "decided_trials\030\004 \001(\r\022\"\n\025last_trial_age_m" +
+      "illis\030\005 \001(\004H\000\210\001\001B\030\n\026_last_trial_age_mill" +
+      "isJ\004\010\003\020\004R\024completed_age_millis\"\330\001\n\005Crash" +
+      "\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010isolated\030" +
+      "\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\022\020\n\010software\030\005 " +
+      "\001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013completions\030\007 \003(\013" +
+      "2\037.tanagerbank.peer.CompletedRuns\022\022\n\ncom" +
+      "panions\030\010 \003(\006\022\025\n\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t" +
+      "_part_set\"/\n\rCompletedRuns\022\020\n\010software\030\001" +
+      " \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023\n\013fing" +
+      "erprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010upstre" +
+      "am\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001" +
+      "(\0132\031.tanagerbank.peer.Suspect\022\037\n\027written" +
+      "_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013ins" +
+      "tance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r" +
+      "\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n" +
+      "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001" +
+      "\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_" +
+      "id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_" +
+      "ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetche" +
+      "d_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstrea" +
+      "m_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_tok" +
+      "ens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeer" +
+      "Protob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19967,7 +25530,7 @@
     internal_static_tanagerbank_peer_Datagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Datagram_descriptor,
-        new java.lang.String[] { "Digest", "Question", "Answer", "OriginNotice", "OriginQuestion", "OriginAnswer", "Content", });
+        new java.lang.String[] { "Digest", "Question", "Answer", "OriginNotice", "OriginQuestion", "OriginAnswer", "Continuation", "Content", });
     internal_static_tanagerbank_peer_Origin_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_tanagerbank_peer_Origin_fieldAccessorTable = new
@@ -20015,57 +25578,75 @@
     internal_static_tanagerbank_peer_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Digest_descriptor,
-        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", "Suspects", "TrialClaims", });
-    internal_static_tanagerbank_peer_Suspect_descriptor =
+        new java.lang.String[] { "Sender", "Number", "ConfigVersion", "Work", "Placements", "Peers", "Caches", "Suspects", "TrialClaims", "WorkUntil", });
+    internal_static_tanagerbank_peer_DigestContinuation_descriptor =
       getDescriptor().getMessageTypes().get(9);
+    internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_DigestContinuation_descriptor,
+        new java.lang.String[] { "Sender", "Number", "Work", "Placements", "Peers", "Caches", "PartSets", "Suspects", });
+    internal_static_tanagerbank_peer_WorkRange_descriptor =
+      getDescriptor().getMessageTypes().get(10);
+    internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_WorkRange_descriptor,
+        new java.lang.String[] { "After", "Until", "Work", });
+    internal_static_tanagerbank_peer_PartSet_descriptor =
+      getDescriptor().getMessageTypes().get(11);
+    internal_static_tanagerbank_peer_PartSet_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_PartSet_descriptor,
+        new java.lang.String[] { "Fingerprints", });
+    internal_static_tanagerbank_peer_Suspect_descriptor =
+      getDescriptor().getMessageTypes().get(12);
     internal_static_tanagerbank_peer_Suspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Suspect_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "UndecidedTrials", "LastTrialAgeMillis", });
     internal_static_tanagerbank_peer_Crash_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Crash_descriptor,
-        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Companions", });
+        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Companions", "PartSet", });
     internal_static_tanagerbank_peer_CompletedRuns_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_tanagerbank_peer_CompletedRuns_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_CompletedRuns_descriptor,
         new java.lang.String[] { "Software", "Runs", });
     internal_static_tanagerbank_peer_TrialClaim_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TrialClaim_descriptor,
         new java.lang.String[] { "Fingerprint", "Running", "Upstream", });
     internal_static_tanagerbank_peer_StoredSuspect_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_StoredSuspect_descriptor,
         new java.lang.String[] { "Suspect", "WrittenAtEpochMillis", });
     internal_static_tanagerbank_peer_Address_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -295,8 +295,13 @@
   }
 
   /** Returns whether a suspect was in flight at several crashes, forgiven or not. */
-  synchronized boolean hasSeveralCrashes(Fingerprint suspect) {
-    return suspects.get(suspect).crashes().size() > 1;
+  boolean hasSeveralCrashes(Fingerprint suspect) {
+    return crashCount(suspect) > 1;
+  }
+
+  /** Returns at how many crashes a suspect was in flight, forgiven or not. */
+  synchronized int crashCount(Fingerprint suspect) {
+    return suspects.get(suspect).crashes().size();
   }
 
   /** Returns the suspects against which at least the given number of crashes counts. */
--- a/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
@@ -21,6 +21,10 @@
 public final class SuspectNews {
   private static final int MESSAGES_PER_CHANGE = 3;
   private static final int MAX_CHANGES_PER_MESSAGE = 40;
+
+  /** Bounds the bytes of the changes in a message, which the number of crashes decides. */
+  private static final int MAX_CRASHES_PER_MESSAGE = 100;
+
   private static final int REPEATED_PER_MESSAGE = 4;
   private static final long REPEAT_INTERVAL_MILLIS = 250;
 
@@ -61,12 +65,14 @@
   }
 
   private ImmutableList<Fingerprint> nextChanges(Quarantine quarantine) {
+    int[] crashes = {0};
     ImmutableList<Fingerprint> changed =
         sentCounts.entrySet().stream()
             .sorted(Map.Entry.comparingByValue())
             .map(Map.Entry::getKey)
             .sorted(Comparator.comparing(f -> !quarantine.hasSeveralCrashes(f)))
             .limit(MAX_CHANGES_PER_MESSAGE)
+            .takeWhile(f -> (crashes[0] += quarantine.crashCount(f)) <= MAX_CRASHES_PER_MESSAGE)
             .collect(toImmutableList());
     changed.forEach(f -> sentCounts.merge(f, 1, Integer::sum));
     sentCounts.values().removeIf(n -> n >= MESSAGES_PER_CHANGE);
--- a/src/main/java/org/tanagerbank/quarantine/TrialClaims.java
+++ b/src/main/java/org/tanagerbank/quarantine/TrialClaims.java
@@ -32,6 +32,12 @@
   /** The time in which a lost run is found to be a crash or not, and reported to all instances. */
   public static final long SETTLE_MILLIS = 1_500;
 
+  /**
+   * The number of claims that an instance may have, so that all of them fit a message. A request
+   * beyond it waits or is refused like one whose trial is taken.
+   */
+  static final int MAX_CLAIMS = 32;
+
   private static final HashFunction RANK = Hashing.murmur3_128(0x7a6f);
 
   /** A claim of this instance for one of its requests, which is the holder. */
@@ -67,6 +73,9 @@
    */
   public boolean tryStart(Fingerprint fingerprint, Object holder, long nowMillis) {
     removeSettled(nowMillis);
+    if (!own.containsKey(fingerprint) && own.size() >= MAX_CLAIMS) {
+      return false;
+    }
     OwnClaim claim = own.computeIfAbsent(fingerprint, f -> new OwnClaim(holder, nowMillis));
     if (!claim.isHeldBy(holder)) {
       return false;
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -344,7 +344,8 @@
             g -> {
               SharedUpstreamState other = g.dispatcher.sharedUpstreamState();
               other.onPeerInFlight(sender, inFlight);
-              other.onPeerSuspects(sender, suspects, claims);
+              other.onPeerTrialClaims(sender, claims);
+              other.onPeerSuspects(suspects);
             });
       }
     }
--- a/src/test/java/org/tanagerbank/peer/OriginExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/OriginExchangeTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -125,7 +126,8 @@
             new OriginAnswer(-3, Optional.of(V1)),
             new OriginAnswer(-3, Optional.empty()));
     for (PeerMessage message : messages) {
-      assertThat(MessageCodec.decode(MessageCodec.encode(message))).isEqualTo(message);
+      byte[] datagram = Iterables.getOnlyElement(MessageCodec.encode(message));
+      assertThat(MessageCodec.decode(datagram)).isEqualTo(message);
     }
   }
 }
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -1,19 +1,33 @@
 package org.tanagerbank.peer;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Sets;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -37,50 +51,181 @@
     return new PeerAddress(id, new InetSocketAddress("10.0.0.1", 7340), incarnation);
   }
 
+  /** Keeps the requests in flight that were heard last. */
+  private static final class RecordingListener implements PeerListener {
+    private ImmutableMap<String, Integer> inFlight = ImmutableMap.of();
+
+    @Override
+    public void onPeerInFlight(String instanceId, ImmutableMap<String, Integer> heard) {
+      inFlight = heard;
+    }
+
+    @Override
+    public void onPeerPlacement(PeerPlacement placement) {}
+
+    @Override
+    public void onPeerCaches(CachedParts caches) {}
+
+    @Override
+    public void onPeerSuspects(ImmutableList<SuspectRecord> suspects) {}
+
+    @Override
+    public void onPeerTrialClaims(String instanceId, ImmutableList<TrialClaim> trialClaims) {}
+
+    @Override
+    public void onPeerConfigVersion(long version) {}
+
+    @Override
+    public void onPeerLost(String instanceId) {}
+
+    @Override
+    public void onKnownPeersChanged(ImmutableSet<String> instanceIds) {}
+
+    @Override
+    public void onPeersRead() {}
+  }
+
   private static Prompt prompt(long id) {
     return new Prompt("", ImmutableList.of(new PromptPart(id, 10)), 20, 0);
   }
 
+  private static ImmutableSet<Fingerprint> parts(long first, int count) {
+    return LongStream.range(first, first + count)
+        .mapToObj(Fingerprint::ofPromptPart)
+        .collect(toImmutableSet());
+  }
+
+  private static SuspectRecord suspect(Fingerprint fingerprint, ImmutableSet<Fingerprint> parts) {
+    CrashRecord crash =
+        new CrashRecord("c1", 1, false, -50, new RunConditions(-7, 8), ImmutableMap.of(-7, 1, 9, 2))
+            .withCompanions(Sets.difference(parts, ImmutableSet.of(fingerprint)).immutableCopy());
+    return new SuspectRecord(
+        fingerprint,
+        CrashEvidence.of(
+            ImmutableList.of(crash, new CrashRecord("c2", 2, true, 0, RunConditions.UNKNOWN)),
+            new UndecidedTrials(2, -90)));
+  }
+
+  private static DigestNews news(int placements, int suspects) {
+    ImmutableSet<Fingerprint> parts = parts(1, suspects);
+    return new DigestNews(
+        LongStream.rangeClosed(1, placements)
+            .mapToObj(i -> new PeerPlacement(i, "i-" + i, prompt(-i), 3))
+            .collect(toImmutableList()),
+        ImmutableList.of(address("b", 6)),
+        Stream.concat(parts.stream(), Stream.of(new Fingerprint(9)))
+            .map(f -> suspect(f, parts))
+            .collect(toImmutableList()),
+        ImmutableList.of(
+            new CachedParts("i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
+  }
+
+  private static PeerDigest digest(int upstreams, DigestNews news) {
+    return new PeerDigest(
+        address("a", 5),
+        9,
+        12,
+        WorkRange.ofAll(
+            IntStream.range(0, upstreams)
+                .boxed()
+                .collect(
+                    ImmutableSortedMap.toImmutableSortedMap(
+                        Comparator.naturalOrder(), i -> "i-" + i, i -> i + 1))),
+        ImmutableList.of(new TrialClaim(new Fingerprint(-9), true, -4)),
+        news);
+  }
+
+  /** Whatever a digest holds, each of its datagrams is small, and together they hold all of it. */
+  @Property(tries = 100, seed = "31337")
+  void datagramsOfADigestAreSmallAndHoldAllOfIt(
+      @ForAll @IntRange(max = 300) int upstreams,
+      @ForAll @IntRange(max = 60) int placements,
+      @ForAll @IntRange(max = 64) int suspects)
+      throws InvalidProtocolBufferException {
+    PeerDigest digest = digest(upstreams, news(placements, suspects));
+    ImmutableSortedMap<String, Integer> inFlight = ImmutableSortedMap.of("i-2x", 7);
+    List<PeerPlacement> heardPlacements = new ArrayList<>();
+    Map<Fingerprint, CrashEvidence> heardSuspects = new HashMap<>();
+    for (byte[] datagram : MessageCodec.encode(digest)) {
+      assertThat(datagram.length).isAtMost(DigestPacker.MAX_DATAGRAM_BYTES);
+      PeerMessage message = MessageCodec.decode(datagram);
+      Optional<WorkRange> work =
+          message instanceof PeerDigest d
+              ? Optional.of(d.work())
+              : ((DigestContinuation) message).work();
+      inFlight = work.isPresent() ? work.get().replaceIn(inFlight) : inFlight;
+      DigestNews heard =
+          message instanceof PeerDigest d ? d.news() : ((DigestContinuation) message).news();
+      heardPlacements.addAll(heard.placements());
+      heard
+          .suspects()
+          .forEach(s -> heardSuspects.merge(s.fingerprint(), s.evidence(), (a, b) -> union(a, b)));
+    }
+    assertThat(inFlight).isEqualTo(digest.work().inFlight());
+    assertThat(heardPlacements).isEqualTo(digest.news().placements());
+    digest
+        .news()
+        .suspects()
+        .forEach(s -> assertThat(heardSuspects).containsEntry(s.fingerprint(), s.evidence()));
+  }
+
+  private static CrashEvidence union(CrashEvidence first, CrashEvidence second) {
+    return CrashEvidence.of(
+        ImmutableList.<CrashRecord>builder()
+            .addAll(first.crashes().values())
+            .addAll(second.crashes().values())
+            .build(),
+        first.undecidedTrials().isNone() ? second.undecidedTrials() : first.undecidedTrials());
+  }
+
+  /** Continuations overtake their digest and come late. */
   @Test
-  void decodedDigestEqualsTheEncodedOne() throws InvalidProtocolBufferException {
-    PeerDigest digest =
+  void continuationCountsUnlessALaterDigestHasArrived() {
+    PeerTable table = new PeerTable("self");
+    RecordingListener listener = new RecordingListener();
+    DigestReceiver receiver = new DigestReceiver(table, listener);
+    WorkRange tail = new WorkRange("i-5", "", ImmutableSortedMap.of("i-7", 2));
+    WorkRange head = new WorkRange("", "i-5", ImmutableSortedMap.of("i-3", 1));
+    DigestNews nothing = DigestNews.ofCaches(ImmutableList.of());
+    DigestContinuation second =
+        new DigestContinuation(address("a", 5), 2, Optional.of(tail), nothing);
+    receiver.onContinuation(second, 0);
+    assertThat(listener.inFlight).isEmpty();
+    for (long number = 1; number <= 2; number++) {
+      receiver.onDigest(
+          new PeerDigest(address("a", 5), number, 1, head, ImmutableList.of(), nothing), 0);
+      receiver.onContinuation(second, 0);
+    }
+    assertThat(listener.inFlight).containsExactly("i-3", 1, "i-7", 2);
+    receiver.onDigest(
         new PeerDigest(
             address("a", 5),
-            9,
-            12,
-            ImmutableMap.of("i-1", 3),
-            ImmutableList.of(new PeerPlacement(4, "i-1", prompt(-7), 3)),
-            ImmutableList.of(address("b", 6)),
-            ImmutableList.of(
-                new SuspectRecord(
-                    new Fingerprint(-9),
-                    CrashEvidence.of(
-                        ImmutableList.of(
-                            new CrashRecord(
-                                "c1",
-                                1,
-                                false,
-                                -50,
-                                new RunConditions(-7, 8),
-                                ImmutableMap.of(-7, 1, 9, 2),
-                                ImmutableSet.of(new Fingerprint(-3), new Fingerprint(4))),
-                            new CrashRecord("c2", 2, true, 0, RunConditions.UNKNOWN)))),
-                new SuspectRecord(
-                    new Fingerprint(8),
-                    CrashEvidence.of(ImmutableList.of(), new UndecidedTrials(2, -90)))),
-            ImmutableList.of(new TrialClaim(new Fingerprint(-9), true, -4)),
-            ImmutableList.of(
-                new CachedParts(
-                    "i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
-    assertThat(MessageCodec.decode(MessageCodec.encode(digest))).isEqualTo(digest);
+            3,
+            1,
+            WorkRange.ofAll(ImmutableSortedMap.of()),
+            ImmutableList.of(),
+            nothing),
+        0);
+    receiver.onContinuation(second, 0);
+    assertThat(listener.inFlight).isEmpty();
+  }
+
+  /** Numbers arrive in any order and repeatedly; each counts once, and a lost one does not. */
+  @Test
+  void numberIsNewOnce() {
+    ReplayWindow window = new ReplayWindow();
+    assertThat(LongStream.of(3, 1, 3, 2, 1, 70, 7, 6, 7, 200, 199, 70).mapToObj(window::add))
+        .containsExactly(
+            true, true, false, true, false, true, true, false, false, true, true, false)
+        .inOrder();
   }
 
   @Test
   void decodedQuestionAndAnswerEqualTheEncodedOnes() throws InvalidProtocolBufferException {
     TopicQuestion question = new TopicQuestion(-3, "upstreams", new TopicPosition(2, 12));
-    assertThat(MessageCodec.decode(MessageCodec.encode(question))).isEqualTo(question);
+    assertThat(decoded(question)).isEqualTo(question);
     TopicAnswer unknown = new TopicAnswer(7, 2, Optional.empty());
-    assertThat(MessageCodec.decode(MessageCodec.encode(unknown))).isEqualTo(unknown);
+    assertThat(decoded(unknown)).isEqualTo(unknown);
     ImmutableList<KeyedRecord> removed = ImmutableList.of(new KeyedRecord("i-1", Optional.empty()));
     TopicAnswer known =
         new TopicAnswer(
@@ -88,7 +233,11 @@
             2,
             Optional.of(
                 new RelayedRecords(removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE)));
-    assertThat(MessageCodec.decode(MessageCodec.encode(known))).isEqualTo(known);
+    assertThat(decoded(known)).isEqualTo(known);
+  }
+
+  private static PeerMessage decoded(PeerMessage message) throws InvalidProtocolBufferException {
+    return MessageCodec.decode(Iterables.getOnlyElement(MessageCodec.encode(message)));
   }
 
   @Test
--- a/src/test/java/org/tanagerbank/quarantine/TrialClaimsTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/TrialClaimsTest.java
@@ -38,6 +38,21 @@
     assertThat(claims.ownClaims(settled)).isEmpty();
   }
 
+  /** Others would not hear of a claim that does not fit a message, and run the request too. */
+  @Test
+  void claimsBeyondTheBoundAreNotTaken() {
+    for (int i = 0; i < TrialClaims.MAX_CLAIMS; i++) {
+      claims.tryStart(new Fingerprint(100 + i), this, 0);
+    }
+    assertThat(claims.tryStart(SUSPECT, "r", 0)).isFalse();
+    assertThat(claims.tryStart(SUSPECT, "r", WAIT)).isFalse();
+    assertThat(claims.isTaken(SUSPECT, "r", WAIT)).isTrue();
+    assertThat(claims.ownClaims(WAIT)).hasSize(TrialClaims.MAX_CLAIMS);
+    claims.abandon(new Fingerprint(100), this);
+    claims.tryStart(SUSPECT, "r", WAIT);
+    assertThat(claims.tryStart(SUSPECT, "r", 2 * WAIT)).isTrue();
+  }
+
   /** The connection failed, so that the trial goes to another upstream. */
   @Test
   void trialThatWasNotSentMayStartAgain() {
