Keep and tell where streams began by keys of bounded length

Cause: the id of a stream is the Request-Id that its caller chose, of any length up to the limit on headers. An id of some thousand bytes did not fit the datagrams in which gateways tell each other where streams began, so that such a stream could be taken up nowhere else; 20,000 of them take more than the heap. Found while looking for further messages of unbounded size.

Evidence: OriginExchangeTest#longIdIsKnownByAShortKey failed before (a key of 5,000 characters).

--- a/src/main/java/org/tanagerbank/stream/StreamOrigins.java
+++ b/src/main/java/org/tanagerbank/stream/StreamOrigins.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.stream;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -21,12 +23,15 @@
 
   private static final int MAX_ORIGINS = 20_000;
 
+  /** The longest id that is kept as it is; callers choose ids, and most take 16 characters. */
+  private static final int MAX_KEY_LENGTH = 64;
+
   private record Known(StreamOrigin origin, long toldAtMillis) {}
 
   private final LongSupplier clockMillis;
 
-  /** In the order in which they were last told. */
-  private final Map<String, Known> byStreamId = new LinkedHashMap<>();
+  /** By the keys of the streams, in the order in which they were last told. */
+  private final Map<String, Known> byKey = new LinkedHashMap<>();
 
   private OriginNetwork network = OriginNetwork.NONE;
 
@@ -43,22 +48,29 @@
   /** Records where a stream began, and tells other instances. */
   public void recordBegun(String streamId, StreamOrigin origin) {
     recordTold(streamId, origin);
-    network.tell(streamId, origin);
+    network.tell(key(streamId), origin);
+  }
+
+  /** Returns a short text that stands for an id in the table and in messages. */
+  private static String key(String streamId) {
+    return streamId.length() <= MAX_KEY_LENGTH
+        ? streamId
+        : Hashing.sha256().hashString(streamId, StandardCharsets.UTF_8).toString();
   }
 
   /** Records what another instance told. */
   public void recordTold(String streamId, StreamOrigin origin) {
     long now = clockMillis.getAsLong();
-    byStreamId.remove(streamId);
-    byStreamId.put(streamId, new Known(origin, now));
+    byKey.remove(key(streamId));
+    byKey.put(key(streamId), new Known(origin, now));
     dropOld(now);
   }
 
   private void dropOld(long now) {
-    Iterator<Known> oldestFirst = byStreamId.values().iterator();
+    Iterator<Known> oldestFirst = byKey.values().iterator();
     while (oldestFirst.hasNext()) {
       boolean isExpired = now - oldestFirst.next().toldAtMillis() > KEPT_MILLIS;
-      if (!isExpired && byStreamId.size() <= MAX_ORIGINS) {
+      if (!isExpired && byKey.size() <= MAX_ORIGINS) {
         return;
       }
       oldestFirst.remove();
@@ -67,7 +79,7 @@
 
   /** Returns where a stream began, if this instance knows it. */
   public Optional<StreamOrigin> known(String streamId) {
-    return Optional.ofNullable(byStreamId.get(streamId)).map(Known::origin);
+    return Optional.ofNullable(byKey.get(key(streamId))).map(Known::origin);
   }
 
   /**
@@ -80,12 +92,12 @@
     if (known.isPresent() || streamId.isEmpty()) {
       callback.accept(known);
     } else {
-      network.ask(streamId, callback);
+      network.ask(key(streamId), callback);
     }
   }
 
   /** Returns the number of streams whose origin is known. */
   public int size() {
-    return byStreamId.size();
+    return byKey.size();
   }
 }
--- a/src/test/java/org/tanagerbank/peer/OriginExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/OriginExchangeTest.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.tanagerbank.stream.OriginNetwork;
 import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.stream.StreamOrigins;
 
@@ -117,6 +119,35 @@
     assertThat(origins.known("s29999")).hasValue(V1);
   }
 
+  /** Callers choose ids; one of some thousand bytes fits no datagram and fills the memory. */
+  @Test
+  void longIdIsKnownByAShortKey() {
+    StreamOrigins origins = new StreamOrigins(() -> 0);
+    List<String> told = new ArrayList<>();
+    origins.setNetwork(
+        new OriginNetwork() {
+          @Override
+          public void tell(String streamId, StreamOrigin origin) {
+            told.add(streamId);
+          }
+
+          @Override
+          public void ask(String streamId, Consumer<Optional<StreamOrigin>> callback) {
+            told.add(streamId);
+          }
+        });
+    String id = "s".repeat(5_000);
+    origins.recordBegun(id, V1);
+    assertThat(origins.known(id)).hasValue(V1);
+    assertThat(origins.known(id + "s")).isEmpty();
+    String key = told.get(0);
+    assertThat(key.length()).isAtMost(64);
+    StreamOrigins others = new StreamOrigins(() -> 0);
+    others.recordTold(key, V1);
+    assertThat(others.known(key)).hasValue(V1);
+    assertThat(others.known(id)).hasValue(V1);
+  }
+
   @Test
   void decodedMessagesEqualTheEncodedOnes() throws InvalidProtocolBufferException {
     List<PeerMessage> messages =
