Replace the fake store of the tests by a stand-in program of the store

Waiting reads end at once in an outage and at a restore, and lost answers take effect, which FakeStore could not do. STORE_TRIMMED of the soak trims the two topics that are followed; before, it also trimmed topics that are only read by their newest records, where it had no effect.

Evidence: StoreClientTest, StoreRestoreTest and MainTest pass; the control calls were tried by hand (an unknown field is answered 400).

--- a/src/main/java/org/tanagerbank/cli/CommandTable.java
+++ b/src/main/java/org/tanagerbank/cli/CommandTable.java
@@ -52,6 +52,9 @@
                   "sum up from logs which requests were lost, when and why", LossesCommand::new))
           .put("demo", new Row("run a complete deployment on loopback", DemoCommand::new))
           .put("standin log", new Row("run a stand-in of the log", StandinLogCommand::new))
+          .put(
+              "standin store",
+              new Row("run a stand-in of the platform's store", StandinStoreCommand::new))
           .put("standin engine", new Row("run a stand-in of an engine", StandinEngineCommand::new))
           .put(
               "standin direct-engine",
--- a/src/main/java/org/tanagerbank/platform/RecordCodec.java
+++ b/src/main/java/org/tanagerbank/platform/RecordCodec.java
@@ -14,12 +14,13 @@
  * <p>A record starts with the length of the rest of the record (4 bytes, big-endian). The length of
  * the key (1 byte), the key and the value follow. A record without a value removes its key.
  */
-final class RecordCodec {
+public final class RecordCodec {
   private static final int MAX_KEY_BYTES = 255;
 
   private RecordCodec() {}
 
-  static ByteBuf encode(KeyedRecord keyed) {
+  /** Returns the bytes of a record. */
+  public static ByteBuf encode(KeyedRecord keyed) {
     byte[] key = keyed.key().getBytes(StandardCharsets.UTF_8);
     if (key.length == 0 || key.length > MAX_KEY_BYTES) {
       throw new IllegalArgumentException(
@@ -38,7 +39,7 @@
    * Decodes the complete records in a buffer. An incomplete record at the end is omitted. A record
    * without a valid key is returned as an empty element, because it occupies an offset.
    */
-  static ImmutableList<Optional<KeyedRecord>> decode(ByteBuffer bytes) {
+  public static ImmutableList<Optional<KeyedRecord>> decode(ByteBuffer bytes) {
     ImmutableList.Builder<Optional<KeyedRecord>> records = ImmutableList.builder();
     while (bytes.remaining() >= Integer.BYTES) {
       int length = bytes.getInt();
--- a/src/main/java/org/tanagerbank/standin/StandinTimer.java
+++ b/src/main/java/org/tanagerbank/standin/StandinTimer.java
@@ -9,10 +9,11 @@
 import org.tanagerbank.request.Lifecycle;
 
 /** Runs the delayed actions of a stand-in on one thread. Thread-safe. */
-final class StandinTimer implements Lifecycle {
+public final class StandinTimer implements Lifecycle {
   private final ScheduledThreadPoolExecutor executor;
 
-  StandinTimer(String name) {
+  /** Creates a timer whose thread has a name. */
+  public StandinTimer(String name) {
     executor =
         new ScheduledThreadPoolExecutor(
             1, new ThreadFactoryBuilder().setNameFormat(name + "-%d").setDaemon(true).build());
@@ -33,7 +34,7 @@
   /**
    * Runs an action after a delay; immediately on the calling thread if the delay is not positive.
    */
-  void runAfter(long millis, Runnable action) {
+  public void runAfter(long millis, Runnable action) {
     if (millis <= 0) {
       action.run();
       return;
--- a/src/test/java/org/tanagerbank/gateway/GatewayIT.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import org.tanagerbank.platform.FakeStore;
+import org.tanagerbank.platform.standin.StoreStandin;
 
 /**
  * Runs the gateway as a separate process with test doubles of the platform's store and an upstream.
@@ -34,7 +34,7 @@
   private static final String JVM_FLAGS = System.getProperty("tanagerbank.gateway.flags", "");
 
   @TempDir private Path folder;
-  private FakeStore store;
+  private StoreStandin store;
   private ScriptedUpstream upstream;
   private Process process;
   private int callerPort;
@@ -43,7 +43,8 @@
 
   @BeforeEach
   void start() throws IOException {
-    store = new FakeStore();
+    store = StoreStandin.onLoopback(/* pageItems= */ 2);
+    store.start();
     upstream = new ScriptedUpstream(GatewayIT::answer);
     callerPort = freePort();
     readyPort = freePort();
@@ -57,7 +58,7 @@
   void stop() throws IOException {
     process.destroyForcibly();
     upstream.close();
-    store.close();
+    store.stop();
   }
 
   private Process launch() throws IOException {
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.tanagerbank.platform.standin.StoreFaults;
+import org.tanagerbank.platform.standin.StoreStandin;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -28,12 +30,13 @@
 @Timeout(60)
 final class StoreClientTest {
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private FakeStore store;
+  private StoreStandin store;
   private KeyedTopic topic;
 
   @BeforeEach
   void start() throws IOException {
-    store = new FakeStore();
+    store = StoreStandin.onLoopback(/* pageItems= */ 2);
+    store.start();
     topic =
         StoreClient.create(group.next(), store.address(), () -> System.nanoTime() / 1_000_000)
             .keyedTopic("keyed.t");
@@ -41,7 +44,7 @@
 
   @AfterEach
   void stop() {
-    store.close();
+    store.stop();
     group.shutdownGracefully();
   }
 
@@ -108,7 +111,7 @@
   @Test
   void readOfDeletedRecordsIsReportedAsTrimmed() {
     put("a", "1");
-    store.trim(1);
+    store.trim("keyed.t", 1);
     assertThat(this.<ReadResult>await(callback -> topic.read(position(0), 0, callback)))
         .isInstanceOf(Trimmed.class);
   }
@@ -128,14 +131,14 @@
   @Test
   void positionOfAnEarlierEraIsNotRead() {
     put("a", "1");
-    store.restore(store.copy());
+    store.restoreTo(store.mark());
     assertThat(this.<ReadResult>await(c -> topic.read(position(0), 0, c)))
         .isEqualTo(new Restored(2));
   }
 
   @Test
   void errorStatusIsReportedAsUnavailable() {
-    store.setStatus(503);
+    store.setFaults(StoreFaults.refusing(503));
     assertThat(this.<ReadResult>await(topic::readNewest)).isEqualTo(new Unavailable("status 503"));
     assertThat(this.<Boolean>await(c -> topic.append(new KeyedRecord("a", Optional.empty()), c)))
         .isFalse();
@@ -150,7 +153,7 @@
 
   @Test
   void closedStoreIsReportedAsUnavailable() {
-    store.close();
+    store.stop();
     assertThat(this.<ReadResult>await(topic::readNewest)).isInstanceOf(Unavailable.class);
   }
 }
--- a/src/test/java/org/tanagerbank/platform/StoreRestoreTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreRestoreTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.tanagerbank.platform.standin.StoreFaults;
+import org.tanagerbank.platform.standin.StoreStandin;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.RecordRelay;
 import org.tanagerbank.store.TopicFollower;
@@ -35,7 +37,7 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
-  private FakeStore store;
+  private StoreStandin store;
   private Instance reader;
   private Instance asker;
 
@@ -87,7 +89,8 @@
 
   @BeforeEach
   void start() throws IOException {
-    store = new FakeStore();
+    store = StoreStandin.onLoopback(/* pageItems= */ 500);
+    store.start();
     put("first", "1");
     reader = new Instance(RecordRelay.NONE);
     asker =
@@ -98,7 +101,7 @@
 
   @AfterEach
   void stop() {
-    store.close();
+    store.stop();
     group.shutdownGracefully();
   }
 
@@ -123,22 +126,22 @@
 
   @Test
   void recordAfterTheRestoreIsKnownEverywhere() {
-    FakeStore.Copy copy = store.copy();
+    long mark = store.mark();
     putUntilKnown("lost", 8);
-    store.restore(copy);
+    store.restoreTo(mark);
     put("first", "2");
     awaitEverywhere("first", "2");
   }
 
   @Test
   void recordsThatTakeTheOffsetsOfLostOnesAreKnownEverywhere() {
-    FakeStore.Copy copy = store.copy();
+    long mark = store.mark();
     putUntilKnown("lost", 3);
-    store.setStatus(503);
-    store.restore(copy);
+    store.setFaults(StoreFaults.refusing(503));
+    store.restoreTo(mark);
     put("first", "2");
     putAll("new", 9);
-    store.setStatus(200);
+    store.setFaults(StoreFaults.NONE);
     awaitEverywhere("first", "2");
     awaitEverywhere("new8", "x");
   }
@@ -152,9 +155,9 @@
   @Test
   void restoresInSeriesAreFollowed() {
     for (int round = 2; round < 6; round++) {
-      FakeStore.Copy copy = store.copy();
+      long mark = store.mark();
       putUntilKnown("lost" + round + "-", round);
-      store.restore(copy);
+      store.restoreTo(mark);
       put("first", Integer.toString(round));
       awaitEverywhere("first", Integer.toString(round));
     }
--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -21,7 +21,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.tanagerbank.platform.FakeStore;
+import org.tanagerbank.platform.standin.StoreFaults;
+import org.tanagerbank.platform.standin.StoreStandin;
 import org.tanagerbank.soak.FaultProxy.Mode;
 import org.tanagerbank.soak.Interruptions.Span;
 import org.tanagerbank.soak.OverloadPlan.Fault;
@@ -55,12 +56,11 @@
   /** The last part of the time in which an engine ends, in which its requests may be broken off. */
   private static final long ENDING_MICROS = 500_000;
 
-  private static final int STATUS_OK = 200;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final Mode[] LINK_MODES = {Mode.DELAY, Mode.RESET, Mode.SILENT, Mode.NO_RESPONSES};
 
   private final ExecutorService executor = Executors.newCachedThreadPool();
-  private final FakeStore store = new FakeStore();
+  private final StoreStandin store = StoreStandin.onLoopback(/* pageItems= */ 2);
   private final List<SoakGateway> gateways = new CopyOnWriteArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
   private final AtomicInteger lastEngineNumber = new AtomicInteger();
@@ -95,6 +95,7 @@
             OverloadEngineOptions.MAX_CONNECTIONS,
             OverloadEngineOptions.SLOTS,
             OverloadEngineOptions.MEMORY_TOKENS);
+    store.start();
     store.put("keyed.op", "config", Optional.of(config.getBytes(UTF_8)));
     List<EngineProcess> processes = new ArrayList<>();
     for (int i = 0; i < STREAM_ENGINES + PLAIN_ENGINES; i++) {
@@ -332,9 +333,9 @@
 
   private void makeStoreUnavailable(long millis) throws InterruptedException {
     long from = nowMicros();
-    store.setStatus(STATUS_UNAVAILABLE);
+    store.setFaults(StoreFaults.refusing(STATUS_UNAVAILABLE));
     Thread.sleep(millis);
-    store.setStatus(STATUS_OK);
+    store.setFaults(StoreFaults.NONE);
     synchronized (this) {
       storeSpans.add(new Span(from, nowMicros()));
     }
@@ -364,6 +365,6 @@
       engine.process().close();
       engine.proxy().close();
     }
-    store.close();
+    store.stop();
   }
 }
--- a/src/test/java/org/tanagerbank/soak/SoakFleet.java
+++ b/src/test/java/org/tanagerbank/soak/SoakFleet.java
@@ -15,7 +15,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.tanagerbank.platform.FakeStore;
+import org.tanagerbank.platform.standin.StoreFaults;
+import org.tanagerbank.platform.standin.StoreStandin;
 import org.tanagerbank.soak.FaultPlan.Fault;
 import org.tanagerbank.soak.FaultProxy.Mode;
 import org.tanagerbank.soak.SoakGateway.TimeWindow;
@@ -43,14 +44,15 @@
   /** The time that gateways take to learn of a restart, from the end of the upstream. */
   private static final long RESTART_NOTICED_MILLIS = RESTART_MILLIS + 2_500;
 
-  private static final int STATUS_OK = 200;
+  private static final String CONFIG_TOPIC = "keyed.op";
+  private static final String UPSTREAM_TOPIC = "keyed.servers";
   private static final int STATUS_UNAVAILABLE = 503;
   private static final Mode[] FAULT_MODES = {
     Mode.DELAY, Mode.RESET, Mode.SILENT, Mode.NO_RESPONSES
   };
 
   private final ExecutorService executor = Executors.newCachedThreadPool();
-  private final FakeStore store = new FakeStore();
+  private final StoreStandin store = StoreStandin.onLoopback(/* pageItems= */ 2);
   private final List<SoakGateway> gateways = new ArrayList<>();
   private final List<ProxiedUpstream> proxiedUpstreams = new ArrayList<>();
   private final List<TimeWindow> disruptions = new CopyOnWriteArrayList<>();
@@ -76,6 +78,7 @@
   record DeadlyRun(long atNanos, String path, String requestId) {}
 
   SoakFleet(Path folder, File logs) throws IOException {
+    store.start();
     changeConfig();
     for (int i = 0; i < UPSTREAMS; i++) {
       proxiedUpstreams.add(addUpstream());
@@ -130,7 +133,7 @@
             + routes
             + "],\"services\":[{\"name\":\"s\",\"max-conns\":100}],"
             + "\"tenants\":[{\"name\":\"w\",\"api-keys\":[\"key\"]}]}";
-    store.put("keyed.op", "config", Optional.of(json.getBytes(UTF_8)));
+    store.put(CONFIG_TOPIC, "config", Optional.of(json.getBytes(UTF_8)));
   }
 
   private static String route(String name, String type, int attempts) {
@@ -156,7 +159,7 @@
             "{\"service\":\"s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":16,"
                 + "\"state\":\"%s\",\"seq\":%d,\"born\":%d}",
             proxied.proxy().port(), state, sequence, proxied.startedAtMillis());
-    store.put("keyed.servers", proxied.id(), Optional.of(json.getBytes(UTF_8)));
+    store.put(UPSTREAM_TOPIC, proxied.id(), Optional.of(json.getBytes(UTF_8)));
   }
 
   /** Injects a fault and returns when it is over. */
@@ -168,7 +171,7 @@
         case TERMINATE -> terminateGateway(fault.target());
         case RELOAD -> gateway(fault.target()).signal("HUP");
         case STORE_UNAVAILABLE -> makeStoreUnavailable(fault.durationMillis() * 3);
-        case STORE_TRIMMED -> store.trim(1);
+        case STORE_TRIMMED -> trimStore();
         case UPSTREAM_DISRUPTED -> disruptUpstream(fault);
         case UPSTREAM_REPLACED -> replaceUpstream(fault.target());
         case CONFIG_CHANGED -> changeConfig();
@@ -194,9 +197,14 @@
   }
 
   private void makeStoreUnavailable(long millis) throws InterruptedException {
-    store.setStatus(STATUS_UNAVAILABLE);
+    store.setFaults(StoreFaults.refusing(STATUS_UNAVAILABLE));
     Thread.sleep(millis);
-    store.setStatus(STATUS_OK);
+    store.setFaults(StoreFaults.NONE);
+  }
+
+  private void trimStore() {
+    store.trim(CONFIG_TOPIC, 1);
+    store.trim(UPSTREAM_TOPIC, 1);
   }
 
   private void disruptUpstream(Fault fault) throws IOException, InterruptedException {
@@ -219,7 +227,7 @@
     }
     publishState(replaced, "draining", 2);
     Thread.sleep(DRAIN_MILLIS);
-    store.put("keyed.servers", replaced.id(), Optional.empty());
+    store.put(UPSTREAM_TOPIC, replaced.id(), Optional.empty());
     Thread.sleep(DRAIN_MILLIS);
     replaced.upstream().close();
   }
@@ -255,7 +263,7 @@
           publishState(restarted, "ready", 1);
         } else if (index >= 0) {
           proxiedUpstreams.set(index, addUpstream());
-          store.put("keyed.servers", ended.id(), Optional.empty());
+          store.put(UPSTREAM_TOPIC, ended.id(), Optional.empty());
         }
       }
     } catch (IOException e) {
@@ -289,6 +297,6 @@
       proxied.proxy().close();
       proxied.upstream().close();
     }
-    store.close();
+    store.stop();
   }
 }
