Read the newest records at once when any call shows a restore of the store

Callers saw: after a drill, refusals (503, configuration may be outdated) for up to 1.4 s longer at gateways whose position equalled the end of the restored topic.

Change: as soon as any call has shown the new era, each follower of an earlier era drops its position and reads the newest record of each key, whatever it waits for.

Evidence: TopicFollowerTest#restoreThatAnotherCallShowedReplacesTheWaitingRead.

--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -275,8 +275,8 @@
         era,
         "configVersion",
         configState.config().map(RoutingConfig::version).orElse(0L));
-    configFollower.refresh();
-    upstreamFollower.refresh();
+    configFollower.onStoreRestored(era);
+    upstreamFollower.onStoreRestored(era);
     peers.onStoreRestored();
     suspectStore.onStoreRestored();
   }
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -178,6 +178,22 @@
     }
   }
 
+  /**
+   * Reads the newest record of each key again if the known position is of an earlier era. Called
+   * when any call has shown that the store was restored from an older copy.
+   */
+  public void onStoreRestored(long era) {
+    if (position.filter(p -> p.era() < era).isEmpty()) {
+      return;
+    }
+    // Entries that the copy lacks are as doubtful as those that expired in an outage.
+    recordStoreLost("restored from an older copy");
+    recordStoreAnswered();
+    doOwnReadsFail = false;
+    position = Optional.empty();
+    readNext();
+  }
+
   /**
    * Repeats a read that the store did not answer without waiting for its retry. Called when the
    * store has answered another call.
@@ -323,9 +339,9 @@
     if (clockMillis.getAsLong() - sentAt > wait + LATE_ANSWER_MILLIS) {
       recordStoreLost("late answer");
     }
-    if (result instanceof Restored) {
-      // Entries that the copy lacks are as doubtful as those that expired in an outage.
-      recordStoreLost("restored from an older copy");
+    if (result instanceof Restored restored) {
+      onStoreRestored(restored.era());
+      return;
     }
     recordStoreAnswered();
     if (!(result instanceof Records page)) {
