--- a/src/test/java/org/tanagerbank/soak/SoakCaller.java
+++ b/src/test/java/org/tanagerbank/soak/SoakCaller.java
@@ -100,7 +100,10 @@
 
   private static String encode(Request request) {
     StringBuilder text = new StringBuilder(request.body().isEmpty() ? "GET " : "POST ");
-    text.append(request.path()).append(" HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n");
+    text.append(request.path()).append(" HTTP/1.1\r\nHost: h\r\n");
+    if (!request.headers().containsKey("Authorization")) {
+      text.append("Authorization: Bearer key\r\n");
+    }
     text.append("Deadline-Ms: ").append(request.deadlineMillis()).append("\r\n");
     text.append("Request-Id: ").append(request.id()).append("\r\n");
     request.headers().forEach((n, v) -> text.append(n).append(": ").append(v).append("\r\n"));
--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,12 @@
   private static final long STOP_TIMEOUT_SECONDS = 15;
   private static final int FIRST_PORT = 20_000;
 
+  /** The ports of all gateways, which may not have been bound yet when the next one is chosen. */
+  private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
+
+  /** Another build can be played, for example one before a fix. */
+  private static final String JAR = System.getProperty("soak.jar", "target/tanagerbank-all.jar");
+
   /** The first port that Linux gives to outgoing connections by default. */
   private static final int EPHEMERAL_PORT_BEGIN = 32_768;
 
@@ -52,6 +60,7 @@
   private long logBytesAtLaunch;
   private long signalledAt;
   private boolean exitedUnexpectedly;
+  private int launches;
 
   /**
    * An interval in which a process or a connection was disrupted.
@@ -93,6 +102,9 @@
   private static int freePort() throws IOException {
     while (true) {
       int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, EPHEMERAL_PORT_BEGIN);
+      if (!GIVEN_PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
         return socket.getLocalPort();
       } catch (BindException e) {
@@ -123,6 +135,11 @@
         retries.slack());
   }
 
+  /** Returns how often the process was started. */
+  synchronized int launches() {
+    return launches;
+  }
+
   int callerPort() {
     return callerPort;
   }
@@ -135,7 +152,7 @@
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
             "-jar",
-            "target/tanagerbank-all.jar",
+            JAR,
             "gateway",
             "--node-file",
             settingsFile.toString());
@@ -143,6 +160,7 @@
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile));
     logBytesAtLaunch = logFile.length();
     process = builder.start();
+    launches++;
     launchedAt = System.nanoTime();
     interruptions.add(launchedAt);
   }
