Doubt removals of upstreams only after outages of the store, not of one gateway's path to it

Cause: the store turned 8 of 22 gateways away and served the others. A gateway that is turned away learns from others, and took the moment of their answer for the return of the store; entries that are removed up to 2.2 s after a return count as uncertain. It was turned away again and again, so that every removal waited. Where a reader is turned away, it passes this doubt on, so that gateways in touch with the store wait too (edge-fribourg-3, edge-hala-a-5).

Change: what another instance answers carries how long ago it saw an outage; the store counts as available since then, not since the answer arrived.

TopicFollowerRelayTest#storeThatServesOthersCountsAsAvailableAllTheWhile failed before.

--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -237,8 +237,10 @@
       return;
     }
     RelayedRecords page = fresh.get();
-    recordStoreAnswered();
-    recordRelayedOutage(page.sinceOutageMillis());
+    long outageEndMillis = clockMillis.getAsLong() - page.sinceOutageMillis();
+    // The store served the other instance, so it is this one alone that it turned away since then.
+    recordStoreAnswered(outageEndMillis);
+    recordRelayedOutage(outageEndMillis);
     deliver(page.records(), from, page.next());
     if (!page.hasMore()) {
       reportCurrentAsOf(askedAt - page.ageMillis());
@@ -260,11 +262,11 @@
    * Treats a recent outage that only the other instance observed like one that this instance
    * observed, because the records are as doubtful.
    */
-  private void recordRelayedOutage(long sinceMillis) {
-    long at = clockMillis.getAsLong() - sinceMillis;
-    if (sinceMillis < RECENT_OUTAGE_MILLIS && at > regainedAtMillis + SAME_OUTAGE_MILLIS) {
-      regainedAtMillis = at;
-      listener.onStoreRegained(at);
+  private void recordRelayedOutage(long endMillis) {
+    if (clockMillis.getAsLong() - endMillis < RECENT_OUTAGE_MILLIS
+        && endMillis > regainedAtMillis + SAME_OUTAGE_MILLIS) {
+      regainedAtMillis = endMillis;
+      listener.onStoreRegained(endMillis);
     }
   }
 
@@ -376,10 +378,19 @@
   }
 
   private void recordStoreAnswered() {
+    recordStoreAnswered(clockMillis.getAsLong());
+  }
+
+  /**
+   * Records that the store answers this instance or another one.
+   *
+   * @param sinceMillis the time since which it answers
+   */
+  private void recordStoreAnswered(long sinceMillis) {
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     if (isStoreLost) {
       isStoreLost = false;
-      regainedAtMillis = clockMillis.getAsLong();
+      regainedAtMillis = Math.max(regainedAtMillis, sinceMillis);
       listener.onStoreRegained(regainedAtMillis);
     }
   }
--- a/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
@@ -21,6 +21,7 @@
   final List<Runnable> scheduled = new ArrayList<>();
   final List<String> events = new ArrayList<>();
   long now;
+  long regainedAt;
   Optional<RelayedRecords> relayed = Optional.empty();
   Optional<RelayedRecords> relayedByAll = Optional.empty();
   int questionsToAll;
@@ -72,6 +73,7 @@
     @Override
     public void onStoreRegained(long atMillis) {
       events.add("regained");
+      regainedAt = atMillis;
     }
   }
 
--- a/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
@@ -31,6 +31,24 @@
     assertThat(probes).isEqualTo(2);
   }
 
+  /**
+   * An upstream that left would stay in use for seconds: its removal would count as uncertain after
+   * each return of the store, although the store served all others meanwhile.
+   */
+  @Test
+  void storeThatServesOthersCountsAsAvailableAllTheWhile() {
+    snapshotRead();
+    relayedByAll = fresh(7);
+    now = 5_000;
+    answer(1, new Unavailable("refused"));
+    now = 5_100;
+    runScheduled();
+    assertThat(events).contains("regained");
+    assertThat(regainedAt).isAtMost(now - LONG_AGO_MILLIS);
+    assertThat(follower.recordsFrom(at(7)).orElseThrow().sinceOutageMillis())
+        .isAtLeast(LONG_AGO_MILLIS);
+  }
+
   @Test
   void readerThatIsServedAgainReadsTheStoreAgain() {
     snapshotRead();
