Ask other instances for records than those that the store turns away

Cause: instances ask the two of the lowest rank.

Change: an answer says whether its sender is turned away itself.

Evidence: TopicRelayTest#readerThatTheStoreTurnsAwayIsReplacedForAWhile; before, the relay asked the same two for ever.

--- a/src/main/java/org/tanagerbank/peer/MessageCodec.java
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -89,7 +89,8 @@
         .setNext(relayed.next().offset())
         .setMore(relayed.hasMore())
         .setAgeMillis(relayed.ageMillis())
-        .setSinceOutageMillis(relayed.sinceOutageMillis());
+        .setSinceOutageMillis(relayed.sinceOutageMillis())
+        .setOwnReadsFail(relayed.isSecondHand());
     relayed.records().forEach(r -> message.addRecords(toProto(r)));
   }
 
@@ -114,7 +115,8 @@
         new TopicPosition(message.getEra(), message.getNext()),
         message.getMore(),
         message.getAgeMillis(),
-        message.getSinceOutageMillis());
+        message.getSinceOutageMillis(),
+        message.getOwnReadsFail());
   }
 
   private static KeyedRecord fromProto(PeerProto.TopicRecord message) {
--- a/src/main/java/org/tanagerbank/peer/TopicRelay.java
+++ b/src/main/java/org/tanagerbank/peer/TopicRelay.java
@@ -1,10 +1,14 @@
 package org.tanagerbank.peer;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -27,12 +31,19 @@
 
   private static final int MAX_ATTEMPTS = 2;
 
+  /**
+   * The time for which an instance that the store turns away is not asked as a reader. What it has
+   * from others grows old while they ask it in turn.
+   */
+  private static final long TURNED_AWAY_MILLIS = 2_000;
+
   private final String ownId;
   private final Scheduler scheduler;
   private final Supplier<ImmutableList<PeerAddress>> livePeers;
   private final BiConsumer<InetSocketAddress, PeerMessage> sender;
   private final Map<String, TopicSource> sources = new HashMap<>();
-  private final Map<Long, Question> pending = new HashMap<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private final Set<String> turnedAwayIds = new HashSet<>();
   private long lastNonce;
 
   /**
@@ -74,6 +85,9 @@
       Respondents respondents,
       Consumer<Optional<RelayedRecords>> callback) {}
 
+  /** A question that was sent to an instance. */
+  private record Pending(Question question, String respondentId) {}
+
   private void sendQuestion(Question question, int attempt) {
     long nonce = ++lastNonce;
     Optional<PeerAddress> respondent = choose(question.respondents(), nonce);
@@ -81,7 +95,7 @@
       question.callback().accept(Optional.empty());
       return;
     }
-    pending.put(nonce, question);
+    pending.put(nonce, new Pending(question, respondent.get().instanceId()));
     scheduler.schedule(() -> onTimeout(nonce, question, attempt), ANSWER_TIMEOUT_MILLIS);
     sender.accept(
         respondent.get().address(), new TopicQuestion(nonce, question.topic(), question.from()));
@@ -89,11 +103,18 @@
 
   private Optional<PeerAddress> choose(Respondents respondents, long nonce) {
     return switch (respondents) {
-      case READERS -> StoreReaders.choose(ownId, livePeers.get(), nonce);
+      case READERS -> StoreReaders.choose(ownId, servedPeers(), nonce);
       case ALL -> StoreReaders.chooseAny(livePeers.get(), nonce);
     };
   }
 
+  /** Returns the live instances that are not known to be turned away by the store. */
+  private ImmutableList<PeerAddress> servedPeers() {
+    return livePeers.get().stream()
+        .filter(p -> !turnedAwayIds.contains(p.instanceId()))
+        .collect(toImmutableList());
+  }
+
   private void onTimeout(long nonce, Question question, int attempt) {
     if (pending.remove(nonce) == null) {
       return;
@@ -116,10 +137,15 @@
 
   /** Passes an answer to the callback of its question. Late and repeated answers are ignored. */
   void onAnswer(TopicAnswer answer) {
-    Question question = pending.remove(answer.nonce());
-    if (question == null) {
+    Pending asked = pending.remove(answer.nonce());
+    if (asked == null) {
       return;
     }
+    if (answer.records().filter(RelayedRecords::isSecondHand).isPresent()
+        && turnedAwayIds.add(asked.respondentId())) {
+      scheduler.schedule(() -> turnedAwayIds.remove(asked.respondentId()), TURNED_AWAY_MILLIS);
+    }
+    Question question = asked.question();
     question.callback().accept(answer.records());
     Optional.ofNullable(sources.get(question.topic())).ifPresent(s -> s.onPeerEra(answer.era()));
   }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -5725,6 +5725,16 @@
      * @return The era.
      */
     long getEra();
+
+    /**
+     * <pre>
+     * Whether the store does not answer the sender itself, so that its records come from others.
+     * </pre>
+     *
+     * <code>bool own_reads_fail = 9;</code>
+     * @return The ownReadsFail.
+     */
+    boolean getOwnReadsFail();
   }
   /**
    * <pre>
@@ -5937,6 +5947,21 @@
       return era_;
     }
 
+    public static final int OWN_READS_FAIL_FIELD_NUMBER = 9;
+    private boolean ownReadsFail_ = false;
+    /**
+     * <pre>
+     * Whether the store does not answer the sender itself, so that its records come from others.
+     * </pre>
+     *
+     * <code>bool own_reads_fail = 9;</code>
+     * @return The ownReadsFail.
+     */
+    @java.lang.Override
+    public boolean getOwnReadsFail() {
+      return ownReadsFail_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5975,6 +6000,9 @@
       if (era_ != 0L) {
         output.writeUInt64(8, era_);
       }
+      if (ownReadsFail_ != false) {
+        output.writeBool(9, ownReadsFail_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6016,6 +6044,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(8, era_);
       }
+      if (ownReadsFail_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(9, ownReadsFail_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6047,6 +6079,8 @@
           != other.getKnown()) return false;
       if (getEra()
           != other.getEra()) return false;
+      if (getOwnReadsFail()
+          != other.getOwnReadsFail()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6083,6 +6117,9 @@
       hash = (37 * hash) + ERA_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEra());
+      hash = (37 * hash) + OWN_READS_FAIL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOwnReadsFail());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6232,6 +6269,7 @@
         sinceOutageMillis_ = 0L;
         known_ = false;
         era_ = 0L;
+        ownReadsFail_ = false;
         return this;
       }
 
@@ -6299,6 +6337,9 @@
         if (((from_bitField0_ & 0x00000080) != 0)) {
           result.era_ = era_;
         }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.ownReadsFail_ = ownReadsFail_;
+        }
       }
 
       @java.lang.Override
@@ -6360,6 +6401,9 @@
         if (other.getEra() != 0L) {
           setEra(other.getEra());
         }
+        if (other.getOwnReadsFail() != false) {
+          setOwnReadsFail(other.getOwnReadsFail());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6434,6 +6478,11 @@
                 bitField0_ |= 0x00000080;
                 break;
               } // case 64
+              case 72: {
+                ownReadsFail_ = input.readBool();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7080,6 +7129,50 @@
         return this;
       }
 
+      private boolean ownReadsFail_ ;
+      /**
+       * <pre>
+       * Whether the store does not answer the sender itself, so that its records come from others.
+       * </pre>
+       *
+       * <code>bool own_reads_fail = 9;</code>
+       * @return The ownReadsFail.
+       */
+      @java.lang.Override
+      public boolean getOwnReadsFail() {
+        return ownReadsFail_;
+      }
+      /**
+       * <pre>
+       * Whether the store does not answer the sender itself, so that its records come from others.
+       * </pre>
+       *
+       * <code>bool own_reads_fail = 9;</code>
+       * @param value The ownReadsFail to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOwnReadsFail(boolean value) {
+
+        ownReadsFail_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the store does not answer the sender itself, so that its records come from others.
+       * </pre>
+       *
+       * <code>bool own_reads_fail = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOwnReadsFail() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        ownReadsFail_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicAnswer)
     }
 
@@ -25466,60 +25559,60 @@
       "once\030\001 \001(\006\022(\n\006origin\030\002 \001(\0132\030.tanagerbank" +
       ".peer.Origin\"H\n\rTopicQuestion\022\r\n\005nonce\030\001" +
       " \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n\004from\030\003 \001(\004\022\013\n\003era" +
-      "\030\004 \001(\004\"\265\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001(\006\022.\n" +
+      "\030\004 \001(\004\"\315\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001(\006\022.\n" +
       "\007records\030\002 \003(\0132\035.tanagerbank.peer.TopicR" +
       "ecord\022\014\n\004next\030\003 \001(\004\022\014\n\004more\030\004 \001(\010\022\022\n\nage" +
       "_millis\030\005 \001(\004\022\033\n\023since_outage_millis\030\006 \001" +
-      "(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003era\030\010 \001(\004\"8\n\013TopicR" +
-      "ecord\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010" +
-      "\n\006_value\"\210\003\n\006Digest\022)\n\006sender\030\001 \001(\0132\031.ta" +
-      "nagerbank.peer.Address\022\016\n\006number\030\002 \001(\004\022\026" +
-      "\n\016config_version\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.t" +
-      "anagerbank.peer.UpstreamWork\022/\n\nplacemen" +
-      "ts\030\005 \003(\0132\033.tanagerbank.peer.Placement\022(\n" +
-      "\005peers\030\006 \003(\0132\031.tanagerbank.peer.Address\022" +
-      "-\n\006caches\030\007 \003(\0132\035.tanagerbank.peer.Engin" +
-      "eCache\022+\n\010suspects\030\010 \003(\0132\031.tanagerbank.p" +
-      "eer.Suspect\0222\n\014trial_claims\030\t \003(\0132\034.tana" +
-      "gerbank.peer.TrialClaim\022\022\n\nwork_until\030\n " +
-      "\001(\t\"\337\002\n\022DigestContinuation\022)\n\006sender\030\001 \001" +
-      "(\0132\031.tanagerbank.peer.Address\022\016\n\006number\030" +
-      "\002 \001(\004\022)\n\004work\030\003 \001(\0132\033.tanagerbank.peer.W" +
-      "orkRange\022/\n\nplacements\030\004 \003(\0132\033.tanagerba" +
-      "nk.peer.Placement\022(\n\005peers\030\005 \003(\0132\031.tanag" +
-      "erbank.peer.Address\022-\n\006caches\030\006 \003(\0132\035.ta" +
-      "nagerbank.peer.EngineCache\022,\n\tpart_sets\030" +
-      "\007 \003(\0132\031.tanagerbank.peer.PartSet\022+\n\010susp" +
-      "ects\030\010 \003(\0132\031.tanagerbank.peer.Suspect\"W\n" +
-      "\tWorkRange\022\r\n\005after\030\001 \001(\t\022\r\n\005until\030\002 \001(\t" +
-      "\022,\n\004work\030\003 \003(\0132\036.tanagerbank.peer.Upstre" +
-      "amWork\"\037\n\007PartSet\022\024\n\014fingerprints\030\001 \003(\006\"" +
-      "\274\001\n\007Suspect\022\023\n\013fingerprint\030\001 \001(\006\022(\n\007cras" +
-      "hes\030\002 \003(\0132\027.tanagerbank.peer.Crash\022\030\n\020un" +
-      "decided_trials\030\004 \001(\r\022\"\n\025last_trial_age_m" +
-      "illis\030\005 \001(\004H\000\210\001\001B\030\n\026_last_trial_age_mill" +
-      "isJ\004\010\003\020\004R\024completed_age_millis\"\330\001\n\005Crash" +
-      "\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010isolated\030" +
-      "\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\022\020\n\010software\030\005 " +
-      "\001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013completions\030\007 \003(\013" +
-      "2\037.tanagerbank.peer.CompletedRuns\022\022\n\ncom" +
-      "panions\030\010 \003(\006\022\025\n\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t" +
-      "_part_set\"/\n\rCompletedRuns\022\020\n\010software\030\001" +
-      " \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023\n\013fing" +
-      "erprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010upstre" +
-      "am\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001" +
-      "(\0132\031.tanagerbank.peer.Suspect\022\037\n\027written" +
-      "_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013ins" +
-      "tance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r" +
-      "\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n" +
-      "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001" +
-      "\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_" +
-      "id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_" +
-      "ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetche" +
-      "d_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstrea" +
-      "m_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_tok" +
-      "ens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeer" +
-      "Protob\006proto3"
+      "(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003era\030\010 \001(\004\022\026\n\016own_re" +
+      "ads_fail\030\t \001(\010\"8\n\013TopicRecord\022\013\n\003key\030\001 \001" +
+      "(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010\n\006_value\"\210\003\n\006Dig" +
+      "est\022)\n\006sender\030\001 \001(\0132\031.tanagerbank.peer.A" +
+      "ddress\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version" +
+      "\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer." +
+      "UpstreamWork\022/\n\nplacements\030\005 \003(\0132\033.tanag" +
+      "erbank.peer.Placement\022(\n\005peers\030\006 \003(\0132\031.t" +
+      "anagerbank.peer.Address\022-\n\006caches\030\007 \003(\0132" +
+      "\035.tanagerbank.peer.EngineCache\022+\n\010suspec" +
+      "ts\030\010 \003(\0132\031.tanagerbank.peer.Suspect\0222\n\014t" +
+      "rial_claims\030\t \003(\0132\034.tanagerbank.peer.Tri" +
+      "alClaim\022\022\n\nwork_until\030\n \001(\t\"\337\002\n\022DigestCo" +
+      "ntinuation\022)\n\006sender\030\001 \001(\0132\031.tanagerbank" +
+      ".peer.Address\022\016\n\006number\030\002 \001(\004\022)\n\004work\030\003 " +
+      "\001(\0132\033.tanagerbank.peer.WorkRange\022/\n\nplac" +
+      "ements\030\004 \003(\0132\033.tanagerbank.peer.Placemen" +
+      "t\022(\n\005peers\030\005 \003(\0132\031.tanagerbank.peer.Addr" +
+      "ess\022-\n\006caches\030\006 \003(\0132\035.tanagerbank.peer.E" +
+      "ngineCache\022,\n\tpart_sets\030\007 \003(\0132\031.tanagerb" +
+      "ank.peer.PartSet\022+\n\010suspects\030\010 \003(\0132\031.tan" +
+      "agerbank.peer.Suspect\"W\n\tWorkRange\022\r\n\005af" +
+      "ter\030\001 \001(\t\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\0132\036" +
+      ".tanagerbank.peer.UpstreamWork\"\037\n\007PartSe" +
+      "t\022\024\n\014fingerprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n\013f" +
+      "ingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tana" +
+      "gerbank.peer.Crash\022\030\n\020undecided_trials\030\004" +
+      " \001(\r\022\"\n\025last_trial_age_millis\030\005 \001(\004H\000\210\001\001" +
+      "B\030\n\026_last_trial_age_millisJ\004\010\003\020\004R\024comple" +
+      "ted_age_millis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005" +
+      "depth\030\002 \001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_mil" +
+      "lis\030\004 \001(\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 " +
+      "\001(\007\0224\n\013completions\030\007 \003(\0132\037.tanagerbank.p" +
+      "eer.CompletedRuns\022\022\n\ncompanions\030\010 \003(\006\022\025\n" +
+      "\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rCom" +
+      "pletedRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001" +
+      "(\r\"D\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n" +
+      "\007running\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStor" +
+      "edSuspect\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank" +
+      ".peer.Suspect\022\037\n\027written_at_epoch_millis" +
+      "\030\002 \001(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n" +
+      "\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030" +
+      "\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001 \001" +
+      "(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006n" +
+      "umber\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprom" +
+      "pt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013par" +
+      "t_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I" +
+      "\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010pa" +
+      "rt_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org" +
+      ".tanagerbank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25566,7 +25659,7 @@
     internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicAnswer_descriptor,
-        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", "Era", });
+        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", "Era", "OwnReadsFail", });
     internal_static_tanagerbank_peer_TopicRecord_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable = new
--- a/src/main/java/org/tanagerbank/store/RelayedRecords.java
+++ b/src/main/java/org/tanagerbank/store/RelayedRecords.java
@@ -13,10 +13,13 @@
  *     records of the topic
  * @param sinceOutageMillis the time in milliseconds since the store answered the other instance
  *     again after an outage
+ * @param isSecondHand whether the store does not answer the other instance itself, so that it has
+ *     the records from others
  */
 public record RelayedRecords(
     ImmutableList<KeyedRecord> records,
     TopicPosition next,
     boolean hasMore,
     long ageMillis,
-    long sinceOutageMillis) {}
+    long sinceOutageMillis,
+    boolean isSecondHand) {}
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -167,7 +167,8 @@
                         slice.next(),
                         slice.hasMore(),
                         now - currentAsOf,
-                        now - regainedAtMillis));
+                        now - regainedAtMillis,
+                        doOwnReadsFail));
   }
 
   @Override
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -232,7 +232,8 @@
             8,
             2,
             Optional.of(
-                new RelayedRecords(removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE)));
+                new RelayedRecords(
+                    removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE, true)));
     assertThat(decoded(known)).isEqualTo(known);
   }
 
--- a/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
+++ b/src/test/java/org/tanagerbank/peer/TopicRelayTest.java
@@ -117,7 +117,7 @@
     TopicRelay relay = relay(fleet, nonReader(fleet));
     relay.relayFor("t").requestRecords(FROM, Respondents.READERS, results::add);
     TopicQuestion question = (TopicQuestion) sent.get(0);
-    RelayedRecords records = new RelayedRecords(ImmutableList.of(), FROM, false, 10, 1_000);
+    RelayedRecords records = new RelayedRecords(ImmutableList.of(), FROM, false, 10, 1_000, false);
     relay.onAnswer(new TopicAnswer(question.nonce(), 1, Optional.of(records)));
     relay.onAnswer(new TopicAnswer(question.nonce(), 1, Optional.of(records)));
     scheduled.remove(0).run();
@@ -125,6 +125,36 @@
     assertThat(sent).hasSize(1);
   }
 
+  /** Instances that ask each other in turn would all learn of what was written seconds later. */
+  @Test
+  void readerThatTheStoreTurnsAwayIsReplacedForAWhile() {
+    ImmutableList<PeerAddress> fleet = fleet(8);
+    List<InetSocketAddress> asked = new ArrayList<>();
+    TopicRelay relay =
+        new TopicRelay(
+            nonReader(fleet),
+            0,
+            (task, delay) -> scheduled.add(task),
+            () -> others(fleet, nonReader(fleet)),
+            (target, message) -> {
+              asked.add(target);
+              sent.add(message);
+            });
+    RelayedRecords secondHand =
+        new RelayedRecords(ImmutableList.of(), FROM, false, 10, 1_000, /* isSecondHand= */ true);
+    while (!results.contains(Optional.<RelayedRecords>empty())) {
+      relay.relayFor("t").requestRecords(FROM, Respondents.READERS, results::add);
+      TopicQuestion question = (TopicQuestion) sent.get(sent.size() - 1);
+      relay.onAnswer(new TopicAnswer(question.nonce(), 1, Optional.of(secondHand)));
+    }
+    assertThat(asked).isNotEmpty();
+    assertThat(asked).containsNoDuplicates();
+    scheduled.forEach(Runnable::run);
+    int before = asked.size();
+    relay.relayFor("t").requestRecords(FROM, Respondents.READERS, results::add);
+    assertThat(asked.subList(0, before)).contains(asked.get(before));
+  }
+
   @Test
   void unknownTopicIsAnsweredWithNothing() {
     TopicRelay relay = relay(fleet(2), "gw-0");
--- a/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
@@ -104,7 +104,7 @@
   static Optional<RelayedRecords> fresh(long next) {
     return Optional.of(
         new RelayedRecords(
-            ImmutableList.of(), at(next), false, /* ageMillis= */ 50, LONG_AGO_MILLIS));
+            ImmutableList.of(), at(next), false, /* ageMillis= */ 50, LONG_AGO_MILLIS, false));
   }
 
   static TopicPosition at(long offset) {
--- a/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
@@ -72,7 +72,8 @@
   }
 
   private static RelayedRecords relayed(int count, long next, long age, long sinceOutage) {
-    return new RelayedRecords(records(count, next).records(), at(next), false, age, sinceOutage);
+    return new RelayedRecords(
+        records(count, next).records(), at(next), false, age, sinceOutage, false);
   }
 
   /** The number of calls to the store would otherwise grow with the number of instances. */
@@ -130,7 +131,7 @@
     relayed =
         Optional.of(
             new RelayedRecords(
-                records(1, 8).records(), new TopicPosition(ERA - 1, 8), false, 50, 50));
+                records(1, 8).records(), new TopicPosition(ERA - 1, 8), false, 50, 50, false));
     snapshotRead();
     assertThat(calls).containsExactly("newest", "read 7 wait 1000").inOrder();
     assertThat(events).hasSize(2);
