Guess the version of a stream only when the store proves that there was no other

Cause: a gateway that does not know where a stream began, and whose peers do not answer, takes the only version that it has seen for 20 s, if its configuration is current. Nothing says that its list of upstreams is: after a pause or a cut the configuration is confirmed first, and the list may lag by some seconds anyway. Upstreams that came and went between two reads of the list were not counted.

Change: UpstreamListProof waits until all reports written before the request came are known; the version must still be the only one then.

Evidence: StreamVersionTest#gatewayThatIsOutOfStepDoesNotGuessTheVersion, a gateway without store and peers for 8 s, failed before (200, events of v2 and v1 joined). The simulation gave reports to paused gateways too, so that the histories could not find this; gateways have them now only when they can read. UpstreamFaultHistoriesTest then sent calls to gateways in the moment in which their pause ended; they now come 3 s later, from when the platform's bounds hold for them.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -58,6 +58,7 @@
   private final WaitingRequests waiting;
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
+  private final UpstreamListProof upstreamListProof;
   private boolean upstreamsLoaded;
   private boolean awaitingCaches;
   private LongPredicate admissionCheck = longest -> true;
@@ -76,6 +77,7 @@
     this.upstreams = Upstreams.on(runtime);
     this.waiting = new WaitingRequests(runtime.loop());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
+    this.upstreamListProof = new UpstreamListProof(this::runLater);
     this.survivalCheck = new SurvivalCheck(runtime.clockMillis());
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
@@ -109,6 +111,35 @@
     }
   }
 
+  /** Records a report of an upstream, which may be replaced before the list is updated. */
+  public void recordReport(UpstreamReport report) {
+    upstreams.recordVersion(report);
+  }
+
+  /** Records that reports of upstreams may have been missed since the last ones. */
+  public void recordMissedReports() {
+    upstreams.recordMissedVersions();
+  }
+
+  /** Sets the action that reads what upstreams have written to the store since the last read. */
+  public void setUpstreamsRefresh(Runnable action) {
+    upstreamListProof.setRefresh(action);
+  }
+
+  /**
+   * Records that all reports that upstreams wrote up to a time are in the list.
+   *
+   * @param asOfMillis the time, by the steady clock
+   */
+  public void confirmUpstreamsAsOf(long asOfMillis) {
+    upstreamListProof.confirm(asOfMillis);
+  }
+
+  /** Returns up to which time the list of upstreams is known to be complete. */
+  UpstreamListProof upstreamListProof() {
+    return upstreamListProof;
+  }
+
   /**
    * Records that this instance has started again, so that it lacks what it knew before. Makes new
    * requests wait until {@link #onCacheContentsLoaded} is called. An engine may have their prompts
@@ -262,11 +293,6 @@
     }
   }
 
-  /** Returns whether the configuration and the upstreams are certainly the newest. */
-  boolean isCurrent() {
-    return config.isCurrent(storeNowMillis());
-  }
-
   /**
    * Returns the longest time, in milliseconds, that a request may last: the smaller of the caller's
    * deadline and the timeout of the route.
--- a/src/main/java/org/tanagerbank/dispatch/StreamTakeUp.java
+++ b/src/main/java/org/tanagerbank/dispatch/StreamTakeUp.java
@@ -43,7 +43,7 @@
   /** Starts the search for the origin of the stream with an id, which is empty if not known. */
   void find(String streamId) {
     exchange.onDisconnect(this::callerDisconnected);
-    dispatcher.streamOrigins().find(streamId, origin -> finish(streamId, origin));
+    dispatcher.streamOrigins().find(streamId, told -> onAnswers(streamId, told));
   }
 
   private void callerDisconnected() {
@@ -53,13 +53,26 @@
     }
   }
 
-  private void finish(String streamId, Optional<StreamOrigin> found) {
+  /** The upstream that began the stream had reported before this request came. */
+  private void onAnswers(String streamId, Optional<StreamOrigin> told) {
+    if (told.isPresent() || soleOrigin().isEmpty()) {
+      finish(streamId, told);
+    } else {
+      dispatcher
+          .upstreamListProof()
+          .await(
+              request.receivedAtMillis(),
+              isComplete -> finish(streamId, isComplete ? soleOrigin() : Optional.empty()));
+    }
+  }
+
+  private void finish(String streamId, Optional<StreamOrigin> origin) {
     if (isDone) {
       return;
     }
     isDone = true;
     Optional<ResumedStream> stream =
-        found.or(this::soleOrigin).filter(this::isOfRoute).map(o -> new ResumedStream(streamId, o));
+        origin.filter(this::isOfRoute).map(o -> new ResumedStream(streamId, o));
     if (stream.isPresent()) {
       start.accept(stream);
     } else {
@@ -76,10 +89,10 @@
 
   /**
    * Returns the only origin that streams of the route can have, if it has one service whose
-   * upstreams had one version for longer than a stream lasts, as far as the store has told lately.
+   * upstreams had one version for longer than a stream lasts, as far as this instance knows.
    */
   private Optional<StreamOrigin> soleOrigin() {
-    return route.services().size() == 1 && dispatcher.isCurrent()
+    return route.services().size() == 1
         ? dispatcher.upstreams().soleOrigin(route.services().get(0).service())
         : Optional.empty();
   }
--- a/src/main/java/org/tanagerbank/dispatch/VersionHistory.java
+++ b/src/main/java/org/tanagerbank/dispatch/VersionHistory.java
@@ -17,18 +17,23 @@
   private static final long KEPT_MILLIS = 20_000;
 
   private final Map<StreamOrigin, Long> seenAtMillis = new HashMap<>();
-  private long firstRecordMillis = Long.MAX_VALUE / 2;
+  private long completeSinceMillis = Long.MAX_VALUE / 2;
 
   /** Records the upstreams that exist now. */
   void record(Collection<UpstreamReport> reports, long nowMillis) {
-    firstRecordMillis = Math.min(firstRecordMillis, nowMillis);
+    completeSinceMillis = Math.min(completeSinceMillis, nowMillis);
     reports.forEach(r -> seenAtMillis.put(StreamOrigin.of(r), nowMillis));
     seenAtMillis.values().removeIf(seen -> nowMillis - seen > KEPT_MILLIS);
   }
 
+  /** Records that some upstreams may have been missed until now. */
+  void restart(long nowMillis) {
+    completeSinceMillis = nowMillis;
+  }
+
   /** Returns the version of a service if there was only one for {@link #KEPT_MILLIS}. */
   Optional<StreamOrigin> soleVersion(String service, long nowMillis) {
-    if (nowMillis - firstRecordMillis < KEPT_MILLIS) {
+    if (nowMillis - completeSinceMillis < KEPT_MILLIS) {
       return Optional.empty();
     }
     ImmutableList<StreamOrigin> versions =
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -147,6 +147,7 @@
             (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_INTERVAL_FRACTION),
             (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_WAIT_FRACTION));
     dispatcher.setConfigRefresh(configFollower::refresh);
+    dispatcher.setUpstreamsRefresh(upstreamFollower::refresh);
     peers.serve(CONFIG_TOPIC, configFollower);
     peers.serve(UPSTREAM_TOPIC, upstreamFollower);
     dispatcher.setPlacementListener(peers::addPlacement);
--- a/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
@@ -43,6 +43,9 @@
 
   @Override
   public void onSnapshot(ImmutableList<KeyedRecord> records) {
+    if (hasSnapshot) {
+      dispatcher.recordMissedReports();
+    }
     hasSnapshot = true;
     Set<String> ids = records.stream().map(KeyedRecord::key).collect(Collectors.toSet());
     directory.retainOnly(ids, clockMillis.getAsLong());
@@ -62,6 +65,7 @@
         && unreadableKeys.add(keyedRecord.key())) {
       EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", keyedRecord.key());
     }
+    report.ifPresent(dispatcher::recordReport);
     directory.applyRecord(keyedRecord.key(), report, clockMillis.getAsLong());
   }
 
@@ -78,7 +82,7 @@
 
   @Override
   public void onCurrentAsOf(long atMillis) {
-    // Reports carry no expiry time: the store removes those of upstreams that have gone.
+    dispatcher.confirmUpstreamsAsOf(atMillis);
     onCurrent.run();
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -28,28 +28,21 @@
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
-import org.tanagerbank.upstream.UpstreamReport;
 
 /**
  * Dispatchers of several gateways before upstreams in memory, in simulated time. Uses no network
  * and no real time. Not thread-safe.
  */
 final class DispatchSimulation {
-  /** The time until gateways learn of an upstream that has started or is gone. */
-  private static final long REPORT_LAG_MILLIS = 800;
-
   /** The time without interruption after which the bounds of the platform hold for a gateway. */
   private static final long STABLE_MILLIS = 3_000;
 
   /** The interval at which gateways close connections and notice their pauses. */
   private static final long TICK_MILLIS = 250;
 
-  private static final long MESSAGE_MILLIS = 2;
+  private static final long STORE_ANSWER_MILLIS = 4;
   static final long ROUTE_TIMEOUT_MILLIS = 4_000;
 
-  /** A message between gateways on its way, and what it does when it arrives. */
-  private record Delivery(long atMillis, int from, int to, Consumer<SimulatedGateway> action) {}
-
   /** A gateway, which is replaced by a new one when it restarts. */
   private final class SimulatedGateway {
     private final DigestSchedule schedule = new DigestSchedule();
@@ -58,6 +51,7 @@
     private boolean isUrgentDigestPending;
     private boolean isPaused;
     private boolean isCutOff;
+    private boolean isStoreCutOff;
     private final EmbeddedChannel clock = new EmbeddedChannel();
     private final ConfigState config = new ConfigState(5_000, 2_000);
     private final Dispatcher dispatcher;
@@ -84,7 +78,8 @@
               new SilentObserver());
       config.adopt(SimulationRoutes.config(ROUTE_TIMEOUT_MILLIS));
       config.confirmCurrentAsOf(nowMillis);
-      dispatcher.updateUpstreams(reports);
+      dispatcher.updateUpstreams(reports.known());
+      dispatcher.setUpstreamsRefresh(this::readStore);
       dispatcher.crashGuard().setUrgentNewsAction(() -> tellUrgently(index));
       origins =
           new OriginExchange(
@@ -100,12 +95,32 @@
       var unused = clock.eventLoop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Reads what upstreams have written until now, if the store is in reach. */
+    private void readStore() {
+      long sentAt = nowMillis;
+      laterOnLoop(
+          STORE_ANSWER_MILLIS,
+          () -> {
+            if (!isStoreCutOff) {
+              dispatcher.updateUpstreams(reports.current());
+              dispatcher.confirmUpstreamsAsOf(sentAt);
+            }
+          });
+    }
+
+    private void readReports() {
+      if (!isPaused && !isStoreCutOff) {
+        dispatcher.updateUpstreams(reports.known());
+      }
+    }
+
     private void run() {
       if (isPaused) {
         return;
       }
       config.confirmCurrentAsOf(nowMillis);
       if (nowMillis % TICK_MILLIS == 0) {
+        readReports();
         dispatcher.tick();
       }
       clock.advanceTimeBy(nowMillis - ranUntilMillis, TimeUnit.MILLISECONDS);
@@ -118,14 +133,10 @@
   private final List<SimulatedUpstream> upstreams = new ArrayList<>();
   private final List<SimulatedGateway> gateways = new ArrayList<>();
   private final List<Call> calls = new ArrayList<>();
-  private ImmutableList<UpstreamReport> reports = ImmutableList.of();
-  private ImmutableList<UpstreamReport> nextReports = ImmutableList.of();
-  private long reportsChangeAtMillis = Long.MAX_VALUE;
+  private final SimulatedReports reports;
   private long nowMillis = 1_000;
   private int lastCallNumber;
-  private final List<Delivery> deliveries = new ArrayList<>();
-  private final SplittableRandom random = new SplittableRandom(1);
-  private double lossShare;
+  private final SimulatedNetwork<SimulatedGateway> network = new SimulatedNetwork<>();
 
   DispatchSimulation(int gatewayCount, int upstreamCount, boolean upstreamsKeepIds) {
     this(gatewayCount, upstreamCount, upstreamsKeepIds, i -> "v1");
@@ -149,8 +160,7 @@
               this::isInTouch,
               g -> gateways.get(g).interruptedAtMillis));
     }
-    reports = currentReports();
-    nextReports = reports;
+    reports = new SimulatedReports(upstreams);
     IntStream.range(0, gatewayCount).forEach(i -> gateways.add(new SimulatedGateway(i)));
   }
 
@@ -163,13 +173,6 @@
         : upstreams.get(port - 1).connect(index, handlers);
   }
 
-  private ImmutableList<UpstreamReport> currentReports() {
-    return upstreams.stream()
-        .filter(SimulatedUpstream::isUp)
-        .map(SimulatedUpstream::report)
-        .collect(ImmutableList.toImmutableList());
-  }
-
   long nowMillis() {
     return nowMillis;
   }
@@ -243,7 +246,7 @@
 
   /** Sets the share of the messages between gateways that are lost. */
   void setLossShare(double share) {
-    lossShare = share;
+    network.setLossShare(share);
   }
 
   /** Stops a gateway for a time; what comes to it meanwhile waits. */
@@ -258,6 +261,12 @@
     gateways.get(gateway).isCutOff = isCutOff;
   }
 
+  /** Cuts a gateway off from the store, so that it learns of no upstreams. */
+  void setStoreCutOff(int gateway, boolean isCutOff) {
+    gateways.get(gateway).interruptedAtMillis = nowMillis;
+    gateways.get(gateway).isStoreCutOff = isCutOff;
+  }
+
   /** Ends a gateway and starts it again without memory. */
   void restart(int gateway) {
     gateways.set(gateway, new SimulatedGateway(gateway));
@@ -279,8 +288,8 @@
 
   /** Returns the number of upstreams with a software version that are up and known. */
   long serving(String version) {
-    return reports.stream()
-        .filter(r -> r.softwareVersion().equals(version) && currentReports().contains(r))
+    return reports.known().stream()
+        .filter(r -> r.softwareVersion().equals(version) && reports.current().contains(r))
         .count();
   }
 
@@ -304,12 +313,10 @@
   }
 
   private void deliverLater(int from, int to, Consumer<SimulatedGateway> action) {
-    if (random.nextDouble() >= lossShare) {
-      deliveries.add(new Delivery(nowMillis + MESSAGE_MILLIS, from, to, action));
-    }
+    network.send(from, to, action, nowMillis);
   }
 
-  private void deliver(Delivery due) {
+  private void deliver(SimulatedNetwork.Message<SimulatedGateway> due) {
     SimulatedGateway to = gateways.get(due.to());
     if (!to.isPaused && !to.isCutOff && !gateways.get(due.from()).isCutOff) {
       due.action().accept(to);
@@ -359,9 +366,7 @@
         tellOthers(i);
       }
     }
-    List<Delivery> due = deliveries.stream().filter(d -> d.atMillis() <= nowMillis).toList();
-    deliveries.removeAll(due);
-    due.forEach(this::deliver);
+    network.arriving(nowMillis).forEach(this::deliver);
   }
 
   /** Lets time pass until a gateway has just sent a regular digest. */
@@ -375,22 +380,9 @@
     for (long end = nowMillis + millis; nowMillis < end; ) {
       nowMillis++;
       upstreams.forEach(u -> u.step(nowMillis));
-      updateReports();
+      reports.advance(nowMillis, () -> gateways.forEach(SimulatedGateway::readReports));
       exchange();
       gateways.forEach(SimulatedGateway::run);
     }
   }
-
-  private void updateReports() {
-    ImmutableList<UpstreamReport> current = currentReports();
-    if (!current.equals(nextReports)) {
-      nextReports = current;
-      reportsChangeAtMillis = nowMillis + REPORT_LAG_MILLIS;
-    }
-    if (nowMillis >= reportsChangeAtMillis) {
-      reportsChangeAtMillis = Long.MAX_VALUE;
-      reports = nextReports;
-      gateways.forEach(g -> g.dispatcher.updateUpstreams(reports));
-    }
-  }
 }
--- a/src/test/java/org/tanagerbank/dispatch/StreamVersionTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/StreamVersionTest.java
@@ -114,6 +114,35 @@
     assertThat(fleet.runs()).hasSize(runs);
   }
 
+  /**
+   * A gateway that learns late of the upstreams of a new version must not take the old one for the
+   * only one that there was.
+   */
+  @Test
+  void gatewayThatIsOutOfStepDoesNotGuessTheVersion() {
+    fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, false);
+    fleet.advance(WARM_UP_MILLIS);
+    fleet.setStoreCutOff(0, true);
+    fleet.setCutOff(0, true);
+    for (int i = 0; i < UPSTREAMS; i += 2) {
+      fleet.upstreams().get(i).setNextVersion("v2");
+      fleet.upstreams().get(i).crash(fleet.nowMillis());
+    }
+    fleet.advance(8_000);
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    streams.removeIf(s -> s.gateway == 0 || !versions(s).equals(ImmutableList.of("v2")));
+    assertThat(streams).isNotEmpty();
+    streams.forEach(Call::leave);
+    List<Call> taken = streams.stream().map(s -> fleet.takeUp(0, s, s.id)).toList();
+    fleet.advance(2_000);
+    for (int i = 0; i < taken.size(); i++) {
+      assertWithMessage("versions of %s", taken.get(i))
+          .that(versions(streams.get(i), taken.get(i)))
+          .hasSize(1);
+    }
+  }
+
   /** A gateway that restarted does not know which versions there were before. */
   @Test
   void streamOfUnknownVersionIsTakenUpWhereThereWasOneVersionForLong() {
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamFaultHistoriesTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamFaultHistoriesTest.java
@@ -34,6 +34,9 @@
   /** The time in which pauses, restarts and leaving upstreams of the history are over. */
   private static final long RECOVERY_MILLIS = 8_000;
 
+  /** The time after which the bounds of the platform hold for a gateway that was interrupted. */
+  private static final long STABLE_MILLIS = 3_000;
+
   private static final List<String> PATHS = List.of("/safe/x", "/once/x", "/stream/x", "/resume/x");
   private static final String EVENTS = SimulatedStream.events("v1");
 
@@ -73,6 +76,8 @@
     fleet.upstreams().forEach(u -> u.crash(fleet.nowMillis()));
     fleet.advance(RECOVERY_MILLIS);
     faults.endDue();
+    // A gateway that was paused until now reads its upstreams first.
+    fleet.advance(STABLE_MILLIS);
     List<Call> calmCalls = Stream.generate(this::sendToAny).limit(CALM_CALLS).toList();
     fleet.advance(2_000);
     check(seed);
