Split what is known of the store's availability from the follower of a topic

Change: StoreAvailability keeps outages and the listener's calls about them; the follower keeps its reads. No behaviour changes.

--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -50,12 +50,6 @@
   /** Interval of the reads that find out whether the own reads work again. */
   private static final long PROBE_INTERVAL_MILLIS = 2_000;
 
-  /** An outage that ended longer ago than this no longer makes records doubtful. */
-  private static final long RECENT_OUTAGE_MILLIS = 5_000;
-
-  /** The end times that different instances observe for one outage differ by at most this. */
-  private static final long SAME_OUTAGE_MILLIS = 1_000;
-
   private final KeyedTopic topic;
   private final RecordRelay relay;
   private final TopicListener listener;
@@ -64,10 +58,9 @@
   private final long readDelayMillis;
   private final long waitMillis;
   private final RecordHistory history = new RecordHistory();
+  private final StoreAvailability store;
   private Optional<TopicPosition> position = Optional.empty();
   private long currentAsOf;
-  private long regainedAtMillis = Long.MIN_VALUE / 2;
-  private boolean isStoreLost;
   private boolean isStopped;
   private boolean isRefreshing;
   private boolean isAwaitingRetry;
@@ -92,6 +85,7 @@
     this.clockMillis = clockMillis;
     this.readDelayMillis = readDelayMillis;
     this.waitMillis = waitMillis;
+    this.store = new StoreAvailability(listener, clockMillis);
   }
 
   /**
@@ -137,7 +131,7 @@
    * an outage of the store, when only retries call the store.
    */
   public void refresh() {
-    if (isRefreshing || isStoreLost || position.isEmpty()) {
+    if (isRefreshing || store.isLost() || position.isEmpty()) {
       return;
     }
     isRefreshing = true;
@@ -167,7 +161,7 @@
                         slice.next(),
                         slice.hasMore(),
                         now - currentAsOf,
-                        now - regainedAtMillis,
+                        store.sinceOutageMillis(),
                         doOwnReadsFail));
   }
 
@@ -188,7 +182,7 @@
       return;
     }
     // Entries that the copy lacks are as doubtful as those that expired in an outage.
-    recordStoreLost("restored from an older copy");
+    store.recordLost("restored from an older copy");
     recordStoreAnswered();
     doOwnReadsFail = false;
     position = Optional.empty();
@@ -234,14 +228,12 @@
     staleAnswers = 0;
     if (fresh.isEmpty()) {
       // During an outage the read does not wait, because any answer proves that the store is back.
-      read(from, isStoreLost ? 0 : waitMillis);
+      read(from, store.isLost() ? 0 : waitMillis);
       return;
     }
     RelayedRecords page = fresh.get();
-    long outageEndMillis = clockMillis.getAsLong() - page.sinceOutageMillis();
-    // The store served the other instance, so it is this one alone that it turned away since then.
-    recordStoreAnswered(outageEndMillis);
-    recordRelayedOutage(outageEndMillis);
+    resetRetryDelay();
+    store.recordAnsweredOther(page.sinceOutageMillis());
     deliver(page.records(), from, page.next());
     if (!page.hasMore()) {
       reportCurrentAsOf(askedAt - page.ageMillis());
@@ -259,18 +251,6 @@
     }
   }
 
-  /**
-   * Treats a recent outage that only the other instance observed like one that this instance
-   * observed, because the records are as doubtful.
-   */
-  private void recordRelayedOutage(long endMillis) {
-    if (clockMillis.getAsLong() - endMillis < RECENT_OUTAGE_MILLIS
-        && endMillis > regainedAtMillis + SAME_OUTAGE_MILLIS) {
-      regainedAtMillis = endMillis;
-      listener.onStoreRegained(endMillis);
-    }
-  }
-
   /**
    * Passes records to the listener, unless they are known already because the instance that sent
    * them has read less.
@@ -340,7 +320,7 @@
     }
     doOwnReadsFail = false;
     if (clockMillis.getAsLong() - sentAt > wait + LATE_ANSWER_MILLIS) {
-      recordStoreLost("late answer");
+      store.recordLost("late answer");
     }
     if (result instanceof Restored restored) {
       onStoreRestored(restored.era());
@@ -371,34 +351,18 @@
     return waited >= wait * FULL_WAIT_SHARE ? sentAt + (long) (wait * FULL_WAIT_SHARE) : sentAt;
   }
 
-  private void recordStoreLost(String reason) {
-    if (!isStoreLost) {
-      isStoreLost = true;
-      listener.onStoreLost(reason);
-    }
-  }
-
   private void recordStoreAnswered() {
-    recordStoreAnswered(clockMillis.getAsLong());
+    resetRetryDelay();
+    store.recordAnswered();
   }
 
-  /**
-   * Records that the store answers this instance or another one.
-   *
-   * @param sinceMillis the time since which it answers
-   */
-  private void recordStoreAnswered(long sinceMillis) {
+  private void resetRetryDelay() {
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-    if (isStoreLost) {
-      isStoreLost = false;
-      regainedAtMillis = Math.max(regainedAtMillis, sinceMillis);
-      listener.onStoreRegained(regainedAtMillis);
-    }
   }
 
   private void retry(ReadResult result) {
     doOwnReadsFail = true;
-    recordStoreLost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
+    store.recordLost(result instanceof Unavailable u ? u.reason() : "unexpected answer");
     isAwaitingRetry = true;
     readLater(retryDelayMillis);
     retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
