Do not send a request on a connection that carried the same request

What callers see: a request that is sent again under its id, by its caller or by the gateway's own retry at the only upstream, is refused with 503 although the upstream runs it.

Cause: a response is matched to its request by the id alone. A copy of the refusal of an earlier request with the same id is read where the response to the later one is due, and nothing tells them apart.

Evidence: GatewayRefusalTest#secondCopyOfARefusalIsNotTakenForTheSameRequestSentAgain failed before (503 in place of the response) and passes. Copies for requests with other ids were skipped before already (#secondCopyOfARefusalIsNotTakenForTheNextRequest).

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -88,7 +88,7 @@
               execution.requestId(), prompt, choice.fetchedTokens(), dispatcher.nowMillis());
       dispatcher.notifyPlaced(choice, prompt);
     }
-    upstream.connections().acquire(this::connected, this::notConnected);
+    upstream.connections().acquireFor(execution.requestId(), this::connected, this::notConnected);
   }
 
   private void connected(HttpConnection opened) {
@@ -109,7 +109,7 @@
     connection = opened;
     sentMillis = dispatcher.nowMillis();
     run = dispatcher.crashGuard().runStarted(execution.suspects(), execution, upstream, onTrial);
-    connection.send(execution.upstreamRequest(choice), this);
+    connection.send(execution.requestId(), execution.upstreamRequest(choice), this);
   }
 
   private void notConnected() {
--- a/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
+++ b/src/main/java/org/tanagerbank/upstream/ConnectionPool.java
@@ -13,9 +13,11 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * A pool of HTTP/1.1 connections to one address.
@@ -69,7 +71,21 @@
    * @param failed runs if no connection can be opened
    */
   public void acquire(Consumer<HttpConnection> ready, Runnable failed) {
-    HttpConnection reused = pollUsable();
+    acquire(c -> true, ready, failed);
+  }
+
+  /**
+   * Provides a connection for a request with an id, on which no request with the same id was sent
+   * lately. An upstream that sends a response once more would otherwise answer the second request
+   * with the response to the first.
+   */
+  public void acquireFor(String requestId, Consumer<HttpConnection> ready, Runnable failed) {
+    acquire(c -> !c.hasCarried(requestId), ready, failed);
+  }
+
+  private void acquire(
+      Predicate<HttpConnection> isSuitable, Consumer<HttpConnection> ready, Runnable failed) {
+    HttpConnection reused = pollUsable(isSuitable);
     if (reused != null) {
       ready.accept(reused);
       return;
@@ -157,15 +173,12 @@
     closeIdle();
   }
 
-  private HttpConnection pollUsable() {
-    long now = clockMillis.getAsLong();
-    for (HttpConnection c = idle.pollLast(); c != null; c = idle.pollLast()) {
-      if (isUsable(c, now)) {
-        return c;
-      }
-      c.close();
-    }
-    return null;
+  private HttpConnection pollUsable(Predicate<HttpConnection> isSuitable) {
+    closeExpired();
+    Optional<HttpConnection> latest =
+        ImmutableList.copyOf(idle.descendingIterator()).stream().filter(isSuitable).findFirst();
+    latest.ifPresent(idle::remove);
+    return latest.orElse(null);
   }
 
   private static boolean isUsable(HttpConnection connection, long nowMillis) {
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -37,6 +37,7 @@
   private final LongSupplier clockMillis;
   private final Consumer<HttpConnection> onIdle;
   private final Consumer<HttpConnection> onClosed;
+  private final RecentIds requestIds = new RecentIds();
   private Channel channel;
   private ExchangeListener listener;
   private boolean hasHead;
@@ -80,6 +81,21 @@
     return openedMillis;
   }
 
+  /**
+   * Sends a request with an id, which responses to it repeat.
+   *
+   * @throws IllegalStateException if an exchange is in progress
+   */
+  public void send(String requestId, FullHttpRequest request, ExchangeListener responseListener) {
+    requestIds.add(requestId);
+    send(request, responseListener);
+  }
+
+  /** Returns whether a request with an id was sent lately; its response may come once more. */
+  boolean hasCarried(String requestId) {
+    return requestIds.contains(requestId);
+  }
+
   /**
    * Sends a request and passes its response to the listener.
    *
--- a/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayRefusalTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.tanagerbank.gateway.GatewayFixture.request;
+import static org.tanagerbank.gateway.ScriptedUpstream.REPEAT;
 import static org.tanagerbank.gateway.ScriptedUpstream.RESET;
 import static org.tanagerbank.gateway.ScriptedUpstream.requestId;
 
@@ -102,6 +103,23 @@
     }
   }
 
+  /**
+   * A caller may send a request again under its id. On the connection on which it was refused, the
+   * second copy of that refusal is read where its response is due.
+   */
+  @Test
+  void secondCopyOfARefusalIsNotTakenForTheSameRequestSentAgain() throws Exception {
+    AtomicInteger arrivals = new AtomicInteger();
+    Function<String, String> script =
+        r -> arrivals.getAndIncrement() < 2 ? refusal(requestId(r)) + REPEAT : ok(r, "ran");
+    try (GatewayFixture fixture = new GatewayFixture(script)) {
+      assertThat(fixture.send(once("r1"))).startsWith("HTTP/1.1 503");
+      assertThat(fixture.arrivals()).hasSize(2);
+      assertThat(fixture.send(once("r1"))).endsWith("ran");
+      assertThat(fixture.arrivals()).hasSize(3);
+    }
+  }
+
   private static String resumable(String id) {
     return request("POST", "/resume/x", id, "Connection: close\r\nContent-Length: 0\r\n");
   }
--- a/src/test/java/org/tanagerbank/gateway/ScriptedUpstream.java
+++ b/src/test/java/org/tanagerbank/gateway/ScriptedUpstream.java
@@ -18,12 +18,14 @@
  * An upstream that answers each request with scripted bytes, valid or faulty. Thread-safe.
  *
  * <p>The script maps the text of a request to the bytes to send. {@link #RESET} or {@link #CLOSE}
- * at their end resets or closes the connection; {@link #SILENCE} sends nothing more.
+ * at their end resets or closes the connection; {@link #SILENCE} sends nothing more; {@link
+ * #REPEAT} sends the same bytes once more where the next response on the connection is due.
  */
 final class ScriptedUpstream implements AutoCloseable {
   static final String RESET = "<reset>";
   static final String CLOSE = "<close>";
   static final String SILENCE = "<silence>";
+  static final String REPEAT = "<repeat>";
 
   private final ServerSocket serverSocket;
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -65,12 +67,15 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = socket.getInputStream();
+      String repeated = "";
       for (String request = read(in); !request.isEmpty(); request = read(in)) {
         requests.add(request);
         String answer = script.apply(request);
         boolean isReset = answer.endsWith(RESET);
-        String bytes = answer.replace(RESET, "").replace(CLOSE, "").replace(SILENCE, "");
-        socket.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+        String bytes =
+            answer.replace(RESET, "").replace(CLOSE, "").replace(SILENCE, "").replace(REPEAT, "");
+        socket.getOutputStream().write((repeated + bytes).getBytes(ISO_8859_1));
+        repeated = answer.endsWith(REPEAT) ? bytes : "";
         socket.getOutputStream().flush();
         if (isReset) {
           socket.setSoLinger(true, 0);
