Encode the key after which the next page of newest records is read

Report of another operator: one odd entry of another writer among those of the upstreams, and machines stopped following the list.

Cause: the key was put into the query as it is. The store answers such a request with 400, or continues after another key, and each retry meets the same page.

Evidence: StoreClientTest#pagesAfterAnOddKeyAreRead failed before (the store unavailable for ever) and passes.

--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.platform;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
@@ -14,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.Optional;
@@ -136,7 +139,8 @@
     }
 
     private void newestPage(String after, NewestRecords newest, Consumer<ReadResult> callback) {
-      String position = after.isEmpty() ? "" : "&after=" + after;
+      // Other writers may use keys with any characters.
+      String position = after.isEmpty() ? "" : "&after=" + URLEncoder.encode(after, UTF_8);
       send(
           request(HttpMethod.GET, "/-/log-newest" + query + position, Unpooled.EMPTY_BUFFER),
           0,
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -80,6 +80,15 @@
     assertThat(((Records) result).next()).isEqualTo(position(10));
   }
 
+  /** Guards against a key of another writer that ends the reading of pages. */
+  @Test
+  void pagesAfterAnOddKeyAreRead() {
+    put("a", "1");
+    put("b &after=z#?\u00e9%", "2");
+    put("c", "3");
+    assertThat(text(await(topic::readNewest))).isEqualTo("a=1 b &after=z#?\u00e9%=2 c=3");
+  }
+
   /** Guards against an upstream that left while a gateway started and stays in use there. */
   @Test
   void changesOfKeysWhosePageWasReadAreReadNext() {
