--- a/src/test/java/org/tanagerbank/gateway/GatewayIT.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -124,7 +124,8 @@
   private String report() {
     return "{\"service\":\"s\",\"addr\":\"127.0.0.1:"
         + upstream.address().getPort()
-        + "\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\",\"seq\":1}";
+        + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
+        + "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":1}";
   }
 
   private static String config() {
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -10,6 +10,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
@@ -53,9 +56,50 @@
     assertThat(upstream.reportNumber()).isEqualTo(4);
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"service", "version", "addr", "zone", "slots", "state", "cold-left-ms", "seq"})
+  void reportThatLacksAFieldIsIgnored(String field) {
+    assertThat(upstream(REPORT.replace('"' + field + '"', "\"other\""))).isEmpty();
+  }
+
+  /** An entry of another writer may hold values of any type and size. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      quoteCharacter = '`',
+      value = {
+        "10.0.0.9:8080; 10.0.0.9:70000",
+        "10.0.0.9:8080; 10.0.0.9:0",
+        "10.0.0.9:8080; 10.0.0.9:-1",
+        "10.0.0.9:8080; 10.0.0.9",
+        ":64; :0",
+        ":64; :-64",
+        ":64; :2147483648",
+        ":64; :1e999",
+        ":5; :-5",
+        ":5; :5.5",
+        ":5; :9223372036854775808",
+        ":4; :-4",
+        ":4; :18446744073709551616",
+        ":1234; :-1234",
+        ":1234; :9223372036854775808",
+        ":1234; :true",
+        "\"v1.2\"; 1.2",
+        "\"z\"; [[]]",
+        "\"ready\"; {}",
+      })
+  void reportWithAnOddValueIsIgnored(String value, String oddValue) {
+    assertThat(upstream(REPORT.replace(value, oddValue))).isEmpty();
+  }
+
   @Test
-  void reportWithoutVersionNamesNone() {
-    assertThat(upstream(REPORT.replace("version", "other")).get().softwareVersion()).isEmpty();
+  void reportBeyondTheLimitsOfTheDecoderIsIgnored() {
+    int depth = 200_000;
+    String nested = "[".repeat(depth) + "]".repeat(depth);
+    assertThat(upstream(REPORT.replace("\"z\"", nested))).isEmpty();
+    assertThat(upstream(REPORT.replace("64", "6".repeat(depth)))).isEmpty();
+    assertThat(upstream("{\"a\":".repeat(depth))).isEmpty();
   }
 
   @Test
--- a/src/test/java/org/tanagerbank/soak/RolloutFleet.java
+++ b/src/test/java/org/tanagerbank/soak/RolloutFleet.java
@@ -106,10 +106,8 @@
     int number = reports.incrementAndGet();
     for (int i = 0; i < SERVICES.size(); i++) {
       String json =
-          String.format(
-              "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":64,"
-                  + "\"state\":\"ready\",\"seq\":%d,\"born\":1}",
-              SERVICES.get(i), upstreams.get(i).address().getPort(), number);
+          SoakEntries.upstream(
+              SERVICES.get(i), upstreams.get(i).address().getPort(), 64, "ready", number, 1);
       store.put(UPSTREAM_TOPIC, "i-" + SERVICES.get(i), Optional.of(json.getBytes(UTF_8)));
     }
   }
--- a/src/test/java/org/tanagerbank/soak/SoakEntries.java
+++ b/src/test/java/org/tanagerbank/soak/SoakEntries.java
@@ -44,9 +44,15 @@
 
   /** Returns the report of an engine that starts, or ends, now. */
   static String upstream(String service, int port, int slots, String state) {
+    return upstream(service, port, slots, state, 1, System.currentTimeMillis());
+  }
+
+  /** Returns a report of an upstream. */
+  static String upstream(
+      String service, int port, int slots, String state, int sequence, long startedAtMillis) {
     return String.format(
-        "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":%d,"
-            + "\"state\":\"%s\",\"seq\":1,\"born\":%d}",
-        service, port, slots, state, System.currentTimeMillis());
+        "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
+            + "\"slots\":%d,\"state\":\"%s\",\"cold-left-ms\":0,\"seq\":%d,\"born\":%d}",
+        service, port, slots, state, sequence, startedAtMillis);
   }
 }
--- a/src/test/java/org/tanagerbank/soak/SoakFleet.java
+++ b/src/test/java/org/tanagerbank/soak/SoakFleet.java
@@ -155,10 +155,8 @@
 
   private void publishState(ProxiedUpstream proxied, String state, int sequence) {
     String json =
-        String.format(
-            "{\"service\":\"s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":16,"
-                + "\"state\":\"%s\",\"seq\":%d,\"born\":%d}",
-            proxied.proxy().port(), state, sequence, proxied.startedAtMillis());
+        SoakEntries.upstream(
+            "s", proxied.proxy().port(), 16, state, sequence, proxied.startedAtMillis());
     store.put(UPSTREAM_TOPIC, proxied.id(), Optional.of(json.getBytes(UTF_8)));
   }
 
