Play gateways that the store turns away for seconds in the rollout soak

Cause: the soak disrupted the path of a gateway to the store for 2 s at most. A gateway that the store refuses while it serves the others stays bound by CONFIG, some seconds later than the others.

RolloutRules allows it a further 5 s before it must use a confirmed version (Contact). One route needs no key and moves between services, as such requests run however old the configuration is.

--- a/src/main/java/org/tanagerbank/platform/standin/OperatorRecords.java
+++ b/src/main/java/org/tanagerbank/platform/standin/OperatorRecords.java
@@ -44,6 +44,7 @@
                     .put("timeout-ms", TIMEOUT_MILLIS)
                     .put("slo-ms", OBJECTIVE_MILLIS)
                     .put("service", service)
+                    .put("public", ConfigVersion.isPublic(name))
                     .put("attempts", ATTEMPTS));
     addServices(config.putArray("services"), version.services().values());
     ArrayNode keys = config.putArray("tenants").addObject().put("name", "w").putArray("api-keys");
--- a/src/main/java/org/tanagerbank/rollout/ConfigChanges.java
+++ b/src/main/java/org/tanagerbank/rollout/ConfigChanges.java
@@ -21,6 +21,9 @@
 
   public static final String LASTING_KEY = "lasting-key";
 
+  /** A route that needs no key and moves between services. */
+  public static final String PUBLIC_ROUTE = "public-moving";
+
   private static final String MOVING_ROUTE = "moving";
   private static final int MAX_NUMBER_STEP = 5;
   private static final int BULK_ROUTES = 150;
@@ -48,7 +51,13 @@
   public ConfigVersion first() {
     return new ConfigVersion(
         1,
-        ImmutableMap.of(LASTING_ROUTE, services.get(0), MOVING_ROUTE, services.get(0)),
+        ImmutableMap.of(
+            LASTING_ROUTE,
+            services.get(0),
+            MOVING_ROUTE,
+            services.get(0),
+            PUBLIC_ROUTE,
+            services.get(0)),
         ImmutableSet.of(LASTING_KEY, "first-key"));
   }
 
@@ -60,7 +69,7 @@
     switch (Kind.values()[random.nextInt(Kind.values().length)]) {
       case ADD_ROUTE -> routes = with(routes, "route-" + number);
       case REMOVE_ROUTE -> routes = without(routes, draw(removable(routes, "route-")));
-      case MOVE_ROUTE -> routes = with(routes, MOVING_ROUTE);
+      case MOVE_ROUTE -> routes = with(with(routes, MOVING_ROUTE), PUBLIC_ROUTE);
       case ADD_KEY -> keys = Sets.union(keys, ImmutableSet.of("key-" + number)).immutableCopy();
       case WITHDRAW_KEY ->
           keys =
--- a/src/main/java/org/tanagerbank/rollout/ConfigVersion.java
+++ b/src/main/java/org/tanagerbank/rollout/ConfigVersion.java
@@ -12,10 +12,17 @@
  */
 public record ConfigVersion(
     long number, ImmutableMap<String, String> services, ImmutableSet<String> keys) {
+  private static final String PUBLIC_PREFIX = "public-";
+
+  /** Returns whether requests for a route need no key. */
+  public static boolean isPublic(String route) {
+    return route.startsWith(PUBLIC_PREFIX);
+  }
+
   /** Returns whether this version explains what became of a probe. */
   boolean explains(ConfigProbe probe) {
     String service = services.get(probe.route());
-    boolean hasKey = keys.contains(probe.key());
+    boolean hasKey = isPublic(probe.route()) || keys.contains(probe.key());
     return switch (probe.outcome()) {
       case SERVED -> hasKey && probe.service().equals(service);
       case NO_ROUTE -> service == null;
--- a/src/main/java/org/tanagerbank/rollout/RolloutRules.java
+++ b/src/main/java/org/tanagerbank/rollout/RolloutRules.java
@@ -8,7 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.tanagerbank.rollout.RolloutViolation.Rule;
 
 /**
@@ -18,26 +18,30 @@
  * <p>Immutable and thread-safe.
  *
  * @param adoptionNanos the time after which a confirmed version must be in force
+ * @param detourNanos the further time for instances that the store turned away lately
  * @param revocationNanos the time after which a withdrawn key must be refused, whatever fails
  * @param rollbackNanos the time after the effect of a version was seen, from which no older one may
  *     show
  */
-public record RolloutRules(long adoptionNanos, long revocationNanos, long rollbackNanos) {
+public record RolloutRules(
+    long adoptionNanos, long detourNanos, long revocationNanos, long rollbackNanos) {
   /**
    * Returns what the probes show against the rules.
    *
-   * @param isInTouch whether nothing disturbed the instance or the store shortly before a probe
+   * @param contact how far the instance could learn of new versions shortly before a probe
    */
   public ImmutableList<RolloutViolation> check(
-      ConfigHistory history, Collection<ConfigProbe> probes, Predicate<ConfigProbe> isInTouch) {
+      ConfigHistory history,
+      Collection<ConfigProbe> probes,
+      Function<ConfigProbe, Contact> contact) {
     ImmutableList.Builder<RolloutViolation> violations = ImmutableList.builder();
     probes.stream()
-        .filter(isInTouch)
-        .filter(p -> !isExplained(history, p))
+        .filter(p -> !isExplained(history, p, contact.apply(p)))
         .map(p -> new RolloutViolation(Rule.ADOPTED_IN_TIME, p, "only an older version fits"))
         .forEach(violations::add);
     probes.stream()
         .filter(p -> p.outcome() == ConfigProbe.Outcome.SERVED)
+        .filter(p -> !ConfigVersion.isPublic(p.route()))
         .filter(p -> !hadKeyInTime(history, p))
         .map(p -> new RolloutViolation(Rule.KEY_REVOKED, p, "the key was withdrawn before"))
         .forEach(violations::add);
@@ -45,9 +49,16 @@
     return violations.build();
   }
 
-  private boolean isExplained(ConfigHistory history, ConfigProbe probe) {
-    return history.inForce(probe.sentAtNanos(), probe.endedAtNanos(), adoptionNanos).stream()
-        .anyMatch(v -> v.explains(probe));
+  private boolean isExplained(ConfigHistory history, ConfigProbe probe, Contact contact) {
+    long limitNanos =
+        switch (contact) {
+          case IN_TOUCH -> adoptionNanos;
+          case TURNED_AWAY -> adoptionNanos + detourNanos;
+          case OUT_OF_TOUCH -> Long.MAX_VALUE;
+        };
+    return limitNanos == Long.MAX_VALUE
+        || history.inForce(probe.sentAtNanos(), probe.endedAtNanos(), limitNanos).stream()
+            .anyMatch(v -> v.explains(probe));
   }
 
   private boolean hadKeyInTime(ConfigHistory history, ConfigProbe probe) {
