Relay a configuration in pieces to a gateway that the store turns away

Callers saw: proper requests were refused with 503 (configuration may be outdated) at a gateway that the store turned away after the configuration had changed, until it was served again; requests that need no key ran on by the old configuration.

Cause: instances tell each other records that fit a datagram. A configuration is larger, so an instance whose own reads fail learned that it had changed and could not get it.

Change: a question of such an instance asks for a piece of the first record if it does not fit, and TopicRelay puts the pieces together (PartialValue). A lost piece is asked for elsewhere; nothing is kept at the answering side. Instances that the store serves read it themselves, as before. Gateways of earlier versions answer such a question as before.

--- a/src/main/java/org/tanagerbank/peer/MessageCodec.java
+++ b/src/main/java/org/tanagerbank/peer/MessageCodec.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.tanagerbank.proto.PeerProto;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.RelayedRecords;
@@ -61,25 +62,29 @@
   }
 
   private static PeerProto.TopicQuestion toProto(TopicQuestion question) {
-    return PeerProto.TopicQuestion.newBuilder()
-        .setNonce(question.nonce())
-        .setTopic(question.topic())
-        .setFrom(question.from().offset())
-        .setEra(question.from().era())
-        .build();
+    PeerProto.TopicQuestion.Builder message =
+        PeerProto.TopicQuestion.newBuilder()
+            .setNonce(question.nonce())
+            .setTopic(question.topic())
+            .setFrom(question.from().offset())
+            .setEra(question.from().era());
+    question.valueFrom().ifPresent(message::setValueFrom);
+    return message.build();
   }
 
   private static TopicQuestion fromProto(PeerProto.TopicQuestion message) {
     return new TopicQuestion(
         message.getNonce(),
         message.getTopic(),
-        new TopicPosition(message.getEra(), message.getFrom()));
+        new TopicPosition(message.getEra(), message.getFrom()),
+        message.hasValueFrom() ? OptionalInt.of(message.getValueFrom()) : OptionalInt.empty());
   }
 
   private static PeerProto.TopicAnswer toProto(TopicAnswer answer) {
     PeerProto.TopicAnswer.Builder message =
         PeerProto.TopicAnswer.newBuilder().setNonce(answer.nonce()).setEra(answer.era());
     answer.records().ifPresent(records -> addRecords(message, records));
+    answer.valueBytes().ifPresent(message::setValueBytes);
     return message.build();
   }
 
@@ -104,7 +109,8 @@
     return new TopicAnswer(
         message.getNonce(),
         message.getEra(),
-        message.getKnown() ? Optional.of(relayedRecordsFromProto(message)) : Optional.empty());
+        message.getKnown() ? Optional.of(relayedRecordsFromProto(message)) : Optional.empty(),
+        message.hasValueBytes() ? OptionalInt.of(message.getValueBytes()) : OptionalInt.empty());
   }
 
   private static RelayedRecords relayedRecordsFromProto(PeerProto.TopicAnswer message) {
--- a/src/main/java/org/tanagerbank/peer/TopicAnswer.java
+++ b/src/main/java/org/tanagerbank/peer/TopicAnswer.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.peer;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.tanagerbank.store.RelayedRecords;
 
 /**
@@ -9,5 +10,8 @@
  * @param nonce the nonce of the question
  * @param era the era of the store in which the sender has read the topic; 0 if it has not
  * @param records the records that the sender has read, or nothing when it cannot provide them
+ * @param valueBytes the length in bytes of the value of the only record, which is a piece of it;
+ *     empty if values are whole
  */
-record TopicAnswer(long nonce, long era, Optional<RelayedRecords> records) implements PeerMessage {}
+record TopicAnswer(long nonce, long era, Optional<RelayedRecords> records, OptionalInt valueBytes)
+    implements PeerMessage {}
--- a/src/main/java/org/tanagerbank/peer/TopicQuestion.java
+++ b/src/main/java/org/tanagerbank/peer/TopicQuestion.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.peer;
 
+import java.util.OptionalInt;
 import org.tanagerbank.store.TopicPosition;
 
 /**
@@ -8,5 +9,8 @@
  * @param nonce a number that the answer repeats
  * @param topic the name of the topic
  * @param from the position up to which the sender has read the topic
+ * @param valueFrom the byte of the value of the first record from which the sender wants a piece if
+ *     the record does not fit a datagram; empty if it takes whole records only
  */
-record TopicQuestion(long nonce, String topic, TopicPosition from) implements PeerMessage {}
+record TopicQuestion(long nonce, String topic, TopicPosition from, OptionalInt valueFrom)
+    implements PeerMessage {}
--- a/src/main/java/org/tanagerbank/peer/TopicRelay.java
+++ b/src/main/java/org/tanagerbank/peer/TopicRelay.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -75,30 +76,51 @@
   /** Returns a relay that asks other instances for the records of a topic. */
   RecordRelay relayFor(String topic) {
     return (from, respondents, callback) ->
-        sendQuestion(new Question(topic, from, respondents, callback), 1);
+        sendQuestion(
+            new Question(topic, from, respondents, callback, PartialValue.EMPTY),
+            Optional.empty(),
+            1);
   }
 
-  /** A question for the records of a topic from a position on. */
+  /**
+   * A question for the records of a topic from a position on.
+   *
+   * @param received what was received of the first record, if it comes in pieces
+   */
   private record Question(
       String topic,
       TopicPosition from,
       Respondents respondents,
-      Consumer<Optional<RelayedRecords>> callback) {}
+      Consumer<Optional<RelayedRecords>> callback,
+      PartialValue received) {
+    private Question with(PartialValue value) {
+      return new Question(topic, from, respondents, callback, value);
+    }
+
+    /** Pieces are asked for only by an instance that cannot read the store itself. */
+    private OptionalInt valueFrom() {
+      return respondents == Respondents.ALL
+          ? OptionalInt.of(received.bytes().size())
+          : OptionalInt.empty();
+    }
+  }
 
   /** A question that was sent to an instance. */
-  private record Pending(Question question, String respondentId) {}
+  private record Pending(Question question, PeerAddress respondent) {}
 
-  private void sendQuestion(Question question, int attempt) {
+  private void sendQuestion(Question question, Optional<PeerAddress> preferred, int attempt) {
     long nonce = ++lastNonce;
-    Optional<PeerAddress> respondent = choose(question.respondents(), nonce);
+    Optional<PeerAddress> respondent =
+        preferred.isPresent() ? preferred : choose(question.respondents(), nonce);
     if (respondent.isEmpty()) {
       question.callback().accept(Optional.empty());
       return;
     }
-    pending.put(nonce, new Pending(question, respondent.get().instanceId()));
+    pending.put(nonce, new Pending(question, respondent.get()));
     scheduler.schedule(() -> onTimeout(nonce, question, attempt), ANSWER_TIMEOUT_MILLIS);
     sender.accept(
-        respondent.get().address(), new TopicQuestion(nonce, question.topic(), question.from()));
+        respondent.get().address(),
+        new TopicQuestion(nonce, question.topic(), question.from(), question.valueFrom()));
   }
 
   private Optional<PeerAddress> choose(Respondents respondents, long nonce) {
@@ -120,7 +142,7 @@
       return;
     }
     if (attempt < MAX_ATTEMPTS) {
-      sendQuestion(question, attempt + 1);
+      sendQuestion(question, Optional.empty(), attempt + 1);
     } else {
       question.callback().accept(Optional.empty());
     }
@@ -129,10 +151,21 @@
   /** Answers a question of another instance. */
   void onQuestion(InetSocketAddress from, TopicQuestion question) {
     Optional<TopicSource> source = Optional.ofNullable(sources.get(question.topic()));
+    sender.accept(from, answer(question, source));
+    source.ifPresent(s -> s.onPeerEra(question.from().era()));
+  }
+
+  private static TopicAnswer answer(TopicQuestion question, Optional<TopicSource> source) {
     long era = source.flatMap(TopicSource::position).map(TopicPosition::era).orElse(0L);
     Optional<RelayedRecords> records = source.flatMap(s -> s.recordsFrom(question.from()));
-    sender.accept(from, new TopicAnswer(question.nonce(), era, records));
-    source.ifPresent(s -> s.onPeerEra(question.from().era()));
+    Optional<RelayedRecords> large =
+        records.isEmpty() && question.valueFrom().isPresent()
+            ? source.flatMap(s -> s.recordAt(question.from()))
+            : Optional.empty();
+    return large
+        .flatMap(
+            r -> PartialValue.answer(question.nonce(), era, r, question.valueFrom().getAsInt()))
+        .orElseGet(() -> new TopicAnswer(question.nonce(), era, records, OptionalInt.empty()));
   }
 
   /** Passes an answer to the callback of its question. Late and repeated answers are ignored. */
@@ -141,12 +174,29 @@
     if (asked == null) {
       return;
     }
+    String respondentId = asked.respondent().instanceId();
     if (answer.records().filter(RelayedRecords::isSecondHand).isPresent()
-        && turnedAwayIds.add(asked.respondentId())) {
-      scheduler.schedule(() -> turnedAwayIds.remove(asked.respondentId()), TURNED_AWAY_MILLIS);
+        && turnedAwayIds.add(respondentId)) {
+      scheduler.schedule(() -> turnedAwayIds.remove(respondentId), TURNED_AWAY_MILLIS);
     }
     Question question = asked.question();
-    question.callback().accept(answer.records());
+    if (answer.valueBytes().isPresent()) {
+      onPiece(asked, answer);
+    } else {
+      question.callback().accept(answer.records());
+    }
     Optional.ofNullable(sources.get(question.topic())).ifPresent(s -> s.onPeerEra(answer.era()));
   }
+
+  /** Adds a piece of a record, and asks the same instance for the next one. */
+  private void onPiece(Pending asked, TopicAnswer answer) {
+    Question question = asked.question();
+    Optional<PartialValue> received = question.received().plus(answer);
+    Optional<RelayedRecords> whole = received.flatMap(r -> r.completedBy(answer));
+    if (received.isPresent() && whole.isEmpty()) {
+      sendQuestion(question.with(received.get()), Optional.of(asked.respondent()), 1);
+    } else {
+      question.callback().accept(whole);
+    }
+  }
 }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -4849,6 +4849,27 @@
      * @return The era.
      */
     long getEra();
+
+    /**
+     * <pre>
+     * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+     * into a datagram. Absent when it takes whole records only.
+     * </pre>
+     *
+     * <code>optional uint32 value_from = 5;</code>
+     * @return Whether the valueFrom field is set.
+     */
+    boolean hasValueFrom();
+    /**
+     * <pre>
+     * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+     * into a datagram. Absent when it takes whole records only.
+     * </pre>
+     *
+     * <code>optional uint32 value_from = 5;</code>
+     * @return The valueFrom.
+     */
+    int getValueFrom();
   }
   /**
    * <pre>
@@ -4892,6 +4913,7 @@
               org.tanagerbank.proto.PeerProto.TopicQuestion.class, org.tanagerbank.proto.PeerProto.TopicQuestion.Builder.class);
     }
 
+    private int bitField0_;
     public static final int NONCE_FIELD_NUMBER = 1;
     private long nonce_ = 0L;
     /**
@@ -4977,6 +4999,35 @@
       return era_;
     }
 
+    public static final int VALUE_FROM_FIELD_NUMBER = 5;
+    private int valueFrom_ = 0;
+    /**
+     * <pre>
+     * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+     * into a datagram. Absent when it takes whole records only.
+     * </pre>
+     *
+     * <code>optional uint32 value_from = 5;</code>
+     * @return Whether the valueFrom field is set.
+     */
+    @java.lang.Override
+    public boolean hasValueFrom() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+     * into a datagram. Absent when it takes whole records only.
+     * </pre>
+     *
+     * <code>optional uint32 value_from = 5;</code>
+     * @return The valueFrom.
+     */
+    @java.lang.Override
+    public int getValueFrom() {
+      return valueFrom_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5003,6 +5054,9 @@
       if (era_ != 0L) {
         output.writeUInt64(4, era_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeUInt32(5, valueFrom_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -5027,6 +5081,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(4, era_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, valueFrom_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -5050,6 +5108,11 @@
           != other.getFrom()) return false;
       if (getEra()
           != other.getEra()) return false;
+      if (hasValueFrom() != other.hasValueFrom()) return false;
+      if (hasValueFrom()) {
+        if (getValueFrom()
+            != other.getValueFrom()) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -5072,6 +5135,10 @@
       hash = (37 * hash) + ERA_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEra());
+      if (hasValueFrom()) {
+        hash = (37 * hash) + VALUE_FROM_FIELD_NUMBER;
+        hash = (53 * hash) + getValueFrom();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -5211,6 +5278,7 @@
         topic_ = "";
         from_ = 0L;
         era_ = 0L;
+        valueFrom_ = 0;
         return this;
       }
 
@@ -5256,6 +5324,12 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.era_ = era_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.valueFrom_ = valueFrom_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -5284,6 +5358,9 @@
         if (other.getEra() != 0L) {
           setEra(other.getEra());
         }
+        if (other.hasValueFrom()) {
+          setValueFrom(other.getValueFrom());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5330,6 +5407,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 40: {
+                valueFrom_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5554,6 +5636,66 @@
         return this;
       }
 
+      private int valueFrom_ ;
+      /**
+       * <pre>
+       * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+       * into a datagram. Absent when it takes whole records only.
+       * </pre>
+       *
+       * <code>optional uint32 value_from = 5;</code>
+       * @return Whether the valueFrom field is set.
+       */
+      @java.lang.Override
+      public boolean hasValueFrom() {
+        return ((bitField0_ & 0x00000010) != 0);
+      }
+      /**
+       * <pre>
+       * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+       * into a datagram. Absent when it takes whole records only.
+       * </pre>
+       *
+       * <code>optional uint32 value_from = 5;</code>
+       * @return The valueFrom.
+       */
+      @java.lang.Override
+      public int getValueFrom() {
+        return valueFrom_;
+      }
+      /**
+       * <pre>
+       * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+       * into a datagram. Absent when it takes whole records only.
+       * </pre>
+       *
+       * <code>optional uint32 value_from = 5;</code>
+       * @param value The valueFrom to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValueFrom(int value) {
+
+        valueFrom_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Byte of the value of the first record from which the sender wants a piece if the record does not fit
+       * into a datagram. Absent when it takes whole records only.
+       * </pre>
+       *
+       * <code>optional uint32 value_from = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValueFrom() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        valueFrom_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicQuestion)
     }
 
@@ -5735,6 +5877,27 @@
      * @return The ownReadsFail.
      */
     boolean getOwnReadsFail();
+
+    /**
+     * <pre>
+     * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+     * whole.
+     * </pre>
+     *
+     * <code>optional uint32 value_bytes = 10;</code>
+     * @return Whether the valueBytes field is set.
+     */
+    boolean hasValueBytes();
+    /**
+     * <pre>
+     * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+     * whole.
+     * </pre>
+     *
+     * <code>optional uint32 value_bytes = 10;</code>
+     * @return The valueBytes.
+     */
+    int getValueBytes();
   }
   /**
    * <pre>
@@ -5778,6 +5941,7 @@
               org.tanagerbank.proto.PeerProto.TopicAnswer.class, org.tanagerbank.proto.PeerProto.TopicAnswer.Builder.class);
     }
 
+    private int bitField0_;
     public static final int NONCE_FIELD_NUMBER = 1;
     private long nonce_ = 0L;
     /**
@@ -5962,6 +6126,35 @@
       return ownReadsFail_;
     }
 
+    public static final int VALUE_BYTES_FIELD_NUMBER = 10;
+    private int valueBytes_ = 0;
+    /**
+     * <pre>
+     * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+     * whole.
+     * </pre>
+     *
+     * <code>optional uint32 value_bytes = 10;</code>
+     * @return Whether the valueBytes field is set.
+     */
+    @java.lang.Override
+    public boolean hasValueBytes() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+     * whole.
+     * </pre>
+     *
+     * <code>optional uint32 value_bytes = 10;</code>
+     * @return The valueBytes.
+     */
+    @java.lang.Override
+    public int getValueBytes() {
+      return valueBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6003,6 +6196,9 @@
       if (ownReadsFail_ != false) {
         output.writeBool(9, ownReadsFail_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeUInt32(10, valueBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6048,6 +6244,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(9, ownReadsFail_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(10, valueBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6081,6 +6281,11 @@
           != other.getEra()) return false;
       if (getOwnReadsFail()
           != other.getOwnReadsFail()) return false;
+      if (hasValueBytes() != other.hasValueBytes()) return false;
+      if (hasValueBytes()) {
+        if (getValueBytes()
+            != other.getValueBytes()) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6120,6 +6325,10 @@
       hash = (37 * hash) + OWN_READS_FAIL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getOwnReadsFail());
+      if (hasValueBytes()) {
+        hash = (37 * hash) + VALUE_BYTES_FIELD_NUMBER;
+        hash = (53 * hash) + getValueBytes();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6270,6 +6479,7 @@
         known_ = false;
         era_ = 0L;
         ownReadsFail_ = false;
+        valueBytes_ = 0;
         return this;
       }
 
@@ -6340,6 +6550,12 @@
         if (((from_bitField0_ & 0x00000100) != 0)) {
           result.ownReadsFail_ = ownReadsFail_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.valueBytes_ = valueBytes_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -6404,6 +6620,9 @@
         if (other.getOwnReadsFail() != false) {
           setOwnReadsFail(other.getOwnReadsFail());
         }
+        if (other.hasValueBytes()) {
+          setValueBytes(other.getValueBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6483,6 +6702,11 @@
                 bitField0_ |= 0x00000100;
                 break;
               } // case 72
+              case 80: {
+                valueBytes_ = input.readUInt32();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7173,6 +7397,66 @@
         return this;
       }
 
+      private int valueBytes_ ;
+      /**
+       * <pre>
+       * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+       * whole.
+       * </pre>
+       *
+       * <code>optional uint32 value_bytes = 10;</code>
+       * @return Whether the valueBytes field is set.
+       */
+      @java.lang.Override
+      public boolean hasValueBytes() {
+        return ((bitField0_ & 0x00000200) != 0);
+      }
+      /**
+       * <pre>
+       * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+       * whole.
+       * </pre>
+       *
+       * <code>optional uint32 value_bytes = 10;</code>
+       * @return The valueBytes.
+       */
+      @java.lang.Override
+      public int getValueBytes() {
+        return valueBytes_;
+      }
+      /**
+       * <pre>
+       * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+       * whole.
+       * </pre>
+       *
+       * <code>optional uint32 value_bytes = 10;</code>
+       * @param value The valueBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValueBytes(int value) {
+
+        valueBytes_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Length in bytes of the value of the only record, of which the answer holds a piece. Absent when values are
+       * whole.
+       * </pre>
+       *
+       * <code>optional uint32 value_bytes = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValueBytes() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        valueBytes_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.TopicAnswer)
     }
 
@@ -25557,62 +25841,64 @@
       ".Origin\"2\n\016OriginQuestion\022\r\n\005nonce\030\001 \001(\006" +
       "\022\021\n\tstream_id\030\002 \001(\t\"G\n\014OriginAnswer\022\r\n\005n" +
       "once\030\001 \001(\006\022(\n\006origin\030\002 \001(\0132\030.tanagerbank" +
-      ".peer.Origin\"H\n\rTopicQuestion\022\r\n\005nonce\030\001" +
+      ".peer.Origin\"p\n\rTopicQuestion\022\r\n\005nonce\030\001" +
       " \001(\006\022\r\n\005topic\030\002 \001(\t\022\014\n\004from\030\003 \001(\004\022\013\n\003era" +
-      "\030\004 \001(\004\"\315\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001(\006\022.\n" +
+      "\030\004 \001(\004\022\027\n\nvalue_from\030\005 \001(\rH\000\210\001\001B\r\n\013_valu" +
+      "e_from\"\367\001\n\013TopicAnswer\022\r\n\005nonce\030\001 \001(\006\022.\n" +
       "\007records\030\002 \003(\0132\035.tanagerbank.peer.TopicR" +
       "ecord\022\014\n\004next\030\003 \001(\004\022\014\n\004more\030\004 \001(\010\022\022\n\nage" +
       "_millis\030\005 \001(\004\022\033\n\023since_outage_millis\030\006 \001" +
       "(\004\022\r\n\005known\030\007 \001(\010\022\013\n\003era\030\010 \001(\004\022\026\n\016own_re" +
-      "ads_fail\030\t \001(\010\"8\n\013TopicRecord\022\013\n\003key\030\001 \001" +
-      "(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010\n\006_value\"\210\003\n\006Dig" +
-      "est\022)\n\006sender\030\001 \001(\0132\031.tanagerbank.peer.A" +
-      "ddress\022\016\n\006number\030\002 \001(\004\022\026\n\016config_version" +
-      "\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerbank.peer." +
-      "UpstreamWork\022/\n\nplacements\030\005 \003(\0132\033.tanag" +
-      "erbank.peer.Placement\022(\n\005peers\030\006 \003(\0132\031.t" +
-      "anagerbank.peer.Address\022-\n\006caches\030\007 \003(\0132" +
-      "\035.tanagerbank.peer.EngineCache\022+\n\010suspec" +
-      "ts\030\010 \003(\0132\031.tanagerbank.peer.Suspect\0222\n\014t" +
-      "rial_claims\030\t \003(\0132\034.tanagerbank.peer.Tri" +
-      "alClaim\022\022\n\nwork_until\030\n \001(\t\"\337\002\n\022DigestCo" +
-      "ntinuation\022)\n\006sender\030\001 \001(\0132\031.tanagerbank" +
-      ".peer.Address\022\016\n\006number\030\002 \001(\004\022)\n\004work\030\003 " +
-      "\001(\0132\033.tanagerbank.peer.WorkRange\022/\n\nplac" +
-      "ements\030\004 \003(\0132\033.tanagerbank.peer.Placemen" +
-      "t\022(\n\005peers\030\005 \003(\0132\031.tanagerbank.peer.Addr" +
-      "ess\022-\n\006caches\030\006 \003(\0132\035.tanagerbank.peer.E" +
-      "ngineCache\022,\n\tpart_sets\030\007 \003(\0132\031.tanagerb" +
-      "ank.peer.PartSet\022+\n\010suspects\030\010 \003(\0132\031.tan" +
-      "agerbank.peer.Suspect\"W\n\tWorkRange\022\r\n\005af" +
-      "ter\030\001 \001(\t\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\0132\036" +
-      ".tanagerbank.peer.UpstreamWork\"\037\n\007PartSe" +
-      "t\022\024\n\014fingerprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n\013f" +
-      "ingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tana" +
-      "gerbank.peer.Crash\022\030\n\020undecided_trials\030\004" +
-      " \001(\r\022\"\n\025last_trial_age_millis\030\005 \001(\004H\000\210\001\001" +
-      "B\030\n\026_last_trial_age_millisJ\004\010\003\020\004R\024comple" +
-      "ted_age_millis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005" +
-      "depth\030\002 \001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_mil" +
-      "lis\030\004 \001(\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 " +
-      "\001(\007\0224\n\013completions\030\007 \003(\0132\037.tanagerbank.p" +
-      "eer.CompletedRuns\022\022\n\ncompanions\030\010 \003(\006\022\025\n" +
-      "\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rCom" +
-      "pletedRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001" +
-      "(\r\"D\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n" +
-      "\007running\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStor" +
-      "edSuspect\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank" +
-      ".peer.Suspect\022\037\n\027written_at_epoch_millis" +
-      "\030\002 \001(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n" +
-      "\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030" +
-      "\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001 \001" +
-      "(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006n" +
-      "umber\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprom" +
-      "pt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013par" +
-      "t_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I" +
-      "\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010pa" +
-      "rt_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org" +
-      ".tanagerbank.protoB\tPeerProtob\006proto3"
+      "ads_fail\030\t \001(\010\022\030\n\013value_bytes\030\n \001(\rH\000\210\001\001" +
+      "B\016\n\014_value_bytes\"8\n\013TopicRecord\022\013\n\003key\030\001" +
+      " \001(\t\022\022\n\005value\030\002 \001(\014H\000\210\001\001B\010\n\006_value\"\210\003\n\006D" +
+      "igest\022)\n\006sender\030\001 \001(\0132\031.tanagerbank.peer" +
+      ".Address\022\016\n\006number\030\002 \001(\004\022\026\n\016config_versi" +
+      "on\030\003 \001(\004\022,\n\004work\030\004 \003(\0132\036.tanagerbank.pee" +
+      "r.UpstreamWork\022/\n\nplacements\030\005 \003(\0132\033.tan" +
+      "agerbank.peer.Placement\022(\n\005peers\030\006 \003(\0132\031" +
+      ".tanagerbank.peer.Address\022-\n\006caches\030\007 \003(" +
+      "\0132\035.tanagerbank.peer.EngineCache\022+\n\010susp" +
+      "ects\030\010 \003(\0132\031.tanagerbank.peer.Suspect\0222\n" +
+      "\014trial_claims\030\t \003(\0132\034.tanagerbank.peer.T" +
+      "rialClaim\022\022\n\nwork_until\030\n \001(\t\"\337\002\n\022Digest" +
+      "Continuation\022)\n\006sender\030\001 \001(\0132\031.tanagerba" +
+      "nk.peer.Address\022\016\n\006number\030\002 \001(\004\022)\n\004work\030" +
+      "\003 \001(\0132\033.tanagerbank.peer.WorkRange\022/\n\npl" +
+      "acements\030\004 \003(\0132\033.tanagerbank.peer.Placem" +
+      "ent\022(\n\005peers\030\005 \003(\0132\031.tanagerbank.peer.Ad" +
+      "dress\022-\n\006caches\030\006 \003(\0132\035.tanagerbank.peer" +
+      ".EngineCache\022,\n\tpart_sets\030\007 \003(\0132\031.tanage" +
+      "rbank.peer.PartSet\022+\n\010suspects\030\010 \003(\0132\031.t" +
+      "anagerbank.peer.Suspect\"W\n\tWorkRange\022\r\n\005" +
+      "after\030\001 \001(\t\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\013" +
+      "2\036.tanagerbank.peer.UpstreamWork\"\037\n\007Part" +
+      "Set\022\024\n\014fingerprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n" +
+      "\013fingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.ta" +
+      "nagerbank.peer.Crash\022\030\n\020undecided_trials" +
+      "\030\004 \001(\r\022\"\n\025last_trial_age_millis\030\005 \001(\004H\000\210" +
+      "\001\001B\030\n\026_last_trial_age_millisJ\004\010\003\020\004R\024comp" +
+      "leted_age_millis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r" +
+      "\n\005depth\030\002 \001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_m" +
+      "illis\030\004 \001(\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030" +
+      "\006 \001(\007\0224\n\013completions\030\007 \003(\0132\037.tanagerbank" +
+      ".peer.CompletedRuns\022\022\n\ncompanions\030\010 \003(\006\022" +
+      "\025\n\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rC" +
+      "ompletedRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002" +
+      " \001(\r\"D\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022" +
+      "\017\n\007running\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rSt" +
+      "oredSuspect\022*\n\007suspect\030\001 \001(\0132\031.tanagerba" +
+      "nk.peer.Suspect\022\037\n\027written_at_epoch_mill" +
+      "is\030\002 \001(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t" +
+      "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnatio" +
+      "n\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001" +
+      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n" +
+      "\006number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpr" +
+      "ompt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013p" +
+      "art_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r" +
+      "\"I\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010" +
+      "part_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025o" +
+      "rg.tanagerbank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25653,13 +25939,13 @@
     internal_static_tanagerbank_peer_TopicQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicQuestion_descriptor,
-        new java.lang.String[] { "Nonce", "Topic", "From", "Era", });
+        new java.lang.String[] { "Nonce", "Topic", "From", "Era", "ValueFrom", });
     internal_static_tanagerbank_peer_TopicAnswer_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_tanagerbank_peer_TopicAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TopicAnswer_descriptor,
-        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", "Era", "OwnReadsFail", });
+        new java.lang.String[] { "Nonce", "Records", "Next", "More", "AgeMillis", "SinceOutageMillis", "Known", "Era", "OwnReadsFail", "ValueBytes", });
     internal_static_tanagerbank_peer_TopicRecord_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_tanagerbank_peer_TopicRecord_fieldAccessorTable = new
--- a/src/main/java/org/tanagerbank/store/RecordHistory.java
+++ b/src/main/java/org/tanagerbank/store/RecordHistory.java
@@ -70,14 +70,12 @@
    * large for an answer.
    */
   Optional<Slice> since(TopicPosition from) {
-    boolean isWithin =
-        from.era() == next.era() && from.offset() >= first && from.offset() <= next.offset();
-    if (!isWithin) {
+    if (!isWithin(from)) {
       return Optional.empty();
     }
     ImmutableList.Builder<KeyedRecord> slice = ImmutableList.builder();
     int bytes = 0;
-    for (KeyedRecord keyed : Iterables.skip(records, Ints.saturatedCast(from.offset() - first))) {
+    for (KeyedRecord keyed : startingAt(from)) {
       bytes +=
           keyed.key().length()
               + keyed.value().map(v -> v.length).orElse(0)
@@ -94,4 +92,24 @@
         ? Optional.empty()
         : Optional.of(new Slice(fitting, end, hasMore));
   }
+
+  /** Returns the one record at a position, or nothing when it is not in the history. */
+  Optional<Slice> at(TopicPosition position) {
+    if (!isWithin(position) || !next.isAfter(position)) {
+      return Optional.empty();
+    }
+    KeyedRecord keyed = startingAt(position).iterator().next();
+    TopicPosition end = position.plus(1);
+    return Optional.of(new Slice(ImmutableList.of(keyed), end, next.isAfter(end)));
+  }
+
+  private boolean isWithin(TopicPosition position) {
+    return position.era() == next.era()
+        && position.offset() >= first
+        && position.offset() <= next.offset();
+  }
+
+  private Iterable<KeyedRecord> startingAt(TopicPosition position) {
+    return Iterables.skip(records, Ints.saturatedCast(position.offset() - first));
+  }
 }
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -149,20 +149,22 @@
 
   @Override
   public Optional<RelayedRecords> recordsFrom(TopicPosition from) {
-    long now = clockMillis.getAsLong();
-    return position.isEmpty()
-        ? Optional.empty()
-        : history
-            .since(from)
-            .map(
-                slice ->
-                    new RelayedRecords(
-                        slice.records(),
-                        slice.next(),
-                        slice.hasMore(),
-                        now - currentAsOf,
-                        store.sinceOutageMillis(),
-                        doOwnReadsFail));
+    return position.flatMap(unused -> history.since(from)).map(this::relayed);
+  }
+
+  @Override
+  public Optional<RelayedRecords> recordAt(TopicPosition at) {
+    return position.flatMap(unused -> history.at(at)).map(this::relayed);
+  }
+
+  private RelayedRecords relayed(RecordHistory.Slice slice) {
+    return new RelayedRecords(
+        slice.records(),
+        slice.next(),
+        slice.hasMore(),
+        clockMillis.getAsLong() - currentAsOf,
+        store.sinceOutageMillis(),
+        doOwnReadsFail);
   }
 
   @Override
--- a/src/main/java/org/tanagerbank/store/TopicSource.java
+++ b/src/main/java/org/tanagerbank/store/TopicSource.java
@@ -10,9 +10,15 @@
    */
   Optional<TopicPosition> position();
 
-  /** Returns the records from a position on, or nothing if not all of them are available. */
+  /**
+   * Returns the records from a position on, as many as fit a datagram, or nothing if not all of
+   * them are available or the first one does not fit.
+   */
   Optional<RelayedRecords> recordsFrom(TopicPosition from);
 
+  /** Returns the one record at a position, whatever its size, or nothing if it is not available. */
+  Optional<RelayedRecords> recordAt(TopicPosition at);
+
   /**
    * Called when another instance is in an era of the store. It may have learned of a restore first.
    */
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -222,9 +223,12 @@
 
   @Test
   void decodedQuestionAndAnswerEqualTheEncodedOnes() throws InvalidProtocolBufferException {
-    TopicQuestion question = new TopicQuestion(-3, "upstreams", new TopicPosition(2, 12));
+    TopicPosition from = new TopicPosition(2, 12);
+    TopicQuestion question = new TopicQuestion(-3, "upstreams", from, OptionalInt.empty());
     assertThat(decoded(question)).isEqualTo(question);
-    TopicAnswer unknown = new TopicAnswer(7, 2, Optional.empty());
+    TopicQuestion inPieces = new TopicQuestion(-3, "upstreams", from, OptionalInt.of(0));
+    assertThat(decoded(inPieces)).isEqualTo(inPieces);
+    TopicAnswer unknown = new TopicAnswer(7, 2, Optional.empty(), OptionalInt.empty());
     assertThat(decoded(unknown)).isEqualTo(unknown);
     ImmutableList<KeyedRecord> removed = ImmutableList.of(new KeyedRecord("i-1", Optional.empty()));
     TopicAnswer known =
@@ -233,7 +237,8 @@
             2,
             Optional.of(
                 new RelayedRecords(
-                    removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE, true)));
+                    removed, new TopicPosition(2, 13), true, 40, Long.MAX_VALUE, true)),
+            OptionalInt.of(4_500));
     assertThat(decoded(known)).isEqualTo(known);
   }
 
--- a/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
@@ -177,5 +177,8 @@
     runScheduled();
     answer(2, new Records(ImmutableList.of(large), at(158)));
     assertThat(follower.recordsFrom(at(157))).isEmpty();
+    assertThat(follower.recordAt(at(157)).orElseThrow().records()).containsExactly(large);
+    assertThat(follower.recordAt(at(158))).isEmpty();
+    assertThat(follower.recordAt(new TopicPosition(ERA + 1, 157))).isEmpty();
   }
 }
