Renew the list of classes, from gateways that talk to each other and restart

The list also never held what only fleets load: it was taken from one gateway.

Change: bin/list-gateway-classes plays the rollout soak with three gateways that restart beside GatewayIT; SoakGateway takes the same flags.

--- a/src/test/java/org/tanagerbank/soak/SoakGateway.java
+++ b/src/test/java/org/tanagerbank/soak/SoakGateway.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import com.google.common.base.Splitter;
 import java.io.File;
 import java.io.FileInputStream;
 import java.io.IOException;
@@ -11,6 +12,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -33,6 +35,12 @@
   /** Another build can be played, for example one before a fix. */
   private static final String JAR = System.getProperty("soak.jar", "target/tanagerbank-all.jar");
 
+  /** Extra JVM flags, set by the script that lists the classes that a gateway loads. */
+  private static final List<String> JVM_FLAGS =
+      Splitter.on(' ')
+          .omitEmptyStrings()
+          .splitToList(System.getProperty("tanagerbank.gateway.flags", ""));
+
   /** The first port that Linux gives to outgoing connections by default. */
   private static final int EPHEMERAL_PORT_BEGIN = 32_768;
 
@@ -145,17 +153,11 @@
   }
 
   synchronized void launch() throws IOException {
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            System.getProperty("java.home") + "/bin/java",
-            "-Xmx48m",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-jar",
-            JAR,
-            "gateway",
-            "--node-file",
-            settingsFile.toString());
+    List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+    command.addAll(JVM_FLAGS);
+    command.addAll(List.of("-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(List.of("-jar", JAR, "gateway", "--node-file", settingsFile.toString()));
+    ProcessBuilder builder = new ProcessBuilder(command);
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile));
     logBytesAtLaunch = logFile.length();
