Answer with the age of a topic to an instance that has read more in the same era

Cause: since an instance gave no answer to one that had read further, also within one era. The asker then read the store, with a wait, so after a large record all instances read the store instead of asking each other.

Change: within one era RecordHistory answers a position beyond its end with no records and its age. Offsets only grow within an era, so the asker lacks nothing that existed at that age.

Evidence: TopicFollowerRelayTest#providesItsAgeToAnInstanceThatHasReadMore failed before; #providesNoAgeToAnInstanceOfAnotherEra holds before and after, StoreRestoreTest and TopicRelayTest pass.

--- a/src/main/java/org/tanagerbank/store/RecordHistory.java
+++ b/src/main/java/org/tanagerbank/store/RecordHistory.java
@@ -66,10 +66,17 @@
 
   /**
    * Returns the records from a position on, as many as fit one answer. Returns nothing when the
-   * position is of another era or not within the history, or when the first record alone is too
-   * large for an answer.
+   * position is of another era or before the history, or when the first record alone is too large
+   * for an answer.
+   *
+   * <p>A position after the end of the history has no records. Offsets only grow within an era, so
+   * an instance that has read further lacks nothing that existed when the history was last known to
+   * be complete.
    */
   Optional<Slice> since(TopicPosition from) {
+    if (from.isAfter(next)) {
+      return Optional.of(new Slice(ImmutableList.of(), next, false));
+    }
     if (!isWithin(from)) {
       return Optional.empty();
     }
