Handle every signal during start and stop without cutting off requests

Cause: the handlers of SIGTERM and SIGINT interrupted the command's thread. The second interrupt ended the wait of Gateway.drain, so the process exited with status 1 and closed all requests in flight. A signal during the start began the grace time only after the start.

Change: ProcessSignals sets the handlers before the gateway is made, keeps the time of the first request to stop, logs each signal (TB1007) and lets reloads that come faster than they run share one. The grace time counts from the first signal, whichever follow.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -17,7 +17,6 @@
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.platform.PlatformStore;
 import org.tanagerbank.platform.StoreClient;
-import sun.misc.Signal;
 
 /**
  * Runs a gateway on the users' platform until the process receives a signal to stop.
@@ -83,28 +82,31 @@
   @Override
   public int run(PrintStream out, PrintStream err) throws InterruptedException {
     EventLog.installQueued(out);
-    Gateway gateway =
-        Gateway.create(
-            settings(),
-            new PlatformHeaderCodec(),
-            PlatformEngineInspector.create(ENGINE_ANSWER_MILLIS),
-            loop ->
-                PlatformStore.create(
-                    StoreClient.create(
-                        loop, node.storeAddress(), () -> System.nanoTime() / 1_000_000)));
-    // Handlers are set before the start, because the default action would cut off requests.
-    Thread commandThread = Thread.currentThread();
-    Signal.handle(new Signal("TERM"), signal -> commandThread.interrupt());
-    Signal.handle(new Signal("INT"), signal -> commandThread.interrupt());
-    Signal.handle(new Signal("HUP"), signal -> reload());
-    gateway.start();
-    awaitInterrupt();
-    gateway.drain();
-    gateway.stop();
+    // Handlers are set before anything else, because the default actions end the process.
+    ProcessSignals signals = ProcessSignals.handle(this::reload);
+    Gateway gateway = createGateway();
+    // A process that has not begun to serve has nothing to finish.
+    if (!signals.isStopRequested()) {
+      gateway.start();
+      signals.awaitStop();
+      gateway.drain(signals.millisSinceStopRequest());
+      gateway.stop();
+    }
     EventLog.close();
     return OK;
   }
 
+  private Gateway createGateway() {
+    return Gateway.create(
+        settings(),
+        new PlatformHeaderCodec(),
+        PlatformEngineInspector.create(ENGINE_ANSWER_MILLIS),
+        loop ->
+            PlatformStore.create(
+                StoreClient.create(
+                    loop, node.storeAddress(), () -> System.nanoTime() / 1_000_000)));
+  }
+
   /**
    * Reads the settings file again and logs whether the settings changed.
    *
@@ -119,14 +121,6 @@
     }
   }
 
-  private static void awaitInterrupt() {
-    try {
-      Thread.currentThread().join();
-    } catch (InterruptedException e) {
-      // The process received a signal to stop.
-    }
-  }
-
   private GatewaySettings settings() {
     NodeSettings.Limits bounds = node.bounds();
     return new GatewaySettings(
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -331,12 +331,15 @@
   /**
    * Stops accepting new work and waits for the requests in flight, up to the end of the grace time.
    *
+   * @param millisSinceRequest the part of the grace time that passed before this call, for example
+   *     because the stop was requested during {@link #start}
    * @throws InterruptedException if interrupted while waiting
    */
-  public void drain() throws InterruptedException {
+  public void drain(long millisSinceRequest) throws InterruptedException {
     EventLog.emit(LogEvent.PROCESS_STOPPING, "instance", settings.instanceId());
     isDraining = true;
-    DrainPlan plan = DrainPlan.startingAt(clockMillis.getAsLong(), settings.graceMillis());
+    DrainPlan plan =
+        DrainPlan.startingAt(clockMillis.getAsLong(), settings.graceMillis() - millisSinceRequest);
     loop.execute(callerServer::beginDrain);
     loop.execute(
         () ->
--- a/src/test/java/org/tanagerbank/gateway/GatewayIT.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.File;
 import java.io.IOException;
 import java.net.DatagramSocket;
@@ -15,6 +16,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,13 +29,21 @@
  * Runs the gateway as a separate process with test doubles of the platform's store and an upstream.
  *
  * <p>Guards against a binary that does not start, serve, reload its settings on SIGHUP, stop on
- * SIGTERM or reject a revoked key.
+ * SIGTERM or reject a revoked key, and against signals that cut off requests or go unnoticed while
+ * the process starts or stops.
  */
 @Timeout(120)
 final class GatewayIT {
   /** Extra JVM flags, set by the script that lists the classes that a gateway loads. */
   private static final String JVM_FLAGS = System.getProperty("tanagerbank.gateway.flags", "");
 
+  /** The log of the process under test. */
+  private static final Path LOG = Path.of("target/process-logs/gateway.log");
+
+  /** Interval between looks at the log; sleeping lets the time limit of a test interrupt it. */
+  private static final long WAIT_MILLIS = 10;
+
+  private final CountDownLatch heldAnswers = new CountDownLatch(1);
   @TempDir private Path folder;
   private StoreStandin store;
   private ScriptedUpstream upstream;
@@ -45,7 +56,7 @@
   void start() throws IOException {
     store = StoreStandin.onLoopback(/* pageItems= */ 2);
     store.start();
-    upstream = new ScriptedUpstream(GatewayIT::answer);
+    upstream = new ScriptedUpstream(this::answer);
     callerPort = freePort();
     readyPort = freePort();
     store.put("keyed.op", "config", Optional.of(config().getBytes(UTF_8)));
@@ -77,7 +88,10 @@
     return builder.start();
   }
 
-  private static String answer(String request) {
+  private String answer(String request) {
+    if (request.startsWith("GET /p/held")) {
+      Uninterruptibles.awaitUninterruptibly(heldAnswers);
+    }
     String id = ScriptedUpstream.requestId(request);
     String head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n";
     if (request.startsWith("GET")) {
@@ -174,14 +188,57 @@
     assertThat(send(callerPort, get("/none/x"))).startsWith("HTTP/1.1 404");
     assertThat(send(metricsPort, get("/metrics"))).contains("tanagerbank_gateway_requests_total");
     assertThat(send(callerPort, "nonsense\r\n\r\n")).startsWith("HTTP/1.1 400");
-    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    signal("HUP");
     process.destroy();
     assertThat(process.waitFor()).isEqualTo(0);
-    String log = Files.readString(Path.of("target/process-logs/gateway.log"));
+    String log = Files.readString(LOG);
     assertThat(log).contains("SETTINGS_RELOADED");
     assertThat(log).contains("PROCESS_STOPPED");
   }
 
+  private void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** Sends signals one after the other, each when the one before it is logged. */
+  private void signalInTurn(String... names) throws IOException, InterruptedException {
+    for (int i = 0; i < names.length; i++) {
+      signal(names[i]);
+      while (Files.readString(LOG).split("SIGNAL_RECEIVED", -1).length < i + 2) {
+        assertThat(process.isAlive()).isTrue();
+        Thread.sleep(WAIT_MILLIS);
+      }
+    }
+  }
+
+  @Test
+  void signalsDuringStopCutOffNoRequest() throws IOException, InterruptedException {
+    awaitReady();
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> send(callerPort, get("/p/held")));
+    while (upstream.requests().stream().noneMatch(r -> r.startsWith("GET /p/held"))) {
+      assertThat(process.isAlive()).isTrue();
+      Thread.sleep(WAIT_MILLIS);
+    }
+    signalInTurn("TERM", "HUP", "TERM", "INT", "HUP", "TERM");
+    heldAnswers.countDown();
+    assertThat(answer.join()).endsWith("hello");
+    assertThat(process.waitFor()).isEqualTo(0);
+    String log = Files.readString(LOG);
+    assertThat(log).contains("PROCESS_STOPPED");
+    assertThat(log.split("PROCESS_STOPPING", -1)).hasLength(2);
+  }
+
+  @Test
+  void signalsDuringStartStopTheProcessOnce() throws IOException, InterruptedException {
+    while (send(readyPort, get("/ready")).isEmpty()) {
+      assertThat(process.isAlive()).isTrue();
+    }
+    signalInTurn("HUP", "INT", "TERM", "HUP", "INT");
+    assertThat(process.waitFor()).isEqualTo(0);
+    assertThat(Files.readString(LOG)).contains("PROCESS_STOPPED");
+  }
+
   @Test
   void revokedKeyStopsWorking() {
     awaitReady();
--- a/src/test/java/org/tanagerbank/gateway/GatewayTest.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayTest.java
@@ -356,7 +356,7 @@
 
   private static void drain(Gateway gateway) {
     try {
-      gateway.drain();
+      gateway.drain(/* millisSinceRequest= */ 0);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
