Record what an attempt says at the handle of the process that it reached

Cause: an attempt writes to the handle of the time at which it was placed. When the upstream's new report had replaced that handle, a pause, a limit or that the process leaves was recorded where nobody asks; a response of the process before, read after the next one had started, held for the next one; and a handle whose report was removed for a while was forgotten with all that is known of its process. A run that went to the new process was blamed for the end of the old.

Change: a replaced handle passes a notice on to its successor if that had started when the connection was opened, and SendPermission keeps that time instead of the time of the response. A removed upstream is remembered for 60 s and used again if the same process is reported. TrackedRun is assigned to the process to which it was sent.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -218,7 +218,7 @@
       return;
     }
     UpstreamNotice notice = dispatcher.headerCodec().notice(received.status(), received.headers());
-    upstream.recordNotice(notice, sentMillis, dispatcher.nowMillis());
+    upstream.recordNotice(notice, connection.openedMillis(), sentMillis, dispatcher.nowMillis());
     if (!isOtherRequest) {
       notice.load().ifPresent(l -> upstream.updateLoad(l, dispatcher.nowMillis()));
     }
--- a/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
@@ -131,11 +131,21 @@
 
   /** Records that the process of an upstream has ended, by its report. */
   void upstreamEnded(UpstreamHandle upstream) {
+    assignToProcesses();
     if (!upstream.hasAnnouncedEnd()) {
       recordCrash(upstream);
     }
   }
 
+  /** Runs that were sent to a process before its report was read outlived the one before it. */
+  private void assignToProcesses() {
+    long now = clockMillis.getAsLong();
+    List<LostRun> lost = List.copyOf(pending);
+    pending.clear();
+    lost.forEach(
+        p -> pending.add(new LostRun(p.run().atItsProcess(now), p.loss(), p.lostAtMillis())));
+  }
+
   private void recordCrash(UpstreamHandle upstream) {
     upstream.recordCrash();
     List<LostRun> lost = pending.stream().filter(p -> p.run().upstream() == upstream).toList();
--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -193,13 +193,13 @@
     long now = clockMillis.getAsLong();
     ImmutableMap<Fingerprint, Integer> depths =
         Maps.toMap(suspects.all(), s -> quarantine.depth(s, now));
-    return new TrackedRun(suspects, holder, upstream, upstream.crashes(), depths, onTrial);
+    return new TrackedRun(suspects, holder, upstream, now, upstream.crashes(), depths, onTrial);
   }
 
   /** Records that the upstream ran the request to its end. */
   void runCompleted(TrackedRun run) {
     long now = clockMillis.getAsLong();
-    int software = run.upstream().softwareHash();
+    int software = run.atItsProcess(now).upstream().softwareHash();
     run.suspects().all().stream()
         .filter(
             s -> quarantine.recordCompletion(s, () -> run.suspects().conditions(s, software), now))
@@ -236,7 +236,7 @@
       recordIfUndecidedTrial(run, /* wasMisdirected= */ false);
     }
     endClaims(run, /* wasLost= */ true);
-    detector.runLost(run, loss);
+    detector.runLost(run.atItsProcess(clockMillis.getAsLong()), loss);
   }
 
   private void endClaims(TrackedRun run, boolean wasLost) {
--- a/src/main/java/org/tanagerbank/dispatch/SendPermission.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendPermission.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -20,11 +22,22 @@
   private boolean isLeaving;
   private long pausedUntilMillis = Long.MIN_VALUE;
 
-  /** The time of the latest response that said so, in milliseconds since the epoch. */
-  private long leavingNoticedAtMillis;
+  /**
+   * The time, in milliseconds since the epoch, at which the latest of the connections was opened
+   * whose responses said so. The process that said it had started by then.
+   */
+  private long leavingConnectedAtMillis = Long.MIN_VALUE;
+
+  private long limitConnectedAtMillis = Long.MIN_VALUE;
 
-  private long pauseNoticedAtMillis;
-  private long limitNoticedAtMillis;
+  /** The pauses that no other one covers, which outlasts it and was named on a later connection. */
+  private final List<Pause> pauses = new ArrayList<>();
+
+  private record Pause(long connectedAtMillis, long untilMillis) {
+    boolean covers(Pause other) {
+      return connectedAtMillis >= other.connectedAtMillis && untilMillis >= other.untilMillis;
+    }
+  }
 
   /**
    * Creates a permission for a process that has said nothing yet.
@@ -39,23 +52,22 @@
 
   /**
    * Returns the permission for the process that has followed under the same id and address. It may
-   * have answered before its report arrived, so what was said since its start is its own.
+   * have answered before its report arrived, so what was said on connections that were opened since
+   * its start is its own. The other process may have answered later than that too.
    *
    * @param startedAtMillis the start of the process, in milliseconds since the epoch
    */
   SendPermission ofProcessStartedAt(long startedAtMillis) {
     SendPermission next = new SendPermission(wallClockMillis, newRate);
-    if (isLeaving && leavingNoticedAtMillis >= startedAtMillis) {
+    if (isLeaving && leavingConnectedAtMillis >= startedAtMillis) {
       next.isLeaving = true;
-      next.leavingNoticedAtMillis = leavingNoticedAtMillis;
+      next.leavingConnectedAtMillis = leavingConnectedAtMillis;
     }
-    if (pauseNoticedAtMillis >= startedAtMillis) {
-      next.pausedUntilMillis = pausedUntilMillis;
-      next.pauseNoticedAtMillis = pauseNoticedAtMillis;
-    }
-    if (limitNoticedAtMillis >= startedAtMillis) {
+    pauses.stream().filter(p -> p.connectedAtMillis >= startedAtMillis).forEach(next::addPause);
+    if (limitConnectedAtMillis >= startedAtMillis) {
       next.rate = rate;
-      next.limitNoticedAtMillis = limitNoticedAtMillis;
+      rate = newRate.get();
+      next.limitConnectedAtMillis = limitConnectedAtMillis;
     }
     return next;
   }
@@ -63,23 +75,38 @@
   /**
    * Records what a response of the process says.
    *
+   * @param openedAtMillis the time at which the connection was opened on which the response came
    * @param sentAtMillis the time at which the request was sent to which the response came
    */
-  void record(UpstreamNotice notice, long sentAtMillis, long nowMillis) {
+  void record(UpstreamNotice notice, long openedAtMillis, long sentAtMillis, long nowMillis) {
+    long connectedAtMillis = epochMillis(openedAtMillis, nowMillis);
     notice.limit().ifPresent(l -> rate.record(l, sentAtMillis, nowMillis));
     if (notice.limit().map(SendLimit::isLimited).orElse(false)) {
-      limitNoticedAtMillis = wallClockMillis.getAsLong();
+      limitConnectedAtMillis = Math.max(limitConnectedAtMillis, connectedAtMillis);
     }
     if (notice.isLeaving()) {
       isLeaving = true;
-      leavingNoticedAtMillis = wallClockMillis.getAsLong();
+      leavingConnectedAtMillis = Math.max(leavingConnectedAtMillis, connectedAtMillis);
     }
     if (notice.pauseMillis().isPresent()) {
-      pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + notice.pauseMillis().getAsLong());
-      pauseNoticedAtMillis = wallClockMillis.getAsLong();
+      pauses.removeIf(p -> p.untilMillis <= nowMillis);
+      addPause(new Pause(connectedAtMillis, nowMillis + notice.pauseMillis().getAsLong()));
+    }
+  }
+
+  private void addPause(Pause pause) {
+    pausedUntilMillis = Math.max(pausedUntilMillis, pause.untilMillis);
+    if (pauses.stream().noneMatch(p -> p.covers(pause))) {
+      pauses.removeIf(pause::covers);
+      pauses.add(pause);
     }
   }
 
+  /** Returns a time of the monotonic clock in milliseconds since the epoch. */
+  long epochMillis(long monotonicMillis, long nowMillis) {
+    return wallClockMillis.getAsLong() - (nowMillis - monotonicMillis);
+  }
+
   /** Returns whether the process said that it is shutting down. */
   boolean isLeaving() {
     return isLeaving;
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -98,9 +98,8 @@
 
   /** Records what a response to a query says of its upstream; it ends no limit. */
   public void recordNotice(String upstreamId, UpstreamNotice notice) {
-    upstreams
-        .find(upstreamId)
-        .ifPresent(u -> u.recordNotice(notice, Long.MIN_VALUE, clockMillis.getAsLong()));
+    long now = clockMillis.getAsLong();
+    upstreams.find(upstreamId).ifPresent(u -> u.recordNotice(notice, now, Long.MIN_VALUE, now));
   }
 
   /** Returns the number of upstreams that have named a limit on the requests that they take. */
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -21,7 +21,8 @@
 
 /**
  * The state of one upstream: its latest report, its connections, health and load, and the model of
- * its engine. A restarted upstream gets a new handle. Not thread-safe; confined to the event loop.
+ * its engine. A restarted upstream gets a new handle; a process whose report was removed and is
+ * back keeps its handle. Not thread-safe; confined to the event loop.
  */
 final class UpstreamHandle {
   /** The time, in milliseconds, for which the load reported with a response is used. */
@@ -30,7 +31,7 @@
   /** The requests that an upstream gets for each of its slots while others of its service pause. */
   private static final int MAX_LOAD_PER_SLOT_BESIDE_PAUSES = 2;
 
-  private final ConnectionPool connections;
+  private ConnectionPool connections;
   private final int softwareHash;
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
@@ -43,6 +44,7 @@
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private boolean closed;
   private boolean isReplaced;
+  private Optional<UpstreamHandle> successor = Optional.empty();
   private int crashes;
 
   UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
@@ -139,12 +141,23 @@
     inFlight--;
   }
 
-  /** Records what a response of the process says of it; the load is passed to updateLoad. */
-  void recordNotice(UpstreamNotice notice, long sentAtMillis, long nowMillis) {
+  /**
+   * Records what a response says of its process; the load is passed to updateLoad. A request may
+   * have been sent to the process that followed before its report was read, so what it answers is
+   * recorded there.
+   *
+   * @param openedAtMillis the time at which the connection of the response was opened
+   */
+  void recordNotice(UpstreamNotice notice, long openedAtMillis, long sentAtMillis, long nowMillis) {
+    UpstreamHandle sender = processSince(openedAtMillis, nowMillis);
+    if (sender != this) {
+      sender.recordNotice(notice, openedAtMillis, sentAtMillis, nowMillis);
+      return;
+    }
     boolean wasLimited = isLimited();
     boolean wasLeaving = permission.isLeaving();
     boolean wasPaused = permission.isPaused(nowMillis);
-    permission.record(notice, sentAtMillis, nowMillis);
+    permission.record(notice, openedAtMillis, sentAtMillis, nowMillis);
     if (isLimited() != wasLimited) {
       EventLog.emit(
           isLimited() ? LogEvent.UPSTREAM_LIMITED : LogEvent.UPSTREAM_UNLIMITED,
@@ -166,9 +179,40 @@
     }
   }
 
-  /** Returns the permission for the process that has followed this one. */
-  SendPermission permissionOf(UpstreamReport next) {
-    return permission.ofProcessStartedAt(next.startedAtMillis());
+  /**
+   * Returns the handle of the process to which a request went at a time: this one, or one that had
+   * followed by then although its report was not read yet.
+   */
+  UpstreamHandle processSince(long monotonicMillis, long nowMillis) {
+    return successor
+        .filter(s -> s.hasStartedBy(monotonicMillis, nowMillis))
+        .map(s -> s.processSince(monotonicMillis, nowMillis))
+        .orElse(this);
+  }
+
+  private boolean hasStartedBy(long monotonicMillis, long nowMillis) {
+    return permission.epochMillis(monotonicMillis, nowMillis) >= report.startedAtMillis();
+  }
+
+  /** Returns the handle of the process that has followed this one at its address. */
+  UpstreamHandle followedBy(UpstreamReport next, ConnectionPool itsConnections) {
+    UpstreamHandle follower =
+        new UpstreamHandle(
+            next, itsConnections, permission.ofProcessStartedAt(next.startedAtMillis()));
+    successor = Optional.of(follower);
+    return follower;
+  }
+
+  /** Uses the process again, whose report was removed for a while. */
+  void reopen(UpstreamReport newReport, ConnectionPool newConnections) {
+    report = newReport;
+    connections = newConnections;
+    closed = false;
+    // The removal of the report counted as a crash, which the process has survived.
+    crashes = 0;
+    // Other instances tell what they have in flight only for the upstreams that are known.
+    peersInFlight.clear();
+    totalPeersInFlight = 0;
   }
 
   /**
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -34,10 +34,22 @@
  * event loop.
  */
 final class Upstreams {
+  /**
+   * The time in milliseconds for which a removed upstream is remembered. A report that lapses in an
+   * outage is written again within seconds; a process that ended is forgotten after this time.
+   */
+  private static final long REMOVED_MILLIS = 60_000;
+
+  private record Removed(UpstreamHandle upstream, long atMillis) {}
+
   private final Connector connector;
   private final LongSupplier clockMillis;
   private final LongSupplier wallClockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
+
+  /** The upstreams whose reports were removed lately, by id, and the time of each removal. */
+  private final Map<String, Removed> removed = new HashMap<>();
+
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
   private final RandomGenerator random;
@@ -76,8 +88,9 @@
   }
 
   /**
-   * Replaces the list of upstreams. An upstream that restarted or is missing from the list loses
-   * its connections and all recorded state.
+   * Replaces the list of upstreams. An upstream that restarted loses its connections and all
+   * recorded state. One that is missing from the list loses its connections, and its recorded state
+   * unless it is back within {@link #REMOVED_MILLIS}.
    *
    * @param reports the latest report of each upstream
    * @param config the configuration, which holds the engine limits of the services
@@ -93,13 +106,13 @@
         logDraining(known.report(), report);
         known.update(report);
       } else {
-        replace(known, report);
+        add(Optional.ofNullable(known), report);
       }
       engineLimits(config, report.service()).ifPresent(byId.get(report.id())::setEngineLimits);
     }
     for (String id : new HashSet<>(byId.keySet())) {
       if (!reportedIds.contains(id)) {
-        end(byId.remove(id));
+        remove(id);
         EventLog.emit(LogEvent.UPSTREAM_GONE, "upstream", id);
       }
     }
@@ -151,16 +164,12 @@
     return config.map(c -> c.services().get(service)).flatMap(Service::engine);
   }
 
-  private void replace(UpstreamHandle known, UpstreamReport report) {
-    if (known != null) {
-      end(known);
-    }
+  private void add(Optional<UpstreamHandle> known, UpstreamReport report) {
+    Optional<UpstreamHandle> earlier =
+        known.or(() -> Optional.ofNullable(removed.remove(report.id())).map(Removed::upstream));
     ConnectionPool connections = ConnectionPool.create(connector, report.address(), clockMillis);
-    SendPermission permission =
-        known != null && known.report().address().equals(report.address())
-            ? known.permissionOf(report)
-            : new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random));
-    byId.put(report.id(), new UpstreamHandle(report, connections, permission));
+    byId.put(report.id(), handle(earlier, report, connections));
+    known.ifPresent(this::end);
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
@@ -175,6 +184,30 @@
         report.startedAtMillis());
   }
 
+  private UpstreamHandle handle(
+      Optional<UpstreamHandle> earlier, UpstreamReport report, ConnectionPool connections) {
+    if (earlier.isPresent() && earlier.get().report().isSameProcess(report)) {
+      earlier.get().reopen(report, connections);
+      return earlier.get();
+    }
+    return earlier
+        .filter(e -> e.report().address().equals(report.address()))
+        .map(e -> e.followedBy(report, connections))
+        .orElseGet(
+            () ->
+                new UpstreamHandle(
+                    report,
+                    connections,
+                    new SendPermission(
+                        wallClockMillis, () -> new SendRate(shares::share, random))));
+  }
+
+  private void remove(String id) {
+    UpstreamHandle upstream = byId.remove(id);
+    end(upstream);
+    removed.put(id, new Removed(upstream, clockMillis.getAsLong()));
+  }
+
   private void end(UpstreamHandle ended) {
     ended.close();
     endListener.accept(ended);
@@ -251,7 +284,10 @@
         .collect(toImmutableMap(u -> u.report().id(), UpstreamHandle::ownInFlight));
   }
 
+  /** Closes connections that have been idle for too long, and forgets who was removed long ago. */
   void closeExpired() {
+    long now = clockMillis.getAsLong();
+    removed.values().removeIf(r -> now - r.atMillis() > REMOVED_MILLIS);
     byId.values().forEach(u -> u.connections().closeExpired());
   }
 }
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -77,7 +77,8 @@
     idleSinceMillis = openedMillis;
   }
 
-  long openedMillis() {
+  /** Returns the time at which the connection was opened, by the monotonic clock. */
+  public long openedMillis() {
     return openedMillis;
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -14,13 +14,16 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.route.CallerLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RouteTable;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 import org.tanagerbank.upstream.Connector;
+import org.tanagerbank.upstream.SendLimit;
 import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -85,7 +88,7 @@
       wallMillis = 1_000;
       UpstreamNotice pause =
           new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty(), Optional.empty());
-      upstreams.find("a").get().recordNotice(pause, 0, 0);
+      upstreams.find("a").get().recordNotice(pause, 0, 0, 0);
       upstreams.update(ImmutableList.of(report("a", startedMillis, false)), CONFIG);
       boolean askedByThisProcess = startedMillis <= wallMillis;
       assertThat(upstreams.find("a").get().acceptsRequests(0)).isEqualTo(!askedByThisProcess);
@@ -93,6 +96,108 @@
     }
   }
 
+  private static UpstreamNotice notice(String kind) {
+    return new UpstreamNotice(
+        kind.equals("leaving"),
+        kind.equals("pause") ? OptionalLong.of(5_000) : OptionalLong.empty(),
+        kind.equals("limit") ? Optional.of(new SendLimit(0)) : Optional.empty(),
+        Optional.empty());
+  }
+
+  /**
+   * Guards against what a process says that is lost, or is held against the next one, because its
+   * response came through the handle of the process before it or after the next report was read.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "pause,true",
+    "pause,false",
+    "leaving,true",
+    "leaving,false",
+    "limit,true",
+    "limit,false"
+  })
+  void noticeHoldsForTheProcessAtItsConnection(String kind, boolean isReportReadFirst) {
+    for (long connectedMillis : new long[] {900, 1_100}) {
+      upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+      UpstreamHandle earlier = upstreams.find("a").get();
+      wallMillis = 2_000;
+      if (isReportReadFirst) {
+        upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
+      }
+      earlier.recordNotice(notice(kind), connectedMillis - wallMillis, 0, 0);
+      upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
+      upstreams.update(ImmutableList.of(), CONFIG);
+      upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
+      UpstreamHandle current = upstreams.find("a").get();
+      boolean isFromCurrent = connectedMillis >= 1_000;
+      assertThat(current.isLimited()).isEqualTo(isFromCurrent && kind.equals("limit"));
+      assertThat(current.hasAnnouncedEnd()).isEqualTo(isFromCurrent && kind.equals("leaving"));
+      assertThat(current.acceptsRequests(0)).isEqualTo(!isFromCurrent);
+      upstreams.update(ImmutableList.of(report("a", 3_000, false)), CONFIG);
+    }
+  }
+
+  /** A report may be removed and written again in an outage, while its process lives on. */
+  @Test
+  void processThatIsBackKeepsWhatIsKnownOfIt() {
+    upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    UpstreamHandle before = upstreams.find("a").get();
+    before.requestStarted();
+    before.setPeerInFlight("g", 1);
+    upstreams.update(ImmutableList.of(), CONFIG);
+    assertThat(before.acceptsRequests(0)).isFalse();
+    before.recordNotice(notice("pause"), 0, 0, 0);
+    upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    UpstreamHandle back = upstreams.find("a").get();
+    assertThat(back.pausedUntilMillis(0)).isEqualTo(OptionalLong.of(5_000));
+    assertThat(back.fleetInFlight(0)).isEqualTo(1);
+    assertThat(back.isClosed()).isFalse();
+    assertThat(back.acceptsRequests(5_000)).isTrue();
+  }
+
+  /** A run at the new process must not be blamed for the end of the one before it. */
+  @ParameterizedTest
+  @CsvSource({"900,true,1", "900,false,1", "1100,true,0", "1100,false,0"})
+  void lostRunIsBlamedForTheEndOfItsOwnProcessOnly(
+      long sentMillis, boolean isLostFirst, int suspects) {
+    wallMillis = sentMillis;
+    CrashGuard guard = new CrashGuard("g", () -> wallMillis, (task, delayMillis) -> {});
+    Upstreams list =
+        new Upstreams(
+            Connector.tcp(group.next()),
+            () -> wallMillis,
+            () -> wallMillis,
+            new SplittableRandom(1));
+    list.setEndListener(guard::upstreamEnded);
+    list.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    RequestSuspects content = RequestSuspects.of(Fingerprint.ofPromptPart(1), Optional.empty());
+    TrackedRun run = guard.runStarted(content, "holder", list.find("a").get(), Optional.empty());
+    wallMillis = 2_000;
+    if (isLostFirst) {
+      guard.runLost(run, RunLoss.SILENT);
+    }
+    list.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
+    if (!isLostFirst) {
+      guard.runLost(run, RunLoss.SILENT);
+    }
+    assertThat(guard.nextSuspects()).hasSize(suspects);
+  }
+
+  /** A process must not wait for the end of the longer pause that the one before it asked for. */
+  @Test
+  void shortPauseOfTheNextProcessIsNotLengthened() {
+    upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
+    wallMillis = 2_000;
+    UpstreamHandle earlier = upstreams.find("a").get();
+    earlier.recordNotice(notice("pause"), -1_100, 0, 0);
+    UpstreamNotice shorter =
+        new UpstreamNotice(false, OptionalLong.of(100), Optional.empty(), Optional.empty());
+    earlier.recordNotice(shorter, -900, 0, 0);
+    upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
+    assertThat(upstreams.find("a").get().pausedUntilMillis(0)).isEqualTo(OptionalLong.of(100));
+  }
+
   @Test
   void drainingAndRemovedUpstreamsAreNotCandidates() {
     upstreams.update(
