--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -40,6 +40,7 @@
   private final Map<String, Integer> peersInFlight = new HashMap<>();
   private int totalPeersInFlight;
   private int reportedOtherRequests;
+  private int reportedWaiting;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private boolean closed;
   private boolean isReplaced;
@@ -238,6 +239,7 @@
   /** Records the load that the upstream reported, less the requests of this instance. */
   void updateLoad(LoadReport report, long nowMillis) {
     reportedOtherRequests = Math.max(0, report.running() + report.waiting() - inFlight);
+    reportedWaiting = report.waiting();
     reportedAtMillis = nowMillis;
   }
 
@@ -253,13 +255,25 @@
    * the other instances, this is the larger of their own counts and the upstream's recent report.
    */
   int fleetInFlight(long nowMillis) {
-    boolean isReportFresh = nowMillis - reportedAtMillis < LOAD_REPORT_VALID_MILLIS;
     return inFlight
-        + (isReportFresh
+        + (isReportFresh(nowMillis)
             ? Math.max(reportedOtherRequests, totalPeersInFlight)
             : totalPeersInFlight);
   }
 
+  private boolean isReportFresh(long nowMillis) {
+    return nowMillis - reportedAtMillis < LOAD_REPORT_VALID_MILLIS;
+  }
+
+  /**
+   * Returns the estimated number of requests that wait at the upstream: those beyond its slots, or
+   * as many as it reported just now, which may be more if something else than slots is short.
+   */
+  int waiting(long nowMillis) {
+    int beyondSlots = fleetInFlight(nowMillis) - report.slots();
+    return Math.max(0, Math.max(beyondSlots, isReportFresh(nowMillis) ? reportedWaiting : 0));
+  }
+
   int ownInFlight() {
     return inFlight;
   }
--- a/src/main/java/org/tanagerbank/engine/EngineModel.java
+++ b/src/main/java/org/tanagerbank/engine/EngineModel.java
@@ -86,9 +86,17 @@
     return slowdown * nominalFirstTokenMillis(prompt, fetchedTokens, nowMillis);
   }
 
+  /** Predicts the time until work on a request that is sent now begins, in milliseconds. */
+  public double waitMillis(Prompt prompt, long nowMillis) {
+    return slowdown * (backlogMillis(nowMillis) + contentionMillis(prompt));
+  }
+
+  private double backlogMillis(long nowMillis) {
+    return Math.max(0, prefillEndMillis - nowMillis);
+  }
+
   private double nominalFirstTokenMillis(Prompt prompt, int fetchedTokens, long nowMillis) {
-    double backlogMillis = Math.max(0, prefillEndMillis - nowMillis);
-    return backlogMillis
+    return backlogMillis(nowMillis)
         + prefillMillis(prompt, fetchedTokens)
         + STEP_MILLIS
         + STEP_MILLIS_PER_RUNNING * runningRequests.size()
