Tell a workspace without a priority from one with priority 0

Cause: the decoder read an absent priority of a workspace as 0, the most urgent one. As the priority of a workspace takes precedence, every workspace without one would be more urgent than its routes say. Nothing used the priority so far.

Change: the priority of a workspace is empty unless the configuration has a whole number for it; the priority of the route then counts.

Measured: DecodersTest.workspaceWithoutPriorityHasNone passes for an absent, null, text and fractional priority, and the other cases of the class as before.

--- a/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
+++ b/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.tanagerbank.route.CallerLimits;
@@ -132,12 +133,17 @@
     Map<String, Workspace> workspacesByKey = new HashMap<>();
     for (JsonNode tenant : tenants) {
       Workspace workspace =
-          new Workspace(tenant.path("name").asText(), tenant.path("priority").asInt());
+          new Workspace(tenant.path("name").asText(), workspacePriority(tenant.path("priority")));
       stream(tenant.path("api-keys")).forEach(key -> workspacesByKey.put(key.asText(), workspace));
     }
     return ImmutableMap.copyOf(workspacesByKey);
   }
 
+  /** Returns the priority of a workspace, or empty if the field is absent or no whole number. */
+  private static OptionalInt workspacePriority(JsonNode node) {
+    return node.isInt() ? OptionalInt.of(node.intValue()) : OptionalInt.empty();
+  }
+
   private static CallerLimits limits(JsonNode node) {
     CallerLimits defaults = CallerLimits.INITIAL;
     return new CallerLimits(
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -129,6 +130,15 @@
     assertThat(config.limits().maxBodyBytes()).isEqualTo(200);
   }
 
+  /** A workspace without a priority must not become the most urgent one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", ",\"priority\":null", ",\"priority\":\"0\"", ",\"priority\":0.5"})
+  void workspaceWithoutPriorityHasNone(String field) throws IOException {
+    String config = CONFIG.replace("],\"priority\":1}]}", "]" + field + "}]}");
+    assertThat(ConfigDecoder.decode(config.getBytes(UTF_8)).workspace("k2"))
+        .hasValue(new Workspace("w", OptionalInt.empty()));
+  }
+
   @Test
   void transferTimeBetweenEnginesIsDecoded() throws IOException {
     String engine = "\"slots\":64,";
--- a/src/test/java/org/tanagerbank/route/TestRoutes.java
+++ b/src/test/java/org/tanagerbank/route/TestRoutes.java
@@ -11,6 +11,17 @@
   /** Returns a route that is named after its path prefix. */
   public static Route route(
       String prefix, RequestKind kind, int attempts, long timeoutMillis, boolean resumable) {
+    return route(prefix, kind, attempts, timeoutMillis, resumable, /* priority= */ 0);
+  }
+
+  /** Returns a route with a priority. */
+  public static Route route(
+      String prefix,
+      RequestKind kind,
+      int attempts,
+      long timeoutMillis,
+      boolean resumable,
+      int priority) {
     return new Route(
         prefix,
         "h",
@@ -19,7 +30,7 @@
         timeoutMillis,
         OBJECTIVE_MILLIS,
         attempts,
-        0,
+        priority,
         false,
         resumable,
         ImmutableList.of(new WeightedService("s", 1)));
