Admit requests where they are placed

Cause: the rule of the package admission was not called.

A refused request gets 503 with a time to return, or 502 if an earlier attempt may have run it. The event TB1850 names the reason, service, workspace, priority and load; tanagerbank_gateway_not_admitted_total counts refusals by service, priority and reason. The time that a request runs is learned from answers, less the share of requests that waited at the upstream.

Measured: AdmissionTest refuses in a lasting overload and in no other load that upstreams report. It failed first with return times of 9.6 s where callers have 4 s: requests sent before the queue was known took their wait for work.

--- a/src/main/java/org/tanagerbank/admission/ServiceAdmission.java
+++ b/src/main/java/org/tanagerbank/admission/ServiceAdmission.java
@@ -8,9 +8,15 @@
  * is shared with other instances, each of which sees a sample. Not thread-safe.
  */
 public final class ServiceAdmission {
-  /** The weight of one response in the moving average of the time that a request takes. */
+  /** The weight of one answer in the moving average of the time that a request takes. */
   private static final double TIME_WEIGHT = 0.1;
 
+  /**
+   * The factor from which the queues when a request was sent and when it was answered differ too
+   * much. This instance then did not know what waited, and would take the wait for work.
+   */
+  private static final double UNKNOWN_QUEUE_FACTOR = 4;
+
   private final RecentDemand demand = new RecentDemand();
   private final RecentRefusals refusals = new RecentRefusals();
   private final OverloadState overload = new OverloadState();
@@ -32,14 +38,16 @@
   }
 
   /**
-   * Records a request that was answered completely.
+   * Records a request that was answered completely. The share of the requests at its upstream that
+   * do not wait is also the share of its time that it ran, as each request waits in its turn.
    *
    * @param millis the time since it was sent, in milliseconds
-   * @param runningShare the share of the requests at its upstream that did not wait when it was
-   *     sent. As each request waits in its turn, it is also the share of the time spent running.
+   * @param shareAtSend the share that did not wait when it was sent, as far as was known
+   * @param shareNow the share that does not wait now
    */
-  public void recordAnswered(long millis, double runningShare) {
-    double sample = millis * runningShare;
+  public void recordAnswered(long millis, double shareAtSend, double shareNow) {
+    boolean wasQueueKnown = shareAtSend < UNKNOWN_QUEUE_FACTOR * shareNow;
+    double sample = millis * (wasQueueKnown ? shareAtSend : shareNow);
     requestMillis =
         requestMillis == 0 ? sample : requestMillis + TIME_WEIGHT * (sample - requestMillis);
   }
--- a/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchObserver.java
@@ -18,6 +18,15 @@
    */
   void requestRejected(int status, String reason);
 
+  /**
+   * Called when a request is refused because its service has too little room.
+   *
+   * @param service the name of the service
+   * @param priority the priority of the request; 0 is the most urgent
+   * @param reason the value of a metric label, one of a small fixed set
+   */
+  void requestNotAdmitted(String service, int priority, String reason);
+
   /**
    * Called when an attempt at an upstream has failed.
    *
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.dispatch;
 
 import java.util.random.RandomGenerator;
+import org.tanagerbank.admission.AdmissionDecision;
 
 /**
  * A response that the router generates itself instead of forwarding one of an upstream. Immutable.
@@ -28,6 +29,13 @@
   static final String UPSTREAMS_BUSY =
       "upstreams of the service have asked for a pause or fewer requests";
 
+  /** The reason for the refusal of a request to which no upstream can respond in its time. */
+  static final String NO_TIME = "no upstream is expected to respond before the time limit";
+
+  /** The reason for the refusal of a request in an overload. */
+  static final String OVERLOAD =
+      "the service is overloaded, and others are more urgent or had less";
+
   /**
    * The shortest and the longest time, in milliseconds, over which callers are spread that were
    * refused in a pause or by a limit. They return over as long a time as they were refused, so that
@@ -51,6 +59,8 @@
             case QUARANTINED -> "quarantined";
             case ON_TRIAL -> "on trial";
             case UPSTREAMS_BUSY -> "upstreams paused";
+            case NO_TIME -> "no time";
+            case OVERLOAD -> "overload";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
@@ -93,6 +103,12 @@
         STATUS_UNAVAILABLE, millisUntilRoom + random.nextLong(spread), UPSTREAMS_BUSY);
   }
 
+  /** Returns the refusal of a request that is not admitted. */
+  static Refusal notAdmitted(AdmissionDecision decision) {
+    String reason = decision.verdict() == AdmissionDecision.Verdict.NO_TIME ? NO_TIME : OVERLOAD;
+    return new Refusal(STATUS_UNAVAILABLE, decision.retryAfterMillis(), reason);
+  }
+
   /**
    * Returns the refusal of a request that did not run and will not, because it crashes upstreams.
    */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -4,12 +4,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
@@ -33,6 +29,8 @@
   /** The time between two questions whether a suspect may run, in milliseconds. */
   private static final long TRIAL_POLL_MILLIS = 20;
 
+  private static final int SUCCESS_CLASS = 2;
+
   private final Dispatcher dispatcher;
   private final CallerRequest request;
   private final CallerExchange exchange;
@@ -40,14 +38,13 @@
   private final Route route;
   private final Optional<Workspace> workspace;
   private final String requestId;
-  private final Fingerprint fingerprint;
   private final Optional<Prompt> prompt;
   private final RequestSuspects suspects;
   private final String service;
   private final long deadline;
   private final RequestLog log;
   private final RetryReservation retry;
-  private final Set<String> tried = new HashSet<>();
+  private final RequestPlacer placer;
   private Verdict verdict = Verdict.NOT_RUN;
   private Attempt attempt;
   private ScheduledFuture<?> timeout;
@@ -75,7 +72,7 @@
     this.route = route;
     this.workspace = workspace;
     this.requestId = dispatcher.headerCodec().requestId(request.headers());
-    this.fingerprint =
+    Fingerprint fingerprint =
         Fingerprint.ofCall(
             request.target(),
             workspace.map(Workspace::name).orElse(""),
@@ -90,6 +87,9 @@
     this.log =
         new RequestLog(dispatcher, requestId, fingerprint, route, request.receivedAtMillis());
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
+    PlacedRequest placed =
+        new PlacedRequest(fingerprint, route, workspace, prompt, request.body().readableBytes());
+    this.placer = new RequestPlacer(dispatcher, placed, suspects, service, log);
   }
 
   void start() {
@@ -107,53 +107,22 @@
   }
 
   private void place() {
-    SuspectAdmission admission = dispatcher.crashGuard().admit(suspects, this, candidates());
-    switch (admission.kind()) {
-      case RUN, TRIAL -> place(admission.candidates(), admission.onTrial());
-      case WAIT -> {
-        retry.release();
-        var unused =
-            dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
-      }
-      case REFUSED_FOR_NOW ->
-          endWithError(Refusal.onTrial(admission.retryAfterMillis(), dispatcher.random()));
-      case REFUSED -> endWithError(Refusal.quarantined(admission.retryAfterMillis()));
-      default -> throw new AssertionError("unknown admission");
-    }
-  }
-
-  /** Returns the upstreams that can run the request, or go on with the stream that it began. */
-  private List<UpstreamHandle> candidates() {
-    List<UpstreamHandle> all = dispatcher.upstreams().candidates(service, tried);
-    return origin.map(o -> all.stream().filter(u -> u.canGoOn(o)).toList()).orElse(all);
-  }
-
-  private void place(List<UpstreamHandle> candidates, Optional<Fingerprint> onTrial) {
-    if (sentAttempts > 0 && !retry.acquire()) {
-      endWithError(Refusal.notRun("no retry is left"));
-      return;
-    }
-    PlacementRequest placement =
-        new PlacementRequest(
-            prompt,
-            route.objectiveMillis(),
-            dispatcher.settings().zone(),
-            dispatcher.settings().loadMultiple(),
-            dispatcher.upstreams().allOfService(service),
-            dispatcher.nowMillis());
-    Optional<UpstreamChoice> chosen =
-        onTrial.isPresent()
-            ? Placement.chooseForTrial(candidates, fingerprint, dispatcher.nowMillis())
-            : Placement.choose(candidates, placement);
-    if (chosen.isEmpty()) {
-      endWithError(noUpstreamLeft("no upstream of the service is left"));
-      return;
+    boolean hasBegun = sentAttempts > 0 || origin.isPresent();
+    PlacementResult result =
+        placer.place(
+            this,
+            new PlacementState(
+                origin, hasBegun, timeLeftMillis(), () -> sentAttempts == 0 || retry.acquire()));
+    if (result.refusal().isPresent()) {
+      endWithError(result.refusal().get());
+    } else if (result.choice().isPresent()) {
+      attempt = new Attempt(this, dispatcher, result.choice().get(), result.onTrial());
+      attempt.start();
+    } else {
+      retry.release();
+      var unused =
+          dispatcher.loop().schedule(this::placeAgain, TRIAL_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
-    UpstreamChoice choice = chosen.get();
-    tried.add(choice.upstream().report().id());
-    log.placed(choice, candidates.size(), prompt, timeLeftMillis());
-    attempt = new Attempt(this, dispatcher, choice, onTrial);
-    attempt.start();
   }
 
   /** Returns a copy of the request for an upstream; the copy retains the body. */
@@ -196,7 +165,7 @@
   /** Forwards a complete response of an upstream and ends the request; takes over the body. */
   void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
     log.responseBegun();
-    finish(status, "answered");
+    finishAnswered(status);
     response.respond(status, headers, body);
   }
 
@@ -232,7 +201,7 @@
 
   /** Ends a response whose body was completely forwarded by {@link #writeBody}. */
   void endResponse(int status) {
-    finish(status, "answered");
+    finishAnswered(status);
     response.end();
   }
 
@@ -247,7 +216,7 @@
       Optional<ErrorResponse> errorResponse) {
     recordFailure(upstream, failure, evidence);
     boolean canResume = !response.hasBegun() || response.lastEventId().isPresent();
-    boolean hasOtherCandidate = !candidates().isEmpty();
+    boolean hasOtherCandidate = placer.hasCandidate(origin);
     boolean isRetried =
         canResume
             && hasOtherCandidate
@@ -264,16 +233,9 @@
       return;
     }
     endWithError(
-        hasOtherCandidate ? Refusal.notRun(failure.reason()) : noUpstreamLeft(failure.reason()));
-  }
-
-  /** Returns the refusal of a request that no upstream can run now. */
-  private Refusal noUpstreamLeft(String reason) {
-    long now = dispatcher.nowMillis();
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
-    return roomAt.isPresent()
-        ? Refusal.upstreamsBusy(roomAt.getAsLong() - now, dispatcher.random())
-        : Refusal.notRun(reason);
+        hasOtherCandidate
+            ? Refusal.notRun(failure.reason())
+            : placer.noUpstreamLeft(failure.reason()));
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
@@ -380,6 +342,13 @@
     finish(0, "caller gone");
   }
 
+  private void finishAnswered(int status) {
+    if (status / 100 == SUCCESS_CLASS) {
+      placer.recordAnswered();
+    }
+    finish(status, "answered");
+  }
+
   private void finish(int status, String reason) {
     ended = true;
     timeout.cancel(false);
--- a/src/main/java/org/tanagerbank/dispatch/RequestLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestLog.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import org.tanagerbank.admission.AdmissionRequest;
+import org.tanagerbank.admission.ServiceLoad;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -73,6 +75,42 @@
         timeLeftMillis);
   }
 
+  /** Records that the request is refused because its service has too little room. */
+  void notAdmitted(String service, AdmissionRequest asked, ServiceLoad load, Refusal refusal) {
+    EventLog.emit(
+        LogEvent.REQUEST_NOT_ADMITTED,
+        "request",
+        requestId,
+        "fingerprint",
+        fingerprint,
+        "route",
+        route.name(),
+        "service",
+        service,
+        "workspace",
+        asked.workspace(),
+        "priority",
+        asked.priority(),
+        "size",
+        asked.size(),
+        "reason",
+        refusal.metricReason(),
+        "taken",
+        load.taken(),
+        "slots",
+        load.slots(),
+        "waitMillis",
+        Math.round(load.waitMillis()),
+        "ownMillis",
+        Math.round(load.ownMillis()),
+        "objectiveMillis",
+        route.objectiveMillis(),
+        "timeLeftMillis",
+        asked.timeLeftMillis(),
+        "retryAfterMillis",
+        refusal.retryAfterMillis());
+  }
+
   private static String sharedPartIds(Prompt prompt) {
     return prompt.sharedParts().stream()
         .map(p -> Long.toHexString(p.id()))
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.tanagerbank.admission.ServiceAdmission;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.EngineLimits;
@@ -38,6 +39,7 @@
   private final LongSupplier clockMillis;
   private final LongSupplier wallClockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
+  private final Map<String, ServiceAdmission> admissions = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
   private final RandomGenerator random;
@@ -70,6 +72,16 @@
     return shares;
   }
 
+  /** Returns what admits the requests of a service at this instance. */
+  ServiceAdmission admission(String service) {
+    return admissions.computeIfAbsent(service, unused -> new ServiceAdmission());
+  }
+
+  /** Returns the time by the wall clock, which all instances share, in milliseconds. */
+  long wallMillis() {
+    return wallClockMillis.getAsLong();
+  }
+
   /** Sets the listener that is notified of upstreams that restarted or are gone. */
   void setEndListener(Consumer<UpstreamHandle> listener) {
     endListener = listener;
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -25,6 +25,9 @@
   static final String CONTENT_TYPE = MetricsText.CONTENT_TYPE;
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** The priority from which requests are counted together, so that a label has few values. */
+  private static final int LEAST_URGENT_LABEL = 9;
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter requests =
       Counter.builder()
@@ -38,6 +41,12 @@
           .help("Requests that the gateway answered itself, by status and reason.")
           .labelNames("status", "reason")
           .register(registry);
+  private final Counter notAdmitted =
+      Counter.builder()
+          .name("tanagerbank_gateway_not_admitted_total")
+          .help("Requests refused for lack of room, by service, priority and reason.")
+          .labelNames("service", "priority", "reason")
+          .register(registry);
   private final Counter failedAttempts =
       Counter.builder()
           .name("tanagerbank_gateway_failed_attempts_total")
@@ -84,6 +93,12 @@
     rejected.labelValues(Integer.toString(status), reason).inc();
   }
 
+  @Override
+  public void requestNotAdmitted(String service, int priority, String reason) {
+    int label = Math.max(0, Math.min(LEAST_URGENT_LABEL, priority));
+    notAdmitted.labelValues(service, Integer.toString(label), reason).inc();
+  }
+
   @Override
   public void attemptFailed(String verdict) {
     failedAttempts.labelValues(verdict).inc();
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -293,7 +293,7 @@
     Engine engine = engine(upstream);
     String id = "r" + job.identity;
     long sentAt = now;
-    double runningShare = ServiceLoads.runningShare(upstream, now);
+    double shareAtSend = ServiceLoads.runningShare(upstream, now);
     upstream.requestStarted();
     upstream.engine().get().requestSent(id, prompt, 0, now);
     for (int g = 0; g < GATEWAYS; g++) {
@@ -313,7 +313,8 @@
           upstream.requestEnded();
           upstream.engine().get().requestEnded(id);
           if (job.isAnswered) {
-            admissions.get(gateway).recordAnswered(now - sentAt, runningShare);
+            double shareNow = ServiceLoads.runningShare(upstream, now);
+            admissions.get(gateway).recordAnswered(now - sentAt, shareAtSend, shareNow);
           } else if (engine.isLost) {
             send(job, /* isRetry= */ true);
           }
--- a/src/test/java/org/tanagerbank/dispatch/SilentObserver.java
+++ b/src/test/java/org/tanagerbank/dispatch/SilentObserver.java
@@ -8,6 +8,9 @@
   @Override
   public void requestRejected(int status, String reason) {}
 
+  @Override
+  public void requestNotAdmitted(String service, int priority, String reason) {}
+
   @Override
   public void attemptFailed(String verdict) {}
 
