Bound what an upstream sends besides the awaited response

Cause: responses to other requests, their bodies and interim responses were skipped without a bound until the time limit of the request, each skipped one with a log line; one connection was read up to 1 MB in a turn of the event loop.

Change: an exchange fails (NOT_SKIPPABLE) with the fifth skipped response, the 17th interim one, or after 1 MiB of skipped bodies, and its connection is closed. Connections to upstreams and the store are read at most twice, 8 KiB each, before others have their turn.

The share of callers and other gateways in a turn is unchanged.

--- a/src/main/java/org/tanagerbank/upstream/ExchangeFailure.java
+++ b/src/main/java/org/tanagerbank/upstream/ExchangeFailure.java
@@ -8,7 +8,10 @@
   NO_RESPONSE,
   /** The connection was closed in the middle of the response. */
   CUT_OFF,
-  /** A response was to be skipped on a connection on which its end cannot be found. */
+  /**
+   * A response was to be skipped on a connection on which its end cannot be found, or after too
+   * many others or too many bytes.
+   */
   NOT_SKIPPABLE,
   /** The upstream sent bytes that are not a valid HTTP response. */
   MALFORMED
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -33,6 +33,18 @@
    */
   private static final long CATCH_UP_MILLIS = 500;
 
+  /**
+   * The skipped responses after which an exchange fails; each is logged. Upstreams repeat single
+   * responses; many come from a fault that does not end.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 4;
+
+  /** The interim responses after which an exchange fails. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
+  /** The bytes in the bodies of skipped responses after which an exchange fails. */
+  private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
   private final ResponseDecoder decoder;
   private final LongSupplier clockMillis;
   private final Consumer<HttpConnection> onIdle;
@@ -44,6 +56,9 @@
   private boolean isInformational;
   private boolean isSkipping;
   private boolean hasSkipped;
+  private int skippedResponses;
+  private int interimResponses;
+  private long skippedBytes;
   private boolean hasSentHeadRequest;
   private boolean isReset;
   private ResponseEnd responseEnd;
@@ -108,6 +123,9 @@
     hasHead = false;
     isInformational = false;
     isSkipping = false;
+    skippedResponses = 0;
+    interimResponses = 0;
+    skippedBytes = 0;
     endPending = false;
     requestWritten = false;
     isReading = true;
@@ -201,6 +219,8 @@
   private void onHead(HttpResponse response) {
     isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (isInformational) {
+      interimResponses++;
+      failIf(interimResponses > MAX_INTERIM_RESPONSES);
       return;
     }
     hasHead = true;
@@ -222,6 +242,14 @@
     } else {
       isSkipping = true;
       hasHead = false;
+      skippedResponses++;
+      failIf(skippedResponses > MAX_SKIPPED_RESPONSES);
+    }
+  }
+
+  private void failIf(boolean hasTooMuchBesideTheResponse) {
+    if (hasTooMuchBesideTheResponse) {
+      fail(ExchangeFailure.NOT_SKIPPABLE);
     }
   }
 
@@ -231,6 +259,8 @@
     }
     if (isSkipping) {
       isSkipping = !(content instanceof LastHttpContent);
+      skippedBytes += content.content().readableBytes();
+      failIf(skippedBytes > MAX_SKIPPED_BYTES);
       return;
     }
     if (listener != null && content.content().isReadable()) {
--- a/src/main/java/org/tanagerbank/upstream/TcpConnector.java
+++ b/src/main/java/org/tanagerbank/upstream/TcpConnector.java
@@ -1,12 +1,14 @@
 package org.tanagerbank.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -29,6 +31,21 @@
   /** The number of unanswered keepalive probes after which a connection is closed. */
   private static final int KEEPALIVE_PROBES = 3;
 
+  /**
+   * The bytes that are read from a connection before others have their turn: {@code MAX_READS}
+   * reads of at most {@code MAX_READ_BYTES}. With 60 connections that bring bytes without end, a
+   * turn of the event loop handles 1 MB.
+   */
+  private static final int MAX_READS = 2;
+
+  private static final int MAX_READ_BYTES = 8 << 10;
+  private static final int MIN_READ_BYTES = 64;
+  private static final int FIRST_READ_BYTES = 2 << 10;
+
+  private static final RecvByteBufAllocator READS =
+      new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+          .maxMessagesPerRead(MAX_READS);
+
   private final EventLoop loop;
 
   TcpConnector(EventLoop loop) {
@@ -42,6 +59,7 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RCVBUF_ALLOCATOR, READS)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
--- a/src/test/java/org/tanagerbank/dispatch/EndlessResponseTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/EndlessResponseTest.java
@@ -59,6 +59,29 @@
     assertThat(call.status).isEqualTo(503);
   }
 
+  /** A worker that sends responses to nothing must not keep the event loop busy. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 X\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 100000000\r\n\r\n",
+      })
+  void responsesBesideTheOwnOneAreBounded(String extra) {
+    DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
+    String once = extra.contains("100000000") ? extra + PIECE : extra.repeat(3);
+    ImmutableList.Builder<Write> writes = ImmutableList.builder();
+    writes.add(new Write(1, once));
+    for (int i = 1; i < PIECES; i++) {
+      writes.add(new Write(1 + i, extra.contains("100000000") ? PIECE : once));
+    }
+    fleet.upstreams().get(0).setScript(id -> new UpstreamBehavior(true, false, writes.build()));
+    Call call = fleet.sendWithId(0, "/once/x", "body", "r1");
+    fleet.advance(150);
+    assertThat(fleet.upstreams().get(0).openConnections()).isEqualTo(0);
+    assertThat(call.status).isEqualTo(502);
+  }
+
   @Test
   void eventWithoutEndIsGivenUp() {
     Call call = callWithEndlessBody("/stream/x", "200 OK", "Server-Stamp: s\r\n");
