Send nothing to the upstreams of an evacuated zone

Cause: an operator could not keep requests away from a zone whose upstreams are up, as before work on it.

Change: a record under the key of an evacuation order in the operator's topic holds until it is removed. Evacuations (package zone) is the pure state; UpstreamHandle.acceptsRequests and takesStartedRequests ask it by the zone of the latest report, so first attempts, retries, resumed streams, trials and cache queries obey. A cache query is checked again once its connection is open, engines of the zone are no sources of cached parts, and a placed request drops its source when the zone was evacuated since. Running requests go on. If all upstreams of a request are evacuated it is refused at once with 503, Retry-After and a reason of its own. The mean of the load bound includes evacuated upstreams. The reads of the topic wait half of the smaller of the bounds for configurations and evacuations, which changes nothing unless the latter is smaller. Events, gauges and a hook for cold upstreams (assumeCold, empty until slow start exists) are included.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -140,6 +140,7 @@
         node.firstStart(),
         bounds.revokeMillis(),
         bounds.configMillis(),
+        bounds.evacuationMillis(),
         bounds.drainMillis(),
         bounds.graceMillis(),
         CACHE_WAIT_MILLIS,
--- a/src/main/java/org/tanagerbank/dispatch/CacheSources.java
+++ b/src/main/java/org/tanagerbank/dispatch/CacheSources.java
@@ -13,9 +13,9 @@
  * The engines that are expected to have the beginning of a prompt cached.
  *
  * <p>Engines that are avoided as unhealthy are left out, because a transfer from them may fail, and
- * so are those that have asked for a pause. A draining engine accepts no new requests but remains a
- * source. Cached parts are fetched only between engines of one software version, because what two
- * versions write may not fit together. Immutable.
+ * so are those that have asked for a pause or are in an evacuated zone. A draining engine accepts
+ * no new requests but remains a source. Cached parts are fetched only between engines of one
+ * software version, because what two versions write may not fit together. Immutable.
  */
 final class CacheSources {
   /** The fewest tokens that are fetched; prefilling fewer takes no longer than a transfer. */
@@ -34,7 +34,7 @@
     return new CacheSources(
         engines.stream()
             .filter(u -> u.engine().isPresent() && !u.health().isAvoided(nowMillis))
-            .filter(u -> u.pausedUntilMillis(nowMillis).isEmpty())
+            .filter(u -> u.pausedUntilMillis(nowMillis).isEmpty() && !u.isEvacuated())
             .map(u -> new Source(u, u.engine().get().cachedTokens(prompt)))
             .filter(s -> s.tokens() > 0)
             .sorted(Comparator.comparingInt(Source::tokens).reversed())
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.request.Fingerprint;
@@ -74,8 +75,7 @@
    */
   static Optional<UpstreamChoice> choose(List<UpstreamHandle> upstreams, PlacementRequest request) {
     long nowMillis = request.nowMillis();
-    List<UpstreamHandle> candidates =
-        belowLoadLimit(preferHealthy(upstreams, nowMillis), request.loadMultiple(), nowMillis);
+    List<UpstreamHandle> candidates = belowLoadLimit(preferHealthy(upstreams, nowMillis), request);
     if (request.prompt().isEmpty()) {
       return candidates.stream()
           .min(Comparator.comparingDouble(u -> nonEngineCost(u, request.zone(), nowMillis)))
@@ -124,10 +124,19 @@
     return healthy.isEmpty() ? ImmutableList.copyOf(upstreams) : healthy;
   }
 
+  /**
+   * Returns the upstreams below the load limit, or all if there are none. Upstreams in evacuated
+   * zones count for the mean, as they do for the platform.
+   */
   private static List<UpstreamHandle> belowLoadLimit(
-      List<UpstreamHandle> upstreams, double loadMultiple, long nowMillis) {
-    double mean = upstreams.stream().mapToInt(u -> u.fleetInFlight(nowMillis)).average().orElse(0);
-    double maxRequests = loadMultiple * LOAD_MULTIPLE_SHARE * mean + EXTRA_REQUESTS;
+      List<UpstreamHandle> upstreams, PlacementRequest request) {
+    long nowMillis = request.nowMillis();
+    double mean =
+        Stream.concat(upstreams.stream(), request.evacuated().stream())
+            .mapToInt(u -> u.fleetInFlight(nowMillis))
+            .average()
+            .orElse(0);
+    double maxRequests = request.loadMultiple() * LOAD_MULTIPLE_SHARE * mean + EXTRA_REQUESTS;
     List<UpstreamHandle> belowLimit =
         upstreams.stream()
             .filter(u -> u.fleetInFlight(nowMillis) < maxRequests)
--- a/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
+++ b/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
@@ -11,9 +11,9 @@
  * @param objectiveMillis the time in milliseconds within which the first token should arrive
  * @param zone the availability zone of this instance
  * @param loadMultiple the limit on the requests at one upstream, as a multiple of the mean over the
- *     candidates
+ *     candidates and the upstreams in evacuated zones
  * @param cacheCandidates the upstreams that may have parts of the prompt cached, including draining
- *     ones
+ *     ones and those in evacuated zones
  * @param nowMillis the current time in milliseconds, by the monotonic clock
  */
 record PlacementRequest(
@@ -22,4 +22,11 @@
     String zone,
     double loadMultiple,
     List<UpstreamHandle> cacheCandidates,
-    long nowMillis) {}
+    long nowMillis) {
+  /** Returns the upstreams to which only the evacuation of their zone keeps requests away. */
+  List<UpstreamHandle> evacuated() {
+    return cacheCandidates.stream()
+        .filter(u -> u.isEvacuated() && u.servesUnlessEvacuated())
+        .toList();
+  }
+}
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -28,6 +28,10 @@
   static final String UPSTREAMS_BUSY =
       "upstreams of the service have asked for a pause or fewer requests";
 
+  /** The reason for the refusal of a request while its upstreams are in evacuated zones. */
+  static final String UPSTREAMS_EVACUATED =
+      "all upstreams that could run the request are in evacuated zones";
+
   /**
    * The shortest and the longest time, in milliseconds, over which callers are spread that were
    * refused in a pause or by a limit. They return over as long a time as they were refused, so that
@@ -51,6 +55,7 @@
             case QUARANTINED -> "quarantined";
             case ON_TRIAL -> "on trial";
             case UPSTREAMS_BUSY -> "upstreams paused";
+            case UPSTREAMS_EVACUATED -> "zones evacuated";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
@@ -93,6 +98,17 @@
         STATUS_UNAVAILABLE, millisUntilRoom + random.nextLong(spread), UPSTREAMS_BUSY);
   }
 
+  /**
+   * Returns the refusal of a request whose upstreams are all in evacuated zones. It is not known
+   * when a zone returns.
+   */
+  static Refusal upstreamsEvacuated(RandomGenerator random) {
+    return new Refusal(
+        STATUS_UNAVAILABLE,
+        RECOVERY_RETRY_MILLIS + random.nextLong(MAX_SPREAD_MILLIS),
+        UPSTREAMS_EVACUATED);
+  }
+
   /**
    * Returns the refusal of a request that did not run and will not, because it crashes upstreams.
    */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -4,12 +4,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
@@ -47,7 +44,7 @@
   private final long deadline;
   private final RequestLog log;
   private final RetryReservation retry;
-  private final Set<String> tried = new HashSet<>();
+  private final RequestUpstreams upstreams;
   private Verdict verdict = Verdict.NOT_RUN;
   private Attempt attempt;
   private ScheduledFuture<?> timeout;
@@ -89,6 +86,7 @@
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
     this.log =
         new RequestLog(dispatcher, requestId, fingerprint, route, request.receivedAtMillis());
+    this.upstreams = new RequestUpstreams(dispatcher, service);
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
   }
 
@@ -107,7 +105,8 @@
   }
 
   private void place() {
-    SuspectAdmission admission = dispatcher.crashGuard().admit(suspects, this, candidates());
+    SuspectAdmission admission =
+        dispatcher.crashGuard().admit(suspects, this, upstreams.candidates(origin));
     switch (admission.kind()) {
       case RUN, TRIAL -> place(admission.candidates(), admission.onTrial());
       case WAIT -> {
@@ -122,12 +121,6 @@
     }
   }
 
-  /** Returns the upstreams that can run the request, or go on with the stream that it began. */
-  private List<UpstreamHandle> candidates() {
-    List<UpstreamHandle> all = dispatcher.upstreams().candidates(service, tried);
-    return origin.map(o -> all.stream().filter(u -> u.canGoOn(o)).toList()).orElse(all);
-  }
-
   private void place(List<UpstreamHandle> candidates, Optional<Fingerprint> onTrial) {
     if (sentAttempts > 0 && !retry.acquire()) {
       endWithError(Refusal.notRun("no retry is left"));
@@ -139,18 +132,18 @@
             route.objectiveMillis(),
             dispatcher.settings().zone(),
             dispatcher.settings().loadMultiple(),
-            dispatcher.upstreams().allOfService(service),
+            upstreams.cacheCandidates(),
             dispatcher.nowMillis());
     Optional<UpstreamChoice> chosen =
         onTrial.isPresent()
             ? Placement.chooseForTrial(candidates, fingerprint, dispatcher.nowMillis())
             : Placement.choose(candidates, placement);
     if (chosen.isEmpty()) {
-      endWithError(noUpstreamLeft("no upstream of the service is left"));
+      endWithError(upstreams.refusal("no upstream of the service is left", origin));
       return;
     }
     UpstreamChoice choice = chosen.get();
-    tried.add(choice.upstream().report().id());
+    upstreams.recordTried(choice.upstream());
     log.placed(choice, candidates.size(), prompt, timeLeftMillis());
     attempt = new Attempt(this, dispatcher, choice, onTrial);
     attempt.start();
@@ -165,7 +158,7 @@
             workspace.map(Workspace::name),
             OptionalInt.empty(),
             response.lastEventId(),
-            choice.fetch().map(f -> f.source().report().address()));
+            choice.fetchAddress());
     return UpstreamRequests.of(request, call, dispatcher.headerCodec());
   }
 
@@ -247,7 +240,7 @@
       Optional<ErrorResponse> errorResponse) {
     recordFailure(upstream, failure, evidence);
     boolean canResume = !response.hasBegun() || response.lastEventId().isPresent();
-    boolean hasOtherCandidate = !candidates().isEmpty();
+    boolean hasOtherCandidate = !upstreams.candidates(origin).isEmpty();
     boolean isRetried =
         canResume
             && hasOtherCandidate
@@ -264,16 +257,9 @@
       return;
     }
     endWithError(
-        hasOtherCandidate ? Refusal.notRun(failure.reason()) : noUpstreamLeft(failure.reason()));
-  }
-
-  /** Returns the refusal of a request that no upstream can run now. */
-  private Refusal noUpstreamLeft(String reason) {
-    long now = dispatcher.nowMillis();
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
-    return roomAt.isPresent()
-        ? Refusal.upstreamsBusy(roomAt.getAsLong() - now, dispatcher.random())
-        : Refusal.notRun(reason);
+        hasOtherCandidate
+            ? Refusal.notRun(failure.reason())
+            : upstreams.refusal(failure.reason(), origin));
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -14,7 +14,6 @@
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.route.RoutingConfig;
-import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.UpstreamNotice;
 
 /**
@@ -28,6 +27,7 @@
   private final ConfigState config;
   private final LongSupplier clockMillis;
   private final Runnable refreshConfig;
+  private final EvacuatedZones evacuatedZones;
 
   SharedUpstreamState(
       Upstreams upstreams,
@@ -42,6 +42,7 @@
     this.config = config;
     this.clockMillis = clockMillis;
     this.refreshConfig = refreshConfig;
+    this.evacuatedZones = new EvacuatedZones(upstreams, clockMillis);
   }
 
   @Override
@@ -86,14 +87,23 @@
   }
 
   /**
-   * Returns the connection pool of an upstream for one query, which counts as a request, or empty
-   * for an unknown upstream or one that accepts no requests now.
+   * Returns the permission for one query to an upstream, which counts as a request, or empty for an
+   * unknown upstream or one that accepts no requests now.
    */
-  public Optional<ConnectionPool> connectionsForQuery(String upstreamId) {
+  public Optional<UpstreamQuery> beginQuery(String upstreamId) {
     return upstreams
         .find(upstreamId)
         .filter(u -> u.acceptsRequests(clockMillis.getAsLong()))
-        .map(UpstreamHandle::connectionsForQuery);
+        .map(
+            u ->
+                new UpstreamQuery(
+                    u.connectionsForQuery(),
+                    () -> u.takesStartedRequests(clockMillis.getAsLong())));
+  }
+
+  /** Returns the zones whose evacuation the operator has ordered. */
+  public EvacuatedZones evacuatedZones() {
+    return evacuatedZones;
   }
 
   /** Records what a response to a query says of its upstream; it ends no limit. */
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -18,6 +18,7 @@
 import org.tanagerbank.upstream.SendLimit;
 import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
+import org.tanagerbank.zone.Evacuations;
 
 /**
  * The state of one upstream: its latest report, its connections, health and load, and the model of
@@ -35,6 +36,7 @@
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
   private final SendPermission permission;
+  private final Evacuations evacuations;
   private UpstreamReport report;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
@@ -45,7 +47,12 @@
   private boolean isReplaced;
   private int crashes;
 
-  UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
+  UpstreamHandle(
+      UpstreamReport report,
+      ConnectionPool connections,
+      SendPermission permission,
+      Evacuations evacuations) {
+    this.evacuations = evacuations;
     this.permission = permission;
     this.report = report;
     this.connections = connections;
@@ -181,9 +188,25 @@
 
   /** Returns whether a request that was started may still be sent. */
   boolean takesStartedRequests(long nowMillis) {
-    return !isLeaving() && !permission.isPaused(nowMillis);
+    return !isLeaving() && !permission.isPaused(nowMillis) && !isEvacuated();
   }
 
+  /** Returns whether the upstream is in a zone that is evacuated. */
+  boolean isEvacuated() {
+    return evacuations.isEvacuated(report.zone());
+  }
+
+  /** Returns whether the upstream serves its service, unless its zone is evacuated. */
+  boolean servesUnlessEvacuated() {
+    return !isLeaving();
+  }
+
+  /**
+   * Records that the upstream may have become cold. It counts as cold until a later report says
+   * otherwise.
+   */
+  void assumeCold(long nowMillis) {}
+
   /** Returns whether the process has named a limit on the requests that it takes. */
   boolean isLimited() {
     return permission.rate().isLimited();
@@ -206,7 +229,9 @@
   OptionalLong takesRequestsAgainMillis(long nowMillis) {
     long roomAtMillis = nowMillis + permission.rate().millisUntilRoom(nowMillis);
     long atMillis = Math.max(roomAtMillis, permission.pausedUntilMillis(nowMillis).orElse(0));
-    return isLeaving() || atMillis <= nowMillis ? OptionalLong.empty() : OptionalLong.of(atMillis);
+    return isLeaving() || isEvacuated() || atMillis <= nowMillis
+        ? OptionalLong.empty()
+        : OptionalLong.of(atMillis);
   }
 
   private boolean isLeaving() {
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -28,6 +28,7 @@
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.UpstreamReport;
+import org.tanagerbank.zone.Evacuations;
 
 /**
  * The upstreams to which this instance can send requests, by id. Not thread-safe; confined to the
@@ -40,6 +41,7 @@
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
+  private final Evacuations evacuations = new Evacuations();
   private final RandomGenerator random;
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
@@ -70,6 +72,11 @@
     return shares;
   }
 
+  /** Returns the zones to whose upstreams nothing may be sent. */
+  Evacuations evacuations() {
+    return evacuations;
+  }
+
   /** Sets the listener that is notified of upstreams that restarted or are gone. */
   void setEndListener(Consumer<UpstreamHandle> listener) {
     endListener = listener;
@@ -160,7 +167,7 @@
         known != null && known.report().address().equals(report.address())
             ? known.permissionOf(report)
             : new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random));
-    byId.put(report.id(), new UpstreamHandle(report, connections, permission));
+    byId.put(report.id(), new UpstreamHandle(report, connections, permission, evacuations));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
--- a/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
+++ b/src/main/java/org/tanagerbank/gateway/CacheStateTransfer.java
@@ -188,12 +188,13 @@
 
   private void query(String engine, ImmutableList<PeerAddress> recipients) {
     sharedUpstreamState
-        .connectionsForQuery(engine)
+        .beginQuery(engine)
         .ifPresentOrElse(
-            c ->
+            query ->
                 inspector.cachedParts(
                     loop,
-                    c,
+                    query.connections(),
+                    query.maySend(),
                     notice -> sharedUpstreamState.recordNotice(engine, notice),
                     parts -> onAnswer(engine, parts, recipients)),
             () -> unansweredEngines.remove(engine));
--- a/src/main/java/org/tanagerbank/gateway/ConfigTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/ConfigTopicListener.java
@@ -1,28 +1,49 @@
 package org.tanagerbank.gateway;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.tanagerbank.dispatch.ConfigState;
+import org.tanagerbank.dispatch.EvacuatedZones;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.TopicListener;
+import org.tanagerbank.store.TopicPosition;
 
 /**
- * Adopts newer configurations that the store delivers, and logs unreadable ones. Confined to the
- * event loop.
+ * Adopts newer configurations that the store delivers, applies the operator's evacuation orders,
+ * and logs what cannot be read. Confined to the event loop.
  */
 final class ConfigTopicListener implements TopicListener {
   private final FleetStore store;
   private final ConfigState configState;
   private final Runnable onAdopted;
   private final Runnable onCurrent;
+  private final EvacuatedZones evacuatedZones;
+  private final Supplier<TopicPosition> position;
+  private boolean isInvalidKeyLogged;
 
+  /**
+   * Creates a listener.
+   *
+   * @param position returns the position up to which the topic has been read
+   */
   ConfigTopicListener(
-      FleetStore store, ConfigState configState, Runnable onAdopted, Runnable onCurrent) {
+      FleetStore store,
+      ConfigState configState,
+      EvacuatedZones evacuatedZones,
+      Supplier<TopicPosition> position,
+      Runnable onAdopted,
+      Runnable onCurrent) {
+    this.evacuatedZones = evacuatedZones;
+    this.position = position;
     this.store = store;
     this.configState = configState;
     this.onAdopted = onAdopted;
@@ -31,12 +52,33 @@
 
   @Override
   public void onSnapshot(ImmutableList<KeyedRecord> records) {
-    onRecords(records);
+    // Orders are applied first, so that no request is sent by a configuration without them.
+    ImmutableSet<String> ordered =
+        records.stream()
+            .filter(r -> r.value().isPresent())
+            .flatMap(r -> evacuationZone(r).stream())
+            .collect(toImmutableSet());
+    evacuatedZones.applySnapshot(ordered, position.get());
+    records.forEach(this::adoptIfNewer);
   }
 
   @Override
   public void onRecords(ImmutableList<KeyedRecord> records) {
-    records.forEach(this::adoptIfNewer);
+    for (KeyedRecord keyed : records) {
+      evacuationZone(keyed)
+          .ifPresent(z -> evacuatedZones.applyRecord(z, keyed.value().isPresent(), position.get()));
+      adoptIfNewer(keyed);
+    }
+  }
+
+  /** Returns the zone that an evacuation order, or its removal, is for. The value is not used. */
+  private Optional<String> evacuationZone(KeyedRecord keyed) {
+    Optional<String> zone = store.evacuationZone(keyed);
+    if (zone.filter(String::isEmpty).isPresent() && !isInvalidKeyLogged) {
+      isInvalidKeyLogged = true;
+      EventLog.emit(LogEvent.EVACUATION_KEY_INVALID, "key", keyed.key());
+    }
+    return zone.filter(z -> !z.isEmpty());
   }
 
   private void adoptIfNewer(KeyedRecord keyedRecord) {
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -53,9 +53,10 @@
   private static final long MIN_CONFIG_READ_INTERVAL_MILLIS = 100;
 
   /**
-   * Fraction of the configuration adoption time that a read waits for a new configuration. A read
-   * that returns nothing proves that the current configuration is the newest. Twice this wait must
-   * not exceed the adoption time, or the configuration would count as possibly outdated.
+   * Fraction of the time within which what the operator writes must be obeyed that a read waits for
+   * a new record. A read that returns nothing proves that the current configuration is the newest.
+   * Twice this wait must not exceed the adoption time, or the configuration would count as possibly
+   * outdated.
    */
   private static final double CONFIG_READ_WAIT_FRACTION = 0.5;
 
@@ -131,12 +132,11 @@
         TopicFollower.create(
             store.configTopic(),
             peers.relay(CONFIG_TOPIC),
-            new ConfigTopicListener(
-                store, configState, upstreamListener::updateDispatcher, this::onStoreCurrent),
+            createConfigListener(store),
             scheduler,
             storeClockMillis,
             MIN_CONFIG_READ_INTERVAL_MILLIS,
-            (long) (settings.configAdoptionMillis() * CONFIG_READ_WAIT_FRACTION));
+            (long) (settings.operatorTopicMillis() * CONFIG_READ_WAIT_FRACTION));
     upstreamFollower =
         TopicFollower.create(
             store.upstreamTopic(),
@@ -201,6 +201,16 @@
         dispatcher.streamOrigins());
   }
 
+  private ConfigTopicListener createConfigListener(FleetStore store) {
+    return new ConfigTopicListener(
+        store,
+        configState,
+        dispatcher.sharedUpstreamState().evacuatedZones(),
+        () -> configFollower.position().orElseThrow(),
+        upstreamListener::updateDispatcher,
+        this::onStoreCurrent);
+  }
+
   private SuspectStore createSuspectStore(FleetStore store) {
     return new SuspectStore(
         store.fleetTopic(SUSPECT_TOPIC),
@@ -288,6 +298,7 @@
 
   private void tick() {
     upstreamListener.updateDispatcher();
+    dispatcher.sharedUpstreamState().evacuatedZones().tick();
     dispatcher.tick();
     suspectStore.saveChanges();
     logReadinessChange(isReady());
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.DispatchObserver;
 import org.tanagerbank.dispatch.Dispatcher;
+import org.tanagerbank.dispatch.EvacuatedZones;
 import org.tanagerbank.dispatch.SharedUpstreamState;
 import org.tanagerbank.events.MetricsText;
 import org.tanagerbank.peer.PeerService;
@@ -166,6 +167,21 @@
         "Requests and parts of prompts that crashed upstreams and may not run freely.",
         () -> dispatcher.crashGuard().restrictedSuspects().size());
     addGauge("requests_in_flight", "Requests being handled.", requestsInFlight);
+    addZoneGauges(upstreams.evacuatedZones());
+  }
+
+  /** Adds the gauges of the zones that are evacuated. */
+  private void addZoneGauges(EvacuatedZones zones) {
+    addGauge(
+        "evacuated_zones",
+        "Zones to whose upstreams nothing is sent by order of the operator.",
+        () -> zones.inFlightByZone().size());
+    GaugeWithCallback.builder()
+        .name("tanagerbank_gateway_evacuated_zone_requests_in_flight")
+        .help("Requests that began before the order and are in flight in an evacuated zone.")
+        .labelNames("zone")
+        .callback(callback -> zones.inFlightByZone().forEach((zone, n) -> callback.call(n, zone)))
+        .register(registry);
   }
 
   /** Returns all metrics in the Prometheus text format. */
--- a/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tanagerbank.dispatch.DispatchSettings;
 
 /**
@@ -16,6 +17,7 @@
  *     nothing cached
  * @param keyRevocationMillis the time after which a revoked key must not work
  * @param configAdoptionMillis the time after which a new configuration must be in force
+ * @param evacuationMillis the time after which nothing may be sent to an evacuated zone, if bounded
  * @param upstreamDrainMillis the time after which no request may be sent to an upstream that leaves
  * @param graceMillis the longest time that a planned stop may take
  * @param cacheWaitMillis the longest time that requests wait after a restart for the cache state of
@@ -31,7 +33,13 @@
     boolean isFirstStart,
     long keyRevocationMillis,
     long configAdoptionMillis,
+    OptionalLong evacuationMillis,
     long upstreamDrainMillis,
     long graceMillis,
     long cacheWaitMillis,
-    DispatchSettings dispatch) {}
+    DispatchSettings dispatch) {
+  /** Returns the time after which what the operator writes must be obeyed. */
+  long operatorTopicMillis() {
+    return Math.min(configAdoptionMillis, evacuationMillis.orElse(configAdoptionMillis));
+  }
+}
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 
 /**
  * The settings that the platform passes to a process at its start. Immutable.
@@ -46,6 +47,8 @@
    * @param retrySlack the number of retries allowed beyond that ratio, over all instances
    * @param loadMultiple the maximum load of an upstream, as a multiple of the mean load of its
    *     service
+   * @param evacuationMillis the time in milliseconds after which nothing may be sent to an
+   *     evacuated zone, if bounded
    */
   public record Limits(
       long drainMillis,
@@ -56,7 +59,8 @@
       double retryRatio,
       long retryWindowMillis,
       double retrySlack,
-      double loadMultiple) {}
+      double loadMultiple,
+      OptionalLong evacuationMillis) {}
 
   /**
    * The result of reading a settings file.
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.tanagerbank.platform.NodeSettings.Limits;
 import org.tanagerbank.platform.NodeSettings.ParseResult;
 import org.tanagerbank.platformclient.SocketAddresses;
@@ -84,7 +85,10 @@
         number("retry-ratio"),
         (long) (number("retry-window-s") * MILLIS_PER_SECOND),
         number("retry-slack"),
-        number("cap-x"));
+        number("cap-x"),
+        root.path("bounds").has("evac-ms")
+            ? OptionalLong.of((long) number("evac-ms"))
+            : OptionalLong.empty());
   }
 
   private String text(String field) {
--- a/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.upstream.BufferedExchange;
@@ -52,6 +53,7 @@
   public void cachedParts(
       EventLoop loop,
       ConnectionPool connections,
+      BooleanSupplier maySend,
       Consumer<UpstreamNotice> notices,
       Consumer<Optional<ImmutableList<PromptPart>>> callback) {
     FullHttpRequest request =
@@ -62,6 +64,7 @@
         loop,
         connections,
         request,
+        maySend,
         timeoutMillis,
         r -> {
           notices.accept(HEADERS.notice(r.status(), r.headers()));
--- a/src/main/java/org/tanagerbank/platform/PlatformStore.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformStore.java
@@ -14,11 +14,17 @@
  * its client.
  */
 public final class PlatformStore implements FleetStore {
-  /** The topic to which the operator writes the configuration, under {@link #CONFIG_KEY}. */
+  /**
+   * The topic to which the operator writes the configuration, under {@link #CONFIG_KEY}, and the
+   * orders to evacuate zones.
+   */
   private static final String OPERATOR_TOPIC = "keyed.op";
 
   private static final String CONFIG_KEY = "config";
 
+  /** The prefix of the keys under which the operator orders the evacuation of a zone. */
+  private static final String EVACUATION_KEY_PREFIX = "evacuate/";
+
   /** The topic to which each upstream writes its reports, under its id. */
   private static final String UPSTREAM_TOPIC = "keyed.servers";
 
@@ -63,6 +69,13 @@
     return Optional.of(ConfigDecoder.decode(keyed.value().get()));
   }
 
+  @Override
+  public Optional<String> evacuationZone(KeyedRecord keyed) {
+    return keyed.key().startsWith(EVACUATION_KEY_PREFIX)
+        ? Optional.of(keyed.key().substring(EVACUATION_KEY_PREFIX.length()))
+        : Optional.empty();
+  }
+
   @Override
   public Optional<UpstreamReport> decodeUpstream(KeyedRecord keyed) {
     return keyed.value().flatMap(v -> UpstreamDecoder.decode(keyed.key(), v));
--- a/src/main/java/org/tanagerbank/store/FleetStore.java
+++ b/src/main/java/org/tanagerbank/store/FleetStore.java
@@ -12,7 +12,7 @@
  * <p>An implementation knows the topic names and the record formats of its store.
  */
 public interface FleetStore {
-  /** Returns the topic to which the operator writes the configuration. */
+  /** Returns the topic to which the operator writes the configuration and evacuation orders. */
   KeyedTopic configTopic();
 
   /** Returns the topic to which each upstream writes its reports under its id. */
@@ -35,6 +35,13 @@
    */
   Optional<RoutingConfig> decodeConfig(KeyedRecord keyed) throws IOException;
 
+  /**
+   * Returns the zone whose evacuation a record of the configuration topic orders or, without a
+   * value, ends. Returns nothing for a record under another key. The zone is an empty text if the
+   * key names none.
+   */
+  Optional<String> evacuationZone(KeyedRecord keyed);
+
   /** Decodes a record of the upstream topic. Returns nothing for a removal or an invalid report. */
   Optional<UpstreamReport> decodeUpstream(KeyedRecord keyed);
 }
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -43,9 +44,23 @@
       FullHttpRequest request,
       long timeoutMillis,
       Consumer<BufferedResponse> callback) {
+    send(loop, connections, request, () -> true, timeoutMillis, callback);
+  }
+
+  /**
+   * Sends a request like the other method, unless it may no longer be sent when a connection is
+   * open. It then fails.
+   */
+  public static void send(
+      EventLoop loop,
+      ConnectionPool connections,
+      FullHttpRequest request,
+      BooleanSupplier maySend,
+      long timeoutMillis,
+      Consumer<BufferedResponse> callback) {
     BufferedExchange exchange = new BufferedExchange(callback);
     connections.acquire(
-        connection -> exchange.sendOn(connection, request),
+        connection -> exchange.sendOn(connection, request, maySend),
         () -> {
           request.release();
           exchange.fail("no connection");
@@ -56,10 +71,11 @@
             () -> exchange.fail("no answer in time"), timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
-  private void sendOn(HttpConnection opened, FullHttpRequest request) {
-    if (done) {
+  private void sendOn(HttpConnection opened, FullHttpRequest request, BooleanSupplier maySend) {
+    if (done || !maySend.getAsBoolean()) {
       request.release();
       opened.close();
+      fail("no longer wanted");
       return;
     }
     connection = opened;
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -121,6 +121,7 @@
       config.confirmCurrentAsOf(nowMillis);
       if (nowMillis % TICK_MILLIS == 0) {
         readReports();
+        dispatcher.sharedUpstreamState().evacuatedZones().tick();
         dispatcher.tick();
       }
       clock.advanceTimeBy(nowMillis - ranUntilMillis, TimeUnit.MILLISECONDS);
@@ -273,6 +274,11 @@
     upstreams.forEach(u -> u.disconnect(gateway));
   }
 
+  /** Returns what a gateway knows of the upstreams and of the operator's orders. */
+  SharedUpstreamState upstreamState(int gateway) {
+    return gateways.get(gateway).dispatcher.sharedUpstreamState();
+  }
+
   /** Returns whether a gateway was not interrupted or cut off lately. */
   boolean isInTouch(int gateway) {
     SimulatedGateway asked = gateways.get(gateway);
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -20,8 +20,10 @@
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.route.EngineLimits;
+import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.UpstreamReport;
+import org.tanagerbank.zone.Evacuations;
 
 /**
  * Tests the choice of an upstream.
@@ -33,6 +35,7 @@
 final class PlacementTest {
   private static final double LOAD_MULTIPLE = 2;
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final Evacuations evacuations = new Evacuations();
   private final List<UpstreamHandle> engines =
       IntStream.range(0, 6).mapToObj(i -> engine("i-" + i)).collect(Collectors.toList());
 
@@ -50,14 +53,24 @@
   }
 
   private UpstreamHandle engine(String id, String version, OptionalDouble transferMillisPerToken) {
+    return engine(id, version, "z", transferMillisPerToken);
+  }
+
+  private UpstreamHandle engineInZone(String id, String zone) {
+    return engine(id, "v1", zone, OptionalDouble.of(0.001));
+  }
+
+  private UpstreamHandle engine(
+      String id, String version, String zone, OptionalDouble transferMillisPerToken) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
     UpstreamReport upstream =
-        new UpstreamReport(id, "s", version, address, "z", 64, false, 0, 1, 1);
+        new UpstreamReport(id, "s", version, address, zone, 64, false, 0, 1, 1);
     UpstreamHandle handle =
         new UpstreamHandle(
             upstream,
             ConnectionPool.create(group.next(), address, () -> 0),
-            new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))));
+            new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))),
+            evacuations);
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
@@ -228,4 +241,37 @@
     engines.forEach(e -> e.health().connectFailed(0));
     assertThat(place(engines, prompt(7, 3), 10)).isEqualTo(home);
   }
+
+  /** The platform counts the upstreams of an evacuated zone for the mean load of the service. */
+  @Test
+  void upstreamsOfAnEvacuatedZoneCountForTheMeanLoad() {
+    List<UpstreamHandle> all = new ArrayList<>(engines);
+    all.add(engineInZone("evacuated-1", "y"));
+    all.add(engineInZone("evacuated-2", "y"));
+    evacuations.order("y", new TopicPosition(1, 1));
+    Prompt prompt = prompt(3, 4);
+    UpstreamHandle home = place(engines, prompt, 0);
+    engines.forEach(UpstreamHandle::requestStarted);
+    IntStream.range(0, 3).forEach(i -> home.requestStarted());
+    // 9 requests: a mean of 1.5 over 6 engines, or 1.1 over 8. The limit of requests is 1.6 times
+    // the mean and 2, so 4.4 or 3.8, and the home has 4.
+    assertThat(choose(engines, engines, prompt, 0).upstream()).isEqualTo(home);
+    assertThat(choose(engines, all, prompt, 0).upstream()).isNotEqualTo(home);
+  }
+
+  @Test
+  void evacuatedEngineIsNoSourceOfCachedParts() {
+    Prompt prompt = prompt(3, 4);
+    UpstreamHandle source = engineInZone("source", "y");
+    source.engine().get().requestSent("r", prompt, 0, 0);
+    source.engine().get().firstTokenReceived("r", 100);
+    source.engine().get().requestEnded("r");
+    List<UpstreamHandle> target = engines.subList(0, 1);
+    List<UpstreamHandle> sources = List.of(source);
+    UpstreamChoice before = choose(target, sources, prompt, 200);
+    assertThat(before.fetchAddress()).isPresent();
+    evacuations.order("y", new TopicPosition(1, 1));
+    assertThat(before.fetchAddress()).isEmpty();
+    assertThat(choose(target, sources, prompt, 200).fetch()).isEmpty();
+  }
 }
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -96,6 +96,7 @@
   private boolean isUp = true;
   private String version;
   private String nextVersion;
+  private String zone = "z";
   private long endedAtMillis;
   private Optional<Function<String, UpstreamBehavior>> script = Optional.empty();
   private final UpstreamTraffic traffic = new UpstreamTraffic();
@@ -176,6 +177,11 @@
     }
   }
 
+  /** Sets the zone, which gateways learn from the next report. */
+  void setZone(String newZone) {
+    zone = newZone;
+  }
+
   int openConnections() {
     return connections.size();
   }
@@ -194,7 +200,7 @@
 
   UpstreamReport report() {
     return new UpstreamReport(
-        id(), "s", version, address(), "z", 64, false, 0, startedAtMillis, starts);
+        id(), "s", version, address(), zone, 64, false, 0, startedAtMillis, starts);
   }
 
   ChannelFuture connect(int gateway, ChannelHandler... handlers) {
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.tanagerbank.dispatch.DispatchSettings;
@@ -70,6 +71,7 @@
             isFirstStart,
             5_000,
             2_000,
+            OptionalLong.empty(),
             2_000,
             8_000,
             CACHE_WAIT_MILLIS,
--- a/src/test/java/org/tanagerbank/gateway/MemoryStore.java
+++ b/src/test/java/org/tanagerbank/gateway/MemoryStore.java
@@ -94,6 +94,11 @@
     return Optional.of(config);
   }
 
+  @Override
+  public Optional<String> evacuationZone(KeyedRecord keyedRecord) {
+    return Optional.empty();
+  }
+
   @Override
   public Optional<UpstreamReport> decodeUpstream(KeyedRecord keyedRecord) {
     return Optional.ofNullable(upstreams.get(keyedRecord.key()));
--- a/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
+++ b/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
@@ -134,7 +134,7 @@
         this.<Optional<? extends Iterable<PromptPart>>>await(
             c ->
                 PlatformEngineInspector.create(1_000)
-                    .cachedParts(loop, pool, notice -> {}, c::accept));
+                    .cachedParts(loop, pool, () -> true, notice -> {}, c::accept));
     assertThat(parts).isEqualTo(Optional.empty());
   }
 }
