--- a/src/main/java/org/tanagerbank/events/MetricsPage.java
+++ b/src/main/java/org/tanagerbank/events/MetricsPage.java
@@ -1,9 +1,13 @@
 package org.tanagerbank.events;
 
+import static com.google.common.collect.ImmutableSortedMap.toImmutableSortedMap;
+
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.primitives.Doubles;
+import java.util.Comparator;
 import java.util.function.Predicate;
 
 /**
@@ -28,6 +32,15 @@
     public boolean hasLabel(String label, String labelValue) {
       return labels.contains(label + "=\"" + labelValue + "\"");
     }
+
+    /** Returns the value of a label, with quotes and escapes as on the page; empty if absent. */
+    private String label(String label) {
+      String start = label + "=\"";
+      int valueStart = labels.indexOf(start) + start.length();
+      return labels.contains(start)
+          ? labels.substring(valueStart, labels.indexOf('"', valueStart))
+          : "";
+    }
   }
 
   private MetricsPage(ImmutableList<Sample> samples) {
@@ -51,6 +64,15 @@
     return new MetricsPage(samples.build());
   }
 
+  /** Returns the values of a metric whose samples have one label, by the value of the label. */
+  public ImmutableSortedMap<String, Double> byLabel(String name, String label) {
+    return samples.stream()
+        .filter(s -> s.name().equals(name))
+        .collect(
+            toImmutableSortedMap(
+                Comparator.naturalOrder(), s -> s.label(label), Sample::value, Double::sum));
+  }
+
   /** Returns whether the page has at least one sample of a metric. */
   public boolean has(String name) {
     return samples.stream().anyMatch(s -> s.name().equals(name));
--- a/src/main/java/org/tanagerbank/status/GatewayStatus.java
+++ b/src/main/java/org/tanagerbank/status/GatewayStatus.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.status;
 
+import com.google.common.collect.ImmutableSortedMap;
 import java.util.Optional;
 import org.tanagerbank.events.MetricsPage;
 
@@ -17,6 +18,7 @@
  *     off
  * @param rejected the number of requests that it answered without an upstream, since its start
  * @param failedAttempts the number of attempts without a usable answer, since its start
+ * @param evacuatedZones the number of requests in flight in each zone that it knows as evacuated
  */
 record GatewayStatus(
     String address,
@@ -28,7 +30,8 @@
     long ended,
     long brokenOff,
     long rejected,
-    long failedAttempts) {
+    long failedAttempts,
+    ImmutableSortedMap<String, Double> evacuatedZones) {
   private static final String PREFIX = "tanagerbank_gateway_";
 
   /** The label value of requests that ended without a complete response. */
@@ -51,6 +54,7 @@
             (long) page.sum(requests),
             (long) page.sum(requests, s -> s.hasLabel("status", STATUS_ABORTED)),
             (long) page.sum(PREFIX + "rejected_total"),
-            (long) page.sum(PREFIX + "failed_attempts_total")));
+            (long) page.sum(PREFIX + "failed_attempts_total"),
+            page.byLabel(PREFIX + "evacuated_zone_requests_in_flight", "zone")));
   }
 }
--- a/src/main/java/org/tanagerbank/status/StatusCommand.java
+++ b/src/main/java/org/tanagerbank/status/StatusCommand.java
@@ -110,6 +110,17 @@
     if (versions.size() > 1) {
       out.println("configurations differ: " + versions);
     }
+    ImmutableList<GatewayStatus> available = available(responses);
+    ZoneStatus.byZone(available)
+        .forEach(
+            (zone, status) ->
+                out.printf(
+                    "zone %s: evacuated at %d of %d gateways, %d requests in flight there%n",
+                    zone, status.gateways(), available.size(), status.inFlight()));
+  }
+
+  private static ImmutableList<GatewayStatus> available(List<GatewayResponse> responses) {
+    return responses.stream().flatMap(a -> a.status().stream()).collect(toImmutableList());
   }
 
   private static ImmutableSet<Long> versions(List<GatewayResponse> responses) {
@@ -136,8 +147,7 @@
   }
 
   private static Object json(List<GatewayResponse> responses) {
-    ImmutableList<GatewayStatus> available =
-        responses.stream().flatMap(a -> a.status().stream()).collect(toImmutableList());
+    ImmutableList<GatewayStatus> available = available(responses);
     ImmutableMap<String, String> missing =
         responses.stream()
             .filter(a -> a.status().isEmpty())
@@ -147,6 +157,7 @@
     return Json.object()
         .put("complete", missing.isEmpty())
         .<ObjectNode>set("gateways", Json.tree(available))
+        .<ObjectNode>set("evacuations", Json.tree(ZoneStatus.byZone(available)))
         .set("missing", Json.tree(missing));
   }
 }
