Confine requests to the home regions of their route and workspace

Cause: requests of a route or a workspace whose data must stay in some regions could reach upstreams, or fetch cached parts from engines, in any region.

Change: routes and tenants of the configuration may have "home-regions", and the settings may map zones to regions. RequestUpstreams gives each request only the upstreams in the regions of both; candidates, sources of cached parts and the time of the first room come from it. Without an upstream there the request is refused at once with 503, Retry-After and a reason of its own. A value that is not a list of texts makes the configuration unreadable. Without home regions the upstreams are the same as before.

Measured: with allowsZone fixed to true, all 8 cases of HomeRegionsTest fail; with the change they pass. DecodersTest 44 of 44, NodeSettingsReaderTest 5 of 5, UpstreamLimitTest 23 of 23, UpstreamNoticeTest 23 of 23, UpstreamsTest 6 of 6. GatewayTest, 25 cases: upstreamThatHangsIsAvoided failed once with a timeout beside other work on the machine (load average 25 on 7 cores), and passed in two further runs.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -151,6 +151,7 @@
             bounds.retryRatio() * RETRY_RATIO_SHARE,
             bounds.retryWindowMillis(),
             bounds.retrySlack() * RETRY_FLOOR_SHARE,
-            START_WAIT_MILLIS));
+            START_WAIT_MILLIS,
+            node.regionsByZone()));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -1,5 +1,7 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableMap;
+
 /**
  * The settings of the dispatcher of an instance. Immutable.
  *
@@ -12,6 +14,7 @@
  * @param fleetRetryFloor the number of retries per window that the whole fleet may send in addition
  * @param startWaitMillis the time in milliseconds for which a request waits, after this instance
  *     starts, for the configuration, the list of upstreams and the cache contents
+ * @param regionsByZone the region of each known zone; other zones are in no region
  */
 public record DispatchSettings(
     String instanceId,
@@ -20,4 +23,25 @@
     double retryRatio,
     long retryWindowMillis,
     double fleetRetryFloor,
-    long startWaitMillis) {}
+    long startWaitMillis,
+    ImmutableMap<String, String> regionsByZone) {
+  /** Creates settings in which no zone is in a region. */
+  public DispatchSettings(
+      String instanceId,
+      String zone,
+      double loadMultiple,
+      double retryRatio,
+      long retryWindowMillis,
+      double fleetRetryFloor,
+      long startWaitMillis) {
+    this(
+        instanceId,
+        zone,
+        loadMultiple,
+        retryRatio,
+        retryWindowMillis,
+        fleetRetryFloor,
+        startWaitMillis,
+        ImmutableMap.of());
+  }
+}
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -28,6 +28,9 @@
   static final String UPSTREAMS_BUSY =
       "upstreams of the service have asked for a pause or fewer requests";
 
+  /** The reason for the refusal of a request that no upstream in its home regions can run. */
+  static final String NONE_IN_HOME_REGIONS = "no upstream of the service is in the home regions";
+
   /** The reason for the refusal of a request while its upstreams are in evacuated zones. */
   static final String UPSTREAMS_EVACUATED =
       "all upstreams that could run the request are in evacuated zones";
@@ -56,6 +59,7 @@
             case ON_TRIAL -> "on trial";
             case UPSTREAMS_BUSY -> "upstreams paused";
             case UPSTREAMS_EVACUATED -> "zones evacuated";
+            case NONE_IN_HOME_REGIONS -> "home regions";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -86,7 +86,7 @@
     this.deadline = request.receivedAtMillis() + dispatcher.longestMillis(request, route);
     this.log =
         new RequestLog(dispatcher, requestId, fingerprint, route, request.receivedAtMillis());
-    this.upstreams = new RequestUpstreams(dispatcher, service);
+    this.upstreams = new RequestUpstreams(dispatcher, service, route, workspace);
     this.retry = new RetryReservation(dispatcher.retryBudgets(), service, dispatcher::nowMillis);
   }
 
@@ -132,7 +132,7 @@
             route.objectiveMillis(),
             dispatcher.settings().zone(),
             dispatcher.settings().loadMultiple(),
-            upstreams.cacheCandidates(),
+            upstreams.inHomeRegions(),
             dispatcher.nowMillis());
     Optional<UpstreamChoice> chosen =
         onTrial.isPresent()
--- a/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
@@ -1,11 +1,15 @@
 package org.tanagerbank.dispatch;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.tanagerbank.route.Route;
+import org.tanagerbank.route.Workspace;
 import org.tanagerbank.stream.StreamOrigin;
+import org.tanagerbank.zone.HomeRegions;
 
 /**
  * The upstreams that one request may be sent to, and the refusal if there are none. Not
@@ -14,9 +18,16 @@
 final class RequestUpstreams {
   private final Dispatcher dispatcher;
   private final String service;
+  private final HomeRegions homeRegions;
   private final Set<String> tried = new HashSet<>();
 
-  RequestUpstreams(Dispatcher dispatcher, String service) {
+  RequestUpstreams(
+      Dispatcher dispatcher, String service, Route route, Optional<Workspace> workspace) {
+    this.homeRegions =
+        HomeRegions.of(
+            dispatcher.settings().regionsByZone(),
+            route.homeRegions(),
+            workspace.map(Workspace::homeRegions).orElse(ImmutableSet.of()));
     this.dispatcher = dispatcher;
     this.service = service;
   }
@@ -32,12 +43,18 @@
    * @param origin what wrote the events that the caller has, if any
    */
   List<UpstreamHandle> candidates(Optional<StreamOrigin> origin) {
-    return continuing(dispatcher.upstreams().candidates(service, tried), origin);
+    return continuing(dispatcher.upstreams().candidates(inHomeRegions(), tried), origin);
   }
 
-  /** Returns the upstreams that may have parts of the prompt cached, including draining ones. */
-  List<UpstreamHandle> cacheCandidates() {
-    return dispatcher.upstreams().allOfService(service);
+  /**
+   * Returns the upstreams that the request may reach at any time, including draining ones. Cached
+   * parts of its prompt may be fetched only from these.
+   */
+  List<UpstreamHandle> inHomeRegions() {
+    List<UpstreamHandle> all = dispatcher.upstreams().allOfService(service);
+    return homeRegions.isConfined()
+        ? all.stream().filter(u -> homeRegions.allowsZone(u.report().zone())).toList()
+        : all;
   }
 
   private static List<UpstreamHandle> continuing(
@@ -51,20 +68,23 @@
    * @param reason the reason if no other one is known
    */
   Refusal refusal(String reason, Optional<StreamOrigin> origin) {
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
+    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(inHomeRegions());
     if (roomAt.isPresent()) {
       long millisUntilRoom = roomAt.getAsLong() - dispatcher.nowMillis();
       return Refusal.upstreamsBusy(millisUntilRoom, dispatcher.random());
     }
-    return areAllEvacuated(origin)
-        ? Refusal.upstreamsEvacuated(dispatcher.random())
+    if (areAllEvacuated(origin)) {
+      return Refusal.upstreamsEvacuated(dispatcher.random());
+    }
+    return homeRegions.isConfined() && inHomeRegions().isEmpty()
+        ? Refusal.notRun(Refusal.NONE_IN_HOME_REGIONS)
         : Refusal.notRun(reason);
   }
 
   /** Returns whether the upstreams that can run the request are all in evacuated zones. */
   private boolean areAllEvacuated(Optional<StreamOrigin> origin) {
     List<UpstreamHandle> serving =
-        continuing(cacheCandidates(), origin).stream()
+        continuing(inHomeRegions(), origin).stream()
             .filter(UpstreamHandle::servesUnlessEvacuated)
             .toList();
     return !serving.isEmpty() && serving.stream().allMatch(UpstreamHandle::isEvacuated);
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -188,13 +188,12 @@
   }
 
   /**
-   * Returns the upstreams of a service that accept requests and whose ids were not tried. While
-   * some of the service take none now, those that have no room for the requests of these are left
-   * out.
+   * Returns those of the upstreams of a service that accept requests and whose ids were not tried.
+   * While some of the service take none now, those that have no room for the requests of these are
+   * left out.
    */
-  List<UpstreamHandle> candidates(String service, Set<String> tried) {
+  List<UpstreamHandle> candidates(List<UpstreamHandle> all, Set<String> tried) {
     long now = clockMillis.getAsLong();
-    List<UpstreamHandle> all = allOfService(service);
     boolean isAnyBusy = all.stream().anyMatch(u -> u.takesRequestsAgainMillis(now).isPresent());
     return all.stream()
         .filter(u -> u.acceptsRequests(now))
@@ -204,14 +203,12 @@
   }
 
   /**
-   * Returns the time at which the first upstream of a service takes requests again, if a pause or a
-   * limit keeps them away from one.
+   * Returns the time at which the first of the given upstreams takes requests again, if a pause or
+   * a limit keeps them away from one.
    */
-  OptionalLong firstRoomMillis(String service) {
+  OptionalLong firstRoomMillis(List<UpstreamHandle> all) {
     long now = clockMillis.getAsLong();
-    return allOfService(service).stream()
-        .flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream())
-        .min();
+    return all.stream().flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream()).min();
   }
 
   /** Returns the number of upstreams that have named a limit. */
--- a/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
+++ b/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
@@ -5,6 +5,7 @@
 import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -40,7 +41,8 @@
   /**
    * Decodes a configuration.
    *
-   * @throws IOException if the bytes are not JSON, or contain no integer field "version"
+   * @throws IOException if the bytes are not JSON, contain no integer field "version", or have home
+   *     regions that are not a list of texts
    */
   static RoutingConfig decode(byte[] json) throws IOException {
     JsonNode root = MAPPER.readTree(json);
@@ -60,7 +62,7 @@
     return StreamSupport.stream(list.spliterator(), false);
   }
 
-  private static List<Route> routes(JsonNode list) {
+  private static List<Route> routes(JsonNode list) throws IOException {
     List<Route> routes = new ArrayList<>();
     for (JsonNode node : list) {
       routes.add(route(node));
@@ -68,7 +70,7 @@
     return routes;
   }
 
-  private static Route route(JsonNode node) {
+  private static Route route(JsonNode node) throws IOException {
     // A route names either one service, or several services with weights in "split".
     ImmutableList<WeightedService> services =
         node.path("split").isArray() && !node.path("split").isEmpty()
@@ -90,7 +92,27 @@
         node.path("priority").asInt(),
         node.path("public").asBoolean(),
         node.path("resumable").asBoolean(),
-        services);
+        services,
+        homeRegions("route", node));
+  }
+
+  /**
+   * Returns the home regions of a route or a tenant. A configuration with another value is rejected
+   * as a whole, because requests could leave their regions if the value were ignored.
+   */
+  private static ImmutableSet<String> homeRegions(String what, JsonNode node) throws IOException {
+    JsonNode regions = node.path("home-regions");
+    if (regions.isMissingNode()) {
+      return ImmutableSet.of();
+    }
+    if (!regions.isArray() || !stream(regions).allMatch(JsonNode::isTextual)) {
+      throw new IOException(
+          what
+              + " \""
+              + node.path("name").asText()
+              + "\": \"home-regions\" must be a list of texts");
+    }
+    return stream(regions).map(JsonNode::textValue).collect(ImmutableSet.toImmutableSet());
   }
 
   private static RequestKind kind(String type) {
@@ -128,11 +150,15 @@
   }
 
   /** Returns the workspaces by API key. */
-  private static ImmutableMap<String, Workspace> workspacesByKey(JsonNode tenants) {
+  private static ImmutableMap<String, Workspace> workspacesByKey(JsonNode tenants)
+      throws IOException {
     Map<String, Workspace> workspacesByKey = new HashMap<>();
     for (JsonNode tenant : tenants) {
       Workspace workspace =
-          new Workspace(tenant.path("name").asText(), tenant.path("priority").asInt());
+          new Workspace(
+              tenant.path("name").asText(),
+              tenant.path("priority").asInt(),
+              homeRegions("tenant", tenant));
       stream(tenant.path("api-keys")).forEach(key -> workspacesByKey.put(key.asText(), workspace));
     }
     return ImmutableMap.copyOf(workspacesByKey);
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.platform;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 
@@ -17,6 +18,7 @@
  * @param storeAddress the address of the platform's metadata store
  * @param firstStart whether the whole system starts for the first time
  * @param bounds the limits that the platform sets
+ * @param regionsByZone the region of each zone that the platform names
  */
 public record NodeSettings(
     String instanceId,
@@ -28,7 +30,8 @@
     InetSocketAddress readyAddress,
     InetSocketAddress storeAddress,
     boolean firstStart,
-    Limits bounds) {
+    Limits bounds,
+    ImmutableMap<String, String> regionsByZone) {
 
   /**
    * The limits that the platform sets for all instances. Immutable.
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -3,12 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.tanagerbank.platform.NodeSettings.Limits;
 import org.tanagerbank.platform.NodeSettings.ParseResult;
@@ -71,10 +74,34 @@
             address("platform", "addr"),
             // "bootstrap" is true only at the first start of the whole system.
             root.path("bootstrap").asBoolean(),
-            bounds());
+            bounds(),
+            regionsByZone());
     return new ParseResult(faults.isEmpty() ? settings : null, ImmutableList.copyOf(faults));
   }
 
+  /** Returns the region of each zone in "zones", and of the own zone if only "region" names it. */
+  private ImmutableMap<String, String> regionsByZone() {
+    Map<String, String> regions = new HashMap<>();
+    if (root.has("region")) {
+      regions.put(root.path("zone").asText(), text("region"));
+    }
+    JsonNode zones = root.path("zones");
+    if (!zones.isMissingNode() && !zones.isObject()) {
+      faults.add("zones: must be an object that maps zones to regions");
+    }
+    zones
+        .fields()
+        .forEachRemaining(
+            zone -> {
+              if (zone.getValue().isTextual()) {
+                regions.put(zone.getKey(), zone.getValue().textValue());
+              } else {
+                faults.add("zones." + zone.getKey() + ": must be a text");
+              }
+            });
+    return ImmutableMap.copyOf(regions);
+  }
+
   private Limits bounds() {
     return new Limits(
         (long) number("drain-ms"),
--- a/src/main/java/org/tanagerbank/route/Route.java
+++ b/src/main/java/org/tanagerbank/route/Route.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.random.RandomGenerator;
 
 /**
@@ -19,6 +20,7 @@
  * @param isPublic whether requests are accepted without a key
  * @param isResumable whether another upstream can continue a stream after its last event
  * @param services the services that share the requests by weight; not empty
+ * @param homeRegions the regions to which requests are confined; empty if to none
  */
 public record Route(
     String name,
@@ -31,7 +33,8 @@
     int priority,
     boolean isPublic,
     boolean isResumable,
-    ImmutableList<WeightedService> services) {
+    ImmutableList<WeightedService> services,
+    ImmutableSet<String> homeRegions) {
   public Route {
     checkArgument(
         pathPrefix.startsWith("/") && pathPrefix.endsWith("/"),
@@ -42,6 +45,34 @@
     checkArgument(!services.isEmpty(), "route %s has no service", name);
   }
 
+  /** Creates a route without home regions. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RequestKind kind,
+      long timeoutMillis,
+      long objectiveMillis,
+      int attempts,
+      int priority,
+      boolean isPublic,
+      boolean isResumable,
+      ImmutableList<WeightedService> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeoutMillis,
+        objectiveMillis,
+        attempts,
+        priority,
+        isPublic,
+        isResumable,
+        services,
+        ImmutableSet.of());
+  }
+
   /** Returns whether a request that may already have run may be sent again. */
   public boolean isRepeatable() {
     return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && isResumable);
--- a/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
@@ -14,6 +14,10 @@
 
 /** The configuration of simulated gateways: one route of each kind. Stateless and thread-safe. */
 final class SimulationRoutes {
+  /** The zones that are in a region; upstreams are in another zone unless they are moved. */
+  static final ImmutableMap<String, String> REGIONS_BY_ZONE =
+      ImmutableMap.of("a", "r1", "b", "r2", "c", "r3");
+
   private SimulationRoutes() {}
 
   /** Returns a configuration whose routes have the given timeout in milliseconds. */
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -129,6 +129,39 @@
     assertThat(config.limits().maxBodyBytes()).isEqualTo(200);
   }
 
+  private static String withHomeRegions(String field, String value) {
+    String changed = CONFIG.replace(field, "\"home-regions\":" + value + "," + field);
+    assertThat(changed).isNotEqualTo(CONFIG);
+    return changed;
+  }
+
+  @Test
+  void homeRegionsAreDecoded() throws IOException {
+    RoutingConfig config =
+        ConfigDecoder.decode(withHomeRegions("\"path-prefix\"", "[\"r1\",\"r2\"]").getBytes(UTF_8));
+    assertThat(config.routes().find("a.example", "/p/x").get().homeRegions())
+        .containsExactly("r1", "r2");
+    assertThat(
+            ConfigDecoder.decode(withHomeRegions("\"api-keys\"", "[\"r3\"]").getBytes(UTF_8))
+                .workspace("k2")
+                .get()
+                .homeRegions())
+        .containsExactly("r3");
+  }
+
+  /** If the value were ignored, requests would leave their regions. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\"r1\"", "{}", "null", "1", "[1]", "[[\"r1\"]]", "[\"r1\",null]"})
+  void homeRegionsThatAreNoListOfTextsAreRejected(String value) {
+    for (String field : new String[] {"\"path-prefix\"", "\"api-keys\""}) {
+      IOException error =
+          assertThrows(
+              IOException.class,
+              () -> ConfigDecoder.decode(withHomeRegions(field, value).getBytes(UTF_8)));
+      assertThat(error).hasMessageThat().contains("must be a list of texts");
+    }
+  }
+
   @Test
   void transferTimeBetweenEnginesIsDecoded() throws IOException {
     String engine = "\"slots\":64,";
--- a/src/test/java/org/tanagerbank/platform/NodeSettingsReaderTest.java
+++ b/src/test/java/org/tanagerbank/platform/NodeSettingsReaderTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.file.Path;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a start with missing or wrong settings, and against unclear fault messages. */
@@ -41,6 +42,29 @@
             "bounds.cap-x: must be a number that is not negative");
   }
 
+  @Test
+  void regionsOfZonesAndTheBoundOfEvacuationsAreOptional() {
+    NodeSettings without = NodeSettingsReader.parse(COMPLETE).settings();
+    assertThat(without.regionsByZone()).isEmpty();
+    assertThat(without.bounds().evacuationMillis()).isEqualTo(OptionalLong.empty());
+    String zones = "\"region\":\"r1\",\"zones\":{\"y\":\"r2\"},\"new-field\"";
+    NodeSettings with =
+        NodeSettingsReader.parse(
+                COMPLETE
+                    .replace("\"new-field\"", zones)
+                    .replace("\"cap-x\"", "\"evac-ms\":5000,\"cap-x\""))
+            .settings();
+    assertThat(with.regionsByZone()).containsExactly("z", "r1", "y", "r2");
+    assertThat(with.bounds().evacuationMillis()).isEqualTo(OptionalLong.of(5_000));
+  }
+
+  @Test
+  void wrongRegionsOfZonesAreReported() {
+    String zones = "\"zones\":{\"y\":2},\"new-field\"";
+    assertThat(NodeSettingsReader.parse(COMPLETE.replace("\"new-field\"", zones)).faults())
+        .containsExactly("zones.y: must be a text");
+  }
+
   @Test
   void missingFileAndTextWithoutObjectAreReportedAsOneFault() {
     assertThat(NodeSettingsReader.read(Path.of("no-such-file")).faults()).hasSize(1);
