--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -134,6 +134,7 @@
         node.firstStart(),
         bounds.revokeMillis(),
         bounds.configMillis(),
+        bounds.evacuationMillis(),
         bounds.drainMillis(),
         bounds.graceMillis(),
         CACHE_WAIT_MILLIS,
@@ -144,6 +145,7 @@
             bounds.retryRatio() * RETRY_RATIO_SHARE,
             bounds.retryWindowMillis(),
             bounds.retrySlack() * RETRY_FLOOR_SHARE,
-            START_WAIT_MILLIS));
+            START_WAIT_MILLIS,
+            node.regionsByZone()));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -36,6 +36,13 @@
   static final String OVERLOAD =
       "the service is overloaded, and others are more urgent or had less";
 
+  /** The reason for the refusal of a request that no upstream in its home regions can run. */
+  static final String NONE_IN_HOME_REGIONS = "no upstream of the service is in the home regions";
+
+  /** The reason for the refusal of a request while its upstreams are in evacuated zones. */
+  static final String UPSTREAMS_EVACUATED =
+      "all upstreams that could run the request are in evacuated zones";
+
   /**
    * The shortest and the longest time, in milliseconds, over which callers are spread that were
    * refused in a pause or by a limit. They return over as long a time as they were refused, so that
@@ -61,6 +68,8 @@
             case UPSTREAMS_BUSY -> "upstreams paused";
             case NO_TIME -> "no time";
             case OVERLOAD -> "overload";
+            case UPSTREAMS_EVACUATED -> "zones evacuated";
+            case NONE_IN_HOME_REGIONS -> "home regions";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
@@ -109,6 +118,17 @@
     return new Refusal(STATUS_UNAVAILABLE, decision.retryAfterMillis(), reason);
   }
 
+  /**
+   * Returns the refusal of a request whose upstreams are all in evacuated zones. It is not known
+   * when a zone returns.
+   */
+  static Refusal upstreamsEvacuated(RandomGenerator random) {
+    return new Refusal(
+        STATUS_UNAVAILABLE,
+        RECOVERY_RETRY_MILLIS + random.nextLong(MAX_SPREAD_MILLIS),
+        UPSTREAMS_EVACUATED);
+  }
+
   /**
    * Returns the refusal of a request that did not run and will not, because it crashes upstreams.
    */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -134,7 +134,7 @@
             workspace.map(Workspace::name),
             OptionalInt.empty(),
             response.lastEventId(),
-            choice.fetch().map(f -> f.source().report().address()));
+            choice.fetchAddress());
     return UpstreamRequests.of(request, call, dispatcher.headerCodec());
   }
 
@@ -235,7 +235,7 @@
     endWithError(
         hasOtherCandidate
             ? Refusal.notRun(failure.reason())
-            : placer.noUpstreamLeft(failure.reason()));
+            : placer.noUpstreamLeft(failure.reason(), origin));
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
--- a/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
@@ -1,10 +1,7 @@
 package org.tanagerbank.dispatch;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import org.tanagerbank.admission.AdmissionDecision;
 import org.tanagerbank.admission.AdmissionRequest;
 import org.tanagerbank.admission.ServiceAdmission;
@@ -22,7 +19,7 @@
   private final RequestSuspects suspects;
   private final String service;
   private final RequestLog log;
-  private final Set<String> tried = new HashSet<>();
+  private final RequestUpstreams upstreams;
   private long placedAtMillis;
   private double runningShare = 1;
   private Optional<UpstreamHandle> placedAt = Optional.empty();
@@ -38,23 +35,19 @@
     this.suspects = suspects;
     this.service = service;
     this.log = log;
-  }
-
-  /** Returns the upstreams that can run the request, or go on with the stream that it began. */
-  private List<UpstreamHandle> candidates(Optional<StreamOrigin> origin) {
-    List<UpstreamHandle> all = dispatcher.upstreams().candidates(service, tried);
-    return origin.map(o -> all.stream().filter(u -> u.canGoOn(o)).toList()).orElse(all);
+    this.upstreams =
+        new RequestUpstreams(dispatcher, service, request.route(), request.workspace());
   }
 
   /** Returns whether an upstream is left that can run the request or go on with its stream. */
   boolean hasCandidate(Optional<StreamOrigin> origin) {
-    return !candidates(origin).isEmpty();
+    return !upstreams.candidates(origin).isEmpty();
   }
 
   /** Returns how the next attempt of the request proceeds; an upstream is returned only once. */
   PlacementResult place(RequestExecution execution, PlacementState state) {
     SuspectAdmission admission =
-        dispatcher.crashGuard().admit(suspects, execution, candidates(state.origin()));
+        dispatcher.crashGuard().admit(suspects, execution, upstreams.candidates(state.origin()));
     return switch (admission.kind()) {
       case RUN, TRIAL -> choose(admission, state);
       case WAIT -> PlacementResult.waiting();
@@ -71,13 +64,13 @@
     }
     long now = dispatcher.nowMillis();
     List<UpstreamHandle> candidates = admission.candidates();
-    List<UpstreamHandle> ofService = dispatcher.upstreams().allOfService(service);
+    List<UpstreamHandle> ofService = upstreams.inHomeRegions();
     Optional<UpstreamChoice> chosen =
         admission.onTrial().isPresent()
             ? Placement.chooseForTrial(candidates, request.fingerprint(), now)
             : Placement.choose(candidates, placementRequest(ofService, now));
     if (chosen.isEmpty()) {
-      return PlacementResult.refused(noUpstreamLeft("no upstream of the service is left"));
+      return PlacementResult.refused(noUpstreamLeft("no upstream of the service is left", state.origin()));
     }
     UpstreamChoice choice = chosen.get();
     Optional<Refusal> refusal =
@@ -87,7 +80,7 @@
     if (refusal.isPresent()) {
       return PlacementResult.refused(refusal.get());
     }
-    tried.add(choice.upstream().report().id());
+    upstreams.recordTried(choice.upstream());
     placedAtMillis = now;
     placedAt = Optional.of(choice.upstream());
     runningShare = ServiceLoads.runningShare(choice.upstream(), now);
@@ -133,12 +126,8 @@
   }
 
   /** Returns the refusal of a request that no upstream can run now. */
-  Refusal noUpstreamLeft(String reason) {
-    long now = dispatcher.nowMillis();
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
-    return roomAt.isPresent()
-        ? Refusal.upstreamsBusy(roomAt.getAsLong() - now, dispatcher.random())
-        : Refusal.notRun(reason);
+  Refusal noUpstreamLeft(String reason, Optional<StreamOrigin> origin) {
+    return upstreams.refusal(reason, origin);
   }
 
   /** Records the complete answer of the upstream that was returned last. */
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -29,6 +29,7 @@
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.UpstreamReport;
+import org.tanagerbank.zone.Evacuations;
 
 /**
  * The upstreams to which this instance can send requests, by id. Not thread-safe; confined to the
@@ -54,6 +55,7 @@
   private final Map<String, ServiceAdmission> admissions = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
+  private final Evacuations evacuations = new Evacuations();
   private final RandomGenerator random;
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
@@ -94,6 +96,11 @@
     return wallClockMillis.getAsLong();
   }
 
+  /** Returns the zones to whose upstreams nothing may be sent. */
+  Evacuations evacuations() {
+    return evacuations;
+  }
+
   /** Sets the listener that is notified of upstreams that restarted or are gone. */
   void setEndListener(Consumer<UpstreamHandle> listener) {
     endListener = listener;
@@ -210,8 +217,8 @@
                 new UpstreamHandle(
                     report,
                     connections,
-                    new SendPermission(
-                        wallClockMillis, () -> new SendRate(shares::share, random))));
+                    new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random)),
+                    evacuations));
   }
 
   private void remove(String id) {
@@ -226,13 +233,12 @@
   }
 
   /**
-   * Returns the upstreams of a service that accept requests and whose ids were not tried. While
-   * some of the service take none now, those that have no room for the requests of these are left
-   * out.
+   * Returns those of the upstreams of a service that accept requests and whose ids were not tried.
+   * While some of the service take none now, those that have no room for the requests of these are
+   * left out.
    */
-  List<UpstreamHandle> candidates(String service, Set<String> tried) {
+  List<UpstreamHandle> candidates(List<UpstreamHandle> all, Set<String> tried) {
     long now = clockMillis.getAsLong();
-    List<UpstreamHandle> all = allOfService(service);
     boolean isAnyBusy = all.stream().anyMatch(u -> u.takesRequestsAgainMillis(now).isPresent());
     return all.stream()
         .filter(u -> u.acceptsRequests(now))
@@ -242,14 +248,12 @@
   }
 
   /**
-   * Returns the time at which the first upstream of a service takes requests again, if a pause or a
-   * limit keeps them away from one.
+   * Returns the time at which the first of the given upstreams takes requests again, if a pause or
+   * a limit keeps them away from one.
    */
-  OptionalLong firstRoomMillis(String service) {
+  OptionalLong firstRoomMillis(List<UpstreamHandle> all) {
     long now = clockMillis.getAsLong();
-    return allOfService(service).stream()
-        .flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream())
-        .min();
+    return all.stream().flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream()).min();
   }
 
   /** Returns the number of upstreams that have named a limit. */
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -1,7 +1,9 @@
 package org.tanagerbank.platform;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 
 /**
  * The settings that the platform passes to a process at its start. Immutable.
@@ -16,6 +18,7 @@
  * @param storeAddress the address of the platform's metadata store
  * @param firstStart whether the whole system starts for the first time
  * @param bounds the limits that the platform sets
+ * @param regionsByZone the region of each zone that the platform names
  */
 public record NodeSettings(
     String instanceId,
@@ -27,7 +30,8 @@
     InetSocketAddress readyAddress,
     InetSocketAddress storeAddress,
     boolean firstStart,
-    Limits bounds) {
+    Limits bounds,
+    ImmutableMap<String, String> regionsByZone) {
 
   /**
    * The limits that the platform sets for all instances. Immutable.
@@ -46,6 +50,8 @@
    * @param retrySlack the number of retries allowed beyond that ratio, over all instances
    * @param loadMultiple the maximum load of an upstream, as a multiple of the mean load of its
    *     service
+   * @param evacuationMillis the time in milliseconds after which nothing may be sent to an
+   *     evacuated zone, if bounded
    */
   public record Limits(
       long drainMillis,
@@ -56,7 +62,8 @@
       double retryRatio,
       long retryWindowMillis,
       double retrySlack,
-      double loadMultiple) {}
+      double loadMultiple,
+      OptionalLong evacuationMillis) {}
 
   /**
    * The result of reading a settings file.
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -21,6 +21,7 @@
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.LoadReport;
 import org.tanagerbank.upstream.UpstreamReport;
+import org.tanagerbank.zone.Evacuations;
 
 /**
  * Gateways before engines of one service, in simulated time and without network. Gateways know of
@@ -175,7 +176,8 @@
         new UpstreamHandle(
             new UpstreamReport("e" + i, "s", "v", address, "z", SLOTS, false, 0, 1, 1),
             ConnectionPool.create((a, handlers) -> null, address, () -> now),
-            new SendPermission(() -> now, () -> new SendRate(() -> 1, random)));
+            new SendPermission(() -> now, () -> new SendRate(() -> 1, random)),
+            new Evacuations());
     handle.setEngineLimits(new EngineLimits(SLOTS, 300_000, OptionalDouble.empty()));
     return handle;
   }
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -1,5 +1,6 @@
 package org.tanagerbank.platform;
 
+import com.google.common.collect.ImmutableSet;
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -136,7 +137,40 @@
   void workspaceWithoutPriorityHasNone(String field) throws IOException {
     String config = CONFIG.replace("],\"priority\":1}]}", "]" + field + "}]}");
     assertThat(ConfigDecoder.decode(config.getBytes(UTF_8)).workspace("k2"))
-        .hasValue(new Workspace("w", OptionalInt.empty()));
+        .hasValue(new Workspace("w", OptionalInt.empty(), ImmutableSet.of()));
+  }
+
+  private static String withHomeRegions(String field, String value) {
+    String changed = CONFIG.replace(field, "\"home-regions\":" + value + "," + field);
+    assertThat(changed).isNotEqualTo(CONFIG);
+    return changed;
+  }
+
+  @Test
+  void homeRegionsAreDecoded() throws IOException {
+    RoutingConfig config =
+        ConfigDecoder.decode(withHomeRegions("\"path-prefix\"", "[\"r1\",\"r2\"]").getBytes(UTF_8));
+    assertThat(config.routes().find("a.example", "/p/x").get().homeRegions())
+        .containsExactly("r1", "r2");
+    assertThat(
+            ConfigDecoder.decode(withHomeRegions("\"api-keys\"", "[\"r3\"]").getBytes(UTF_8))
+                .workspace("k2")
+                .get()
+                .homeRegions())
+        .containsExactly("r3");
+  }
+
+  /** If the value were ignored, requests would leave their regions. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\"r1\"", "{}", "null", "1", "[1]", "[[\"r1\"]]", "[\"r1\",null]"})
+  void homeRegionsThatAreNoListOfTextsAreRejected(String value) {
+    for (String field : new String[] {"\"path-prefix\"", "\"api-keys\""}) {
+      IOException error =
+          assertThrows(
+              IOException.class,
+              () -> ConfigDecoder.decode(withHomeRegions(field, value).getBytes(UTF_8)));
+      assertThat(error).hasMessageThat().contains("must be a list of texts");
+    }
   }
 
   @Test
