Decode the time and the rate of cold upstreams

Cause: a service may name how long its upstreams are cold and how many requests a second a cold one takes from all gateways; upstreams say in responses for how long they stay cold. Nothing read any of it.

Change: ColdLimits of a Service (a rate of 0 or absent: no bound), the cold time of an UpstreamNotice, and the tolerance of cold upstreams among the settings (absent: nothing is tolerated beyond the rate). A value that is negative or no number is logged (TB1830) and counts as absent; the rest of the configuration is in force.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.dispatch.ColdTolerance;
 import org.tanagerbank.dispatch.DispatchSettings;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -150,6 +151,7 @@
             bounds.retryRatio() * RETRY_RATIO_SHARE,
             bounds.retryWindowMillis(),
             bounds.retrySlack() * RETRY_FLOOR_SHARE,
-            START_WAIT_MILLIS));
+            START_WAIT_MILLIS,
+            new ColdTolerance(bounds.coldOver(), bounds.coldSlack())));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -12,6 +12,7 @@
  * @param fleetRetryFloor the number of retries per window that the whole fleet may send in addition
  * @param startWaitMillis the time in milliseconds for which a request waits, after this instance
  *     starts, for the configuration, the list of upstreams and the cache contents
+ * @param coldTolerance what cold upstreams tolerate beyond their rate
  */
 public record DispatchSettings(
     String instanceId,
@@ -20,4 +21,26 @@
     double retryRatio,
     long retryWindowMillis,
     double fleetRetryFloor,
-    long startWaitMillis) {}
+    long startWaitMillis,
+    ColdTolerance coldTolerance) {
+
+  /** Creates settings by which cold upstreams tolerate nothing beyond their rate. */
+  public DispatchSettings(
+      String instanceId,
+      String zone,
+      double loadMultiple,
+      double retryRatio,
+      long retryWindowMillis,
+      double fleetRetryFloor,
+      long startWaitMillis) {
+    this(
+        instanceId,
+        zone,
+        loadMultiple,
+        retryRatio,
+        retryWindowMillis,
+        fleetRetryFloor,
+        startWaitMillis,
+        ColdTolerance.NONE);
+  }
+}
--- a/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
+++ b/src/main/java/org/tanagerbank/platform/ConfigDecoder.java
@@ -14,7 +14,10 @@
 import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
+import org.tanagerbank.events.EventLog;
+import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
@@ -32,6 +35,10 @@
   /** The bits that a link of 1 Mbit/s transfers in a millisecond. */
   private static final double BITS_PER_MILLI_AT_ONE_MBPS = 1_000;
 
+  /** A day; no upstream is cold for longer. */
+  private static final double MAX_COLD_SECONDS = 86_400;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int DEFAULT_MAX_CONNECTIONS = 100;
 
@@ -106,11 +113,38 @@
     for (JsonNode node : list) {
       String name = node.path("name").asText();
       int connections = node.path("max-conns").asInt(DEFAULT_MAX_CONNECTIONS);
-      services.put(name, new Service(name, connections, engine(node.path("engine"))));
+      services.put(
+          name, new Service(name, connections, engine(node.path("engine")), cold(name, node)));
     }
     return ImmutableMap.copyOf(services);
   }
 
+  /** Returns what a cold upstream takes. A value that is no number of 0 or more sets no bound. */
+  private static Optional<ColdLimits> cold(String service, JsonNode node) {
+    double seconds = coldNumber(service, node, "cold-s");
+    double perSecond = coldNumber(service, node, "cold-per-s");
+    long millis = (long) (Math.min(MAX_COLD_SECONDS, seconds) * MILLIS_PER_SECOND);
+    return perSecond > 0 ? Optional.of(new ColdLimits(millis, perSecond)) : Optional.empty();
+  }
+
+  /** Returns a number, or 0 if it is absent or not valid, which is logged. */
+  private static double coldNumber(String service, JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    double number = value.doubleValue();
+    if (value.isMissingNode() || (value.isNumber() && number >= 0 && Double.isFinite(number))) {
+      return number;
+    }
+    EventLog.emit(
+        LogEvent.SERVICE_COLD_LIMIT_INVALID,
+        "service",
+        service,
+        "field",
+        field,
+        "value",
+        value.toString());
+    return 0;
+  }
+
   private static Optional<EngineLimits> engine(JsonNode node) {
     int slots = node.path("slots").asInt();
     long memoryTokens = node.path("kv-capacity").asLong();
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -46,6 +46,8 @@
    * @param retrySlack the number of retries allowed beyond that ratio, over all instances
    * @param loadMultiple the maximum load of an upstream, as a multiple of the mean load of its
    *     service
+   * @param coldOver the multiple of the rate of a cold upstream that it may get in a second
+   * @param coldSlack the number of requests that a cold upstream may get in a second beyond that
    */
   public record Limits(
       long drainMillis,
@@ -56,7 +58,9 @@
       double retryRatio,
       long retryWindowMillis,
       double retrySlack,
-      double loadMultiple) {}
+      double loadMultiple,
+      double coldOver,
+      double coldSlack) {}
 
   /**
    * The result of reading a settings file.
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -84,7 +84,10 @@
         number("retry-ratio"),
         (long) (number("retry-window-s") * MILLIS_PER_SECOND),
         number("retry-slack"),
-        number("cap-x"));
+        number("cap-x"),
+        // Settings of platforms without cold upstreams lack these, and tolerate nothing more.
+        number("cold-over", 1),
+        number("cold-slack", 0));
   }
 
   private String text(String field) {
@@ -95,6 +98,10 @@
     return value.asText();
   }
 
+  private double number(String field, double ifMissing) {
+    return root.path("bounds").has(field) ? number(field) : ifMissing;
+  }
+
   private double number(String field) {
     JsonNode value = root.path("bounds").path(field);
     if (!value.isNumber() || value.doubleValue() < 0) {
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -67,6 +67,12 @@
   /** The header in which an upstream names the requests a second that it takes. */
   static final String LIMIT = "Server-Limit";
 
+  /** The header in which an upstream says for how many milliseconds it stays cold. */
+  static final String COLD = "Cold-Ms";
+
+  /** A day; no upstream is cold for longer. */
+  private static final long MAX_COLD_MILLIS = 86_400_000;
+
   /** A day; an upstream that asks for more is asked again then. */
   private static final double MAX_PAUSE_SECONDS = 86_400;
 
@@ -249,6 +255,7 @@
             ? pauseMillis(response)
             : OptionalLong.empty(),
         limit(response),
+        coldMillis(response),
         load(response));
   }
 
@@ -275,6 +282,15 @@
         .max();
   }
 
+  /** Returns the longest time that a response names; values that are no time are passed over. */
+  private static OptionalLong coldMillis(HttpHeaders response) {
+    return response.getAll(COLD).stream()
+        .map(v -> Longs.tryParse(v.trim()))
+        .filter(millis -> millis != null && millis >= 0)
+        .mapToLong(millis -> Math.min(MAX_COLD_MILLIS, millis))
+        .max();
+  }
+
   private static Optional<LoadReport> load(HttpHeaders response) {
     List<String> numbers = COMMAS.splitToList(response.get(LOAD, ""));
     if (numbers.size() != 3
--- a/src/main/java/org/tanagerbank/route/Service.java
+++ b/src/main/java/org/tanagerbank/route/Service.java
@@ -9,5 +9,13 @@
  * @param maxConnections the number of connections that an upstream accepts from all callers in
  *     total
  * @param engine the capacity of each engine; empty if the upstreams are not engines
+ * @param cold what a cold upstream takes; empty if that is not bounded
  */
-public record Service(String name, int maxConnections, Optional<EngineLimits> engine) {}
+public record Service(
+    String name, int maxConnections, Optional<EngineLimits> engine, Optional<ColdLimits> cold) {
+
+  /** Creates a service whose upstreams take any number of requests while they are cold. */
+  public Service(String name, int maxConnections, Optional<EngineLimits> engine) {
+    this(name, maxConnections, engine, Optional.empty());
+  }
+}
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -84,7 +84,12 @@
       upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
       wallMillis = 1_000;
       UpstreamNotice pause =
-          new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty(), Optional.empty());
+          new UpstreamNotice(
+              false,
+              OptionalLong.of(5_000),
+              Optional.empty(),
+              OptionalLong.empty(),
+              Optional.empty());
       upstreams.find("a").get().recordNotice(pause, 0, 0);
       upstreams.update(ImmutableList.of(report("a", startedMillis, false)), CONFIG);
       boolean askedByThisProcess = startedMillis <= wallMillis;
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
@@ -129,6 +130,27 @@
     assertThat(config.limits().maxBodyBytes()).isEqualTo(200);
   }
 
+  /** A rate that is no number, or negative, must not cost the rest of the configuration. */
+  @ParameterizedTest
+  @CsvSource({
+    "8.3, 8.3",
+    "11, 11",
+    "0, 0",
+    "-1, 0",
+    "'\"8\"', 0",
+    "true, 0",
+    "null, 0",
+    "1e999, 0"
+  })
+  void rateOfColdUpstreamsIsDecoded(String value, double perSecond) throws IOException {
+    String cold = CONFIG.replace("360,", "360,\"cold-s\":1.5,\"cold-per-s\":" + value + ",");
+    RoutingConfig config = ConfigDecoder.decode(cold.getBytes(UTF_8));
+    assertThat(config.services().get("s").maxConnections()).isEqualTo(360);
+    assertThat(config.services().get("s").cold())
+        .isEqualTo(
+            perSecond == 0 ? Optional.empty() : Optional.of(new ColdLimits(1_500, perSecond)));
+  }
+
   @Test
   void transferTimeBetweenEnginesIsDecoded() throws IOException {
     String engine = "\"slots\":64,";
--- a/src/test/java/org/tanagerbank/platform/NodeSettingsReaderTest.java
+++ b/src/test/java/org/tanagerbank/platform/NodeSettingsReaderTest.java
@@ -13,7 +13,7 @@
           + "\"platform\":{\"addr\":\"10.200.1.7:8223\"},\"new-field\":1,"
           + "\"bounds\":{\"drain-ms\":2000,\"config-ms\":2000,\"revoke-ms\":5000,\"grace-s\":8,"
           + "\"stable-ms\":3000,\"retry-ratio\":0.2,\"retry-window-s\":10,\"retry-slack\":54,"
-          + "\"cap-x\":2}}";
+          + "\"cap-x\":2,\"cold-over\":1.5,\"cold-slack\":5}}";
 
   @Test
   void completeSettingsAreParsed() {
@@ -23,6 +23,8 @@
     assertThat(settings.firstPeerPort()).isEqualTo(7340);
     assertThat(settings.bounds().graceMillis()).isEqualTo(8_000);
     assertThat(settings.bounds().retryRatio()).isEqualTo(0.2);
+    assertThat(settings.bounds().coldOver()).isEqualTo(1.5);
+    assertThat(settings.bounds().coldSlack()).isEqualTo(5);
   }
 
   @Test
@@ -41,6 +43,15 @@
             "bounds.cap-x: must be a number that is not negative");
   }
 
+  /** Platforms without cold upstreams do not name what these tolerate. */
+  @Test
+  void nothingIsToleratedUnlessTheSettingsSaySo() {
+    String without = COMPLETE.replace(",\"cold-over\":1.5,\"cold-slack\":5", "");
+    NodeSettings settings = NodeSettingsReader.parse(without).settings();
+    assertThat(settings.bounds().coldOver()).isEqualTo(1);
+    assertThat(settings.bounds().coldSlack()).isEqualTo(0);
+  }
+
   @Test
   void missingFileAndTextWithoutObjectAreReportedAsOneFault() {
     assertThat(NodeSettingsReader.read(Path.of("no-such-file")).faults()).hasSize(1);
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -202,6 +202,14 @@
     assertThat(headerCodec.notice(503, refusal).pauseMillis()).hasValue(2_500);
   }
 
+  @ParameterizedTest
+  @CsvSource({"2500,2500", "0,0", "-1,-1", "soon,-1", "1.5,-1", "'',-1", "99999999999,86400000"})
+  void timeForWhichAnUpstreamIsColdIsRead(String value, long expectedMillis) {
+    HttpHeaders response = headers("Cold-Ms", value);
+    assertThat(headerCodec.notice(200, response).coldMillis().orElse(-1)).isEqualTo(expectedMillis);
+    assertThat(headerCodec.notice(200, headers()).coldMillis()).isEmpty();
+  }
+
   @Test
   void leavingUpstreamSaysSoInAnyResponse() {
     assertThat(headerCodec.notice(200, headers("Server-Leaving", "1")).isLeaving()).isTrue();
--- a/src/test/java/org/tanagerbank/platform/PlatformNamesTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformNamesTest.java
@@ -35,7 +35,10 @@
           "kv-capacity",
           "slo-ms",
           "path-prefix",
-          "cap-x");
+          "cap-x",
+          "cold-per-s",
+          "cold-left-ms",
+          "Cold-Ms");
 
   @Test
   void namesOfThePlatformOccurOnlyInItsPackage() throws IOException {
