Split the token bucket from the rate of a limited upstream

Cause: the rate of cold upstreams needs the same bucket with other rules for what is kept, and must not be a second one.

Change: TokenBucket holds the tokens, their random start and what is drawn anew; SendRate passes its rate, share and idle time. The decisions and the random draws of SendRate are the same.

--- a/src/main/java/org/tanagerbank/dispatch/SendRate.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendRate.java
@@ -8,36 +8,26 @@
  * Bounds the requests of this instance to a process by its share of the limit that the process
  * names.
  *
- * <p>Requests take tokens, which come at the rate of the share. Many instances have shares of much
- * less than a request a second, so the first token comes at a random time, and one that nobody
- * takes for a while is drawn anew: instances that were idle must not all send at once. Not
+ * <p>Requests take tokens of a {@link TokenBucket}, which come at the rate of the share. Not
  * thread-safe; confined to the event loop.
  */
 final class SendRate {
   /** The requests a second for which there is room when a process wants none. They show the end. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.25;
 
-  /** The time for which tokens are kept, as far as they are more than one. */
-  private static final double BURST_MILLIS = 250;
+  private static final TokenBucket.Keeping KEEPING =
+      new TokenBucket.Keeping(/* burstMillis= */ 250, /* idleTokens= */ 4, /* carriedTokens= */ 0);
 
   /** The time after which a single token that nobody takes is drawn anew. */
   private static final long IDLE_MILLIS = 1_000;
 
-  /** The tokens that all idle instances together keep, on average. */
-  private static final double IDLE_TOKENS = 4;
-
   /** The time for which a limit that was named last is taken to be in force. */
   private static final long CONFIRMED_MILLIS = 1_000;
 
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   private final DoubleSupplier share;
-  private final RandomGenerator random;
+  private final TokenBucket bucket;
   private SendLimit limit = SendLimit.NONE;
   private long namedAtMillis;
-  private double tokens;
-  private long refilledAtMillis;
-  private long wholeSinceMillis;
 
   /**
    * Creates the rate of a process that has named no limit.
@@ -46,7 +36,7 @@
    */
   SendRate(DoubleSupplier share, RandomGenerator random) {
     this.share = share;
-    this.random = random;
+    this.bucket = new TokenBucket(KEEPING, random);
   }
 
   /**
@@ -59,8 +49,7 @@
       return;
     }
     if (!limit.isLimited()) {
-      tokens = random.nextDouble();
-      refilledAtMillis = nowMillis;
+      bucket.start(nowMillis);
     } else {
       refill(nowMillis);
     }
@@ -83,44 +72,28 @@
       return 0;
     }
     refill(nowMillis);
-    return tokens >= 1 ? 0 : (long) Math.ceil((1 - tokens) / perSecond() * MILLIS_PER_SECOND);
+    return bucket.millisUntilWhole(perSecond());
   }
 
   /** Takes the token of a request that is sent. */
   void take() {
-    tokens -= isLimited() ? 1 : 0;
+    if (isLimited()) {
+      bucket.take();
+    }
   }
 
   /** Returns the token of a request that was not sent after all. */
   void giveBack() {
-    tokens += isLimited() ? 1 : 0;
-  }
-
-  private double perSecond() {
-    return Math.max(MIN_REQUESTS_PER_SECOND, limit.requestsPerSecond()) * share.getAsDouble();
+    if (isLimited()) {
+      bucket.giveBack();
+    }
   }
 
   private void refill(long nowMillis) {
-    double perMilli = perSecond() / MILLIS_PER_SECOND;
-    double maxTokens = Math.max(1, perMilli * BURST_MILLIS);
-    boolean wasWhole = tokens >= 1;
-    double refilled = tokens + perMilli * (nowMillis - refilledAtMillis);
-    tokens = Math.min(maxTokens, refilled);
-    refilledAtMillis = nowMillis;
-    if (refilled < 1) {
-      return;
-    }
-    if (!wasWhole) {
-      wholeSinceMillis = nowMillis - (long) ((refilled - 1) / perMilli);
-    }
-    if (maxTokens == 1 && nowMillis - wholeSinceMillis >= IDLE_MILLIS) {
-      wholeSinceMillis = nowMillis;
-      tokens = drawIdleToken();
-    }
+    bucket.refill(perSecond(), share.getAsDouble(), IDLE_MILLIS, nowMillis);
   }
 
-  /** Returns a whole token at a few of the instances, and a part of one at the others. */
-  private double drawIdleToken() {
-    return random.nextDouble() < IDLE_TOKENS * share.getAsDouble() ? 1 : random.nextDouble();
+  private double perSecond() {
+    return Math.max(MIN_REQUESTS_PER_SECOND, limit.requestsPerSecond()) * share.getAsDouble();
   }
 }
