Bound the requests of all gateways to a cold upstream

Cause: an upstream that has started, or becomes cold again, crashes when it gets requests at a rate well above the one that its service names. Nothing kept gateways from sending them.

Change: ColdState, kept with each process, knows until when it is cold: by reports with a higher number, by responses, and after a failed connection, a crash or the return of its zone until its next reports decide. While it is cold, requests take tokens at the share of this gateway (SteadyShare). A request that was started before takes its token when its connection is open. UpstreamHandle.assumeCold is for zones that are back. Services without a rate are not affected.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -53,6 +53,10 @@
   private HttpConnection connection;
   private TrackedRun run;
   private boolean isEnded;
+
+  /** The phase of the upstream in which the request was started. */
+  private int phase;
+
   private long sentMillis;
 
   /** The head of the response, or null before one is received. */
@@ -77,7 +81,7 @@
   }
 
   void start() {
-    upstream.requestStarted();
+    phase = upstream.requestStarted(dispatcher.nowMillis());
     upstream.health().requestSent(dispatcher.nowMillis());
     if (upstream.engine().isPresent() && execution.prompt().isPresent()) {
       Prompt prompt = execution.prompt().get();
@@ -96,14 +100,10 @@
       opened.close();
       return;
     }
-    if (!upstream.takesStartedRequests(dispatcher.nowMillis())) {
-      opened.close();
-      failUnsent(AttemptFailure.notWanted());
-      return;
-    }
-    if (!execution.maySend()) {
+    boolean isWanted = upstream.sendsStarted(phase, dispatcher.nowMillis());
+    if (!isWanted || !execution.maySend()) {
       opened.close();
-      failUnsent(AttemptFailure.notConnected());
+      failUnsent(isWanted ? AttemptFailure.notConnected() : AttemptFailure.notWanted());
       return;
     }
     connection = opened;
@@ -114,13 +114,13 @@
 
   private void notConnected() {
     if (!isEnded) {
-      upstream.health().connectFailed(dispatcher.nowMillis());
+      upstream.connectFailed(dispatcher.nowMillis());
       failUnsent(AttemptFailure.notConnected());
     }
   }
 
   private void failUnsent(AttemptFailure failure) {
-    upstream.requestNotSent();
+    upstream.requestNotSent(phase);
     close();
     execution.handleFailure(upstream, failure, AttemptEvidence.notSent(), Optional.empty());
   }
@@ -162,7 +162,7 @@
     if (wasSent()) {
       recordCancellation();
     } else {
-      upstream.requestNotSent();
+      upstream.requestNotSent(phase);
     }
     close();
   }
--- a/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashDetector.java
@@ -137,7 +137,7 @@
   }
 
   private void recordCrash(UpstreamHandle upstream) {
-    upstream.recordCrash();
+    upstream.recordCrash(clockMillis.getAsLong());
     List<LostRun> lost = pending.stream().filter(p -> p.run().upstream() == upstream).toList();
     pending.removeAll(lost);
     if (!lost.isEmpty()) {
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -74,7 +74,7 @@
     this.config = config;
     this.settings = settings;
     this.observer = observer;
-    this.upstreams = Upstreams.on(runtime);
+    this.upstreams = Upstreams.on(runtime, settings.coldTolerance());
     this.waiting = new WaitingRequests(runtime.loop());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     this.upstreamListProof = new UpstreamListProof(this::runLater);
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -148,7 +148,7 @@
     EngineModel engine = handle.engine().get();
     double firstTokenMillis =
         engine.firstTokenMillis(prompt, choice.fetchedTokens(), request.nowMillis())
-            + handle.report().warmupLeftMillis() / 10.0;
+            + handle.slowStartMillis(request.nowMillis());
     if (firstTokenMillis > ON_TIME_OBJECTIVE_SHARE * request.objectiveMillis()) {
       return MISSED_OBJECTIVE_COST + firstTokenMillis;
     }
--- a/src/main/java/org/tanagerbank/dispatch/SendShares.java
+++ b/src/main/java/org/tanagerbank/dispatch/SendShares.java
@@ -50,6 +50,7 @@
   private final IntSupplier ownInFlight;
   private final long startedAtMillis;
   private final Weight own = new Weight();
+  private final SteadyShare steady;
   private final Map<String, Weight> peers = new HashMap<>();
   private ImmutableSet<String> registered = ImmutableSet.of();
   private double share = 1;
@@ -64,16 +65,30 @@
     this.clockMillis = clockMillis;
     this.startedAtMillis = clockMillis.getAsLong();
     this.ownInFlight = ownInFlight;
+    this.steady = new SteadyShare(startedAtMillis);
+  }
+
+  /** Updates the share in what cold upstreams take. To be called several times a second. */
+  void sample() {
+    steady.sample(ownInFlight.getAsInt(), clockMillis.getAsLong());
+  }
+
+  /** Returns the share of this instance in what cold upstreams take. */
+  double steadyShare() {
+    return steady.share();
   }
 
   /** Records the requests that another instance has in flight at all upstreams. */
   void recordPeer(String instanceId, int inFlight) {
-    peers.computeIfAbsent(instanceId, id -> new Weight()).update(inFlight, clockMillis.getAsLong());
+    long now = clockMillis.getAsLong();
+    peers.computeIfAbsent(instanceId, id -> new Weight()).update(inFlight, now);
+    steady.recordPeer(instanceId, inFlight, now);
   }
 
   /** Replaces the ids of the other instances that are registered. */
   void setRegistered(ImmutableSet<String> instanceIds) {
     registered = instanceIds;
+    steady.setRegistered(instanceIds);
   }
 
   /**
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -90,10 +90,11 @@
    * for an unknown upstream or one that accepts no requests now.
    */
   public Optional<ConnectionPool> connectionsForQuery(String upstreamId) {
+    long now = clockMillis.getAsLong();
     return upstreams
         .find(upstreamId)
-        .filter(u -> u.acceptsRequests(clockMillis.getAsLong()))
-        .map(UpstreamHandle::connectionsForQuery);
+        .filter(u -> u.acceptsRequests(now))
+        .map(u -> u.connectionsForQuery(now));
   }
 
   /** Records what a response to a query says of its upstream; it ends no limit. */
@@ -113,6 +114,11 @@
     return upstreams.pausedCount();
   }
 
+  /** Returns the number of upstreams that are cold and whose service bounds what they get. */
+  public int coldUpstreams() {
+    return upstreams.coldCount();
+  }
+
   private Optional<EngineModel> engine(String upstreamId) {
     return upstreams.find(upstreamId).flatMap(UpstreamHandle::engine);
   }
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -10,6 +10,7 @@
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.RunConditions;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.routing.SlotTable;
 import org.tanagerbank.stream.StreamOrigin;
@@ -35,6 +36,7 @@
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
   private final SendPermission permission;
+  private final ColdState cold;
   private UpstreamReport report;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
@@ -45,8 +47,13 @@
   private boolean isReplaced;
   private int crashes;
 
-  UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
+  UpstreamHandle(
+      UpstreamReport report,
+      ConnectionPool connections,
+      SendPermission permission,
+      ColdState cold) {
     this.permission = permission;
+    this.cold = cold;
     this.report = report;
     this.connections = connections;
     this.softwareHash = RunConditions.softwareHash(report.service(), report.softwareVersion());
@@ -88,8 +95,9 @@
   }
 
   /** Returns the connections for one query, which counts as a request that was sent. */
-  ConnectionPool connectionsForQuery() {
+  ConnectionPool connectionsForQuery(long nowMillis) {
     permission.rate().take();
+    cold.takeToken(nowMillis);
     return connections;
   }
 
@@ -124,15 +132,21 @@
     return health;
   }
 
-  /** Records that a request is about to be sent, for which the upstream has room. */
-  void requestStarted() {
+  /**
+   * Records that a request is about to be sent, for which the upstream has room.
+   *
+   * @return the phase of the upstream, to be passed on with what becomes of the request
+   */
+  int requestStarted(long nowMillis) {
     inFlight++;
     permission.rate().take();
+    return cold.takeToken(nowMillis);
   }
 
   /** Records that a request that was started was not sent; {@link #requestEnded} follows. */
-  void requestNotSent() {
+  void requestNotSent(int phase) {
     permission.rate().giveBack();
+    cold.giveBack(phase);
   }
 
   void requestEnded() {
@@ -145,6 +159,7 @@
     boolean wasLeaving = permission.isLeaving();
     boolean wasPaused = permission.isPaused(nowMillis);
     permission.record(notice, sentAtMillis, nowMillis);
+    notice.coldMillis().ifPresent(m -> cold.recordResponse(m, sentAtMillis, nowMillis));
     if (isLimited() != wasLimited) {
       EventLog.emit(
           isLimited() ? LogEvent.UPSTREAM_LIMITED : LogEvent.UPSTREAM_UNLIMITED,
@@ -176,10 +191,23 @@
    * this, and then records the request by {@link #requestStarted}.
    */
   boolean acceptsRequests(long nowMillis) {
-    return takesStartedRequests(nowMillis) && permission.rate().millisUntilRoom(nowMillis) == 0;
+    return takesStartedRequests(nowMillis)
+        && permission.rate().millisUntilRoom(nowMillis) == 0
+        && cold.millisUntilRoom(nowMillis) == 0;
   }
 
-  /** Returns whether a request that was started may still be sent. */
+  /**
+   * Returns whether a request that was started may be sent now that its connection is open. To be
+   * called once for each request, as one that was started before the upstream became cold takes a
+   * token of the rate now.
+   *
+   * @param phase the phase in which the request was started
+   */
+  boolean sendsStarted(int phase, long nowMillis) {
+    return takesStartedRequests(nowMillis) && cold.admitsStarted(phase, nowMillis);
+  }
+
+  /** Returns whether requests that were started may still be sent, but for a rate while cold. */
   boolean takesStartedRequests(long nowMillis) {
     return !isLeaving() && !permission.isPaused(nowMillis);
   }
@@ -200,15 +228,46 @@
   }
 
   /**
-   * Returns the time from which the upstream takes requests again, in milliseconds, if a pause or
-   * its limit keeps them away now.
+   * Returns the time from which the upstream takes requests again, in milliseconds, if a pause, its
+   * limit or its rate while cold keeps them away now.
    */
   OptionalLong takesRequestsAgainMillis(long nowMillis) {
-    long roomAtMillis = nowMillis + permission.rate().millisUntilRoom(nowMillis);
+    long roomAtMillis =
+        nowMillis
+            + Math.max(
+                permission.rate().millisUntilRoom(nowMillis), cold.millisUntilRoom(nowMillis));
     long atMillis = Math.max(roomAtMillis, permission.pausedUntilMillis(nowMillis).orElse(0));
     return isLeaving() || atMillis <= nowMillis ? OptionalLong.empty() : OptionalLong.of(atMillis);
   }
 
+  /** Returns whether the process is cold, or counts as cold, in a service that bounds this. */
+  boolean isCold(long nowMillis) {
+    return cold.isCold(nowMillis);
+  }
+
+  /** Returns whether only its rate while cold keeps requests away now. */
+  boolean isColdWithoutRoom(long nowMillis) {
+    return takesStartedRequests(nowMillis)
+        && permission.rate().millisUntilRoom(nowMillis) == 0
+        && cold.millisUntilRoom(nowMillis) > 0;
+  }
+
+  /** Returns the time by which the first token comes later while the process is slow. */
+  double slowStartMillis(long nowMillis) {
+    return cold.slowStartMillis(report, nowMillis);
+  }
+
+  /** Counts the upstream as cold until its next reports decide, as after an evacuation. */
+  void assumeCold(long nowMillis) {
+    cold.assumeCold("zone", nowMillis);
+  }
+
+  /** Sets what its service says of cold upstreams, and notices the end of the cold time. */
+  void updateCold(Optional<ColdLimits> limits, long nowMillis) {
+    cold.setLimits(limits, nowMillis);
+    cold.recordReport(report, nowMillis);
+  }
+
   private boolean isLeaving() {
     return closed || isReplaced || hasAnnouncedEnd();
   }
@@ -265,8 +324,15 @@
   }
 
   /** Records that the process has ended without notice. It may be back before it reports so. */
-  void recordCrash() {
+  void recordCrash(long nowMillis) {
     crashes++;
+    cold.assumeCold("unreachable", nowMillis);
+  }
+
+  /** Records that no connection could be opened. The process may be back under another start. */
+  void connectFailed(long nowMillis) {
+    health.connectFailed(nowMillis);
+    cold.assumeCold("unreachable", nowMillis);
   }
 
   /** Returns the number of crashes that were detected. */
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -21,7 +21,6 @@
 import java.util.stream.Collectors;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 import org.tanagerbank.stream.StreamOrigin;
@@ -41,13 +40,16 @@
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
   private final RandomGenerator random;
+  private final ColdTolerance coldTolerance;
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
   Upstreams(
       Connector connector,
       LongSupplier clockMillis,
       LongSupplier wallClockMillis,
-      RandomGenerator random) {
+      RandomGenerator random,
+      ColdTolerance coldTolerance) {
+    this.coldTolerance = coldTolerance;
     this.wallClockMillis = wallClockMillis;
     this.connector = connector;
     this.clockMillis = clockMillis;
@@ -56,9 +58,13 @@
   }
 
   /** Returns an empty list of upstreams. */
-  static Upstreams on(DispatchRuntime runtime) {
+  static Upstreams on(DispatchRuntime runtime, ColdTolerance coldTolerance) {
     return new Upstreams(
-        runtime.connector(), runtime.clockMillis(), runtime.wallClockMillis(), runtime.random());
+        runtime.connector(),
+        runtime.clockMillis(),
+        runtime.wallClockMillis(),
+        runtime.random(),
+        coldTolerance);
   }
 
   private int ownInFlight() {
@@ -83,7 +89,9 @@
    * @param config the configuration, which holds the engine limits of the services
    */
   void update(Collection<UpstreamReport> reports, Optional<RoutingConfig> config) {
-    versionHistory.record(reports, clockMillis.getAsLong());
+    long now = clockMillis.getAsLong();
+    versionHistory.record(reports, now);
+    shares.sample();
     ImmutableList<UpstreamHandle> before = all();
     Set<String> reportedIds = new HashSet<>();
     for (UpstreamReport report : reports) {
@@ -95,7 +103,10 @@
       } else {
         replace(known, report);
       }
-      engineLimits(config, report.service()).ifPresent(byId.get(report.id())::setEngineLimits);
+      UpstreamHandle current = byId.get(report.id());
+      Optional<Service> service = config.map(c -> c.services().get(report.service()));
+      service.flatMap(Service::engine).ifPresent(current::setEngineLimits);
+      current.updateCold(service.flatMap(Service::cold), now);
     }
     for (String id : new HashSet<>(byId.keySet())) {
       if (!reportedIds.contains(id)) {
@@ -146,11 +157,6 @@
     }
   }
 
-  private static Optional<EngineLimits> engineLimits(
-      Optional<RoutingConfig> config, String service) {
-    return config.map(c -> c.services().get(service)).flatMap(Service::engine);
-  }
-
   private void replace(UpstreamHandle known, UpstreamReport report) {
     if (known != null) {
       end(known);
@@ -160,7 +166,8 @@
         known != null && known.report().address().equals(report.address())
             ? known.permissionOf(report)
             : new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random));
-    byId.put(report.id(), new UpstreamHandle(report, connections, permission));
+    ColdState cold = new ColdState(report.id(), coldTolerance, shares::steadyShare, random);
+    byId.put(report.id(), new UpstreamHandle(report, connections, permission, cold));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
@@ -218,6 +225,12 @@
     return (int) byId.values().stream().filter(u -> u.pausedUntilMillis(now).isPresent()).count();
   }
 
+  /** Returns the number of upstreams that are cold and whose service bounds what they get. */
+  int coldCount() {
+    long now = clockMillis.getAsLong();
+    return (int) byId.values().stream().filter(u -> u.isCold(now)).count();
+  }
+
   /** Returns the upstreams of a service, including draining ones. */
   List<UpstreamHandle> allOfService(String service) {
     return byId.values().stream()
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -57,7 +57,8 @@
         new UpstreamHandle(
             upstream,
             ConnectionPool.create(group.next(), address, () -> 0),
-            new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))));
+            new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))),
+            new ColdState(id, ColdTolerance.NONE, () -> 1, new SplittableRandom(1)));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
@@ -89,7 +90,7 @@
 
   private UpstreamHandle send(Prompt prompt, String requestId, long nowMillis) {
     UpstreamHandle chosen = place(engines, prompt, nowMillis);
-    chosen.requestStarted();
+    chosen.requestStarted(0);
     chosen.engine().get().requestSent(requestId, prompt, 0, nowMillis);
     return chosen;
   }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -35,7 +35,11 @@
   private long wallMillis;
   private final Upstreams upstreams =
       new Upstreams(
-          Connector.tcp(group.next()), () -> 0, () -> wallMillis, new SplittableRandom(1));
+          Connector.tcp(group.next()),
+          () -> 0,
+          () -> wallMillis,
+          new SplittableRandom(1),
+          ColdTolerance.NONE);
 
   @AfterEach
   void stop() {
