Keep the room of cold engines for the sessions that are at home there

Cause: a cold engine looks idle, so that it attracts requests whose prompt parts nobody asks for there again.

Change: a cold engine has a high cost for all requests but those of its home sessions; they go there while no other engine meets the objective. A cold plain upstream counts as loaded by one more set of slots.

--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -15,7 +15,8 @@
  *
  * <p>Among engines that are expected to meet the objective, the one with the fewest prompt tokens
  * to prefill is preferred; parts that another engine has cached are fetched from there. A prompt
- * that no engine has cached goes to the home of its session, on which all instances agree. Among
+ * that no engine has cached goes to the home of its session, on which all instances agree. A cold
+ * engine gets sessions that are at home there; others while no engine meets the objective. Among
  * other upstreams, the least loaded one is chosen. Stateless and thread-safe.
  */
 final class Placement {
@@ -55,6 +56,15 @@
   /** The same for an upstream that is no engine, in fully loaded upstreams. */
   private static final double LIMITED_REQUEST_LOAD = 0.5;
 
+  /**
+   * The cost of a request at a cold engine unless its session is at home there, in prefilled
+   * tokens. Exceeds the cost of every engine that meets the objective and is not cold.
+   */
+  private static final double COLD_COST = 1e7;
+
+  /** The cost of a request at a cold upstream that is no engine, in fully loaded upstreams. */
+  private static final double COLD_REQUEST_LOAD = 1;
+
   /** The cost of missing the objective. Exceeds the cost of every engine that meets it. */
   private static final double MISSED_OBJECTIVE_COST = 1e9;
 
@@ -157,6 +167,7 @@
         - (1 - FETCHED_TOKEN_COST) * choice.fetchedTokens()
         + TOKENS_PER_RUNNING_REQUEST * handle.fleetInFlight(request.nowMillis())
         + (handle.isSavingRoom(request.nowMillis()) ? LIMITED_REQUEST_TOKENS : 0)
+        + (handle.isCold(request.nowMillis()) && !isHome(handle, request, prompt) ? COLD_COST : 0)
         - HOME_DISCOUNT_SHARE * uncachedEverywhere * homeAffinity(handle, prompt);
   }
 
@@ -171,10 +182,18 @@
     return uniform * uniform * uniform * uniform;
   }
 
+  /** Returns whether requests of the session of a prompt will usually come to an engine. */
+  private static boolean isHome(UpstreamHandle handle, PlacementRequest request, Prompt prompt) {
+    double affinity = homeAffinity(handle, prompt);
+    return prompt.sharedTokens() > 0
+        && request.cacheCandidates().stream().noneMatch(u -> homeAffinity(u, prompt) > affinity);
+  }
+
   private static double nonEngineCost(UpstreamHandle handle, String zone, long nowMillis) {
     double load = (double) handle.fleetInFlight(nowMillis) / handle.report().slots();
     double zoneMillis = handle.report().zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
     double limitCost = handle.isSavingRoom(nowMillis) ? LIMITED_REQUEST_LOAD : 0;
-    return load + handle.health().failureShare() + zoneMillis / 10 + limitCost;
+    double coldCost = handle.isCold(nowMillis) ? COLD_REQUEST_LOAD : 0;
+    return load + handle.health().failureShare() + zoneMillis / 10 + limitCost + coldCost;
   }
 }
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -14,11 +14,13 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.UpstreamReport;
@@ -164,6 +166,36 @@
     assertThat(choose(List.of(updated), all, prompt(7, 2), 2_000).fetch()).isEmpty();
   }
 
+  /** Room of a cold engine must not be spent on requests for which others have room. */
+  @Test
+  void coldEngineGetsOnlyTheSessionsThatAreAtHomeThere() {
+    UpstreamHandle cold = engines.get(0);
+    List<Long> sessions = LongStream.range(100, 160).boxed().toList();
+    List<Long> atHome =
+        sessions.stream().filter(s -> place(engines, prompt(s, 1), 0).equals(cold)).toList();
+    cold.updateCold(Optional.of(new ColdLimits(20_000, 8.3)), 0);
+    cold.assumeCold(0);
+    assertThat(atHome).isNotEmpty();
+    assertThat(
+            sessions.stream()
+                .filter(s -> place(engines, prompt(s, 1), 6_000).equals(cold))
+                .toList())
+        .containsExactlyElementsIn(atHome);
+    engines.stream().filter(e -> !e.equals(cold)).forEach(e -> e.health().connectFailed(5_990));
+    assertThat(place(engines, prompt(7, 1), 6_000)).isEqualTo(cold);
+  }
+
+  /** A process that has just started is slow, however idle it looks. */
+  @Test
+  void engineThatHasJustStartedIsExpectedToBeSlow() {
+    UpstreamHandle cold = engines.get(0);
+    cold.updateCold(Optional.of(new ColdLimits(20_000, 8.3)), 0);
+    cold.assumeCold(0);
+    assertThat(cold.slowStartMillis(0)).isGreaterThan(300.0);
+    assertThat(cold.slowStartMillis(2_500)).isLessThan(cold.slowStartMillis(0));
+    assertThat(cold.slowStartMillis(6_000)).isEqualTo(0.0);
+  }
+
   /** Loss of a third of the workers: parts cached only on an unreachable engine are not fetched. */
   @Test
   void nothingIsFetchedFromUnreachableEngine() {
