Refuse what cold upstreams have no room for with a reason of its own

Cause: a request for which no upstream had room because all were cold was to be refused at once, and told from one that a pause or a limit keeps away.

Change: Upstreams.refusal takes the place of firstRoomMillis. If nothing but the rate of cold upstreams keeps requests from each upstream that takes none, the reason is "upstreams cold" in the metrics, and Retry-After is the time of the first room, 2 s at most, with jitter. A gauge counts the cold upstreams.

--- a/src/main/java/org/tanagerbank/dispatch/Refusal.java
+++ b/src/main/java/org/tanagerbank/dispatch/Refusal.java
@@ -28,6 +28,15 @@
   static final String UPSTREAMS_BUSY =
       "upstreams of the service have asked for a pause or fewer requests";
 
+  /** The reason for the refusal of a request while upstreams of its service are cold. */
+  static final String UPSTREAMS_COLD = "upstreams of the service are cold and take few requests";
+
+  /**
+   * The longest time in milliseconds until callers return that cold upstreams have no room for. One
+   * of many instances has room rarely, but the caller may come to another one.
+   */
+  private static final long MAX_COLD_RETRY_MILLIS = 2_000;
+
   /**
    * The shortest and the longest time, in milliseconds, over which callers are spread that were
    * refused in a pause or by a limit. They return over as long a time as they were refused, so that
@@ -51,6 +60,7 @@
             case QUARANTINED -> "quarantined";
             case ON_TRIAL -> "on trial";
             case UPSTREAMS_BUSY -> "upstreams paused";
+            case UPSTREAMS_COLD -> "upstreams cold";
             default -> "not run";
           };
       case STATUS_BAD_GATEWAY -> "may have run";
@@ -88,9 +98,21 @@
    * @param millisUntilRoom the time until the first of them takes requests again, in milliseconds
    */
   static Refusal upstreamsBusy(long millisUntilRoom, RandomGenerator random) {
+    return withSpread(millisUntilRoom, UPSTREAMS_BUSY, random);
+  }
+
+  /**
+   * Returns the refusal of a request for which no upstream has room while some are cold.
+   *
+   * @param millisUntilRoom the time until the first of them takes a request, in milliseconds
+   */
+  static Refusal upstreamsCold(long millisUntilRoom, RandomGenerator random) {
+    return withSpread(Math.min(MAX_COLD_RETRY_MILLIS, millisUntilRoom), UPSTREAMS_COLD, random);
+  }
+
+  private static Refusal withSpread(long millisUntilRoom, String reason, RandomGenerator random) {
     long spread = Math.max(MIN_SPREAD_MILLIS, Math.min(MAX_SPREAD_MILLIS, millisUntilRoom));
-    return new Refusal(
-        STATUS_UNAVAILABLE, millisUntilRoom + random.nextLong(spread), UPSTREAMS_BUSY);
+    return new Refusal(STATUS_UNAVAILABLE, millisUntilRoom + random.nextLong(spread), reason);
   }
 
   /**
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagerbank.caller.CallerExchange;
@@ -269,11 +268,7 @@
 
   /** Returns the refusal of a request that no upstream can run now. */
   private Refusal noUpstreamLeft(String reason) {
-    long now = dispatcher.nowMillis();
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(service);
-    return roomAt.isPresent()
-        ? Refusal.upstreamsBusy(roomAt.getAsLong() - now, dispatcher.random())
-        : Refusal.notRun(reason);
+    return dispatcher.upstreams().refusal(service, reason);
   }
 
   /** Records that a response to another request arrived while this request awaited its own. */
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -204,14 +204,26 @@
   }
 
   /**
-   * Returns the time at which the first upstream of a service takes requests again, if a pause or a
-   * limit keeps them away from one.
+   * Returns the refusal of a request that no upstream of its service can run now. If pauses, limits
+   * or rates while cold keep requests away from some, it names the first time at which one ends.
+   *
+   * @param reason the reason if nothing keeps requests away from any
    */
-  OptionalLong firstRoomMillis(String service) {
+  Refusal refusal(String service, String reason) {
     long now = clockMillis.getAsLong();
-    return allOfService(service).stream()
-        .flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream())
-        .min();
+    List<UpstreamHandle> busy =
+        allOfService(service).stream()
+            .filter(u -> u.takesRequestsAgainMillis(now).isPresent())
+            .toList();
+    OptionalLong roomAt =
+        busy.stream().mapToLong(u -> u.takesRequestsAgainMillis(now).getAsLong()).min();
+    if (roomAt.isEmpty()) {
+      return Refusal.notRun(reason);
+    }
+    long millisUntilRoom = roomAt.getAsLong() - now;
+    return busy.stream().allMatch(u -> u.isColdWithoutRoom(now))
+        ? Refusal.upstreamsCold(millisUntilRoom, random)
+        : Refusal.upstreamsBusy(millisUntilRoom, random);
   }
 
   /** Returns the number of upstreams that have named a limit. */
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -161,6 +161,10 @@
         "limited_upstreams",
         "Upstreams that have named a limit on the requests that they take.",
         upstreams::limitedUpstreams);
+    addGauge(
+        "cold_upstreams",
+        "Upstreams that are cold or count as cold, of services that bound what these get.",
+        upstreams::coldUpstreams);
     addGauge(
         "restricted_requests",
         "Requests and parts of prompts that crashed upstreams and may not run freely.",
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
+import org.tanagerbank.route.ColdLimits;
 
 /**
  * Dispatchers of several gateways before upstreams in memory, in simulated time. Uses no network
@@ -244,6 +246,15 @@
     return call;
   }
 
+  /** Sets what all gateways know of cold upstreams from now on. */
+  void setColdLimits(ColdLimits limits) {
+    gateways.forEach(
+        g -> {
+          g.config.adopt(SimulationRoutes.config(2, ROUTE_TIMEOUT_MILLIS, Optional.of(limits)));
+          g.readReports();
+        });
+  }
+
   /** Sets the share of the messages between gateways that are lost. */
   void setLossShare(double share) {
     network.setLossShare(share);
--- a/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import org.tanagerbank.route.CallerLimits;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RouteTable;
@@ -18,8 +19,13 @@
 
   /** Returns a configuration whose routes have the given timeout in milliseconds. */
   static RoutingConfig config(long timeoutMillis) {
+    return config(1, timeoutMillis, Optional.empty());
+  }
+
+  /** Returns a version of the configuration in which cold upstreams take so many requests. */
+  static RoutingConfig config(long version, long timeoutMillis, Optional<ColdLimits> cold) {
     return new RoutingConfig(
-        1,
+        version,
         RouteTable.of(
             ImmutableList.of(
                 route("/safe/", RequestKind.IDEMPOTENT, timeoutMillis),
@@ -27,7 +33,7 @@
                 route("/stream/", RequestKind.STREAM, timeoutMillis),
                 TestRoutes.route(
                     "/resume/", RequestKind.STREAM, 3, timeoutMillis, /* resumable= */ true))),
-        ImmutableMap.of("s", new Service("s", 1_000, Optional.empty())),
+        ImmutableMap.of("s", new Service("s", 1_000, Optional.empty(), cold)),
         ImmutableMap.of("key", new Workspace("w", 0)),
         true,
         CallerLimits.INITIAL);
