--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.kohsuke.args4j.Option;
+import org.tanagerbank.dispatch.ColdTolerance;
 import org.tanagerbank.dispatch.DispatchSettings;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -146,6 +147,7 @@
             bounds.retryWindowMillis(),
             bounds.retrySlack() * RETRY_FLOOR_SHARE,
             START_WAIT_MILLIS,
-            node.regionsByZone()));
+            node.regionsByZone(),
+            new ColdTolerance(bounds.coldOver(), bounds.coldSlack())));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -15,6 +15,7 @@
  * @param startWaitMillis the time in milliseconds for which a request waits, after this instance
  *     starts, for the configuration, the list of upstreams and the cache contents
  * @param regionsByZone the region of each known zone; other zones are in no region
+ * @param coldTolerance what cold upstreams tolerate beyond their rate
  */
 public record DispatchSettings(
     String instanceId,
@@ -24,8 +25,12 @@
     long retryWindowMillis,
     double fleetRetryFloor,
     long startWaitMillis,
-    ImmutableMap<String, String> regionsByZone) {
-  /** Creates settings in which no zone is in a region. */
+    ImmutableMap<String, String> regionsByZone,
+    ColdTolerance coldTolerance) {
+  /**
+   * Creates settings in which no zone is in a region, and by which cold upstreams tolerate nothing
+   * beyond their rate.
+   */
   public DispatchSettings(
       String instanceId,
       String zone,
@@ -42,6 +47,7 @@
         retryWindowMillis,
         fleetRetryFloor,
         startWaitMillis,
-        ImmutableMap.of());
+        ImmutableMap.of(),
+        ColdTolerance.NONE);
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.Workspace;
@@ -68,10 +67,9 @@
    * @param reason the reason if no other one is known
    */
   Refusal refusal(String reason, Optional<StreamOrigin> origin) {
-    OptionalLong roomAt = dispatcher.upstreams().firstRoomMillis(inHomeRegions());
-    if (roomAt.isPresent()) {
-      long millisUntilRoom = roomAt.getAsLong() - dispatcher.nowMillis();
-      return Refusal.upstreamsBusy(millisUntilRoom, dispatcher.random());
+    Optional<Refusal> untilRoom = dispatcher.upstreams().refusalUntilRoom(inHomeRegions());
+    if (untilRoom.isPresent()) {
+      return untilRoom.get();
     }
     if (areAllEvacuated(origin)) {
       return Refusal.upstreamsEvacuated(dispatcher.random());
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -97,7 +97,7 @@
         .map(
             u ->
                 new UpstreamQuery(
-                    u.connectionsForQuery(),
+                    u.connectionsForQuery(clockMillis.getAsLong()),
                     () -> u.takesStartedRequests(clockMillis.getAsLong())));
   }
 
@@ -122,6 +122,11 @@
     return upstreams.pausedCount();
   }
 
+  /** Returns the number of upstreams that are cold and whose service bounds what they get. */
+  public int coldUpstreams() {
+    return upstreams.coldCount();
+  }
+
   private Optional<EngineModel> engine(String upstreamId) {
     return upstreams.find(upstreamId).flatMap(UpstreamHandle::engine);
   }
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -22,7 +22,6 @@
 import org.tanagerbank.admission.ServiceAdmission;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
-import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Service;
 import org.tanagerbank.stream.StreamOrigin;
@@ -57,13 +56,16 @@
   private final SendShares shares;
   private final Evacuations evacuations = new Evacuations();
   private final RandomGenerator random;
+  private final ColdTolerance coldTolerance;
   private Consumer<UpstreamHandle> endListener = ended -> {};
 
   Upstreams(
       Connector connector,
       LongSupplier clockMillis,
       LongSupplier wallClockMillis,
-      RandomGenerator random) {
+      RandomGenerator random,
+      ColdTolerance coldTolerance) {
+    this.coldTolerance = coldTolerance;
     this.wallClockMillis = wallClockMillis;
     this.connector = connector;
     this.clockMillis = clockMillis;
@@ -72,9 +74,13 @@
   }
 
   /** Returns an empty list of upstreams. */
-  static Upstreams on(DispatchRuntime runtime) {
+  static Upstreams on(DispatchRuntime runtime, ColdTolerance coldTolerance) {
     return new Upstreams(
-        runtime.connector(), runtime.clockMillis(), runtime.wallClockMillis(), runtime.random());
+        runtime.connector(),
+        runtime.clockMillis(),
+        runtime.wallClockMillis(),
+        runtime.random(),
+        coldTolerance);
   }
 
   private int ownInFlight() {
@@ -115,7 +121,9 @@
    * @param config the configuration, which holds the engine limits of the services
    */
   void update(Collection<UpstreamReport> reports, Optional<RoutingConfig> config) {
-    versionHistory.record(reports, clockMillis.getAsLong());
+    long now = clockMillis.getAsLong();
+    versionHistory.record(reports, now);
+    shares.sample();
     ImmutableList<UpstreamHandle> before = all();
     Set<String> reportedIds = new HashSet<>();
     for (UpstreamReport report : reports) {
@@ -127,7 +135,10 @@
       } else {
         add(Optional.ofNullable(known), report);
       }
-      engineLimits(config, report.service()).ifPresent(byId.get(report.id())::setEngineLimits);
+      UpstreamHandle current = byId.get(report.id());
+      Optional<Service> service = config.map(c -> c.services().get(report.service()));
+      service.flatMap(Service::engine).ifPresent(current::setEngineLimits);
+      current.updateCold(service.flatMap(Service::cold), now);
     }
     for (String id : new HashSet<>(byId.keySet())) {
       if (!reportedIds.contains(id)) {
@@ -178,11 +189,6 @@
     }
   }
 
-  private static Optional<EngineLimits> engineLimits(
-      Optional<RoutingConfig> config, String service) {
-    return config.map(c -> c.services().get(service)).flatMap(Service::engine);
-  }
-
   private void add(Optional<UpstreamHandle> known, UpstreamReport report) {
     Optional<UpstreamHandle> earlier =
         known.or(() -> Optional.ofNullable(removed.remove(report.id())).map(Removed::upstream));
@@ -205,20 +211,22 @@
 
   private UpstreamHandle handle(
       Optional<UpstreamHandle> earlier, UpstreamReport report, ConnectionPool connections) {
+    ColdState cold = new ColdState(report.id(), coldTolerance, shares::steadyShare, random);
     if (earlier.isPresent() && earlier.get().report().isSameProcess(report)) {
       earlier.get().reopen(report, connections);
       return earlier.get();
     }
     return earlier
         .filter(e -> e.report().address().equals(report.address()))
-        .map(e -> e.followedBy(report, connections))
+        .map(e -> e.followedBy(report, connections, cold))
         .orElseGet(
             () ->
                 new UpstreamHandle(
                     report,
                     connections,
                     new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random)),
-                    evacuations));
+                    evacuations,
+                    cold));
   }
 
   private void remove(String id) {
@@ -248,12 +256,23 @@
   }
 
   /**
-   * Returns the time at which the first of the given upstreams takes requests again, if a pause or
-   * a limit keeps them away from one.
+   * Returns the refusal of a request that none of the given upstreams can run now. If pauses, limits
+   * or rates while cold keep requests away from some, it names the first time at which one ends.
    */
-  OptionalLong firstRoomMillis(List<UpstreamHandle> all) {
+  Optional<Refusal> refusalUntilRoom(List<UpstreamHandle> all) {
     long now = clockMillis.getAsLong();
-    return all.stream().flatMapToLong(u -> u.takesRequestsAgainMillis(now).stream()).min();
+    List<UpstreamHandle> busy =
+        all.stream().filter(u -> u.takesRequestsAgainMillis(now).isPresent()).toList();
+    OptionalLong roomAt =
+        busy.stream().mapToLong(u -> u.takesRequestsAgainMillis(now).getAsLong()).min();
+    if (roomAt.isEmpty()) {
+      return Optional.empty();
+    }
+    long millisUntilRoom = roomAt.getAsLong() - now;
+    return Optional.of(
+        busy.stream().allMatch(u -> u.isColdWithoutRoom(now))
+            ? Refusal.upstreamsCold(millisUntilRoom, random)
+            : Refusal.upstreamsBusy(millisUntilRoom, random));
   }
 
   /** Returns the number of upstreams that have named a limit. */
@@ -267,6 +286,12 @@
     return (int) byId.values().stream().filter(u -> u.pausedUntilMillis(now).isPresent()).count();
   }
 
+  /** Returns the number of upstreams that are cold and whose service bounds what they get. */
+  int coldCount() {
+    long now = clockMillis.getAsLong();
+    return (int) byId.values().stream().filter(u -> u.isCold(now)).count();
+  }
+
   /** Returns the upstreams of a service, including draining ones. */
   List<UpstreamHandle> allOfService(String service) {
     return byId.values().stream()
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -52,6 +52,8 @@
    *     service
    * @param evacuationMillis the time in milliseconds after which nothing may be sent to an
    *     evacuated zone, if bounded
+   * @param coldOver the multiple of the rate of a cold upstream that it may get in a second
+   * @param coldSlack the number of requests that a cold upstream may get in a second beyond that
    */
   public record Limits(
       long drainMillis,
@@ -63,7 +65,9 @@
       long retryWindowMillis,
       double retrySlack,
       double loadMultiple,
-      OptionalLong evacuationMillis) {}
+      OptionalLong evacuationMillis,
+      double coldOver,
+      double coldSlack) {}
 
   /**
    * The result of reading a settings file.
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -115,7 +115,10 @@
         number("cap-x"),
         root.path("bounds").has("evac-ms")
             ? OptionalLong.of((long) number("evac-ms"))
-            : OptionalLong.empty());
+            : OptionalLong.empty(),
+        // Settings of platforms without cold upstreams lack these, and tolerate nothing more.
+        number("cold-over", 1),
+        number("cold-slack", 0));
   }
 
   private String text(String field) {
@@ -126,6 +129,10 @@
     return value.asText();
   }
 
+  private double number(String field, double ifMissing) {
+    return root.path("bounds").has(field) ? number(field) : ifMissing;
+  }
+
   private double number(String field) {
     JsonNode value = root.path("bounds").path(field);
     if (!value.isNumber() || value.doubleValue() < 0) {
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -177,7 +177,8 @@
             new UpstreamReport("e" + i, "s", "v", address, "z", SLOTS, false, 0, 1, 1),
             ConnectionPool.create((a, handlers) -> null, address, () -> now),
             new SendPermission(() -> now, () -> new SendRate(() -> 1, random)),
-            new Evacuations());
+            new Evacuations(),
+            new ColdState("e" + i, ColdTolerance.NONE, () -> 1, random));
     handle.setEngineLimits(new EngineLimits(SLOTS, 300_000, OptionalDouble.empty()));
     return handle;
   }
@@ -296,7 +297,7 @@
     String id = "r" + job.identity;
     long sentAt = now;
     double shareAtSend = ServiceLoads.runningShare(upstream, now);
-    upstream.requestStarted();
+    upstream.requestStarted(now);
     upstream.engine().get().requestSent(id, prompt, 0, now);
     for (int g = 0; g < GATEWAYS; g++) {
       UpstreamHandle other = views.get(g).get(engines.indexOf(engine));
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.RoutingConfig;
 
 /**
@@ -76,7 +78,15 @@
               new PlatformHeaderCodec(),
               config,
               new DispatchSettings(
-                  "g" + index, "z", 2, 0.2, 10_000, 50, 5_000, SimulationRoutes.REGIONS_BY_ZONE),
+                  "g" + index,
+                  "z",
+                  2,
+                  0.2,
+                  10_000,
+                  50,
+                  5_000,
+                  SimulationRoutes.REGIONS_BY_ZONE,
+                  ColdTolerance.NONE),
               new SilentObserver());
       config.adopt(SimulationRoutes.config(ROUTE_TIMEOUT_MILLIS));
       config.confirmCurrentAsOf(nowMillis);
@@ -247,6 +257,15 @@
     return call;
   }
 
+  /** Sets what all gateways know of cold upstreams from now on. */
+  void setColdLimits(ColdLimits limits) {
+    gateways.forEach(
+        g -> {
+          g.config.adopt(SimulationRoutes.config(2, ROUTE_TIMEOUT_MILLIS, Optional.of(limits)));
+          g.readReports();
+        });
+  }
+
   /** Sets the share of the messages between gateways that are lost. */
   void setLossShare(double share) {
     network.setLossShare(share);
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -14,11 +14,13 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
+import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.store.TopicPosition;
 import org.tanagerbank.upstream.ConnectionPool;
@@ -70,7 +72,8 @@
             upstream,
             ConnectionPool.create(group.next(), address, () -> 0),
             new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))),
-            evacuations);
+            evacuations,
+            new ColdState(id, ColdTolerance.NONE, () -> 1, new SplittableRandom(1)));
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
@@ -102,7 +105,7 @@
 
   private UpstreamHandle send(Prompt prompt, String requestId, long nowMillis) {
     UpstreamHandle chosen = place(engines, prompt, nowMillis);
-    chosen.requestStarted();
+    chosen.requestStarted(0);
     chosen.engine().get().requestSent(requestId, prompt, 0, nowMillis);
     return chosen;
   }
@@ -176,6 +179,36 @@
     assertThat(choose(List.of(updated), all, prompt(7, 2), 2_000).fetch()).isEmpty();
   }
 
+  /** Room of a cold engine must not be spent on requests for which others have room. */
+  @Test
+  void coldEngineGetsOnlyTheSessionsThatAreAtHomeThere() {
+    UpstreamHandle cold = engines.get(0);
+    List<Long> sessions = LongStream.range(100, 160).boxed().toList();
+    List<Long> atHome =
+        sessions.stream().filter(s -> place(engines, prompt(s, 1), 0).equals(cold)).toList();
+    cold.updateCold(Optional.of(new ColdLimits(20_000, 8.3)), 0);
+    cold.assumeCold(0);
+    assertThat(atHome).isNotEmpty();
+    assertThat(
+            sessions.stream()
+                .filter(s -> place(engines, prompt(s, 1), 6_000).equals(cold))
+                .toList())
+        .containsExactlyElementsIn(atHome);
+    engines.stream().filter(e -> !e.equals(cold)).forEach(e -> e.health().connectFailed(5_990));
+    assertThat(place(engines, prompt(7, 1), 6_000)).isEqualTo(cold);
+  }
+
+  /** A process that has just started is slow, however idle it looks. */
+  @Test
+  void engineThatHasJustStartedIsExpectedToBeSlow() {
+    UpstreamHandle cold = engines.get(0);
+    cold.updateCold(Optional.of(new ColdLimits(20_000, 8.3)), 0);
+    cold.assumeCold(0);
+    assertThat(cold.slowStartMillis(0)).isGreaterThan(300.0);
+    assertThat(cold.slowStartMillis(2_500)).isLessThan(cold.slowStartMillis(0));
+    assertThat(cold.slowStartMillis(6_000)).isEqualTo(0.0);
+  }
+
   /** Loss of a third of the workers: parts cached only on an unreachable engine are not fetched. */
   @Test
   void nothingIsFetchedFromUnreachableEngine() {
@@ -251,8 +284,8 @@
     evacuations.order("y", new TopicPosition(1, 1));
     Prompt prompt = prompt(3, 4);
     UpstreamHandle home = place(engines, prompt, 0);
-    engines.forEach(UpstreamHandle::requestStarted);
-    IntStream.range(0, 3).forEach(i -> home.requestStarted());
+    engines.forEach(u -> u.requestStarted(0));
+    IntStream.range(0, 3).forEach(i -> home.requestStarted(0));
     // 9 requests: a mean of 1.5 over 6 engines, or 1.1 over 8. The limit of requests is 1.6 times
     // the mean and 2, so 4.4 or 3.8, and the home has 4.
     assertThat(choose(engines, engines, prompt, 0).upstream()).isEqualTo(home);
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -38,7 +38,11 @@
   private long wallMillis;
   private final Upstreams upstreams =
       new Upstreams(
-          Connector.tcp(group.next()), () -> 0, () -> wallMillis, new SplittableRandom(1));
+          Connector.tcp(group.next()),
+          () -> 0,
+          () -> wallMillis,
+          new SplittableRandom(1),
+          ColdTolerance.NONE);
 
   @AfterEach
   void stop() {
@@ -87,7 +91,12 @@
       upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
       wallMillis = 1_000;
       UpstreamNotice pause =
-          new UpstreamNotice(false, OptionalLong.of(5_000), Optional.empty(), Optional.empty());
+          new UpstreamNotice(
+              false,
+              OptionalLong.of(5_000),
+              Optional.empty(),
+              OptionalLong.empty(),
+              Optional.empty());
       upstreams.find("a").get().recordNotice(pause, 0, 0, 0);
       upstreams.update(ImmutableList.of(report("a", startedMillis, false)), CONFIG);
       boolean askedByThisProcess = startedMillis <= wallMillis;
@@ -101,6 +110,7 @@
         kind.equals("leaving"),
         kind.equals("pause") ? OptionalLong.of(5_000) : OptionalLong.empty(),
         kind.equals("limit") ? Optional.of(new SendLimit(0)) : Optional.empty(),
+        OptionalLong.empty(),
         Optional.empty());
   }
 
@@ -143,7 +153,7 @@
   void processThatIsBackKeepsWhatIsKnownOfIt() {
     upstreams.update(ImmutableList.of(report("a", 1, false)), CONFIG);
     UpstreamHandle before = upstreams.find("a").get();
-    before.requestStarted();
+    before.requestStarted(0);
     before.setPeerInFlight("g", 1);
     upstreams.update(ImmutableList.of(), CONFIG);
     assertThat(before.acceptsRequests(0)).isFalse();
@@ -168,7 +178,8 @@
             Connector.tcp(group.next()),
             () -> wallMillis,
             () -> wallMillis,
-            new SplittableRandom(1));
+            new SplittableRandom(1),
+            ColdTolerance.NONE);
     list.setEndListener(guard::upstreamEnded);
     list.update(ImmutableList.of(report("a", 1, false)), CONFIG);
     RequestSuspects content = RequestSuspects.of(Fingerprint.ofPromptPart(1), Optional.empty());
@@ -192,7 +203,12 @@
     UpstreamHandle earlier = upstreams.find("a").get();
     earlier.recordNotice(notice("pause"), -1_100, 0, 0);
     UpstreamNotice shorter =
-        new UpstreamNotice(false, OptionalLong.of(100), Optional.empty(), Optional.empty());
+        new UpstreamNotice(
+            false,
+            OptionalLong.of(100),
+            Optional.empty(),
+            OptionalLong.empty(),
+            Optional.empty());
     earlier.recordNotice(shorter, -900, 0, 0);
     upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
     assertThat(upstreams.find("a").get().pausedUntilMillis(0)).isEqualTo(OptionalLong.of(100));
