Place plain requests by learned times where upstreams differ

Cause: a plain upstream that is slower than others of its service got as many requests, and the fourth figure of Server-Load was lost with the whole header.

Change: whole successful responses of plain upstreams teach the time per request against the mean of the requests in flight at the send and those that the response reports. The fourth figure is decoded, three figures stay valid, and a wrong fourth one is passed over. Placement asks the learned cost only while the upstreams of the service differ; otherwise the cost is as before.

--- a/src/main/java/org/tanagerbank/dispatch/CompleteResponse.java
+++ b/src/main/java/org/tanagerbank/dispatch/CompleteResponse.java
@@ -29,6 +29,10 @@
 
   /** Records whether the response proves that the upstream survives the request. */
   void record(TrackedRun run) {
+    if (head.isSuccess() && evidence.millisSinceSend().isPresent()) {
+      upstream.recordResponseTime(
+          run.inFlightAtSend(), evidence.millisSinceSend().getAsLong(), dispatcher.nowMillis());
+    }
     if (head.isSuccess() || head.isSignedFault()) {
       dispatcher.crashGuard().runCompleted(run);
     } else {
--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -193,7 +193,14 @@
     long now = clockMillis.getAsLong();
     ImmutableMap<Fingerprint, Integer> depths =
         Maps.toMap(suspects.all(), s -> quarantine.depth(s, now));
-    return new TrackedRun(suspects, holder, upstream, upstream.crashes(), depths, onTrial);
+    return new TrackedRun(
+        suspects,
+        holder,
+        upstream,
+        upstream.crashes(),
+        depths,
+        onTrial,
+        upstream.fleetInFlight(now));
   }
 
   /** Records that the upstream ran the request to its end. */
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
@@ -16,7 +17,8 @@
  * <p>Among engines that are expected to meet the objective, the one with the fewest prompt tokens
  * to prefill is preferred; parts that another engine has cached are fetched from there. A prompt
  * that no engine has cached goes to the home of its session, on which all instances agree. Among
- * other upstreams, the least loaded one is chosen. Stateless and thread-safe.
+ * other upstreams, the least loaded one is chosen, or the one with the least expected time where
+ * they differ in speed. Stateless and thread-safe.
  */
 final class Placement {
   /**
@@ -77,8 +79,7 @@
     List<UpstreamHandle> candidates =
         belowLoadLimit(preferHealthy(upstreams, nowMillis), request.loadMultiple(), nowMillis);
     if (request.prompt().isEmpty()) {
-      return candidates.stream()
-          .min(Comparator.comparingDouble(u -> nonEngineCost(u, request.zone(), nowMillis)))
+      return cheapest(candidates, u -> nonEngineCost(u, request))
           .map(u -> new UpstreamChoice(u, Optional.empty()));
     }
     Prompt prompt = request.prompt().get();
@@ -171,9 +172,33 @@
     return uniform * uniform * uniform * uniform;
   }
 
-  private static double nonEngineCost(UpstreamHandle handle, String zone, long nowMillis) {
-    double load = (double) handle.fleetInFlight(nowMillis) / handle.report().slots();
-    double zoneMillis = handle.report().zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
+  /** Returns the first upstream of the lowest cost. A cost may be drawn, so each is asked once. */
+  private static Optional<UpstreamHandle> cheapest(
+      List<UpstreamHandle> upstreams, ToDoubleFunction<UpstreamHandle> cost) {
+    UpstreamHandle best = null;
+    double lowest = 0;
+    for (UpstreamHandle upstream : upstreams) {
+      double own = cost.applyAsDouble(upstream);
+      if (best == null || own < lowest) {
+        best = upstream;
+        lowest = own;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Returns the cost of an upstream that is no engine: the requests over its slots, or its expected
+   * time relative to the service where upstreams were found to differ.
+   */
+  private static double nonEngineCost(UpstreamHandle handle, PlacementRequest request) {
+    long nowMillis = request.nowMillis();
+    int inFlight = handle.fleetInFlight(nowMillis);
+    double load =
+        handle.isPlacedByTime(nowMillis)
+            ? handle.capacity().cost(inFlight, nowMillis, request.random())
+            : (double) inFlight / handle.report().slots();
+    double zoneMillis = handle.report().zone().equals(request.zone()) ? 0 : OTHER_ZONE_MILLIS;
     double limitCost = handle.isSavingRoom(nowMillis) ? LIMITED_REQUEST_LOAD : 0;
     return load + handle.health().failureShare() + zoneMillis / 10 + limitCost;
   }
--- a/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
+++ b/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.tanagerbank.engine.Prompt;
 
 /**
@@ -15,6 +16,7 @@
  * @param cacheCandidates the upstreams that may have parts of the prompt cached, including draining
  *     ones
  * @param nowMillis the current time in milliseconds, by the monotonic clock
+ * @param random the source of random choices
  */
 record PlacementRequest(
     Optional<Prompt> prompt,
@@ -22,4 +24,5 @@
     String zone,
     double loadMultiple,
     List<UpstreamHandle> cacheCandidates,
-    long nowMillis) {}
+    long nowMillis,
+    RandomGenerator random) {}
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -140,7 +140,8 @@
             dispatcher.settings().zone(),
             dispatcher.settings().loadMultiple(),
             dispatcher.upstreams().allOfService(service),
-            dispatcher.nowMillis());
+            dispatcher.nowMillis(),
+            dispatcher.random());
     Optional<UpstreamChoice> chosen =
         onTrial.isPresent()
             ? Placement.chooseForTrial(candidates, fingerprint, dispatcher.nowMillis())
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -13,6 +13,8 @@
  * @param depths the number of crashes, one after the other, that were on record for each suspect
  *     when it was sent
  * @param onTrial the suspect of which it is the only run in the fleet, if there is one
+ * @param inFlightAtSend the requests that all instances had in flight at the upstream, including
+ *     this one
  */
 record TrackedRun(
     RequestSuspects suspects,
@@ -20,7 +22,8 @@
     UpstreamHandle upstream,
     int crashesBefore,
     ImmutableMap<Fingerprint, Integer> depths,
-    Optional<Fingerprint> onTrial) {
+    Optional<Fingerprint> onTrial,
+    int inFlightAtSend) {
   /** Returns the record of the crash of the upstream for one of the suspects. */
   CrashRecord crash(Fingerprint suspect, String crashId, long atMillis) {
     return new CrashRecord(
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.tanagerbank.capacity.ProcessCapacity;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -35,18 +37,31 @@
   private Optional<EngineModel> engine = Optional.empty();
   private final UpstreamHealth health = new UpstreamHealth();
   private final SendPermission permission;
+  private final ServiceCapacity serviceCapacity;
+  private final ProcessCapacity capacity;
   private UpstreamReport report;
   private int inFlight;
   private final Map<String, Integer> peersInFlight = new HashMap<>();
   private int totalPeersInFlight;
   private int reportedOtherRequests;
+  private int reportedRequests;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private boolean closed;
   private boolean isReplaced;
   private int crashes;
 
   UpstreamHandle(UpstreamReport report, ConnectionPool connections, SendPermission permission) {
+    this(report, connections, permission, new ServiceCapacity());
+  }
+
+  UpstreamHandle(
+      UpstreamReport report,
+      ConnectionPool connections,
+      SendPermission permission,
+      ServiceCapacity serviceCapacity) {
     this.permission = permission;
+    this.serviceCapacity = serviceCapacity;
+    this.capacity = serviceCapacity.add(processHash(report), report.slots());
     this.report = report;
     this.connections = connections;
     this.softwareHash = RunConditions.softwareHash(report.service(), report.softwareVersion());
@@ -58,6 +73,7 @@
 
   void update(UpstreamReport newReport) {
     report = newReport;
+    capacity.setSlots(newReport.slots());
   }
 
   /** Returns a hash of its id, the same at all instances and never 0. */
@@ -66,6 +82,12 @@
     return hash == 0 ? 1 : hash;
   }
 
+  /** Returns a hash of the id and the start time of a process, the same at all instances. */
+  private static int processHash(UpstreamReport report) {
+    return Long.hashCode(
+        SlotTable.mixBits(SlotTable.idHash(report.id()) ^ report.startedAtMillis()));
+  }
+
   /** Returns the hash of its service and software version, which a process does not change. */
   int softwareHash() {
     return softwareHash;
@@ -239,6 +261,8 @@
   void updateLoad(LoadReport report, long nowMillis) {
     reportedOtherRequests = Math.max(0, report.running() + report.waiting() - inFlight);
     reportedAtMillis = nowMillis;
+    reportedRequests = report.running() + report.waiting();
+    report.workPercent().ifPresent(p -> capacity.recordWorkPercent(p, nowMillis));
   }
 
   /** Sets the number of requests that another instance has in flight at the upstream. */
@@ -260,6 +284,31 @@
             : totalPeersInFlight);
   }
 
+  /** Returns what was learned of the speed of the process. */
+  ProcessCapacity capacity() {
+    return capacity;
+  }
+
+  /** Returns whether the upstreams of its service differ in what was learned of their speed. */
+  boolean isPlacedByTime(long nowMillis) {
+    return serviceCapacity.differs(nowMillis);
+  }
+
+  /**
+   * Records the time of a whole response of an upstream that is no engine. The requests that it met
+   * are the mean of those in flight when it was sent and of those that the response reports, which
+   * are known exactly.
+   *
+   * @param inFlightAtSend the requests that all instances had in flight, including this one
+   */
+  void recordResponseTime(int inFlightAtSend, long millis, long nowMillis) {
+    if (engine.isEmpty()) {
+      boolean isReportFresh = nowMillis - reportedAtMillis < LOAD_REPORT_VALID_MILLIS;
+      int met = isReportFresh ? (inFlightAtSend + reportedRequests + 1) / 2 : inFlightAtSend;
+      capacity.responded(met, millis, nowMillis);
+    }
+  }
+
   int ownInFlight() {
     return inFlight;
   }
@@ -276,6 +325,7 @@
 
   void close() {
     closed = true;
+    capacity.close();
     connections.close();
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.EngineLimits;
@@ -38,6 +39,7 @@
   private final LongSupplier clockMillis;
   private final LongSupplier wallClockMillis;
   private final Map<String, UpstreamHandle> byId = new HashMap<>();
+  private final Map<String, ServiceCapacity> capacities = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
   private final RandomGenerator random;
@@ -160,7 +162,9 @@
         known != null && known.report().address().equals(report.address())
             ? known.permissionOf(report)
             : new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random));
-    byId.put(report.id(), new UpstreamHandle(report, connections, permission));
+    ServiceCapacity capacity =
+        capacities.computeIfAbsent(report.service(), s -> new ServiceCapacity());
+    byId.put(report.id(), new UpstreamHandle(report, connections, permission, capacity));
     EventLog.emit(
         LogEvent.UPSTREAM_FOUND,
         "upstream",
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.tanagerbank.engine.Prompt;
@@ -70,6 +71,9 @@
   /** A day; an upstream that asks for more is asked again then. */
   private static final double MAX_PAUSE_SECONDS = 86_400;
 
+  /** Work that takes a hundred times as long as usual; a higher figure is an error. */
+  private static final int MAX_WORK_PERCENT = 10_000;
+
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final int HEX_RADIX = 16;
 
@@ -277,8 +281,9 @@
 
   private static Optional<LoadReport> load(HttpHeaders response) {
     List<String> numbers = COMMAS.splitToList(response.get(LOAD, ""));
-    if (numbers.size() != 3
-        || !numbers.stream().allMatch(CharMatcher.inRange('0', '9')::matchesAllOf)) {
+    if (numbers.size() < 3
+        || numbers.size() > 4
+        || !numbers.stream().limit(3).allMatch(CharMatcher.inRange('0', '9')::matchesAllOf)) {
       return Optional.empty();
     }
     Integer running = Ints.tryParse(numbers.get(0));
@@ -286,6 +291,17 @@
     Integer slots = Ints.tryParse(numbers.get(2));
     return running == null || waiting == null || slots == null
         ? Optional.empty()
-        : Optional.of(new LoadReport(running, waiting, slots));
+        : Optional.of(new LoadReport(running, waiting, slots, workPercent(numbers)));
+  }
+
+  /** Returns the fourth figure of the load; a value that is no such figure is passed over. */
+  private static OptionalInt workPercent(List<String> numbers) {
+    Integer percent =
+        numbers.size() == 4 && CharMatcher.inRange('0', '9').matchesAllOf(numbers.get(3))
+            ? Ints.tryParse(numbers.get(3))
+            : null;
+    return percent == null || percent <= 0 || percent > MAX_WORK_PERCENT
+        ? OptionalInt.empty()
+        : OptionalInt.of(percent);
   }
 }
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -16,6 +16,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -62,6 +63,55 @@
     return handle;
   }
 
+  private static List<UpstreamHandle> plainUpstreams(int count, NioEventLoopGroup group) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+    ServiceCapacity capacity = new ServiceCapacity();
+    return IntStream.range(0, count)
+        .mapToObj(
+            i ->
+                new UpstreamHandle(
+                    new UpstreamReport("p-" + i, "p", "v1", address, "z", 6, false, 0, 1, 1),
+                    ConnectionPool.create(group.next(), address, () -> 0),
+                    new SendPermission(
+                        () -> 0, () -> new SendRate(() -> 1, new SplittableRandom())),
+                    capacity))
+        .toList();
+  }
+
+  private static UpstreamHandle placePlain(List<UpstreamHandle> upstreams, long seed) {
+    return Placement.choose(
+            upstreams,
+            new PlacementRequest(
+                Optional.empty(),
+                150,
+                "z",
+                LOAD_MULTIPLE,
+                upstreams,
+                1_000,
+                new SplittableRandom(seed)))
+        .get()
+        .upstream();
+  }
+
+  /**
+   * Guards against requests that go to a plain upstream 4 times slower than another one because it
+   * is idle, and against choices by time while the times are alike.
+   */
+  @Test
+  void plainRequestsAvoidUpstreamThatWasFoundSlow() {
+    List<UpstreamHandle> upstreams = plainUpstreams(2, group);
+    upstreams.get(1).requestStarted();
+    for (int i = 0; i < 40; i++) {
+      upstreams.get(0).recordResponseTime(1, 35, 900);
+      upstreams.get(1).recordResponseTime(1, 36, 900);
+    }
+    assertThat(placePlain(upstreams, 1)).isEqualTo(upstreams.get(0));
+    for (int i = 0; i < 120; i++) {
+      upstreams.get(0).recordResponseTime(1, 140, 950);
+    }
+    assertThat(placePlain(upstreams, 1)).isEqualTo(upstreams.get(1));
+  }
+
   private static Prompt prompt(long session, long request) {
     return new Prompt(
         "m",
@@ -83,7 +133,13 @@
     return Placement.choose(
             upstreams,
             new PlacementRequest(
-                Optional.of(prompt), 600, "z", LOAD_MULTIPLE, cacheCandidates, nowMillis))
+                Optional.of(prompt),
+                600,
+                "z",
+                LOAD_MULTIPLE,
+                cacheCandidates,
+                nowMillis,
+                new SplittableRandom(1)))
         .get();
   }
 
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -175,6 +175,17 @@
     assertThat(headerCodec.notice(200, headers("Server-Load", "3,-1,8")).load()).isEmpty();
   }
 
+  /** A wrong fourth figure must not lose the three before it. */
+  @ParameterizedTest
+  @CsvSource({"250,250", "0,-1", "-5,-1", "x,-1", "99999999999,-1", "1.5,-1", "20000,-1"})
+  void fourthFigureOfLoadIsOptional(String figure, int percent) {
+    LoadReport load =
+        headerCodec.notice(200, headers("Server-Load", "3,1,8," + figure)).load().get();
+    assertThat(load.workPercent().orElse(-1)).isEqualTo(percent);
+    assertThat(load.running() + load.waiting() + load.slots()).isEqualTo(12);
+    assertThat(headerCodec.notice(200, headers("Server-Load", "3,1,8,100,1")).load()).isEmpty();
+  }
+
   @ParameterizedTest
   @CsvSource({
     "3,3000",
