--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -78,7 +78,7 @@
         .toList();
   }
 
-  private static UpstreamHandle placePlain(List<UpstreamHandle> upstreams, long seed) {
+  private static UpstreamHandle placePlain(List<UpstreamHandle> upstreams, long nowMillis) {
     return Placement.choose(
             upstreams,
             new PlacementRequest(
@@ -87,8 +87,8 @@
                 "z",
                 LOAD_MULTIPLE,
                 upstreams,
-                1_000,
-                new SplittableRandom(seed)))
+                nowMillis,
+                new SplittableRandom(1)))
         .get()
         .upstream();
   }
@@ -105,11 +105,11 @@
       upstreams.get(0).recordResponseTime(1, 35, 900);
       upstreams.get(1).recordResponseTime(1, 36, 900);
     }
-    assertThat(placePlain(upstreams, 1)).isEqualTo(upstreams.get(0));
+    assertThat(placePlain(upstreams, 900)).isEqualTo(upstreams.get(0));
     for (int i = 0; i < 120; i++) {
       upstreams.get(0).recordResponseTime(1, 140, 950);
     }
-    assertThat(placePlain(upstreams, 1)).isEqualTo(upstreams.get(1));
+    assertThat(placePlain(upstreams, 1_000)).isEqualTo(upstreams.get(1));
   }
 
   private static Prompt prompt(long session, long request) {
