--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.tanagerbank.capacity.CapacityNews;
+import org.tanagerbank.capacity.ProcessCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.peer.CachedParts;
@@ -64,6 +66,36 @@
     return crashGuard.nextSuspects();
   }
 
+  @Override
+  public ImmutableList<CapacityNews> nextCapacities() {
+    long now = clockMillis.getAsLong();
+    return upstreams.all().stream()
+        .map(UpstreamHandle::capacity)
+        .filter(ProcessCapacity::hasNews)
+        .map(c -> c.takeNews(now))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Override
+  public ImmutableList<CapacityNews> capacityEstimates() {
+    long now = clockMillis.getAsLong();
+    return upstreams.all().stream()
+        .flatMap(u -> u.capacity().estimateNews(now).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Override
+  public void onPeerCapacities(ImmutableList<CapacityNews> capacities) {
+    long now = clockMillis.getAsLong();
+    ImmutableMap<Integer, CapacityNews> byProcess =
+        capacities.stream()
+            .collect(ImmutableMap.toImmutableMap(CapacityNews::process, c -> c, (a, b) -> b));
+    upstreams.all().stream()
+        .map(UpstreamHandle::capacity)
+        .filter(c -> byProcess.containsKey(c.process()))
+        .forEach(c -> c.merge(byProcess.get(c.process()), now));
+  }
+
   @Override
   public ImmutableList<TrialClaim> trialClaims() {
     return crashGuard.trialClaims();
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -98,7 +98,8 @@
                 message.getPartSetsList().stream()
                     .map(SuspectCodec::fromProto)
                     .collect(ImmutableList.toImmutableList())),
-            caches(message.getCachesList())));
+            caches(message.getCachesList()),
+            CapacityCodec.fromProto(message.getCapacitiesList())));
   }
 
   private static ImmutableSortedMap<String, Integer> inFlight(List<PeerProto.UpstreamWork> work) {
--- a/src/main/java/org/tanagerbank/peer/DigestPacker.java
+++ b/src/main/java/org/tanagerbank/peer/DigestPacker.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.tanagerbank.capacity.CapacityNews;
 import org.tanagerbank.proto.PeerProto;
 import org.tanagerbank.quarantine.CrashRecord;
 import org.tanagerbank.quarantine.SuspectRecord;
@@ -90,7 +91,8 @@
         || continuation.getPlacementsCount() > 0
         || continuation.getPeersCount() > 0
         || continuation.getCachesCount() > 0
-        || continuation.getSuspectsCount() > 0;
+        || continuation.getSuspectsCount() > 0
+        || continuation.getCapacitiesCount() > 0;
   }
 
   /** Ends the continuation in progress, if it has any content, and begins the next one. */
@@ -164,6 +166,7 @@
     news.peers().forEach(this::addPeer);
     news.suspects().forEach(this::addSuspect);
     news.caches().forEach(this::addCache);
+    news.capacities().forEach(this::addCapacity);
   }
 
   private void addPlacement(PeerPlacement placement) {
@@ -192,6 +195,12 @@
     continuation.addCaches(element);
   }
 
+  private void addCapacity(CapacityNews capacity) {
+    PeerProto.Capacity element = CapacityCodec.toProto(capacity);
+    reserve(size(element));
+    continuation.addCapacities(element);
+  }
+
   private void addSuspect(SuspectRecord suspect) {
     UndecidedTrials trials = suspect.evidence().undecidedTrials();
     if (!trials.isNone()) {
--- a/src/main/java/org/tanagerbank/peer/DigestReceiver.java
+++ b/src/main/java/org/tanagerbank/peer/DigestReceiver.java
@@ -1,9 +1,11 @@
 package org.tanagerbank.peer;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.tanagerbank.capacity.CapacityNews;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 
@@ -24,6 +26,7 @@
   private static final class Sender {
     private final long incarnation;
     private final ReplayWindow placements = new ReplayWindow();
+    private final ReplayWindow learned = new ReplayWindow();
     private ImmutableSortedMap<String, Integer> inFlight = ImmutableSortedMap.of();
 
     private Sender(long incarnation) {
@@ -66,6 +69,7 @@
     if (table.isFromLiveIncarnation(continuation.sender())) {
       Sender sender = sender(continuation.sender());
       applyPlacements(sender, news);
+      applyCapacities(sender, continuation);
       if (table.isLatestDigest(continuation.sender(), continuation.number())) {
         continuation.work().ifPresent(w -> applyWork(continuation.sender(), sender, w));
       }
@@ -101,6 +105,19 @@
         .forEach(listener::onPeerPlacement);
   }
 
+  /**
+   * Applies what was learned of upstreams: response times once, as they are added up, and whole
+   * estimates at any time. Of a digest with several continuations of response times, which needs
+   * about a hundred upstreams, one is applied.
+   */
+  private void applyCapacities(Sender sender, DigestContinuation continuation) {
+    ImmutableList<CapacityNews> capacities = continuation.news().capacities();
+    boolean areEstimates = capacities.stream().allMatch(c -> c.estimate().isPresent());
+    if (!capacities.isEmpty() && (areEstimates || sender.learned.add(continuation.number()))) {
+      listener.onPeerCapacities(capacities);
+    }
+  }
+
   /** Applies what holds whoever tells it, and however often. */
   private void applyFacts(DigestNews news) {
     news.caches().forEach(listener::onPeerCaches);
--- a/src/main/java/org/tanagerbank/peer/DigestSource.java
+++ b/src/main/java/org/tanagerbank/peer/DigestSource.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import org.tanagerbank.capacity.CapacityNews;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 
@@ -22,6 +23,19 @@
   /** Returns the suspects for the next digest, and counts them as sent. */
   ImmutableList<SuspectRecord> nextSuspects();
 
+  /**
+   * Returns what this instance has learned of the speed of upstreams since the last call, and
+   * counts it as told.
+   */
+  default ImmutableList<CapacityNews> nextCapacities() {
+    return ImmutableList.of();
+  }
+
+  /** Returns all that is known of the speed of upstreams, for an instance that has just started. */
+  default ImmutableList<CapacityNews> capacityEstimates() {
+    return ImmutableList.of();
+  }
+
   /** Returns the trial claims of this instance. */
   ImmutableList<TrialClaim> trialClaims();
 }
--- a/src/main/java/org/tanagerbank/peer/PeerListener.java
+++ b/src/main/java/org/tanagerbank/peer/PeerListener.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.tanagerbank.capacity.CapacityNews;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 
@@ -17,6 +18,12 @@
   /** Called with the cached parts of an engine that another instance has reported. */
   void onPeerCaches(CachedParts caches);
 
+  /**
+   * Called once with what another instance has learned of the speed of upstreams since its last
+   * digest.
+   */
+  default void onPeerCapacities(ImmutableList<CapacityNews> capacities) {}
+
   /**
    * Called with suspects that an instance reports, each with some or all of its crashes.
    *
--- a/src/main/java/org/tanagerbank/peer/PeerService.java
+++ b/src/main/java/org/tanagerbank/peer/PeerService.java
@@ -161,7 +161,11 @@
    * first digest after an incarnation was lost.
    */
   public void setPeerStartedAction(Consumer<PeerAddress> action) {
-    digestReceiver.setStartedAction(action);
+    digestReceiver.setStartedAction(
+        started -> {
+          tellEstimates(started);
+          action.accept(started);
+        });
   }
 
   /** Sets the action that runs after the registered instances were read from the store. */
@@ -256,6 +260,12 @@
     }
   }
 
+  /** Tells an instance that has just started what is known of the speed of upstreams. */
+  private void tellEstimates(PeerAddress started) {
+    PeerDigest digest = digest(DigestNews.ofCapacities(source.capacityEstimates()));
+    send(DigestPacker.packNews(digest), Stream.of(started.address()));
+  }
+
   /** Returns all known instances, live or silent. */
   public ImmutableList<PeerAddress> knownPeers() {
     return table.known();
@@ -280,7 +290,8 @@
             placements.nextBatch(),
             listsPeers ? peersToList() : ImmutableList.of(),
             source.nextSuspects(),
-            ImmutableList.of());
+            ImmutableList.of(),
+            source.nextCapacities());
     reportKnownPeers();
     send(MessageCodec.encode(digest(news)), targets.stream().map(PeerAddress::address));
   }
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -12314,6 +12314,50 @@
      */
     org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.Capacity> 
+        getCapacitiesList();
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    org.tanagerbank.proto.PeerProto.Capacity getCapacities(int index);
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    int getCapacitiesCount();
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+        getCapacitiesOrBuilderList();
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    org.tanagerbank.proto.PeerProto.CapacityOrBuilder getCapacitiesOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -12347,6 +12391,7 @@
       caches_ = java.util.Collections.emptyList();
       partSets_ = java.util.Collections.emptyList();
       suspects_ = java.util.Collections.emptyList();
+      capacities_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -12712,6 +12757,67 @@
       return suspects_.get(index);
     }
 
+    public static final int CAPACITIES_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.Capacity> capacities_;
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.Capacity> getCapacitiesList() {
+      return capacities_;
+    }
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+        getCapacitiesOrBuilderList() {
+      return capacities_;
+    }
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    @java.lang.Override
+    public int getCapacitiesCount() {
+      return capacities_.size();
+    }
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Capacity getCapacities(int index) {
+      return capacities_.get(index);
+    }
+    /**
+     * <pre>
+     * What the sender has learned of the speed of upstreams since its last digest.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityOrBuilder getCapacitiesOrBuilder(
+        int index) {
+      return capacities_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12750,6 +12856,9 @@
       for (int i = 0; i < suspects_.size(); i++) {
         output.writeMessage(8, suspects_.get(i));
       }
+      for (int i = 0; i < capacities_.size(); i++) {
+        output.writeMessage(9, capacities_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12791,6 +12900,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, suspects_.get(i));
       }
+      for (int i = 0; i < capacities_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, capacities_.get(i));
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12828,6 +12941,8 @@
           .equals(other.getPartSetsList())) return false;
       if (!getSuspectsList()
           .equals(other.getSuspectsList())) return false;
+      if (!getCapacitiesList()
+          .equals(other.getCapacitiesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12870,6 +12985,10 @@
         hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
         hash = (53 * hash) + getSuspectsList().hashCode();
       }
+      if (getCapacitiesCount() > 0) {
+        hash = (37 * hash) + CAPACITIES_FIELD_NUMBER;
+        hash = (53 * hash) + getCapacitiesList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13012,6 +13131,7 @@
           internalGetCachesFieldBuilder();
           internalGetPartSetsFieldBuilder();
           internalGetSuspectsFieldBuilder();
+          internalGetCapacitiesFieldBuilder();
         }
       }
       @java.lang.Override
@@ -13064,6 +13184,13 @@
           suspectsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000080);
+        if (capacitiesBuilder_ == null) {
+          capacities_ = java.util.Collections.emptyList();
+        } else {
+          capacities_ = null;
+          capacitiesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
         return this;
       }
 
@@ -13142,6 +13269,15 @@
         } else {
           result.suspects_ = suspectsBuilder_.build();
         }
+        if (capacitiesBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            capacities_ = java.util.Collections.unmodifiableList(capacities_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.capacities_ = capacities_;
+        } else {
+          result.capacities_ = capacitiesBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.tanagerbank.proto.PeerProto.DigestContinuation result) {
@@ -13316,6 +13452,32 @@
             }
           }
         }
+        if (capacitiesBuilder_ == null) {
+          if (!other.capacities_.isEmpty()) {
+            if (capacities_.isEmpty()) {
+              capacities_ = other.capacities_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureCapacitiesIsMutable();
+              capacities_.addAll(other.capacities_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.capacities_.isEmpty()) {
+            if (capacitiesBuilder_.isEmpty()) {
+              capacitiesBuilder_.dispose();
+              capacitiesBuilder_ = null;
+              capacities_ = other.capacities_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              capacitiesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCapacitiesFieldBuilder() : null;
+            } else {
+              capacitiesBuilder_.addAllMessages(other.capacities_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13426,6 +13588,19 @@
                 }
                 break;
               } // case 66
+              case 74: {
+                org.tanagerbank.proto.PeerProto.Capacity m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.Capacity.parser(),
+                        extensionRegistry);
+                if (capacitiesBuilder_ == null) {
+                  ensureCapacitiesIsMutable();
+                  capacities_.add(m);
+                } else {
+                  capacitiesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -15006,216 +15181,2682 @@
           suspects_.add(index, value);
           onChanged();
         } else {
-          suspectsBuilder_.addMessage(index, value);
+          suspectsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          suspectsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder addAllSuspects(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, suspects_);
+          onChanged();
+        } else {
+          suspectsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder clearSuspects() {
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          suspectsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public Builder removeSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.remove(index);
+          onChanged();
+        } else {
+          suspectsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+          int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);  } else {
+          return suspectsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+           getSuspectsOrBuilderList() {
+        if (suspectsBuilder_ != null) {
+          return suspectsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(suspects_);
+        }
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
+          int index) {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
+           getSuspectsBuilderList() {
+        return internalGetSuspectsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+          internalGetSuspectsFieldBuilder() {
+        if (suspectsBuilder_ == null) {
+          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
+                  suspects_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          suspects_ = null;
+        }
+        return suspectsBuilder_;
+      }
+
+      private java.util.List<org.tanagerbank.proto.PeerProto.Capacity> capacities_ =
+        java.util.Collections.emptyList();
+      private void ensureCapacitiesIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          capacities_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Capacity>(capacities_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> capacitiesBuilder_;
+
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity> getCapacitiesList() {
+        if (capacitiesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(capacities_);
+        } else {
+          return capacitiesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public int getCapacitiesCount() {
+        if (capacitiesBuilder_ == null) {
+          return capacities_.size();
+        } else {
+          return capacitiesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Capacity getCapacities(int index) {
+        if (capacitiesBuilder_ == null) {
+          return capacities_.get(index);
+        } else {
+          return capacitiesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder setCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCapacitiesIsMutable();
+          capacities_.set(index, value);
+          onChanged();
+        } else {
+          capacitiesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder setCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          capacitiesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder addCapacities(org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCapacitiesIsMutable();
+          capacities_.add(value);
+          onChanged();
+        } else {
+          capacitiesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder addCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCapacitiesIsMutable();
+          capacities_.add(index, value);
+          onChanged();
+        } else {
+          capacitiesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder addCapacities(
+          org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.add(builderForValue.build());
+          onChanged();
+        } else {
+          capacitiesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder addCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          capacitiesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder addAllCapacities(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Capacity> values) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, capacities_);
+          onChanged();
+        } else {
+          capacitiesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder clearCapacities() {
+        if (capacitiesBuilder_ == null) {
+          capacities_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          capacitiesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public Builder removeCapacities(int index) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.remove(index);
+          onChanged();
+        } else {
+          capacitiesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder getCapacitiesBuilder(
+          int index) {
+        return internalGetCapacitiesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.CapacityOrBuilder getCapacitiesOrBuilder(
+          int index) {
+        if (capacitiesBuilder_ == null) {
+          return capacities_.get(index);  } else {
+          return capacitiesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+           getCapacitiesOrBuilderList() {
+        if (capacitiesBuilder_ != null) {
+          return capacitiesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(capacities_);
+        }
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder() {
+        return internalGetCapacitiesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder(
+          int index) {
+        return internalGetCapacitiesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What the sender has learned of the speed of upstreams since its last digest.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity.Builder> 
+           getCapacitiesBuilderList() {
+        return internalGetCapacitiesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+          internalGetCapacitiesFieldBuilder() {
+        if (capacitiesBuilder_ == null) {
+          capacitiesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder>(
+                  capacities_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          capacities_ = null;
+        }
+        return capacitiesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.DigestContinuation)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.DigestContinuation)
+    private static final org.tanagerbank.proto.PeerProto.DigestContinuation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.DigestContinuation();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DigestContinuation>
+        PARSER = new com.google.protobuf.AbstractParser<DigestContinuation>() {
+      @java.lang.Override
+      public DigestContinuation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DigestContinuation> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DigestContinuation> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CapacityOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Capacity)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the id and the start time of the process.
+     * </pre>
+     *
+     * <code>fixed32 process = 1;</code>
+     * @return The process.
+     */
+    int getProcess();
+
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return A list containing the requests.
+     */
+    java.util.List<java.lang.Integer> getRequestsList();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return The count of requests.
+     */
+    int getRequestsCount();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @param index The index of the element to return.
+     * @return The requests at the given index.
+     */
+    int getRequests(int index);
+
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return A list containing the inFlightTenths.
+     */
+    java.util.List<java.lang.Integer> getInFlightTenthsList();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return The count of inFlightTenths.
+     */
+    int getInFlightTenthsCount();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @param index The index of the element to return.
+     * @return The inFlightTenths at the given index.
+     */
+    int getInFlightTenths(int index);
+
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return A list containing the timeThousandths.
+     */
+    java.util.List<java.lang.Long> getTimeThousandthsList();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return The count of timeThousandths.
+     */
+    int getTimeThousandthsCount();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @param index The index of the element to return.
+     * @return The timeThousandths at the given index.
+     */
+    long getTimeThousandths(int index);
+
+    /**
+     * <pre>
+     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 5;</code>
+     * @return The workPercent.
+     */
+    int getWorkPercent();
+
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return Whether the estimate field is set.
+     */
+    boolean hasEstimate();
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return The estimate.
+     */
+    org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate();
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     */
+    org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder();
+  }
+  /**
+   * <pre>
+   * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
+   * speed of the machine.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Capacity}
+   */
+  public static final class Capacity extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Capacity)
+      CapacityOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Capacity.class.getName());
+    }
+    // Use Capacity.newBuilder() to construct.
+    private Capacity(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Capacity() {
+      requests_ = emptyIntList();
+      inFlightTenths_ = emptyIntList();
+      timeThousandths_ = emptyLongList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int PROCESS_FIELD_NUMBER = 1;
+    private int process_ = 0;
+    /**
+     * <pre>
+     * Hash of the id and the start time of the process.
+     * </pre>
+     *
+     * <code>fixed32 process = 1;</code>
+     * @return The process.
+     */
+    @java.lang.Override
+    public int getProcess() {
+      return process_;
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList requests_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return A list containing the requests.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getRequestsList() {
+      return requests_;
+    }
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return The count of requests.
+     */
+    public int getRequestsCount() {
+      return requests_.size();
+    }
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @param index The index of the element to return.
+     * @return The requests at the given index.
+     */
+    public int getRequests(int index) {
+      return requests_.getInt(index);
+    }
+    private int requestsMemoizedSerializedSize = -1;
+
+    public static final int IN_FLIGHT_TENTHS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList inFlightTenths_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return A list containing the inFlightTenths.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getInFlightTenthsList() {
+      return inFlightTenths_;
+    }
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return The count of inFlightTenths.
+     */
+    public int getInFlightTenthsCount() {
+      return inFlightTenths_.size();
+    }
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @param index The index of the element to return.
+     * @return The inFlightTenths at the given index.
+     */
+    public int getInFlightTenths(int index) {
+      return inFlightTenths_.getInt(index);
+    }
+    private int inFlightTenthsMemoizedSerializedSize = -1;
+
+    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList timeThousandths_ =
+        emptyLongList();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return A list containing the timeThousandths.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getTimeThousandthsList() {
+      return timeThousandths_;
+    }
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return The count of timeThousandths.
+     */
+    public int getTimeThousandthsCount() {
+      return timeThousandths_.size();
+    }
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @param index The index of the element to return.
+     * @return The timeThousandths at the given index.
+     */
+    public long getTimeThousandths(int index) {
+      return timeThousandths_.getLong(index);
+    }
+    private int timeThousandthsMemoizedSerializedSize = -1;
+
+    public static final int WORK_PERCENT_FIELD_NUMBER = 5;
+    private int workPercent_ = 0;
+    /**
+     * <pre>
+     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 5;</code>
+     * @return The workPercent.
+     */
+    @java.lang.Override
+    public int getWorkPercent() {
+      return workPercent_;
+    }
+
+    public static final int ESTIMATE_FIELD_NUMBER = 6;
+    private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return Whether the estimate field is set.
+     */
+    @java.lang.Override
+    public boolean hasEstimate() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return The estimate.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
+      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+    }
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
+      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (process_ != 0) {
+        output.writeFixed32(1, process_);
+      }
+      if (getRequestsList().size() > 0) {
+        output.writeUInt32NoTag(18);
+        output.writeUInt32NoTag(requestsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < requests_.size(); i++) {
+        output.writeUInt32NoTag(requests_.getInt(i));
+      }
+      if (getInFlightTenthsList().size() > 0) {
+        output.writeUInt32NoTag(26);
+        output.writeUInt32NoTag(inFlightTenthsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < inFlightTenths_.size(); i++) {
+        output.writeUInt32NoTag(inFlightTenths_.getInt(i));
+      }
+      if (getTimeThousandthsList().size() > 0) {
+        output.writeUInt32NoTag(34);
+        output.writeUInt32NoTag(timeThousandthsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < timeThousandths_.size(); i++) {
+        output.writeUInt64NoTag(timeThousandths_.getLong(i));
+      }
+      if (workPercent_ != 0) {
+        output.writeUInt32(5, workPercent_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(6, getEstimate());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (process_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed32Size(1, process_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < requests_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(requests_.getInt(i));
+        }
+        size += dataSize;
+        if (!getRequestsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        requestsMemoizedSerializedSize = dataSize;
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < inFlightTenths_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(inFlightTenths_.getInt(i));
+        }
+        size += dataSize;
+        if (!getInFlightTenthsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        inFlightTenthsMemoizedSerializedSize = dataSize;
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < timeThousandths_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt64SizeNoTag(timeThousandths_.getLong(i));
+        }
+        size += dataSize;
+        if (!getTimeThousandthsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        timeThousandthsMemoizedSerializedSize = dataSize;
+      }
+      if (workPercent_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, workPercent_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, getEstimate());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Capacity)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Capacity other = (org.tanagerbank.proto.PeerProto.Capacity) obj;
+
+      if (getProcess()
+          != other.getProcess()) return false;
+      if (!getRequestsList()
+          .equals(other.getRequestsList())) return false;
+      if (!getInFlightTenthsList()
+          .equals(other.getInFlightTenthsList())) return false;
+      if (!getTimeThousandthsList()
+          .equals(other.getTimeThousandthsList())) return false;
+      if (getWorkPercent()
+          != other.getWorkPercent()) return false;
+      if (hasEstimate() != other.hasEstimate()) return false;
+      if (hasEstimate()) {
+        if (!getEstimate()
+            .equals(other.getEstimate())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PROCESS_FIELD_NUMBER;
+      hash = (53 * hash) + getProcess();
+      if (getRequestsCount() > 0) {
+        hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+        hash = (53 * hash) + getRequestsList().hashCode();
+      }
+      if (getInFlightTenthsCount() > 0) {
+        hash = (37 * hash) + IN_FLIGHT_TENTHS_FIELD_NUMBER;
+        hash = (53 * hash) + getInFlightTenthsList().hashCode();
+      }
+      if (getTimeThousandthsCount() > 0) {
+        hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
+        hash = (53 * hash) + getTimeThousandthsList().hashCode();
+      }
+      hash = (37 * hash) + WORK_PERCENT_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkPercent();
+      if (hasEstimate()) {
+        hash = (37 * hash) + ESTIMATE_FIELD_NUMBER;
+        hash = (53 * hash) + getEstimate().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Capacity prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
+     * speed of the machine.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.Capacity}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Capacity)
+        org.tanagerbank.proto.PeerProto.CapacityOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Capacity.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetEstimateFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        process_ = 0;
+        requests_ = emptyIntList();
+        inFlightTenths_ = emptyIntList();
+        timeThousandths_ = emptyLongList();
+        workPercent_ = 0;
+        estimate_ = null;
+        if (estimateBuilder_ != null) {
+          estimateBuilder_.dispose();
+          estimateBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity build() {
+        org.tanagerbank.proto.PeerProto.Capacity result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity buildPartial() {
+        org.tanagerbank.proto.PeerProto.Capacity result = new org.tanagerbank.proto.PeerProto.Capacity(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Capacity result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.process_ = process_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          requests_.makeImmutable();
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          inFlightTenths_.makeImmutable();
+          result.inFlightTenths_ = inFlightTenths_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          timeThousandths_.makeImmutable();
+          result.timeThousandths_ = timeThousandths_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.workPercent_ = workPercent_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.estimate_ = estimateBuilder_ == null
+              ? estimate_
+              : estimateBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Capacity) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Capacity)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Capacity other) {
+        if (other == org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance()) return this;
+        if (other.getProcess() != 0) {
+          setProcess(other.getProcess());
+        }
+        if (!other.requests_.isEmpty()) {
+          if (requests_.isEmpty()) {
+            requests_ = other.requests_;
+            requests_.makeImmutable();
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureRequestsIsMutable();
+            requests_.addAll(other.requests_);
+          }
+          onChanged();
+        }
+        if (!other.inFlightTenths_.isEmpty()) {
+          if (inFlightTenths_.isEmpty()) {
+            inFlightTenths_ = other.inFlightTenths_;
+            inFlightTenths_.makeImmutable();
+            bitField0_ |= 0x00000004;
+          } else {
+            ensureInFlightTenthsIsMutable();
+            inFlightTenths_.addAll(other.inFlightTenths_);
+          }
+          onChanged();
+        }
+        if (!other.timeThousandths_.isEmpty()) {
+          if (timeThousandths_.isEmpty()) {
+            timeThousandths_ = other.timeThousandths_;
+            timeThousandths_.makeImmutable();
+            bitField0_ |= 0x00000008;
+          } else {
+            ensureTimeThousandthsIsMutable();
+            timeThousandths_.addAll(other.timeThousandths_);
+          }
+          onChanged();
+        }
+        if (other.getWorkPercent() != 0) {
+          setWorkPercent(other.getWorkPercent());
+        }
+        if (other.hasEstimate()) {
+          mergeEstimate(other.getEstimate());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 13: {
+                process_ = input.readFixed32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 13
+              case 16: {
+                int v = input.readUInt32();
+                ensureRequestsIsMutable();
+                requests_.addInt(v);
+                break;
+              } // case 16
+              case 18: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureRequestsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  requests_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+              case 24: {
+                int v = input.readUInt32();
+                ensureInFlightTenthsIsMutable();
+                inFlightTenths_.addInt(v);
+                break;
+              } // case 24
+              case 26: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureInFlightTenthsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  inFlightTenths_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+              case 32: {
+                long v = input.readUInt64();
+                ensureTimeThousandthsIsMutable();
+                timeThousandths_.addLong(v);
+                break;
+              } // case 32
+              case 34: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureTimeThousandthsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  timeThousandths_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+              case 40: {
+                workPercent_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                input.readMessage(
+                    internalGetEstimateFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int process_ ;
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @return The process.
+       */
+      @java.lang.Override
+      public int getProcess() {
+        return process_;
+      }
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @param value The process to set.
+       * @return This builder for chaining.
+       */
+      public Builder setProcess(int value) {
+
+        process_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearProcess() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        process_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.IntList requests_ = emptyIntList();
+      private void ensureRequestsIsMutable() {
+        if (!requests_.isModifiable()) {
+          requests_ = makeMutableCopy(requests_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return A list containing the requests.
+       */
+      public java.util.List<java.lang.Integer>
+          getRequestsList() {
+        requests_.makeImmutable();
+        return requests_;
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return The count of requests.
+       */
+      public int getRequestsCount() {
+        return requests_.size();
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param index The index of the element to return.
+       * @return The requests at the given index.
+       */
+      public int getRequests(int index) {
+        return requests_.getInt(index);
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(
+          int index, int value) {
+
+        ensureRequestsIsMutable();
+        requests_.setInt(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param value The requests to add.
+       * @return This builder for chaining.
+       */
+      public Builder addRequests(int value) {
+
+        ensureRequestsIsMutable();
+        requests_.addInt(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param values The requests to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllRequests(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureRequestsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, requests_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        requests_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.IntList inFlightTenths_ = emptyIntList();
+      private void ensureInFlightTenthsIsMutable() {
+        if (!inFlightTenths_.isModifiable()) {
+          inFlightTenths_ = makeMutableCopy(inFlightTenths_);
+        }
+        bitField0_ |= 0x00000004;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return A list containing the inFlightTenths.
+       */
+      public java.util.List<java.lang.Integer>
+          getInFlightTenthsList() {
+        inFlightTenths_.makeImmutable();
+        return inFlightTenths_;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return The count of inFlightTenths.
+       */
+      public int getInFlightTenthsCount() {
+        return inFlightTenths_.size();
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param index The index of the element to return.
+       * @return The inFlightTenths at the given index.
+       */
+      public int getInFlightTenths(int index) {
+        return inFlightTenths_.getInt(index);
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param index The index to set the value at.
+       * @param value The inFlightTenths to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInFlightTenths(
+          int index, int value) {
+
+        ensureInFlightTenthsIsMutable();
+        inFlightTenths_.setInt(index, value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param value The inFlightTenths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addInFlightTenths(int value) {
+
+        ensureInFlightTenthsIsMutable();
+        inFlightTenths_.addInt(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param values The inFlightTenths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllInFlightTenths(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureInFlightTenthsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, inFlightTenths_);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInFlightTenths() {
+        inFlightTenths_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.LongList timeThousandths_ = emptyLongList();
+      private void ensureTimeThousandthsIsMutable() {
+        if (!timeThousandths_.isModifiable()) {
+          timeThousandths_ = makeMutableCopy(timeThousandths_);
+        }
+        bitField0_ |= 0x00000008;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return A list containing the timeThousandths.
+       */
+      public java.util.List<java.lang.Long>
+          getTimeThousandthsList() {
+        timeThousandths_.makeImmutable();
+        return timeThousandths_;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return The count of timeThousandths.
+       */
+      public int getTimeThousandthsCount() {
+        return timeThousandths_.size();
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param index The index of the element to return.
+       * @return The timeThousandths at the given index.
+       */
+      public long getTimeThousandths(int index) {
+        return timeThousandths_.getLong(index);
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param index The index to set the value at.
+       * @param value The timeThousandths to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTimeThousandths(
+          int index, long value) {
+
+        ensureTimeThousandthsIsMutable();
+        timeThousandths_.setLong(index, value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param value The timeThousandths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addTimeThousandths(long value) {
+
+        ensureTimeThousandthsIsMutable();
+        timeThousandths_.addLong(value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param values The timeThousandths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllTimeThousandths(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureTimeThousandthsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, timeThousandths_);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTimeThousandths() {
+        timeThousandths_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+
+      private int workPercent_ ;
+      /**
+       * <pre>
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+       * </pre>
+       *
+       * <code>uint32 work_percent = 5;</code>
+       * @return The workPercent.
+       */
+      @java.lang.Override
+      public int getWorkPercent() {
+        return workPercent_;
+      }
+      /**
+       * <pre>
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+       * </pre>
+       *
+       * <code>uint32 work_percent = 5;</code>
+       * @param value The workPercent to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkPercent(int value) {
+
+        workPercent_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+       * </pre>
+       *
+       * <code>uint32 work_percent = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkPercent() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        workPercent_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> estimateBuilder_;
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       * @return Whether the estimate field is set.
+       */
+      public boolean hasEstimate() {
+        return ((bitField0_ & 0x00000020) != 0);
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       * @return The estimate.
+       */
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
+        if (estimateBuilder_ == null) {
+          return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+        } else {
+          return estimateBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public Builder setEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
+        if (estimateBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          estimate_ = value;
+        } else {
+          estimateBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public Builder setEstimate(
+          org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder builderForValue) {
+        if (estimateBuilder_ == null) {
+          estimate_ = builderForValue.build();
+        } else {
+          estimateBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public Builder mergeEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
+        if (estimateBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0) &&
+            estimate_ != null &&
+            estimate_ != org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) {
+            getEstimateBuilder().mergeFrom(value);
+          } else {
+            estimate_ = value;
+          }
+        } else {
+          estimateBuilder_.mergeFrom(value);
+        }
+        if (estimate_ != null) {
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public Builder clearEstimate() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        estimate_ = null;
+        if (estimateBuilder_ != null) {
+          estimateBuilder_.dispose();
+          estimateBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder getEstimateBuilder() {
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return internalGetEstimateFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
+        if (estimateBuilder_ != null) {
+          return estimateBuilder_.getMessageOrBuilder();
+        } else {
+          return estimate_ == null ?
+              org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+        }
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> 
+          internalGetEstimateFieldBuilder() {
+        if (estimateBuilder_ == null) {
+          estimateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder>(
+                  getEstimate(),
+                  getParentForChildren(),
+                  isClean());
+          estimate_ = null;
+        }
+        return estimateBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Capacity)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Capacity)
+    private static final org.tanagerbank.proto.PeerProto.Capacity DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Capacity();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Capacity getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Capacity>
+        PARSER = new com.google.protobuf.AbstractParser<Capacity>() {
+      @java.lang.Override
+      public Capacity parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Capacity> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Capacity> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CapacityEstimateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.CapacityEstimate)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Number of requests on which it rests.
+     * </pre>
+     *
+     * <code>uint32 requests = 1;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <pre>
+     * Time of a request at the idle process.
+     * </pre>
+     *
+     * <code>uint64 time_thousandths = 2;</code>
+     * @return The timeThousandths.
+     */
+    long getTimeThousandths();
+
+    /**
+     * <pre>
+     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+     * a third of them.
+     * </pre>
+     *
+     * <code>uint32 limit_index = 3;</code>
+     * @return The limitIndex.
+     */
+    int getLimitIndex();
+  }
+  /**
+   * <pre>
+   * What was learned of one process from all gateways.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
+   */
+  public static final class CapacityEstimate extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.CapacityEstimate)
+      CapacityEstimateOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        CapacityEstimate.class.getName());
+    }
+    // Use CapacityEstimate.newBuilder() to construct.
+    private CapacityEstimate(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CapacityEstimate() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 1;
+    private int requests_ = 0;
+    /**
+     * <pre>
+     * Number of requests on which it rests.
+     * </pre>
+     *
+     * <code>uint32 requests = 1;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 2;
+    private long timeThousandths_ = 0L;
+    /**
+     * <pre>
+     * Time of a request at the idle process.
+     * </pre>
+     *
+     * <code>uint64 time_thousandths = 2;</code>
+     * @return The timeThousandths.
+     */
+    @java.lang.Override
+    public long getTimeThousandths() {
+      return timeThousandths_;
+    }
+
+    public static final int LIMIT_INDEX_FIELD_NUMBER = 3;
+    private int limitIndex_ = 0;
+    /**
+     * <pre>
+     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+     * a third of them.
+     * </pre>
+     *
+     * <code>uint32 limit_index = 3;</code>
+     * @return The limitIndex.
+     */
+    @java.lang.Override
+    public int getLimitIndex() {
+      return limitIndex_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (requests_ != 0) {
+        output.writeUInt32(1, requests_);
+      }
+      if (timeThousandths_ != 0L) {
+        output.writeUInt64(2, timeThousandths_);
+      }
+      if (limitIndex_ != 0) {
+        output.writeUInt32(3, limitIndex_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, requests_);
+      }
+      if (timeThousandths_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, timeThousandths_);
+      }
+      if (limitIndex_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, limitIndex_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.CapacityEstimate other = (org.tanagerbank.proto.PeerProto.CapacityEstimate) obj;
+
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getTimeThousandths()
+          != other.getTimeThousandths()) return false;
+      if (getLimitIndex()
+          != other.getLimitIndex()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTimeThousandths());
+      hash = (37 * hash) + LIMIT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitIndex();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.CapacityEstimate prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What was learned of one process from all gateways.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.CapacityEstimate)
+        org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.CapacityEstimate.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        requests_ = 0;
+        timeThousandths_ = 0L;
+        limitIndex_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate build() {
+        org.tanagerbank.proto.PeerProto.CapacityEstimate result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate buildPartial() {
+        org.tanagerbank.proto.PeerProto.CapacityEstimate result = new org.tanagerbank.proto.PeerProto.CapacityEstimate(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.CapacityEstimate result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.timeThousandths_ = timeThousandths_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.limitIndex_ = limitIndex_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.CapacityEstimate)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
         }
-        return this;
       }
-      /**
-       * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
-       */
-      public Builder addSuspects(
-          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.add(builderForValue.build());
-          onChanged();
-        } else {
-          suspectsBuilder_.addMessage(builderForValue.build());
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.CapacityEstimate other) {
+        if (other == org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) return this;
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        if (other.getTimeThousandths() != 0L) {
+          setTimeThousandths(other.getTimeThousandths());
         }
+        if (other.getLimitIndex() != 0) {
+          setLimitIndex(other.getLimitIndex());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
-       */
-      public Builder addSuspects(
-          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          suspectsBuilder_.addMessage(index, builderForValue.build());
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                requests_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                timeThousandths_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                limitIndex_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private int requests_ ;
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 requests = 1;</code>
+       * @return The requests.
        */
-      public Builder addAllSuspects(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, suspects_);
-          onChanged();
-        } else {
-          suspectsBuilder_.addAllMessages(values);
-        }
-        return this;
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 requests = 1;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
        */
-      public Builder clearSuspects() {
-        if (suspectsBuilder_ == null) {
-          suspects_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000080);
-          onChanged();
-        } else {
-          suspectsBuilder_.clear();
-        }
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 requests = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder removeSuspects(int index) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.remove(index);
-          onChanged();
-        } else {
-          suspectsBuilder_.remove(index);
-        }
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        requests_ = 0;
+        onChanged();
         return this;
       }
+
+      private long timeThousandths_ ;
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint64 time_thousandths = 2;</code>
+       * @return The timeThousandths.
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
-          int index) {
-        return internalGetSuspectsFieldBuilder().getBuilder(index);
+      @java.lang.Override
+      public long getTimeThousandths() {
+        return timeThousandths_;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint64 time_thousandths = 2;</code>
+       * @param value The timeThousandths to set.
+       * @return This builder for chaining.
        */
-      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
-          int index) {
-        if (suspectsBuilder_ == null) {
-          return suspects_.get(index);  } else {
-          return suspectsBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setTimeThousandths(long value) {
+
+        timeThousandths_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint64 time_thousandths = 2;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
-           getSuspectsOrBuilderList() {
-        if (suspectsBuilder_ != null) {
-          return suspectsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(suspects_);
-        }
+      public Builder clearTimeThousandths() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        timeThousandths_ = 0L;
+        onChanged();
+        return this;
       }
+
+      private int limitIndex_ ;
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @return The limitIndex.
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
-        return internalGetSuspectsFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      @java.lang.Override
+      public int getLimitIndex() {
+        return limitIndex_;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @param value The limitIndex to set.
+       * @return This builder for chaining.
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
-          int index) {
-        return internalGetSuspectsFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      public Builder setLimitIndex(int value) {
+
+        limitIndex_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
-           getSuspectsBuilderList() {
-        return internalGetSuspectsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
-          internalGetSuspectsFieldBuilder() {
-        if (suspectsBuilder_ == null) {
-          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
-                  suspects_,
-                  ((bitField0_ & 0x00000080) != 0),
-                  getParentForChildren(),
-                  isClean());
-          suspects_ = null;
-        }
-        return suspectsBuilder_;
+      public Builder clearLimitIndex() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        limitIndex_ = 0;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.DigestContinuation)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.CapacityEstimate)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.DigestContinuation)
-    private static final org.tanagerbank.proto.PeerProto.DigestContinuation DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.CapacityEstimate)
+    private static final org.tanagerbank.proto.PeerProto.CapacityEstimate DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.DigestContinuation();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.CapacityEstimate();
     }
 
-    public static org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<DigestContinuation>
-        PARSER = new com.google.protobuf.AbstractParser<DigestContinuation>() {
+    private static final com.google.protobuf.Parser<CapacityEstimate>
+        PARSER = new com.google.protobuf.AbstractParser<CapacityEstimate>() {
       @java.lang.Override
-      public DigestContinuation parsePartialFrom(
+      public CapacityEstimate parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -15234,17 +17875,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<DigestContinuation> parser() {
+    public static com.google.protobuf.Parser<CapacityEstimate> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<DigestContinuation> getParserForType() {
+    public com.google.protobuf.Parser<CapacityEstimate> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -25760,6 +28401,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_Capacity_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_Capacity_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_WorkRange_descriptor;
   private static final 
@@ -25861,7 +28512,7 @@
       "\0132\035.tanagerbank.peer.EngineCache\022+\n\010susp" +
       "ects\030\010 \003(\0132\031.tanagerbank.peer.Suspect\0222\n" +
       "\014trial_claims\030\t \003(\0132\034.tanagerbank.peer.T" +
-      "rialClaim\022\022\n\nwork_until\030\n \001(\t\"\337\002\n\022Digest" +
+      "rialClaim\022\022\n\nwork_until\030\n \001(\t\"\217\003\n\022Digest" +
       "Continuation\022)\n\006sender\030\001 \001(\0132\031.tanagerba" +
       "nk.peer.Address\022\016\n\006number\030\002 \001(\004\022)\n\004work\030" +
       "\003 \001(\0132\033.tanagerbank.peer.WorkRange\022/\n\npl" +
@@ -25870,35 +28521,43 @@
       "dress\022-\n\006caches\030\006 \003(\0132\035.tanagerbank.peer" +
       ".EngineCache\022,\n\tpart_sets\030\007 \003(\0132\031.tanage" +
       "rbank.peer.PartSet\022+\n\010suspects\030\010 \003(\0132\031.t" +
-      "anagerbank.peer.Suspect\"W\n\tWorkRange\022\r\n\005" +
-      "after\030\001 \001(\t\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\013" +
-      "2\036.tanagerbank.peer.UpstreamWork\"\037\n\007Part" +
-      "Set\022\024\n\014fingerprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n" +
-      "\013fingerprint\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.ta" +
-      "nagerbank.peer.Crash\022\030\n\020undecided_trials" +
-      "\030\004 \001(\r\022\"\n\025last_trial_age_millis\030\005 \001(\004H\000\210" +
-      "\001\001B\030\n\026_last_trial_age_millisJ\004\010\003\020\004R\024comp" +
-      "leted_age_millis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r" +
-      "\n\005depth\030\002 \001(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_m" +
-      "illis\030\004 \001(\004\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030" +
-      "\006 \001(\007\0224\n\013completions\030\007 \003(\0132\037.tanagerbank" +
-      ".peer.CompletedRuns\022\022\n\ncompanions\030\010 \003(\006\022" +
-      "\025\n\010part_set\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rC" +
-      "ompletedRuns\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002" +
-      " \001(\r\"D\n\nTrialClaim\022\023\n\013fingerprint\030\001 \001(\006\022" +
-      "\017\n\007running\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rSt" +
-      "oredSuspect\022*\n\007suspect\030\001 \001(\0132\031.tanagerba" +
-      "nk.peer.Suspect\022\037\n\027written_at_epoch_mill" +
-      "is\030\002 \001(\004\"M\n\007Address\022\023\n\013instance_id\030\001 \001(\t" +
-      "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnatio" +
-      "n\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n\013upstream_id\030\001" +
-      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n" +
-      "\006number\030\001 \001(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rpr" +
-      "ompt_tokens\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013p" +
-      "art_tokens\030\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r" +
-      "\"I\n\013EngineCache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010" +
-      "part_ids\030\002 \003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025o" +
-      "rg.tanagerbank.protoB\tPeerProtob\006proto3"
+      "anagerbank.peer.Suspect\022.\n\ncapacities\030\t " +
+      "\003(\0132\032.tanagerbank.peer.Capacity\"\255\001\n\010Capa" +
+      "city\022\017\n\007process\030\001 \001(\007\022\020\n\010requests\030\002 \003(\r\022" +
+      "\030\n\020in_flight_tenths\030\003 \003(\r\022\030\n\020time_thousa" +
+      "ndths\030\004 \003(\004\022\024\n\014work_percent\030\005 \001(\r\0224\n\010est" +
+      "imate\030\006 \001(\0132\".tanagerbank.peer.CapacityE" +
+      "stimate\"S\n\020CapacityEstimate\022\020\n\010requests\030" +
+      "\001 \001(\r\022\030\n\020time_thousandths\030\002 \001(\004\022\023\n\013limit" +
+      "_index\030\003 \001(\r\"W\n\tWorkRange\022\r\n\005after\030\001 \001(\t" +
+      "\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\0132\036.tanagerb" +
+      "ank.peer.UpstreamWork\"\037\n\007PartSet\022\024\n\014fing" +
+      "erprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n\013fingerprin" +
+      "t\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tanagerbank.p" +
+      "eer.Crash\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025l" +
+      "ast_trial_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_last" +
+      "_trial_age_millisJ\004\010\003\020\004R\024completed_age_m" +
+      "illis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001" +
+      "(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004" +
+      "\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013co" +
+      "mpletions\030\007 \003(\0132\037.tanagerbank.peer.Compl" +
+      "etedRuns\022\022\n\ncompanions\030\010 \003(\006\022\025\n\010part_set" +
+      "\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rCompletedRun" +
+      "s\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTri" +
+      "alClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007running\030" +
+      "\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStoredSuspect" +
+      "\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank.peer.Sus" +
+      "pect\022\037\n\027written_at_epoch_millis\030\002 \001(\004\"M\n" +
+      "\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(" +
+      "\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014" +
+      "UpstreamWork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_" +
+      "flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006number\030\001 \001" +
+      "(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprompt_tokens" +
+      "\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013part_tokens\030" +
+      "\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I\n\013EngineC" +
+      "ache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_ids\030\002 " +
+      "\003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.tanagerb" +
+      "ank.protoB\tPeerProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25963,69 +28622,81 @@
     internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_DigestContinuation_descriptor,
-        new java.lang.String[] { "Sender", "Number", "Work", "Placements", "Peers", "Caches", "PartSets", "Suspects", });
-    internal_static_tanagerbank_peer_WorkRange_descriptor =
+        new java.lang.String[] { "Sender", "Number", "Work", "Placements", "Peers", "Caches", "PartSets", "Suspects", "Capacities", });
+    internal_static_tanagerbank_peer_Capacity_descriptor =
       getDescriptor().getMessageTypes().get(10);
+    internal_static_tanagerbank_peer_Capacity_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_Capacity_descriptor,
+        new java.lang.String[] { "Process", "Requests", "InFlightTenths", "TimeThousandths", "WorkPercent", "Estimate", });
+    internal_static_tanagerbank_peer_CapacityEstimate_descriptor =
+      getDescriptor().getMessageTypes().get(11);
+    internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagerbank_peer_CapacityEstimate_descriptor,
+        new java.lang.String[] { "Requests", "TimeThousandths", "LimitIndex", });
+    internal_static_tanagerbank_peer_WorkRange_descriptor =
+      getDescriptor().getMessageTypes().get(12);
     internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_WorkRange_descriptor,
         new java.lang.String[] { "After", "Until", "Work", });
     internal_static_tanagerbank_peer_PartSet_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_tanagerbank_peer_PartSet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_PartSet_descriptor,
         new java.lang.String[] { "Fingerprints", });
     internal_static_tanagerbank_peer_Suspect_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_tanagerbank_peer_Suspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Suspect_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "UndecidedTrials", "LastTrialAgeMillis", });
     internal_static_tanagerbank_peer_Crash_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Crash_descriptor,
         new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Companions", "PartSet", });
     internal_static_tanagerbank_peer_CompletedRuns_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_tanagerbank_peer_CompletedRuns_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_CompletedRuns_descriptor,
         new java.lang.String[] { "Software", "Runs", });
     internal_static_tanagerbank_peer_TrialClaim_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TrialClaim_descriptor,
         new java.lang.String[] { "Fingerprint", "Running", "Upstream", });
     internal_static_tanagerbank_peer_StoredSuspect_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_StoredSuspect_descriptor,
         new java.lang.String[] { "Suspect", "WrittenAtEpochMillis", });
     internal_static_tanagerbank_peer_Address_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -30,6 +30,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.tanagerbank.capacity.CapacityEstimate;
+import org.tanagerbank.capacity.CapacityNews;
+import org.tanagerbank.capacity.ResponseTimes;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.quarantine.CrashEvidence;
@@ -55,6 +58,7 @@
   /** Keeps the requests in flight that were heard last. */
   private static final class RecordingListener implements PeerListener {
     private ImmutableMap<String, Integer> inFlight = ImmutableMap.of();
+    private final List<CapacityNews> capacities = new ArrayList<>();
 
     @Override
     public void onPeerInFlight(String instanceId, ImmutableMap<String, Integer> heard) {
@@ -67,6 +71,11 @@
     @Override
     public void onPeerCaches(CachedParts caches) {}
 
+    @Override
+    public void onPeerCapacities(ImmutableList<CapacityNews> heard) {
+      capacities.addAll(heard);
+    }
+
     @Override
     public void onPeerSuspects(ImmutableList<SuspectRecord> suspects) {}
 
@@ -86,6 +95,37 @@
     public void onPeersRead() {}
   }
 
+  /** Guards against response times that count twice, and against datagrams that are too large. */
+  @Test
+  void learnedCapacitiesArriveOnce() throws InvalidProtocolBufferException {
+    ImmutableList<CapacityNews> told =
+        IntStream.range(0, 40)
+            .mapToObj(
+                i ->
+                    new CapacityNews(
+                        -i,
+                        ImmutableList.of(new ResponseTimes(2.5, 3, 35.125)),
+                        OptionalInt.of(250),
+                        i % 2 == 0
+                            ? Optional.of(new CapacityEstimate(12, 140.5, 2))
+                            : Optional.empty()))
+            .collect(toImmutableList());
+    PeerTable table = new PeerTable("self");
+    RecordingListener listener = new RecordingListener();
+    DigestReceiver receiver = new DigestReceiver(table, listener);
+    ImmutableList<byte[]> datagrams = MessageCodec.encode(digest(1, DigestNews.ofCapacities(told)));
+    for (byte[] datagram : Iterables.concat(datagrams, datagrams)) {
+      assertThat(datagram.length).isAtMost(DigestPacker.MAX_DATAGRAM_BYTES);
+      PeerMessage message = MessageCodec.decode(datagram);
+      if (message instanceof PeerDigest digest) {
+        receiver.onDigest(digest, 0);
+      } else {
+        receiver.onContinuation((DigestContinuation) message, 0);
+      }
+    }
+    assertThat(listener.capacities).isEqualTo(told);
+  }
+
   private static Prompt prompt(long id) {
     return new Prompt("", ImmutableList.of(new PromptPart(id, 10)), 20, 0);
   }
