Show changes of the learned speed of upstreams

Cause: operators could not see what gateways learned of the speed of upstreams.

No test reads the gauges.

--- a/src/main/java/org/tanagerbank/capacity/ProcessCapacity.java
+++ b/src/main/java/org/tanagerbank/capacity/ProcessCapacity.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 
@@ -54,6 +55,12 @@
    */
   private static final double MIN_DEVIATION = 0.05;
 
+  /** The logarithm of the ratio of times that counts as a change of speed. */
+  private static final double MIN_CHANGE = Math.log(1.5);
+
+  /** The requests on which an estimate must rest to show a change of speed. */
+  private static final double MIN_CHANGE_REQUESTS = 5;
+
   private final ServiceCapacity service;
   private final int process;
   private int slots;
@@ -72,6 +79,7 @@
   private int workPercent = 100;
   private long percentAtMillis = Long.MIN_VALUE / 2;
   private double meanLogPercent;
+  private OptionalDouble shownLogTime = OptionalDouble.empty();
   private boolean isPercentUntold;
   private final UntoldTimes untold = new UntoldTimes();
 
@@ -237,6 +245,23 @@
     limitIndex = limitGains[best] / weight > needed ? best : 0;
   }
 
+  /**
+   * Returns the time of a request as a multiple of that at the last change, if it has changed by
+   * more than a factor of 1.5 since then or since it was first known.
+   */
+  public OptionalDouble takeChange(long nowMillis) {
+    if (weight(nowMillis) < MIN_CHANGE_REQUESTS) {
+      return OptionalDouble.empty();
+    }
+    double logTime = ownLogTime() + meanLogPercent;
+    double logRatio = logTime - shownLogTime.orElse(logTime);
+    boolean hasChanged = Math.abs(logRatio) > MIN_CHANGE;
+    if (hasChanged || shownLogTime.isEmpty()) {
+      shownLogTime = OptionalDouble.of(logTime);
+    }
+    return hasChanged ? OptionalDouble.of(Math.exp(logRatio)) : OptionalDouble.empty();
+  }
+
   /** Returns the requests on which the estimate rests, recent ones counting most. */
   double weight(long nowMillis) {
     return speedWeight * Math.exp(-Math.max(0, nowMillis - learnedAtMillis) / SPEED_DECAY_MILLIS);
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -145,6 +145,20 @@
     return upstreams.pausedCount();
   }
 
+  /** Returns the longest learned time of a request at an upstream, relative to its service. */
+  public double slowestUpstreamRatio() {
+    long now = clockMillis.getAsLong();
+    return upstreams.all().stream()
+        .mapToDouble(u -> u.capacity().relativeTime(now))
+        .max()
+        .orElse(1);
+  }
+
+  /** Returns the number of requests that all upstreams together take well. */
+  public double requestsTakenWell() {
+    return upstreams.all().stream().mapToDouble(u -> u.capacity().takesWell()).sum();
+  }
+
   private Optional<EngineModel> engine(String upstreamId) {
     return upstreams.find(upstreamId).flatMap(UpstreamHandle::engine);
   }
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -306,9 +306,21 @@
       boolean isReportFresh = nowMillis - reportedAtMillis < LOAD_REPORT_VALID_MILLIS;
       int met = isReportFresh ? (inFlightAtSend + reportedRequests + 1) / 2 : inFlightAtSend;
       capacity.responded(met, millis, nowMillis);
+      capacity.takeChange(nowMillis).ifPresent(this::logSpeed);
     }
   }
 
+  private void logSpeed(double ratio) {
+    EventLog.emit(
+        LogEvent.UPSTREAM_SPEED_CHANGED,
+        "upstream",
+        report.id(),
+        "timeRatio",
+        ratio,
+        "takesWell",
+        capacity.takesWell());
+  }
+
   int ownInFlight() {
     return inFlight;
   }
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -161,6 +161,14 @@
         "limited_upstreams",
         "Upstreams that have named a limit on the requests that they take.",
         upstreams::limitedUpstreams);
+    addGauge(
+        "slowest_upstream_ratio",
+        "Longest learned time of a request at an upstream, relative to the mean of its service.",
+        upstreams::slowestUpstreamRatio);
+    addGauge(
+        "requests_taken_well",
+        "Requests in flight that all upstreams together were found to take well.",
+        upstreams::requestsTakenWell);
     addGauge(
         "restricted_requests",
         "Requests and parts of prompts that crashed upstreams and may not run freely.",
--- a/src/test/java/org/tanagerbank/capacity/CapacitySimulationTest.java
+++ b/src/test/java/org/tanagerbank/capacity/CapacitySimulationTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -125,4 +126,17 @@
     simulation.restartGateway(0);
     assertThat(simulation.relativeTime(0, 0)).isWithin(0.3 * known).of(known);
   }
+
+  /** Guards against a change that is shown with each response, or for a single slow one. */
+  @Test
+  void changeOfSpeedIsShownOnce() {
+    ProcessCapacity capacity = new ServiceCapacity().add(1, 6);
+    IntStream.range(0, 20).forEach(i -> capacity.responded(1, 35, 100));
+    assertThat(capacity.takeChange(100)).isEqualTo(OptionalDouble.empty());
+    capacity.responded(1, 10_000, 100);
+    assertThat(capacity.takeChange(100)).isEqualTo(OptionalDouble.empty());
+    IntStream.range(0, 20).forEach(i -> capacity.responded(1, 140, 100));
+    assertThat(capacity.takeChange(100).getAsDouble()).isGreaterThan(1.5);
+    assertThat(capacity.takeChange(100)).isEqualTo(OptionalDouble.empty());
+  }
 }
