--- a/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
@@ -95,7 +95,8 @@
         dispatcher.settings().zone(),
         dispatcher.settings().loadMultiple(),
         ofService,
-        nowMillis);
+        nowMillis,
+        dispatcher.random());
   }
 
   private Optional<Refusal> refusal(
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -14,6 +14,8 @@
  * @param depths the number of crashes, one after the other, that were on record for each suspect
  *     when it was sent
  * @param onTrial the suspect of which it is the only run in the fleet, if there is one
+ * @param inFlightAtSend the requests that all instances had in flight at the upstream, including
+ *     this one
  */
 record TrackedRun(
     RequestSuspects suspects,
@@ -22,7 +24,8 @@
     long sentAtMillis,
     int crashesBefore,
     ImmutableMap<Fingerprint, Integer> depths,
-    Optional<Fingerprint> onTrial) {
+    Optional<Fingerprint> onTrial,
+    int inFlightAtSend) {
   /**
    * Returns the run at the process to which it was sent, which may have followed that of its
    * upstream before the report of the start was read.
@@ -32,7 +35,14 @@
     return process == upstream
         ? this
         : new TrackedRun(
-            suspects, holder, process, sentAtMillis, /* crashesBefore= */ 0, depths, onTrial);
+            suspects,
+            holder,
+            process,
+            sentAtMillis,
+            /* crashesBefore= */ 0,
+            depths,
+            onTrial,
+            inFlightAtSend);
   }
 
   /** Returns the record of the crash of the upstream for one of the suspects. */
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -1,9 +1,9 @@
 package org.tanagerbank.dispatch;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.tanagerbank.capacity.ProcessCapacity;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -16,7 +16,6 @@
 import org.tanagerbank.stream.StreamOrigin;
 import org.tanagerbank.upstream.ConnectionPool;
 import org.tanagerbank.upstream.LoadReport;
-import org.tanagerbank.upstream.SendLimit;
 import org.tanagerbank.upstream.UpstreamNotice;
 import org.tanagerbank.upstream.UpstreamReport;
 import org.tanagerbank.zone.Evacuations;
@@ -27,9 +26,6 @@
  * back keeps its handle. Not thread-safe; confined to the event loop.
  */
 final class UpstreamHandle {
-  /** The time, in milliseconds, for which the load reported with a response is used. */
-  private static final long LOAD_REPORT_VALID_MILLIS = 300;
-
   /** The requests that an upstream gets for each of its slots while others of its service pause. */
   private static final int MAX_LOAD_PER_SLOT_BESIDE_PAUSES = 2;
 
@@ -40,13 +36,9 @@
   private final SendPermission permission;
   private final Evacuations evacuations;
   private final ColdState cold;
+  private final LearnedSpeed speed;
   private UpstreamReport report;
-  private int inFlight;
-  private final Map<String, Integer> peersInFlight = new HashMap<>();
-  private int totalPeersInFlight;
-  private int reportedOtherRequests;
-  private int reportedWaiting;
-  private long reportedAtMillis = Long.MIN_VALUE / 2;
+  private final RequestsInFlight load = new RequestsInFlight();
   private boolean closed;
   private boolean isReplaced;
   private Optional<UpstreamHandle> successor = Optional.empty();
@@ -57,10 +49,12 @@
       ConnectionPool connections,
       SendPermission permission,
       Evacuations evacuations,
-      ColdState cold) {
+      ColdState cold,
+      ServiceCapacity serviceCapacity) {
     this.evacuations = evacuations;
     this.permission = permission;
     this.cold = cold;
+    this.speed = new LearnedSpeed(serviceCapacity, report);
     this.report = report;
     this.connections = connections;
     this.softwareHash = RunConditions.softwareHash(report.service(), report.softwareVersion());
@@ -72,6 +66,7 @@
 
   void update(UpstreamReport newReport) {
     report = newReport;
+    speed.capacity().setSlots(newReport.slots());
   }
 
   /** Returns a hash of its id, the same at all instances and never 0. */
@@ -145,7 +140,7 @@
    * @return the phase of the upstream, to be passed on with what becomes of the request
    */
   int requestStarted(long nowMillis) {
-    inFlight++;
+    load.requestStarted();
     permission.rate().take();
     return cold.takeToken(nowMillis);
   }
@@ -157,7 +152,7 @@
   }
 
   void requestEnded() {
-    inFlight--;
+    load.requestEnded();
   }
 
   /**
@@ -173,30 +168,10 @@
       sender.recordNotice(notice, openedAtMillis, sentAtMillis, nowMillis);
       return;
     }
-    boolean wasLimited = isLimited();
-    boolean wasLeaving = permission.isLeaving();
-    boolean wasPaused = permission.isPaused(nowMillis);
+    NoticeLog log = NoticeLog.of(permission, nowMillis);
     permission.record(notice, openedAtMillis, sentAtMillis, nowMillis);
     notice.coldMillis().ifPresent(m -> cold.recordResponse(m, sentAtMillis, nowMillis));
-    if (isLimited() != wasLimited) {
-      EventLog.emit(
-          isLimited() ? LogEvent.UPSTREAM_LIMITED : LogEvent.UPSTREAM_UNLIMITED,
-          "upstream",
-          report.id(),
-          "requestsPerSecond",
-          notice.limit().map(SendLimit::requestsPerSecond).orElse(Double.NaN));
-    }
-    if (permission.isLeaving() && !wasLeaving) {
-      EventLog.emit(LogEvent.UPSTREAM_LEAVING, "upstream", report.id());
-    }
-    if (permission.isPaused(nowMillis) && !wasPaused) {
-      EventLog.emit(
-          LogEvent.UPSTREAM_PAUSED,
-          "upstream",
-          report.id(),
-          "pauseMillis",
-          notice.pauseMillis().orElse(0));
-    }
+    log.logChanges(report.id(), permission, notice, nowMillis);
   }
 
   /**
@@ -223,7 +198,8 @@
             itsConnections,
             permission.ofProcessStartedAt(next.startedAtMillis()),
             evacuations,
-            itsCold);
+            itsCold,
+            speed.service());
     successor = Optional.of(follower);
     return follower;
   }
@@ -236,8 +212,8 @@
     // The removal of the report counted as a crash, which the process has survived.
     crashes = 0;
     // Other instances tell what they have in flight only for the upstreams that are known.
-    peersInFlight.clear();
-    totalPeersInFlight = 0;
+    load.clearPeers();
+    speed.open(report);
   }
 
   /**
@@ -360,46 +336,50 @@
     return fleetInFlight(nowMillis) < MAX_LOAD_PER_SLOT_BESIDE_PAUSES * report.slots();
   }
 
-  /** Records the load that the upstream reported, less the requests of this instance. */
-  void updateLoad(LoadReport report, long nowMillis) {
-    reportedOtherRequests = Math.max(0, report.running() + report.waiting() - inFlight);
-    reportedWaiting = report.waiting();
-    reportedAtMillis = nowMillis;
+  /** Records the load that the upstream reported. */
+  void updateLoad(LoadReport loadReport, long nowMillis) {
+    load.update(loadReport, nowMillis);
+    loadReport.workPercent().ifPresent(p -> speed.capacity().recordWorkPercent(p, nowMillis));
   }
 
   /** Sets the number of requests that another instance has in flight at the upstream. */
   void setPeerInFlight(String instanceId, int requests) {
-    Integer previous =
-        requests == 0 ? peersInFlight.remove(instanceId) : peersInFlight.put(instanceId, requests);
-    totalPeersInFlight += requests - (previous == null ? 0 : previous);
+    load.setPeer(instanceId, requests);
   }
 
-  /**
-   * Returns the estimated number of requests that all instances have in flight at the upstream. For
-   * the other instances, this is the larger of their own counts and the upstream's recent report.
-   */
+  /** Returns the estimated number of requests that all instances have in flight. */
   int fleetInFlight(long nowMillis) {
-    return inFlight
-        + (isReportFresh(nowMillis)
-            ? Math.max(reportedOtherRequests, totalPeersInFlight)
-            : totalPeersInFlight);
+    return load.ofFleet(nowMillis);
   }
 
-  private boolean isReportFresh(long nowMillis) {
-    return nowMillis - reportedAtMillis < LOAD_REPORT_VALID_MILLIS;
+  /** Returns the estimated number of requests that wait at the upstream. */
+  int waiting(long nowMillis) {
+    return load.waiting(report.slots(), nowMillis);
+  }
+
+  /** Returns what was learned of the speed of the process. */
+  ProcessCapacity capacity() {
+    return speed.capacity();
+  }
+
+  /** Returns whether the upstreams of its service differ in what was learned of their speed. */
+  boolean isPlacedByTime(long nowMillis) {
+    return speed.service().differs(nowMillis);
   }
 
   /**
-   * Returns the estimated number of requests that wait at the upstream: those beyond its slots, or
-   * as many as it reported just now, which may be more if something else than slots is short.
+   * Records the time of a whole response of an upstream that is no engine.
+   *
+   * @param inFlightAtSend the requests that all instances had in flight, including this one
    */
-  int waiting(long nowMillis) {
-    int beyondSlots = fleetInFlight(nowMillis) - report.slots();
-    return Math.max(0, Math.max(beyondSlots, isReportFresh(nowMillis) ? reportedWaiting : 0));
+  void recordResponseTime(int inFlightAtSend, long millis, long nowMillis) {
+    if (engine.isEmpty()) {
+      speed.responded(load.metBy(inFlightAtSend, nowMillis), millis, nowMillis);
+    }
   }
 
   int ownInFlight() {
-    return inFlight;
+    return load.own();
   }
 
   /** Records that the process has ended without notice. It may be back before it reports so. */
@@ -421,6 +401,7 @@
 
   void close() {
     closed = true;
+    speed.close();
     connections.close();
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -20,6 +20,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.tanagerbank.admission.ServiceAdmission;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.RoutingConfig;
@@ -52,6 +53,7 @@
   private final Map<String, Removed> removed = new HashMap<>();
 
   private final Map<String, ServiceAdmission> admissions = new HashMap<>();
+  private final Map<String, ServiceCapacity> capacities = new HashMap<>();
   private final VersionHistory versionHistory = new VersionHistory();
   private final SendShares shares;
   private final Evacuations evacuations = new Evacuations();
@@ -226,7 +228,9 @@
                     connections,
                     new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random)),
                     evacuations,
-                    cold));
+                    cold,
+                    capacities.computeIfAbsent(
+                        report.service(), unused -> new ServiceCapacity())));
   }
 
   private void remove(String id) {
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -181,6 +181,14 @@
         "cold_upstreams",
         "Upstreams that are cold or count as cold, of services that bound what these get.",
         upstreams::coldUpstreams);
+    addGauge(
+        "slowest_upstream_ratio",
+        "Longest learned time of a request at an upstream, relative to the mean of its service.",
+        upstreams::slowestUpstreamRatio);
+    addGauge(
+        "requests_taken_well",
+        "Requests in flight that all upstreams together were found to take well.",
+        upstreams::requestsTakenWell);
     addGauge(
         "restricted_requests",
         "Requests and parts of prompts that crashed upstreams and may not run freely.",
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -15,7 +15,9 @@
 import org.tanagerbank.admission.AdmissionRequest;
 import org.tanagerbank.admission.ServiceAdmission;
 import org.tanagerbank.admission.SizeClass;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.upstream.ConnectionPool;
@@ -178,7 +180,8 @@
             ConnectionPool.create((a, handlers) -> null, address, () -> now),
             new SendPermission(() -> now, () -> new SendRate(() -> 1, random)),
             new Evacuations(),
-            new ColdState("e" + i, ColdTolerance.NONE, () -> 1, random));
+            new ColdState("e" + i, ColdTolerance.NONE, () -> 1, random),
+            new ServiceCapacity());
     handle.setEngineLimits(new EngineLimits(SLOTS, 300_000, OptionalDouble.empty()));
     return handle;
   }
@@ -235,7 +238,7 @@
         Placement.choose(
                 upstreams,
                 new PlacementRequest(
-                    Optional.of(prompt), job.kind.objectiveMillis, "z", 2, upstreams, now))
+                    Optional.of(prompt), job.kind.objectiveMillis, "z", 2, upstreams, now, random))
             .get();
     if (admits && !isAdmitted(job, gateway, upstreams, choice, isRetry)) {
       return;
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -17,6 +17,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -73,11 +74,64 @@
             ConnectionPool.create(group.next(), address, () -> 0),
             new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))),
             evacuations,
-            new ColdState(id, ColdTolerance.NONE, () -> 1, new SplittableRandom(1)));
+            new ColdState(id, ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
+            new ServiceCapacity());
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
 
+  private static List<UpstreamHandle> plainUpstreams(int count, NioEventLoopGroup group) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+    ServiceCapacity capacity = new ServiceCapacity();
+    return IntStream.range(0, count)
+        .mapToObj(
+            i ->
+                new UpstreamHandle(
+                    new UpstreamReport("p-" + i, "p", "v1", address, "z", 6, false, 0, 1, 1),
+                    ConnectionPool.create(group.next(), address, () -> 0),
+                    new SendPermission(
+                        () -> 0, () -> new SendRate(() -> 1, new SplittableRandom())),
+                    new Evacuations(),
+                    new ColdState(
+                        "p", ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
+                    capacity))
+        .toList();
+  }
+
+  private static UpstreamHandle placePlain(List<UpstreamHandle> upstreams, long nowMillis) {
+    return Placement.choose(
+            upstreams,
+            new PlacementRequest(
+                Optional.empty(),
+                150,
+                "z",
+                LOAD_MULTIPLE,
+                upstreams,
+                nowMillis,
+                new SplittableRandom(1)))
+        .get()
+        .upstream();
+  }
+
+  /**
+   * Guards against requests that go to a plain upstream 4 times slower than another one because it
+   * is idle, and against choices by time while the times are alike.
+   */
+  @Test
+  void plainRequestsAvoidUpstreamThatWasFoundSlow() {
+    List<UpstreamHandle> upstreams = plainUpstreams(2, group);
+    upstreams.get(1).requestStarted(0);
+    for (int i = 0; i < 40; i++) {
+      upstreams.get(0).recordResponseTime(1, 35, 900);
+      upstreams.get(1).recordResponseTime(1, 36, 900);
+    }
+    assertThat(placePlain(upstreams, 900)).isEqualTo(upstreams.get(0));
+    for (int i = 0; i < 120; i++) {
+      upstreams.get(0).recordResponseTime(1, 140, 950);
+    }
+    assertThat(placePlain(upstreams, 1_000)).isEqualTo(upstreams.get(1));
+  }
+
   private static Prompt prompt(long session, long request) {
     return new Prompt(
         "m",
@@ -99,7 +153,13 @@
     return Placement.choose(
             upstreams,
             new PlacementRequest(
-                Optional.of(prompt), 600, "z", LOAD_MULTIPLE, cacheCandidates, nowMillis))
+                Optional.of(prompt),
+                600,
+                "z",
+                LOAD_MULTIPLE,
+                cacheCandidates,
+                nowMillis,
+                new SplittableRandom(1)))
         .get();
   }
 
