Shed load only where the settings ask for it

Cause: the rule that refuses requests in an overload would also act on deployments that never asked for it.

Change: a gateway sheds load only if its settings name the contract 'pressure'; other deployments place requests as before. The simulations shed load, so that they show that nothing is refused there in ordinary load.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -148,6 +148,7 @@
             bounds.retrySlack() * RETRY_FLOOR_SHARE,
             START_WAIT_MILLIS,
             node.regionsByZone(),
-            new ColdTolerance(bounds.coldOver(), bounds.coldSlack())));
+            new ColdTolerance(bounds.coldOver(), bounds.coldSlack()),
+            node.shedsLoad()));
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
+++ b/src/main/java/org/tanagerbank/dispatch/DispatchSettings.java
@@ -16,6 +16,7 @@
  *     starts, for the configuration, the list of upstreams and the cache contents
  * @param regionsByZone the region of each known zone; other zones are in no region
  * @param coldTolerance what cold upstreams tolerate beyond their rate
+ * @param shedsLoad whether requests are refused while a service has too little room
  */
 public record DispatchSettings(
     String instanceId,
@@ -26,10 +27,11 @@
     double fleetRetryFloor,
     long startWaitMillis,
     ImmutableMap<String, String> regionsByZone,
-    ColdTolerance coldTolerance) {
+    ColdTolerance coldTolerance,
+    boolean shedsLoad) {
   /**
-   * Creates settings in which no zone is in a region, and by which cold upstreams tolerate nothing
-   * beyond their rate.
+   * Creates settings in which no zone is in a region, by which cold upstreams tolerate nothing
+   * beyond their rate, and no load is shed.
    */
   public DispatchSettings(
       String instanceId,
@@ -48,6 +50,7 @@
         fleetRetryFloor,
         startWaitMillis,
         ImmutableMap.of(),
-        ColdTolerance.NONE);
+        ColdTolerance.NONE,
+        /* shedsLoad= */ false);
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/NoticeLog.java
+++ b/src/main/java/org/tanagerbank/dispatch/NoticeLog.java
@@ -6,8 +6,8 @@
 import org.tanagerbank.upstream.UpstreamNotice;
 
 /**
- * Logs what changes in the permission to send to a process by what it says of itself. Immutable; the
- * permission is confined to the event loop.
+ * Logs what changes in the permission to send to a process by what it says of itself. Immutable;
+ * the permission is confined to the event loop.
  *
  * @param wasLimited whether the process had named a limit before
  * @param wasLeaving whether it had said that it shuts down
--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
+import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.routing.SlotTable;
 
@@ -110,13 +111,21 @@
     ImmutableList<UpstreamHandle> usable = preferHealthy(upstreams, nowMillis);
     ImmutableList<UpstreamHandle> idle =
         lowerHalf(usable, Comparator.comparingInt(u -> u.fleetInFlight(nowMillis)));
-    return lowerHalf(idle, Comparator.comparingInt(UpstreamHandle::sharedCachedTokens)).stream()
+    return lowerHalf(idle, Comparator.comparingInt(Placement::sharedCachedTokens)).stream()
         .max(
             Comparator.comparingLong(
                 u -> SlotTable.mixBits(SlotTable.idHash(u.report().id()) ^ fingerprint.value())))
         .map(u -> new UpstreamChoice(u, Optional.empty()));
   }
 
+  /** Returns the length in tokens of the cached prompt parts that several requests share. */
+  private static int sharedCachedTokens(UpstreamHandle handle) {
+    return handle.engine().stream()
+        .flatMap(e -> e.sharedParts().stream())
+        .mapToInt(PromptPart::tokens)
+        .sum();
+  }
+
   private static ImmutableList<UpstreamHandle> lowerHalf(
       List<UpstreamHandle> upstreams, Comparator<UpstreamHandle> order) {
     return upstreams.stream()
--- a/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
+++ b/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
@@ -28,8 +28,6 @@
     RandomGenerator random) {
   /** Returns the upstreams to which only the evacuation of their zone keeps requests away. */
   List<UpstreamHandle> evacuated() {
-    return cacheCandidates.stream()
-        .filter(u -> u.isEvacuated() && u.servesUnlessEvacuated())
-        .toList();
+    return cacheCandidates.stream().filter(u -> u.isEvacuated() && !u.isLeaving()).toList();
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
@@ -70,11 +70,12 @@
             ? Placement.chooseForTrial(candidates, request.fingerprint(), now)
             : Placement.choose(candidates, placementRequest(ofService, now));
     if (chosen.isEmpty()) {
-      return PlacementResult.refused(noUpstreamLeft("no upstream of the service is left", state.origin()));
+      return PlacementResult.refused(
+          noUpstreamLeft("no upstream of the service is left", state.origin()));
     }
     UpstreamChoice choice = chosen.get();
     Optional<Refusal> refusal =
-        admission.onTrial().isPresent()
+        admission.onTrial().isPresent() || !dispatcher.settings().shedsLoad()
             ? Optional.empty()
             : refusal(ofService, candidates, choice, state);
     if (refusal.isPresent()) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestUpstreams.java
@@ -82,9 +82,7 @@
   /** Returns whether the upstreams that can run the request are all in evacuated zones. */
   private boolean areAllEvacuated(Optional<StreamOrigin> origin) {
     List<UpstreamHandle> serving =
-        continuing(inHomeRegions(), origin).stream()
-            .filter(UpstreamHandle::servesUnlessEvacuated)
-            .toList();
+        continuing(inHomeRegions(), origin).stream().filter(u -> !u.isLeaving()).toList();
     return !serving.isEmpty() && serving.stream().allMatch(UpstreamHandle::isEvacuated);
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/RequestsInFlight.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestsInFlight.java
@@ -43,7 +43,8 @@
 
   /** Sets the number of requests that another instance has in flight. */
   void setPeer(String instanceId, int requests) {
-    Integer previous = requests == 0 ? ofPeers.remove(instanceId) : ofPeers.put(instanceId, requests);
+    Integer previous =
+        requests == 0 ? ofPeers.remove(instanceId) : ofPeers.put(instanceId, requests);
     totalOfPeers += requests - (previous == null ? 0 : previous);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -6,7 +6,6 @@
 import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.RunConditions;
@@ -125,11 +124,6 @@
         : 0;
   }
 
-  /** Returns the length in tokens of the cached prompt parts that several requests share. */
-  int sharedCachedTokens() {
-    return engine.map(e -> e.sharedParts().stream().mapToInt(PromptPart::tokens).sum()).orElse(0);
-  }
-
   UpstreamHealth health() {
     return health;
   }
@@ -145,7 +139,7 @@
     return cold.takeToken(nowMillis);
   }
 
-  /** Records that a request that was started was not sent; {@link #requestEnded} follows. */
+  /** Records that a request was not sent after all; {@link #requestEnded} follows. */
   void requestNotSent(int phase) {
     permission.rate().giveBack();
     cold.giveBack(phase);
@@ -190,8 +184,7 @@
   }
 
   /** Returns the handle of the process that has followed this one at its address. */
-  UpstreamHandle followedBy(
-      UpstreamReport next, ConnectionPool itsConnections, ColdState itsCold) {
+  UpstreamHandle followedBy(UpstreamReport next, ConnectionPool itsConnections, ColdState itsCold) {
     UpstreamHandle follower =
         new UpstreamHandle(
             next,
@@ -247,11 +240,6 @@
     return evacuations.isEvacuated(report.zone());
   }
 
-  /** Returns whether the upstream serves its service, unless its zone is evacuated. */
-  boolean servesUnlessEvacuated() {
-    return !isLeaving();
-  }
-
   /** Returns whether the process has named a limit on the requests that it takes. */
   boolean isLimited() {
     return permission.rate().isLimited();
@@ -310,7 +298,8 @@
     cold.recordReport(report, nowMillis);
   }
 
-  private boolean isLeaving() {
+  /** Returns whether it takes no more requests until its process starts again. */
+  boolean isLeaving() {
     return closed || isReplaced || hasAnnouncedEnd();
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -229,8 +229,7 @@
                     new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random)),
                     evacuations,
                     cold,
-                    capacities.computeIfAbsent(
-                        report.service(), unused -> new ServiceCapacity())));
+                    capacities.computeIfAbsent(report.service(), unused -> new ServiceCapacity())));
   }
 
   private void remove(String id) {
@@ -260,8 +259,9 @@
   }
 
   /**
-   * Returns the refusal of a request that none of the given upstreams can run now. If pauses, limits
-   * or rates while cold keep requests away from some, it names the first time at which one ends.
+   * Returns the refusal of a request that none of the given upstreams can run now. If pauses,
+   * limits or rates while cold keep requests away from some, it names the first time at which one
+   * ends.
    */
   Optional<Refusal> refusalUntilRoom(List<UpstreamHandle> all) {
     long now = clockMillis.getAsLong();
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -19,6 +19,7 @@
  * @param firstStart whether the whole system starts for the first time
  * @param bounds the limits that the platform sets
  * @param regionsByZone the region of each zone that the platform names
+ * @param shedsLoad whether requests are refused while a service has too little room
  */
 public record NodeSettings(
     String instanceId,
@@ -31,7 +32,8 @@
     InetSocketAddress storeAddress,
     boolean firstStart,
     Limits bounds,
-    ImmutableMap<String, String> regionsByZone) {
+    ImmutableMap<String, String> regionsByZone,
+    boolean shedsLoad) {
 
   /**
    * The limits that the platform sets for all instances. Immutable.
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.StreamSupport;
 import org.tanagerbank.platform.NodeSettings.Limits;
 import org.tanagerbank.platform.NodeSettings.ParseResult;
 import org.tanagerbank.platformclient.SocketAddresses;
@@ -25,6 +26,9 @@
 public final class NodeSettingsReader {
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** The entry of "contracts" of deployments whose callers compete for too little room. */
+  private static final String PRESSURE = "pressure";
+
   private final List<String> faults = new ArrayList<>();
   private final JsonNode root;
 
@@ -75,10 +79,16 @@
             // "bootstrap" is true only at the first start of the whole system.
             root.path("bootstrap").asBoolean(),
             bounds(),
-            regionsByZone());
+            regionsByZone(),
+            hasContract(PRESSURE));
     return new ParseResult(faults.isEmpty() ? settings : null, ImmutableList.copyOf(faults));
   }
 
+  private boolean hasContract(String name) {
+    return StreamSupport.stream(root.path("contracts").spliterator(), false)
+        .anyMatch(c -> c.asText().equals(name));
+  }
+
   /** Returns the region of each zone in "zones", and of the own zone if only "region" names it. */
   private ImmutableMap<String, String> regionsByZone() {
     Map<String, String> regions = new HashMap<>();
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -17,7 +17,6 @@
 import org.tanagerbank.admission.SizeClass;
 import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.PromptPart;
 import org.tanagerbank.route.EngineLimits;
 import org.tanagerbank.upstream.ConnectionPool;
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionTest.java
@@ -1,8 +1,8 @@
 package org.tanagerbank.dispatch;
 
-import com.google.common.collect.ImmutableSet;
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
@@ -81,7 +81,8 @@
   @Test
   void priorityOfRouteCountsWhereWorkspaceHasNone() {
     var route = TestRoutes.route("/p/", RequestKind.IDEMPOTENT, 1, 1_000, false, 3);
-    assertThat(new Workspace("w", OptionalInt.empty(), ImmutableSet.of()).priorityOn(route)).isEqualTo(3);
+    assertThat(new Workspace("w", OptionalInt.empty(), ImmutableSet.of()).priorityOn(route))
+        .isEqualTo(3);
     assertThat(new Workspace("w", 0).priorityOn(route)).isEqualTo(0);
   }
 }
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -86,7 +86,8 @@
                   50,
                   5_000,
                   SimulationRoutes.REGIONS_BY_ZONE,
-                  ColdTolerance.NONE),
+                  ColdTolerance.NONE,
+                  /* shedsLoad= */ true),
               new SilentObserver());
       config.adopt(SimulationRoutes.config(ROUTE_TIMEOUT_MILLIS));
       config.confirmCurrentAsOf(nowMillis);
--- a/src/test/java/org/tanagerbank/dispatch/HomeRegionsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/HomeRegionsTest.java
@@ -1,6 +1,5 @@
 package org.tanagerbank.dispatch;
 
-import java.util.OptionalInt;
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
@@ -8,6 +7,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -92,8 +92,7 @@
                     new SendPermission(
                         () -> 0, () -> new SendRate(() -> 1, new SplittableRandom())),
                     new Evacuations(),
-                    new ColdState(
-                        "p", ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
+                    new ColdState("p", ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
                     capacity))
         .toList();
   }
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -204,11 +204,7 @@
     earlier.recordNotice(notice("pause"), -1_100, 0, 0);
     UpstreamNotice shorter =
         new UpstreamNotice(
-            false,
-            OptionalLong.of(100),
-            Optional.empty(),
-            OptionalLong.empty(),
-            Optional.empty());
+            false, OptionalLong.of(100), Optional.empty(), OptionalLong.empty(), Optional.empty());
     earlier.recordNotice(shorter, -900, 0, 0);
     upstreams.update(ImmutableList.of(report("a", 1_000, false)), CONFIG);
     assertThat(upstreams.find("a").get().pausedUntilMillis(0)).isEqualTo(OptionalLong.of(100));
--- a/src/test/java/org/tanagerbank/platform/DecodersTest.java
+++ b/src/test/java/org/tanagerbank/platform/DecodersTest.java
@@ -1,11 +1,11 @@
 package org.tanagerbank.platform;
 
-import com.google.common.collect.ImmutableSet;
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
