--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -15,7 +15,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -29,7 +28,6 @@
 import org.tanagerbank.platform.PlatformHeaderCodec;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
-import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.RoutingConfig;
 
 /**
@@ -77,17 +75,7 @@
               runtime,
               new PlatformHeaderCodec(),
               config,
-              new DispatchSettings(
-                  "g" + index,
-                  "z",
-                  2,
-                  0.2,
-                  10_000,
-                  50,
-                  5_000,
-                  SimulationRoutes.REGIONS_BY_ZONE,
-                  ColdTolerance.NONE,
-                  /* shedsLoad= */ true),
+              SimulationRoutes.settings("g" + index),
               new SilentObserver());
       config.adopt(SimulationRoutes.config(ROUTE_TIMEOUT_MILLIS));
       config.confirmCurrentAsOf(nowMillis);
@@ -258,15 +246,6 @@
     return call;
   }
 
-  /** Sets what all gateways know of cold upstreams from now on. */
-  void setColdLimits(ColdLimits limits) {
-    gateways.forEach(
-        g -> {
-          g.config.adopt(SimulationRoutes.config(2, ROUTE_TIMEOUT_MILLIS, Optional.of(limits)));
-          g.readReports();
-        });
-  }
-
   /** Sets the share of the messages between gateways that are lost. */
   void setLossShare(double share) {
     network.setLossShare(share);
@@ -299,6 +278,7 @@
   /** Lets all gateways adopt a newer configuration. */
   void adopt(RoutingConfig config) {
     gateways.forEach(g -> g.config.adopt(config));
+    gateways.forEach(SimulatedGateway::readReports);
   }
 
   Dispatcher dispatcher(int gateway) {
--- a/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulationRoutes.java
@@ -21,6 +21,26 @@
 
   private SimulationRoutes() {}
 
+  /** Returns the settings of a gateway, which sheds load. */
+  static DispatchSettings settings(String instanceId) {
+    return new DispatchSettings(
+        instanceId,
+        "z",
+        2,
+        0.2,
+        10_000,
+        50,
+        5_000,
+        REGIONS_BY_ZONE,
+        ColdTolerance.NONE,
+        /* shedsLoad= */ true);
+  }
+
+  /** Returns a newer configuration that bounds what cold upstreams get. */
+  static RoutingConfig withCold(ColdLimits limits) {
+    return config(2, DispatchSimulation.ROUTE_TIMEOUT_MILLIS, Optional.of(limits));
+  }
+
   /** Returns a configuration whose routes have the given timeout in milliseconds. */
   static RoutingConfig config(long timeoutMillis) {
     return config(1, timeoutMillis, Optional.empty());
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamColdTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamColdTest.java
@@ -24,7 +24,7 @@
   }
 
   private static void becomeCold(DispatchSimulation fleet, int upstreams) {
-    fleet.setColdLimits(new ColdLimits(30_000, 4));
+    fleet.adopt(SimulationRoutes.withCold(new ColdLimits(30_000, 4)));
     fleet.advance(3_000);
     fleet.upstreams().subList(0, upstreams).forEach(u -> u.setExtraHeaders("Cold-Ms: 30000\r\n"));
     send(fleet, 1_000);
@@ -55,7 +55,7 @@
   @Test
   void upstreamThatRefusedAConnectionIsCold() {
     DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
-    fleet.setColdLimits(new ColdLimits(30_000, 1));
+    fleet.adopt(SimulationRoutes.withCold(new ColdLimits(30_000, 1)));
     fleet.advance(3_000);
     fleet.setStoreCutOff(0, true);
     fleet.upstreams().get(0).crash(fleet.nowMillis());
