Count requests in flight without streams where each request asks

Change: a loop over the candidates and over the service's upstreams in evacuated zones; the mean is the same.

--- a/src/main/java/org/tanagerbank/dispatch/Placement.java
+++ b/src/main/java/org/tanagerbank/dispatch/Placement.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.engine.PromptPart;
@@ -151,11 +150,7 @@
   private static List<UpstreamHandle> belowLoadLimit(
       List<UpstreamHandle> upstreams, PlacementRequest request) {
     long nowMillis = request.nowMillis();
-    double mean =
-        Stream.concat(upstreams.stream(), request.evacuated().stream())
-            .mapToInt(u -> u.fleetInFlight(nowMillis))
-            .average()
-            .orElse(0);
+    double mean = meanInFlight(upstreams, request);
     double maxRequests = request.loadMultiple() * LOAD_MULTIPLE_SHARE * mean + EXTRA_REQUESTS;
     List<UpstreamHandle> belowLimit =
         upstreams.stream()
@@ -164,6 +159,22 @@
     return belowLimit.isEmpty() ? upstreams : belowLimit;
   }
 
+  private static double meanInFlight(List<UpstreamHandle> upstreams, PlacementRequest request) {
+    long total = 0;
+    int count = 0;
+    for (UpstreamHandle upstream : upstreams) {
+      total += upstream.fleetInFlight(request.nowMillis());
+      count++;
+    }
+    for (UpstreamHandle upstream : request.cacheCandidates()) {
+      if (upstream.isEvacuated() && !upstream.isLeaving()) {
+        total += upstream.fleetInFlight(request.nowMillis());
+        count++;
+      }
+    }
+    return count == 0 ? 0 : (double) total / count;
+  }
+
   /**
    * Returns the cost of a choice in prefilled tokens. Engines that are expected to miss the
    * objective rank after all others, in the order of their predicted time to the first token.
--- a/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
+++ b/src/main/java/org/tanagerbank/dispatch/PlacementRequest.java
@@ -25,9 +25,4 @@
     double loadMultiple,
     List<UpstreamHandle> cacheCandidates,
     long nowMillis,
-    RandomGenerator random) {
-  /** Returns the upstreams to which only the evacuation of their zone keeps requests away. */
-  List<UpstreamHandle> evacuated() {
-    return cacheCandidates.stream().filter(u -> u.isEvacuated() && !u.isLeaving()).toList();
-  }
-}
+    RandomGenerator random) {}
