--- a/review/standin-2/Calls.java
+++ b/review/standin-2/Calls.java
@@ -89,6 +89,10 @@
   }
 
   void start() {
+    rig.logEachSecond(
+        () ->
+            "calls of " + path + ": sent " + sent + ", answered " + answered + ", of which with 200 "
+                + served + "; the workers ran " + workers.stream().mapToInt(Rig.Worker::runs).sum());
     for (int i = 0; i < CHANNELS; i++) {
       Rig.GatewayProcess gateway = gateways.get(i % gateways.size());
       Rig.daemon("call-" + i, () -> send(gateway));
--- a/review/standin-2/ConfigChanges.java
+++ b/review/standin-2/ConfigChanges.java
@@ -82,6 +82,10 @@
     late.stop();
     first.stop();
     Thread.sleep(1_000);
+    for (Rig.GatewayProcess gateway : gateways) {
+      rig.logLines(gateway, 6, "STORE_LOST", "GATEWAY_NOT_READY");
+      rig.logLines(gateway, 2, "REQUEST_REJECTED");
+    }
     return judge(rig, first, late) ? 1 : 0;
   }
 
--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -71,6 +72,20 @@
     System.out.println(line);
   }
 
+  /** Writes a line to record.txt each second until the end. */
+  void logEachSecond(Supplier<String> line) {
+    daemon("log", () -> {
+      while (true) {
+        log(line.get());
+        try {
+          Thread.sleep(1_000);
+        } catch (InterruptedException e) {
+          return;
+        }
+      }
+    });
+  }
+
   void onClose(AutoCloseable closeable) {
     closeables.add(closeable);
   }
@@ -404,6 +419,11 @@
       return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Returns the number of requests that began to run. */
+    int runs() {
+      return runs.size();
+    }
+
     int runs(String requestId) {
       AtomicInteger count = runs.get(requestId);
       return count == null ? 0 : count.get();
