--- a/review/standin-2/CrashHistory.java
+++ b/review/standin-2/CrashHistory.java
@@ -54,6 +54,7 @@
     }
     Thread.sleep(3_000);
     calls.start();
+    rig.logEachSecond(() -> chats.summary() + "; model workers began " + ModelWorker.begun());
     chats.start(CHATS);
     Thread.sleep(3_000);
     int lost = crashInTurn(engines);
--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -80,6 +80,11 @@
       Rig.daemon("small-" + i, () -> sendSmall(gateway));
     }
     Rig.daemon("ready", () -> askReady(gateway));
+    rig.logEachSecond(
+        () ->
+            "ordinary requests: sent " + sent + ", answered " + answered + "; large ones answered "
+                + largeAnswered + "; the workers ran "
+                + workers.stream().mapToInt(Rig.Worker::runs).sum());
     Thread.sleep(3_000);
     for (int round = 0; round < ROUNDS; round++) {
       sendLarge(gateway, round);
--- a/review/standin-2/ModelWorker.java
+++ b/review/standin-2/ModelWorker.java
@@ -29,6 +29,9 @@
   /** Three check-in intervals of 1.2 s. */
   private static final int SILENCE_MILLIS = 3_600;
 
+  /** The requests that all workers began to run. */
+  private static final AtomicInteger BEGUN = new AtomicInteger();
+
   private final Rig rig;
   private final InetSocketAddress store;
   private final int index;
@@ -44,6 +47,10 @@
     this.index = index;
   }
 
+  static int begun() {
+    return BEGUN.get();
+  }
+
   private String id() {
     return "m-" + index + "-" + boot;
   }
@@ -146,6 +153,7 @@
     inFlight.incrementAndGet();
     try {
       slots.acquire();
+      BEGUN.incrementAndGet();
       try {
         stream(request, out);
       } finally {
