--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of cases 6 to 10 start. Run it after the build of the deploy file, which makes the jar
+# Builds the stand-ins that the scripts of cases 6, 7, 9 and 10 start. Run it after the build of the deploy file, which makes the jar
 # that holds the project's own stand-in of the store; without that jar it is made here. Needs a JDK and no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
