Judge a request head by its own bytes, however it is cut

Cause: FoldedHeaderDetector searched each buffer anew and took its first byte for the middle of a line. When the empty line that ends a head came first in a buffer, it was not seen as empty, and the search went on in the body: an indented line there counted as a folded header line, and the caller got 400. The reverse held too: a folded line at the start of a piece was not found.

Change: the detector keeps its place between pieces and gets the bytes that the decoder consumes while it reads a head.

--- a/src/main/java/org/tanagerbank/caller/RequestDecoder.java
+++ b/src/main/java/org/tanagerbank/caller/RequestDecoder.java
@@ -18,8 +18,8 @@
 final class RequestDecoder extends HttpRequestDecoder {
   private static final int MAX_CHUNK_BYTES = 16 << 10;
 
+  private final FoldedHeaderDetector foldedHeaders = new FoldedHeaderDetector();
   private boolean isReadingHead = true;
-  private boolean hasFoldedLine;
 
   RequestDecoder(int maxHeaderBytes) {
     super(
@@ -32,18 +32,20 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
-    if (isReadingHead && !hasFoldedLine) {
-      hasFoldedLine = FoldedHeaderDetector.hasFoldedLine(buffer);
-    }
     int sizeBefore = out.size();
+    int start = buffer.readerIndex();
     super.decode(ctx, buffer, out);
+    if (isReadingHead) {
+      // The call that reads the end of a head reads nothing of the body.
+      foldedHeaders.add(buffer, start, buffer.readerIndex());
+    }
     out.subList(sizeBefore, out.size()).forEach(this::updateState);
   }
 
   private void updateState(Object message) {
     if (message instanceof HttpRequest request) {
       isReadingHead = false;
-      if (hasFoldedLine) {
+      if (foldedHeaders.hasFoldedLine()) {
         request.setDecoderResult(
             DecoderResult.failure(
                 new IllegalArgumentException("request head has a folded header line")));
@@ -51,7 +53,7 @@
     }
     if (message instanceof LastHttpContent) {
       isReadingHead = true;
-      hasFoldedLine = false;
+      foldedHeaders.reset();
     }
   }
 
