Take the configuration from other gateways when the store has lost it

What callers saw: after a drill of the store a gateway that started accepted a key that had been taken away, until the operator had written again.

Cause: the gateway took the answer of the restored store as proof that no newer configuration exists. Digests of its peers named a newer version, which only made it read the same copy again.

Change: ConfigState counts the configuration as current up to the time at which a newer version was first heard of, and not at all before a restarted gateway has heard another one (1.5 s at most; not at the first start of the system). ConfigHandover takes the version from peers if the store does not deliver it within 0.5 s.

--- a/src/main/java/org/tanagerbank/dispatch/ConfigState.java
+++ b/src/main/java/org/tanagerbank/dispatch/ConfigState.java
@@ -8,17 +8,30 @@
  * Holds the routing configuration in use and the time as of which it was last known to be current.
  *
  * <p>The version never decreases. Keys are accepted only while it is certain that no newer
- * configuration revoked them longer ago than the revocation limit. This class performs no I/O. Not
+ * configuration revoked them longer ago than the revocation limit. A store that was restored from
+ * an older copy proves nothing about a version that another instance uses: the configuration counts
+ * as current only up to the time at which a newer version was first heard of, and not at all before
+ * an instance that has restarted has heard another one. This class performs no I/O. Not
  * thread-safe; confined to one thread.
  */
 public final class ConfigState {
   /** Allows for the time, in milliseconds, between the key check and arrival at the upstream. */
   private static final long REVOKE_MARGIN_MILLIS = 600;
 
+  /** The time for which an instance that nobody answers waits for the others after a restart. */
+  private static final long MAX_WAIT_FOR_OTHERS_MILLIS = 1_500;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final long NOT_BEHIND = Long.MAX_VALUE;
+
   private final long revokeMillis;
   private final long configMillis;
   private Optional<RoutingConfig> config = Optional.empty();
-  private long currentAsOfMillis = Long.MIN_VALUE / 2;
+  private long currentAsOfMillis = NEVER;
+  private boolean isAwaitingOthers;
+  private long firstConfirmedMillis = NEVER;
+  private long newestVersionOfOthers;
+  private long behindSinceMillis = NOT_BEHIND;
 
   /**
    * Returns a state without a configuration.
@@ -37,13 +50,68 @@
     boolean newer = config.isEmpty() || candidate.version() > config.get().version();
     if (newer) {
       config = Optional.of(candidate);
+      endLagUnlessBehind();
     }
     return newer;
   }
 
+  /** Begins to wait for the version of another instance, because this one has restarted. */
+  public void awaitOthers() {
+    isAwaitingOthers = true;
+  }
+
+  /** Returns whether this instance still waits for the version of another one. */
+  public boolean isAwaitingOthers(long nowMillis) {
+    return isAwaitingOthers
+        && (firstConfirmedMillis == NEVER
+            || nowMillis - firstConfirmedMillis < MAX_WAIT_FOR_OTHERS_MILLIS);
+  }
+
+  /** Records that there are no other instances. */
+  public void recordAlone() {
+    isAwaitingOthers = false;
+  }
+
+  /**
+   * Records the version that another instance uses.
+   *
+   * @param version the version; 0 from an instance that has no configuration yet
+   */
+  public void recordVersionOfOther(long version, long nowMillis) {
+    if (version == 0) {
+      return;
+    }
+    newestVersionOfOthers = Math.max(newestVersionOfOthers, version);
+    if (isBehind() && behindSinceMillis == NOT_BEHIND) {
+      behindSinceMillis = isAwaitingOthers ? NEVER : nowMillis;
+    }
+    isAwaitingOthers = false;
+  }
+
+  /** Returns the newest version that another instance uses; 0 if none is known. */
+  public long newestVersionOfOthers() {
+    return newestVersionOfOthers;
+  }
+
+  /** Returns whether other instances have used a newer configuration for a time or longer. */
+  public boolean isBehindFor(long millis, long nowMillis) {
+    return isBehind() && nowMillis - behindSinceMillis >= millis;
+  }
+
+  private boolean isBehind() {
+    return config.map(RoutingConfig::version).orElse(0L) < newestVersionOfOthers;
+  }
+
+  private void endLagUnlessBehind() {
+    if (!isBehind()) {
+      behindSinceMillis = NOT_BEHIND;
+    }
+  }
+
   /** Records that all configurations written up to a time have been read; never moves back. */
   public void confirmCurrentAsOf(long atMillis) {
     currentAsOfMillis = Math.max(currentAsOfMillis, atMillis);
+    firstConfirmedMillis = firstConfirmedMillis == NEVER ? atMillis : firstConfirmedMillis;
   }
 
   /** Returns the current configuration, or empty before the first one is adopted. */
@@ -71,6 +139,7 @@
 
   /** Returns how long ago, in milliseconds, the configuration was last known to be current. */
   public long ageMillis(long nowMillis) {
-    return nowMillis - currentAsOfMillis;
+    long asOfMillis = Math.min(currentAsOfMillis, behindSinceMillis);
+    return nowMillis - (isAwaitingOthers(nowMillis) ? NEVER : asOfMillis);
   }
 }
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -89,6 +89,7 @@
             crashGuard,
             config,
             runtime.clockMillis(),
+            runtime.storeClockMillis(),
             () -> refreshConfig.run());
   }
 
@@ -231,7 +232,10 @@
   }
 
   private boolean isStarted() {
-    return upstreamsLoaded && !awaitingCaches && config.config().isPresent();
+    return upstreamsLoaded
+        && !awaitingCaches
+        && config.config().isPresent()
+        && !config.isAwaitingOthers(storeNowMillis());
   }
 
   /** Routes a request once the store has responded, or after {@code limitMillis}. */
--- a/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
+++ b/src/main/java/org/tanagerbank/dispatch/SharedUpstreamState.java
@@ -28,6 +28,7 @@
   private final CrashGuard crashGuard;
   private final ConfigState config;
   private final LongSupplier clockMillis;
+  private final LongSupplier storeClockMillis;
   private final Runnable refreshConfig;
   private final EvacuatedZones evacuatedZones;
 
@@ -37,12 +38,14 @@
       CrashGuard crashGuard,
       ConfigState config,
       LongSupplier clockMillis,
+      LongSupplier storeClockMillis,
       Runnable refreshConfig) {
     this.upstreams = upstreams;
     this.retryBudgets = retryBudgets;
     this.crashGuard = crashGuard;
     this.config = config;
     this.clockMillis = clockMillis;
+    this.storeClockMillis = storeClockMillis;
     this.refreshConfig = refreshConfig;
     this.evacuatedZones = new EvacuatedZones(upstreams, clockMillis);
   }
@@ -214,6 +217,7 @@
 
   @Override
   public void onPeerConfigVersion(long version) {
+    config.recordVersionOfOther(version, storeClockMillis.getAsLong());
     if (config.config().map(RoutingConfig::version).orElse(Long.MAX_VALUE) < version) {
       refreshConfig.run();
     }
--- a/src/main/java/org/tanagerbank/gateway/ConfigTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/ConfigTopicListener.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.EvacuatedZones;
@@ -24,7 +25,7 @@
 final class ConfigTopicListener implements TopicListener {
   private final FleetStore store;
   private final ConfigState configState;
-  private final Runnable onAdopted;
+  private final BiConsumer<KeyedRecord, RoutingConfig> onAdopted;
   private final Runnable onCurrent;
   private final EvacuatedZones evacuatedZones;
   private final Supplier<TopicPosition> position;
@@ -34,13 +35,14 @@
    * Creates a listener.
    *
    * @param position returns the position up to which the topic has been read
+   * @param onAdopted called with each adopted configuration and its record
    */
   ConfigTopicListener(
       FleetStore store,
       ConfigState configState,
       EvacuatedZones evacuatedZones,
       Supplier<TopicPosition> position,
-      Runnable onAdopted,
+      BiConsumer<KeyedRecord, RoutingConfig> onAdopted,
       Runnable onCurrent) {
     this.evacuatedZones = evacuatedZones;
     this.position = position;
@@ -81,7 +83,8 @@
     return zone.filter(z -> !z.isEmpty());
   }
 
-  private void adoptIfNewer(KeyedRecord keyedRecord) {
+  /** Adopts the configuration of a record of the store or of another instance if it is newer. */
+  void adoptIfNewer(KeyedRecord keyedRecord) {
     try {
       Optional<RoutingConfig> config = store.decodeConfig(keyedRecord);
       if (config.isPresent() && configState.adopt(config.get())) {
@@ -91,7 +94,7 @@
             config.get().version(),
             "routes",
             config.get().routes().size());
-        onAdopted.run();
+        onAdopted.accept(keyedRecord, config.get());
       }
     } catch (IOException | IllegalArgumentException e) {
       EventLog.emit(LogEvent.ROUTING_CONFIG_UNREADABLE, "error", e.getMessage());
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -1,12 +1,8 @@
 package org.tanagerbank.gateway;
 
 import com.google.common.collect.ImmutableSet;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -15,9 +11,7 @@
 import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
-import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerHandler;
-import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.caller.CallerServer;
 import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.DispatchRuntime;
@@ -29,7 +23,7 @@
 import org.tanagerbank.request.Lifecycle;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
-import org.tanagerbank.store.Scheduler;
+import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.TopicFollower;
 import org.tanagerbank.upstream.Connector;
 import org.tanagerbank.upstream.EngineInspector;
@@ -43,8 +37,6 @@
  */
 public final class Gateway implements Lifecycle {
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final int STATUS_OK = 200;
-  private static final int STATUS_NOT_READY = 503;
 
   /**
    * Least interval between reads of the configuration topic. It bounds the calls to the store while
@@ -69,13 +61,6 @@
    */
   private static final double UPSTREAM_READ_WAIT_FRACTION = 0.5;
 
-  /**
-   * Fraction of the key revocation time. When the configuration was last confirmed as the newest
-   * longer ago than that, the instance reports that it is not ready, so that callers are directed
-   * to other instances.
-   */
-  private static final double MAX_READY_AGE_FRACTION = 0.6;
-
   /** Name of the store topic in which instances find each other. */
   private static final String PEER_TOPIC = "gateways";
 
@@ -86,6 +71,10 @@
   private static final String CONFIG_TOPIC = "configuration";
 
   private static final String UPSTREAM_TOPIC = "upstreams";
+  private static final String ADOPTED_CONFIG_TOPIC = "adopted-configuration";
+
+  /** The time that the store gets to deliver a configuration that other instances use already. */
+  private static final long CONFIG_LAG_MILLIS = 500;
 
   /** Interval of the periodic updates of upstreams, connections and readiness. */
   private static final long TICK_INTERVAL_MILLIS = 250;
@@ -103,13 +92,15 @@
   private final PeerService peers;
   private final CacheStateTransfer cacheTransfer;
   private final SuspectStore suspectStore;
+  private final ConfigHandover configHandover;
   private final TopicFollower configFollower;
   private final TopicFollower upstreamFollower;
+  private final ReadinessCheck readiness;
   private final CallerServer callerServer;
   private final CallerServer readinessServer;
   private final Optional<CallerServer> metricsServer;
   private volatile boolean isDraining;
-  private boolean wasReady;
+  private boolean isAwaitingOthers;
 
   private Gateway(
       GatewaySettings settings,
@@ -127,29 +118,16 @@
     upstreamListener =
         new UpstreamTopicListener(store, dispatcher, clockMillis, this::onStoreCurrent);
     suspectStore = createSuspectStore(store);
-    Scheduler scheduler = this::schedule;
-    configFollower =
-        TopicFollower.create(
-            store.configTopic(),
-            peers.relay(CONFIG_TOPIC),
-            createConfigListener(store),
-            scheduler,
-            storeClockMillis,
-            MIN_CONFIG_READ_INTERVAL_MILLIS,
-            (long) (settings.operatorTopicMillis() * CONFIG_READ_WAIT_FRACTION));
-    upstreamFollower =
-        TopicFollower.create(
-            store.upstreamTopic(),
-            peers.relay(UPSTREAM_TOPIC),
-            upstreamListener,
-            scheduler,
-            clockMillis,
-            (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_INTERVAL_FRACTION),
-            (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_WAIT_FRACTION));
-    dispatcher.setConfigRefresh(configFollower::refresh);
+    ConfigTopicListener configListener = createConfigListener(store);
+    configHandover =
+        new ConfigHandover(peers.relay(ADOPTED_CONFIG_TOPIC), configListener::adoptIfNewer);
+    configFollower = createConfigFollower(store, configListener);
+    upstreamFollower = createUpstreamFollower(store);
+    dispatcher.setConfigRefresh(this::refreshConfig);
     dispatcher.setUpstreamsRefresh(upstreamFollower::refresh);
     peers.serve(CONFIG_TOPIC, configFollower);
     peers.serve(UPSTREAM_TOPIC, upstreamFollower);
+    peers.serve(ADOPTED_CONFIG_TOPIC, configHandover);
     dispatcher.setPlacementListener(peers::addPlacement);
     dispatcher.crashGuard().setUrgentNewsAction(peers::sendUrgently);
     cacheTransfer =
@@ -161,12 +139,18 @@
             self,
             settings.cacheWaitMillis());
     peers.setPeerStartedAction(cacheTransfer::onPeerStarted);
-    peers.setPeersReadAction(cacheTransfer::onPeersKnown);
+    peers.setPeersReadAction(this::onPeersRead);
     callerServer = createServer(settings.callerAddress(), dispatcher, Gateway::logRejectedRequest);
-    readinessServer =
-        createServer(settings.readinessAddress(), this::answerReadiness, status -> {});
-    metricsServer =
-        settings.metricsAddress().map(a -> createServer(a, this::answerMetrics, status -> {}));
+    readiness =
+        new ReadinessCheck(
+            settings.instanceId(),
+            settings.keyRevocationMillis(),
+            configState,
+            storeClockMillis,
+            upstreamListener::hasSnapshot,
+            () -> isDraining);
+    readinessServer = createServer(settings.readinessAddress(), readiness, status -> {});
+    metricsServer = settings.metricsAddress().map(a -> createServer(a, metrics, status -> {}));
     store.setRestoredAction(this::onStoreRestored);
     metrics.addStoreGauges(configState, configFollower, storeClockMillis);
     metrics.addPeerGauges(peers);
@@ -207,10 +191,52 @@
         configState,
         dispatcher.sharedUpstreamState().evacuatedZones(),
         () -> configFollower.position().orElseThrow(),
-        upstreamListener::updateDispatcher,
+        this::onConfigAdopted,
         this::onStoreCurrent);
   }
 
+  private void onConfigAdopted(KeyedRecord keyed, RoutingConfig config) {
+    configHandover.recordAdopted(keyed, config.version());
+    upstreamListener.updateDispatcher();
+  }
+
+  /** Reads the configuration again, and asks the others if the store doesn't have it. */
+  private void refreshConfig() {
+    configFollower.refresh();
+    if (configState.isBehindFor(CONFIG_LAG_MILLIS, storeClockMillis.getAsLong())) {
+      configHandover.request(configState.newestVersionOfOthers());
+    }
+  }
+
+  private void onPeersRead() {
+    if (peers.knownPeers().isEmpty()) {
+      configState.recordAlone();
+    }
+    cacheTransfer.onPeersKnown();
+  }
+
+  private TopicFollower createConfigFollower(FleetStore store, ConfigTopicListener listener) {
+    return TopicFollower.create(
+        store.configTopic(),
+        peers.relay(CONFIG_TOPIC),
+        listener,
+        this::schedule,
+        storeClockMillis,
+        MIN_CONFIG_READ_INTERVAL_MILLIS,
+        (long) (settings.operatorTopicMillis() * CONFIG_READ_WAIT_FRACTION));
+  }
+
+  private TopicFollower createUpstreamFollower(FleetStore store) {
+    return TopicFollower.create(
+        store.upstreamTopic(),
+        peers.relay(UPSTREAM_TOPIC),
+        upstreamListener,
+        this::schedule,
+        clockMillis,
+        (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_INTERVAL_FRACTION),
+        (long) (settings.upstreamDrainMillis() * UPSTREAM_READ_WAIT_FRACTION));
+  }
+
   private SuspectStore createSuspectStore(FleetStore store) {
     return new SuspectStore(
         store.fleetTopic(SUSPECT_TOPIC),
@@ -244,6 +270,9 @@
     readinessServer.start();
     metricsServer.ifPresent(CallerServer::start);
     callerServer.start();
+    if (!settings.isFirstStart()) {
+      loop.execute(configState::awaitOthers);
+    }
     peers.start();
     loop.execute(configFollower::start);
     loop.execute(upstreamFollower::start);
@@ -301,44 +330,19 @@
     dispatcher.sharedUpstreamState().evacuatedZones().tick();
     dispatcher.tick();
     suspectStore.saveChanges();
-    logReadinessChange(isReady());
-  }
-
-  private boolean isReady() {
-    return !isDraining
-        && configState.config().isPresent()
-        && upstreamListener.hasSnapshot()
-        && configState.ageMillis(storeClockMillis.getAsLong())
-            < settings.keyRevocationMillis() * MAX_READY_AGE_FRACTION;
+    readiness.logChange();
+    resumeAfterWaitForOthers();
   }
 
-  private void logReadinessChange(boolean ready) {
-    if (ready != wasReady) {
-      wasReady = ready;
-      EventLog.emit(
-          ready ? LogEvent.GATEWAY_READY : LogEvent.GATEWAY_NOT_READY,
-          "instance",
-          settings.instanceId(),
-          "draining",
-          isDraining,
-          "configAgeMillis",
-          configState.ageMillis(storeClockMillis.getAsLong()));
+  /** Resumes the requests that came while this instance waited for others after a restart. */
+  private void resumeAfterWaitForOthers() {
+    boolean wasAwaiting = isAwaitingOthers;
+    isAwaitingOthers = configState.isAwaitingOthers(storeClockMillis.getAsLong());
+    if (wasAwaiting && !isAwaitingOthers) {
+      dispatcher.onConfigConfirmed();
     }
   }
 
-  private void answerReadiness(CallerRequest request, CallerExchange exchange) {
-    request.body().release();
-    int status = isReady() ? STATUS_OK : STATUS_NOT_READY;
-    exchange.respond(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-  }
-
-  private void answerMetrics(CallerRequest request, CallerExchange exchange) {
-    request.body().release();
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, GatewayMetrics.CONTENT_TYPE);
-    exchange.respond(STATUS_OK, headers, Unpooled.wrappedBuffer(metrics.toPrometheusText()));
-  }
-
   /**
    * Stops accepting new work and waits for the requests in flight, up to the end of the grace time.
    *
--- a/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewayMetrics.java
@@ -1,11 +1,18 @@
 package org.tanagerbank.gateway;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.tanagerbank.caller.CallerExchange;
+import org.tanagerbank.caller.CallerHandler;
+import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.dispatch.ConfigState;
 import org.tanagerbank.dispatch.DispatchObserver;
 import org.tanagerbank.dispatch.Dispatcher;
@@ -22,8 +29,8 @@
  * The Prometheus metrics of a gateway. Every label takes only a few values, so that the number of
  * time series stays small. Thread-safe.
  */
-final class GatewayMetrics implements DispatchObserver {
-  static final String CONTENT_TYPE = MetricsText.CONTENT_TYPE;
+final class GatewayMetrics implements DispatchObserver, CallerHandler {
+  private static final int STATUS_OK = 200;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** The priority from which requests are counted together, so that a label has few values. */
@@ -211,8 +218,12 @@
         .register(registry);
   }
 
-  /** Returns all metrics in the Prometheus text format. */
-  byte[] toPrometheusText() {
-    return MetricsText.format(registry);
+  /** Answers with all metrics in the Prometheus text format. */
+  @Override
+  public void handle(CallerRequest request, CallerExchange exchange) {
+    request.body().release();
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, MetricsText.CONTENT_TYPE);
+    exchange.respond(STATUS_OK, headers, Unpooled.wrappedBuffer(MetricsText.format(registry)));
   }
 }
--- a/src/test/java/org/tanagerbank/gateway/ConfigTopicListenerTest.java
+++ b/src/test/java/org/tanagerbank/gateway/ConfigTopicListenerTest.java
@@ -48,7 +48,7 @@
           config,
           zones,
           () -> new TopicPosition(1, 1),
-          () -> zonesAtAdoption.add(zones.inFlightByZone().keySet()),
+          (keyed, adopted) -> zonesAtAdoption.add(zones.inFlightByZone().keySet()),
           () -> {});
 
   private static KeyedRecord keyed(String key, String value) {
