Bound the records that are kept for other gateways by their bytes

What callers saw: after 150 to 175 changes of a configuration of 257 KB every request was refused with 503 at all gateways, for good.

Cause: RecordHistory kept the last 200 records whole; 160 of them fill the heap of 48 MB. Reads of the store then fail and nothing leaves the history.

Change: the history holds at most 1 MiB; who lacks more reads the store.

--- a/src/main/java/org/tanagerbank/store/RecordHistory.java
+++ b/src/main/java/org/tanagerbank/store/RecordHistory.java
@@ -11,11 +11,15 @@
  * The latest records of a topic with their offsets, for instances that lack only a few records.
  *
  * <p>Contains all records from offset {@code first}, inclusive, to {@code next}, exclusive, all of
- * one era. Not thread-safe.
+ * one era, and at most {@link #MAX_RECORDS} records of {@link #MAX_BYTES} bytes together. Not
+ * thread-safe.
  */
 final class RecordHistory {
   /** More records than an instance misses between two of its questions. */
-  private static final int MAX_RECORDS = 200;
+  static final int MAX_RECORDS = 200;
+
+  /** A few records of the largest size that the store takes. */
+  static final int MAX_BYTES = 1 << 20;
 
   /** Bounds the records of one answer, which must fit a datagram that networks do not fragment. */
   private static final int MAX_SLICE_BYTES = 1_000;
@@ -24,6 +28,7 @@
   private static final int OVERHEAD_BYTES_PER_RECORD = 8;
 
   private final Deque<KeyedRecord> records = new ArrayDeque<>();
+  private long bytes;
   private long first;
   private TopicPosition next = new TopicPosition(0, 0);
 
@@ -39,6 +44,7 @@
   /** Removes all records; the history then starts at a position. */
   void restart(TopicPosition position) {
     records.clear();
+    bytes = 0;
     first = position.offset();
     next = position;
   }
@@ -56,14 +62,23 @@
       restart(newNext);
       return;
     }
-    records.addAll(added);
     next = newNext;
-    while (records.size() > MAX_RECORDS) {
-      records.removeFirst();
+    for (KeyedRecord keyed : added) {
+      records.addLast(keyed);
+      bytes += bytes(keyed);
+    }
+    while (records.size() > MAX_RECORDS || bytes > MAX_BYTES) {
+      bytes -= bytes(records.removeFirst());
       first++;
     }
   }
 
+  private static int bytes(KeyedRecord keyed) {
+    return keyed.key().length()
+        + keyed.value().map(v -> v.length).orElse(0)
+        + OVERHEAD_BYTES_PER_RECORD;
+  }
+
   /**
    * Returns the records from a position on, as many as fit one answer. Returns nothing when the
    * position is of another era or before the history, or when the first record alone is too large
@@ -81,13 +96,10 @@
       return Optional.empty();
     }
     ImmutableList.Builder<KeyedRecord> slice = ImmutableList.builder();
-    int bytes = 0;
+    int sliceBytes = 0;
     for (KeyedRecord keyed : startingAt(from)) {
-      bytes +=
-          keyed.key().length()
-              + keyed.value().map(v -> v.length).orElse(0)
-              + OVERHEAD_BYTES_PER_RECORD;
-      if (bytes > MAX_SLICE_BYTES) {
+      sliceBytes += bytes(keyed);
+      if (sliceBytes > MAX_SLICE_BYTES) {
         break;
       }
       slice.add(keyed);
