Give up responses that end with a connection that is still being written to

What callers saw: an upstream answers a long upload at once with a 200 without a length and resets the connection while the upload is written; the part that had come was passed on as a whole answer.

Cause: a failed write closes the channel like an orderly end, and the upstream survives, so a body that ends with its connection counted as whole. The client of sidecars did the same.

Change: such an end is CONNECTION_LOST, and the attempt has failed. Refusals and framed responses that come early count as before.

Evidence: UnframedResponseTest, 3 new cases failed before (200 in place of 502, or of a stream that is broken off); BrokenServerTest, 1 of 2 failed before.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.tanagerbank.engine.Prompt;
 import org.tanagerbank.request.Fingerprint;
 import org.tanagerbank.upstream.ExchangeFailure;
 import org.tanagerbank.upstream.ExchangeListener;
@@ -50,6 +49,7 @@
   private final UpstreamHandle upstream;
   private final Optional<Fingerprint> onTrial;
   private final ByteBufAllocator allocator = UnpooledByteBufAllocator.DEFAULT;
+  private final EngineRun engineRun;
   private HttpConnection connection;
   private TrackedRun run;
   private boolean isEnded;
@@ -64,7 +64,6 @@
 
   private boolean hasReceivedHead;
   private boolean isForwarding;
-  private boolean firstEventSeen;
   private CompositeByteBuf buffered;
   private EventSplitter events;
 
@@ -78,20 +77,13 @@
     this.dispatcher = dispatcher;
     this.choice = choice;
     this.upstream = choice.upstream();
+    this.engineRun = new EngineRun(dispatcher, upstream, execution.requestId());
   }
 
   void start() {
     phase = upstream.requestStarted(dispatcher.nowMillis());
     upstream.health().requestSent(dispatcher.nowMillis());
-    if (upstream.engine().isPresent() && execution.prompt().isPresent()) {
-      Prompt prompt = execution.prompt().get();
-      upstream
-          .engine()
-          .get()
-          .requestSent(
-              execution.requestId(), prompt, choice.fetchedTokens(), dispatcher.nowMillis());
-      dispatcher.notifyPlaced(choice, prompt);
-    }
+    engineRun.start(choice, execution.prompt());
     upstream.connections().acquireFor(execution.requestId(), this::connected, this::notConnected);
   }
 
@@ -283,21 +275,11 @@
       piece.release();
       return;
     }
-    recordFirstEvent();
+    engineRun.recordFirstToken();
     execution.beginResponse(upstream, head.status(), head.headers());
     execution.writeBody(piece, events == null ? Optional.empty() : events.lastEventId());
   }
 
-  private void recordFirstEvent() {
-    if (!firstEventSeen) {
-      firstEventSeen = true;
-      upstream
-          .engine()
-          .map(e -> e.firstTokenReceived(execution.requestId(), dispatcher.nowMillis()))
-          .ifPresent(dispatcher.observer()::firstTokenReceived);
-    }
-  }
-
   @Override
   public void onEnd(ResponseEnd end) {
     if (isEnded) {
@@ -307,6 +289,8 @@
       loseResponse("the stream ended inside an event", RunLoss.CLOSED);
     } else if (end == ResponseEnd.FRAMED || !head.hasForwardedBody()) {
       finishResponse();
+    } else if (end == ResponseEnd.CONNECTION_LOST) {
+      loseResponse("the connection ended before the request was written", RunLoss.CLOSED);
     } else {
       dispatcher.survivalCheck().start(upstream.connections(), connection, this::endChecked);
     }
@@ -388,7 +372,7 @@
       dispatcher.crashGuard().runEnded(run);
     }
     upstream.requestEnded();
-    upstream.engine().ifPresent(e -> e.requestEnded(execution.requestId()));
+    engineRun.end();
     if (buffered != null) {
       buffered.release();
       buffered = null;
--- a/src/main/java/org/tanagerbank/http/ClientAttempt.java
+++ b/src/main/java/org/tanagerbank/http/ClientAttempt.java
@@ -117,7 +117,10 @@
 
   @Override
   public void streamEnd(List<? extends Header> trailers) {
-    if (markFinished()) {
+    if (!isFramed && requestBody.hasRemaining()) {
+      // The server may have reset the connection in the middle of the response.
+      failed(new IOException("the connection ended before the request was written"));
+    } else if (markFinished()) {
       if (requestBody.hasRemaining()) {
         // The server responded before it received the complete request. On a reused connection, it
         // would read the rest of this request as a new one.
--- a/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
+++ b/src/main/java/org/tanagerbank/upstream/BufferedExchange.java
@@ -124,6 +124,10 @@
 
   @Override
   public void onEnd(ResponseEnd end) {
+    if (end == ResponseEnd.CONNECTION_LOST) {
+      fail("the connection ended before the request was written");
+      return;
+    }
     finish(BufferedResponse.answered(status, headers, body.toByteArray(), end));
   }
 
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -270,6 +270,9 @@
       if (isReset) {
         fail(ExchangeFailure.CUT_OFF);
       } else {
+        if (responseEnd == ResponseEnd.CONNECTION_CLOSED && !requestWritten) {
+          responseEnd = ResponseEnd.CONNECTION_LOST;
+        }
         // The exchange completes at the end of the read, when any bytes after the response have
         // been decoded.
         endPending = true;
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
@@ -98,6 +100,7 @@
   private String nextVersion;
   private String zone = "z";
   private long endedAtMillis;
+  private boolean leavesUploadsUnfinished;
   private Optional<Function<String, UpstreamBehavior>> script = Optional.empty();
   private final UpstreamTraffic traffic = new UpstreamTraffic();
   private String extraHeaders = "";
@@ -203,8 +206,24 @@
         id(), "s", version, address(), zone, 64, false, 0, startedAtMillis, starts);
   }
 
+  /** Lets the writes of requests end only with their connections, as those of long uploads do. */
+  void leaveUploadsUnfinished() {
+    leavesUploadsUnfinished = true;
+  }
+
+  /** Passes writes on, but does not tell that they are complete. */
+  private static final class UnfinishedWrites extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      ctx.write(message);
+    }
+  }
+
   ChannelFuture connect(int gateway, ChannelHandler... handlers) {
     EmbeddedChannel channel = new EmbeddedChannel(handlers);
+    if (leavesUploadsUnfinished) {
+      channel.pipeline().addFirst(new UnfinishedWrites());
+    }
     if (!isUp) {
       return channel.newFailedFuture(new java.net.ConnectException("refused"));
     }
--- a/src/test/java/org/tanagerbank/dispatch/UnframedResponseTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UnframedResponseTest.java
@@ -129,6 +129,38 @@
     assertThat(call(path).status).isNotEqualTo(404);
   }
 
+  private void leaveUploadsUnfinished() {
+    fleet.upstreams().forEach(SimulatedUpstream::leaveUploadsUnfinished);
+  }
+
+  /** A reset that fails the write of an upload looks like the end of an answer that came early. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "o"})
+  void bodyThatEndsDuringTheUploadIsNotForwarded(String part) {
+    leaveUploadsUnfinished();
+    respondToFirst(head("r1"), new Write(10, part, Then.CLOSE));
+    assertThat(call("/once/x").status).isEqualTo(502);
+    arrivals.set(0);
+    respondToFirst(head("r1"), new Write(10, part, Then.CLOSE));
+    assertThat(call("/safe/x").text()).isEqualTo("ok");
+  }
+
+  @Test
+  void streamThatEndsDuringTheUploadIsBrokenOff() {
+    leaveUploadsUnfinished();
+    respondToFirst(head("r1"), new Write(10, TWO_EVENTS, Then.CLOSE));
+    assertThat(call("/stream/x").status).isEqualTo(0);
+  }
+
+  /** The head of a refusal says all, and a length shows that a body is whole. */
+  @Test
+  void earlyRefusalsAndFramedResponsesAreWhole() {
+    leaveUploadsUnfinished();
+    String refusal = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n\r\n";
+    respondToFirst(new Write(1, refusal), new Write(10, "ful", Then.CLOSE));
+    assertThat(call("/once/x").status).isEqualTo(200);
+  }
+
   /** What a refusal says stands in its head. */
   @Test
   void refusalWithoutLengthIsARefusal() {
--- /dev/null
+++ b/src/test/java/org/tanagerbank/http/BrokenServerTest.java
@@ -0,0 +1,82 @@
+package org.tanagerbank.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagerbank.request.TanagerException;
+
+/** Guards against responses of a broken server that the client takes for whole and valid ones. */
+final class BrokenServerTest {
+  /** More than the buffers of both sockets hold. */
+  private static final int UPLOAD_BYTES = 16 << 20;
+
+  private static final long TIMEOUT_MILLIS = 20_000;
+
+  private final AsyncHttpClient client = AsyncHttpClient.create(2_000);
+  private final CountDownLatch callEnded = new CountDownLatch(1);
+  private final ServerSocket server;
+
+  BrokenServerTest() throws IOException {
+    server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+  }
+
+  @BeforeEach
+  void start() {
+    client.start();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    callEnded.countDown();
+    client.stop();
+    server.close();
+  }
+
+  /** Responds to the first bytes of one request, ends the sending side and reads no more. */
+  private void respond(String response) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = server.accept()) {
+                socket.getInputStream().readNBytes(1);
+                socket.getOutputStream().write(response.getBytes(ISO_8859_1));
+                socket.shutdownOutput();
+                callEnded.await();
+              } catch (IOException | InterruptedException e) {
+                // The client has closed the connection, or the test has ended.
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private HttpResponseMessage call(int uploadBytes) {
+    HttpRequestMessage request =
+        new HttpRequestMessage("POST", "/x", ImmutableMap.of("Host", "x"), new byte[uploadBytes]);
+    return client.exchange(
+        (InetSocketAddress) server.getLocalSocketAddress(), request, TIMEOUT_MILLIS);
+  }
+
+  @Test
+  void responseWithoutALengthThatEndsDuringTheUploadIsNotWhole() {
+    respond("HTTP/1.1 200 OK\r\n\r\npart");
+    assertThrows(TanagerException.class, () -> call(UPLOAD_BYTES));
+  }
+
+  @Test
+  void responseWithALengthThatComesDuringTheUploadIsWhole() {
+    respond("HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\nbody");
+    assertThat(call(UPLOAD_BYTES).status()).isEqualTo(413);
+  }
+}
