Take no status for an answer that HTTP does not have

What callers saw: an upstream's answer with the status 000 was passed on.

Cause: Netty gives any number as a status; HttpCore, in the client of sidecars, any from 100 on.

Change: a head with a status below 100 or above 599 is malformed.

--- a/src/main/java/org/tanagerbank/http/ClientAttempt.java
+++ b/src/main/java/org/tanagerbank/http/ClientAttempt.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -28,6 +29,9 @@
  * the call exactly once.
  */
 final class ClientAttempt implements AsyncClientExchangeHandler {
+  /** The largest status of HTTP; HttpCore rejects those below the smallest one. */
+  private static final int MAX_STATUS = 599;
+
   private final ClientCall call;
   private final AsyncClientEndpoint endpoint;
   private final HttpHost host;
@@ -91,7 +95,11 @@
   }
 
   @Override
-  public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+  public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
+      throws HttpException {
+    if (response.getCode() > MAX_STATUS) {
+      throw new ProtocolException("response with the invalid status " + response.getCode());
+    }
     // EntityDetails.isChunked is also true for a body that ends with its connection.
     isFramed =
         entity == null
--- a/src/main/java/org/tanagerbank/upstream/HttpConnection.java
+++ b/src/main/java/org/tanagerbank/upstream/HttpConnection.java
@@ -204,7 +204,7 @@
       rejectUnexpected();
       return;
     }
-    if (message.decoderResult().isFailure()) {
+    if (message.decoderResult().isFailure() || hasInvalidStatus(message)) {
       fail(ExchangeFailure.MALFORMED);
       return;
     }
@@ -216,6 +216,12 @@
     }
   }
 
+  /** Returns whether a message is a head whose status is of none of the five classes of HTTP. */
+  private static boolean hasInvalidStatus(HttpObject message) {
+    return message instanceof HttpResponse response
+        && response.status().codeClass() == HttpStatusClass.UNKNOWN;
+  }
+
   private void onHead(HttpResponse response) {
     isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (isInformational) {
--- a/src/test/java/org/tanagerbank/http/BrokenServerTest.java
+++ b/src/test/java/org/tanagerbank/http/BrokenServerTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerbank.request.TanagerException;
 
 /** Guards against responses of a broken server that the client takes for whole and valid ones. */
@@ -79,4 +81,11 @@
     respond("HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\nbody");
     assertThat(call(UPLOAD_BYTES).status()).isEqualTo(413);
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  void statusThatHttpDoesNotHaveIsAFailure(String status) {
+    respond("HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\nx");
+    assertThrows(TanagerException.class, () -> call(1));
+  }
 }
