Bound the memory of responses that are not forwarded yet

Report of other operators: a faulty upstream sends bytes without end, and the machine that called it runs out of memory.

Cause: a body was a list of pieces, and a piece of a single byte held the buffer into which it was read; each body was bounded, all together were not.

Change: pieces are copied, of requests too; all unforwarded bodies of an instance share 8 MiB. Beyond that a success is forwarded as it arrives and an error is given up.

--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.tanagerbank.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -47,7 +46,7 @@
   private final Deque<Object> queuedMessages = new ArrayDeque<>();
   private SocketChannel channel;
   private HttpRequest requestHead;
-  private CompositeByteBuf requestBody;
+  private ByteBuf requestBody;
   private boolean isHandling;
   private boolean isClosing;
   private boolean keepAlive;
@@ -124,7 +123,7 @@
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
-    requestBody = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    requestBody = Unpooled.EMPTY_BUFFER;
   }
 
   private void onContent(HttpContent content) {
@@ -134,7 +133,11 @@
     }
     ByteBuf part = content.content();
     if (part.isReadable()) {
-      requestBody.addComponent(true, part.retain());
+      if (!requestBody.isReadable()) {
+        requestBody = channel.alloc().buffer(part.readableBytes());
+      }
+      // Copied, as a part of a single byte would hold the whole buffer into which it was read.
+      requestBody.writeBytes(part);
       if (requestBody.readableBytes() > server.limits().maxBodyBytes()) {
         reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code());
         return;
--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
@@ -24,13 +23,6 @@
  * confined to the event loop.
  */
 final class Attempt implements ExchangeListener {
-  /**
-   * The largest response body, in bytes, that is buffered as a whole. A larger one of a success is
-   * forwarded as it arrives, and from then on the request cannot be retried. A larger one of an
-   * error is given up.
-   */
-  private static final int MAX_BUFFERED_BYTES = 256 << 10;
-
   /**
    * The time without a response head, in milliseconds, after which a cancelled attempt counts as a
    * failure of the upstream. A working upstream begins its response sooner.
@@ -64,7 +56,7 @@
 
   private boolean hasReceivedHead;
   private boolean isForwarding;
-  private CompositeByteBuf buffered;
+  private BufferedBody buffered;
   private EventSplitter events;
 
   Attempt(
@@ -221,7 +213,7 @@
     if (isForwarding) {
       events = new EventSplitter(allocator);
     } else {
-      buffered = allocator.compositeBuffer(Integer.MAX_VALUE);
+      buffered = new BufferedBody(allocator, dispatcher.heldBytes());
     }
   }
 
@@ -250,23 +242,24 @@
     forward(complete);
   }
 
+  /**
+   * Adds a piece to the body. A success that cannot be buffered any longer is forwarded as it
+   * arrives, and from then on the request cannot be retried. An error is given up then.
+   */
   private void addToBuffer(ByteBuf piece) {
-    buffered.addComponent(true, piece.retain());
-    if (buffered.readableBytes() <= MAX_BUFFERED_BYTES) {
+    if (buffered.add(piece)) {
       return;
     }
     if (head.isSuccess()) {
       isForwarding = true;
-      ByteBuf first = buffered;
+      BufferedBody first = buffered;
       buffered = null;
-      forward(first);
+      forward(first.take());
     } else if (head.proof() == ResponseProof.REFUSAL) {
       finishBuffered();
       connection.cancel();
     } else {
-      loseResponse(
-          "the body of an error response is larger than " + MAX_BUFFERED_BYTES + " bytes",
-          RunLoss.GIVEN_UP);
+      loseResponse("the body of an error response is too large to be buffered", RunLoss.GIVEN_UP);
     }
   }
 
@@ -326,7 +319,7 @@
   }
 
   private void finishBuffered() {
-    ByteBuf body = buffered;
+    ByteBuf body = buffered.take();
     buffered = null;
     CompleteResponse complete =
         new CompleteResponse(dispatcher, execution, upstream, head, evidence());
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -58,6 +58,7 @@
   private final WaitingRequests waiting;
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
+  private final HeldBytes heldBytes = new HeldBytes();
   private final UpstreamListProof upstreamListProof;
   private boolean upstreamsLoaded;
   private boolean awaitingCaches;
@@ -376,6 +377,10 @@
     return survivalCheck;
   }
 
+  HeldBytes heldBytes() {
+    return heldBytes;
+  }
+
   DispatchSettings settings() {
     return settings;
   }
--- a/src/test/java/org/tanagerbank/dispatch/EndlessResponseTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/EndlessResponseTest.java
@@ -18,6 +18,8 @@
 /** Guards against responses without end that fill the memory or take the time of an instance. */
 final class EndlessResponseTest {
   private static final int PIECES = 200;
+  private static final int CHUNK_BYTES = 250_000;
+  private static final int MANY_CALLS = 60;
   private static final String PIECE = "x".repeat(16_384);
 
   private static ImmutableList<Write> endless(String head) {
@@ -53,6 +55,30 @@
     assertThat(call.status).isEqualTo(502);
   }
 
+  /** Bodies that are each within their bound must not fill the memory together. */
+  @Test
+  void manyBodiesWithoutEndTakeBoundedMemory() {
+    DispatchSimulation fleet = new DispatchSimulation(1, 1, true);
+    String error = "Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n";
+    fleet
+        .upstreams()
+        .get(0)
+        .setScript(
+            id ->
+                new UpstreamBehavior(
+                    true,
+                    false,
+                    ImmutableList.of(
+                        new Write(1, head("404 X", id, error)),
+                        new Write(2, Integer.toHexString(CHUNK_BYTES) + "\r\n"),
+                        new Write(3, "x".repeat(CHUNK_BYTES)))));
+    for (int i = 0; i < MANY_CALLS; i++) {
+      fleet.send(0, "/safe/x", "body");
+    }
+    fleet.advance(100);
+    assertThat(fleet.dispatcher(0).heldBytes().total()).isAtMost(HeldBytes.MAX_BYTES);
+  }
+
   @Test
   void bodyOfARefusalWithoutEndCountsAsRefusal() {
     Call call = callWithEndlessBody("/safe/x", "503 X", "Not-Executed: 1\r\n");
