Join only what continues a stream to it

Report of other operators: after a break-off, clients found the error of the next worker in the middle of their stream, or the stream ended as complete.

Cause: responses with the status of an error were kept out, but any success was joined to the stream: another status or type, text without ids, the stream from its beginning.

Change: a response that goes on must have the status and the type of the one that began the stream, and its first event a higher id than the last one that the caller has; otherwise the attempt has failed.

--- a/src/main/java/org/tanagerbank/dispatch/Attempt.java
+++ b/src/main/java/org/tanagerbank/dispatch/Attempt.java
@@ -35,6 +35,8 @@
    */
   private static final long LAST_NOTICE_MILLIS = 200;
 
+  private static final String OTHER_RESPONSE = "the response does not continue the stream";
+
   private final RequestExecution execution;
   private final Dispatcher dispatcher;
   private final UpstreamChoice choice;
@@ -59,6 +61,9 @@
   private BufferedBody buffered;
   private EventSplitter events;
 
+  /** Where the first events of the response must go on. */
+  private ResumePosition position;
+
   Attempt(
       RequestExecution execution,
       Dispatcher dispatcher,
@@ -186,6 +191,8 @@
     head = received;
     if (head.isUnusable()) {
       loseResponse(head.proof().description(), RunLoss.GIVEN_UP);
+    } else if (head.isSuccess() && !execution.isContinuedBy(head)) {
+      loseResponse(OTHER_RESPONSE, RunLoss.GIVEN_UP);
     } else {
       beginReceiving();
     }
@@ -212,6 +219,7 @@
     isForwarding = head.isSuccess() && execution.isStream();
     if (isForwarding) {
       events = new EventSplitter(allocator);
+      position = execution.resumePosition();
     } else {
       buffered = new BufferedBody(allocator, dispatcher.heldBytes());
     }
@@ -239,6 +247,14 @@
       loseResponse(e.getMessage(), RunLoss.GIVEN_UP);
       return;
     }
+    if (complete.isReadable()) {
+      if (!position.isContinuedBy(complete)) {
+        complete.release();
+        loseResponse(OTHER_RESPONSE, RunLoss.GIVEN_UP);
+        return;
+      }
+      position = ResumePosition.ANY;
+    }
     forward(complete);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/CallerResponse.java
+++ b/src/main/java/org/tanagerbank/dispatch/CallerResponse.java
@@ -1,6 +1,7 @@
 package org.tanagerbank.dispatch;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.tanagerbank.caller.CallerExchange;
@@ -16,6 +17,8 @@
   private final CallerExchange exchange;
   private final HeaderCodec codec;
   private boolean hasBegun;
+  private int status;
+  private Optional<String> contentType = Optional.empty();
   private Optional<String> lastEventId = Optional.empty();
 
   CallerResponse(CallerExchange exchange, HeaderCodec codec) {
@@ -33,9 +36,18 @@
     return lastEventId;
   }
 
+  /** Returns whether a head can belong to a response that goes on with this one. */
+  boolean isContinuedBy(int headStatus, HttpHeaders headers) {
+    return !hasBegun || (headStatus == status && contentTypeOf(headers).equals(contentType));
+  }
+
+  private static Optional<String> contentTypeOf(HttpHeaders headers) {
+    return Optional.ofNullable(headers.get(HttpHeaderNames.CONTENT_TYPE));
+  }
+
   /** Sends a complete response of an upstream; takes over the body. */
-  void respond(int status, HttpHeaders headers, ByteBuf body) {
-    exchange.respond(status, codec.toCaller(headers), body);
+  void respond(int headStatus, HttpHeaders headers, ByteBuf body) {
+    exchange.respond(headStatus, codec.toCaller(headers), body);
   }
 
   /**
@@ -43,9 +55,11 @@
    *
    * @param onWritable runs each time that the caller's connection becomes writable
    */
-  void begin(int status, HttpHeaders headers, Runnable onWritable) {
+  void begin(int headStatus, HttpHeaders headers, Runnable onWritable) {
     hasBegun = true;
-    exchange.beginResponse(status, codec.toCaller(headers));
+    status = headStatus;
+    contentType = contentTypeOf(headers);
+    exchange.beginResponse(headStatus, codec.toCaller(headers));
     exchange.onWritable(onWritable);
   }
 
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -162,6 +162,16 @@
     return response.hasBegun();
   }
 
+  /** Returns where in the stream a response must go on. */
+  ResumePosition resumePosition() {
+    return new ResumePosition(response.lastEventId());
+  }
+
+  /** Returns whether the caller gets a head, or has one like it. */
+  boolean isContinuedBy(ResponseHead head) {
+    return response.isContinuedBy(head.status(), head.headers());
+  }
+
   /** Forwards a complete response of an upstream and ends the request; takes over the body. */
   void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
     log.responseBegun();
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedUpstream.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
@@ -14,6 +12,7 @@
 import java.util.function.Function;
 import java.util.function.IntPredicate;
 import java.util.function.IntToLongFunction;
+import java.util.function.Supplier;
 import org.tanagerbank.dispatch.UpstreamBehavior.Write;
 import org.tanagerbank.upstream.UpstreamReport;
 
@@ -100,7 +99,8 @@
   private String nextVersion;
   private String zone = "z";
   private long endedAtMillis;
-  private boolean leavesUploadsUnfinished;
+  private Optional<Function<String, UpstreamBehavior>> resumeScript = Optional.empty();
+  private Optional<Supplier<ChannelHandler>> extraHandler = Optional.empty();
   private Optional<Function<String, UpstreamBehavior>> script = Optional.empty();
   private final UpstreamTraffic traffic = new UpstreamTraffic();
   private String extraHeaders = "";
@@ -134,6 +134,11 @@
     return keepsId ? name : name + "-" + starts;
   }
 
+  /** Sets what the upstream does with a stream that another one began, by the request id. */
+  void setResumeScript(Function<String, UpstreamBehavior> newScript) {
+    resumeScript = Optional.of(newScript);
+  }
+
   /**
    * Sets what the upstream does with a request, by the id of the request. It goes on with streams
    * that another one began in the usual way.
@@ -208,22 +213,12 @@
 
   /** Lets the writes of requests end only with their connections, as those of long uploads do. */
   void leaveUploadsUnfinished() {
-    leavesUploadsUnfinished = true;
-  }
-
-  /** Passes writes on, but does not tell that they are complete. */
-  private static final class UnfinishedWrites extends ChannelOutboundHandlerAdapter {
-    @Override
-    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-      ctx.write(message);
-    }
+    extraHandler = Optional.of(UnfinishedWrites::new);
   }
 
   ChannelFuture connect(int gateway, ChannelHandler... handlers) {
     EmbeddedChannel channel = new EmbeddedChannel(handlers);
-    if (leavesUploadsUnfinished) {
-      channel.pipeline().addFirst(new UnfinishedWrites());
-    }
+    extraHandler.ifPresent(h -> channel.pipeline().addFirst(h.get()));
     if (!isUp) {
       return channel.newFailedFuture(new java.net.ConnectException("refused"));
     }
@@ -314,15 +309,9 @@
     }
     connection.endsAtMillis = Long.MAX_VALUE;
     String body = connection.path.startsWith("/stream/") ? "data: ok\n\n" : "ok";
-    String response =
-        "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
-            + connection.requestId
-            + "\r\n"
-            + extraHeaders
-            + "Content-Length: "
-            + body.length()
-            + "\r\n\r\n"
-            + body;
+    String head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: " + connection.requestId;
+    String length = "Content-Length: " + body.length();
+    String response = head + "\r\n" + extraHeaders + length + "\r\n\r\n" + body;
     respond(connection, response, nowMillis);
   }
 
@@ -369,6 +358,9 @@
     if (script.isPresent() && lastEvent == 0) {
       return script.get().apply(requestId);
     }
+    if (resumeScript.isPresent() && lastEvent > 0) {
+      return resumeScript.get().apply(requestId);
+    }
     return head.startsWith("POST /resume/")
         ? UpstreamBehavior.streams(requestId, lastEvent, version)
         : UpstreamBehavior.NORMAL;
