Answer what is in flight at the end of a planned stop

Report of other operators: in a planned stop, requests were cut at the end of the grace with no answer, among them some that may not be repeated.

Cause: late requests were refused already, but those that were taken before and outlast the grace were closed with the process.

Change: at the deadline each request is answered with what is known of it: 503 not run, 502 may have run, a reset for a response that has begun; one that has not arrived whole gets 503. PlannedStop, RefusalSender and RequestBody are split from classes that were too long.

--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -46,7 +46,7 @@
   private final Deque<Object> queuedMessages = new ArrayDeque<>();
   private SocketChannel channel;
   private HttpRequest requestHead;
-  private ByteBuf requestBody;
+  private RequestBody requestBody;
   private boolean isHandling;
   private boolean isClosing;
   private boolean keepAlive;
@@ -123,7 +123,7 @@
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
-    requestBody = Unpooled.EMPTY_BUFFER;
+    requestBody = new RequestBody(channel.alloc());
   }
 
   private void onContent(HttpContent content) {
@@ -132,16 +132,9 @@
       return;
     }
     ByteBuf part = content.content();
-    if (part.isReadable()) {
-      if (!requestBody.isReadable()) {
-        requestBody = channel.alloc().buffer(part.readableBytes());
-      }
-      // Copied, as a part of a single byte would hold the whole buffer into which it was read.
-      requestBody.writeBytes(part);
-      if (requestBody.readableBytes() > server.limits().maxBodyBytes()) {
-        reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code());
-        return;
-      }
+    if (part.isReadable() && requestBody.add(part) > server.limits().maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code());
+      return;
     }
     if (content instanceof LastHttpContent) {
       handleRequest();
@@ -150,7 +143,7 @@
 
   private void handleRequest() {
     isHandling = true;
-    ByteBuf body = requestBody;
+    ByteBuf body = requestBody.take();
     requestBody = null;
     HttpRequest head = requestHead;
     CallerRequest request =
@@ -296,10 +289,20 @@
     }
   }
 
+  /** Rejects a request that has not arrived whole, if there is one. */
+  void rejectUnread() {
+    if (!isClosing && !isHandling && isReading()) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+    }
+  }
+
   /** Returns whether a request is being read or handled, or a response is not fully sent. */
   boolean isBusy() {
-    boolean isReading = requestHead != null || headStartedMillis >= 0;
-    return hasUnsentBytes() || (!isClosing && (isHandling || isReading));
+    return hasUnsentBytes() || (!isClosing && (isHandling || isReading()));
+  }
+
+  private boolean isReading() {
+    return requestHead != null || headStartedMillis >= 0;
   }
 
   private boolean hasUnsentBytes() {
@@ -331,8 +334,7 @@
       reject(HttpResponseStatus.REQUEST_TIMEOUT.code());
       return;
     }
-    boolean isIdle = requestHead == null && headStartedMillis < 0;
-    if (isIdle && nowMillis - lastReadMillis > server.limits().idleTimeoutMillis()) {
+    if (!isReading() && nowMillis - lastReadMillis > server.limits().idleTimeoutMillis()) {
       isClosing = true;
       channel.close();
     }
--- a/src/main/java/org/tanagerbank/caller/CallerServer.java
+++ b/src/main/java/org/tanagerbank/caller/CallerServer.java
@@ -169,6 +169,11 @@
     return true;
   }
 
+  /** Rejects the requests that have not arrived whole, because the instance stops. */
+  public void rejectUnread() {
+    new ArrayList<>(connections).forEach(CallerConnection::rejectUnread);
+  }
+
   /** Returns whether a request is being read or handled, or a response is not fully sent. */
   boolean isBusy() {
     return connections.stream().anyMatch(CallerConnection::isBusy);
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -1,14 +1,12 @@
 package org.tanagerbank.dispatch;
 
-import io.netty.buffer.Unpooled;
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Locale;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
@@ -17,8 +15,6 @@
 import org.tanagerbank.caller.CallerHandler;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.events.EventLog;
-import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.route.Route;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.route.Workspace;
@@ -34,8 +30,6 @@
  * are loaded wait for them for a limited time. Not thread-safe; confined to the event loop.
  */
 public final class Dispatcher implements CallerHandler {
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   /**
    * How long a request waits, in milliseconds, for the store to confirm the configuration. The
    * store responds within a few milliseconds unless it is slow or unavailable.
@@ -58,6 +52,8 @@
   private final WaitingRequests waiting;
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
+  private final RefusalSender refusalSender;
+  private final Set<RequestExecution> executions = new LinkedHashSet<>();
   private final HeldBytes heldBytes = new HeldBytes();
   private final UpstreamListProof upstreamListProof;
   private boolean upstreamsLoaded;
@@ -75,6 +71,7 @@
     this.config = config;
     this.settings = settings;
     this.observer = observer;
+    this.refusalSender = new RefusalSender(observer, config, runtime.storeClockMillis());
     this.upstreams = Upstreams.on(runtime, settings.coldTolerance());
     this.waiting = new WaitingRequests(runtime.loop());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
@@ -325,28 +322,22 @@
 
   /** Sends a response that the router generates itself, and logs its reason. */
   void respond(String requestId, CallerExchange exchange, Refusal refusal) {
-    observer.requestRejected(refusal.status(), refusal.metricReason());
-    EventLog.emit(
-        LogEvent.REQUEST_REJECTED,
-        "request",
-        requestId,
-        "status",
-        refusal.status(),
-        "reason",
-        refusal.reason(),
-        "configVersion",
-        config.config().map(RoutingConfig::version).orElse(0L),
-        "configAgeMillis",
-        config.ageMillis(storeNowMillis()));
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-    if (refusal.retryAfterMillis() > 0) {
-      String seconds =
-          String.format(Locale.ROOT, "%.3f", refusal.retryAfterMillis() / MILLIS_PER_SECOND);
-      headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
-    }
-    byte[] text = (refusal.reason() + "\n").getBytes(StandardCharsets.UTF_8);
-    exchange.respond(refusal.status(), headers, Unpooled.wrappedBuffer(text));
+    refusalSender.send(requestId, exchange, refusal);
+  }
+
+  /** Records a request that is being executed, until {@link #executionEnded}. */
+  void executionStarted(RequestExecution execution) {
+    executions.add(execution);
+  }
+
+  void executionEnded(RequestExecution execution) {
+    executions.remove(execution);
+  }
+
+  /** Ends all requests because the instance stops; each caller is told what is known of its own. */
+  public void endAll() {
+    waiting.resumeAll();
+    ImmutableList.copyOf(executions).forEach(RequestExecution::endForStop);
   }
 
   void runLater(Runnable task, long delayMillis) {
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.engine.Prompt;
@@ -30,6 +31,7 @@
   private static final long TRIAL_POLL_MILLIS = 20;
 
   private static final int SUCCESS_CLASS = 2;
+  private static final String STOPPED = "the instance stopped before the response was complete";
 
   private final Dispatcher dispatcher;
   private final CallerRequest request;
@@ -94,6 +96,7 @@
 
   void start() {
     exchange.onDisconnect(this::callerDisconnected);
+    dispatcher.executionStarted(this);
     dispatcher.retryBudgets().recordRequest(service, dispatcher.nowMillis());
     long left = Math.max(0, timeLeftMillis());
     timeout = dispatcher.loop().schedule(this::timedOut, left, TimeUnit.MILLISECONDS);
@@ -325,19 +328,34 @@
   }
 
   private void timedOut() {
+    endUnanswered(
+        "timeout",
+        Attempt::cancelAtTimeLimit,
+        Refusal.timedOut(),
+        Refusal.notRun("timeout before it was sent"));
+  }
+
+  /** Ends the request because the instance stops before a response is complete. */
+  void endForStop() {
+    endUnanswered(
+        STOPPED, Attempt::cancel, Refusal.mayHaveRun(STOPPED), Refusal.instanceStopping());
+  }
+
+  private void endUnanswered(
+      String reason, Consumer<Attempt> cancellation, Refusal ifSent, Refusal ifNotSent) {
     if (ended) {
       return;
     }
     boolean wasSent = sentAttempts > 0 || (attempt != null && attempt.wasSent());
     if (attempt != null) {
-      attempt.cancelAtTimeLimit();
+      cancellation.accept(attempt);
     }
     if (response.hasBegun()) {
-      finish(0, "timeout");
+      finish(0, reason);
       response.abort();
       return;
     }
-    Refusal refusal = wasSent ? Refusal.timedOut() : Refusal.notRun("timeout before it was sent");
+    Refusal refusal = wasSent ? ifSent : ifNotSent;
     finish(refusal.status(), refusal.reason());
     dispatcher.respond(requestId, exchange, refusal);
   }
@@ -361,6 +379,7 @@
 
   private void finish(int status, String reason) {
     ended = true;
+    dispatcher.executionEnded(this);
     timeout.cancel(false);
     retry.release();
     dispatcher.crashGuard().abandon(suspects, this);
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -353,30 +353,9 @@
   public void drain(long millisSinceRequest) throws InterruptedException {
     EventLog.emit(LogEvent.PROCESS_STOPPING, "instance", settings.instanceId());
     isDraining = true;
-    DrainPlan plan =
-        DrainPlan.startingAt(clockMillis.getAsLong(), settings.graceMillis() - millisSinceRequest);
-    loop.execute(callerServer::beginDrain);
-    loop.execute(
-        () ->
-            dispatcher.setAdmissionCheck(
-                maxDuration -> plan.acceptsRequest(clockMillis.getAsLong(), maxDuration)));
-    while (true) {
-      int requestsInFlight =
-          loop.submit(callerServer::requestsInFlight).syncUninterruptibly().getNow();
-      DrainPlan.Step step = plan.nextStep(clockMillis.getAsLong(), requestsInFlight);
-      if (step == DrainPlan.Step.CLOSE_IDLE) {
-        loop.execute(callerServer::closeIdle);
-      }
-      if (step == DrainPlan.Step.END
-          && (plan.isPastDeadline(clockMillis.getAsLong()) || closeCallerServerUnlessBusy())) {
-        return;
-      }
-      TimeUnit.MILLISECONDS.sleep(DrainPlan.CHECK_INTERVAL_MILLIS);
-    }
-  }
-
-  private boolean closeCallerServerUnlessBusy() {
-    return loop.submit(callerServer::closeUnlessBusy).syncUninterruptibly().getNow();
+    long graceMillis = settings.graceMillis() - millisSinceRequest;
+    DrainPlan plan = DrainPlan.startingAt(clockMillis.getAsLong(), graceMillis);
+    new PlannedStop(plan, loop, clockMillis, callerServer, dispatcher).run();
   }
 
   @Override
