--- a/src/test/java/org/tanagerbank/gateway/PlannedStopTest.java
+++ b/src/test/java/org/tanagerbank/gateway/PlannedStopTest.java
@@ -45,7 +45,7 @@
       String response =
           begun.isEmpty() ? "" : GatewayFixture.readUntil(socket.getInputStream(), begun);
       while (fixture.arrivals().size() < arrivals) {
-        Thread.sleep(1);
+        Thread.yield();
       }
       fixture.gateway().drain(MILLIS_SINCE_REQUEST);
       return response + GatewayFixture.readToEnd(socket.getInputStream());
