Let PlannedStopTest know that the head of a request has been read

Cause: the half request might not have been read when the stop's deadline comes on a busy machine. Change: the test waits for 100 Continue.

--- a/src/test/java/org/tanagerbank/gateway/PlannedStopTest.java
+++ b/src/test/java/org/tanagerbank/gateway/PlannedStopTest.java
@@ -19,6 +19,7 @@
   private static final long MILLIS_SINCE_REQUEST = 7_000;
 
   private static final String BODY = "Content-Length: 4\r\n";
+  private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
   private GatewayFixture fixture;
 
@@ -68,7 +69,8 @@
 
   @Test
   void requestThatHasNotArrivedWholeIsAnswered() throws Exception {
-    String response = responseAtStop(request("POST", "/once/x", "r1", BODY) + "bo", "", 0);
-    assertThat(response).startsWith("HTTP/1.1 503");
+    String head = request("POST", "/once/x", "r1", BODY + "Expect: 100-continue\r\n");
+    String response = responseAtStop(head + "bo", CONTINUE, 0);
+    assertThat(response).startsWith(CONTINUE + "HTTP/1.1 503");
   }
 }
