Collect bodies of requests and responses with the same class

Cause: RequestBody and BufferedBody, both new, copied pieces in the same way, and two tests made the same empty configuration.

--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -46,7 +46,7 @@
   private final Deque<Object> queuedMessages = new ArrayDeque<>();
   private SocketChannel channel;
   private HttpRequest requestHead;
-  private RequestBody requestBody;
+  private CopiedBody requestBody;
   private boolean isHandling;
   private boolean isClosing;
   private boolean keepAlive;
@@ -123,7 +123,7 @@
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
-    requestBody = new RequestBody(channel.alloc());
+    requestBody = new CopiedBody(channel.alloc());
   }
 
   private void onContent(HttpContent content) {
--- a/src/test/java/org/tanagerbank/dispatch/ConfigStateTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/ConfigStateTest.java
@@ -2,13 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.tanagerbank.route.CallerLimits;
-import org.tanagerbank.route.RouteTable;
-import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.TestRoutes;
 
 /**
  * Guards against keys that are accepted again after the store was restored from a copy that lacks
@@ -20,20 +16,10 @@
 
   private final ConfigState state = new ConfigState(REVOKE_MILLIS, CONFIG_MILLIS);
 
-  private static RoutingConfig config(long version) {
-    return new RoutingConfig(
-        version,
-        RouteTable.of(ImmutableList.of()),
-        ImmutableMap.of(),
-        ImmutableMap.of(),
-        true,
-        CallerLimits.INITIAL);
-  }
-
   @BeforeEach
   void readConfig() {
     state.awaitOthers();
-    state.adopt(config(7));
+    state.adopt(TestRoutes.emptyConfig(7));
     state.confirmCurrentAsOf(0);
   }
 
@@ -46,7 +32,7 @@
       assertThat(state.allowsKeys(now)).isFalse();
       assertThat(state.isCurrent(now)).isFalse();
     }
-    state.adopt(config(10));
+    state.adopt(TestRoutes.emptyConfig(10));
     assertThat(state.allowsKeys(60_000)).isTrue();
   }
 
@@ -63,7 +49,7 @@
     ConfigState started = new ConfigState(REVOKE_MILLIS, CONFIG_MILLIS);
     started.awaitOthers();
     started.recordVersionOfOther(10, 50);
-    started.adopt(config(7));
+    started.adopt(TestRoutes.emptyConfig(7));
     started.confirmCurrentAsOf(100);
     assertThat(started.allowsKeys(100)).isFalse();
   }
@@ -95,7 +81,7 @@
     assertThat(state.allowsKeys(14_500)).isFalse();
     assertThat(state.isBehindFor(500, 10_400)).isFalse();
     assertThat(state.isBehindFor(500, 10_500)).isTrue();
-    state.adopt(config(8));
+    state.adopt(TestRoutes.emptyConfig(8));
     assertThat(state.allowsKeys(20_000)).isTrue();
     assertThat(state.isBehindFor(0, 20_000)).isFalse();
   }
--- a/src/test/java/org/tanagerbank/dispatch/DispatchPartsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchPartsTest.java
@@ -4,7 +4,6 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -12,11 +11,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.tanagerbank.route.CallerLimits;
 import org.tanagerbank.route.RequestKind;
 import org.tanagerbank.route.Route;
-import org.tanagerbank.route.RouteTable;
-import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.route.TestRoutes;
 import org.tanagerbank.route.WeightedService;
 
 /**
@@ -95,29 +92,19 @@
         .isFalse();
   }
 
-  private static RoutingConfig config(long version) {
-    return new RoutingConfig(
-        version,
-        RouteTable.of(ImmutableList.of()),
-        ImmutableMap.of(),
-        ImmutableMap.of(),
-        true,
-        CallerLimits.INITIAL);
-  }
-
   @Test
   void olderConfigurationIsNotAdopted() {
     ConfigState state = new ConfigState(5_000, 2_000);
-    assertThat(state.adopt(config(7))).isTrue();
-    assertThat(state.adopt(config(4))).isFalse();
-    assertThat(state.adopt(config(7))).isFalse();
+    assertThat(state.adopt(TestRoutes.emptyConfig(7))).isTrue();
+    assertThat(state.adopt(TestRoutes.emptyConfig(4))).isFalse();
+    assertThat(state.adopt(TestRoutes.emptyConfig(7))).isFalse();
     assertThat(state.config().get().version()).isEqualTo(7);
   }
 
   @Test
   void keysAreAcceptedOnlyWhileConfigurationIsRecent() {
     ConfigState state = new ConfigState(5_000, 2_000);
-    state.adopt(config(7));
+    state.adopt(TestRoutes.emptyConfig(7));
     assertThat(state.allowsKeys(0)).isFalse();
     state.confirmCurrentAsOf(1_000);
     state.confirmCurrentAsOf(500);
--- a/src/test/java/org/tanagerbank/route/TestRoutes.java
+++ b/src/test/java/org/tanagerbank/route/TestRoutes.java
@@ -1,8 +1,9 @@
 package org.tanagerbank.route;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 
-/** Makes routes of host {@code h} to service {@code s} for tests. */
+/** Makes routes of host {@code h} to service {@code s}, and configurations, for tests. */
 public final class TestRoutes {
   private static final int OBJECTIVE_MILLIS = 500;
 
@@ -14,6 +15,17 @@
     return route(prefix, kind, attempts, timeoutMillis, resumable, /* priority= */ 0);
   }
 
+  /** Returns a configuration that requires keys and has neither routes nor services. */
+  public static RoutingConfig emptyConfig(long version) {
+    return new RoutingConfig(
+        version,
+        RouteTable.of(ImmutableList.of()),
+        ImmutableMap.of(),
+        ImmutableMap.of(),
+        true,
+        CallerLimits.INITIAL);
+  }
+
   /** Returns a route with a priority. */
   public static Route route(
       String prefix,
