Watch soak gateways with one class, and wait in GatewayIT for the process

Cause: the tree check names sleeps in tests; two soaks had the same loop, one with a bare number. Change: GatewaySupervisor serves both; GatewayIT waits for an end of the process between its looks, which is as strict and interruptible. The sleeps in FaultProxy and OverloadCallers stand: they are the injected delay and the time until a caller returns.

--- a/src/test/java/org/tanagerbank/gateway/GatewayIT.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayIT.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,7 +41,7 @@
   /** The log of the process under test. */
   private static final Path LOG = Path.of("target/process-logs/gateway.log");
 
-  /** Interval between looks at the log; sleeping lets the time limit of a test interrupt it. */
+  /** Interval between looks at the log, in which the time limit of a test can interrupt it. */
   private static final long WAIT_MILLIS = 10;
 
   private final CountDownLatch heldAnswers = new CountDownLatch(1);
@@ -205,8 +206,7 @@
     for (int i = 0; i < names.length; i++) {
       signal(names[i]);
       while (Files.readString(LOG).split("SIGNAL_RECEIVED", -1).length < i + 2) {
-        assertThat(process.isAlive()).isTrue();
-        Thread.sleep(WAIT_MILLIS);
+        assertThat(process.waitFor(WAIT_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
       }
     }
   }
@@ -217,8 +217,7 @@
     CompletableFuture<String> answer =
         CompletableFuture.supplyAsync(() -> send(callerPort, get("/p/held")));
     while (upstream.requests().stream().noneMatch(r -> r.startsWith("GET /p/held"))) {
-      assertThat(process.isAlive()).isTrue();
-      Thread.sleep(WAIT_MILLIS);
+      assertThat(process.waitFor(WAIT_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
     }
     signalInTurn("TERM", "HUP", "TERM", "INT", "HUP", "TERM");
     heldAnswers.countDown();
--- a/src/test/java/org/tanagerbank/soak/OverloadFleet.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadFleet.java
@@ -177,20 +177,9 @@
     store.put("keyed.servers", engine.process().id(), Optional.of(entry.getBytes(UTF_8)));
   }
 
-  /** Relaunches gateways that have exited, until interrupted. */
-  void supervise() {
-    try {
-      while (true) {
-        Thread.sleep(200);
-        for (SoakGateway gateway : gateways) {
-          gateway.relaunchIfExited();
-        }
-      }
-    } catch (IOException e) {
-      failures.add("failed to relaunch a gateway: " + e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  /** Returns the task that relaunches gateways that have exited, until it is interrupted. */
+  Runnable supervisor() {
+    return new GatewaySupervisor(gateways, failures::add);
   }
 
   /** Injects a fault and returns when it is over. */
--- a/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
+++ b/src/test/java/org/tanagerbank/soak/OverloadSoakIT.java
@@ -98,7 +98,7 @@
     EngineFaultSets faults =
         HAS_BROKEN_ENGINES ? EngineFaultSets.REFUSED_AFTER_PREEMPTION : EngineFaultSets.ALLOWED;
     try (OverloadFleet fleet = new OverloadFleet(folder, LOGS, seed, faults)) {
-      fleet.executor().execute(fleet::supervise);
+      fleet.executor().execute(fleet.supervisor());
       Observations observations = play(fleet, plan, seed);
       List<Violation> violations = observations.violations();
       System.out.println(
--- a/src/test/java/org/tanagerbank/soak/SoakFleet.java
+++ b/src/test/java/org/tanagerbank/soak/SoakFleet.java
@@ -30,7 +30,6 @@
 final class SoakFleet implements AutoCloseable {
   static final int GATEWAYS = 3;
   private static final int UPSTREAMS = 3;
-  private static final int SUPERVISION_INTERVAL_MILLIS = 200;
 
   /**
    * How long a replaced upstream stays in each of two states before it is closed: announced as
@@ -86,23 +85,7 @@
     for (int i = 0; i < GATEWAYS; i++) {
       gateways.add(new SoakGateway("g-" + i, folder, logs, store.address().getPort()));
     }
-    executor.execute(this::supervise);
-  }
-
-  /** Relaunches gateways that have exited, until the fleet is closed. */
-  private void supervise() {
-    try {
-      while (true) {
-        Thread.sleep(SUPERVISION_INTERVAL_MILLIS);
-        for (SoakGateway gateway : gateways) {
-          gateway.relaunchIfExited();
-        }
-      }
-    } catch (IOException e) {
-      violations.add("failed to relaunch a gateway: " + e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    executor.execute(new GatewaySupervisor(gateways, violations::add));
   }
 
   SoakGateway gateway(int index) {
