Bound the log queue by its characters, and the odd keys that are remembered

The keys of unreadable reports were remembered without a bound.

Change: at most 1 MiB of characters wait, what does not fit is dropped and reported as before; the first 1,000 odd keys are logged and remembered.

Evidence: QueuedHandlerTest, 100 lines of 128 KiB were all kept before; at most 8 now. The bound on keys has no test of its own.

--- a/src/main/java/org/tanagerbank/events/QueuedHandler.java
+++ b/src/main/java/org/tanagerbank/events/QueuedHandler.java
@@ -1,10 +1,12 @@
 package org.tanagerbank.events;
 
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableSortedMap;
 import java.io.PrintStream;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -13,13 +15,16 @@
  * A log handler that writes lines on its own thread.
  *
  * <p>If the reader of the output is slow or gone, only that thread blocks, never a thread that
- * logs. Lines that do not fit into the queue or exceed the rate limit of their kind are dropped,
- * and the handler logs how many. Thread-safe.
+ * logs. Lines that do not fit into the queue, by their number or their characters, or exceed the
+ * rate limit of their kind are dropped, and the handler logs how many. Thread-safe.
  */
 final class QueuedHandler extends Handler {
   /** The maximum number of lines in the queue; a line has about 300 bytes. */
   private static final int QUEUE_LINES = 1_000;
 
+  /** The maximum number of characters in the queue; a line may quote what others wrote. */
+  static final int QUEUE_CHARS = 1 << 20;
+
   /** The limit for each kind of line, well above the requests an instance serves per second. */
   private static final int LINES_PER_SECOND = 300;
 
@@ -31,6 +36,7 @@
   private final PrintStream out;
   private final LongSupplier nanoClock;
   private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicInteger queuedChars = new AtomicInteger();
   private final LogRateLimiter rateLimiter;
   private final Thread writer = new Thread(this::writeAll, "log-writer");
   private volatile boolean closed;
@@ -53,12 +59,26 @@
   public void publish(LogRecord logRecord) {
     String kind = eventKind(logRecord.getMessage());
     synchronized (rateLimiter) {
-      if (rateLimiter.tryAcquire(kind, nanoClock.getAsLong()) && !queue.offer(logRecord)) {
+      if (rateLimiter.tryAcquire(kind, nanoClock.getAsLong()) && !enqueue(logRecord)) {
         rateLimiter.recordDropped(kind);
       }
     }
   }
 
+  /** Adds a line to the queue, and returns whether it fits. Called by one thread at a time. */
+  private boolean enqueue(LogRecord logRecord) {
+    int chars = chars(logRecord);
+    boolean fits = queuedChars.get() + chars <= QUEUE_CHARS && queue.offer(logRecord);
+    if (fits) {
+      queuedChars.addAndGet(chars);
+    }
+    return fits;
+  }
+
+  private static int chars(LogRecord logRecord) {
+    return Strings.nullToEmpty(logRecord.getMessage()).length();
+  }
+
   /** Returns the event id of a line; all lines that libraries log are of one kind. */
   private static String eventKind(String message) {
     int end = EVENT_ID_START + EVENT_ID_LENGTH;
@@ -72,6 +92,7 @@
       while (!closed || !queue.isEmpty()) {
         LogRecord logRecord = queue.poll(DROP_REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         if (logRecord != null) {
+          queuedChars.addAndGet(-chars(logRecord));
           out.print(getFormatter().format(logRecord));
         }
         if (queue.isEmpty()) {
--- a/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
@@ -16,10 +16,13 @@
 import org.tanagerbank.upstream.UpstreamReport;
 
 /**
- * Applies the reports that upstreams write to the store, and logs each key with an unreadable
- * report once. Confined to the event loop.
+ * Applies the reports that upstreams write to the store, and logs each of the first {@link
+ * #MAX_UNREADABLE_KEYS} keys with an unreadable report once. Confined to the event loop.
  */
 final class UpstreamTopicListener implements TopicListener {
+  /** The number of keys that are remembered and logged. */
+  static final int MAX_UNREADABLE_KEYS = 1_000;
+
   private final FleetStore store;
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private final Dispatcher dispatcher;
@@ -62,6 +65,7 @@
     Optional<UpstreamReport> report = store.decodeUpstream(keyedRecord);
     if (report.isEmpty()
         && keyedRecord.value().isPresent()
+        && unreadableKeys.size() < MAX_UNREADABLE_KEYS
         && unreadableKeys.add(keyedRecord.key())) {
       EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", keyedRecord.key());
     }
--- a/src/test/java/org/tanagerbank/events/QueuedHandlerTest.java
+++ b/src/test/java/org/tanagerbank/events/QueuedHandlerTest.java
@@ -2,7 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -48,6 +51,39 @@
     out.testEnded.countDown();
   }
 
+  /** Lines quote what others wrote, such as a value of a configuration of 256 KiB. */
+  @Test
+  void longLinesAreBoundedByTheirCharacters() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    CountDownLatch isFilled = new CountDownLatch(1);
+    long[] now = {0};
+    QueuedHandler handler = handler(blockedUntil(isFilled, out), now);
+    String value = "x".repeat(QueuedHandler.QUEUE_CHARS / 8);
+    for (int i = 0; i < 100; i++) {
+      now[0] += 10_000_000;
+      handler.publish(
+          EventLog.record(LogEvent.SERVICE_COLD_LIMIT_INVALID, "service", "s" + i, "value", value));
+    }
+    handler.publish(EventLog.record(LogEvent.PROCESS_STOPPED, "instance", "g"));
+    isFilled.countDown();
+    while (!out.toString(StandardCharsets.UTF_8).contains("PROCESS_STOPPED")) {
+      Thread.yield();
+    }
+    // One line may be with the writer, beside those in the queue.
+    assertThat(out.toString(StandardCharsets.UTF_8).split("\"SERVICE_COLD_LIMIT_INVALID\"").length)
+        .isAtMost(1 + 1 + 7);
+  }
+
+  private static OutputStream blockedUntil(CountDownLatch latch, OutputStream out) {
+    return new FilterOutputStream(out) {
+      @Override
+      public void write(byte[] bytes, int start, int length) throws IOException {
+        Uninterruptibles.awaitUninterruptibly(latch);
+        out.write(bytes, start, length);
+      }
+    };
+  }
+
   @Test
   void linesOverTheRateLimitAreDroppedAndReported() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
