--- a/src/main/java/org/tanagerbank/caller/CallerConnection.java
+++ b/src/main/java/org/tanagerbank/caller/CallerConnection.java
@@ -23,8 +23,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.OptionalInt;
 
 /**
@@ -35,15 +33,9 @@
  * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerExchange {
-  /**
-   * The number of decoded messages of later requests that are queued while a request is handled.
-   * Reading pauses when it is reached.
-   */
-  private static final int MAX_QUEUED_MESSAGES = 64;
-
   private final CallerServer server;
   private final ResponseEncoder encoder;
-  private final Deque<Object> queuedMessages = new ArrayDeque<>();
+  private final QueuedMessages queuedMessages = new QueuedMessages();
   private SocketChannel channel;
   private HttpRequest requestHead;
   private CopiedBody requestBody;
@@ -85,8 +77,8 @@
       return;
     }
     if (isHandling) {
-      queuedMessages.addLast(message);
-      if (queuedMessages.size() >= MAX_QUEUED_MESSAGES) {
+      queuedMessages.add(message);
+      if (queuedMessages.isFull()) {
         channel.config().setAutoRead(false);
       }
       return;
@@ -248,9 +240,9 @@
     isHandling = false;
     lastReadMillis = server.nowMillis();
     while (!isHandling && !isClosing && !queuedMessages.isEmpty()) {
-      process(queuedMessages.pollFirst());
+      process(queuedMessages.remove());
     }
-    if (queuedMessages.size() < MAX_QUEUED_MESSAGES) {
+    if (!queuedMessages.isFull()) {
       channel.config().setAutoRead(true);
     }
   }
@@ -263,7 +255,7 @@
   private void closeGracefully(boolean hasUnreadBody) {
     isClosing = true;
     closingSinceMillis = server.nowMillis();
-    releaseQueued();
+    queuedMessages.clear();
     channel.config().setAutoRead(true);
     channel
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
@@ -368,7 +360,7 @@
     isClosing = true;
     server.onConnectionClosed(this);
     releaseBody();
-    releaseQueued();
+    queuedMessages.clear();
     Runnable action = disconnectAction;
     disconnectAction = null;
     if (action != null) {
@@ -389,9 +381,4 @@
       requestBody = null;
     }
   }
-
-  private void releaseQueued() {
-    queuedMessages.forEach(ReferenceCountUtil::release);
-    queuedMessages.clear();
-  }
 }
