Fail responses whose head or last chunk breaks off at the end of input

An upstream stopped in the middle of the head of its response and closed; through a sidecar, callers could get a 200 without headers or with an empty body.

Cause: HttpCore takes the end of input for the end of a line, so a part of a head is a head, and the part 0 of the size of a chunk is the last chunk.

Change: the end of input fails the read of a connection of AsyncHttpClient, unless the head of a response without a length or chunks has arrived. Gateways decode responses with Netty and were right.

--- a/src/main/java/org/tanagerbank/http/ClientAttempt.java
+++ b/src/main/java/org/tanagerbank/http/ClientAttempt.java
@@ -105,6 +105,9 @@
         entity == null
             || entity.getContentLength() >= 0
             || response.containsHeader(org.apache.hc.core5.http.HttpHeaders.TRANSFER_ENCODING);
+    if (!isFramed) {
+      call.credit().permitEndOfInput();
+    }
     call.headReceived(response.getCode(), HttpHeaders.read(response));
     if (entity == null) {
       streamEnd(null);
--- a/src/main/java/org/tanagerbank/http/ResponseCredit.java
+++ b/src/main/java/org/tanagerbank/http/ResponseCredit.java
@@ -5,16 +5,22 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.reactor.IOSession;
 
 /**
- * Limits how many bytes of a response body are read to the credit that the caller granted.
+ * Limits how many bytes of a response body are read to the credit that the caller granted, and
+ * fails the read of an end of input that breaks a response off.
  *
  * <p>HttpCore checks its capacity window only between read events, and continues to read as long as
  * the socket has data. Therefore each read of a connection also checks the credit of the call that
  * uses the connection. HttpCore provides the window when the first bytes have arrived; this class
- * holds the credit that was granted earlier. Thread-safe.
+ * holds the credit that was granted earlier.
+ *
+ * <p>HttpCore takes what precedes the end of input for a complete head, or for the size of a
+ * complete last chunk. Only a response without a length or chunks ends with its connection.
+ * Thread-safe.
  */
 final class ResponseCredit {
   /** The first read exhausts this window, and HttpCore then requests the credit of the call. */
@@ -23,6 +29,7 @@
   private CapacityChannel window;
   private long pendingWindowBytes;
   private long remainingBytes;
+  private volatile boolean isEndOfInputPermitted;
 
   ResponseCredit(int initialBytes) {
     // The window starts with some capacity. It must reach 0 together with the credit; otherwise the
@@ -43,11 +50,11 @@
       credits.remove(localAddress, credit);
     }
 
-    /** Reads from a connection, or returns 0 if the call that uses it has no credit left. */
+    /** Reads from a connection, as far as the call that uses it permits. */
     int read(IOSession session, ByteBuffer target) throws IOException {
       SocketAddress localAddress = session.getLocalAddress();
       ResponseCredit credit = localAddress == null ? null : credits.get(localAddress);
-      return credit != null && credit.isExhausted() ? 0 : session.read(target);
+      return credit == null ? session.read(target) : credit.read(session, target);
     }
   }
 
@@ -74,6 +81,20 @@
     remainingBytes -= byteCount;
   }
 
+  /** Permits the end of input from now on, which is the end of the body. */
+  void permitEndOfInput() {
+    isEndOfInputPermitted = true;
+  }
+
+  /** Reads from the connection, or returns 0 if no credit is left. */
+  private int read(IOSession session, ByteBuffer target) throws IOException {
+    int byteCount = isExhausted() ? 0 : session.read(target);
+    if (byteCount < 0 && !isEndOfInputPermitted) {
+      throw new ConnectionClosedException("the connection ended before the response did");
+    }
+    return byteCount;
+  }
+
   private synchronized boolean isExhausted() {
     return remainingBytes <= 0 && window != null;
   }
--- a/src/test/java/org/tanagerbank/http/BrokenServerTest.java
+++ b/src/test/java/org/tanagerbank/http/BrokenServerTest.java
@@ -88,4 +88,29 @@
     respond("HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\nx");
     assertThrows(TanagerException.class, () -> call(1));
   }
+
+  /** A head without its empty line may lack the length of the body, and headers. */
+  @Test
+  void headThatBreaksOffIsAFailure() {
+    String head = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 2\r\n\r";
+    for (int i = 1; i <= head.length(); i++) {
+      respond(head.substring(0, i));
+      assertThrows(TanagerException.class, () -> call(1), head.substring(0, i));
+    }
+  }
+
+  /** The first digit of a size alone would be another size, and 0 is the size of the last chunk. */
+  @ParameterizedTest
+  @ValueSource(strings = {"0", "0\r", "0\r\n", "0\r\n\r", "1\r\nx\r\n0", "1\r\nx", "2\r\nx"})
+  void chunksThatBreakOffAreAFailure(String chunks) {
+    respond("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    assertThrows(TanagerException.class, () -> call(1));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "x"})
+  void responseWithoutALengthEndsWithItsConnection(String body) {
+    respond("HTTP/1.1 200 OK\r\n\r\n" + body);
+    assertThat(new String(call(1).body(), ISO_8859_1)).isEqualTo(body);
+  }
 }
