--- a/review/standin-3/review3/Client.java
+++ b/review/standin-3/review3/Client.java
@@ -54,6 +54,26 @@
     }
   }
 
+  /** Sends a request whose body is written piece by piece, as over a slow link. */
+  Http.Message upload(
+      String head, int bodyBytes, int pieceBytes, long pieceMillis, int timeoutMillis)
+      throws IOException, InterruptedException {
+    open();
+    try {
+      socket.setSoTimeout(timeoutMillis);
+      OutputStream out = socket.getOutputStream();
+      out.write(Http.bytes(head));
+      for (int left = bodyBytes; left > 0; left -= pieceBytes) {
+        out.write(new byte[Math.min(left, pieceBytes)]);
+        Thread.sleep(pieceMillis);
+      }
+      return Http.read(in);
+    } catch (IOException e) {
+      close();
+      throw e;
+    }
+  }
+
   static String head(
       String method, String path, String id, String key, long deadlineMillis, int bodyBytes) {
     return method + " " + path + " HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: " + id
--- a/review/standin-3/review3/LargeBodies.java
+++ b/review/standin-3/review3/LargeBodies.java
@@ -5,12 +5,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Eight requesters each send a body that is a little smaller than max-body-bytes, at the same time.
- * Others go on with small requests on kept channels, on a route with a timeout of a second.
+ * Twelve requesters each send a body that is a little smaller than max-body-bytes, at the same time,
+ * over links of some 30 Mbit/s. Others go on with small requests on kept channels, on a route with a
+ * timeout of a second.
  */
 final class LargeBodies extends Script {
   private static final int BODY_BYTES = 4_000_000;
-  private static final int UPLOADS = 8;
+  private static final int UPLOADS = 12;
+  private static final int PIECE_BYTES = 64_000;
+  private static final long PIECE_MILLIS = 16;
   private static final long UPLOAD_DEADLINE_MILLIS = 6_000;
   private static final int CALLERS = 10;
   private static final long SEND_GAP_MILLIS = 400;
@@ -134,15 +137,17 @@
     long from = record.nowMillis();
     try (Client client = new Client(gateway.front())) {
       Http.Message response =
-          client.call(
+          client.upload(
               Client.head(
                   "POST", "/large/a", "u" + number, KEY, UPLOAD_DEADLINE_MILLIS, BODY_BYTES),
-              new byte[BODY_BYTES], (int) UPLOAD_DEADLINE_MILLIS + 1_000);
+              BODY_BYTES, PIECE_BYTES, PIECE_MILLIS, (int) UPLOAD_DEADLINE_MILLIS + 1_000);
       record.line("upload %d: %s after %d ms", number,
           response == null ? "closed without an answer" : "status " + response.status(),
           record.nowMillis() - from);
     } catch (IOException e) {
       record.line("upload %d: %s after %d ms", number, e.getMessage(), record.nowMillis() - from);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 }
