Take a page of the store for the whole topic only if it reaches the end

Cause: a follower reported with each page of records that it knew all that was written up to its question. An answer holds 1 MB at most, and the client dropped the end of the topic that the answer names. The versions behind the first page, the withdrawal among them, counted as read.

Change: Records says whether the topic had more. Nothing is reported before a page reaches the end, and the next page is read at once; pages of other gateways meet the same rule. An answer without a whole record, or a page of newest records without keys although there are more, counts as no answer. Records without a valid key prove only the time of the question.

Why it works: the age of keys rests on these reports alone, and they now follow the last record.

--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -122,7 +122,7 @@
     }
 
     private Records toRecords() {
-      return new Records(records.build(), firstEnd.orElseThrow());
+      return new Records(records.build(), firstEnd.orElseThrow(), /* hasMore= */ false);
     }
   }
 
@@ -160,10 +160,12 @@
           return;
         }
         String last = newest.add(page, era(reply));
-        if (page.path("more").asBoolean() && !last.isEmpty()) {
-          newestPage(last, newest, callback);
-        } else {
+        if (!page.path("more").asBoolean()) {
           callback.accept(newest.toRecords());
+        } else if (last.isEmpty()) {
+          callback.accept(new Unavailable("the answer of the store lacks records that it has"));
+        } else {
+          newestPage(last, newest, callback);
         }
       } catch (IOException | IllegalArgumentException e) {
         callback.accept(
@@ -213,11 +215,14 @@
     }
     ImmutableList<Optional<KeyedRecord>> records = RecordCodec.decode(bytes);
     TopicPosition next = from.plus(records.size());
-    if (reply.end() == ResponseEnd.CONNECTION_CLOSED && next.offset() < end) {
+    boolean hasMore = next.offset() < end;
+    if (hasMore && (reply.end() == ResponseEnd.CONNECTION_CLOSED || next.equals(from))) {
       return new Unavailable("the answer of the store was broken off");
     }
     return new Records(
-        records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()), next);
+        records.stream().flatMap(Optional::stream).collect(ImmutableList.toImmutableList()),
+        next,
+        hasMore);
   }
 
   private static Unavailable unavailable(BufferedResponse reply) {
--- a/src/main/java/org/tanagerbank/platform/standin/StoreStandin.java
+++ b/src/main/java/org/tanagerbank/platform/standin/StoreStandin.java
@@ -46,6 +46,10 @@
   private static final int STATUS_GONE = 410;
   private static final long MAX_WAIT_MILLIS = 30_000;
   private static final int PAGE_HEADER_BYTES = 2 * Long.BYTES;
+  private static final int BYTES_PER_KB = 1 << 10;
+
+  /** The most bytes of a page of records if the reader names no limit, in KB. */
+  private static final int DEFAULT_MAX_KB = 1_024;
 
   private final AsyncHttpServer http;
   private final int pageItems;
@@ -60,11 +64,13 @@
   private static final class PendingRead {
     private final String topic;
     private final long from;
+    private final long maxBytes;
     private final HttpExchange exchange;
 
-    private PendingRead(String topic, long from, HttpExchange exchange) {
+    private PendingRead(String topic, QueryString query, HttpExchange exchange) {
       this.topic = topic;
-      this.from = from;
+      this.from = query.number("from", 0);
+      this.maxBytes = query.number("max-kb", DEFAULT_MAX_KB) * BYTES_PER_KB;
       this.exchange = exchange;
     }
   }
@@ -176,7 +182,7 @@
       case "GET /-/log-newest" -> answer(exchange, newest(topic, query.text("after", "")));
       case "GET /-/log-read" ->
           read(
-              new PendingRead(topic, query.number("from", 0), exchange),
+              new PendingRead(topic, query, exchange),
               Math.min(MAX_WAIT_MILLIS, query.number("wait-ms", 0)));
       case "POST /-/log-append" -> append(topic, request.body(), exchange);
       default -> throw TanagerException.notRun(ErrorCode.NOT_FOUND, "no such call: " + call);
@@ -265,7 +271,15 @@
     ByteBuf page = Unpooled.buffer(PAGE_HEADER_BYTES);
     page.writeLong(topic.end());
     page.writeLong(topic.first());
-    records.get().forEach(r -> page.writeBytes(RecordCodec.encode(r)));
+    for (KeyedRecord keyed : records.get()) {
+      ByteBuf encoded = RecordCodec.encode(keyed);
+      // A page holds at least one record, whatever its size.
+      if (page.readableBytes() > PAGE_HEADER_BYTES
+          && page.readableBytes() + encoded.readableBytes() > read.maxBytes) {
+        break;
+      }
+      page.writeBytes(encoded);
+    }
     return new HttpResponseMessage(STATUS_OK, ImmutableMap.of(), ByteBufUtil.getBytes(page));
   }
 
--- a/src/main/java/org/tanagerbank/store/ReadResult.java
+++ b/src/main/java/org/tanagerbank/store/ReadResult.java
@@ -10,8 +10,10 @@
    * @param records the records in the order of their offsets for a read from an offset; empty when
    *     nothing was written while the call waited
    * @param next the position at which the next read begins
+   * @param hasMore whether the topic had further records when the store answered
    */
-  record Records(ImmutableList<KeyedRecord> records, TopicPosition next) implements ReadResult {}
+  record Records(ImmutableList<KeyedRecord> records, TopicPosition next, boolean hasMore)
+      implements ReadResult {}
 
   /** The store has deleted the requested records; the newest of each key must be read instead. */
   record Trimmed() implements ReadResult {}
--- a/src/main/java/org/tanagerbank/store/TopicFollower.java
+++ b/src/main/java/org/tanagerbank/store/TopicFollower.java
@@ -18,9 +18,9 @@
  * growing delay while the store does not answer. The store may refuse one instance and serve the
  * others, so a follower whose own reads fail asks any instance. The time up to which the records
  * are reported as complete never exceeds what an answer of the store proves, whichever instance got
- * the answer. A position belongs to one era of the store: after a restore the newest record of each
- * key is read again, and records of other instances count only in the same era. Confined to one
- * thread.
+ * the answer; an answer that does not reach the end of the topic proves nothing. A position belongs
+ * to one era of the store: after a restore the newest record of each key is read again, and records
+ * of other instances count only in the same era. Confined to one thread.
  */
 public final class TopicFollower implements TopicSource {
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
@@ -237,10 +237,7 @@
     resetRetryDelay();
     store.recordAnsweredOther(page.sinceOutageMillis());
     deliver(page.records(), from, page.next());
-    if (!page.hasMore()) {
-      reportCurrentAsOf(askedAt - page.ageMillis());
-    }
-    readLater(page.hasMore() ? 0 : RELAY_DELAY_MILLIS);
+    finishPage(page.hasMore(), askedAt - page.ageMillis(), RELAY_DELAY_MILLIS);
     probeStore(page.next());
   }
 
@@ -268,6 +265,17 @@
     }
   }
 
+  /**
+   * Reads on after a page: at once while the topic has more, because only its end proves that the
+   * records are complete as of some time.
+   */
+  private void finishPage(boolean hasMore, long currentAsOfMillis, long delayMillis) {
+    if (!hasMore) {
+      reportCurrentAsOf(currentAsOfMillis);
+    }
+    readLater(hasMore ? 0 : delayMillis);
+  }
+
   private void reportCurrentAsOf(long atMillis) {
     currentAsOf = Math.max(currentAsOf, atMillis);
     listener.onCurrentAsOf(atMillis);
@@ -335,13 +343,12 @@
       return;
     }
     deliver(page.records(), from, page.next());
-    if (!page.records().isEmpty()) {
-      reportCurrentAsOf(sentAt);
-      readLater(readDelayMillis);
-      return;
-    }
-    reportCurrentAsOf(emptyReadCurrentAsOf(sentAt, wait));
-    readLater(clockMillis.getAsLong() - sentAt < readDelayMillis ? readDelayMillis : 0);
+    boolean isEmpty = page.next().equals(from);
+    boolean hasWaited = clockMillis.getAsLong() - sentAt >= readDelayMillis;
+    finishPage(
+        page.hasMore(),
+        isEmpty ? emptyReadCurrentAsOf(sentAt, wait) : sentAt,
+        isEmpty && hasWaited ? 0 : readDelayMillis);
   }
 
   /**
--- a/src/test/java/org/tanagerbank/gateway/MemoryStore.java
+++ b/src/test/java/org/tanagerbank/gateway/MemoryStore.java
@@ -58,7 +58,7 @@
       ReadResult result =
           isUnavailable
               ? new Unavailable("store unavailable")
-              : new Records(page, new TopicPosition(0, records.size()));
+              : new Records(page, new TopicPosition(0, records.size()), false);
       var unused = loop.schedule(() -> callback.accept(result), delayMillis, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
+++ b/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
@@ -40,7 +40,7 @@
       values.forEach((k, v) -> records.add(new KeyedRecord(k, Optional.of(v))));
       callback.accept(
           isAvailable
-              ? new Records(records.build(), new TopicPosition(0, values.size()))
+              ? new Records(records.build(), new TopicPosition(0, values.size()), false)
               : new Unavailable("down"));
     }
 
--- a/src/test/java/org/tanagerbank/peer/EvacuationSpreadTest.java
+++ b/src/test/java/org/tanagerbank/peer/EvacuationSpreadTest.java
@@ -157,7 +157,8 @@
     private Records page(long from) {
       return new Records(
           ImmutableList.copyOf(log.subList((int) from, log.size())),
-          new TopicPosition(1, log.size()));
+          new TopicPosition(1, log.size()),
+          /* hasMore= */ false);
     }
 
     @Override
--- a/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
@@ -158,7 +158,7 @@
           registered.entrySet().stream()
               .map(e -> new KeyedRecord(e.getKey(), Optional.of(e.getValue())))
               .collect(ImmutableList.toImmutableList());
-      callback.accept(new Records(records, new TopicPosition(0, records.size())));
+      callback.accept(new Records(records, new TopicPosition(0, records.size()), false));
     }
 
     @Override
--- a/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
+++ b/src/test/java/org/tanagerbank/platform/BrokenOffAnswerTest.java
@@ -100,7 +100,14 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"", "{}", "{\"items\":[]", "{\"items\":[]}"})
+  @ValueSource(
+      strings = {
+        "",
+        "{}",
+        "{\"items\":[]",
+        "{\"items\":[]}",
+        "{\"items\":[],\"more\":true,\"end\":3}"
+      })
   void partOfANewestPageIsNotAnEmptyTopic(String body) {
     answer(body.getBytes(ISO_8859_1));
     KeyedTopic topic = topic();
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -117,6 +117,19 @@
     assertThat(((Records) result).next()).isEqualTo(position(3));
   }
 
+  /** Guards against a page of the largest size that counts as all that was written. */
+  @Test
+  void pageThatDoesNotReachTheEndSaysSo() {
+    store.put("keyed.t", "a", Optional.of(new byte[700_000]));
+    store.put("keyed.t", "b", Optional.of(new byte[700_000]));
+    Records first = (Records) this.<ReadResult>await(c -> topic.read(position(0), 0, c));
+    assertThat(first.next()).isEqualTo(position(1));
+    assertThat(first.hasMore()).isTrue();
+    Records second = (Records) this.<ReadResult>await(c -> topic.read(first.next(), 0, c));
+    assertThat(second.next()).isEqualTo(position(2));
+    assertThat(second.hasMore()).isFalse();
+  }
+
   @Test
   void readOfDeletedRecordsIsReportedAsTrimmed() {
     put("a", "1");
--- a/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
@@ -121,12 +121,17 @@
     tasks.forEach(Runnable::run);
   }
 
+  /** Returns a page behind which the topic has further records. */
+  static Records page(int count, long next) {
+    return new Records(records(count, next).records(), at(next), /* hasMore= */ true);
+  }
+
   static Records records(int count, long next) {
     ImmutableList.Builder<KeyedRecord> list = ImmutableList.builder();
     for (int i = 0; i < count; i++) {
       list.add(new KeyedRecord("k" + i, Optional.of(new byte[] {1})));
     }
-    return new Records(list.build(), at(next));
+    return new Records(list.build(), at(next), /* hasMore= */ false);
   }
 
   void snapshotRead() {
--- a/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerRelayTest.java
@@ -202,7 +202,7 @@
     assertThat(known.next()).isEqualTo(at(7 + known.records().size()));
     KeyedRecord large = new KeyedRecord("large", Optional.of(new byte[5_000]));
     runScheduled();
-    answer(2, new Records(ImmutableList.of(large), at(158)));
+    answer(2, new Records(ImmutableList.of(large), at(158), false));
     assertThat(follower.recordsFrom(at(157))).isEmpty();
     assertThat(follower.recordAt(at(157)).orElseThrow().records()).containsExactly(large);
     assertThat(follower.recordAt(at(158))).isEmpty();
--- a/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerTest.java
@@ -36,6 +36,39 @@
     assertThat(events.get(events.size() - 1)).isEqualTo("current 0");
   }
 
+  /** Guards against keys that are accepted although a later page withdraws them (review/11). */
+  @Test
+  void pageThatDoesNotReachTheEndProvesNothing() {
+    snapshotRead();
+    now = 1_500;
+    answer(1, page(3, 10));
+    assertThat(events.subList(2, events.size())).containsExactly("records 3");
+    runScheduled();
+    assertThat(calls.get(2)).isEqualTo("read 10 wait 1000");
+    answer(2, records(1, 11));
+    assertThat(events.subList(3, events.size()))
+        .containsExactly("records 1", "current 1500")
+        .inOrder();
+  }
+
+  /** An instance that is behind would otherwise tell others that it knows the newest records. */
+  @Test
+  void pageThatDoesNotReachTheEndDoesNotRenewTheAgeThatOthersAreTold() {
+    snapshotRead();
+    now = 5_000;
+    answer(1, page(3, 10));
+    assertThat(follower.recordsFrom(at(7)).orElseThrow().ageMillis()).isEqualTo(5_000);
+  }
+
+  /** A record without a valid key is not empty: it may have ended the wait early. */
+  @Test
+  void answerWithUnreadableRecordsOnlyProvesItsRequestTime() {
+    snapshotRead();
+    now = 1_000;
+    answer(1, records(0, 8));
+    assertThat(events.get(events.size() - 1)).isEqualTo("current 0");
+  }
+
   @Test
   void trimmedTopicIsReadFromANewSnapshot() {
     snapshotRead();
