--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -1,13 +1,20 @@
 package org.tanagerbank.dispatch;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
+import com.google.common.collect.Collections2;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Maps;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Multimaps;
+import java.util.Collection;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
@@ -37,6 +44,7 @@
   private final Quarantine quarantine = new Quarantine(QuarantineRule.SHARED_ACCESS);
   private final CrashDetector detector;
   private final SuspectNews news = new SuspectNews();
+  private final RunIds runIds;
   private final TrialClaims claims;
   private Runnable urgentNews = () -> {};
 
@@ -49,6 +57,7 @@
   public CrashGuard(String instanceId, LongSupplier clockMillis, Scheduler scheduler) {
     this.detector = new CrashDetector(this::runCrashed, scheduler, clockMillis);
     this.claims = new TrialClaims(instanceId);
+    this.runIds = new RunIds(instanceId);
     this.clockMillis = clockMillis;
   }
 
@@ -64,34 +73,30 @@
    */
   SuspectAdmission admit(RequestSuspects suspects, Object holder, List<UpstreamHandle> candidates) {
     long now = clockMillis.getAsLong();
-    ImmutableMap<Fingerprint, QuarantineStatus> statuses =
-        Maps.toMap(suspects.all(), s -> quarantine.status(s, suspects.all(), now));
+    ImmutableMap<Fingerprint, QuarantineStatus> statuses = quarantine.statuses(suspects.all(), now);
     Optional<Fingerprint> condemned =
         having(statuses, QuarantineStatus.QUARANTINED).stream().findFirst();
     if (condemned.isPresent()) {
       return SuspectAdmission.refused(quarantineLeftMillis(condemned.get(), suspects, now));
     }
-    ImmutableList<Fingerprint> restricted = having(statuses, QuarantineStatus.TRIAL_ONLY);
+    ImmutableSet<Fingerprint> restricted = having(statuses, QuarantineStatus.TRIAL_ONLY);
     if (restricted.isEmpty()) {
       return SuspectAdmission.run(outsideTrials(candidates, now));
     }
     List<UpstreamHandle> harmless =
         candidates.stream()
-            .filter(
-                u ->
-                    restricted.stream()
-                        .allMatch(s -> quarantine.isHarmlessTo(u.softwareHash(), s, now)))
+            .filter(u -> quarantine.areHarmlessTo(u.softwareHash(), restricted, now))
             .toList();
     return harmless.isEmpty()
         ? claimTrial(suspects, suspects.narrowest(restricted), holder, candidates, now)
         : SuspectAdmission.run(harmless);
   }
 
-  private static ImmutableList<Fingerprint> having(
+  private static ImmutableSet<Fingerprint> having(
       ImmutableMap<Fingerprint, QuarantineStatus> statuses, QuarantineStatus status) {
     return statuses.keySet().stream()
         .filter(s -> statuses.get(s) == status)
-        .collect(toImmutableList());
+        .collect(toImmutableSet());
   }
 
   /**
@@ -191,15 +196,14 @@
           urgentNews.run();
         });
     long now = clockMillis.getAsLong();
-    ImmutableMap<Fingerprint, Integer> depths =
-        Maps.toMap(suspects.all(), s -> quarantine.depth(s, now));
     return new TrackedRun(
+        runIds.next(),
         suspects,
         holder,
         upstream,
         now,
         upstream.crashes(),
-        depths,
+        quarantine.depths(suspects.all(), now),
         onTrial,
         upstream.fleetInFlight(now));
   }
@@ -208,9 +212,13 @@
   void runCompleted(TrackedRun run) {
     long now = clockMillis.getAsLong();
     int software = run.atItsProcess(now).upstream().softwareHash();
-    run.suspects().all().stream()
-        .filter(
-            s -> quarantine.recordCompletion(s, () -> run.suspects().conditions(s, software), now))
+    RequestSuspects suspects = run.suspects();
+    ImmutableSet<Fingerprint> request = ImmutableSet.of(suspects.request());
+    quarantine
+        .recordCompletion(request, () -> suspects.requestConditions(software), now)
+        .forEach(news::add);
+    quarantine
+        .recordCompletion(suspects.parts(), () -> suspects.partConditions(software), now)
         .forEach(news::add);
   }
 
@@ -263,45 +271,62 @@
   }
 
   private void runCrashed(TrackedRun run, String crashId) {
-    run.suspects().all().forEach(s -> recordCrash(run, s, crashId));
-  }
-
-  private void recordCrash(TrackedRun run, Fingerprint suspect, String crashId) {
     long now = clockMillis.getAsLong();
-    QuarantineStatus before = quarantine.status(suspect, run.suspects().all(), now);
-    boolean isNew = quarantine.recordLostRun(suspect, run.crash(suspect, crashId, now), now);
-    QuarantineStatus after = quarantine.status(suspect, run.suspects().all(), now);
-    if (isNew) {
-      news.add(suspect);
-    }
-    if (isNew && after.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
+    ImmutableSet<Fingerprint> all = run.suspects().all();
+    ImmutableMap<Fingerprint, QuarantineStatus> before = quarantine.statuses(all, now);
+    ImmutableSet<Fingerprint> changed =
+        run.suspectsAlike().stream()
+            .flatMap(
+                alike ->
+                    quarantine
+                        .recordLostRun(alike, run.crash(alike.get(0), crashId, now), now)
+                        .stream())
+            .collect(toImmutableSet());
+    changed.forEach(news::add);
+    ImmutableMap<Fingerprint, QuarantineStatus> after = quarantine.statuses(all, now);
+    if (after.keySet().stream().anyMatch(s -> changed.contains(s) && isRestricted(s, after))) {
       urgentNews.run();
     }
-    logChange(suspect, run.suspects().partId(suspect), before, after);
+    logRestricted(before, after, run.suspects()::partId);
   }
 
-  private void logChange(
-      Fingerprint fingerprint, String partId, QuarantineStatus before, QuarantineStatus after) {
-    if (after != before && after.compareTo(QuarantineStatus.TRIAL_ONLY) >= 0) {
-      EventLog.emit(
-          after == QuarantineStatus.QUARANTINED
-              ? LogEvent.REQUEST_QUARANTINED
-              : LogEvent.REQUEST_RESTRICTED,
-          "fingerprint",
-          fingerprint,
-          "part",
-          partId,
-          "crashes",
-          quarantine.evidence(fingerprint).map(e -> e.crashes().size()).orElse(0));
-    }
+  private static boolean isRestricted(
+      Fingerprint suspect, ImmutableMap<Fingerprint, QuarantineStatus> statuses) {
+    return statuses.get(suspect).compareTo(QuarantineStatus.TRIAL_ONLY) >= 0;
+  }
+
+  /** Logs what may not run freely any more, suspects with equal evidence in one line. */
+  private void logRestricted(
+      ImmutableMap<Fingerprint, QuarantineStatus> before,
+      ImmutableMap<Fingerprint, QuarantineStatus> after,
+      Function<Fingerprint, String> partId) {
+    ImmutableList<Fingerprint> restricted =
+        after.keySet().stream()
+            .filter(s -> isRestricted(s, after) && after.get(s) != before.get(s))
+            .collect(toImmutableList());
+    Multimaps.index(restricted, s -> quarantine.evidence(s).orElse(CrashEvidence.of(List.of())))
+        .asMap()
+        .forEach(
+            (evidence, alike) -> {
+              Fingerprint last = Iterables.getLast(alike);
+              EventLog.emit(
+                  after.get(last) == QuarantineStatus.QUARANTINED
+                      ? LogEvent.REQUEST_QUARANTINED
+                      : LogEvent.REQUEST_RESTRICTED,
+                  "fingerprint",
+                  last,
+                  "part",
+                  partId.apply(last),
+                  "crashes",
+                  evidence.crashes().size(),
+                  "suspects",
+                  alike.size());
+            });
   }
 
   /** Returns the suspects to send to the other instances now, and counts them as sent. */
   public ImmutableList<SuspectRecord> nextSuspects() {
-    long now = clockMillis.getAsLong();
-    return news.nextBatch(quarantine, now).stream()
-        .flatMap(f -> record(f).stream())
-        .collect(toImmutableList());
+    return records(news.nextBatch(quarantine, clockMillis.getAsLong()));
   }
 
   /** Returns whether there are suspects that were not sent to the other instances yet. */
@@ -316,23 +341,21 @@
 
   /** Merges the suspects that another instance or the store reported. */
   public void mergeSuspects(ImmutableList<SuspectRecord> suspects) {
-    long now = clockMillis.getAsLong();
-    suspects.forEach(s -> merge(s, now));
+    Multimaps.index(suspects, SuspectRecord::evidence)
+        .asMap()
+        .forEach(
+            (evidence, alike) ->
+                merge(Collections2.transform(alike, SuspectRecord::fingerprint), evidence));
   }
 
-  private void merge(SuspectRecord suspect, long now) {
-    QuarantineStatus before = quarantine.status(suspect.fingerprint(), now);
-    CrashEvidence received = suspect.evidence().shiftBy(now);
-    quarantine.mergeEvidence(suspect.fingerprint(), received, now);
-    if (quarantine.hasForgiven(suspect.fingerprint(), received, now)) {
-      // The sender does not know it yet, and what is forgiven is not repeated.
-      news.add(suspect.fingerprint());
-    }
-    logChange(
-        suspect.fingerprint(),
-        /* partId= */ "",
-        before,
-        quarantine.status(suspect.fingerprint(), now));
+  private void merge(Collection<Fingerprint> alike, CrashEvidence evidence) {
+    long now = clockMillis.getAsLong();
+    CrashEvidence received = evidence.shiftBy(now);
+    ImmutableMap<Fingerprint, QuarantineStatus> before = quarantine.statusesAlone(alike, now);
+    quarantine.mergeEvidence(alike, received, now);
+    // The sender does not know it yet, and what is forgiven is not repeated.
+    alike.stream().filter(s -> quarantine.hasForgiven(s, received, now)).forEach(news::add);
+    logRestricted(before, quarantine.statusesAlone(alike, now), unused -> "");
   }
 
   /** Replaces the trial claims of another instance. */
@@ -345,15 +368,19 @@
 
   /** Returns the suspects that may run only in trials, or not at all. */
   public ImmutableList<SuspectRecord> restrictedSuspects() {
-    return quarantine.restricted(clockMillis.getAsLong()).stream()
-        .flatMap(f -> record(f).stream())
-        .collect(toImmutableList());
+    return records(quarantine.restricted(clockMillis.getAsLong()));
   }
 
-  private Optional<SuspectRecord> record(Fingerprint fingerprint) {
+  private ImmutableList<SuspectRecord> records(Collection<Fingerprint> suspects) {
     long now = clockMillis.getAsLong();
-    return quarantine
-        .evidence(fingerprint)
-        .map(e -> new SuspectRecord(fingerprint, e.shiftBy(-now)));
+    // Suspects of a group share their evidence, which is converted once.
+    Map<CrashEvidence, CrashEvidence> relative = new IdentityHashMap<>();
+    return suspects.stream()
+        .flatMap(
+            s ->
+                quarantine.evidence(s).stream()
+                    .map(e -> relative.computeIfAbsent(e, known -> known.shiftBy(-now)))
+                    .map(e -> new SuspectRecord(s, e)))
+        .collect(toImmutableList());
   }
 }
--- a/src/main/java/org/tanagerbank/peer/DigestCodec.java
+++ b/src/main/java/org/tanagerbank/peer/DigestCodec.java
@@ -71,14 +71,14 @@
         new DigestNews(
             placements(message.getPlacementsList()),
             addresses(message.getPeersList()),
-            SuspectCodec.fromProto(message.getSuspectsList(), ImmutableList.of()),
+            SuspectCodec.fromProto(message.getSuspectsList()),
             caches(message.getCachesList())));
   }
 
   /**
    * Converts a protobuf message to a continuation.
    *
-   * @throws InvalidProtocolBufferException if an address or an index in the message is invalid
+   * @throws InvalidProtocolBufferException if an address in the message is invalid
    */
   static DigestContinuation fromProto(PeerProto.DigestContinuation message)
       throws InvalidProtocolBufferException {
@@ -93,11 +93,7 @@
         new DigestNews(
             placements(message.getPlacementsList()),
             addresses(message.getPeersList()),
-            SuspectCodec.fromProto(
-                message.getSuspectsList(),
-                message.getPartSetsList().stream()
-                    .map(SuspectCodec::fromProto)
-                    .collect(ImmutableList.toImmutableList())),
+            SuspectCodec.fromProto(message.getSuspectsList()),
             caches(message.getCachesList()),
             CapacityCodec.fromProto(message.getCapacitiesList())));
   }
--- a/src/main/java/org/tanagerbank/peer/DigestPacker.java
+++ b/src/main/java/org/tanagerbank/peer/DigestPacker.java
@@ -1,32 +1,27 @@
 package org.tanagerbank.peer;
 
-import static com.google.common.collect.ImmutableSet.toImmutableSet;
-
 import com.google.common.base.Utf8;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
-import com.google.common.collect.Iterables;
+import com.google.common.collect.Multimaps;
 import com.google.protobuf.MessageLite;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import org.tanagerbank.capacity.CapacityNews;
 import org.tanagerbank.proto.PeerProto;
+import org.tanagerbank.quarantine.CrashEvidence;
 import org.tanagerbank.quarantine.CrashRecord;
 import org.tanagerbank.quarantine.SuspectRecord;
-import org.tanagerbank.quarantine.UndecidedTrials;
 import org.tanagerbank.request.Fingerprint;
 
 /**
  * Packs a digest into datagrams, each small enough that networks do not fragment it: the state
  * first, and what does not fit beside it in continuations.
  *
- * <p>No datagram needs another one: a continuation tells of a range of upstreams, and holds the
- * parts of prompts to which its suspects refer. So a lost datagram costs only its own content. Not
- * thread-safe; an instance packs one digest.
+ * <p>No datagram needs another one: a continuation tells of a range of upstreams, and of suspects
+ * with some of their crashes. So a lost datagram costs only its own content. Not thread-safe; an
+ * instance packs one digest.
  */
 final class DigestPacker {
   /** The largest datagram that common networks deliver in one piece, with room for headers. */
@@ -38,9 +33,12 @@
   /** Bounds the bytes of the tag and the length of one element. */
   private static final int ELEMENT_OVERHEAD_BYTES = 4;
 
-  /** Bounds the bytes of a suspect without its crashes, and of the index of a set of parts. */
+  /** Bounds the bytes of a suspect without its crashes and those that are alike. */
   private static final int SUSPECT_BYTES = 24;
 
+  /** The crashes of a suspect in one element, so that many suspects fit beside them. */
+  private static final int MAX_CRASH_BYTES = 500;
+
   private static final int MAX_CONTENT_BYTES = MAX_DATAGRAM_BYTES - ENVELOPE_BYTES;
 
   private final PeerDigest digest;
@@ -49,7 +47,6 @@
   private int stateBytes;
   private PeerProto.DigestContinuation.Builder continuation;
   private int continuationBytes;
-  private final Map<ImmutableSet<Fingerprint>, Integer> partSets = new HashMap<>();
 
   private DigestPacker(PeerDigest digest) {
     this.digest = digest;
@@ -83,7 +80,6 @@
             .setSender(DigestCodec.toProto(digest.sender()))
             .setNumber(digest.number());
     continuationBytes = continuation.build().getSerializedSize();
-    partSets.clear();
   }
 
   private boolean hasContent() {
@@ -164,7 +160,9 @@
     DigestNews news = digest.news();
     news.placements().forEach(this::addPlacement);
     news.peers().forEach(this::addPeer);
-    news.suspects().forEach(this::addSuspect);
+    Multimaps.index(news.suspects(), SuspectRecord::evidence)
+        .asMap()
+        .forEach((evidence, alike) -> addSuspects(ImmutableList.copyOf(alike), evidence));
     news.caches().forEach(this::addCache);
     news.capacities().forEach(this::addCapacity);
   }
@@ -201,47 +199,39 @@
     continuation.addCapacities(element);
   }
 
-  private void addSuspect(SuspectRecord suspect) {
-    UndecidedTrials trials = suspect.evidence().undecidedTrials();
-    if (!trials.isNone()) {
-      PeerProto.Suspect.Builder element = SuspectCodec.toProto(suspect.fingerprint(), trials);
-      reserve(size(element.build()));
-      continuation.addSuspects(element);
+  /** Adds suspects with the same evidence. */
+  private void addSuspects(ImmutableList<SuspectRecord> alike, CrashEvidence evidence) {
+    PeerProto.Suspect.Builder element =
+        SuspectCodec.toProto(new Fingerprint(0), evidence.undecidedTrials());
+    int crashBytes = 0;
+    for (CrashRecord crash : evidence.crashes().values()) {
+      PeerProto.Crash message = SuspectCodec.toProto(crash);
+      if (element.getCrashesCount() > 0 && crashBytes + size(message) > MAX_CRASH_BYTES) {
+        addAlike(alike, element, crashBytes);
+        element = PeerProto.Suspect.newBuilder();
+        crashBytes = 0;
+      }
+      element.addCrashes(message);
+      crashBytes += size(message);
     }
-    suspect.evidence().crashes().values().forEach(c -> addCrash(suspect.fingerprint(), c));
+    addAlike(alike, element, crashBytes);
   }
 
-  private void addCrash(Fingerprint suspect, CrashRecord crash) {
-    PeerProto.Crash.Builder element = SuspectCodec.toProtoWithoutCompanions(crash);
-    ImmutableSet<Fingerprint> parts = partsInFlight(suspect, crash);
-    int bytes = size(element.build()) + SUSPECT_BYTES;
-    if (continuationBytes + bytes + newSetBytes(parts) > MAX_CONTENT_BYTES) {
-      flush();
-    }
-    continuationBytes += bytes + newSetBytes(parts);
-    if (!partSets.containsKey(parts)) {
-      partSets.put(parts, partSets.size());
-      continuation.addPartSets(SuspectCodec.toProto(parts));
+  /** Adds an element for some suspects, once in each datagram that it takes to name them all. */
+  private void addAlike(
+      ImmutableList<SuspectRecord> alike, PeerProto.Suspect.Builder element, int crashBytes) {
+    int elementBytes = SUSPECT_BYTES + crashBytes;
+    for (int from = 0; from < alike.size(); ) {
+      if (continuationBytes + elementBytes > MAX_CONTENT_BYTES) {
+        flush();
+      }
+      int room = (MAX_CONTENT_BYTES - continuationBytes - elementBytes) / Long.BYTES;
+      int until = Math.min(alike.size(), from + 1 + Math.max(0, room));
+      element.setFingerprint(alike.get(from).fingerprint().value()).clearAlike();
+      alike.subList(from + 1, until).forEach(s -> element.addAlike(s.fingerprint().value()));
+      continuationBytes += elementBytes + (until - from - 1) * Long.BYTES;
+      continuation.addSuspects(element.build());
+      from = until;
     }
-    element.setPartSet(partSets.get(parts));
-    openSuspect(suspect).addCrashes(element);
-  }
-
-  private int newSetBytes(ImmutableSet<Fingerprint> parts) {
-    return partSets.containsKey(parts) ? 0 : size(SuspectCodec.toProto(parts));
-  }
-
-  /** All suspects of one run have the same set, which is then sent only once. */
-  private static ImmutableSet<Fingerprint> partsInFlight(Fingerprint suspect, CrashRecord crash) {
-    return suspect.isPromptPart()
-        ? Stream.concat(Stream.of(suspect), crash.companions().stream()).collect(toImmutableSet())
-        : crash.companions();
-  }
-
-  private PeerProto.Suspect.Builder openSuspect(Fingerprint suspect) {
-    List<PeerProto.Suspect.Builder> open = continuation.getSuspectsBuilderList();
-    PeerProto.Suspect.Builder last = Iterables.getLast(open, null);
-    boolean isOpen = last != null && last.getFingerprint() == suspect.value();
-    return isOpen ? last : continuation.addSuspectsBuilder().setFingerprint(suspect.value());
   }
 }
--- a/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformEngineInspector.java
@@ -32,7 +32,6 @@
 
   static final String CACHED_PARTS_PATH = "/-/kv-list";
   private static final int STATUS_OK = 200;
-  private static final int HEX_RADIX = 16;
 
   private final long timeoutMillis;
 
@@ -87,11 +86,12 @@
       }
       ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
       for (JsonNode entry : entries) {
-        long id = Long.parseUnsignedLong(entry.path(1).asText(), HEX_RADIX);
-        parts.add(new PromptPart(id, entry.path(2).asInt()));
+        int tokens = entry.path(2).asInt();
+        PromptPartIds.parse(entry.path(1).asText())
+            .ifPresent(id -> parts.add(new PromptPart(id, tokens)));
       }
       return Optional.of(parts.build());
-    } catch (IOException | NumberFormatException e) {
+    } catch (IOException e) {
       return Optional.empty();
     }
   }
--- a/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/tanagerbank/platform/PlatformHeaderCodec.java
@@ -81,7 +81,6 @@
   private static final int MAX_WORK_PERCENT = 10_000;
 
   private static final double MILLIS_PER_SECOND = 1_000;
-  private static final int HEX_RADIX = 16;
 
   /** Headers for a single connection or for the framing of a body, in lower case. */
   private static final ImmutableSet<String> HOP_BY_HOP =
@@ -170,25 +169,17 @@
     for (String part : COMMAS.split(request.get(PROMPT_PREFIX, ""))) {
       int colon = part.indexOf(':');
       Integer tokens = colon < 0 ? null : Ints.tryParse(part.substring(colon + 1));
-      Long id = colon < 0 ? null : parseId(part.substring(0, colon));
-      if (tokens == null || id == null || tokens < 0) {
+      OptionalLong id =
+          colon < 0 ? OptionalLong.empty() : PromptPartIds.parse(part.substring(0, colon));
+      if (tokens == null || id.isEmpty() || tokens < 0) {
         return Optional.empty();
       }
-      parts.add(new PromptPart(id, tokens));
+      parts.add(new PromptPart(id.getAsLong(), tokens));
     }
     return Optional.of(
         new Prompt(request.get(MODEL, ""), parts.build(), promptTokens, outputTokens));
   }
 
-  /** Returns the id, or null when the text is not a hexadecimal number of at most 64 bits. */
-  private static Long parseId(String text) {
-    try {
-      return Long.parseUnsignedLong(text, HEX_RADIX);
-    } catch (NumberFormatException e) {
-      return null;
-    }
-  }
-
   @Override
   public HttpHeaders toUpstream(HttpHeaders request, UpstreamCall call) {
     HttpHeaders headers = new DefaultHttpHeaders();
--- a/src/main/java/org/tanagerbank/proto/PeerProto.java
+++ b/src/main/java/org/tanagerbank/proto/PeerProto.java
@@ -12222,54 +12222,10 @@
     org.tanagerbank.proto.PeerProto.EngineCacheOrBuilder getCachesOrBuilder(
         int index);
 
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    java.util.List<org.tanagerbank.proto.PeerProto.PartSet> 
-        getPartSetsList();
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index);
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    int getPartSetsCount();
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
-        getPartSetsOrBuilderList();
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
-        int index);
-
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12279,7 +12235,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12288,7 +12244,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12297,7 +12253,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12307,7 +12263,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12389,7 +12345,6 @@
       placements_ = java.util.Collections.emptyList();
       peers_ = java.util.Collections.emptyList();
       caches_ = java.util.Collections.emptyList();
-      partSets_ = java.util.Collections.emptyList();
       suspects_ = java.util.Collections.emptyList();
       capacities_ = java.util.Collections.emptyList();
     }
@@ -12630,74 +12585,13 @@
       return caches_.get(index);
     }
 
-    public static final int PART_SETS_FIELD_NUMBER = 7;
-    @SuppressWarnings("serial")
-    private java.util.List<org.tanagerbank.proto.PeerProto.PartSet> partSets_;
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.tanagerbank.proto.PeerProto.PartSet> getPartSetsList() {
-      return partSets_;
-    }
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
-        getPartSetsOrBuilderList() {
-      return partSets_;
-    }
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    @java.lang.Override
-    public int getPartSetsCount() {
-      return partSets_.size();
-    }
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index) {
-      return partSets_.get(index);
-    }
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
-     */
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
-        int index) {
-      return partSets_.get(index);
-    }
-
     public static final int SUSPECTS_FIELD_NUMBER = 8;
     @SuppressWarnings("serial")
     private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_;
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12709,7 +12603,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12722,7 +12616,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12734,7 +12628,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12746,7 +12640,7 @@
     /**
      * <pre>
      * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-     * digests. Its crashes may be spread over several elements.
+     * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
      * </pre>
      *
      * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
@@ -12850,9 +12744,6 @@
       for (int i = 0; i < caches_.size(); i++) {
         output.writeMessage(6, caches_.get(i));
       }
-      for (int i = 0; i < partSets_.size(); i++) {
-        output.writeMessage(7, partSets_.get(i));
-      }
       for (int i = 0; i < suspects_.size(); i++) {
         output.writeMessage(8, suspects_.get(i));
       }
@@ -12892,10 +12783,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, caches_.get(i));
       }
-      for (int i = 0; i < partSets_.size(); i++) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(7, partSets_.get(i));
-      }
       for (int i = 0; i < suspects_.size(); i++) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, suspects_.get(i));
@@ -12937,8 +12824,6 @@
           .equals(other.getPeersList())) return false;
       if (!getCachesList()
           .equals(other.getCachesList())) return false;
-      if (!getPartSetsList()
-          .equals(other.getPartSetsList())) return false;
       if (!getSuspectsList()
           .equals(other.getSuspectsList())) return false;
       if (!getCapacitiesList()
@@ -12977,10 +12862,6 @@
         hash = (37 * hash) + CACHES_FIELD_NUMBER;
         hash = (53 * hash) + getCachesList().hashCode();
       }
-      if (getPartSetsCount() > 0) {
-        hash = (37 * hash) + PART_SETS_FIELD_NUMBER;
-        hash = (53 * hash) + getPartSetsList().hashCode();
-      }
       if (getSuspectsCount() > 0) {
         hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
         hash = (53 * hash) + getSuspectsList().hashCode();
@@ -13129,7 +13010,6 @@
           internalGetPlacementsFieldBuilder();
           internalGetPeersFieldBuilder();
           internalGetCachesFieldBuilder();
-          internalGetPartSetsFieldBuilder();
           internalGetSuspectsFieldBuilder();
           internalGetCapacitiesFieldBuilder();
         }
@@ -13170,27 +13050,20 @@
           cachesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000020);
-        if (partSetsBuilder_ == null) {
-          partSets_ = java.util.Collections.emptyList();
-        } else {
-          partSets_ = null;
-          partSetsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000040);
         if (suspectsBuilder_ == null) {
           suspects_ = java.util.Collections.emptyList();
         } else {
           suspects_ = null;
           suspectsBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000040);
         if (capacitiesBuilder_ == null) {
           capacities_ = java.util.Collections.emptyList();
         } else {
           capacities_ = null;
           capacitiesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000080);
         return this;
       }
 
@@ -13251,28 +13124,19 @@
         } else {
           result.caches_ = cachesBuilder_.build();
         }
-        if (partSetsBuilder_ == null) {
-          if (((bitField0_ & 0x00000040) != 0)) {
-            partSets_ = java.util.Collections.unmodifiableList(partSets_);
-            bitField0_ = (bitField0_ & ~0x00000040);
-          }
-          result.partSets_ = partSets_;
-        } else {
-          result.partSets_ = partSetsBuilder_.build();
-        }
         if (suspectsBuilder_ == null) {
-          if (((bitField0_ & 0x00000080) != 0)) {
+          if (((bitField0_ & 0x00000040) != 0)) {
             suspects_ = java.util.Collections.unmodifiableList(suspects_);
-            bitField0_ = (bitField0_ & ~0x00000080);
+            bitField0_ = (bitField0_ & ~0x00000040);
           }
           result.suspects_ = suspects_;
         } else {
           result.suspects_ = suspectsBuilder_.build();
         }
         if (capacitiesBuilder_ == null) {
-          if (((bitField0_ & 0x00000100) != 0)) {
+          if (((bitField0_ & 0x00000080) != 0)) {
             capacities_ = java.util.Collections.unmodifiableList(capacities_);
-            bitField0_ = (bitField0_ & ~0x00000100);
+            bitField0_ = (bitField0_ & ~0x00000080);
           }
           result.capacities_ = capacities_;
         } else {
@@ -13400,37 +13264,11 @@
             }
           }
         }
-        if (partSetsBuilder_ == null) {
-          if (!other.partSets_.isEmpty()) {
-            if (partSets_.isEmpty()) {
-              partSets_ = other.partSets_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-            } else {
-              ensurePartSetsIsMutable();
-              partSets_.addAll(other.partSets_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.partSets_.isEmpty()) {
-            if (partSetsBuilder_.isEmpty()) {
-              partSetsBuilder_.dispose();
-              partSetsBuilder_ = null;
-              partSets_ = other.partSets_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-              partSetsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetPartSetsFieldBuilder() : null;
-            } else {
-              partSetsBuilder_.addAllMessages(other.partSets_);
-            }
-          }
-        }
         if (suspectsBuilder_ == null) {
           if (!other.suspects_.isEmpty()) {
             if (suspects_.isEmpty()) {
               suspects_ = other.suspects_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
             } else {
               ensureSuspectsIsMutable();
               suspects_.addAll(other.suspects_);
@@ -13443,7 +13281,7 @@
               suspectsBuilder_.dispose();
               suspectsBuilder_ = null;
               suspects_ = other.suspects_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
               suspectsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetSuspectsFieldBuilder() : null;
@@ -13456,7 +13294,7 @@
           if (!other.capacities_.isEmpty()) {
             if (capacities_.isEmpty()) {
               capacities_ = other.capacities_;
-              bitField0_ = (bitField0_ & ~0x00000100);
+              bitField0_ = (bitField0_ & ~0x00000080);
             } else {
               ensureCapacitiesIsMutable();
               capacities_.addAll(other.capacities_);
@@ -13469,7 +13307,7 @@
               capacitiesBuilder_.dispose();
               capacitiesBuilder_ = null;
               capacities_ = other.capacities_;
-              bitField0_ = (bitField0_ & ~0x00000100);
+              bitField0_ = (bitField0_ & ~0x00000080);
               capacitiesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetCapacitiesFieldBuilder() : null;
@@ -13562,19 +13400,6 @@
                 }
                 break;
               } // case 50
-              case 58: {
-                org.tanagerbank.proto.PeerProto.PartSet m =
-                    input.readMessage(
-                        org.tanagerbank.proto.PeerProto.PartSet.parser(),
-                        extensionRegistry);
-                if (partSetsBuilder_ == null) {
-                  ensurePartSetsIsMutable();
-                  partSets_.add(m);
-                } else {
-                  partSetsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 58
               case 66: {
                 org.tanagerbank.proto.PeerProto.Suspect m =
                     input.readMessage(
@@ -14732,3131 +14557,2167 @@
         return cachesBuilder_;
       }
 
-      private java.util.List<org.tanagerbank.proto.PeerProto.PartSet> partSets_ =
+      private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_ =
         java.util.Collections.emptyList();
-      private void ensurePartSetsIsMutable() {
+      private void ensureSuspectsIsMutable() {
         if (!((bitField0_ & 0x00000040) != 0)) {
-          partSets_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.PartSet>(partSets_);
+          suspects_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Suspect>(suspects_);
           bitField0_ |= 0x00000040;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder> partSetsBuilder_;
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> suspectsBuilder_;
 
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.PartSet> getPartSetsList() {
-        if (partSetsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(partSets_);
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
+        if (suspectsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(suspects_);
         } else {
-          return partSetsBuilder_.getMessageList();
+          return suspectsBuilder_.getMessageList();
         }
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public int getPartSetsCount() {
-        if (partSetsBuilder_ == null) {
-          return partSets_.size();
+      public int getSuspectsCount() {
+        if (suspectsBuilder_ == null) {
+          return suspects_.size();
         } else {
-          return partSetsBuilder_.getCount();
+          return suspectsBuilder_.getCount();
         }
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public org.tanagerbank.proto.PeerProto.PartSet getPartSets(int index) {
-        if (partSetsBuilder_ == null) {
-          return partSets_.get(index);
+      public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);
         } else {
-          return partSetsBuilder_.getMessage(index);
+          return suspectsBuilder_.getMessage(index);
         }
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder setPartSets(
-          int index, org.tanagerbank.proto.PeerProto.PartSet value) {
-        if (partSetsBuilder_ == null) {
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensurePartSetsIsMutable();
-          partSets_.set(index, value);
+          ensureSuspectsIsMutable();
+          suspects_.set(index, value);
           onChanged();
         } else {
-          partSetsBuilder_.setMessage(index, value);
+          suspectsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder setPartSets(
-          int index, org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
-        if (partSetsBuilder_ == null) {
-          ensurePartSetsIsMutable();
-          partSets_.set(index, builderForValue.build());
+      public Builder setSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.set(index, builderForValue.build());
           onChanged();
         } else {
-          partSetsBuilder_.setMessage(index, builderForValue.build());
+          suspectsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder addPartSets(org.tanagerbank.proto.PeerProto.PartSet value) {
-        if (partSetsBuilder_ == null) {
+      public Builder addSuspects(org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensurePartSetsIsMutable();
-          partSets_.add(value);
+          ensureSuspectsIsMutable();
+          suspects_.add(value);
           onChanged();
         } else {
-          partSetsBuilder_.addMessage(value);
+          suspectsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder addPartSets(
-          int index, org.tanagerbank.proto.PeerProto.PartSet value) {
-        if (partSetsBuilder_ == null) {
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
+        if (suspectsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensurePartSetsIsMutable();
-          partSets_.add(index, value);
+          ensureSuspectsIsMutable();
+          suspects_.add(index, value);
           onChanged();
         } else {
-          partSetsBuilder_.addMessage(index, value);
+          suspectsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder addPartSets(
-          org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
-        if (partSetsBuilder_ == null) {
-          ensurePartSetsIsMutable();
-          partSets_.add(builderForValue.build());
+      public Builder addSuspects(
+          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(builderForValue.build());
           onChanged();
         } else {
-          partSetsBuilder_.addMessage(builderForValue.build());
+          suspectsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder addPartSets(
-          int index, org.tanagerbank.proto.PeerProto.PartSet.Builder builderForValue) {
-        if (partSetsBuilder_ == null) {
-          ensurePartSetsIsMutable();
-          partSets_.add(index, builderForValue.build());
+      public Builder addSuspects(
+          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.add(index, builderForValue.build());
           onChanged();
         } else {
-          partSetsBuilder_.addMessage(index, builderForValue.build());
+          suspectsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder addAllPartSets(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.PartSet> values) {
-        if (partSetsBuilder_ == null) {
-          ensurePartSetsIsMutable();
+      public Builder addAllSuspects(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, partSets_);
+              values, suspects_);
           onChanged();
         } else {
-          partSetsBuilder_.addAllMessages(values);
+          suspectsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder clearPartSets() {
-        if (partSetsBuilder_ == null) {
-          partSets_ = java.util.Collections.emptyList();
+      public Builder clearSuspects() {
+        if (suspectsBuilder_ == null) {
+          suspects_ = java.util.Collections.emptyList();
           bitField0_ = (bitField0_ & ~0x00000040);
           onChanged();
         } else {
-          partSetsBuilder_.clear();
+          suspectsBuilder_.clear();
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public Builder removePartSets(int index) {
-        if (partSetsBuilder_ == null) {
-          ensurePartSetsIsMutable();
-          partSets_.remove(index);
+      public Builder removeSuspects(int index) {
+        if (suspectsBuilder_ == null) {
+          ensureSuspectsIsMutable();
+          suspects_.remove(index);
           onChanged();
         } else {
-          partSetsBuilder_.remove(index);
+          suspectsBuilder_.remove(index);
         }
         return this;
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public org.tanagerbank.proto.PeerProto.PartSet.Builder getPartSetsBuilder(
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
           int index) {
-        return internalGetPartSetsFieldBuilder().getBuilder(index);
+        return internalGetSuspectsFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public org.tanagerbank.proto.PeerProto.PartSetOrBuilder getPartSetsOrBuilder(
+      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
           int index) {
-        if (partSetsBuilder_ == null) {
-          return partSets_.get(index);  } else {
-          return partSetsBuilder_.getMessageOrBuilder(index);
+        if (suspectsBuilder_ == null) {
+          return suspects_.get(index);  } else {
+          return suspectsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
-           getPartSetsOrBuilderList() {
-        if (partSetsBuilder_ != null) {
-          return partSetsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+           getSuspectsOrBuilderList() {
+        if (suspectsBuilder_ != null) {
+          return suspectsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(partSets_);
+          return java.util.Collections.unmodifiableList(suspects_);
         }
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public org.tanagerbank.proto.PeerProto.PartSet.Builder addPartSetsBuilder() {
-        return internalGetPartSetsFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance());
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public org.tanagerbank.proto.PeerProto.PartSet.Builder addPartSetsBuilder(
+      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
           int index) {
-        return internalGetPartSetsFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance());
+        return internalGetSuspectsFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
       }
       /**
        * <pre>
-       * Parts of prompts that were in flight together, to which the crashes of the suspects refer.
+       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
+       * digests. Its crashes may be spread over several elements, and so may suspects with the same crashes.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.PartSet part_sets = 7;</code>
+       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.PartSet.Builder> 
-           getPartSetsBuilderList() {
-        return internalGetPartSetsFieldBuilder().getBuilderList();
+      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
+           getSuspectsBuilderList() {
+        return internalGetSuspectsFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder> 
-          internalGetPartSetsFieldBuilder() {
-        if (partSetsBuilder_ == null) {
-          partSetsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.PartSet, org.tanagerbank.proto.PeerProto.PartSet.Builder, org.tanagerbank.proto.PeerProto.PartSetOrBuilder>(
-                  partSets_,
+          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
+          internalGetSuspectsFieldBuilder() {
+        if (suspectsBuilder_ == null) {
+          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
+                  suspects_,
                   ((bitField0_ & 0x00000040) != 0),
                   getParentForChildren(),
                   isClean());
-          partSets_ = null;
+          suspects_ = null;
         }
-        return partSetsBuilder_;
+        return suspectsBuilder_;
       }
 
-      private java.util.List<org.tanagerbank.proto.PeerProto.Suspect> suspects_ =
+      private java.util.List<org.tanagerbank.proto.PeerProto.Capacity> capacities_ =
         java.util.Collections.emptyList();
-      private void ensureSuspectsIsMutable() {
+      private void ensureCapacitiesIsMutable() {
         if (!((bitField0_ & 0x00000080) != 0)) {
-          suspects_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Suspect>(suspects_);
+          capacities_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Capacity>(capacities_);
           bitField0_ |= 0x00000080;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> suspectsBuilder_;
+          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> capacitiesBuilder_;
 
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect> getSuspectsList() {
-        if (suspectsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(suspects_);
+      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity> getCapacitiesList() {
+        if (capacitiesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(capacities_);
         } else {
-          return suspectsBuilder_.getMessageList();
+          return capacitiesBuilder_.getMessageList();
         }
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public int getSuspectsCount() {
-        if (suspectsBuilder_ == null) {
-          return suspects_.size();
+      public int getCapacitiesCount() {
+        if (capacitiesBuilder_ == null) {
+          return capacities_.size();
         } else {
-          return suspectsBuilder_.getCount();
+          return capacitiesBuilder_.getCount();
         }
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public org.tanagerbank.proto.PeerProto.Suspect getSuspects(int index) {
-        if (suspectsBuilder_ == null) {
-          return suspects_.get(index);
+      public org.tanagerbank.proto.PeerProto.Capacity getCapacities(int index) {
+        if (capacitiesBuilder_ == null) {
+          return capacities_.get(index);
         } else {
-          return suspectsBuilder_.getMessage(index);
+          return capacitiesBuilder_.getMessage(index);
         }
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder setSuspects(
-          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
-        if (suspectsBuilder_ == null) {
+      public Builder setCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSuspectsIsMutable();
-          suspects_.set(index, value);
+          ensureCapacitiesIsMutable();
+          capacities_.set(index, value);
           onChanged();
         } else {
-          suspectsBuilder_.setMessage(index, value);
+          capacitiesBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder setSuspects(
-          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.set(index, builderForValue.build());
+      public Builder setCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.set(index, builderForValue.build());
           onChanged();
         } else {
-          suspectsBuilder_.setMessage(index, builderForValue.build());
+          capacitiesBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder addSuspects(org.tanagerbank.proto.PeerProto.Suspect value) {
-        if (suspectsBuilder_ == null) {
+      public Builder addCapacities(org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSuspectsIsMutable();
-          suspects_.add(value);
+          ensureCapacitiesIsMutable();
+          capacities_.add(value);
           onChanged();
         } else {
-          suspectsBuilder_.addMessage(value);
+          capacitiesBuilder_.addMessage(value);
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder addSuspects(
-          int index, org.tanagerbank.proto.PeerProto.Suspect value) {
-        if (suspectsBuilder_ == null) {
+      public Builder addCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
+        if (capacitiesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSuspectsIsMutable();
-          suspects_.add(index, value);
+          ensureCapacitiesIsMutable();
+          capacities_.add(index, value);
           onChanged();
         } else {
-          suspectsBuilder_.addMessage(index, value);
+          capacitiesBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder addSuspects(
-          org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.add(builderForValue.build());
+      public Builder addCapacities(
+          org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.add(builderForValue.build());
           onChanged();
         } else {
-          suspectsBuilder_.addMessage(builderForValue.build());
+          capacitiesBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder addSuspects(
-          int index, org.tanagerbank.proto.PeerProto.Suspect.Builder builderForValue) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.add(index, builderForValue.build());
+      public Builder addCapacities(
+          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.add(index, builderForValue.build());
           onChanged();
         } else {
-          suspectsBuilder_.addMessage(index, builderForValue.build());
+          capacitiesBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder addAllSuspects(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Suspect> values) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
+      public Builder addAllCapacities(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Capacity> values) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, suspects_);
+              values, capacities_);
           onChanged();
         } else {
-          suspectsBuilder_.addAllMessages(values);
+          capacitiesBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder clearSuspects() {
-        if (suspectsBuilder_ == null) {
-          suspects_ = java.util.Collections.emptyList();
+      public Builder clearCapacities() {
+        if (capacitiesBuilder_ == null) {
+          capacities_ = java.util.Collections.emptyList();
           bitField0_ = (bitField0_ & ~0x00000080);
           onChanged();
         } else {
-          suspectsBuilder_.clear();
+          capacitiesBuilder_.clear();
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public Builder removeSuspects(int index) {
-        if (suspectsBuilder_ == null) {
-          ensureSuspectsIsMutable();
-          suspects_.remove(index);
+      public Builder removeCapacities(int index) {
+        if (capacitiesBuilder_ == null) {
+          ensureCapacitiesIsMutable();
+          capacities_.remove(index);
           onChanged();
         } else {
-          suspectsBuilder_.remove(index);
+          capacitiesBuilder_.remove(index);
         }
         return this;
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder getSuspectsBuilder(
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder getCapacitiesBuilder(
           int index) {
-        return internalGetSuspectsFieldBuilder().getBuilder(index);
+        return internalGetCapacitiesFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public org.tanagerbank.proto.PeerProto.SuspectOrBuilder getSuspectsOrBuilder(
+      public org.tanagerbank.proto.PeerProto.CapacityOrBuilder getCapacitiesOrBuilder(
           int index) {
-        if (suspectsBuilder_ == null) {
-          return suspects_.get(index);  } else {
-          return suspectsBuilder_.getMessageOrBuilder(index);
+        if (capacitiesBuilder_ == null) {
+          return capacities_.get(index);  } else {
+          return capacitiesBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
-           getSuspectsOrBuilderList() {
-        if (suspectsBuilder_ != null) {
-          return suspectsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+           getCapacitiesOrBuilderList() {
+        if (capacitiesBuilder_ != null) {
+          return capacitiesBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(suspects_);
+          return java.util.Collections.unmodifiableList(capacities_);
         }
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder() {
-        return internalGetSuspectsFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder() {
+        return internalGetCapacitiesFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public org.tanagerbank.proto.PeerProto.Suspect.Builder addSuspectsBuilder(
+      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder(
           int index) {
-        return internalGetSuspectsFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.Suspect.getDefaultInstance());
+        return internalGetCapacitiesFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
       }
       /**
        * <pre>
-       * Requests and parts of prompts that were in flight at crashes of upstreams. A suspect is repeated in several
-       * digests. Its crashes may be spread over several elements.
+       * What the sender has learned of the speed of upstreams since its last digest.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.Suspect suspects = 8;</code>
+       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
        */
-      public java.util.List<org.tanagerbank.proto.PeerProto.Suspect.Builder> 
-           getSuspectsBuilderList() {
-        return internalGetSuspectsFieldBuilder().getBuilderList();
+      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity.Builder> 
+           getCapacitiesBuilderList() {
+        return internalGetCapacitiesFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder> 
-          internalGetSuspectsFieldBuilder() {
-        if (suspectsBuilder_ == null) {
-          suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.Suspect, org.tanagerbank.proto.PeerProto.Suspect.Builder, org.tanagerbank.proto.PeerProto.SuspectOrBuilder>(
-                  suspects_,
+          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
+          internalGetCapacitiesFieldBuilder() {
+        if (capacitiesBuilder_ == null) {
+          capacitiesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder>(
+                  capacities_,
                   ((bitField0_ & 0x00000080) != 0),
                   getParentForChildren(),
                   isClean());
-          suspects_ = null;
+          capacities_ = null;
         }
-        return suspectsBuilder_;
+        return capacitiesBuilder_;
       }
 
-      private java.util.List<org.tanagerbank.proto.PeerProto.Capacity> capacities_ =
-        java.util.Collections.emptyList();
-      private void ensureCapacitiesIsMutable() {
-        if (!((bitField0_ & 0x00000100) != 0)) {
-          capacities_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Capacity>(capacities_);
-          bitField0_ |= 0x00000100;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> capacitiesBuilder_;
-
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity> getCapacitiesList() {
-        if (capacitiesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(capacities_);
-        } else {
-          return capacitiesBuilder_.getMessageList();
-        }
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public int getCapacitiesCount() {
-        if (capacitiesBuilder_ == null) {
-          return capacities_.size();
-        } else {
-          return capacitiesBuilder_.getCount();
-        }
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.Capacity getCapacities(int index) {
-        if (capacitiesBuilder_ == null) {
-          return capacities_.get(index);
-        } else {
-          return capacitiesBuilder_.getMessage(index);
-        }
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder setCapacities(
-          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
-        if (capacitiesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCapacitiesIsMutable();
-          capacities_.set(index, value);
-          onChanged();
-        } else {
-          capacitiesBuilder_.setMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder setCapacities(
-          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
-        if (capacitiesBuilder_ == null) {
-          ensureCapacitiesIsMutable();
-          capacities_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          capacitiesBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder addCapacities(org.tanagerbank.proto.PeerProto.Capacity value) {
-        if (capacitiesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCapacitiesIsMutable();
-          capacities_.add(value);
-          onChanged();
-        } else {
-          capacitiesBuilder_.addMessage(value);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder addCapacities(
-          int index, org.tanagerbank.proto.PeerProto.Capacity value) {
-        if (capacitiesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCapacitiesIsMutable();
-          capacities_.add(index, value);
-          onChanged();
-        } else {
-          capacitiesBuilder_.addMessage(index, value);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder addCapacities(
-          org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
-        if (capacitiesBuilder_ == null) {
-          ensureCapacitiesIsMutable();
-          capacities_.add(builderForValue.build());
-          onChanged();
-        } else {
-          capacitiesBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder addCapacities(
-          int index, org.tanagerbank.proto.PeerProto.Capacity.Builder builderForValue) {
-        if (capacitiesBuilder_ == null) {
-          ensureCapacitiesIsMutable();
-          capacities_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          capacitiesBuilder_.addMessage(index, builderForValue.build());
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder addAllCapacities(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.Capacity> values) {
-        if (capacitiesBuilder_ == null) {
-          ensureCapacitiesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, capacities_);
-          onChanged();
-        } else {
-          capacitiesBuilder_.addAllMessages(values);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder clearCapacities() {
-        if (capacitiesBuilder_ == null) {
-          capacities_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000100);
-          onChanged();
-        } else {
-          capacitiesBuilder_.clear();
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public Builder removeCapacities(int index) {
-        if (capacitiesBuilder_ == null) {
-          ensureCapacitiesIsMutable();
-          capacities_.remove(index);
-          onChanged();
-        } else {
-          capacitiesBuilder_.remove(index);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.Capacity.Builder getCapacitiesBuilder(
-          int index) {
-        return internalGetCapacitiesFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.CapacityOrBuilder getCapacitiesOrBuilder(
-          int index) {
-        if (capacitiesBuilder_ == null) {
-          return capacities_.get(index);  } else {
-          return capacitiesBuilder_.getMessageOrBuilder(index);
-        }
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
-           getCapacitiesOrBuilderList() {
-        if (capacitiesBuilder_ != null) {
-          return capacitiesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(capacities_);
-        }
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder() {
-        return internalGetCapacitiesFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.Capacity.Builder addCapacitiesBuilder(
-          int index) {
-        return internalGetCapacitiesFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance());
-      }
-      /**
-       * <pre>
-       * What the sender has learned of the speed of upstreams since its last digest.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.Capacity capacities = 9;</code>
-       */
-      public java.util.List<org.tanagerbank.proto.PeerProto.Capacity.Builder> 
-           getCapacitiesBuilderList() {
-        return internalGetCapacitiesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder> 
-          internalGetCapacitiesFieldBuilder() {
-        if (capacitiesBuilder_ == null) {
-          capacitiesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.Capacity, org.tanagerbank.proto.PeerProto.Capacity.Builder, org.tanagerbank.proto.PeerProto.CapacityOrBuilder>(
-                  capacities_,
-                  ((bitField0_ & 0x00000100) != 0),
-                  getParentForChildren(),
-                  isClean());
-          capacities_ = null;
-        }
-        return capacitiesBuilder_;
-      }
-
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.DigestContinuation)
-    }
-
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.DigestContinuation)
-    private static final org.tanagerbank.proto.PeerProto.DigestContinuation DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.DigestContinuation();
-    }
-
-    public static org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<DigestContinuation>
-        PARSER = new com.google.protobuf.AbstractParser<DigestContinuation>() {
-      @java.lang.Override
-      public DigestContinuation parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
-      }
-    };
-
-    public static com.google.protobuf.Parser<DigestContinuation> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<DigestContinuation> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface CapacityOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Capacity)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <pre>
-     * Hash of the id and the start time of the process.
-     * </pre>
-     *
-     * <code>fixed32 process = 1;</code>
-     * @return The process.
-     */
-    int getProcess();
-
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @return A list containing the requests.
-     */
-    java.util.List<java.lang.Integer> getRequestsList();
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @return The count of requests.
-     */
-    int getRequestsCount();
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @param index The index of the element to return.
-     * @return The requests at the given index.
-     */
-    int getRequests(int index);
-
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @return A list containing the inFlightTenths.
-     */
-    java.util.List<java.lang.Integer> getInFlightTenthsList();
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @return The count of inFlightTenths.
-     */
-    int getInFlightTenthsCount();
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @param index The index of the element to return.
-     * @return The inFlightTenths at the given index.
-     */
-    int getInFlightTenths(int index);
-
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @return A list containing the timeThousandths.
-     */
-    java.util.List<java.lang.Long> getTimeThousandthsList();
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @return The count of timeThousandths.
-     */
-    int getTimeThousandthsCount();
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @param index The index of the element to return.
-     * @return The timeThousandths at the given index.
-     */
-    long getTimeThousandths(int index);
-
-    /**
-     * <pre>
-     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
-     * </pre>
-     *
-     * <code>uint32 work_percent = 5;</code>
-     * @return The workPercent.
-     */
-    int getWorkPercent();
-
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     * @return Whether the estimate field is set.
-     */
-    boolean hasEstimate();
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     * @return The estimate.
-     */
-    org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate();
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     */
-    org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder();
-  }
-  /**
-   * <pre>
-   * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
-   * speed of the machine.
-   * </pre>
-   *
-   * Protobuf type {@code tanagerbank.peer.Capacity}
-   */
-  public static final class Capacity extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Capacity)
-      CapacityOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 30,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        Capacity.class.getName());
-    }
-    // Use Capacity.newBuilder() to construct.
-    private Capacity(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private Capacity() {
-      requests_ = emptyIntList();
-      inFlightTenths_ = emptyIntList();
-      timeThousandths_ = emptyLongList();
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
-    }
-
-    private int bitField0_;
-    public static final int PROCESS_FIELD_NUMBER = 1;
-    private int process_ = 0;
-    /**
-     * <pre>
-     * Hash of the id and the start time of the process.
-     * </pre>
-     *
-     * <code>fixed32 process = 1;</code>
-     * @return The process.
-     */
-    @java.lang.Override
-    public int getProcess() {
-      return process_;
-    }
-
-    public static final int REQUESTS_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.IntList requests_ =
-        emptyIntList();
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @return A list containing the requests.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Integer>
-        getRequestsList() {
-      return requests_;
-    }
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @return The count of requests.
-     */
-    public int getRequestsCount() {
-      return requests_.size();
-    }
-    /**
-     * <pre>
-     * Mean response times of groups of requests that met about the same load, as parallel lists.
-     * </pre>
-     *
-     * <code>repeated uint32 requests = 2;</code>
-     * @param index The index of the element to return.
-     * @return The requests at the given index.
-     */
-    public int getRequests(int index) {
-      return requests_.getInt(index);
-    }
-    private int requestsMemoizedSerializedSize = -1;
-
-    public static final int IN_FLIGHT_TENTHS_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.IntList inFlightTenths_ =
-        emptyIntList();
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @return A list containing the inFlightTenths.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Integer>
-        getInFlightTenthsList() {
-      return inFlightTenths_;
-    }
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @return The count of inFlightTenths.
-     */
-    public int getInFlightTenthsCount() {
-      return inFlightTenths_.size();
-    }
-    /**
-     * <pre>
-     * Requests in flight there when those of the group were sent, in tenths.
-     * </pre>
-     *
-     * <code>repeated uint32 in_flight_tenths = 3;</code>
-     * @param index The index of the element to return.
-     * @return The inFlightTenths at the given index.
-     */
-    public int getInFlightTenths(int index) {
-      return inFlightTenths_.getInt(index);
-    }
-    private int inFlightTenthsMemoizedSerializedSize = -1;
-
-    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 4;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList timeThousandths_ =
-        emptyLongList();
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @return A list containing the timeThousandths.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getTimeThousandthsList() {
-      return timeThousandths_;
-    }
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @return The count of timeThousandths.
-     */
-    public int getTimeThousandthsCount() {
-      return timeThousandths_.size();
-    }
-    /**
-     * <code>repeated uint64 time_thousandths = 4;</code>
-     * @param index The index of the element to return.
-     * @return The timeThousandths at the given index.
-     */
-    public long getTimeThousandths(int index) {
-      return timeThousandths_.getLong(index);
-    }
-    private int timeThousandthsMemoizedSerializedSize = -1;
-
-    public static final int WORK_PERCENT_FIELD_NUMBER = 5;
-    private int workPercent_ = 0;
-    /**
-     * <pre>
-     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
-     * </pre>
-     *
-     * <code>uint32 work_percent = 5;</code>
-     * @return The workPercent.
-     */
-    @java.lang.Override
-    public int getWorkPercent() {
-      return workPercent_;
-    }
-
-    public static final int ESTIMATE_FIELD_NUMBER = 6;
-    private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     * @return Whether the estimate field is set.
-     */
-    @java.lang.Override
-    public boolean hasEstimate() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     * @return The estimate.
-     */
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
-      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
-    }
-    /**
-     * <pre>
-     * What was learned from all gateways; told only to gateways that have just started.
-     * </pre>
-     *
-     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-     */
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
-      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
-    }
-
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
-
-      memoizedIsInitialized = 1;
-      return true;
-    }
-
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      getSerializedSize();
-      if (process_ != 0) {
-        output.writeFixed32(1, process_);
-      }
-      if (getRequestsList().size() > 0) {
-        output.writeUInt32NoTag(18);
-        output.writeUInt32NoTag(requestsMemoizedSerializedSize);
-      }
-      for (int i = 0; i < requests_.size(); i++) {
-        output.writeUInt32NoTag(requests_.getInt(i));
-      }
-      if (getInFlightTenthsList().size() > 0) {
-        output.writeUInt32NoTag(26);
-        output.writeUInt32NoTag(inFlightTenthsMemoizedSerializedSize);
-      }
-      for (int i = 0; i < inFlightTenths_.size(); i++) {
-        output.writeUInt32NoTag(inFlightTenths_.getInt(i));
-      }
-      if (getTimeThousandthsList().size() > 0) {
-        output.writeUInt32NoTag(34);
-        output.writeUInt32NoTag(timeThousandthsMemoizedSerializedSize);
-      }
-      for (int i = 0; i < timeThousandths_.size(); i++) {
-        output.writeUInt64NoTag(timeThousandths_.getLong(i));
-      }
-      if (workPercent_ != 0) {
-        output.writeUInt32(5, workPercent_);
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(6, getEstimate());
-      }
-      getUnknownFields().writeTo(output);
-    }
-
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
-
-      size = 0;
-      if (process_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeFixed32Size(1, process_);
-      }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < requests_.size(); i++) {
-          dataSize += com.google.protobuf.CodedOutputStream
-            .computeUInt32SizeNoTag(requests_.getInt(i));
-        }
-        size += dataSize;
-        if (!getRequestsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        requestsMemoizedSerializedSize = dataSize;
-      }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < inFlightTenths_.size(); i++) {
-          dataSize += com.google.protobuf.CodedOutputStream
-            .computeUInt32SizeNoTag(inFlightTenths_.getInt(i));
-        }
-        size += dataSize;
-        if (!getInFlightTenthsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        inFlightTenthsMemoizedSerializedSize = dataSize;
-      }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < timeThousandths_.size(); i++) {
-          dataSize += com.google.protobuf.CodedOutputStream
-            .computeUInt64SizeNoTag(timeThousandths_.getLong(i));
-        }
-        size += dataSize;
-        if (!getTimeThousandthsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        timeThousandthsMemoizedSerializedSize = dataSize;
-      }
-      if (workPercent_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(5, workPercent_);
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(6, getEstimate());
-      }
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
-
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
-      }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Capacity)) {
-        return super.equals(obj);
-      }
-      org.tanagerbank.proto.PeerProto.Capacity other = (org.tanagerbank.proto.PeerProto.Capacity) obj;
-
-      if (getProcess()
-          != other.getProcess()) return false;
-      if (!getRequestsList()
-          .equals(other.getRequestsList())) return false;
-      if (!getInFlightTenthsList()
-          .equals(other.getInFlightTenthsList())) return false;
-      if (!getTimeThousandthsList()
-          .equals(other.getTimeThousandthsList())) return false;
-      if (getWorkPercent()
-          != other.getWorkPercent()) return false;
-      if (hasEstimate() != other.hasEstimate()) return false;
-      if (hasEstimate()) {
-        if (!getEstimate()
-            .equals(other.getEstimate())) return false;
-      }
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
-
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
-      }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + PROCESS_FIELD_NUMBER;
-      hash = (53 * hash) + getProcess();
-      if (getRequestsCount() > 0) {
-        hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-        hash = (53 * hash) + getRequestsList().hashCode();
-      }
-      if (getInFlightTenthsCount() > 0) {
-        hash = (37 * hash) + IN_FLIGHT_TENTHS_FIELD_NUMBER;
-        hash = (53 * hash) + getInFlightTenthsList().hashCode();
-      }
-      if (getTimeThousandthsCount() > 0) {
-        hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
-        hash = (53 * hash) + getTimeThousandthsList().hashCode();
-      }
-      hash = (37 * hash) + WORK_PERCENT_FIELD_NUMBER;
-      hash = (53 * hash) + getWorkPercent();
-      if (hasEstimate()) {
-        hash = (37 * hash) + ESTIMATE_FIELD_NUMBER;
-        hash = (53 * hash) + getEstimate().hashCode();
-      }
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Capacity prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
-
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * <pre>
-     * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
-     * speed of the machine.
-     * </pre>
-     *
-     * Protobuf type {@code tanagerbank.peer.Capacity}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Capacity)
-        org.tanagerbank.proto.PeerProto.CapacityOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
-      }
-
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
-      }
-
-      // Construct using org.tanagerbank.proto.PeerProto.Capacity.newBuilder()
-      private Builder() {
-        maybeForceBuilderInitialization();
-      }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetEstimateFieldBuilder();
-        }
-      }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        process_ = 0;
-        requests_ = emptyIntList();
-        inFlightTenths_ = emptyIntList();
-        timeThousandths_ = emptyLongList();
-        workPercent_ = 0;
-        estimate_ = null;
-        if (estimateBuilder_ != null) {
-          estimateBuilder_.dispose();
-          estimateBuilder_ = null;
-        }
-        return this;
-      }
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.DigestContinuation)
+    }
 
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
-      }
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.DigestContinuation)
+    private static final org.tanagerbank.proto.PeerProto.DigestContinuation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.DigestContinuation();
+    }
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance();
-      }
+    public static org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
 
+    private static final com.google.protobuf.Parser<DigestContinuation>
+        PARSER = new com.google.protobuf.AbstractParser<DigestContinuation>() {
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Capacity build() {
-        org.tanagerbank.proto.PeerProto.Capacity result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
+      public DigestContinuation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
         }
-        return result;
+        return builder.buildPartial();
       }
+    };
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.Capacity buildPartial() {
-        org.tanagerbank.proto.PeerProto.Capacity result = new org.tanagerbank.proto.PeerProto.Capacity(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
-      }
+    public static com.google.protobuf.Parser<DigestContinuation> parser() {
+      return PARSER;
+    }
 
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.Capacity result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.process_ = process_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          requests_.makeImmutable();
-          result.requests_ = requests_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          inFlightTenths_.makeImmutable();
-          result.inFlightTenths_ = inFlightTenths_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          timeThousandths_.makeImmutable();
-          result.timeThousandths_ = timeThousandths_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.workPercent_ = workPercent_;
-        }
-        int to_bitField0_ = 0;
-        if (((from_bitField0_ & 0x00000020) != 0)) {
-          result.estimate_ = estimateBuilder_ == null
-              ? estimate_
-              : estimateBuilder_.build();
-          to_bitField0_ |= 0x00000001;
-        }
-        result.bitField0_ |= to_bitField0_;
-      }
+    @java.lang.Override
+    public com.google.protobuf.Parser<DigestContinuation> getParserForType() {
+      return PARSER;
+    }
 
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.Capacity) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.Capacity)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
-      }
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.DigestContinuation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Capacity other) {
-        if (other == org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance()) return this;
-        if (other.getProcess() != 0) {
-          setProcess(other.getProcess());
-        }
-        if (!other.requests_.isEmpty()) {
-          if (requests_.isEmpty()) {
-            requests_ = other.requests_;
-            requests_.makeImmutable();
-            bitField0_ |= 0x00000002;
-          } else {
-            ensureRequestsIsMutable();
-            requests_.addAll(other.requests_);
-          }
-          onChanged();
-        }
-        if (!other.inFlightTenths_.isEmpty()) {
-          if (inFlightTenths_.isEmpty()) {
-            inFlightTenths_ = other.inFlightTenths_;
-            inFlightTenths_.makeImmutable();
-            bitField0_ |= 0x00000004;
-          } else {
-            ensureInFlightTenthsIsMutable();
-            inFlightTenths_.addAll(other.inFlightTenths_);
-          }
-          onChanged();
-        }
-        if (!other.timeThousandths_.isEmpty()) {
-          if (timeThousandths_.isEmpty()) {
-            timeThousandths_ = other.timeThousandths_;
-            timeThousandths_.makeImmutable();
-            bitField0_ |= 0x00000008;
-          } else {
-            ensureTimeThousandthsIsMutable();
-            timeThousandths_.addAll(other.timeThousandths_);
-          }
-          onChanged();
-        }
-        if (other.getWorkPercent() != 0) {
-          setWorkPercent(other.getWorkPercent());
-        }
-        if (other.hasEstimate()) {
-          mergeEstimate(other.getEstimate());
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
-      }
+  }
+
+  public interface CapacityOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.Capacity)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the id and the start time of the process.
+     * </pre>
+     *
+     * <code>fixed32 process = 1;</code>
+     * @return The process.
+     */
+    int getProcess();
+
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return A list containing the requests.
+     */
+    java.util.List<java.lang.Integer> getRequestsList();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return The count of requests.
+     */
+    int getRequestsCount();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @param index The index of the element to return.
+     * @return The requests at the given index.
+     */
+    int getRequests(int index);
+
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return A list containing the inFlightTenths.
+     */
+    java.util.List<java.lang.Integer> getInFlightTenthsList();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return The count of inFlightTenths.
+     */
+    int getInFlightTenthsCount();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @param index The index of the element to return.
+     * @return The inFlightTenths at the given index.
+     */
+    int getInFlightTenths(int index);
+
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return A list containing the timeThousandths.
+     */
+    java.util.List<java.lang.Long> getTimeThousandthsList();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return The count of timeThousandths.
+     */
+    int getTimeThousandthsCount();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @param index The index of the element to return.
+     * @return The timeThousandths at the given index.
+     */
+    long getTimeThousandths(int index);
+
+    /**
+     * <pre>
+     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 5;</code>
+     * @return The workPercent.
+     */
+    int getWorkPercent();
+
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return Whether the estimate field is set.
+     */
+    boolean hasEstimate();
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return The estimate.
+     */
+    org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate();
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     */
+    org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder();
+  }
+  /**
+   * <pre>
+   * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
+   * speed of the machine.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.Capacity}
+   */
+  public static final class Capacity extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.Capacity)
+      CapacityOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        Capacity.class.getName());
+    }
+    // Use Capacity.newBuilder() to construct.
+    private Capacity(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Capacity() {
+      requests_ = emptyIntList();
+      inFlightTenths_ = emptyIntList();
+      timeThousandths_ = emptyLongList();
+    }
 
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+    }
 
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 13: {
-                process_ = input.readFixed32();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 13
-              case 16: {
-                int v = input.readUInt32();
-                ensureRequestsIsMutable();
-                requests_.addInt(v);
-                break;
-              } // case 16
-              case 18: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                ensureRequestsIsMutable();
-                while (input.getBytesUntilLimit() > 0) {
-                  requests_.addInt(input.readUInt32());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 18
-              case 24: {
-                int v = input.readUInt32();
-                ensureInFlightTenthsIsMutable();
-                inFlightTenths_.addInt(v);
-                break;
-              } // case 24
-              case 26: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                ensureInFlightTenthsIsMutable();
-                while (input.getBytesUntilLimit() > 0) {
-                  inFlightTenths_.addInt(input.readUInt32());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 26
-              case 32: {
-                long v = input.readUInt64();
-                ensureTimeThousandthsIsMutable();
-                timeThousandths_.addLong(v);
-                break;
-              } // case 32
-              case 34: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                ensureTimeThousandthsIsMutable();
-                while (input.getBytesUntilLimit() > 0) {
-                  timeThousandths_.addLong(input.readUInt64());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 34
-              case 40: {
-                workPercent_ = input.readUInt32();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
-              case 50: {
-                input.readMessage(
-                    internalGetEstimateFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bitField0_ |= 0x00000020;
-                break;
-              } // case 50
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
+    }
 
-      private int process_ ;
-      /**
-       * <pre>
-       * Hash of the id and the start time of the process.
-       * </pre>
-       *
-       * <code>fixed32 process = 1;</code>
-       * @return The process.
-       */
-      @java.lang.Override
-      public int getProcess() {
-        return process_;
-      }
-      /**
-       * <pre>
-       * Hash of the id and the start time of the process.
-       * </pre>
-       *
-       * <code>fixed32 process = 1;</code>
-       * @param value The process to set.
-       * @return This builder for chaining.
-       */
-      public Builder setProcess(int value) {
+    private int bitField0_;
+    public static final int PROCESS_FIELD_NUMBER = 1;
+    private int process_ = 0;
+    /**
+     * <pre>
+     * Hash of the id and the start time of the process.
+     * </pre>
+     *
+     * <code>fixed32 process = 1;</code>
+     * @return The process.
+     */
+    @java.lang.Override
+    public int getProcess() {
+      return process_;
+    }
 
-        process_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Hash of the id and the start time of the process.
-       * </pre>
-       *
-       * <code>fixed32 process = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearProcess() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        process_ = 0;
-        onChanged();
-        return this;
-      }
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList requests_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return A list containing the requests.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getRequestsList() {
+      return requests_;
+    }
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @return The count of requests.
+     */
+    public int getRequestsCount() {
+      return requests_.size();
+    }
+    /**
+     * <pre>
+     * Mean response times of groups of requests that met about the same load, as parallel lists.
+     * </pre>
+     *
+     * <code>repeated uint32 requests = 2;</code>
+     * @param index The index of the element to return.
+     * @return The requests at the given index.
+     */
+    public int getRequests(int index) {
+      return requests_.getInt(index);
+    }
+    private int requestsMemoizedSerializedSize = -1;
 
-      private com.google.protobuf.Internal.IntList requests_ = emptyIntList();
-      private void ensureRequestsIsMutable() {
-        if (!requests_.isModifiable()) {
-          requests_ = makeMutableCopy(requests_);
-        }
-        bitField0_ |= 0x00000002;
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @return A list containing the requests.
-       */
-      public java.util.List<java.lang.Integer>
-          getRequestsList() {
-        requests_.makeImmutable();
-        return requests_;
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @return The count of requests.
-       */
-      public int getRequestsCount() {
-        return requests_.size();
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @param index The index of the element to return.
-       * @return The requests at the given index.
-       */
-      public int getRequests(int index) {
-        return requests_.getInt(index);
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @param index The index to set the value at.
-       * @param value The requests to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRequests(
-          int index, int value) {
+    public static final int IN_FLIGHT_TENTHS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList inFlightTenths_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return A list containing the inFlightTenths.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getInFlightTenthsList() {
+      return inFlightTenths_;
+    }
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @return The count of inFlightTenths.
+     */
+    public int getInFlightTenthsCount() {
+      return inFlightTenths_.size();
+    }
+    /**
+     * <pre>
+     * Requests in flight there when those of the group were sent, in tenths.
+     * </pre>
+     *
+     * <code>repeated uint32 in_flight_tenths = 3;</code>
+     * @param index The index of the element to return.
+     * @return The inFlightTenths at the given index.
+     */
+    public int getInFlightTenths(int index) {
+      return inFlightTenths_.getInt(index);
+    }
+    private int inFlightTenthsMemoizedSerializedSize = -1;
 
-        ensureRequestsIsMutable();
-        requests_.setInt(index, value);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @param value The requests to add.
-       * @return This builder for chaining.
-       */
-      public Builder addRequests(int value) {
+    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList timeThousandths_ =
+        emptyLongList();
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return A list containing the timeThousandths.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getTimeThousandthsList() {
+      return timeThousandths_;
+    }
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @return The count of timeThousandths.
+     */
+    public int getTimeThousandthsCount() {
+      return timeThousandths_.size();
+    }
+    /**
+     * <code>repeated uint64 time_thousandths = 4;</code>
+     * @param index The index of the element to return.
+     * @return The timeThousandths at the given index.
+     */
+    public long getTimeThousandths(int index) {
+      return timeThousandths_.getLong(index);
+    }
+    private int timeThousandthsMemoizedSerializedSize = -1;
 
-        ensureRequestsIsMutable();
-        requests_.addInt(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @param values The requests to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllRequests(
-          java.lang.Iterable<? extends java.lang.Integer> values) {
-        ensureRequestsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, requests_);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Mean response times of groups of requests that met about the same load, as parallel lists.
-       * </pre>
-       *
-       * <code>repeated uint32 requests = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRequests() {
-        requests_ = emptyIntList();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
-      }
+    public static final int WORK_PERCENT_FIELD_NUMBER = 5;
+    private int workPercent_ = 0;
+    /**
+     * <pre>
+     * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 5;</code>
+     * @return The workPercent.
+     */
+    @java.lang.Override
+    public int getWorkPercent() {
+      return workPercent_;
+    }
 
-      private com.google.protobuf.Internal.IntList inFlightTenths_ = emptyIntList();
-      private void ensureInFlightTenthsIsMutable() {
-        if (!inFlightTenths_.isModifiable()) {
-          inFlightTenths_ = makeMutableCopy(inFlightTenths_);
-        }
-        bitField0_ |= 0x00000004;
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @return A list containing the inFlightTenths.
-       */
-      public java.util.List<java.lang.Integer>
-          getInFlightTenthsList() {
-        inFlightTenths_.makeImmutable();
-        return inFlightTenths_;
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @return The count of inFlightTenths.
-       */
-      public int getInFlightTenthsCount() {
-        return inFlightTenths_.size();
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @param index The index of the element to return.
-       * @return The inFlightTenths at the given index.
-       */
-      public int getInFlightTenths(int index) {
-        return inFlightTenths_.getInt(index);
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @param index The index to set the value at.
-       * @param value The inFlightTenths to set.
-       * @return This builder for chaining.
-       */
-      public Builder setInFlightTenths(
-          int index, int value) {
+    public static final int ESTIMATE_FIELD_NUMBER = 6;
+    private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return Whether the estimate field is set.
+     */
+    @java.lang.Override
+    public boolean hasEstimate() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     * @return The estimate.
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
+      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+    }
+    /**
+     * <pre>
+     * What was learned from all gateways; told only to gateways that have just started.
+     * </pre>
+     *
+     * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
+      return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+    }
 
-        ensureInFlightTenthsIsMutable();
-        inFlightTenths_.setInt(index, value);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @param value The inFlightTenths to add.
-       * @return This builder for chaining.
-       */
-      public Builder addInFlightTenths(int value) {
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
 
-        ensureInFlightTenthsIsMutable();
-        inFlightTenths_.addInt(value);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @param values The inFlightTenths to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllInFlightTenths(
-          java.lang.Iterable<? extends java.lang.Integer> values) {
-        ensureInFlightTenthsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, inFlightTenths_);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Requests in flight there when those of the group were sent, in tenths.
-       * </pre>
-       *
-       * <code>repeated uint32 in_flight_tenths = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearInFlightTenths() {
-        inFlightTenths_ = emptyIntList();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-        return this;
-      }
+      memoizedIsInitialized = 1;
+      return true;
+    }
 
-      private com.google.protobuf.Internal.LongList timeThousandths_ = emptyLongList();
-      private void ensureTimeThousandthsIsMutable() {
-        if (!timeThousandths_.isModifiable()) {
-          timeThousandths_ = makeMutableCopy(timeThousandths_);
-        }
-        bitField0_ |= 0x00000008;
-      }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @return A list containing the timeThousandths.
-       */
-      public java.util.List<java.lang.Long>
-          getTimeThousandthsList() {
-        timeThousandths_.makeImmutable();
-        return timeThousandths_;
-      }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @return The count of timeThousandths.
-       */
-      public int getTimeThousandthsCount() {
-        return timeThousandths_.size();
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (process_ != 0) {
+        output.writeFixed32(1, process_);
       }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @param index The index of the element to return.
-       * @return The timeThousandths at the given index.
-       */
-      public long getTimeThousandths(int index) {
-        return timeThousandths_.getLong(index);
+      if (getRequestsList().size() > 0) {
+        output.writeUInt32NoTag(18);
+        output.writeUInt32NoTag(requestsMemoizedSerializedSize);
       }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @param index The index to set the value at.
-       * @param value The timeThousandths to set.
-       * @return This builder for chaining.
-       */
-      public Builder setTimeThousandths(
-          int index, long value) {
-
-        ensureTimeThousandthsIsMutable();
-        timeThousandths_.setLong(index, value);
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      for (int i = 0; i < requests_.size(); i++) {
+        output.writeUInt32NoTag(requests_.getInt(i));
       }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @param value The timeThousandths to add.
-       * @return This builder for chaining.
-       */
-      public Builder addTimeThousandths(long value) {
-
-        ensureTimeThousandthsIsMutable();
-        timeThousandths_.addLong(value);
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      if (getInFlightTenthsList().size() > 0) {
+        output.writeUInt32NoTag(26);
+        output.writeUInt32NoTag(inFlightTenthsMemoizedSerializedSize);
       }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @param values The timeThousandths to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllTimeThousandths(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureTimeThousandthsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, timeThousandths_);
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      for (int i = 0; i < inFlightTenths_.size(); i++) {
+        output.writeUInt32NoTag(inFlightTenths_.getInt(i));
       }
-      /**
-       * <code>repeated uint64 time_thousandths = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearTimeThousandths() {
-        timeThousandths_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-        return this;
+      if (getTimeThousandthsList().size() > 0) {
+        output.writeUInt32NoTag(34);
+        output.writeUInt32NoTag(timeThousandthsMemoizedSerializedSize);
       }
-
-      private int workPercent_ ;
-      /**
-       * <pre>
-       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
-       * </pre>
-       *
-       * <code>uint32 work_percent = 5;</code>
-       * @return The workPercent.
-       */
-      @java.lang.Override
-      public int getWorkPercent() {
-        return workPercent_;
+      for (int i = 0; i < timeThousandths_.size(); i++) {
+        output.writeUInt64NoTag(timeThousandths_.getLong(i));
       }
-      /**
-       * <pre>
-       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
-       * </pre>
-       *
-       * <code>uint32 work_percent = 5;</code>
-       * @param value The workPercent to set.
-       * @return This builder for chaining.
-       */
-      public Builder setWorkPercent(int value) {
-
-        workPercent_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
+      if (workPercent_ != 0) {
+        output.writeUInt32(5, workPercent_);
       }
-      /**
-       * <pre>
-       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
-       * </pre>
-       *
-       * <code>uint32 work_percent = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearWorkPercent() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        workPercent_ = 0;
-        onChanged();
-        return this;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(6, getEstimate());
       }
-
-      private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
-      private com.google.protobuf.SingleFieldBuilder<
-          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> estimateBuilder_;
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       * @return Whether the estimate field is set.
-       */
-      public boolean hasEstimate() {
-        return ((bitField0_ & 0x00000020) != 0);
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (process_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed32Size(1, process_);
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       * @return The estimate.
-       */
-      public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
-        if (estimateBuilder_ == null) {
-          return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
-        } else {
-          return estimateBuilder_.getMessage();
+      {
+        int dataSize = 0;
+        for (int i = 0; i < requests_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(requests_.getInt(i));
         }
-      }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public Builder setEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
-        if (estimateBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          estimate_ = value;
-        } else {
-          estimateBuilder_.setMessage(value);
+        size += dataSize;
+        if (!getRequestsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
         }
-        bitField0_ |= 0x00000020;
-        onChanged();
-        return this;
+        requestsMemoizedSerializedSize = dataSize;
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public Builder setEstimate(
-          org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder builderForValue) {
-        if (estimateBuilder_ == null) {
-          estimate_ = builderForValue.build();
-        } else {
-          estimateBuilder_.setMessage(builderForValue.build());
+      {
+        int dataSize = 0;
+        for (int i = 0; i < inFlightTenths_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(inFlightTenths_.getInt(i));
         }
-        bitField0_ |= 0x00000020;
-        onChanged();
-        return this;
+        size += dataSize;
+        if (!getInFlightTenthsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        inFlightTenthsMemoizedSerializedSize = dataSize;
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public Builder mergeEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
-        if (estimateBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0) &&
-            estimate_ != null &&
-            estimate_ != org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) {
-            getEstimateBuilder().mergeFrom(value);
-          } else {
-            estimate_ = value;
-          }
-        } else {
-          estimateBuilder_.mergeFrom(value);
+      {
+        int dataSize = 0;
+        for (int i = 0; i < timeThousandths_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt64SizeNoTag(timeThousandths_.getLong(i));
         }
-        if (estimate_ != null) {
-          bitField0_ |= 0x00000020;
-          onChanged();
+        size += dataSize;
+        if (!getTimeThousandthsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
         }
-        return this;
+        timeThousandthsMemoizedSerializedSize = dataSize;
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public Builder clearEstimate() {
-        bitField0_ = (bitField0_ & ~0x00000020);
-        estimate_ = null;
-        if (estimateBuilder_ != null) {
-          estimateBuilder_.dispose();
-          estimateBuilder_ = null;
-        }
-        onChanged();
-        return this;
+      if (workPercent_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, workPercent_);
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder getEstimateBuilder() {
-        bitField0_ |= 0x00000020;
-        onChanged();
-        return internalGetEstimateFieldBuilder().getBuilder();
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, getEstimate());
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
-        if (estimateBuilder_ != null) {
-          return estimateBuilder_.getMessageOrBuilder();
-        } else {
-          return estimate_ == null ?
-              org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
-        }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
       }
-      /**
-       * <pre>
-       * What was learned from all gateways; told only to gateways that have just started.
-       * </pre>
-       *
-       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> 
-          internalGetEstimateFieldBuilder() {
-        if (estimateBuilder_ == null) {
-          estimateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder>(
-                  getEstimate(),
-                  getParentForChildren(),
-                  isClean());
-          estimate_ = null;
-        }
-        return estimateBuilder_;
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.Capacity)) {
+        return super.equals(obj);
+      }
+      org.tanagerbank.proto.PeerProto.Capacity other = (org.tanagerbank.proto.PeerProto.Capacity) obj;
+
+      if (getProcess()
+          != other.getProcess()) return false;
+      if (!getRequestsList()
+          .equals(other.getRequestsList())) return false;
+      if (!getInFlightTenthsList()
+          .equals(other.getInFlightTenthsList())) return false;
+      if (!getTimeThousandthsList()
+          .equals(other.getTimeThousandthsList())) return false;
+      if (getWorkPercent()
+          != other.getWorkPercent()) return false;
+      if (hasEstimate() != other.hasEstimate()) return false;
+      if (hasEstimate()) {
+        if (!getEstimate()
+            .equals(other.getEstimate())) return false;
       }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Capacity)
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PROCESS_FIELD_NUMBER;
+      hash = (53 * hash) + getProcess();
+      if (getRequestsCount() > 0) {
+        hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+        hash = (53 * hash) + getRequestsList().hashCode();
+      }
+      if (getInFlightTenthsCount() > 0) {
+        hash = (37 * hash) + IN_FLIGHT_TENTHS_FIELD_NUMBER;
+        hash = (53 * hash) + getInFlightTenthsList().hashCode();
+      }
+      if (getTimeThousandthsCount() > 0) {
+        hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
+        hash = (53 * hash) + getTimeThousandthsList().hashCode();
+      }
+      hash = (37 * hash) + WORK_PERCENT_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkPercent();
+      if (hasEstimate()) {
+        hash = (37 * hash) + ESTIMATE_FIELD_NUMBER;
+        hash = (53 * hash) + getEstimate().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Capacity)
-    private static final org.tanagerbank.proto.PeerProto.Capacity DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Capacity();
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-
-    public static org.tanagerbank.proto.PeerProto.Capacity getDefaultInstance() {
-      return DEFAULT_INSTANCE;
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-
-    private static final com.google.protobuf.Parser<Capacity>
-        PARSER = new com.google.protobuf.AbstractParser<Capacity>() {
-      @java.lang.Override
-      public Capacity parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
-      }
-    };
-
-    public static com.google.protobuf.Parser<Capacity> parser() {
-      return PARSER;
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<Capacity> getParserForType() {
-      return PARSER;
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-  }
-
-  public interface CapacityEstimateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.CapacityEstimate)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <pre>
-     * Number of requests on which it rests.
-     * </pre>
-     *
-     * <code>uint32 requests = 1;</code>
-     * @return The requests.
-     */
-    int getRequests();
-
-    /**
-     * <pre>
-     * Time of a request at the idle process.
-     * </pre>
-     *
-     * <code>uint64 time_thousandths = 2;</code>
-     * @return The timeThousandths.
-     */
-    long getTimeThousandths();
+    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
 
-    /**
-     * <pre>
-     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
-     * a third of them.
-     * </pre>
-     *
-     * <code>uint32 limit_index = 3;</code>
-     * @return The limitIndex.
-     */
-    int getLimitIndex();
-  }
-  /**
-   * <pre>
-   * What was learned of one process from all gateways.
-   * </pre>
-   *
-   * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
-   */
-  public static final class CapacityEstimate extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.CapacityEstimate)
-      CapacityEstimateOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 30,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        CapacityEstimate.class.getName());
+    public static org.tanagerbank.proto.PeerProto.Capacity parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    // Use CapacityEstimate.newBuilder() to construct.
-    private CapacityEstimate(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-    private CapacityEstimate() {
+    public static org.tanagerbank.proto.PeerProto.Capacity parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.Capacity prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-
     @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
     }
 
-    public static final int REQUESTS_FIELD_NUMBER = 1;
-    private int requests_ = 0;
-    /**
-     * <pre>
-     * Number of requests on which it rests.
-     * </pre>
-     *
-     * <code>uint32 requests = 1;</code>
-     * @return The requests.
-     */
     @java.lang.Override
-    public int getRequests() {
-      return requests_;
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
     }
-
-    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 2;
-    private long timeThousandths_ = 0L;
     /**
      * <pre>
-     * Time of a request at the idle process.
+     * What the sender has learned of the speed of one process. Times are in thousandths of a millisecond, at usual
+     * speed of the machine.
      * </pre>
      *
-     * <code>uint64 time_thousandths = 2;</code>
-     * @return The timeThousandths.
+     * Protobuf type {@code tanagerbank.peer.Capacity}
      */
-    @java.lang.Override
-    public long getTimeThousandths() {
-      return timeThousandths_;
-    }
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.Capacity)
+        org.tanagerbank.proto.PeerProto.CapacityOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.Capacity.class, org.tanagerbank.proto.PeerProto.Capacity.Builder.class);
+      }
+
+      // Construct using org.tanagerbank.proto.PeerProto.Capacity.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetEstimateFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        process_ = 0;
+        requests_ = emptyIntList();
+        inFlightTenths_ = emptyIntList();
+        timeThousandths_ = emptyLongList();
+        workPercent_ = 0;
+        estimate_ = null;
+        if (estimateBuilder_ != null) {
+          estimateBuilder_.dispose();
+          estimateBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_Capacity_descriptor;
+      }
+
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance();
+      }
 
-    public static final int LIMIT_INDEX_FIELD_NUMBER = 3;
-    private int limitIndex_ = 0;
-    /**
-     * <pre>
-     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
-     * a third of them.
-     * </pre>
-     *
-     * <code>uint32 limit_index = 3;</code>
-     * @return The limitIndex.
-     */
-    @java.lang.Override
-    public int getLimitIndex() {
-      return limitIndex_;
-    }
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity build() {
+        org.tanagerbank.proto.PeerProto.Capacity result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
 
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.Capacity buildPartial() {
+        org.tanagerbank.proto.PeerProto.Capacity result = new org.tanagerbank.proto.PeerProto.Capacity(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
 
-      memoizedIsInitialized = 1;
-      return true;
-    }
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.Capacity result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.process_ = process_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          requests_.makeImmutable();
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          inFlightTenths_.makeImmutable();
+          result.inFlightTenths_ = inFlightTenths_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          timeThousandths_.makeImmutable();
+          result.timeThousandths_ = timeThousandths_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.workPercent_ = workPercent_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.estimate_ = estimateBuilder_ == null
+              ? estimate_
+              : estimateBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
 
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (requests_ != 0) {
-        output.writeUInt32(1, requests_);
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.Capacity) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.Capacity)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
       }
-      if (timeThousandths_ != 0L) {
-        output.writeUInt64(2, timeThousandths_);
+
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.Capacity other) {
+        if (other == org.tanagerbank.proto.PeerProto.Capacity.getDefaultInstance()) return this;
+        if (other.getProcess() != 0) {
+          setProcess(other.getProcess());
+        }
+        if (!other.requests_.isEmpty()) {
+          if (requests_.isEmpty()) {
+            requests_ = other.requests_;
+            requests_.makeImmutable();
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureRequestsIsMutable();
+            requests_.addAll(other.requests_);
+          }
+          onChanged();
+        }
+        if (!other.inFlightTenths_.isEmpty()) {
+          if (inFlightTenths_.isEmpty()) {
+            inFlightTenths_ = other.inFlightTenths_;
+            inFlightTenths_.makeImmutable();
+            bitField0_ |= 0x00000004;
+          } else {
+            ensureInFlightTenthsIsMutable();
+            inFlightTenths_.addAll(other.inFlightTenths_);
+          }
+          onChanged();
+        }
+        if (!other.timeThousandths_.isEmpty()) {
+          if (timeThousandths_.isEmpty()) {
+            timeThousandths_ = other.timeThousandths_;
+            timeThousandths_.makeImmutable();
+            bitField0_ |= 0x00000008;
+          } else {
+            ensureTimeThousandthsIsMutable();
+            timeThousandths_.addAll(other.timeThousandths_);
+          }
+          onChanged();
+        }
+        if (other.getWorkPercent() != 0) {
+          setWorkPercent(other.getWorkPercent());
+        }
+        if (other.hasEstimate()) {
+          mergeEstimate(other.getEstimate());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
       }
-      if (limitIndex_ != 0) {
-        output.writeUInt32(3, limitIndex_);
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
       }
-      getUnknownFields().writeTo(output);
-    }
 
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 13: {
+                process_ = input.readFixed32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 13
+              case 16: {
+                int v = input.readUInt32();
+                ensureRequestsIsMutable();
+                requests_.addInt(v);
+                break;
+              } // case 16
+              case 18: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureRequestsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  requests_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+              case 24: {
+                int v = input.readUInt32();
+                ensureInFlightTenthsIsMutable();
+                inFlightTenths_.addInt(v);
+                break;
+              } // case 24
+              case 26: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureInFlightTenthsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  inFlightTenths_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+              case 32: {
+                long v = input.readUInt64();
+                ensureTimeThousandthsIsMutable();
+                timeThousandths_.addLong(v);
+                break;
+              } // case 32
+              case 34: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureTimeThousandthsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  timeThousandths_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+              case 40: {
+                workPercent_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                input.readMessage(
+                    internalGetEstimateFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
 
-      size = 0;
-      if (requests_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(1, requests_);
+      private int process_ ;
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @return The process.
+       */
+      @java.lang.Override
+      public int getProcess() {
+        return process_;
       }
-      if (timeThousandths_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, timeThousandths_);
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @param value The process to set.
+       * @return This builder for chaining.
+       */
+      public Builder setProcess(int value) {
+
+        process_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      if (limitIndex_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, limitIndex_);
+      /**
+       * <pre>
+       * Hash of the id and the start time of the process.
+       * </pre>
+       *
+       * <code>fixed32 process = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearProcess() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        process_ = 0;
+        onChanged();
+        return this;
       }
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
 
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
+      private com.google.protobuf.Internal.IntList requests_ = emptyIntList();
+      private void ensureRequestsIsMutable() {
+        if (!requests_.isModifiable()) {
+          requests_ = makeMutableCopy(requests_);
+        }
+        bitField0_ |= 0x00000002;
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate)) {
-        return super.equals(obj);
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return A list containing the requests.
+       */
+      public java.util.List<java.lang.Integer>
+          getRequestsList() {
+        requests_.makeImmutable();
+        return requests_;
       }
-      org.tanagerbank.proto.PeerProto.CapacityEstimate other = (org.tanagerbank.proto.PeerProto.CapacityEstimate) obj;
-
-      if (getRequests()
-          != other.getRequests()) return false;
-      if (getTimeThousandths()
-          != other.getTimeThousandths()) return false;
-      if (getLimitIndex()
-          != other.getLimitIndex()) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
-
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return The count of requests.
+       */
+      public int getRequestsCount() {
+        return requests_.size();
       }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-      hash = (53 * hash) + getRequests();
-      hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getTimeThousandths());
-      hash = (37 * hash) + LIMIT_INDEX_FIELD_NUMBER;
-      hash = (53 * hash) + getLimitIndex();
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.CapacityEstimate prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
-
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * <pre>
-     * What was learned of one process from all gateways.
-     * </pre>
-     *
-     * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.CapacityEstimate)
-        org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param index The index of the element to return.
+       * @return The requests at the given index.
+       */
+      public int getRequests(int index) {
+        return requests_.getInt(index);
       }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(
+          int index, int value) {
 
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
+        ensureRequestsIsMutable();
+        requests_.setInt(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param value The requests to add.
+       * @return This builder for chaining.
+       */
+      public Builder addRequests(int value) {
 
-      // Construct using org.tanagerbank.proto.PeerProto.CapacityEstimate.newBuilder()
-      private Builder() {
-
+        ensureRequestsIsMutable();
+        requests_.addInt(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @param values The requests to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllRequests(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureRequestsIsMutable();
