+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, requests_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        requests_ = 0;
-        timeThousandths_ = 0L;
-        limitIndex_ = 0;
+      /**
+       * <pre>
+       * Mean response times of groups of requests that met about the same load, as parallel lists.
+       * </pre>
+       *
+       * <code>repeated uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        requests_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
         return this;
       }
 
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+      private com.google.protobuf.Internal.IntList inFlightTenths_ = emptyIntList();
+      private void ensureInFlightTenthsIsMutable() {
+        if (!inFlightTenths_.isModifiable()) {
+          inFlightTenths_ = makeMutableCopy(inFlightTenths_);
+        }
+        bitField0_ |= 0x00000004;
       }
-
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance();
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return A list containing the inFlightTenths.
+       */
+      public java.util.List<java.lang.Integer>
+          getInFlightTenthsList() {
+        inFlightTenths_.makeImmutable();
+        return inFlightTenths_;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return The count of inFlightTenths.
+       */
+      public int getInFlightTenthsCount() {
+        return inFlightTenths_.size();
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param index The index of the element to return.
+       * @return The inFlightTenths at the given index.
+       */
+      public int getInFlightTenths(int index) {
+        return inFlightTenths_.getInt(index);
       }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param index The index to set the value at.
+       * @param value The inFlightTenths to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInFlightTenths(
+          int index, int value) {
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.CapacityEstimate build() {
-        org.tanagerbank.proto.PeerProto.CapacityEstimate result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
+        ensureInFlightTenthsIsMutable();
+        inFlightTenths_.setInt(index, value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
       }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param value The inFlightTenths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addInFlightTenths(int value) {
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.CapacityEstimate buildPartial() {
-        org.tanagerbank.proto.PeerProto.CapacityEstimate result = new org.tanagerbank.proto.PeerProto.CapacityEstimate(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+        ensureInFlightTenthsIsMutable();
+        inFlightTenths_.addInt(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @param values The inFlightTenths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllInFlightTenths(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureInFlightTenthsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, inFlightTenths_);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests in flight there when those of the group were sent, in tenths.
+       * </pre>
+       *
+       * <code>repeated uint32 in_flight_tenths = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInFlightTenths() {
+        inFlightTenths_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
       }
 
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.CapacityEstimate result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.requests_ = requests_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.timeThousandths_ = timeThousandths_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.limitIndex_ = limitIndex_;
+      private com.google.protobuf.Internal.LongList timeThousandths_ = emptyLongList();
+      private void ensureTimeThousandthsIsMutable() {
+        if (!timeThousandths_.isModifiable()) {
+          timeThousandths_ = makeMutableCopy(timeThousandths_);
         }
+        bitField0_ |= 0x00000008;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return A list containing the timeThousandths.
+       */
+      public java.util.List<java.lang.Long>
+          getTimeThousandthsList() {
+        timeThousandths_.makeImmutable();
+        return timeThousandths_;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return The count of timeThousandths.
+       */
+      public int getTimeThousandthsCount() {
+        return timeThousandths_.size();
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param index The index of the element to return.
+       * @return The timeThousandths at the given index.
+       */
+      public long getTimeThousandths(int index) {
+        return timeThousandths_.getLong(index);
       }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param index The index to set the value at.
+       * @param value The timeThousandths to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTimeThousandths(
+          int index, long value) {
 
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.CapacityEstimate)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
+        ensureTimeThousandthsIsMutable();
+        timeThousandths_.setLong(index, value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param value The timeThousandths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addTimeThousandths(long value) {
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.CapacityEstimate other) {
-        if (other == org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) return this;
-        if (other.getRequests() != 0) {
-          setRequests(other.getRequests());
-        }
-        if (other.getTimeThousandths() != 0L) {
-          setTimeThousandths(other.getTimeThousandths());
-        }
-        if (other.getLimitIndex() != 0) {
-          setLimitIndex(other.getLimitIndex());
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
+        ensureTimeThousandthsIsMutable();
+        timeThousandths_.addLong(value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @param values The timeThousandths to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllTimeThousandths(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureTimeThousandthsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, timeThousandths_);
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 8: {
-                requests_ = input.readUInt32();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 16: {
-                timeThousandths_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 24: {
-                limitIndex_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
+      /**
+       * <code>repeated uint64 time_thousandths = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTimeThousandths() {
+        timeThousandths_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
         return this;
       }
-      private int bitField0_;
 
-      private int requests_ ;
+      private int workPercent_ ;
       /**
        * <pre>
-       * Number of requests on which it rests.
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
        * </pre>
        *
-       * <code>uint32 requests = 1;</code>
-       * @return The requests.
+       * <code>uint32 work_percent = 5;</code>
+       * @return The workPercent.
        */
       @java.lang.Override
-      public int getRequests() {
-        return requests_;
+      public int getWorkPercent() {
+        return workPercent_;
       }
       /**
        * <pre>
-       * Number of requests on which it rests.
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
        * </pre>
        *
-       * <code>uint32 requests = 1;</code>
-       * @param value The requests to set.
+       * <code>uint32 work_percent = 5;</code>
+       * @param value The workPercent to set.
        * @return This builder for chaining.
        */
-      public Builder setRequests(int value) {
+      public Builder setWorkPercent(int value) {
 
-        requests_ = value;
-        bitField0_ |= 0x00000001;
+        workPercent_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Number of requests on which it rests.
+       * How long work takes there at the moment, in percent of the usual time; 0 when it is not known.
        * </pre>
        *
-       * <code>uint32 requests = 1;</code>
+       * <code>uint32 work_percent = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRequests() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        requests_ = 0;
+      public Builder clearWorkPercent() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        workPercent_ = 0;
         onChanged();
         return this;
       }
 
-      private long timeThousandths_ ;
+      private org.tanagerbank.proto.PeerProto.CapacityEstimate estimate_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> estimateBuilder_;
       /**
        * <pre>
-       * Time of a request at the idle process.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint64 time_thousandths = 2;</code>
-       * @return The timeThousandths.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       * @return Whether the estimate field is set.
        */
-      @java.lang.Override
-      public long getTimeThousandths() {
-        return timeThousandths_;
+      public boolean hasEstimate() {
+        return ((bitField0_ & 0x00000020) != 0);
       }
       /**
        * <pre>
-       * Time of a request at the idle process.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint64 time_thousandths = 2;</code>
-       * @param value The timeThousandths to set.
-       * @return This builder for chaining.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       * @return The estimate.
        */
-      public Builder setTimeThousandths(long value) {
-
-        timeThousandths_ = value;
-        bitField0_ |= 0x00000002;
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate getEstimate() {
+        if (estimateBuilder_ == null) {
+          return estimate_ == null ? org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+        } else {
+          return estimateBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public Builder setEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
+        if (estimateBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          estimate_ = value;
+        } else {
+          estimateBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Time of a request at the idle process.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint64 time_thousandths = 2;</code>
-       * @return This builder for chaining.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
        */
-      public Builder clearTimeThousandths() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        timeThousandths_ = 0L;
+      public Builder setEstimate(
+          org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder builderForValue) {
+        if (estimateBuilder_ == null) {
+          estimate_ = builderForValue.build();
+        } else {
+          estimateBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
-
-      private int limitIndex_ ;
       /**
        * <pre>
-       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
-       * a third of them.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint32 limit_index = 3;</code>
-       * @return The limitIndex.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
        */
-      @java.lang.Override
-      public int getLimitIndex() {
-        return limitIndex_;
+      public Builder mergeEstimate(org.tanagerbank.proto.PeerProto.CapacityEstimate value) {
+        if (estimateBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0) &&
+            estimate_ != null &&
+            estimate_ != org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) {
+            getEstimateBuilder().mergeFrom(value);
+          } else {
+            estimate_ = value;
+          }
+        } else {
+          estimateBuilder_.mergeFrom(value);
+        }
+        if (estimate_ != null) {
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        return this;
       }
       /**
        * <pre>
-       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
-       * a third of them.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint32 limit_index = 3;</code>
-       * @param value The limitIndex to set.
-       * @return This builder for chaining.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
        */
-      public Builder setLimitIndex(int value) {
-
-        limitIndex_ = value;
-        bitField0_ |= 0x00000004;
+      public Builder clearEstimate() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        estimate_ = null;
+        if (estimateBuilder_ != null) {
+          estimateBuilder_.dispose();
+          estimateBuilder_ = null;
+        }
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
-       * a third of them.
+       * What was learned from all gateways; told only to gateways that have just started.
        * </pre>
        *
-       * <code>uint32 limit_index = 3;</code>
-       * @return This builder for chaining.
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
        */
-      public Builder clearLimitIndex() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        limitIndex_ = 0;
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder getEstimateBuilder() {
+        bitField0_ |= 0x00000020;
         onChanged();
-        return this;
+        return internalGetEstimateFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder getEstimateOrBuilder() {
+        if (estimateBuilder_ != null) {
+          return estimateBuilder_.getMessageOrBuilder();
+        } else {
+          return estimate_ == null ?
+              org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance() : estimate_;
+        }
+      }
+      /**
+       * <pre>
+       * What was learned from all gateways; told only to gateways that have just started.
+       * </pre>
+       *
+       * <code>.tanagerbank.peer.CapacityEstimate estimate = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder> 
+          internalGetEstimateFieldBuilder() {
+        if (estimateBuilder_ == null) {
+          estimateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.tanagerbank.proto.PeerProto.CapacityEstimate, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder, org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder>(
+                  getEstimate(),
+                  getParentForChildren(),
+                  isClean());
+          estimate_ = null;
+        }
+        return estimateBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.CapacityEstimate)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Capacity)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.CapacityEstimate)
-    private static final org.tanagerbank.proto.PeerProto.CapacityEstimate DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.Capacity)
+    private static final org.tanagerbank.proto.PeerProto.Capacity DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.CapacityEstimate();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.Capacity();
     }
 
-    public static org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.Capacity getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CapacityEstimate>
-        PARSER = new com.google.protobuf.AbstractParser<CapacityEstimate>() {
+    private static final com.google.protobuf.Parser<Capacity>
+        PARSER = new com.google.protobuf.AbstractParser<Capacity>() {
       @java.lang.Override
-      public CapacityEstimate parsePartialFrom(
+      public Capacity parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -17875,121 +16736,68 @@
       }
     };
 
-    public static com.google.protobuf.Parser<CapacityEstimate> parser() {
+    public static com.google.protobuf.Parser<Capacity> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CapacityEstimate> getParserForType() {
+    public com.google.protobuf.Parser<Capacity> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.Capacity getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface WorkRangeOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.WorkRange)
+  public interface CapacityEstimateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.CapacityEstimate)
       com.google.protobuf.MessageOrBuilder {
 
     /**
      * <pre>
-     * Id before the first id of the range.
-     * </pre>
-     *
-     * <code>string after = 1;</code>
-     * @return The after.
-     */
-    java.lang.String getAfter();
-    /**
-     * <pre>
-     * Id before the first id of the range.
+     * Number of requests on which it rests.
      * </pre>
      *
-     * <code>string after = 1;</code>
-     * @return The bytes for after.
+     * <code>uint32 requests = 1;</code>
+     * @return The requests.
      */
-    com.google.protobuf.ByteString
-        getAfterBytes();
+    int getRequests();
 
     /**
      * <pre>
-     * Last id of the range; empty when the range has no end.
-     * </pre>
-     *
-     * <code>string until = 2;</code>
-     * @return The until.
-     */
-    java.lang.String getUntil();
-    /**
-     * <pre>
-     * Last id of the range; empty when the range has no end.
+     * Time of a request at the idle process.
      * </pre>
      *
-     * <code>string until = 2;</code>
-     * @return The bytes for until.
+     * <code>uint64 time_thousandths = 2;</code>
+     * @return The timeThousandths.
      */
-    com.google.protobuf.ByteString
-        getUntilBytes();
+    long getTimeThousandths();
 
     /**
      * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
-    java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> 
-        getWorkList();
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
-    org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index);
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
-    int getWorkCount();
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
-    java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
-        getWorkOrBuilderList();
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+     * a third of them.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     * <code>uint32 limit_index = 3;</code>
+     * @return The limitIndex.
      */
-    org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
-        int index);
+    int getLimitIndex();
   }
   /**
    * <pre>
-   * The requests of the sender at the upstreams of a range of ids.
+   * What was learned of one process from all gateways.
    * </pre>
    *
-   * Protobuf type {@code tanagerbank.peer.WorkRange}
+   * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
    */
-  public static final class WorkRange extends
+  public static final class CapacityEstimate extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.WorkRange)
-      WorkRangeOrBuilder {
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.CapacityEstimate)
+      CapacityEstimateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -17998,184 +16806,72 @@
         /* minor= */ 30,
         /* patch= */ 2,
         /* suffix= */ "",
-        WorkRange.class.getName());
-    }
-    // Use WorkRange.newBuilder() to construct.
-    private WorkRange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private WorkRange() {
-      after_ = "";
-      until_ = "";
-      work_ = java.util.Collections.emptyList();
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
-    }
-
-    public static final int AFTER_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object after_ = "";
-    /**
-     * <pre>
-     * Id before the first id of the range.
-     * </pre>
-     *
-     * <code>string after = 1;</code>
-     * @return The after.
-     */
-    @java.lang.Override
-    public java.lang.String getAfter() {
-      java.lang.Object ref = after_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        after_ = s;
-        return s;
-      }
-    }
-    /**
-     * <pre>
-     * Id before the first id of the range.
-     * </pre>
-     *
-     * <code>string after = 1;</code>
-     * @return The bytes for after.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getAfterBytes() {
-      java.lang.Object ref = after_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        after_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
-    public static final int UNTIL_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object until_ = "";
-    /**
-     * <pre>
-     * Last id of the range; empty when the range has no end.
-     * </pre>
-     *
-     * <code>string until = 2;</code>
-     * @return The until.
-     */
-    @java.lang.Override
-    public java.lang.String getUntil() {
-      java.lang.Object ref = until_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        until_ = s;
-        return s;
-      }
-    }
-    /**
-     * <pre>
-     * Last id of the range; empty when the range has no end.
-     * </pre>
-     *
-     * <code>string until = 2;</code>
-     * @return The bytes for until.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getUntilBytes() {
-      java.lang.Object ref = until_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        until_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
-    public static final int WORK_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_;
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
-      return work_;
+        CapacityEstimate.class.getName());
     }
-    /**
-     * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-     * </pre>
-     *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-     */
+    // Use CapacityEstimate.newBuilder() to construct.
+    private CapacityEstimate(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CapacityEstimate() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
+    }
+
     @java.lang.Override
-    public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
-        getWorkOrBuilderList() {
-      return work_;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
     }
+
+    public static final int REQUESTS_FIELD_NUMBER = 1;
+    private int requests_ = 0;
     /**
      * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * Number of requests on which it rests.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     * <code>uint32 requests = 1;</code>
+     * @return The requests.
      */
     @java.lang.Override
-    public int getWorkCount() {
-      return work_.size();
+    public int getRequests() {
+      return requests_;
     }
+
+    public static final int TIME_THOUSANDTHS_FIELD_NUMBER = 2;
+    private long timeThousandths_ = 0L;
     /**
      * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * Time of a request at the idle process.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     * <code>uint64 time_thousandths = 2;</code>
+     * @return The timeThousandths.
      */
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
-      return work_.get(index);
+    public long getTimeThousandths() {
+      return timeThousandths_;
     }
+
+    public static final int LIMIT_INDEX_FIELD_NUMBER = 3;
+    private int limitIndex_ = 0;
     /**
      * <pre>
-     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+     * a third of them.
      * </pre>
      *
-     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     * <code>uint32 limit_index = 3;</code>
+     * @return The limitIndex.
      */
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
-        int index) {
-      return work_.get(index);
+    public int getLimitIndex() {
+      return limitIndex_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -18192,14 +16888,14 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, after_);
+      if (requests_ != 0) {
+        output.writeUInt32(1, requests_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, until_);
+      if (timeThousandths_ != 0L) {
+        output.writeUInt64(2, timeThousandths_);
       }
-      for (int i = 0; i < work_.size(); i++) {
-        output.writeMessage(3, work_.get(i));
+      if (limitIndex_ != 0) {
+        output.writeUInt32(3, limitIndex_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -18210,15 +16906,17 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, after_);
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, requests_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, until_);
+      if (timeThousandths_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, timeThousandths_);
       }
-      for (int i = 0; i < work_.size(); i++) {
+      if (limitIndex_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(3, work_.get(i));
+          .computeUInt32Size(3, limitIndex_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -18230,17 +16928,17 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.WorkRange)) {
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate)) {
         return super.equals(obj);
       }
-      org.tanagerbank.proto.PeerProto.WorkRange other = (org.tanagerbank.proto.PeerProto.WorkRange) obj;
+      org.tanagerbank.proto.PeerProto.CapacityEstimate other = (org.tanagerbank.proto.PeerProto.CapacityEstimate) obj;
 
-      if (!getAfter()
-          .equals(other.getAfter())) return false;
-      if (!getUntil()
-          .equals(other.getUntil())) return false;
-      if (!getWorkList()
-          .equals(other.getWorkList())) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getTimeThousandths()
+          != other.getTimeThousandths()) return false;
+      if (getLimitIndex()
+          != other.getLimitIndex()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -18252,57 +16950,56 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + AFTER_FIELD_NUMBER;
-      hash = (53 * hash) + getAfter().hashCode();
-      hash = (37 * hash) + UNTIL_FIELD_NUMBER;
-      hash = (53 * hash) + getUntil().hashCode();
-      if (getWorkCount() > 0) {
-        hash = (37 * hash) + WORK_FIELD_NUMBER;
-        hash = (53 * hash) + getWorkList().hashCode();
-      }
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + TIME_THOUSANDTHS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTimeThousandths());
+      hash = (37 * hash) + LIMIT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitIndex();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(byte[] data)
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -18310,26 +17007,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(java.io.InputStream input)
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -18342,7 +17039,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.WorkRange prototype) {
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.CapacityEstimate prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -18359,29 +17056,29 @@
     }
     /**
      * <pre>
-     * The requests of the sender at the upstreams of a range of ids.
+     * What was learned of one process from all gateways.
      * </pre>
      *
-     * Protobuf type {@code tanagerbank.peer.WorkRange}
+     * Protobuf type {@code tanagerbank.peer.CapacityEstimate}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.WorkRange)
-        org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder {
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.CapacityEstimate)
+        org.tanagerbank.proto.PeerProto.CapacityEstimateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
+                org.tanagerbank.proto.PeerProto.CapacityEstimate.class, org.tanagerbank.proto.PeerProto.CapacityEstimate.Builder.class);
       }
 
-      // Construct using org.tanagerbank.proto.PeerProto.WorkRange.newBuilder()
+      // Construct using org.tanagerbank.proto.PeerProto.CapacityEstimate.newBuilder()
       private Builder() {
 
       }
@@ -18395,32 +17092,26 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        after_ = "";
-        until_ = "";
-        if (workBuilder_ == null) {
-          work_ = java.util.Collections.emptyList();
-        } else {
-          work_ = null;
-          workBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000004);
+        requests_ = 0;
+        timeThousandths_ = 0L;
+        limitIndex_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_CapacityEstimate_descriptor;
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance();
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.WorkRange build() {
-        org.tanagerbank.proto.PeerProto.WorkRange result = buildPartial();
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate build() {
+        org.tanagerbank.proto.PeerProto.CapacityEstimate result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -18428,83 +17119,46 @@
       }
 
       @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.WorkRange buildPartial() {
-        org.tanagerbank.proto.PeerProto.WorkRange result = new org.tanagerbank.proto.PeerProto.WorkRange(this);
-        buildPartialRepeatedFields(result);
+      public org.tanagerbank.proto.PeerProto.CapacityEstimate buildPartial() {
+        org.tanagerbank.proto.PeerProto.CapacityEstimate result = new org.tanagerbank.proto.PeerProto.CapacityEstimate(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.WorkRange result) {
-        if (workBuilder_ == null) {
-          if (((bitField0_ & 0x00000004) != 0)) {
-            work_ = java.util.Collections.unmodifiableList(work_);
-            bitField0_ = (bitField0_ & ~0x00000004);
-          }
-          result.work_ = work_;
-        } else {
-          result.work_ = workBuilder_.build();
-        }
-      }
-
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.WorkRange result) {
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.CapacityEstimate result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.after_ = after_;
+          result.requests_ = requests_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.until_ = until_;
+          result.timeThousandths_ = timeThousandths_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.limitIndex_ = limitIndex_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.WorkRange) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.WorkRange)other);
+        if (other instanceof org.tanagerbank.proto.PeerProto.CapacityEstimate) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.CapacityEstimate)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.WorkRange other) {
-        if (other == org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance()) return this;
-        if (!other.getAfter().isEmpty()) {
-          after_ = other.after_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (!other.getUntil().isEmpty()) {
-          until_ = other.until_;
-          bitField0_ |= 0x00000002;
-          onChanged();
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.CapacityEstimate other) {
+        if (other == org.tanagerbank.proto.PeerProto.CapacityEstimate.getDefaultInstance()) return this;
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
         }
-        if (workBuilder_ == null) {
-          if (!other.work_.isEmpty()) {
-            if (work_.isEmpty()) {
-              work_ = other.work_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-            } else {
-              ensureWorkIsMutable();
-              work_.addAll(other.work_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.work_.isEmpty()) {
-            if (workBuilder_.isEmpty()) {
-              workBuilder_.dispose();
-              workBuilder_ = null;
-              work_ = other.work_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-              workBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetWorkFieldBuilder() : null;
-            } else {
-              workBuilder_.addAllMessages(other.work_);
-            }
-          }
+        if (other.getTimeThousandths() != 0L) {
+          setTimeThousandths(other.getTimeThousandths());
+        }
+        if (other.getLimitIndex() != 0) {
+          setLimitIndex(other.getLimitIndex());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -18532,29 +17186,21 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                after_ = input.readStringRequireUtf8();
+              case 8: {
+                requests_ = input.readUInt32();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
-              case 18: {
-                until_ = input.readStringRequireUtf8();
+              } // case 8
+              case 16: {
+                timeThousandths_ = input.readUInt64();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 18
-              case 26: {
-                org.tanagerbank.proto.PeerProto.UpstreamWork m =
-                    input.readMessage(
-                        org.tanagerbank.proto.PeerProto.UpstreamWork.parser(),
-                        extensionRegistry);
-                if (workBuilder_ == null) {
-                  ensureWorkIsMutable();
-                  work_.add(m);
-                } else {
-                  workBuilder_.addMessage(m);
-                }
+              } // case 16
+              case 24: {
+                limitIndex_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
                 break;
-              } // case 26
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -18572,1085 +17218,1386 @@
       }
       private int bitField0_;
 
-      private java.lang.Object after_ = "";
-      /**
-       * <pre>
-       * Id before the first id of the range.
-       * </pre>
-       *
-       * <code>string after = 1;</code>
-       * @return The after.
-       */
-      public java.lang.String getAfter() {
-        java.lang.Object ref = after_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          after_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private int requests_ ;
       /**
        * <pre>
-       * Id before the first id of the range.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>string after = 1;</code>
-       * @return The bytes for after.
+       * <code>uint32 requests = 1;</code>
+       * @return The requests.
        */
-      public com.google.protobuf.ByteString
-          getAfterBytes() {
-        java.lang.Object ref = after_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          after_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
       }
       /**
        * <pre>
-       * Id before the first id of the range.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>string after = 1;</code>
-       * @param value The after to set.
+       * <code>uint32 requests = 1;</code>
+       * @param value The requests to set.
        * @return This builder for chaining.
        */
-      public Builder setAfter(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        after_ = value;
+      public Builder setRequests(int value) {
+
+        requests_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Id before the first id of the range.
+       * Number of requests on which it rests.
        * </pre>
        *
-       * <code>string after = 1;</code>
+       * <code>uint32 requests = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearAfter() {
-        after_ = getDefaultInstance().getAfter();
+      public Builder clearRequests() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Id before the first id of the range.
-       * </pre>
-       *
-       * <code>string after = 1;</code>
-       * @param value The bytes for after to set.
-       * @return This builder for chaining.
-       */
-      public Builder setAfterBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        after_ = value;
-        bitField0_ |= 0x00000001;
+        requests_ = 0;
         onChanged();
         return this;
       }
 
-      private java.lang.Object until_ = "";
-      /**
-       * <pre>
-       * Last id of the range; empty when the range has no end.
-       * </pre>
-       *
-       * <code>string until = 2;</code>
-       * @return The until.
-       */
-      public java.lang.String getUntil() {
-        java.lang.Object ref = until_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          until_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private long timeThousandths_ ;
       /**
        * <pre>
-       * Last id of the range; empty when the range has no end.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>string until = 2;</code>
-       * @return The bytes for until.
+       * <code>uint64 time_thousandths = 2;</code>
+       * @return The timeThousandths.
        */
-      public com.google.protobuf.ByteString
-          getUntilBytes() {
-        java.lang.Object ref = until_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          until_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public long getTimeThousandths() {
+        return timeThousandths_;
       }
       /**
        * <pre>
-       * Last id of the range; empty when the range has no end.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>string until = 2;</code>
-       * @param value The until to set.
+       * <code>uint64 time_thousandths = 2;</code>
+       * @param value The timeThousandths to set.
        * @return This builder for chaining.
        */
-      public Builder setUntil(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        until_ = value;
+      public Builder setTimeThousandths(long value) {
+
+        timeThousandths_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Last id of the range; empty when the range has no end.
+       * Time of a request at the idle process.
        * </pre>
        *
-       * <code>string until = 2;</code>
+       * <code>uint64 time_thousandths = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearUntil() {
-        until_ = getDefaultInstance().getUntil();
+      public Builder clearTimeThousandths() {
         bitField0_ = (bitField0_ & ~0x00000002);
+        timeThousandths_ = 0L;
         onChanged();
         return this;
       }
-      /**
-       * <pre>
-       * Last id of the range; empty when the range has no end.
-       * </pre>
-       *
-       * <code>string until = 2;</code>
-       * @param value The bytes for until to set.
-       * @return This builder for chaining.
-       */
-      public Builder setUntilBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        until_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_ =
-        java.util.Collections.emptyList();
-      private void ensureWorkIsMutable() {
-        if (!((bitField0_ & 0x00000004) != 0)) {
-          work_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.UpstreamWork>(work_);
-          bitField0_ |= 0x00000004;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> workBuilder_;
 
+      private int limitIndex_ ;
       /**
        * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
-        if (workBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(work_);
-        } else {
-          return workBuilder_.getMessageList();
-        }
-      }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public int getWorkCount() {
-        if (workBuilder_ == null) {
-          return work_.size();
-        } else {
-          return workBuilder_.getCount();
-        }
-      }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @return The limitIndex.
        */
-      public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
-        if (workBuilder_ == null) {
-          return work_.get(index);
-        } else {
-          return workBuilder_.getMessage(index);
-        }
+      @java.lang.Override
+      public int getLimitIndex() {
+        return limitIndex_;
       }
       /**
        * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @param value The limitIndex to set.
+       * @return This builder for chaining.
        */
-      public Builder setWork(
-          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
-        if (workBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureWorkIsMutable();
-          work_.set(index, value);
-          onChanged();
-        } else {
-          workBuilder_.setMessage(index, value);
-        }
+      public Builder setLimitIndex(int value) {
+
+        limitIndex_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
       /**
        * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * Index of the learned limit on requests in flight: 0 for the slots, 1 for three quarters, 2 for a half, 3 for
+       * a third of them.
        * </pre>
        *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       * <code>uint32 limit_index = 3;</code>
+       * @return This builder for chaining.
        */
-      public Builder setWork(
-          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
-        if (workBuilder_ == null) {
-          ensureWorkIsMutable();
-          work_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          workBuilder_.setMessage(index, builderForValue.build());
-        }
+      public Builder clearLimitIndex() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        limitIndex_ = 0;
+        onChanged();
         return this;
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder addWork(org.tanagerbank.proto.PeerProto.UpstreamWork value) {
-        if (workBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureWorkIsMutable();
-          work_.add(value);
-          onChanged();
-        } else {
-          workBuilder_.addMessage(value);
-        }
-        return this;
+
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.CapacityEstimate)
+    }
+
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.CapacityEstimate)
+    private static final org.tanagerbank.proto.PeerProto.CapacityEstimate DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.CapacityEstimate();
+    }
+
+    public static org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<CapacityEstimate>
+        PARSER = new com.google.protobuf.AbstractParser<CapacityEstimate>() {
+      @java.lang.Override
+      public CapacityEstimate parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<CapacityEstimate> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<CapacityEstimate> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.CapacityEstimate getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WorkRangeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.WorkRange)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The after.
+     */
+    java.lang.String getAfter();
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The bytes for after.
+     */
+    com.google.protobuf.ByteString
+        getAfterBytes();
+
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The until.
+     */
+    java.lang.String getUntil();
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The bytes for until.
+     */
+    com.google.protobuf.ByteString
+        getUntilBytes();
+
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> 
+        getWorkList();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index);
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    int getWorkCount();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+        getWorkOrBuilderList();
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * The requests of the sender at the upstreams of a range of ids.
+   * </pre>
+   *
+   * Protobuf type {@code tanagerbank.peer.WorkRange}
+   */
+  public static final class WorkRange extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:tanagerbank.peer.WorkRange)
+      WorkRangeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 30,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        WorkRange.class.getName());
+    }
+    // Use WorkRange.newBuilder() to construct.
+    private WorkRange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WorkRange() {
+      after_ = "";
+      until_ = "";
+      work_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
+    }
+
+    public static final int AFTER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object after_ = "";
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The after.
+     */
+    @java.lang.Override
+    public java.lang.String getAfter() {
+      java.lang.Object ref = after_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        after_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Id before the first id of the range.
+     * </pre>
+     *
+     * <code>string after = 1;</code>
+     * @return The bytes for after.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAfterBytes() {
+      java.lang.Object ref = after_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        after_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int UNTIL_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object until_ = "";
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The until.
+     */
+    @java.lang.Override
+    public java.lang.String getUntil() {
+      java.lang.Object ref = until_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        until_ = s;
+        return s;
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder addWork(
-          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
-        if (workBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureWorkIsMutable();
-          work_.add(index, value);
-          onChanged();
-        } else {
-          workBuilder_.addMessage(index, value);
-        }
-        return this;
+    }
+    /**
+     * <pre>
+     * Last id of the range; empty when the range has no end.
+     * </pre>
+     *
+     * <code>string until = 2;</code>
+     * @return The bytes for until.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getUntilBytes() {
+      java.lang.Object ref = until_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        until_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder addWork(
-          org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
-        if (workBuilder_ == null) {
-          ensureWorkIsMutable();
-          work_.add(builderForValue.build());
-          onChanged();
-        } else {
-          workBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
+    }
+
+    public static final int WORK_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_;
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
+      return work_;
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+        getWorkOrBuilderList() {
+      return work_;
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public int getWorkCount() {
+      return work_.size();
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
+      return work_.get(index);
+    }
+    /**
+     * <pre>
+     * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+     * </pre>
+     *
+     * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+     */
+    @java.lang.Override
+    public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+        int index) {
+      return work_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, after_);
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder addWork(
-          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
-        if (workBuilder_ == null) {
-          ensureWorkIsMutable();
-          work_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          workBuilder_.addMessage(index, builderForValue.build());
-        }
-        return this;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, until_);
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder addAllWork(
-          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.UpstreamWork> values) {
-        if (workBuilder_ == null) {
-          ensureWorkIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, work_);
-          onChanged();
-        } else {
-          workBuilder_.addAllMessages(values);
-        }
-        return this;
+      for (int i = 0; i < work_.size(); i++) {
+        output.writeMessage(3, work_.get(i));
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder clearWork() {
-        if (workBuilder_ == null) {
-          work_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000004);
-          onChanged();
-        } else {
-          workBuilder_.clear();
-        }
-        return this;
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(after_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, after_);
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public Builder removeWork(int index) {
-        if (workBuilder_ == null) {
-          ensureWorkIsMutable();
-          work_.remove(index);
-          onChanged();
-        } else {
-          workBuilder_.remove(index);
-        }
-        return this;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(until_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, until_);
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder getWorkBuilder(
-          int index) {
-        return internalGetWorkFieldBuilder().getBuilder(index);
+      for (int i = 0; i < work_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, work_.get(i));
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
-          int index) {
-        if (workBuilder_ == null) {
-          return work_.get(index);  } else {
-          return workBuilder_.getMessageOrBuilder(index);
-        }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
-           getWorkOrBuilderList() {
-        if (workBuilder_ != null) {
-          return workBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(work_);
-        }
+      if (!(obj instanceof org.tanagerbank.proto.PeerProto.WorkRange)) {
+        return super.equals(obj);
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder() {
-        return internalGetWorkFieldBuilder().addBuilder(
-            org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
+      org.tanagerbank.proto.PeerProto.WorkRange other = (org.tanagerbank.proto.PeerProto.WorkRange) obj;
+
+      if (!getAfter()
+          .equals(other.getAfter())) return false;
+      if (!getUntil()
+          .equals(other.getUntil())) return false;
+      if (!getWorkList()
+          .equals(other.getWorkList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder(
-          int index) {
-        return internalGetWorkFieldBuilder().addBuilder(
-            index, org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAfter().hashCode();
+      hash = (37 * hash) + UNTIL_FIELD_NUMBER;
+      hash = (53 * hash) + getUntil().hashCode();
+      if (getWorkCount() > 0) {
+        hash = (37 * hash) + WORK_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkList().hashCode();
       }
-      /**
-       * <pre>
-       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
-       * </pre>
-       *
-       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
-       */
-      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork.Builder> 
-           getWorkBuilderList() {
-        return internalGetWorkFieldBuilder().getBuilderList();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.tanagerbank.proto.PeerProto.WorkRange parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.WorkRange prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The requests of the sender at the upstreams of a range of ids.
+     * </pre>
+     *
+     * Protobuf type {@code tanagerbank.peer.WorkRange}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.WorkRange)
+        org.tanagerbank.proto.PeerProto.WorkRangeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
-          internalGetWorkFieldBuilder() {
-        if (workBuilder_ == null) {
-          workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder>(
-                  work_,
-                  ((bitField0_ & 0x00000004) != 0),
-                  getParentForChildren(),
-                  isClean());
-          work_ = null;
-        }
-        return workBuilder_;
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.tanagerbank.proto.PeerProto.WorkRange.class, org.tanagerbank.proto.PeerProto.WorkRange.Builder.class);
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.WorkRange)
-    }
+      // Construct using org.tanagerbank.proto.PeerProto.WorkRange.newBuilder()
+      private Builder() {
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.WorkRange)
-    private static final org.tanagerbank.proto.PeerProto.WorkRange DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.WorkRange();
-    }
+      }
 
-    public static org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
 
-    private static final com.google.protobuf.Parser<WorkRange>
-        PARSER = new com.google.protobuf.AbstractParser<WorkRange>() {
+      }
       @java.lang.Override
-      public WorkRange parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        after_ = "";
+        until_ = "";
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+        } else {
+          work_ = null;
+          workBuilder_.clear();
         }
-        return builder.buildPartial();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        return this;
       }
-    };
-
-    public static com.google.protobuf.Parser<WorkRange> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<WorkRange> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
 
-  }
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_WorkRange_descriptor;
+      }
 
-  public interface PartSetOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:tanagerbank.peer.PartSet)
-      com.google.protobuf.MessageOrBuilder {
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
+        return org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance();
+      }
 
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @return A list containing the fingerprints.
-     */
-    java.util.List<java.lang.Long> getFingerprintsList();
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @return The count of fingerprints.
-     */
-    int getFingerprintsCount();
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @param index The index of the element to return.
-     * @return The fingerprints at the given index.
-     */
-    long getFingerprints(int index);
-  }
-  /**
-   * <pre>
-   * Parts of prompts that were in flight together.
-   * </pre>
-   *
-   * Protobuf type {@code tanagerbank.peer.PartSet}
-   */
-  public static final class PartSet extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:tanagerbank.peer.PartSet)
-      PartSetOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 30,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        PartSet.class.getName());
-    }
-    // Use PartSet.newBuilder() to construct.
-    private PartSet(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private PartSet() {
-      fingerprints_ = emptyLongList();
-    }
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange build() {
+        org.tanagerbank.proto.PeerProto.WorkRange result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
 
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
-    }
+      @java.lang.Override
+      public org.tanagerbank.proto.PeerProto.WorkRange buildPartial() {
+        org.tanagerbank.proto.PeerProto.WorkRange result = new org.tanagerbank.proto.PeerProto.WorkRange(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.tanagerbank.proto.PeerProto.PartSet.class, org.tanagerbank.proto.PeerProto.PartSet.Builder.class);
-    }
+      private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.WorkRange result) {
+        if (workBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            work_ = java.util.Collections.unmodifiableList(work_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.work_ = work_;
+        } else {
+          result.work_ = workBuilder_.build();
+        }
+      }
 
-    public static final int FINGERPRINTS_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList fingerprints_ =
-        emptyLongList();
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @return A list containing the fingerprints.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getFingerprintsList() {
-      return fingerprints_;
-    }
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @return The count of fingerprints.
-     */
-    public int getFingerprintsCount() {
-      return fingerprints_.size();
-    }
-    /**
-     * <code>repeated fixed64 fingerprints = 1;</code>
-     * @param index The index of the element to return.
-     * @return The fingerprints at the given index.
-     */
-    public long getFingerprints(int index) {
-      return fingerprints_.getLong(index);
-    }
-    private int fingerprintsMemoizedSerializedSize = -1;
+      private void buildPartial0(org.tanagerbank.proto.PeerProto.WorkRange result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.after_ = after_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.until_ = until_;
+        }
+      }
 
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.tanagerbank.proto.PeerProto.WorkRange) {
+          return mergeFrom((org.tanagerbank.proto.PeerProto.WorkRange)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
 
-      memoizedIsInitialized = 1;
-      return true;
-    }
+      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.WorkRange other) {
+        if (other == org.tanagerbank.proto.PeerProto.WorkRange.getDefaultInstance()) return this;
+        if (!other.getAfter().isEmpty()) {
+          after_ = other.after_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getUntil().isEmpty()) {
+          until_ = other.until_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (workBuilder_ == null) {
+          if (!other.work_.isEmpty()) {
+            if (work_.isEmpty()) {
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureWorkIsMutable();
+              work_.addAll(other.work_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.work_.isEmpty()) {
+            if (workBuilder_.isEmpty()) {
+              workBuilder_.dispose();
+              workBuilder_ = null;
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              workBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWorkFieldBuilder() : null;
+            } else {
+              workBuilder_.addAllMessages(other.work_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
 
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      getSerializedSize();
-      if (getFingerprintsList().size() > 0) {
-        output.writeUInt32NoTag(10);
-        output.writeUInt32NoTag(fingerprintsMemoizedSerializedSize);
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
       }
-      for (int i = 0; i < fingerprints_.size(); i++) {
-        output.writeFixed64NoTag(fingerprints_.getLong(i));
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                after_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                until_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                org.tanagerbank.proto.PeerProto.UpstreamWork m =
+                    input.readMessage(
+                        org.tanagerbank.proto.PeerProto.UpstreamWork.parser(),
+                        extensionRegistry);
+                if (workBuilder_ == null) {
+                  ensureWorkIsMutable();
+                  work_.add(m);
+                } else {
+                  workBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
-      getUnknownFields().writeTo(output);
-    }
-
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
+      private int bitField0_;
 
-      size = 0;
-      {
-        int dataSize = 0;
-        dataSize = 8 * getFingerprintsList().size();
-        size += dataSize;
-        if (!getFingerprintsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
+      private java.lang.Object after_ = "";
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return The after.
+       */
+      public java.lang.String getAfter() {
+        java.lang.Object ref = after_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          after_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
         }
-        fingerprintsMemoizedSerializedSize = dataSize;
       }
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
-
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return The bytes for after.
+       */
+      public com.google.protobuf.ByteString
+          getAfterBytes() {
+        java.lang.Object ref = after_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          after_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
-      if (!(obj instanceof org.tanagerbank.proto.PeerProto.PartSet)) {
-        return super.equals(obj);
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @param value The after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      org.tanagerbank.proto.PeerProto.PartSet other = (org.tanagerbank.proto.PeerProto.PartSet) obj;
-
-      if (!getFingerprintsList()
-          .equals(other.getFingerprintsList())) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
-
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAfter() {
+        after_ = getDefaultInstance().getAfter();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
       }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      if (getFingerprintsCount() > 0) {
-        hash = (37 * hash) + FINGERPRINTS_FIELD_NUMBER;
-        hash = (53 * hash) + getFingerprintsList().hashCode();
+      /**
+       * <pre>
+       * Id before the first id of the range.
+       * </pre>
+       *
+       * <code>string after = 1;</code>
+       * @param value The bytes for after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.PartSet parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
-
-    public static org.tanagerbank.proto.PeerProto.PartSet parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.tanagerbank.proto.PeerProto.PartSet parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(org.tanagerbank.proto.PeerProto.PartSet prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
 
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * <pre>
-     * Parts of prompts that were in flight together.
-     * </pre>
-     *
-     * Protobuf type {@code tanagerbank.peer.PartSet}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:tanagerbank.peer.PartSet)
-        org.tanagerbank.proto.PeerProto.PartSetOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
+      private java.lang.Object until_ = "";
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return The until.
+       */
+      public java.lang.String getUntil() {
+        java.lang.Object ref = until_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          until_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
-
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.tanagerbank.proto.PeerProto.PartSet.class, org.tanagerbank.proto.PeerProto.PartSet.Builder.class);
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return The bytes for until.
+       */
+      public com.google.protobuf.ByteString
+          getUntilBytes() {
+        java.lang.Object ref = until_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          until_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
-
-      // Construct using org.tanagerbank.proto.PeerProto.PartSet.newBuilder()
-      private Builder() {
-
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @param value The until to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntil(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        until_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUntil() {
+        until_ = getDefaultInstance().getUntil();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        fingerprints_ = emptyLongList();
+      /**
+       * <pre>
+       * Last id of the range; empty when the range has no end.
+       * </pre>
+       *
+       * <code>string until = 2;</code>
+       * @param value The bytes for until to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntilBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        until_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
 
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.tanagerbank.proto.PeerProto.internal_static_tanagerbank_peer_PartSet_descriptor;
+      private java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> work_ =
+        java.util.Collections.emptyList();
+      private void ensureWorkIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          work_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.UpstreamWork>(work_);
+          bitField0_ |= 0x00000004;
+         }
       }
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.PartSet getDefaultInstanceForType() {
-        return org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance();
-      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> workBuilder_;
 
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.PartSet build() {
-        org.tanagerbank.proto.PeerProto.PartSet result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork> getWorkList() {
+        if (workBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(work_);
+        } else {
+          return workBuilder_.getMessageList();
         }
-        return result;
       }
-
-      @java.lang.Override
-      public org.tanagerbank.proto.PeerProto.PartSet buildPartial() {
-        org.tanagerbank.proto.PeerProto.PartSet result = new org.tanagerbank.proto.PeerProto.PartSet(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public int getWorkCount() {
+        if (workBuilder_ == null) {
+          return work_.size();
+        } else {
+          return workBuilder_.getCount();
+        }
       }
-
-      private void buildPartial0(org.tanagerbank.proto.PeerProto.PartSet result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          fingerprints_.makeImmutable();
-          result.fingerprints_ = fingerprints_;
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public org.tanagerbank.proto.PeerProto.UpstreamWork getWork(int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);
+        } else {
+          return workBuilder_.getMessage(index);
         }
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.tanagerbank.proto.PeerProto.PartSet) {
-          return mergeFrom((org.tanagerbank.proto.PeerProto.PartSet)other);
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder setWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.set(index, value);
+          onChanged();
         } else {
-          super.mergeFrom(other);
-          return this;
+          workBuilder_.setMessage(index, value);
         }
+        return this;
       }
-
-      public Builder mergeFrom(org.tanagerbank.proto.PeerProto.PartSet other) {
-        if (other == org.tanagerbank.proto.PeerProto.PartSet.getDefaultInstance()) return this;
-        if (!other.fingerprints_.isEmpty()) {
-          if (fingerprints_.isEmpty()) {
-            fingerprints_ = other.fingerprints_;
-            fingerprints_.makeImmutable();
-            bitField0_ |= 0x00000001;
-          } else {
-            ensureFingerprintsIsMutable();
-            fingerprints_.addAll(other.fingerprints_);
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder setWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.add(value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
+          ensureWorkIsMutable();
+          work_.add(index, value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addWork(
+          int index, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(index, builderForValue.build());
           onChanged();
+        } else {
+          workBuilder_.addMessage(index, builderForValue.build());
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 9: {
-                long v = input.readFixed64();
-                ensureFingerprintsIsMutable();
-                fingerprints_.addLong(v);
-                break;
-              } // case 9
-              case 10: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                int alloc = length > 4096 ? 4096 : length;
-                ensureFingerprintsIsMutable(alloc / 8);
-                while (input.getBytesUntilLimit() > 0) {
-                  fingerprints_.addLong(input.readFixed64());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 10
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder addAllWork(
+          java.lang.Iterable<? extends org.tanagerbank.proto.PeerProto.UpstreamWork> values) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, work_);
           onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private com.google.protobuf.Internal.LongList fingerprints_ = emptyLongList();
-      private void ensureFingerprintsIsMutable() {
-        if (!fingerprints_.isModifiable()) {
-          fingerprints_ = makeMutableCopy(fingerprints_);
+        } else {
+          workBuilder_.addAllMessages(values);
         }
-        bitField0_ |= 0x00000001;
+        return this;
       }
-      private void ensureFingerprintsIsMutable(int capacity) {
-        if (!fingerprints_.isModifiable()) {
-          fingerprints_ = makeMutableCopy(fingerprints_, capacity);
+      /**
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
+       */
+      public Builder clearWork() {
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          workBuilder_.clear();
         }
-        bitField0_ |= 0x00000001;
+        return this;
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @return A list containing the fingerprints.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public java.util.List<java.lang.Long>
-          getFingerprintsList() {
-        fingerprints_.makeImmutable();
-        return fingerprints_;
+      public Builder removeWork(int index) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.remove(index);
+          onChanged();
+        } else {
+          workBuilder_.remove(index);
+        }
+        return this;
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @return The count of fingerprints.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public int getFingerprintsCount() {
-        return fingerprints_.size();
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder getWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @param index The index of the element to return.
-       * @return The fingerprints at the given index.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public long getFingerprints(int index) {
-        return fingerprints_.getLong(index);
+      public org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder getWorkOrBuilder(
+          int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);  } else {
+          return workBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @param index The index to set the value at.
-       * @param value The fingerprints to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public Builder setFingerprints(
-          int index, long value) {
-
-        ensureFingerprintsIsMutable();
-        fingerprints_.setLong(index, value);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public java.util.List<? extends org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+           getWorkOrBuilderList() {
+        if (workBuilder_ != null) {
+          return workBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(work_);
+        }
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @param value The fingerprints to add.
-       * @return This builder for chaining.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public Builder addFingerprints(long value) {
-
-        ensureFingerprintsIsMutable();
-        fingerprints_.addLong(value);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder() {
+        return internalGetWorkFieldBuilder().addBuilder(
+            org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @param values The fingerprints to add.
-       * @return This builder for chaining.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public Builder addAllFingerprints(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureFingerprintsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, fingerprints_);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public org.tanagerbank.proto.PeerProto.UpstreamWork.Builder addWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().addBuilder(
+            index, org.tanagerbank.proto.PeerProto.UpstreamWork.getDefaultInstance());
       }
       /**
-       * <code>repeated fixed64 fingerprints = 1;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * Upstreams of the range at which the sender has requests in flight; it has none at the others.
+       * </pre>
+       *
+       * <code>repeated .tanagerbank.peer.UpstreamWork work = 3;</code>
        */
-      public Builder clearFingerprints() {
-        fingerprints_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
+      public java.util.List<org.tanagerbank.proto.PeerProto.UpstreamWork.Builder> 
+           getWorkBuilderList() {
+        return internalGetWorkFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder> 
+          internalGetWorkFieldBuilder() {
+        if (workBuilder_ == null) {
+          workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.tanagerbank.proto.PeerProto.UpstreamWork, org.tanagerbank.proto.PeerProto.UpstreamWork.Builder, org.tanagerbank.proto.PeerProto.UpstreamWorkOrBuilder>(
+                  work_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          work_ = null;
+        }
+        return workBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.PartSet)
+      // @@protoc_insertion_point(builder_scope:tanagerbank.peer.WorkRange)
     }
 
-    // @@protoc_insertion_point(class_scope:tanagerbank.peer.PartSet)
-    private static final org.tanagerbank.proto.PeerProto.PartSet DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:tanagerbank.peer.WorkRange)
+    private static final org.tanagerbank.proto.PeerProto.WorkRange DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.PartSet();
+      DEFAULT_INSTANCE = new org.tanagerbank.proto.PeerProto.WorkRange();
     }
 
-    public static org.tanagerbank.proto.PeerProto.PartSet getDefaultInstance() {
+    public static org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<PartSet>
-        PARSER = new com.google.protobuf.AbstractParser<PartSet>() {
+    private static final com.google.protobuf.Parser<WorkRange>
+        PARSER = new com.google.protobuf.AbstractParser<WorkRange>() {
       @java.lang.Override
-      public PartSet parsePartialFrom(
+      public WorkRange parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -19669,17 +18616,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<PartSet> parser() {
+    public static com.google.protobuf.Parser<WorkRange> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<PartSet> getParserForType() {
+    public com.google.protobuf.Parser<WorkRange> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.tanagerbank.proto.PeerProto.PartSet getDefaultInstanceForType() {
+    public org.tanagerbank.proto.PeerProto.WorkRange getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -19695,6 +18642,35 @@
      */
     long getFingerprint();
 
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @return A list containing the alike.
+     */
+    java.util.List<java.lang.Long> getAlikeList();
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @return The count of alike.
+     */
+    int getAlikeCount();
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @param index The index of the element to return.
+     * @return The alike at the given index.
+     */
+    long getAlike(int index);
+
     /**
      * <pre>
      * Crashes at which the request was in flight.
@@ -19795,6 +18771,7 @@
       super(builder);
     }
     private Suspect() {
+      alike_ = emptyLongList();
       crashes_ = java.util.Collections.emptyList();
     }
 
@@ -19823,6 +18800,48 @@
       return fingerprint_;
     }
 
+    public static final int ALIKE_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList alike_ =
+        emptyLongList();
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @return A list containing the alike.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getAlikeList() {
+      return alike_;
+    }
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @return The count of alike.
+     */
+    public int getAlikeCount() {
+      return alike_.size();
+    }
+    /**
+     * <pre>
+     * Fingerprints of further suspects of which the sender knows the same.
+     * </pre>
+     *
+     * <code>repeated fixed64 alike = 6;</code>
+     * @param index The index of the element to return.
+     * @return The alike at the given index.
+     */
+    public long getAlike(int index) {
+      return alike_.getLong(index);
+    }
+    private int alikeMemoizedSerializedSize = -1;
+
     public static final int CRASHES_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
     private java.util.List<org.tanagerbank.proto.PeerProto.Crash> crashes_;
@@ -19940,6 +18959,7 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
       if (fingerprint_ != 0L) {
         output.writeFixed64(1, fingerprint_);
       }
@@ -19952,6 +18972,13 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeUInt64(5, lastTrialAgeMillis_);
       }
+      if (getAlikeList().size() > 0) {
+        output.writeUInt32NoTag(50);
+        output.writeUInt32NoTag(alikeMemoizedSerializedSize);
+      }
+      for (int i = 0; i < alike_.size(); i++) {
+        output.writeFixed64NoTag(alike_.getLong(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -19977,6 +19004,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(5, lastTrialAgeMillis_);
       }
+      {
+        int dataSize = 0;
+        dataSize = 8 * getAlikeList().size();
+        size += dataSize;
+        if (!getAlikeList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        alikeMemoizedSerializedSize = dataSize;
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -19994,6 +19032,8 @@
 
       if (getFingerprint()
           != other.getFingerprint()) return false;
+      if (!getAlikeList()
+          .equals(other.getAlikeList())) return false;
       if (!getCrashesList()
           .equals(other.getCrashesList())) return false;
       if (getUndecidedTrials()
@@ -20017,6 +19057,10 @@
       hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getFingerprint());
+      if (getAlikeCount() > 0) {
+        hash = (37 * hash) + ALIKE_FIELD_NUMBER;
+        hash = (53 * hash) + getAlikeList().hashCode();
+      }
       if (getCrashesCount() > 0) {
         hash = (37 * hash) + CRASHES_FIELD_NUMBER;
         hash = (53 * hash) + getCrashesList().hashCode();
@@ -20165,13 +19209,14 @@
         super.clear();
         bitField0_ = 0;
         fingerprint_ = 0L;
+        alike_ = emptyLongList();
         if (crashesBuilder_ == null) {
           crashes_ = java.util.Collections.emptyList();
         } else {
           crashes_ = null;
           crashesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000004);
         undecidedTrials_ = 0;
         lastTrialAgeMillis_ = 0L;
         return this;
@@ -20208,9 +19253,9 @@
 
       private void buildPartialRepeatedFields(org.tanagerbank.proto.PeerProto.Suspect result) {
         if (crashesBuilder_ == null) {
-          if (((bitField0_ & 0x00000002) != 0)) {
+          if (((bitField0_ & 0x00000004) != 0)) {
             crashes_ = java.util.Collections.unmodifiableList(crashes_);
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000004);
           }
           result.crashes_ = crashes_;
         } else {
@@ -20223,11 +19268,15 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.fingerprint_ = fingerprint_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          alike_.makeImmutable();
+          result.alike_ = alike_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
           result.undecidedTrials_ = undecidedTrials_;
         }
         int to_bitField0_ = 0;
-        if (((from_bitField0_ & 0x00000008) != 0)) {
+        if (((from_bitField0_ & 0x00000010) != 0)) {
           result.lastTrialAgeMillis_ = lastTrialAgeMillis_;
           to_bitField0_ |= 0x00000001;
         }
@@ -20249,11 +19298,22 @@
         if (other.getFingerprint() != 0L) {
           setFingerprint(other.getFingerprint());
         }
+        if (!other.alike_.isEmpty()) {
+          if (alike_.isEmpty()) {
+            alike_ = other.alike_;
+            alike_.makeImmutable();
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureAlikeIsMutable();
+            alike_.addAll(other.alike_);
+          }
+          onChanged();
+        }
         if (crashesBuilder_ == null) {
           if (!other.crashes_.isEmpty()) {
             if (crashes_.isEmpty()) {
               crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00000002);
+              bitField0_ = (bitField0_ & ~0x00000004);
             } else {
               ensureCrashesIsMutable();
               crashes_.addAll(other.crashes_);
@@ -20266,7 +19326,7 @@
               crashesBuilder_.dispose();
               crashesBuilder_ = null;
               crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00000002);
+              bitField0_ = (bitField0_ & ~0x00000004);
               crashesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetCrashesFieldBuilder() : null;
@@ -20327,14 +19387,31 @@
               } // case 18
               case 32: {
                 undecidedTrials_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
+                bitField0_ |= 0x00000008;
                 break;
               } // case 32
               case 40: {
                 lastTrialAgeMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000008;
+                bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 49: {
+                long v = input.readFixed64();
+                ensureAlikeIsMutable();
+                alike_.addLong(v);
+                break;
+              } // case 49
+              case 50: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureAlikeIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  alike_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -20384,12 +19461,130 @@
         return this;
       }
 
+      private com.google.protobuf.Internal.LongList alike_ = emptyLongList();
+      private void ensureAlikeIsMutable() {
+        if (!alike_.isModifiable()) {
+          alike_ = makeMutableCopy(alike_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      private void ensureAlikeIsMutable(int capacity) {
+        if (!alike_.isModifiable()) {
+          alike_ = makeMutableCopy(alike_, capacity);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @return A list containing the alike.
+       */
+      public java.util.List<java.lang.Long>
+          getAlikeList() {
+        alike_.makeImmutable();
+        return alike_;
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @return The count of alike.
+       */
+      public int getAlikeCount() {
+        return alike_.size();
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @param index The index of the element to return.
+       * @return The alike at the given index.
+       */
+      public long getAlike(int index) {
+        return alike_.getLong(index);
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The alike to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAlike(
+          int index, long value) {
+
+        ensureAlikeIsMutable();
+        alike_.setLong(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @param value The alike to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAlike(long value) {
+
+        ensureAlikeIsMutable();
+        alike_.addLong(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @param values The alike to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllAlike(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureAlikeIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, alike_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fingerprints of further suspects of which the sender knows the same.
+       * </pre>
+       *
+       * <code>repeated fixed64 alike = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAlike() {
+        alike_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+
       private java.util.List<org.tanagerbank.proto.PeerProto.Crash> crashes_ =
         java.util.Collections.emptyList();
       private void ensureCrashesIsMutable() {
-        if (!((bitField0_ & 0x00000002) != 0)) {
+        if (!((bitField0_ & 0x00000004) != 0)) {
           crashes_ = new java.util.ArrayList<org.tanagerbank.proto.PeerProto.Crash>(crashes_);
-          bitField0_ |= 0x00000002;
+          bitField0_ |= 0x00000004;
          }
       }
 
@@ -20583,7 +19778,7 @@
       public Builder clearCrashes() {
         if (crashesBuilder_ == null) {
           crashes_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000002);
+          bitField0_ = (bitField0_ & ~0x00000004);
           onChanged();
         } else {
           crashesBuilder_.clear();
@@ -20688,7 +19883,7 @@
           crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.tanagerbank.proto.PeerProto.Crash, org.tanagerbank.proto.PeerProto.Crash.Builder, org.tanagerbank.proto.PeerProto.CrashOrBuilder>(
                   crashes_,
-                  ((bitField0_ & 0x00000002) != 0),
+                  ((bitField0_ & 0x00000004) != 0),
                   getParentForChildren(),
                   isClean());
           crashes_ = null;
@@ -20721,7 +19916,7 @@
       public Builder setUndecidedTrials(int value) {
 
         undecidedTrials_ = value;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
@@ -20734,7 +19929,7 @@
        * @return This builder for chaining.
        */
       public Builder clearUndecidedTrials() {
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000008);
         undecidedTrials_ = 0;
         onChanged();
         return this;
@@ -20751,7 +19946,7 @@
        */
       @java.lang.Override
       public boolean hasLastTrialAgeMillis() {
-        return ((bitField0_ & 0x00000008) != 0);
+        return ((bitField0_ & 0x00000010) != 0);
       }
       /**
        * <pre>
@@ -20777,7 +19972,7 @@
       public Builder setLastTrialAgeMillis(long value) {
 
         lastTrialAgeMillis_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
@@ -20790,7 +19985,7 @@
        * @return This builder for chaining.
        */
       public Builder clearLastTrialAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000010);
         lastTrialAgeMillis_ = 0L;
         onChanged();
         return this;
@@ -20968,54 +20163,32 @@
 
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
-     * @return A list containing the companions.
+     * <code>repeated fixed32 runs = 10;</code>
+     * @return A list containing the runs.
      */
-    java.util.List<java.lang.Long> getCompanionsList();
+    java.util.List<java.lang.Integer> getRunsList();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
-     * @return The count of companions.
+     * <code>repeated fixed32 runs = 10;</code>
+     * @return The count of runs.
      */
-    int getCompanionsCount();
+    int getRunsCount();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
+     * <code>repeated fixed32 runs = 10;</code>
      * @param index The index of the element to return.
-     * @return The companions at the given index.
-     */
-    long getCompanions(int index);
-
-    /**
-     * <pre>
-     * Index of the set of these parts in the continuation; the set may contain the suspect.
-     * </pre>
-     *
-     * <code>optional uint32 part_set = 9;</code>
-     * @return Whether the partSet field is set.
-     */
-    boolean hasPartSet();
-    /**
-     * <pre>
-     * Index of the set of these parts in the continuation; the set may contain the suspect.
-     * </pre>
-     *
-     * <code>optional uint32 part_set = 9;</code>
-     * @return The partSet.
+     * @return The runs at the given index.
      */
-    int getPartSet();
+    int getRuns(int index);
   }
   /**
    * <pre>
@@ -21045,7 +20218,7 @@
     private Crash() {
       id_ = "";
       completions_ = java.util.Collections.emptyList();
-      companions_ = emptyLongList();
+      runs_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -21061,7 +20234,6 @@
               org.tanagerbank.proto.PeerProto.Crash.class, org.tanagerbank.proto.PeerProto.Crash.Builder.class);
     }
 
-    private int bitField0_;
     public static final int ID_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object id_ = "";
@@ -21246,77 +20418,47 @@
       return completions_.get(index);
     }
 
-    public static final int COMPANIONS_FIELD_NUMBER = 8;
+    public static final int RUNS_FIELD_NUMBER = 10;
     @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList companions_ =
-        emptyLongList();
+    private com.google.protobuf.Internal.IntList runs_ =
+        emptyIntList();
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
-     * @return A list containing the companions.
+     * <code>repeated fixed32 runs = 10;</code>
+     * @return A list containing the runs.
      */
     @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getCompanionsList() {
-      return companions_;
+    public java.util.List<java.lang.Integer>
+        getRunsList() {
+      return runs_;
     }
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
-     * @return The count of companions.
+     * <code>repeated fixed32 runs = 10;</code>
+     * @return The count of runs.
      */
-    public int getCompanionsCount() {
-      return companions_.size();
+    public int getRunsCount() {
+      return runs_.size();
     }
     /**
      * <pre>
-     * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-     * part_set is present.
+     * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
      * </pre>
      *
-     * <code>repeated fixed64 companions = 8;</code>
+     * <code>repeated fixed32 runs = 10;</code>
      * @param index The index of the element to return.
-     * @return The companions at the given index.
-     */
-    public long getCompanions(int index) {
-      return companions_.getLong(index);
-    }
-    private int companionsMemoizedSerializedSize = -1;
-
-    public static final int PART_SET_FIELD_NUMBER = 9;
-    private int partSet_ = 0;
-    /**
-     * <pre>
-     * Index of the set of these parts in the continuation; the set may contain the suspect.
-     * </pre>
-     *
-     * <code>optional uint32 part_set = 9;</code>
-     * @return Whether the partSet field is set.
-     */
-    @java.lang.Override
-    public boolean hasPartSet() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <pre>
-     * Index of the set of these parts in the continuation; the set may contain the suspect.
-     * </pre>
-     *
-     * <code>optional uint32 part_set = 9;</code>
-     * @return The partSet.
+     * @return The runs at the given index.
      */
-    @java.lang.Override
-    public int getPartSet() {
-      return partSet_;
+    public int getRuns(int index) {
+      return runs_.getInt(index);
     }
+    private int runsMemoizedSerializedSize = -1;
 
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
@@ -21354,15 +20496,12 @@
       for (int i = 0; i < completions_.size(); i++) {
         output.writeMessage(7, completions_.get(i));
       }
-      if (getCompanionsList().size() > 0) {
-        output.writeUInt32NoTag(66);
-        output.writeUInt32NoTag(companionsMemoizedSerializedSize);
+      if (getRunsList().size() > 0) {
+        output.writeUInt32NoTag(82);
+        output.writeUInt32NoTag(runsMemoizedSerializedSize);
       }
-      for (int i = 0; i < companions_.size(); i++) {
-        output.writeFixed64NoTag(companions_.getLong(i));
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeUInt32(9, partSet_);
+      for (int i = 0; i < runs_.size(); i++) {
+        output.writeFixed32NoTag(runs_.getInt(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -21402,18 +20541,14 @@
       }
       {
         int dataSize = 0;
-        dataSize = 8 * getCompanionsList().size();
+        dataSize = 4 * getRunsList().size();
         size += dataSize;
-        if (!getCompanionsList().isEmpty()) {
+        if (!getRunsList().isEmpty()) {
           size += 1;
           size += com.google.protobuf.CodedOutputStream
               .computeInt32SizeNoTag(dataSize);
         }
-        companionsMemoizedSerializedSize = dataSize;
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(9, partSet_);
+        runsMemoizedSerializedSize = dataSize;
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -21444,13 +20579,8 @@
           != other.getPrompt()) return false;
       if (!getCompletionsList()
           .equals(other.getCompletionsList())) return false;
-      if (!getCompanionsList()
-          .equals(other.getCompanionsList())) return false;
-      if (hasPartSet() != other.hasPartSet()) return false;
-      if (hasPartSet()) {
-        if (getPartSet()
-            != other.getPartSet()) return false;
-      }
+      if (!getRunsList()
+          .equals(other.getRunsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -21480,13 +20610,9 @@
         hash = (37 * hash) + COMPLETIONS_FIELD_NUMBER;
         hash = (53 * hash) + getCompletionsList().hashCode();
       }
-      if (getCompanionsCount() > 0) {
-        hash = (37 * hash) + COMPANIONS_FIELD_NUMBER;
-        hash = (53 * hash) + getCompanionsList().hashCode();
-      }
-      if (hasPartSet()) {
-        hash = (37 * hash) + PART_SET_FIELD_NUMBER;
-        hash = (53 * hash) + getPartSet();
+      if (getRunsCount() > 0) {
+        hash = (37 * hash) + RUNS_FIELD_NUMBER;
+        hash = (53 * hash) + getRunsList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
@@ -21636,8 +20762,7 @@
           completionsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000040);
-        companions_ = emptyLongList();
-        partSet_ = 0;
+        runs_ = emptyIntList();
         return this;
       }
 
@@ -21703,15 +20828,9 @@
           result.prompt_ = prompt_;
         }
         if (((from_bitField0_ & 0x00000080) != 0)) {
-          companions_.makeImmutable();
-          result.companions_ = companions_;
-        }
-        int to_bitField0_ = 0;
-        if (((from_bitField0_ & 0x00000100) != 0)) {
-          result.partSet_ = partSet_;
-          to_bitField0_ |= 0x00000001;
+          runs_.makeImmutable();
+          result.runs_ = runs_;
         }
-        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -21772,20 +20891,17 @@
             }
           }
         }
-        if (!other.companions_.isEmpty()) {
-          if (companions_.isEmpty()) {
-            companions_ = other.companions_;
-            companions_.makeImmutable();
+        if (!other.runs_.isEmpty()) {
+          if (runs_.isEmpty()) {
+            runs_ = other.runs_;
+            runs_.makeImmutable();
             bitField0_ |= 0x00000080;
           } else {
-            ensureCompanionsIsMutable();
-            companions_.addAll(other.companions_);
+            ensureRunsIsMutable();
+            runs_.addAll(other.runs_);
           }
           onChanged();
         }
-        if (other.hasPartSet()) {
-          setPartSet(other.getPartSet());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -21855,28 +20971,23 @@
                 }
                 break;
               } // case 58
-              case 65: {
-                long v = input.readFixed64();
-                ensureCompanionsIsMutable();
-                companions_.addLong(v);
+              case 85: {
+                int v = input.readFixed32();
+                ensureRunsIsMutable();
+                runs_.addInt(v);
                 break;
-              } // case 65
-              case 66: {
+              } // case 85
+              case 82: {
                 int length = input.readRawVarint32();
                 int limit = input.pushLimit(length);
                 int alloc = length > 4096 ? 4096 : length;
-                ensureCompanionsIsMutable(alloc / 8);
+                ensureRunsIsMutable(alloc / 4);
                 while (input.getBytesUntilLimit() > 0) {
-                  companions_.addLong(input.readFixed64());
+                  runs_.addInt(input.readFixed32());
                 }
                 input.popLimit(limit);
                 break;
-              } // case 66
-              case 72: {
-                partSet_ = input.readUInt32();
-                bitField0_ |= 0x00000100;
-                break;
-              } // case 72
+              } // case 82
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22521,187 +21632,124 @@
         return completionsBuilder_;
       }
 
-      private com.google.protobuf.Internal.LongList companions_ = emptyLongList();
-      private void ensureCompanionsIsMutable() {
-        if (!companions_.isModifiable()) {
-          companions_ = makeMutableCopy(companions_);
+      private com.google.protobuf.Internal.IntList runs_ = emptyIntList();
+      private void ensureRunsIsMutable() {
+        if (!runs_.isModifiable()) {
+          runs_ = makeMutableCopy(runs_);
         }
         bitField0_ |= 0x00000080;
       }
-      private void ensureCompanionsIsMutable(int capacity) {
-        if (!companions_.isModifiable()) {
-          companions_ = makeMutableCopy(companions_, capacity);
+      private void ensureRunsIsMutable(int capacity) {
+        if (!runs_.isModifiable()) {
+          runs_ = makeMutableCopy(runs_, capacity);
         }
         bitField0_ |= 0x00000080;
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
-       * @return A list containing the companions.
+       * <code>repeated fixed32 runs = 10;</code>
+       * @return A list containing the runs.
        */
-      public java.util.List<java.lang.Long>
-          getCompanionsList() {
-        companions_.makeImmutable();
-        return companions_;
+      public java.util.List<java.lang.Integer>
+          getRunsList() {
+        runs_.makeImmutable();
+        return runs_;
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
-       * @return The count of companions.
+       * <code>repeated fixed32 runs = 10;</code>
+       * @return The count of runs.
        */
-      public int getCompanionsCount() {
-        return companions_.size();
+      public int getRunsCount() {
+        return runs_.size();
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
+       * <code>repeated fixed32 runs = 10;</code>
        * @param index The index of the element to return.
-       * @return The companions at the given index.
+       * @return The runs at the given index.
        */
-      public long getCompanions(int index) {
-        return companions_.getLong(index);
+      public int getRuns(int index) {
+        return runs_.getInt(index);
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
+       * <code>repeated fixed32 runs = 10;</code>
        * @param index The index to set the value at.
-       * @param value The companions to set.
+       * @param value The runs to set.
        * @return This builder for chaining.
        */
-      public Builder setCompanions(
-          int index, long value) {
+      public Builder setRuns(
+          int index, int value) {
 
-        ensureCompanionsIsMutable();
-        companions_.setLong(index, value);
+        ensureRunsIsMutable();
+        runs_.setInt(index, value);
         bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
-       * @param value The companions to add.
+       * <code>repeated fixed32 runs = 10;</code>
+       * @param value The runs to add.
        * @return This builder for chaining.
        */
-      public Builder addCompanions(long value) {
+      public Builder addRuns(int value) {
 
-        ensureCompanionsIsMutable();
-        companions_.addLong(value);
+        ensureRunsIsMutable();
+        runs_.addInt(value);
         bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
-       * @param values The companions to add.
+       * <code>repeated fixed32 runs = 10;</code>
+       * @param values The runs to add.
        * @return This builder for chaining.
        */
-      public Builder addAllCompanions(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureCompanionsIsMutable();
+      public Builder addAllRuns(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureRunsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, companions_);
+            values, runs_);
         bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Fingerprints of the parts of prompts that each run of the suspect at the crash had besides it. Empty when
-       * part_set is present.
+       * Ids of the lost runs that had the suspect; of many, the lowest. Empty when the sender does not know them.
        * </pre>
        *
-       * <code>repeated fixed64 companions = 8;</code>
+       * <code>repeated fixed32 runs = 10;</code>
        * @return This builder for chaining.
        */
-      public Builder clearCompanions() {
-        companions_ = emptyLongList();
+      public Builder clearRuns() {
+        runs_ = emptyIntList();
         bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
         return this;
       }
 
-      private int partSet_ ;
-      /**
-       * <pre>
-       * Index of the set of these parts in the continuation; the set may contain the suspect.
-       * </pre>
-       *
-       * <code>optional uint32 part_set = 9;</code>
-       * @return Whether the partSet field is set.
-       */
-      @java.lang.Override
-      public boolean hasPartSet() {
-        return ((bitField0_ & 0x00000100) != 0);
-      }
-      /**
-       * <pre>
-       * Index of the set of these parts in the continuation; the set may contain the suspect.
-       * </pre>
-       *
-       * <code>optional uint32 part_set = 9;</code>
-       * @return The partSet.
-       */
-      @java.lang.Override
-      public int getPartSet() {
-        return partSet_;
-      }
-      /**
-       * <pre>
-       * Index of the set of these parts in the continuation; the set may contain the suspect.
-       * </pre>
-       *
-       * <code>optional uint32 part_set = 9;</code>
-       * @param value The partSet to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPartSet(int value) {
-
-        partSet_ = value;
-        bitField0_ |= 0x00000100;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Index of the set of these parts in the continuation; the set may contain the suspect.
-       * </pre>
-       *
-       * <code>optional uint32 part_set = 9;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearPartSet() {
-        bitField0_ = (bitField0_ & ~0x00000100);
-        partSet_ = 0;
-        onChanged();
-        return this;
-      }
-
       // @@protoc_insertion_point(builder_scope:tanagerbank.peer.Crash)
     }
 
@@ -28416,11 +27464,6 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagerbank_peer_WorkRange_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_tanagerbank_peer_PartSet_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_tanagerbank_peer_PartSet_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagerbank_peer_Suspect_descriptor;
   private static final 
@@ -28512,52 +27555,51 @@
       "\0132\035.tanagerbank.peer.EngineCache\022+\n\010susp" +
       "ects\030\010 \003(\0132\031.tanagerbank.peer.Suspect\0222\n" +
       "\014trial_claims\030\t \003(\0132\034.tanagerbank.peer.T" +
-      "rialClaim\022\022\n\nwork_until\030\n \001(\t\"\217\003\n\022Digest" +
+      "rialClaim\022\022\n\nwork_until\030\n \001(\t\"\362\002\n\022Digest" +
       "Continuation\022)\n\006sender\030\001 \001(\0132\031.tanagerba" +
       "nk.peer.Address\022\016\n\006number\030\002 \001(\004\022)\n\004work\030" +
       "\003 \001(\0132\033.tanagerbank.peer.WorkRange\022/\n\npl" +
       "acements\030\004 \003(\0132\033.tanagerbank.peer.Placem" +
       "ent\022(\n\005peers\030\005 \003(\0132\031.tanagerbank.peer.Ad" +
       "dress\022-\n\006caches\030\006 \003(\0132\035.tanagerbank.peer" +
-      ".EngineCache\022,\n\tpart_sets\030\007 \003(\0132\031.tanage" +
-      "rbank.peer.PartSet\022+\n\010suspects\030\010 \003(\0132\031.t" +
-      "anagerbank.peer.Suspect\022.\n\ncapacities\030\t " +
-      "\003(\0132\032.tanagerbank.peer.Capacity\"\255\001\n\010Capa" +
-      "city\022\017\n\007process\030\001 \001(\007\022\020\n\010requests\030\002 \003(\r\022" +
-      "\030\n\020in_flight_tenths\030\003 \003(\r\022\030\n\020time_thousa" +
-      "ndths\030\004 \003(\004\022\024\n\014work_percent\030\005 \001(\r\0224\n\010est" +
-      "imate\030\006 \001(\0132\".tanagerbank.peer.CapacityE" +
-      "stimate\"S\n\020CapacityEstimate\022\020\n\010requests\030" +
-      "\001 \001(\r\022\030\n\020time_thousandths\030\002 \001(\004\022\023\n\013limit" +
-      "_index\030\003 \001(\r\"W\n\tWorkRange\022\r\n\005after\030\001 \001(\t" +
-      "\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\0132\036.tanagerb" +
-      "ank.peer.UpstreamWork\"\037\n\007PartSet\022\024\n\014fing" +
-      "erprints\030\001 \003(\006\"\274\001\n\007Suspect\022\023\n\013fingerprin" +
-      "t\030\001 \001(\006\022(\n\007crashes\030\002 \003(\0132\027.tanagerbank.p" +
-      "eer.Crash\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025l" +
-      "ast_trial_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_last" +
-      "_trial_age_millisJ\004\010\003\020\004R\024completed_age_m" +
-      "illis\"\330\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001" +
-      "(\r\022\020\n\010isolated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004" +
-      "\022\020\n\010software\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013co" +
-      "mpletions\030\007 \003(\0132\037.tanagerbank.peer.Compl" +
-      "etedRuns\022\022\n\ncompanions\030\010 \003(\006\022\025\n\010part_set" +
-      "\030\t \001(\rH\000\210\001\001B\013\n\t_part_set\"/\n\rCompletedRun" +
-      "s\022\020\n\010software\030\001 \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTri" +
-      "alClaim\022\023\n\013fingerprint\030\001 \001(\006\022\017\n\007running\030" +
-      "\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\"\\\n\rStoredSuspect" +
-      "\022*\n\007suspect\030\001 \001(\0132\031.tanagerbank.peer.Sus" +
-      "pect\022\037\n\027written_at_epoch_millis\030\002 \001(\004\"M\n" +
-      "\007Address\022\023\n\013instance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(" +
-      "\t\022\014\n\004port\030\003 \001(\r\022\023\n\013incarnation\030\004 \001(\004\"6\n\014" +
-      "UpstreamWork\022\023\n\013upstream_id\030\001 \001(\t\022\021\n\tin_" +
-      "flight\030\002 \001(\r\"\206\001\n\tPlacement\022\016\n\006number\030\001 \001" +
-      "(\004\022\023\n\013upstream_id\030\002 \001(\t\022\025\n\rprompt_tokens" +
-      "\030\003 \001(\r\022\020\n\010part_ids\030\004 \003(\006\022\023\n\013part_tokens\030" +
-      "\005 \003(\r\022\026\n\016fetched_tokens\030\006 \001(\r\"I\n\013EngineC" +
-      "ache\022\023\n\013upstream_id\030\001 \001(\t\022\020\n\010part_ids\030\002 " +
-      "\003(\006\022\023\n\013part_tokens\030\003 \003(\rB\"\n\025org.tanagerb" +
-      "ank.protoB\tPeerProtob\006proto3"
+      ".EngineCache\022+\n\010suspects\030\010 \003(\0132\031.tanager" +
+      "bank.peer.Suspect\022.\n\ncapacities\030\t \003(\0132\032." +
+      "tanagerbank.peer.CapacityJ\004\010\007\020\010R\tpart_se" +
+      "ts\"\255\001\n\010Capacity\022\017\n\007process\030\001 \001(\007\022\020\n\010requ" +
+      "ests\030\002 \003(\r\022\030\n\020in_flight_tenths\030\003 \003(\r\022\030\n\020" +
+      "time_thousandths\030\004 \003(\004\022\024\n\014work_percent\030\005" +
+      " \001(\r\0224\n\010estimate\030\006 \001(\0132\".tanagerbank.pee" +
+      "r.CapacityEstimate\"S\n\020CapacityEstimate\022\020" +
+      "\n\010requests\030\001 \001(\r\022\030\n\020time_thousandths\030\002 \001" +
+      "(\004\022\023\n\013limit_index\030\003 \001(\r\"W\n\tWorkRange\022\r\n\005" +
+      "after\030\001 \001(\t\022\r\n\005until\030\002 \001(\t\022,\n\004work\030\003 \003(\013" +
+      "2\036.tanagerbank.peer.UpstreamWork\"\313\001\n\007Sus" +
+      "pect\022\023\n\013fingerprint\030\001 \001(\006\022\r\n\005alike\030\006 \003(\006" +
+      "\022(\n\007crashes\030\002 \003(\0132\027.tanagerbank.peer.Cra" +
+      "sh\022\030\n\020undecided_trials\030\004 \001(\r\022\"\n\025last_tri" +
+      "al_age_millis\030\005 \001(\004H\000\210\001\001B\030\n\026_last_trial_" +
+      "age_millisJ\004\010\003\020\004R\024completed_age_millis\"\320" +
+      "\001\n\005Crash\022\n\n\002id\030\001 \001(\t\022\r\n\005depth\030\002 \001(\r\022\020\n\010i" +
+      "solated\030\003 \001(\010\022\022\n\nage_millis\030\004 \001(\004\022\020\n\010sof" +
+      "tware\030\005 \001(\007\022\016\n\006prompt\030\006 \001(\007\0224\n\013completio" +
+      "ns\030\007 \003(\0132\037.tanagerbank.peer.CompletedRun" +
+      "s\022\014\n\004runs\030\n \003(\007J\004\010\010\020\tJ\004\010\t\020\nR\ncompanionsR" +
+      "\010part_set\"/\n\rCompletedRuns\022\020\n\010software\030\001" +
+      " \001(\007\022\014\n\004runs\030\002 \001(\r\"D\n\nTrialClaim\022\023\n\013fing" +
+      "erprint\030\001 \001(\006\022\017\n\007running\030\002 \001(\010\022\020\n\010upstre" +
+      "am\030\003 \001(\007\"\\\n\rStoredSuspect\022*\n\007suspect\030\001 \001" +
+      "(\0132\031.tanagerbank.peer.Suspect\022\037\n\027written" +
+      "_at_epoch_millis\030\002 \001(\004\"M\n\007Address\022\023\n\013ins" +
+      "tance_id\030\001 \001(\t\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r" +
+      "\022\023\n\013incarnation\030\004 \001(\004\"6\n\014UpstreamWork\022\023\n" +
+      "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"\206\001" +
+      "\n\tPlacement\022\016\n\006number\030\001 \001(\004\022\023\n\013upstream_" +
+      "id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\r\022\020\n\010part_" +
+      "ids\030\004 \003(\006\022\023\n\013part_tokens\030\005 \003(\r\022\026\n\016fetche" +
+      "d_tokens\030\006 \001(\r\"I\n\013EngineCache\022\023\n\013upstrea" +
+      "m_id\030\001 \001(\t\022\020\n\010part_ids\030\002 \003(\006\022\023\n\013part_tok" +
+      "ens\030\003 \003(\rB\"\n\025org.tanagerbank.protoB\tPeer" +
+      "Protob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -28622,7 +27664,7 @@
     internal_static_tanagerbank_peer_DigestContinuation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_DigestContinuation_descriptor,
-        new java.lang.String[] { "Sender", "Number", "Work", "Placements", "Peers", "Caches", "PartSets", "Suspects", "Capacities", });
+        new java.lang.String[] { "Sender", "Number", "Work", "Placements", "Peers", "Caches", "Suspects", "Capacities", });
     internal_static_tanagerbank_peer_Capacity_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_tanagerbank_peer_Capacity_fieldAccessorTable = new
@@ -28641,62 +27683,56 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_WorkRange_descriptor,
         new java.lang.String[] { "After", "Until", "Work", });
-    internal_static_tanagerbank_peer_PartSet_descriptor =
-      getDescriptor().getMessageTypes().get(13);
-    internal_static_tanagerbank_peer_PartSet_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_tanagerbank_peer_PartSet_descriptor,
-        new java.lang.String[] { "Fingerprints", });
     internal_static_tanagerbank_peer_Suspect_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_tanagerbank_peer_Suspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Suspect_descriptor,
-        new java.lang.String[] { "Fingerprint", "Crashes", "UndecidedTrials", "LastTrialAgeMillis", });
+        new java.lang.String[] { "Fingerprint", "Alike", "Crashes", "UndecidedTrials", "LastTrialAgeMillis", });
     internal_static_tanagerbank_peer_Crash_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_tanagerbank_peer_Crash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Crash_descriptor,
-        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Companions", "PartSet", });
+        new java.lang.String[] { "Id", "Depth", "Isolated", "AgeMillis", "Software", "Prompt", "Completions", "Runs", });
     internal_static_tanagerbank_peer_CompletedRuns_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_tanagerbank_peer_CompletedRuns_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_CompletedRuns_descriptor,
         new java.lang.String[] { "Software", "Runs", });
     internal_static_tanagerbank_peer_TrialClaim_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_tanagerbank_peer_TrialClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_TrialClaim_descriptor,
         new java.lang.String[] { "Fingerprint", "Running", "Upstream", });
     internal_static_tanagerbank_peer_StoredSuspect_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_tanagerbank_peer_StoredSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_StoredSuspect_descriptor,
         new java.lang.String[] { "Suspect", "WrittenAtEpochMillis", });
     internal_static_tanagerbank_peer_Address_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_tanagerbank_peer_Address_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Address_descriptor,
         new java.lang.String[] { "InstanceId", "Ip", "Port", "Incarnation", });
     internal_static_tanagerbank_peer_UpstreamWork_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_tanagerbank_peer_UpstreamWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_UpstreamWork_descriptor,
         new java.lang.String[] { "UpstreamId", "InFlight", });
     internal_static_tanagerbank_peer_Placement_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_tanagerbank_peer_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_Placement_descriptor,
         new java.lang.String[] { "Number", "UpstreamId", "PromptTokens", "PartIds", "PartTokens", "FetchedTokens", });
     internal_static_tanagerbank_peer_EngineCache_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_tanagerbank_peer_EngineCache_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagerbank_peer_EngineCache_descriptor,
--- a/src/main/java/org/tanagerbank/quarantine/Blame.java
+++ b/src/main/java/org/tanagerbank/quarantine/Blame.java
@@ -1,10 +1,12 @@
 package org.tanagerbank.quarantine;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMultimap;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.LongSummaryStatistics;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.tanagerbank.request.Fingerprint;
 
@@ -23,7 +25,8 @@
  * </ul>
  *
  * <p>A crash is forgiven by complete runs after it, which is what tells a part that sound requests
- * share from one that crashes upstreams. Stateless but for its table; not thread-safe.
+ * share from one that crashes upstreams. All suspects of a group are judged at once. Stateless but
+ * for its table; not thread-safe.
  */
 final class Blame {
   /** The time in which runs of a harmless part that many requests share have completed. */
@@ -38,67 +41,87 @@
   }
 
   /**
-   * Returns how a request may run because of one of its suspects.
+   * Returns how a request may run because of a group of its suspects.
    *
-   * @param ofRequest all suspects that the request has
+   * @param ofRequest the suspects of the request that have evidence, by their groups
    */
   QuarantineStatus status(
-      Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
-    ImmutableList<CrashRecord> counted = countedCrashes(suspect, nowMillis);
+      SuspectGroup group, ImmutableMultimap<SuspectGroup, Fingerprint> ofRequest, long nowMillis) {
+    return status(group, g -> ofRequest.get(g).size() < g.size(), nowMillis);
+  }
+
+  /** Returns how a request may run that has one suspect of a group and no other suspects. */
+  QuarantineStatus statusAlone(SuspectGroup group, long nowMillis) {
+    return status(group, g -> g != group || g.size() > 1, nowMillis);
+  }
+
+  /** Returns how a request may run again that was lost with the suspects of a group. */
+  QuarantineStatus statusOfLostRuns(SuspectGroup group, long nowMillis) {
+    ImmutableSet<SuspectGroup> ofLostRuns =
+        Stream.concat(Stream.of(group), inAllLostRunsOf(group))
+            .collect(ImmutableSet.toImmutableSet());
+    return status(group, g -> !ofLostRuns.contains(g), nowMillis);
+  }
+
+  private Stream<SuspectGroup> inAllLostRunsOf(SuspectGroup group) {
+    return group.evidence().crashes().values().stream()
+        .flatMap(c -> table.inFlightAt(c.crashId()).stream().filter(g -> g.wasInAllRunsOf(c)));
+  }
+
+  /**
+   * Returns how a request may run because of a group.
+   *
+   * @param hasOthers whether a group has members that are not in the request
+   */
+  private QuarantineStatus status(
+      SuspectGroup group, Predicate<SuspectGroup> hasOthers, long nowMillis) {
+    ImmutableList<CrashRecord> counted = countedCrashes(group, nowMillis);
     if (!rule.comparesSuspects() || counted.size() < 2) {
-      return weigh(suspect, counted, nowMillis);
+      return weigh(group, counted, nowMillis);
     }
     ImmutableList<CrashRecord> unexplained =
         counted.stream()
-            .filter(c -> !isExplainedBetter(c, suspect, counted.size(), ofRequest, nowMillis))
+            .filter(c -> !isExplainedBetter(c, group, counted.size(), hasOthers, nowMillis))
             .collect(ImmutableList.toImmutableList());
-    return weigh(suspect, unexplained, nowMillis);
-  }
-
-  /** Returns a suspect, and the parts that runs with it had which were lost. */
-  ImmutableSet<Fingerprint> suspectsOfLostRuns(Fingerprint suspect) {
-    return Stream.concat(
-            Stream.of(suspect),
-            table.get(suspect).crashes().values().stream().flatMap(c -> c.companions().stream()))
-        .collect(ImmutableSet.toImmutableSet());
+    return weigh(group, unexplained, nowMillis);
   }
 
   private boolean isExplainedBetter(
       CrashRecord crash,
-      Fingerprint suspect,
+      SuspectGroup group,
       int crashes,
-      ImmutableSet<Fingerprint> ofRequest,
+      Predicate<SuspectGroup> hasOthers,
       long nowMillis) {
-    return table.inFlightAt(crash.crashId()).stream()
-        .filter(other -> !ofRequest.contains(other))
-        .anyMatch(other -> explains(other, crash, suspect, crashes, nowMillis));
+    return group.hasPromptParts()
+        && table.inFlightAt(crash.crashId()).stream()
+            .filter(hasOthers)
+            .anyMatch(other -> explains(other, crash, group, crashes, nowMillis));
   }
 
   private boolean explains(
-      Fingerprint other, CrashRecord crash, Fingerprint suspect, int crashes, long nowMillis) {
+      SuspectGroup other, CrashRecord crash, SuspectGroup group, int crashes, long nowMillis) {
     ImmutableList<CrashRecord> counted = countedCrashes(other, nowMillis);
-    CrashRecord own = table.get(other).crashes().get(crash.crashId());
-    if (own.companions().contains(suspect)) {
+    CrashRecord own = other.evidence().crashes().get(crash.crashId());
+    if (group.wasInAllRunsOf(own)) {
       return counted.size() >= crashes && counted.contains(own);
     }
-    return suspect.isPromptPart()
-        && counted.size() > crashes
+    return counted.size() > crashes
         && weigh(other, counted, nowMillis) == QuarantineStatus.QUARANTINED;
   }
 
   private QuarantineStatus weigh(
-      Fingerprint suspect, ImmutableList<CrashRecord> crashes, long nowMillis) {
+      SuspectGroup group, ImmutableList<CrashRecord> crashes, long nowMillis) {
     if (crashes.isEmpty()) {
       return QuarantineStatus.CLEAR;
     }
-    if (suspect.isPromptPart() && isOneMoment(crashes, nowMillis)) {
+    if (group.hasPromptParts() && isOneMoment(crashes, nowMillis)) {
       return QuarantineStatus.SUSPECT;
     }
     ImmutableList<CrashRecord> weighed =
         crashes.stream()
-            .map(c -> isExplainedOtherwise(c, suspect) ? c.withoutIsolation() : c)
+            .map(c -> isExplainedOtherwise(c, group) ? c.withoutIsolation() : c)
             .collect(ImmutableList.toImmutableList());
-    return rule.status(weighed, c -> singlesOut(c, suspect, nowMillis));
+    return rule.status(weighed, c -> singlesOut(c, group, nowMillis));
   }
 
   /**
@@ -113,9 +136,14 @@
         && nowMillis - times.getMax() <= COMPLETION_MILLIS;
   }
 
-  /** Returns the crashes that count against a suspect by its own runs. */
-  ImmutableList<CrashRecord> countedCrashes(Fingerprint suspect, long nowMillis) {
-    return table.get(suspect).crashes().values().stream()
+  /** Returns the crashes that count against the members of a group by their own runs. */
+  ImmutableList<CrashRecord> countedCrashes(SuspectGroup group, long nowMillis) {
+    return countedCrashes(group.evidence(), nowMillis);
+  }
+
+  /** Returns the crashes in some evidence that count against what it is about. */
+  ImmutableList<CrashRecord> countedCrashes(CrashEvidence evidence, long nowMillis) {
+    return evidence.crashes().values().stream()
         .filter(c -> c.completionsAtSameSoftware() < rule.forgivingCompletions())
         .filter(c -> nowMillis - c.atMillis() <= Quarantine.SUSPICION_MILLIS)
         .collect(ImmutableList.toImmutableList());
@@ -126,15 +154,15 @@
    * another suspect at the same upstream, or crashes of other upstreams at the same time that no
    * isolated run explains, as when a rack is lost.
    */
-  private boolean isExplainedOtherwise(CrashRecord crash, Fingerprint suspect) {
+  private boolean isExplainedOtherwise(CrashRecord crash, SuspectGroup group) {
     if (!crash.isIsolated()) {
       return false;
     }
     Set<String> elsewhere = new HashSet<>();
     Set<String> isolated = new HashSet<>();
-    table.entries().stream()
-        .filter(e -> !e.getKey().equals(suspect))
-        .flatMap(e -> e.getValue().crashes().values().stream())
+    table.groups().stream()
+        .filter(other -> isAnother(other, group))
+        .flatMap(other -> other.evidence().crashes().values().stream())
         .filter(c -> Math.abs(c.atMillis() - crash.atMillis()) <= rule.sameTimeMillis())
         .forEach(c -> (c.isIsolated() ? isolated : elsewhere).add(c.crashId()));
     elsewhere.remove(crash.crashId());
@@ -142,21 +170,22 @@
     return isolated.contains(crash.crashId()) || !elsewhere.isEmpty();
   }
 
+  /** Returns whether a group has members besides one member of a group. */
+  private static boolean isAnother(SuspectGroup other, SuspectGroup group) {
+    return other != group || group.size() > 1;
+  }
+
   /**
    * Returns whether no suspect of another run that was in flight at a crash was so at another
    * crash, as all instances must have reported by now.
    */
-  private boolean singlesOut(CrashRecord crash, Fingerprint suspect, long nowMillis) {
+  private boolean singlesOut(CrashRecord crash, SuspectGroup group, long nowMillis) {
     if (nowMillis - crash.atMillis() < rule.reportMillis()) {
       return false;
     }
     return table.inFlightAt(crash.crashId()).stream()
-        .filter(other -> !other.equals(suspect) && !crash.companions().contains(other))
-        .filter(other -> !companions(other, crash).contains(suspect))
+        .filter(other -> isAnother(other, group) && !other.wasInAllRunsOf(crash))
+        .filter(other -> !group.wasInAllRunsOf(other.evidence().crashes().get(crash.crashId())))
         .noneMatch(other -> countedCrashes(other, nowMillis).size() > 1);
   }
-
-  private ImmutableSet<Fingerprint> companions(Fingerprint suspect, CrashRecord crash) {
-    return table.get(suspect).crashes().get(crash.crashId()).companions();
-  }
 }
--- a/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
@@ -70,8 +70,13 @@
         undecidedTrials);
   }
 
-  CrashEvidence withUndecidedTrials(UndecidedTrials trials) {
-    return new CrashEvidence(crashes, trials);
+  /** Returns this evidence after a trial that proved nothing. */
+  CrashEvidence withUndecidedTrial(boolean wasMisdirected, long nowMillis) {
+    return new CrashEvidence(
+        crashes,
+        wasMisdirected
+            ? undecidedTrials.plusMisdirected(nowMillis)
+            : undecidedTrials.plusOne(nowMillis));
   }
 
   CrashEvidence mergeWith(CrashEvidence other) {
