--- a/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashRecord.java
@@ -1,11 +1,11 @@
 package org.tanagerbank.quarantine;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.common.collect.Ordering;
+import java.util.Collection;
 import java.util.Map;
 import java.util.stream.Stream;
-import org.tanagerbank.request.Fingerprint;
 
 /**
  * One crash of an upstream at which runs of a suspect were in flight.
@@ -21,7 +21,8 @@
  * @param conditions the conditions of the run
  * @param completions the number of runs with the same prompt that are known to have completed since
  *     the crash, by the hash of their software; at least as many did
- * @param companions the parts of prompts that each of these runs had besides the suspect
+ * @param runs the ids of the lost runs that had the suspect, of many the {@link #MAX_RUNS} lowest;
+ *     empty if they are not known
  */
 public record CrashRecord(
     String crashId,
@@ -30,14 +31,17 @@
     long atMillis,
     RunConditions conditions,
     ImmutableMap<Integer, Integer> completions,
-    ImmutableSet<Fingerprint> companions) {
+    ImmutableSortedSet<Integer> runs) {
+  /** More runs than an upstream has in flight. All processes keep the same ones of more. */
+  static final int MAX_RUNS = 256;
+
   /** Creates the record of a crash after which no run is known to have completed. */
   public CrashRecord(
       String crashId, int depth, boolean isIsolated, long atMillis, RunConditions conditions) {
     this(crashId, depth, isIsolated, atMillis, conditions, ImmutableMap.of());
   }
 
-  /** Creates the record of a crash under runs that have no part in common. */
+  /** Creates the record of a crash under runs that are not known. */
   public CrashRecord(
       String crashId,
       int depth,
@@ -45,12 +49,33 @@
       long atMillis,
       RunConditions conditions,
       ImmutableMap<Integer, Integer> completions) {
-    this(crashId, depth, isIsolated, atMillis, conditions, completions, ImmutableSet.of());
+    this(crashId, depth, isIsolated, atMillis, conditions, completions, ImmutableSortedSet.of());
+  }
+
+  /** Returns this record of the given lost runs. */
+  public CrashRecord withRuns(Collection<Integer> lost) {
+    return new CrashRecord(
+        crashId, depth, isIsolated, atMillis, conditions, completions, lowest(lost.stream()));
+  }
+
+  private static ImmutableSortedSet<Integer> lowest(Stream<Integer> runs) {
+    return runs.sorted()
+        .distinct()
+        .limit(MAX_RUNS)
+        .collect(ImmutableSortedSet.toImmutableSortedSet(Ordering.natural()));
+  }
+
+  /**
+   * Returns whether each lost run with the suspect of this record also had the suspect of another
+   * one, as far as the runs are known.
+   */
+  boolean isWithin(CrashRecord other) {
+    return !runs.isEmpty() && !other.runs.isEmpty() && runs.stream().allMatch(other::mayHave);
   }
 
-  /** Returns this record of runs that all had the given parts of prompts. */
-  public CrashRecord withCompanions(ImmutableSet<Fingerprint> parts) {
-    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, completions, parts);
+  /** Returns whether a run had the suspect, or would not be listed because there are too many. */
+  private boolean mayHave(int run) {
+    return runs.contains(run) || (runs.size() == MAX_RUNS && run > runs.last());
   }
 
   /** Merges two observations of the same crash; the order does not matter. */
@@ -64,16 +89,16 @@
         Stream.concat(completions.entrySet().stream(), other.completions.entrySet().stream())
             .collect(
                 ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, Math::max)),
-        Sets.intersection(companions, other.companions).immutableCopy());
+        runs.equals(other.runs) ? runs : lowest(Stream.concat(runs.stream(), other.runs.stream())));
   }
 
   CrashRecord shiftBy(long millis) {
     return new CrashRecord(
-        crashId, depth, isIsolated, atMillis + millis, conditions, completions, companions);
+        crashId, depth, isIsolated, atMillis + millis, conditions, completions, runs);
   }
 
   CrashRecord withoutIsolation() {
-    return new CrashRecord(crashId, depth, false, atMillis, conditions, completions, companions);
+    return new CrashRecord(crashId, depth, false, atMillis, conditions, completions, runs);
   }
 
   /** Returns the number of runs that are known to have completed since, with the given software. */
@@ -106,6 +131,6 @@
             .putAll(completions)
             .put(software, known + 1)
             .buildKeepingLast();
-    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, counted, companions);
+    return new CrashRecord(crashId, depth, isIsolated, atMillis, conditions, counted, runs);
   }
 }
--- a/src/main/java/org/tanagerbank/quarantine/Quarantine.java
+++ b/src/main/java/org/tanagerbank/quarantine/Quarantine.java
@@ -1,13 +1,18 @@
 package org.tanagerbank.quarantine;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.tanagerbank.request.Fingerprint;
 
 /**
@@ -33,7 +38,6 @@
   /** How long a fingerprint remains a suspect after its last crash unless it runs to its end. */
   public static final long SUSPICION_MILLIS = 3_600_000;
 
-  private static final int MAX_QUARANTINED = 10_000;
   private static final int MAX_CRASH_IDS = 10_000;
 
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 1_000;
@@ -41,7 +45,7 @@
   private final QuarantineRule rule;
   private final SuspectTable suspects = new SuspectTable();
   private final Blame blame;
-  private final Map<Fingerprint, Long> expiryMillisByFingerprint = new HashMap<>();
+  private final RecordedQuarantines recorded = new RecordedQuarantines();
   private final Set<String> seenCrashIds = new LinkedHashSet<>();
 
   private long nextExpiryCheckMillis = Long.MIN_VALUE;
@@ -76,17 +80,16 @@
   private Optional<QuarantineRecord> recordCrash(
       Fingerprint fingerprint, CrashReport crash, long nowMillis) {
     int depth = depth(fingerprint, nowMillis) + 1;
-    recordLostRun(
-        fingerprint,
+    CrashRecord lostRun =
         new CrashRecord(
             crash.crashId(),
             depth,
             crash.hasSingleFingerprint(),
             crash.atMillis(),
-            RunConditions.UNKNOWN),
-        nowMillis);
-    if (blame.status(fingerprint, ImmutableSet.of(fingerprint), nowMillis)
-        != QuarantineStatus.QUARANTINED) {
+            RunConditions.UNKNOWN);
+    ImmutableSet<Fingerprint> alone = ImmutableSet.of(fingerprint);
+    recordLostRun(alone, lostRun, nowMillis);
+    if (blamed(fingerprint, alone, nowMillis) != QuarantineStatus.QUARANTINED) {
       return Optional.empty();
     }
     long lastCrashAtMillis = suspects.remove(fingerprint).lastCrashMillis();
@@ -95,27 +98,33 @@
     return merge(newQuarantine, nowMillis) ? Optional.of(newQuarantine) : Optional.empty();
   }
 
-  /** Records that a run was lost in a crash of its upstream, and returns whether that is new. */
-  public synchronized boolean recordLostRun(
-      Fingerprint fingerprint, CrashRecord crash, long nowMillis) {
-    return mergeEvidence(fingerprint, CrashEvidence.NONE.plus(crash), nowMillis);
+  /**
+   * Records that a run was lost in a crash of its upstream.
+   *
+   * @param inRun suspects of the run to which the record of the crash applies alike
+   * @return those for which that is new
+   */
+  public ImmutableList<Fingerprint> recordLostRun(
+      Collection<Fingerprint> inRun, CrashRecord crash, long nowMillis) {
+    return mergeEvidence(inRun, CrashEvidence.NONE.plus(crash), nowMillis);
   }
 
   /**
-   * Merges what another instance knows of a fingerprint, and returns whether anything is new.
+   * Merges what another instance knows of some fingerprints, and returns those for which anything
+   * is new.
    *
-   * @param received the evidence, with times of the clock of {@code nowMillis}
+   * @param received the evidence on each of them, with times of the clock of {@code nowMillis}
    */
-  public synchronized boolean mergeEvidence(
-      Fingerprint fingerprint, CrashEvidence received, long nowMillis) {
+  public synchronized ImmutableList<Fingerprint> mergeEvidence(
+      Collection<Fingerprint> fingerprints, CrashEvidence received, long nowMillis) {
     removeExpired(nowMillis);
-    CrashEvidence known = suspects.get(fingerprint);
-    CrashEvidence merged = known.mergeWith(received);
-    if (merged.equals(known) || nowMillis - merged.lastCrashMillis() > SUSPICION_MILLIS) {
-      return false;
-    }
-    put(fingerprint, merged, nowMillis);
-    return true;
+    return update(
+        fingerprints,
+        known -> {
+          CrashEvidence merged = known.mergeWith(received);
+          return nowMillis - merged.lastCrashMillis() > SUSPICION_MILLIS ? known : merged;
+        },
+        nowMillis);
   }
 
   /**
@@ -123,24 +132,26 @@
    * whether a crash counted against it.
    */
   public boolean recordCompletion(Fingerprint fingerprint, long nowMillis) {
-    return recordCompletion(fingerprint, () -> RunConditions.UNKNOWN, nowMillis);
+    ImmutableSet<Fingerprint> alone = ImmutableSet.of(fingerprint);
+    return !recordCompletion(alone, () -> RunConditions.UNKNOWN, nowMillis).isEmpty();
   }
 
   /**
-   * Records that a request ran to its end without a crash, and returns whether that is new evidence
-   * about a crash that counted against it.
+   * Records that a request ran to its end without a crash, and returns the suspects for which that
+   * is new evidence about a crash that counted against them.
    *
+   * @param inRun suspects of the run to which the same conditions apply
    * @param conditions returns the conditions of the run; called only if a crash counts
    */
-  public synchronized boolean recordCompletion(
-      Fingerprint fingerprint, Supplier<RunConditions> conditions, long nowMillis) {
-    if (countedCrashes(fingerprint, nowMillis).isEmpty()) {
-      return false;
-    }
-    CrashEvidence before = suspects.get(fingerprint);
-    CrashEvidence after = before.plusCompletion(conditions.get(), rule.forgivingCompletions());
-    put(fingerprint, after, nowMillis);
-    return !after.equals(before);
+  public synchronized ImmutableList<Fingerprint> recordCompletion(
+      Collection<Fingerprint> inRun, Supplier<RunConditions> conditions, long nowMillis) {
+    return update(
+        suspects.groupsOf(inRun).values(),
+        known ->
+            blame.countedCrashes(known, nowMillis).isEmpty()
+                ? known
+                : known.plusCompletion(conditions.get(), rule.forgivingCompletions()),
+        nowMillis);
   }
 
   /**
@@ -150,15 +161,9 @@
    */
   public synchronized void recordUndecidedTrial(
       Fingerprint fingerprint, boolean wasMisdirected, long nowMillis) {
-    if (!suspects.contains(fingerprint)) {
-      return;
-    }
-    CrashEvidence known = suspects.get(fingerprint);
-    UndecidedTrials trials = known.undecidedTrials();
-    put(
-        fingerprint,
-        known.withUndecidedTrials(
-            wasMisdirected ? trials.plusMisdirected(nowMillis) : trials.plusOne(nowMillis)),
+    update(
+        suspects.groupsOf(ImmutableSet.of(fingerprint)).values(),
+        known -> known.withUndecidedTrial(wasMisdirected, nowMillis),
         nowMillis);
   }
 
@@ -174,17 +179,7 @@
    */
   public synchronized boolean merge(QuarantineRecord received, long nowMillis) {
     removeExpired(nowMillis);
-    // If the clock of the sender is ahead, the record must not last longer than a local one.
-    long newExpiry = Math.min(received.expiresAtMillis(), nowMillis + QUARANTINE_MILLIS);
-    Optional<Long> knownExpiry = recordedExpiry(received.fingerprint(), nowMillis);
-    if (newExpiry <= Math.max(nowMillis, knownExpiry.orElse(nowMillis))) {
-      return false;
-    }
-    if (knownExpiry.isEmpty() && expiryMillisByFingerprint.size() >= MAX_QUARANTINED) {
-      dropEarliestExpiry();
-    }
-    expiryMillisByFingerprint.put(received.fingerprint(), newExpiry);
-    return knownExpiry.isEmpty();
+    return recorded.merge(received, nowMillis);
   }
 
   /** Returns how requests may run that have a fingerprint and no other suspect. */
@@ -199,17 +194,60 @@
    */
   public synchronized QuarantineStatus status(
       Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
-    return recordedExpiry(suspect, nowMillis).isPresent()
+    return recorded.expiryMillis(suspect, nowMillis).isPresent()
         ? QuarantineStatus.QUARANTINED
-        : blame.status(suspect, ofRequest, nowMillis);
+        : blamed(suspect, ofRequest, nowMillis);
   }
 
-  private ImmutableList<CrashRecord> countedCrashes(Fingerprint fingerprint, long nowMillis) {
-    return blame.countedCrashes(fingerprint, nowMillis);
+  private QuarantineStatus blamed(
+      Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
+    return suspects
+        .group(suspect)
+        .map(g -> blame.status(g, suspects.groupsOf(ofRequest), nowMillis))
+        .orElse(QuarantineStatus.CLEAR);
   }
 
-  private int countedCrashCount(Fingerprint fingerprint, long nowMillis) {
-    return countedCrashes(fingerprint, nowMillis).size();
+  /**
+   * Returns the suspects of a request that are not clear, and how it may run because of each.
+   *
+   * @param ofRequest the fingerprints of the request and of the parts of its prompt
+   */
+  public synchronized ImmutableMap<Fingerprint, QuarantineStatus> statuses(
+      ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
+    ImmutableListMultimap<SuspectGroup, Fingerprint> groups = suspects.groupsOf(ofRequest);
+    return bySuspect(
+        groups, g -> blame.status(g, groups, nowMillis), s -> s != QuarantineStatus.CLEAR);
+  }
+
+  /**
+   * Returns the suspects of some that are not clear for a request with no other suspect, and how
+   * such a request may run.
+   */
+  public synchronized ImmutableMap<Fingerprint, QuarantineStatus> statusesAlone(
+      Collection<Fingerprint> fingerprints, long nowMillis) {
+    return bySuspect(
+        suspects.groupsOf(fingerprints),
+        g -> blame.statusAlone(g, nowMillis),
+        s -> s != QuarantineStatus.CLEAR);
+  }
+
+  /** Returns what is true of each suspect in some groups, without what is not of interest. */
+  private static <T> ImmutableMap<Fingerprint, T> bySuspect(
+      ImmutableListMultimap<SuspectGroup, Fingerprint> groups,
+      Function<SuspectGroup, T> property,
+      Predicate<T> isOfInterest) {
+    ImmutableMap.Builder<Fingerprint, T> properties = ImmutableMap.builder();
+    for (SuspectGroup group : groups.keySet()) {
+      T value = property.apply(group);
+      if (isOfInterest.test(value)) {
+        groups.get(group).forEach(s -> properties.put(s, value));
+      }
+    }
+    return properties.buildKeepingLast();
+  }
+
+  private ImmutableList<CrashRecord> countedCrashes(Fingerprint fingerprint, long nowMillis) {
+    return blame.countedCrashes(suspects.get(fingerprint), nowMillis);
   }
 
   /** Returns whether no crash counts against a fingerprint here, but some do in other evidence. */
@@ -222,12 +260,14 @@
   }
 
   /**
-   * Returns whether a fingerprint is known to be harmless to upstreams with the given software: no
-   * crash of such an upstream counts against it, and enough runs completed there since the crashes
-   * that count.
+   * Returns whether some fingerprints are known to be harmless to upstreams with the given
+   * software: no crash of such an upstream counts against any, and enough runs completed there
+   * since the crashes that count.
    */
-  public synchronized boolean isHarmlessTo(int software, Fingerprint fingerprint, long nowMillis) {
-    return countedCrashes(fingerprint, nowMillis).stream()
+  public synchronized boolean areHarmlessTo(
+      int software, Collection<Fingerprint> fingerprints, long nowMillis) {
+    return suspects.groupsOf(fingerprints).keySet().stream()
+        .flatMap(g -> blame.countedCrashes(g, nowMillis).stream())
         .allMatch(
             c ->
                 c.conditions().software() != software
@@ -247,12 +287,23 @@
    * when the one before was known.
    */
   public synchronized int depth(Fingerprint fingerprint, long nowMillis) {
-    return countedCrashes(fingerprint, nowMillis).stream()
+    return depth(suspects.get(fingerprint), nowMillis);
+  }
+
+  private int depth(CrashEvidence evidence, long nowMillis) {
+    return blame.countedCrashes(evidence, nowMillis).stream()
         .mapToInt(CrashRecord::depth)
         .max()
         .orElse(0);
   }
 
+  /** Returns the {@linkplain #depth depths} of some fingerprints, without those of 0. */
+  public synchronized ImmutableMap<Fingerprint, Integer> depths(
+      Collection<Fingerprint> fingerprints, long nowMillis) {
+    return bySuspect(
+        suspects.groupsOf(fingerprints), g -> depth(g.evidence(), nowMillis), d -> d > 0);
+  }
+
   /**
    * Returns when the quarantine of a fingerprint ends, in milliseconds, or empty if there is none.
    */
@@ -268,25 +319,17 @@
    */
   public synchronized Optional<Long> expiryMillis(
       Fingerprint suspect, ImmutableSet<Fingerprint> ofRequest, long nowMillis) {
-    Optional<Long> recorded = recordedExpiry(suspect, nowMillis);
-    if (recorded.isPresent()
-        || blame.status(suspect, ofRequest, nowMillis) != QuarantineStatus.QUARANTINED) {
-      return recorded;
+    Optional<Long> known = recorded.expiryMillis(suspect, nowMillis);
+    if (known.isPresent()
+        || blamed(suspect, ofRequest, nowMillis) != QuarantineStatus.QUARANTINED) {
+      return known;
     }
     return Optional.of(suspects.get(suspect).lastCrashMillis() + SUSPICION_MILLIS);
   }
 
-  private Optional<Long> recordedExpiry(Fingerprint fingerprint, long nowMillis) {
-    return Optional.ofNullable(expiryMillisByFingerprint.get(fingerprint))
-        .filter(untilMillis -> nowMillis < untilMillis);
-  }
-
   /** Returns all quarantines in force, to be sent on a link that was just opened. */
   public synchronized ImmutableList<QuarantineRecord> activeRecords(long nowMillis) {
-    return expiryMillisByFingerprint.entrySet().stream()
-        .filter(e -> nowMillis < e.getValue())
-        .map(e -> new QuarantineRecord(e.getKey(), e.getValue()))
-        .collect(ImmutableList.toImmutableList());
+    return recorded.active(nowMillis);
   }
 
   /** Returns what is known of the crashes of a fingerprint, or empty if nothing is. */
@@ -306,25 +349,26 @@
 
   /** Returns the suspects against which at least the given number of crashes counts. */
   synchronized ImmutableList<Fingerprint> suspects(int minCrashes, long nowMillis) {
-    return suspects.entries().stream()
-        .filter(e -> e.getValue().crashes().size() >= minCrashes)
-        .map(Map.Entry::getKey)
-        .filter(f -> countedCrashCount(f, nowMillis) >= minCrashes)
+    return groups(minCrashes, nowMillis)
+        .flatMap(g -> g.members().stream())
         .collect(ImmutableList.toImmutableList());
   }
 
+  private Stream<SuspectGroup> groups(int minCrashes, long nowMillis) {
+    return suspects.groups().stream()
+        .filter(g -> g.evidence().crashes().size() >= minCrashes)
+        .filter(g -> blame.countedCrashes(g, nowMillis).size() >= minCrashes);
+  }
+
   /**
    * Returns the suspects for which requests like those that were lost may run only in trials, or
    * not at all.
    */
   public synchronized ImmutableList<Fingerprint> restricted(long nowMillis) {
-    return suspects(2, nowMillis).stream()
+    return groups(2, nowMillis)
         .filter(
-            f ->
-                blame
-                        .status(f, blame.suspectsOfLostRuns(f), nowMillis)
-                        .compareTo(QuarantineStatus.TRIAL_ONLY)
-                    >= 0)
+            g -> blame.statusOfLostRuns(g, nowMillis).compareTo(QuarantineStatus.TRIAL_ONLY) >= 0)
+        .flatMap(g -> g.members().stream())
         .collect(ImmutableList.toImmutableList());
   }
 
@@ -338,19 +382,13 @@
       return;
     }
     nextExpiryCheckMillis = nowMillis + EXPIRY_CHECK_INTERVAL_MILLIS;
-    expiryMillisByFingerprint.values().removeIf(untilMillis -> untilMillis <= nowMillis);
+    recorded.removeExpired(nowMillis);
     suspects.removeOlderThan(nowMillis - SUSPICION_MILLIS);
   }
 
-  private void put(Fingerprint suspect, CrashEvidence updated, long nowMillis) {
-    suspects.put(suspect, updated, f -> countedCrashCount(f, nowMillis));
-  }
-
-  private void dropEarliestExpiry() {
-    expiryMillisByFingerprint.entrySet().stream()
-        .min(Map.Entry.comparingByValue())
-        .map(Map.Entry::getKey)
-        .ifPresent(expiryMillisByFingerprint::remove);
+  private ImmutableList<Fingerprint> update(
+      Collection<Fingerprint> changed, UnaryOperator<CrashEvidence> change, long nowMillis) {
+    return suspects.update(changed, change, e -> blame.countedCrashes(e, nowMillis).size());
   }
 
   private static <T> void dropOldestIfFull(Set<T> entries, int limit) {
--- a/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
@@ -4,10 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.tanagerbank.request.Fingerprint;
 
 /**
@@ -20,21 +23,28 @@
  */
 public final class SuspectNews {
   private static final int MESSAGES_PER_CHANGE = 3;
-  private static final int MAX_CHANGES_PER_MESSAGE = 40;
 
-  /** Bounds the bytes of the changes in a message, which the number of crashes decides. */
+  /** Bounds the bytes of the changes in a message: those of the suspects' fingerprints. */
+  private static final int MAX_CHANGES_PER_MESSAGE = 400;
+
+  /** Bounds the bytes of the changes in a message: those of the crashes that suspects share. */
   private static final int MAX_CRASHES_PER_MESSAGE = 100;
 
-  private static final int REPEATED_PER_MESSAGE = 4;
+  /** The ids of so many lost runs take the bytes of a crash. */
+  private static final int RUNS_OF_A_CRASH = 16;
+
+  private static final int REPEATED_PER_MESSAGE = 100;
+  private static final int REPEATED_CRASHES_PER_MESSAGE = 30;
   private static final long REPEAT_INTERVAL_MILLIS = 250;
 
   /** The oldest changes are dropped beyond this number. */
-  private static final int MAX_PENDING = 4_000;
+  private static final int MAX_PENDING = SuspectTable.MAX_SUSPECTS;
 
   /** The number of messages that contained each change, in the order of the changes. */
   private final Map<Fingerprint, Integer> sentCounts = new LinkedHashMap<>();
 
-  private int nextRepeated;
+  private int nextOfSeveralCrashes;
+  private int nextOfAll;
   private long repeatedAtMillis = Long.MIN_VALUE / 2;
 
   /** Adds a suspect whose evidence has changed. */
@@ -57,32 +67,58 @@
     batch.addAll(nextChanges(quarantine));
     if (nowMillis - repeatedAtMillis >= REPEAT_INTERVAL_MILLIS) {
       repeatedAtMillis = nowMillis;
-      batch.addAll(inTurn(quarantine.suspects(2, nowMillis), nextRepeated));
-      batch.addAll(inTurn(quarantine.suspects(1, nowMillis), nextRepeated));
-      nextRepeated += REPEATED_PER_MESSAGE;
+      ImmutableList<Fingerprint> several =
+          inTurn(quarantine, quarantine.suspects(2, nowMillis), nextOfSeveralCrashes);
+      ImmutableList<Fingerprint> any =
+          inTurn(quarantine, quarantine.suspects(1, nowMillis), nextOfAll);
+      nextOfSeveralCrashes += several.size();
+      nextOfAll += any.size();
+      batch.addAll(several).addAll(any);
     }
     return batch.build();
   }
 
   private ImmutableList<Fingerprint> nextChanges(Quarantine quarantine) {
-    int[] crashes = {0};
-    ImmutableList<Fingerprint> changed =
+    Stream<Fingerprint> pending =
         sentCounts.entrySet().stream()
             .sorted(Map.Entry.comparingByValue())
             .map(Map.Entry::getKey)
-            .sorted(Comparator.comparing(f -> !quarantine.hasSeveralCrashes(f)))
-            .limit(MAX_CHANGES_PER_MESSAGE)
-            .takeWhile(f -> (crashes[0] += quarantine.crashCount(f)) <= MAX_CRASHES_PER_MESSAGE)
-            .collect(toImmutableList());
+            .sorted(Comparator.comparing(f -> !quarantine.hasSeveralCrashes(f)));
+    ImmutableList<Fingerprint> changed =
+        fitting(quarantine, pending, MAX_CHANGES_PER_MESSAGE, MAX_CRASHES_PER_MESSAGE);
     changed.forEach(f -> sentCounts.merge(f, 1, Integer::sum));
     sentCounts.values().removeIf(n -> n >= MESSAGES_PER_CHANGE);
     return changed;
   }
 
-  private static ImmutableList<Fingerprint> inTurn(
-      ImmutableList<Fingerprint> suspects, int firstIndex) {
-    return IntStream.range(0, Math.min(REPEATED_PER_MESSAGE, suspects.size()))
-        .mapToObj(i -> suspects.get(Math.floorMod(firstIndex + i, suspects.size())))
+  /** Returns the first of some suspects, with a bounded number of different crashes in all. */
+  private static ImmutableList<Fingerprint> fitting(
+      Quarantine quarantine, Stream<Fingerprint> suspects, int maxSuspects, int maxCrashes) {
+    Set<CrashEvidence> told = Sets.newIdentityHashSet();
+    int[] crashes = {0};
+    return suspects
+        .limit(maxSuspects)
+        .takeWhile(
+            f -> {
+              CrashEvidence evidence = quarantine.evidence(f).orElse(CrashEvidence.NONE);
+              crashes[0] += told.add(evidence) ? weight(evidence) : 0;
+              return crashes[0] <= maxCrashes;
+            })
         .collect(toImmutableList());
   }
+
+  /** Returns the number of crashes whose bytes some evidence takes. */
+  private static int weight(CrashEvidence evidence) {
+    return evidence.crashes().values().stream()
+        .mapToInt(c -> 1 + c.runs().size() / RUNS_OF_A_CRASH)
+        .sum();
+  }
+
+  private static ImmutableList<Fingerprint> inTurn(
+      Quarantine quarantine, ImmutableList<Fingerprint> suspects, int firstIndex) {
+    Stream<Fingerprint> fromFirst =
+        IntStream.range(0, suspects.size())
+            .mapToObj(i -> suspects.get(Math.floorMod(firstIndex + i, suspects.size())));
+    return fitting(quarantine, fromFirst, REPEATED_PER_MESSAGE, REPEATED_CRASHES_PER_MESSAGE);
+  }
 }
--- a/src/test/java/org/tanagerbank/dispatch/DeadlyPartTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/DeadlyPartTest.java
@@ -4,7 +4,11 @@
 import static org.tanagerbank.dispatch.PartScenario.DEADLY;
 import static org.tanagerbank.dispatch.PartScenario.FIRST;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,6 +34,29 @@
     scenario.assertSoundServed(DEADLY);
   }
 
+  /** Guards against a part that is never blamed because of the number of others (review/13). */
+  @ParameterizedTest
+  @CsvSource({"2, 70, 70", "4, 300, 150", "4, 2000, 2000", "4, 2000, 5", "40, 300, 299"})
+  void partAmongManyOthersIsStoppedAndSoundRequestsThatShareThoseAreServed(
+      int gateways, int others, int place) {
+    long[] shared = LongStream.range(0x400, 0x400 + others).toArray();
+    long[] before = Arrays.copyOfRange(shared, 0, place);
+    long[] after = Arrays.copyOfRange(shared, place, others);
+    PartScenario scenario =
+        new PartScenario(gateways, UPSTREAMS)
+            .deadly(i -> longPrompt(before, new long[] {DEADLY}, after, 0x10_0000 + i))
+            .sound(i -> longPrompt(before, new long[0], after, 0x30_0000 + i))
+            .play(DAY_MILLIS);
+    scenario.assertStopped(DEADLY);
+    scenario.assertSoundServed(DEADLY);
+  }
+
+  /** Returns a prompt of many short parts, with one part of its own at the end. */
+  private static SimulatedPrompt longPrompt(long[] before, long[] between, long[] after, long own) {
+    long[] parts = Longs.concat(before, between, after, new long[] {own});
+    return new SimulatedPrompt("m", ImmutableList.copyOf(Longs.asList(parts)), 1);
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {4, 40})
   void firstPartIsStoppedAndSoundRequestsThatShareTheSecondAreServed(int gateways) {
--- a/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
@@ -218,16 +218,11 @@
                                 c ->
                                     new CrashRecord(
                                             "i-7f3a91c2" + c, 1, false, -10, RunConditions.UNKNOWN)
-                                        .withCompanions(without(all, suspect)))
+                                        .withRuns(ImmutableSet.of(c, -c - 1)))
                             .collect(ImmutableList.toImmutableList()))))
         .collect(ImmutableList.toImmutableList());
   }
 
-  private static ImmutableSet<Fingerprint> without(
-      ImmutableSet<Fingerprint> all, Fingerprint suspect) {
-    return all.stream().filter(f -> !f.equals(suspect)).collect(ImmutableSet.toImmutableSet());
-  }
-
   @Test
   void suspectsOfLongPromptsReachOthersWithTheirEvidence() {
     ImmutableList<SuspectRecord> told = suspects(7, 3);
--- a/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerStateExchangeTest.java
@@ -10,7 +10,6 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Iterables;
-import com.google.common.collect.Sets;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -136,10 +135,10 @@
         .collect(toImmutableSet());
   }
 
-  private static SuspectRecord suspect(Fingerprint fingerprint, ImmutableSet<Fingerprint> parts) {
+  private static SuspectRecord suspect(Fingerprint fingerprint, int lostRuns) {
     CrashRecord crash =
         new CrashRecord("c1", 1, false, -50, new RunConditions(-7, 8), ImmutableMap.of(-7, 1, 9, 2))
-            .withCompanions(Sets.difference(parts, ImmutableSet.of(fingerprint)).immutableCopy());
+            .withRuns(IntStream.range(-1, lostRuns).boxed().toList());
     return new SuspectRecord(
         fingerprint,
         CrashEvidence.of(
@@ -147,7 +146,7 @@
             new UndecidedTrials(2, -90)));
   }
 
-  private static DigestNews news(int placements, int suspects) {
+  private static DigestNews news(int placements, int suspects, int lostRuns) {
     ImmutableSet<Fingerprint> parts = parts(1, suspects);
     return new DigestNews(
         LongStream.rangeClosed(1, placements)
@@ -155,7 +154,7 @@
             .collect(toImmutableList()),
         ImmutableList.of(address("b", 6)),
         Stream.concat(parts.stream(), Stream.of(new Fingerprint(9)))
-            .map(f -> suspect(f, parts))
+            .map(f -> suspect(f, f.value() % 2 == 0 ? lostRuns : 0))
             .collect(toImmutableList()),
         ImmutableList.of(
             new CachedParts("i-2", ImmutableList.of(new PromptPart(3, 4), new PromptPart(-5, 6)))));
@@ -181,9 +180,10 @@
   void datagramsOfADigestAreSmallAndHoldAllOfIt(
       @ForAll @IntRange(max = 300) int upstreams,
       @ForAll @IntRange(max = 60) int placements,
-      @ForAll @IntRange(max = 64) int suspects)
+      @ForAll @IntRange(max = 2_500) int suspects,
+      @ForAll @IntRange(max = 300) int lostRuns)
       throws InvalidProtocolBufferException {
-    PeerDigest digest = digest(upstreams, news(placements, suspects));
+    PeerDigest digest = digest(upstreams, news(placements, suspects, lostRuns));
     ImmutableSortedMap<String, Integer> inFlight = ImmutableSortedMap.of("i-2x", 7);
     List<PeerPlacement> heardPlacements = new ArrayList<>();
     Map<Fingerprint, CrashEvidence> heardSuspects = new HashMap<>();
--- a/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/tanagerbank/platform/PlatformHeaderCodecTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
@@ -131,6 +132,32 @@
     assertThat(headerCodec.prompt(headers())).isEmpty();
   }
 
+  private long partId(String digits) {
+    return headerCodec
+        .prompt(headers("Token-Counts", "1,2", "Prompt-Prefix", digits + ":800"))
+        .orElseThrow()
+        .parts()
+        .get(0)
+        .id();
+  }
+
+  /**
+   * Guards against a prompt that is passed over because of the length of an id, so that nothing
+   * keeps its parts from upstreams that they crash, and against two ids that are taken for one.
+   */
+  @Test
+  void idsOfAnyLengthAreRead() {
+    String id = "0123456789abcdef0123456789abcdef";
+    assertThat(partId(id)).isNotEqualTo(partId("1" + id));
+    assertThat(partId(id)).isNotEqualTo(partId(id + "0"));
+    assertThat(partId(id)).isNotEqualTo(partId(id.substring(16)));
+    assertThat(partId(id)).isEqualTo(partId(id.toUpperCase(Locale.ROOT)));
+    assertThat(partId("0".repeat(20) + "5c1e07a2")).isEqualTo(0x5c1e07a2L);
+    assertThat(partId("0".repeat(20))).isEqualTo(0);
+    assertThat(headerCodec.prompt(headers("Token-Counts", "1,2", "Prompt-Prefix", id + "z:800")))
+        .isEmpty();
+  }
+
   @Test
   void keyRequiresBearerScheme() {
     assertThat(headerCodec.key(headers("Authorization", "Bearer abc"))).hasValue("abc");
--- a/src/test/java/org/tanagerbank/quarantine/BlameTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/BlameTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
 import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.request.Fingerprint;
@@ -21,21 +20,23 @@
 
   private final Quarantine quarantine = new Quarantine(QuarantineRule.SHARED_ACCESS);
 
+  private int lastRun;
+
   /** Records the crash of an upstream under one run. */
   private void crash(String id, long now, Fingerprint onTrial, Fingerprint... parts) {
-    ImmutableSet<Fingerprint> all = ImmutableSet.copyOf(parts);
+    lastRun++;
     for (Fingerprint part : parts) {
       int depth = quarantine.depth(part, now - 1) + 1;
       CrashRecord record =
           new CrashRecord(id, depth, part.equals(onTrial), now, V1)
-              .withCompanions(Sets.difference(all, ImmutableSet.of(part)).immutableCopy());
-      quarantine.recordLostRun(part, record, now);
+              .withRuns(ImmutableSet.of(lastRun));
+      quarantine.recordLostRun(ImmutableSet.of(part), record, now);
     }
   }
 
   private void complete(Fingerprint part, long now) {
     for (int i = 0; i < SharedAccessRule.FORGIVING_COMPLETIONS; i++) {
-      quarantine.recordCompletion(part, () -> V1, now);
+      quarantine.recordCompletion(ImmutableSet.of(part), () -> V1, now);
     }
   }
 
@@ -117,9 +118,8 @@
     for (int i = 0; i < 4; i++) {
       crash("c" + i, 1_000 * i, null, FIRST, OTHER);
       CrashRecord record =
-          new CrashRecord("c" + i, i + 1, false, 1_000 * i, V1)
-              .withCompanions(ImmutableSet.of(FIRST, OTHER));
-      quarantine.recordLostRun(request, record, 1_000 * i);
+          new CrashRecord("c" + i, i + 1, false, 1_000 * i, V1).withRuns(ImmutableSet.of(lastRun));
+      quarantine.recordLostRun(ImmutableSet.of(request), record, 1_000 * i);
     }
     assertThat(worst(3_500, FIRST, OTHER)).isLessThan(QuarantineStatus.TRIAL_ONLY);
     assertThat(worst(3_500, request, FIRST, OTHER)).isEqualTo(QuarantineStatus.TRIAL_ONLY);
--- a/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/SharedAccessRuleTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.request.Fingerprint;
 
@@ -16,6 +17,7 @@
   private static final RunConditions V1 = new RunConditions(1, 7);
   private static final RunConditions V2 = new RunConditions(2, 7);
   private static final RunConditions OTHER_PROMPT = new RunConditions(1, 8);
+  private static final ImmutableSet<Fingerprint> ONE = ImmutableSet.of(fingerprint(1));
 
   private final Quarantine quarantine = new Quarantine(QuarantineRule.SHARED_ACCESS);
 
@@ -27,14 +29,14 @@
     for (long value : inFlight) {
       int depth = quarantine.depth(fingerprint(value), now - 1) + 1;
       CrashRecord record = new CrashRecord(id, depth, isTrial, now, V1);
-      quarantine.recordLostRun(fingerprint(value), record, now);
+      quarantine.recordLostRun(ImmutableSet.of(fingerprint(value)), record, now);
     }
   }
 
   /** Completes runs of fingerprint 1. */
   private void complete(int runs, RunConditions conditions, long now) {
     for (int i = 0; i < runs; i++) {
-      quarantine.recordCompletion(fingerprint(1), () -> conditions, now);
+      quarantine.recordCompletion(ONE, () -> conditions, now);
     }
   }
 
@@ -78,7 +80,8 @@
   void crashesAtTheSameMomentCountAsOneStep() {
     Fingerprint hot = fingerprint(1);
     for (int upstream = 0; upstream < 6; upstream++) {
-      quarantine.recordLostRun(hot, new CrashRecord("rack" + upstream, 1, false, 10, V1), 10);
+      quarantine.recordLostRun(
+          ImmutableSet.of(hot), new CrashRecord("rack" + upstream, 1, false, 10, V1), 10);
     }
     crash("trial", true, 1_000, 1);
     assertThat(status(1, 1_900)).isEqualTo(QuarantineStatus.TRIAL_ONLY);
@@ -129,7 +132,8 @@
     crash("b", false, 2_000, 1);
     crash("c", false, 3_000, 1);
     crash("d", true, 4_000, 1);
-    quarantine.recordLostRun(fingerprint(2), new CrashRecord("d", 2, false, 4_000, V1), 4_000);
+    quarantine.recordLostRun(
+        ImmutableSet.of(fingerprint(2)), new CrashRecord("d", 2, false, 4_000, V1), 4_000);
     assertThat(status(1, 4_900)).isEqualTo(QuarantineStatus.TRIAL_ONLY);
     crash("e", true, 5_000, 1);
     assertThat(status(1, 5_000)).isEqualTo(QuarantineStatus.QUARANTINED);
@@ -177,7 +181,7 @@
   void anyCompletionsForgiveCrashesOfUnknownConditions() {
     for (String id : ImmutableList.of("a", "b")) {
       CrashRecord crash = new CrashRecord(id, 1, false, 10, RunConditions.UNKNOWN);
-      quarantine.recordLostRun(fingerprint(1), crash, 10);
+      quarantine.recordLostRun(ONE, crash, 10);
     }
     complete(ENOUGH, V2, 40);
     assertThat(status(1, 40)).isEqualTo(QuarantineStatus.CLEAR);
@@ -188,13 +192,13 @@
   void requestIsHarmlessToSoftwareWhereRunsCompletedSinceTheCrashes() {
     complete(ENOUGH, V2, 5);
     crashThreeTimes();
-    assertThat(quarantine.isHarmlessTo(2, fingerprint(1), 40)).isFalse();
+    assertThat(quarantine.areHarmlessTo(2, ONE, 40)).isFalse();
     complete(ENOUGH, V2, 40);
-    assertThat(quarantine.isHarmlessTo(2, fingerprint(1), 40)).isTrue();
-    assertThat(quarantine.isHarmlessTo(1, fingerprint(1), 40)).isFalse();
-    assertThat(quarantine.isHarmlessTo(3, fingerprint(1), 40)).isFalse();
-    quarantine.recordLostRun(fingerprint(1), new CrashRecord("d", 4, false, 50, V2), 50);
-    assertThat(quarantine.isHarmlessTo(2, fingerprint(1), 50)).isFalse();
+    assertThat(quarantine.areHarmlessTo(2, ONE, 40)).isTrue();
+    assertThat(quarantine.areHarmlessTo(1, ONE, 40)).isFalse();
+    assertThat(quarantine.areHarmlessTo(3, ONE, 40)).isFalse();
+    quarantine.recordLostRun(ONE, new CrashRecord("d", 4, false, 50, V2), 50);
+    assertThat(quarantine.areHarmlessTo(2, ONE, 50)).isFalse();
   }
 
   @Test
--- a/src/test/java/org/tanagerbank/quarantine/SuspectTableTest.java
+++ b/src/test/java/org/tanagerbank/quarantine/SuspectTableTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.request.Fingerprint;
@@ -36,12 +37,16 @@
   }
 
   private void put(Fingerprint suspect, CrashEvidence evidence) {
-    table.put(
-        suspect,
-        evidence,
-        f -> {
+    put(ImmutableSet.of(suspect), evidence);
+  }
+
+  private void put(ImmutableSet<Fingerprint> suspects, CrashEvidence evidence) {
+    table.update(
+        suspects,
+        unused -> evidence,
+        e -> {
           rankings++;
-          return table.get(f).crashes().size();
+          return e.crashes().size();
         });
   }
 
@@ -66,6 +71,47 @@
     assertThat(table.size()).isEqualTo(SuspectTable.MAX_SUSPECTS);
   }
 
+  /** One crash under a run with a long prompt must not take a step for each pair of parts. */
+  @Test
+  void suspectsOfOneRunAreOneGroup() {
+    ImmutableSet<Fingerprint> parts =
+        IntStream.range(0, 2_000)
+            .mapToObj(SuspectTableTest::suspect)
+            .collect(ImmutableSet.toImmutableSet());
+    put(parts, crashes(1, 100));
+    assertThat(rankings).isEqualTo(1);
+    assertThat(table.inFlightAt("c100-0")).hasSize(1);
+    assertThat(table.group(suspect(7))).isEqualTo(table.group(suspect(1_999)));
+    put(suspect(7), crashes(2, 100));
+    assertThat(table.inFlightAt("c100-0")).hasSize(2);
+    assertThat(table.groupsOf(parts).get(table.group(suspect(7)).orElseThrow()))
+        .containsExactly(suspect(7));
+  }
+
+  @Test
+  void suspectsWithTheSameEvidenceAgainAreOneGroupAgain() {
+    put(ImmutableSet.of(suspect(1), suspect(2)), crashes(1, 100));
+    put(suspect(2), crashes(2, 100));
+    put(suspect(1), crashes(2, 100));
+    assertThat(table.groups()).hasSize(1);
+    assertThat(table.inFlightAt("c100-1")).hasSize(1);
+  }
+
+  /** Suspects of one run that is larger than the rest of the table make room for each other. */
+  @Test
+  void tableStaysWithinItsBoundWhenOneRunHasMoreSuspects() {
+    fill();
+    ImmutableSet<Fingerprint> parts =
+        IntStream.range(20_000, 35_000)
+            .mapToObj(SuspectTableTest::suspect)
+            .collect(ImmutableSet.toImmutableSet());
+    put(parts, crashes(1, 1));
+    assertThat(table.size()).isEqualTo(SuspectTable.MAX_SUSPECTS);
+    assertThat(table.contains(suspect(2))).isTrue();
+    assertThat(table.groups().stream().mapToInt(SuspectGroup::size).sum())
+        .isEqualTo(SuspectTable.MAX_SUSPECTS);
+  }
+
   @Test
   void suspectWithFewestAndOldestCrashesMakesRoom() {
     fill();
