Read the store's history for the versions before a start

Cause: a start forgets which versions there were, and the list of upstreams does not tell of those that came and went before. The store still has their reports, and nobody asked.

Change: when a caller takes up a stream whose beginning neither this gateway nor another one knows, the gateway reads the reports that the store still has, once, and from 1.5 s after its start on, when each surviving gateway was heard. A history counts as far back as it proves itself: all of it if it begins with the first record and the store was never restored, else the reports that follow each other without a gap. A version named there counts as seen just now, so that two versions up to 18 s before still refuse.

Why it works: the store alone outlives all gateways, and what it proves is enough where one version served.

--- a/src/main/java/org/tanagerbank/cli/GatewayCommand.java
+++ b/src/main/java/org/tanagerbank/cli/GatewayCommand.java
@@ -137,6 +137,7 @@
         bounds.configMillis(),
         bounds.evacuationMillis(),
         bounds.drainMillis(),
+        node.upstreamReportMillis(),
         bounds.graceMillis(),
         CACHE_WAIT_MILLIS,
         new DispatchSettings(
--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -56,6 +56,7 @@
   private final Set<RequestExecution> executions = new LinkedHashSet<>();
   private final HeldBytes heldBytes = new HeldBytes();
   private final UpstreamListProof upstreamListProof;
+  private final UpstreamVersions upstreamVersions;
   private boolean upstreamsLoaded;
   private boolean awaitingCaches;
   private LongPredicate admissionCheck = longest -> true;
@@ -76,6 +77,8 @@
     this.waiting = new WaitingRequests(runtime.loop());
     this.crashGuard = new CrashGuard(settings.instanceId(), runtime.clockMillis(), this::runLater);
     this.upstreamListProof = new UpstreamListProof(this::runLater);
+    this.upstreamVersions =
+        new UpstreamVersions(upstreams.versionHistory(), this::runLater, runtime.clockMillis());
     this.survivalCheck = new SurvivalCheck(runtime.clockMillis());
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
@@ -110,16 +113,6 @@
     }
   }
 
-  /** Records a report of an upstream, which may be replaced before the list is updated. */
-  public void recordReport(UpstreamReport report) {
-    upstreams.recordVersion(report);
-  }
-
-  /** Records that reports of upstreams may have been missed since the last ones. */
-  public void recordMissedReports() {
-    upstreams.recordMissedVersions();
-  }
-
   /** Sets the action that reads what upstreams have written to the store since the last read. */
   public void setUpstreamsRefresh(Runnable action) {
     upstreamListProof.setRefresh(action);
@@ -134,6 +127,11 @@
     upstreamListProof.confirm(asOfMillis);
   }
 
+  /** Returns the software versions that upstreams had lately. */
+  public UpstreamVersions upstreamVersions() {
+    return upstreamVersions;
+  }
+
   /** Returns up to which time the list of upstreams is known to be complete. */
   UpstreamListProof upstreamListProof() {
     return upstreamListProof;
--- a/src/main/java/org/tanagerbank/dispatch/StreamTakeUp.java
+++ b/src/main/java/org/tanagerbank/dispatch/StreamTakeUp.java
@@ -53,10 +53,18 @@
     }
   }
 
-  /** The upstream that began the stream had reported before this request came. */
   private void onAnswers(String streamId, Optional<StreamOrigin> told) {
-    if (told.isPresent() || soleOrigin().isEmpty()) {
+    if (told.isPresent()) {
       finish(streamId, told);
+    } else {
+      dispatcher.upstreamVersions().await(() -> onVersionsKnown(streamId));
+    }
+  }
+
+  /** The upstream that began the stream had reported before this request came. */
+  private void onVersionsKnown(String streamId) {
+    if (soleOrigin().isEmpty()) {
+      finish(streamId, Optional.empty());
     } else {
       dispatcher
           .upstreamListProof()
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -151,14 +151,9 @@
     recordReplaced(before);
   }
 
-  /** Records the software version of an upstream that may be gone before the next update. */
-  void recordVersion(UpstreamReport report) {
-    versionHistory.record(ImmutableList.of(report), clockMillis.getAsLong());
-  }
-
-  /** Records that upstreams of unknown versions may have come and gone since the last update. */
-  void recordMissedVersions() {
-    versionHistory.restart(clockMillis.getAsLong());
+  /** Returns which software versions there were lately. */
+  VersionHistory versionHistory() {
+    return versionHistory;
   }
 
   /** Finds the upstreams that have ended, because another process has their address since. */
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -125,6 +125,9 @@
     upstreamFollower = createUpstreamFollower(store);
     dispatcher.setConfigRefresh(this::refreshConfig);
     dispatcher.setUpstreamsRefresh(upstreamFollower::refresh);
+    dispatcher
+        .upstreamVersions()
+        .setReader(new VersionReader(store, settings.upstreamReportMillis())::read);
     peers.serve(CONFIG_TOPIC, configFollower);
     peers.serve(UPSTREAM_TOPIC, upstreamFollower);
     peers.serve(ADOPTED_CONFIG_TOPIC, configHandover);
--- a/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
+++ b/src/main/java/org/tanagerbank/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param configAdoptionMillis the time after which a new configuration must be in force
  * @param evacuationMillis the time after which nothing may be sent to an evacuated zone, if bounded
  * @param upstreamDrainMillis the time after which no request may be sent to an upstream that leaves
+ * @param upstreamReportMillis the time between two reports of an upstream; 0 if it is not known
  * @param graceMillis the longest time that a planned stop may take
  * @param cacheWaitMillis the longest time that requests wait after a restart for the cache state of
  *     engines
@@ -35,6 +36,7 @@
     long configAdoptionMillis,
     OptionalLong evacuationMillis,
     long upstreamDrainMillis,
+    long upstreamReportMillis,
     long graceMillis,
     long cacheWaitMillis,
     DispatchSettings dispatch) {
--- a/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
@@ -47,7 +47,7 @@
   @Override
   public void onSnapshot(ImmutableList<KeyedRecord> records) {
     if (hasSnapshot) {
-      dispatcher.recordMissedReports();
+      dispatcher.upstreamVersions().recordMissedReports();
     }
     hasSnapshot = true;
     Set<String> ids = records.stream().map(KeyedRecord::key).collect(Collectors.toSet());
@@ -69,7 +69,7 @@
         && unreadableKeys.add(keyedRecord.key())) {
       EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", keyedRecord.key());
     }
-    report.ifPresent(dispatcher::recordReport);
+    report.ifPresent(dispatcher.upstreamVersions()::recordReport);
     directory.applyRecord(keyedRecord.key(), report, clockMillis.getAsLong());
   }
 
--- a/src/main/java/org/tanagerbank/platform/NodeSettings.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettings.java
@@ -17,6 +17,8 @@
  * @param readyAddress the address on which the instance answers readiness probes
  * @param storeAddress the address of the platform's metadata store
  * @param firstStart whether the whole system starts for the first time
+ * @param upstreamReportMillis the time in milliseconds between two reports of an upstream; 0 if the
+ *     platform does not name it
  * @param bounds the limits that the platform sets
  * @param regionsByZone the region of each zone that the platform names
  * @param shedsLoad whether requests are refused while a service has too little room
@@ -31,6 +33,7 @@
     InetSocketAddress readyAddress,
     InetSocketAddress storeAddress,
     boolean firstStart,
+    long upstreamReportMillis,
     Limits bounds,
     ImmutableMap<String, String> regionsByZone,
     boolean shedsLoad) {
--- a/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
+++ b/src/main/java/org/tanagerbank/platform/NodeSettingsReader.java
@@ -78,6 +78,8 @@
             address("platform", "addr"),
             // "bootstrap" is true only at the first start of the whole system.
             root.path("bootstrap").asBoolean(),
+            // Upstreams report to the store every "beat-ms".
+            root.path("beat-ms").asLong(),
             bounds(),
             regionsByZone(),
             hasContract(PRESSURE));
--- a/src/main/java/org/tanagerbank/platform/StoreClient.java
+++ b/src/main/java/org/tanagerbank/platform/StoreClient.java
@@ -25,6 +25,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.tanagerbank.platformclient.SocketAddresses;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -54,6 +55,9 @@
   /** Names the era of the store, which begins anew when the store is restored from a copy. */
   private static final String ERA_HEADER = "Store-Era";
 
+  /** The era before the first restore; a store that names none is in era 0. */
+  private static final long FIRST_ERA = 1;
+
   private static final int PAGE_HEADER_BYTES = 2 * Long.BYTES;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -182,6 +186,11 @@
           reply -> callback.accept(page(reply, from)));
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      new HistoryRead(query, receiver).readFrom(0);
+    }
+
     @Override
     public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
       ByteBuf body = RecordCodec.encode(keyed);
@@ -192,6 +201,67 @@
     }
   }
 
+  /**
+   * Reads the records that a topic still has, from the first one on. The oldest may be deleted
+   * meanwhile, so the first one is asked for again a few times.
+   */
+  private final class HistoryRead {
+    private static final int MAX_STARTS = 6;
+
+    /** Bounds the time for which the records of a page keep the event loop. */
+    private static final int MAX_PAGE_KB = 256;
+
+    private final String query;
+    private final HistoryReceiver receiver;
+    private OptionalLong era = OptionalLong.empty();
+    private int starts;
+
+    private HistoryRead(String query, HistoryReceiver receiver) {
+      this.query = query;
+      this.receiver = receiver;
+    }
+
+    private void readFrom(long offset) {
+      String path = "/-/log-read" + query + "&from=" + offset + "&max-kb=" + MAX_PAGE_KB;
+      send(request(HttpMethod.GET, path, Unpooled.EMPTY_BUFFER), 0, reply -> onPage(reply, offset));
+    }
+
+    private void onPage(BufferedResponse reply, long offset) {
+      OptionalLong first = firstOffset(reply);
+      if (first.isPresent() && starts < MAX_STARTS) {
+        starts++;
+        readFrom(first.getAsLong());
+        return;
+      }
+      era = OptionalLong.of(era.orElse(era(reply)));
+      ReadResult result = page(reply, new TopicPosition(era.getAsLong(), offset));
+      if (!(result instanceof Records page)) {
+        receiver.onFailure(result instanceof Unavailable u ? u.reason() : "records were lost");
+        return;
+      }
+      receiver.onPage(page.records());
+      if (page.hasMore()) {
+        readFrom(page.next().offset());
+      } else {
+        // A store that came back from an older copy has lost records without a trace in offsets.
+        receiver.onEnd(/* isWhole= */ starts == 0 && era.getAsLong() <= FIRST_ERA);
+      }
+    }
+
+    /** Returns the first offset that the store has if it no longer has the one asked for. */
+    private OptionalLong firstOffset(BufferedResponse reply) {
+      if (reply.status() != STATUS_GONE) {
+        return OptionalLong.empty();
+      }
+      try {
+        JsonNode first = MAPPER.readTree(reply.body()).path("first");
+        return first.isIntegralNumber() ? OptionalLong.of(first.asLong()) : OptionalLong.empty();
+      } catch (IOException e) {
+        return OptionalLong.empty();
+      }
+    }
+  }
+
   private ReadResult page(BufferedResponse reply, TopicPosition from) {
     if (reply.status() != STATUS_OK && reply.status() != STATUS_GONE) {
       return unavailable(reply);
--- a/src/main/java/org/tanagerbank/store/KeyedTopic.java
+++ b/src/main/java/org/tanagerbank/store/KeyedTopic.java
@@ -5,7 +5,8 @@
 /**
  * A topic of keyed records on the platform's store.
  *
- * <p>Each method calls its callback once, on the event loop of the client of the store.
+ * <p>Each method calls its callback once, on the event loop of the client of the store; so it does
+ * with a receiver.
  */
 public interface KeyedTopic {
   /** Reads the newest record of each key that exists. */
@@ -20,6 +21,9 @@
    */
   void read(TopicPosition from, long waitMillis, Consumer<ReadResult> callback);
 
+  /** Reads all records that the store still has, the oldest first. */
+  void readHistory(HistoryReceiver receiver);
+
   /** Appends a record. The callback gets whether the store confirmed the record. */
   void append(KeyedRecord record, Consumer<Boolean> callback);
 }
--- a/src/test/java/org/tanagerbank/dispatch/Call.java
+++ b/src/test/java/org/tanagerbank/dispatch/Call.java
@@ -4,9 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Map;
 import org.tanagerbank.caller.CallerExchange;
+import org.tanagerbank.caller.CallerRequest;
 
 /** A request of a caller and the response to it. Not thread-safe. */
 final class Call implements CallerExchange {
@@ -30,6 +34,20 @@
     this.sentAtMillis = sentAtMillis;
   }
 
+  /** Returns the request as a gateway reads it, with further headers; an empty id is left out. */
+  CallerRequest toRequest(Map<String, String> extra) {
+    HttpHeaders sent = new DefaultHttpHeaders();
+    sent.set("Host", "h");
+    sent.set("Authorization", "Bearer key");
+    if (!id.isEmpty()) {
+      sent.set("Request-Id", id);
+    }
+    sent.set("Content-Length", body.length());
+    extra.forEach(sent::set);
+    return new CallerRequest(
+        HttpMethod.POST, path, sent, Unpooled.copiedBuffer(body, ISO_8859_1), sentAtMillis);
+  }
+
   @Override
   public String toString() {
     return id + " \"" + body + "\" at " + sentAtMillis + ": " + status + " " + text.trim();
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -1,26 +1,20 @@
 package org.tanagerbank.dispatch;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
-import org.tanagerbank.caller.CallerRequest;
 import org.tanagerbank.peer.DigestSchedule;
 import org.tanagerbank.peer.OriginExchange;
 import org.tanagerbank.peer.PeerAddress;
@@ -29,6 +23,7 @@
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.route.RoutingConfig;
+import org.tanagerbank.stream.VersionsSeen;
 
 /**
  * Dispatchers of several gateways before upstreams in memory, in simulated time. Uses no network
@@ -81,6 +76,7 @@
       config.confirmCurrentAsOf(nowMillis);
       dispatcher.updateUpstreams(reports.known());
       dispatcher.setUpstreamsRefresh(this::readStore);
+      dispatcher.upstreamVersions().setReader(this::readVersions);
       dispatcher.crashGuard().setUrgentNewsAction(() -> tellUrgently(index));
       origins =
           new OriginExchange(
@@ -109,6 +105,14 @@
           });
     }
 
+    private void readVersions(Consumer<Optional<VersionsSeen>> callback) {
+      laterOnLoop(
+          STORE_ANSWER_MILLIS,
+          () ->
+              callback.accept(
+                  isStoreCutOff ? Optional.empty() : Optional.of(reports.versionsSeen(nowMillis))));
+    }
+
     private void readReports() {
       if (!isPaused && !isStoreCutOff) {
         dispatcher.updateUpstreams(reports.known());
@@ -179,6 +183,11 @@
     return nowMillis;
   }
 
+  /** Sets the time for which the store keeps reports of upstreams; it keeps none at first. */
+  void setStoreHistoryMillis(long millis) {
+    reports.setHistoryMillis(millis);
+  }
+
   List<SimulatedUpstream> upstreams() {
     return upstreams;
   }
@@ -231,18 +240,7 @@
       int gateway, String path, String body, String id, ImmutableMap<String, String> extra) {
     Call call = new Call(gateway, id, path, body, nowMillis);
     calls.add(call);
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set("Host", "h");
-    headers.set("Authorization", "Bearer key");
-    if (!id.isEmpty()) {
-      headers.set("Request-Id", id);
-    }
-    headers.set("Content-Length", body.length());
-    extra.forEach(headers::set);
-    CallerRequest request =
-        new CallerRequest(
-            HttpMethod.POST, path, headers, Unpooled.copiedBuffer(body, ISO_8859_1), nowMillis);
-    gateways.get(gateway).dispatcher.handle(request, call);
+    gateways.get(gateway).dispatcher.handle(call.toRequest(extra), call);
     return call;
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/StreamVersionTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/StreamVersionTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -158,4 +159,76 @@
     assertThat(taken.status).isEqualTo(200);
     assertThat(refused.status).isEqualTo(503);
   }
+
+  /** Takes up streams at gateways that all have restarted, after a time. */
+  private List<Call> takeUpAfterLossOfAllGateways(List<Call> streams, long millis) {
+    IntStream.range(0, GATEWAYS).forEach(fleet::restart);
+    fleet.advance(millis);
+    List<Call> taken =
+        streams.stream().map(s -> fleet.takeUp((s.gateway + 1) % GATEWAYS, s, s.id)).toList();
+    fleet.advance(2_000);
+    return taken;
+  }
+
+  /** Guards against streams that nobody takes up because all gateways were killed (review/14). */
+  @Test
+  void streamsOfTheOnlyVersionGoOnAfterTheLossOfAllGateways() {
+    fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, false);
+    fleet.setStoreHistoryMillis(19_200);
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    List<Call> taken = takeUpAfterLossOfAllGateways(streams, 3_000);
+    for (int i = 0; i < taken.size(); i++) {
+      assertThat(isWhole(streams.get(i), taken.get(i))).isTrue();
+    }
+  }
+
+  /** What another gateway remembers of a stream goes before what the store tells. */
+  @Test
+  void storeIsNotAskedBeforeOtherGatewaysCanHaveBeenHeard() {
+    fleet = new DispatchSimulation(GATEWAYS, UPSTREAMS, false);
+    fleet.setStoreHistoryMillis(19_200);
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    for (Call taken : takeUpAfterLossOfAllGateways(streams, 500)) {
+      assertThat(taken.status).isEqualTo(503);
+      assertThat(taken.headers.get("Retry-After")).isNotNull();
+    }
+  }
+
+  /** The list of upstreams shows one version, but there was another one when streams began. */
+  @Test
+  void streamsAreNotGuessedIfTheStoreNamesAnotherVersionThatIsGone() {
+    fleet.setStoreHistoryMillis(19_200);
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    for (int i = 0; i < UPSTREAMS; i += 2) {
+      fleet.upstreams().get(i).setNextVersion("v2");
+      fleet.upstreams().get(i).crash(fleet.nowMillis());
+    }
+    List<Call> taken = takeUpAfterLossOfAllGateways(streams, 10_000);
+    for (int i = 0; i < taken.size(); i++) {
+      assertThat(versions(streams.get(i), taken.get(i))).hasSize(1);
+    }
+  }
+
+  /** The store may delete reports at any time, also those of a version that is gone. */
+  @Test
+  void streamsAreNotGuessedIfTheStoreHasForgottenReports() {
+    fleet.setStoreHistoryMillis(5_000);
+    fleet.advance(WARM_UP_MILLIS);
+    List<Call> streams = startStreams(24);
+    fleet.advance(50);
+    for (int i = 0; i < UPSTREAMS; i += 2) {
+      fleet.upstreams().get(i).setNextVersion("v2");
+      fleet.upstreams().get(i).crash(fleet.nowMillis());
+    }
+    List<Call> taken = takeUpAfterLossOfAllGateways(streams, 8_000);
+    for (int i = 0; i < taken.size(); i++) {
+      assertThat(versions(streams.get(i), taken.get(i))).hasSize(1);
+    }
+  }
 }
--- a/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
+++ b/src/test/java/org/tanagerbank/gateway/GatewayFixture.java
@@ -73,6 +73,7 @@
             2_000,
             OptionalLong.empty(),
             2_000,
+            1_200,
             8_000,
             CACHE_WAIT_MILLIS,
             new DispatchSettings("g-1", "z", 2, 0.2, 10_000, 50, START_WAIT_MILLIS));
--- a/src/test/java/org/tanagerbank/gateway/MemoryStore.java
+++ b/src/test/java/org/tanagerbank/gateway/MemoryStore.java
@@ -9,6 +9,7 @@
 import java.util.function.LongConsumer;
 import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -62,6 +63,15 @@
       var unused = loop.schedule(() -> callback.accept(result), delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      loop.execute(
+          () -> {
+            receiver.onPage(records);
+            receiver.onEnd(/* isWhole= */ true);
+          });
+    }
+
     @Override
     public void append(KeyedRecord keyedRecord, Consumer<Boolean> callback) {
       loop.execute(() -> callback.accept(true));
--- a/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
+++ b/src/test/java/org/tanagerbank/gateway/SuspectStoreTest.java
@@ -15,6 +15,7 @@
 import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.request.Fingerprint;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -49,6 +50,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
       appends++;
--- a/src/test/java/org/tanagerbank/peer/EvacuationSpreadTest.java
+++ b/src/test/java/org/tanagerbank/peer/EvacuationSpreadTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -161,6 +162,11 @@
           /* hasMore= */ false);
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
       throw new UnsupportedOperationException();
--- a/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
+++ b/src/test/java/org/tanagerbank/peer/PeerServiceTest.java
@@ -30,6 +30,7 @@
 import org.tanagerbank.quarantine.SuspectRecord;
 import org.tanagerbank.quarantine.TrialClaim;
 import org.tanagerbank.request.Fingerprint;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -166,6 +167,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
       registered.put(keyed.key(), keyed.value().orElseThrow());
--- a/src/test/java/org/tanagerbank/platform/StoreClientTest.java
+++ b/src/test/java/org/tanagerbank/platform/StoreClientTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.util.Optional;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.tanagerbank.platform.standin.StoreFaults;
 import org.tanagerbank.platform.standin.StoreStandin;
+import org.tanagerbank.store.HistoryReceiver;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.KeyedTopic;
 import org.tanagerbank.store.ReadResult;
@@ -130,6 +132,59 @@
     assertThat(second.hasMore()).isFalse();
   }
 
+  /** Collects a history as text, with how it ends. */
+  private static final class History implements HistoryReceiver {
+    private final Consumer<String> callback;
+    private final StringBuilder text = new StringBuilder();
+
+    private History(Consumer<String> callback) {
+      this.callback = callback;
+    }
+
+    @Override
+    public void onPage(ImmutableList<KeyedRecord> records) {
+      records.forEach(r -> text.append(r.key()).append(' '));
+    }
+
+    @Override
+    public void onEnd(boolean isWhole) {
+      callback.accept(text + (isWhole ? "whole" : "from the first that is left"));
+    }
+
+    @Override
+    public void onFailure(String reason) {
+      callback.accept(reason);
+    }
+  }
+
+  private String history() {
+    return await(callback -> topic.readHistory(new History(callback)));
+  }
+
+  @Test
+  void historyHoldsAllRecordsThatAreLeft() {
+    put("a", "1");
+    put("b", "2");
+    put("a", "3");
+    assertThat(history()).isEqualTo("a b a whole");
+    store.trim("keyed.t", 1);
+    assertThat(history()).isEqualTo("b a from the first that is left");
+    store.put("keyed.t", "large", Optional.of(new byte[200_000]));
+    store.put("keyed.t", "larger", Optional.of(new byte[250_000]));
+    assertThat(history()).isEqualTo("b a large larger from the first that is left");
+    store.setFaults(StoreFaults.refusing(503));
+    assertThat(history()).isEqualTo("status 503");
+  }
+
+  /** The records that a store lost when it came back from a copy leave no gap in the offsets. */
+  @Test
+  void historyOfARestoredStoreIsNotWhole() {
+    put("a", "1");
+    assertThat(history()).isEqualTo("a whole");
+    store.restoreTo(store.mark());
+    assertThat(history()).isEqualTo("a from the first that is left");
+  }
+
   @Test
   void readOfDeletedRecordsIsReportedAsTrimmed() {
     put("a", "1");
--- a/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
+++ b/src/test/java/org/tanagerbank/store/TopicFollowerFixture.java
@@ -42,6 +42,11 @@
       answers.add(callback);
     }
 
+    @Override
+    public void readHistory(HistoryReceiver receiver) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void append(KeyedRecord keyed, Consumer<Boolean> callback) {
       throw new UnsupportedOperationException();
