Believe no entry against an upstream that goes on reporting

Cause: any new entry with the address of a known worker counted as the process that has followed it, whatever its service, and the flag at the known worker was never cleared.

Change: an entry whose service no configuration has named is no upstream, and no entry replaces anyone before there is a configuration. A claim to an address counts until the earlier process reports again or another process answers in place of the later one (AddressClaim). A true successor ends the earlier process at once, as before.

Why it works: what is concluded from an entry now gives way to what the process itself shows.

--- a/src/main/java/org/tanagerbank/dispatch/CompleteResponse.java
+++ b/src/main/java/org/tanagerbank/dispatch/CompleteResponse.java
@@ -46,6 +46,7 @@
       body.release();
       if (head.isMisdirected()) {
         // Another process has the address, so the upstream is down.
+        upstream.claim().refute();
         upstream.health().connectFailed(dispatcher.nowMillis());
       }
       fail(AttemptFailure.refused(head.status(), false), Optional.empty());
--- a/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
+++ b/src/main/java/org/tanagerbank/dispatch/UpstreamHandle.java
@@ -6,8 +6,6 @@
 import org.tanagerbank.capacity.ServiceCapacity;
 import org.tanagerbank.engine.EngineModel;
 import org.tanagerbank.engine.Prompt;
-import org.tanagerbank.events.EventLog;
-import org.tanagerbank.events.LogEvent;
 import org.tanagerbank.quarantine.RunConditions;
 import org.tanagerbank.route.ColdLimits;
 import org.tanagerbank.route.EngineLimits;
@@ -25,9 +23,6 @@
  * back keeps its handle. Not thread-safe; confined to the event loop.
  */
 final class UpstreamHandle {
-  /** The requests that an upstream gets for each of its slots while others of its service pause. */
-  private static final int MAX_LOAD_PER_SLOT_BESIDE_PAUSES = 2;
-
   private ConnectionPool connections;
   private final int softwareHash;
   private Optional<EngineModel> engine = Optional.empty();
@@ -39,7 +34,7 @@
   private UpstreamReport report;
   private final RequestsInFlight load = new RequestsInFlight();
   private boolean closed;
-  private boolean isReplaced;
+  private final AddressClaim claim;
   private Optional<UpstreamHandle> successor = Optional.empty();
   private int crashes;
 
@@ -49,7 +44,9 @@
       SendPermission permission,
       Evacuations evacuations,
       ColdState cold,
-      ServiceCapacity serviceCapacity) {
+      ServiceCapacity serviceCapacity,
+      long nowMillis) {
+    this.claim = new AddressClaim(report, nowMillis);
     this.evacuations = evacuations;
     this.permission = permission;
     this.cold = cold;
@@ -63,7 +60,8 @@
     return report;
   }
 
-  void update(UpstreamReport newReport) {
+  void update(UpstreamReport newReport, long nowMillis) {
+    claim.recordReport(newReport, nowMillis);
     report = newReport;
     speed.capacity().setSlots(newReport.slots());
   }
@@ -184,7 +182,8 @@
   }
 
   /** Returns the handle of the process that has followed this one at its address. */
-  UpstreamHandle followedBy(UpstreamReport next, ConnectionPool itsConnections, ColdState itsCold) {
+  UpstreamHandle followedBy(
+      UpstreamReport next, ConnectionPool itsConnections, ColdState itsCold, long nowMillis) {
     UpstreamHandle follower =
         new UpstreamHandle(
             next,
@@ -192,7 +191,8 @@
             permission.ofProcessStartedAt(next.startedAtMillis()),
             evacuations,
             itsCold,
-            speed.service());
+            speed.service(),
+            nowMillis);
     successor = Optional.of(follower);
     return follower;
   }
@@ -300,16 +300,12 @@
 
   /** Returns whether it takes no more requests until its process starts again. */
   boolean isLeaving() {
-    return closed || isReplaced || hasAnnouncedEnd();
+    return closed || claim.isLost() || hasAnnouncedEnd();
   }
 
-  /** Records that another process has its address, so that this one must have ended. */
-  void recordReplaced() {
-    if (!isReplaced) {
-      isReplaced = true;
-      EventLog.emit(
-          LogEvent.UPSTREAM_REPLACED, "upstream", report.id(), "address", report.address());
-    }
+  /** Returns whether its process still has its address. */
+  AddressClaim claim() {
+    return claim;
   }
 
   /** Returns whether the process said in a report or in a response that it shuts down. */
@@ -317,14 +313,6 @@
     return report.isDraining() || permission.isLeaving();
   }
 
-  /**
-   * Returns whether the upstream can take over requests of others that take none now: it is working
-   * on fewer requests than twice its slots, so that none waits longer than another one takes.
-   */
-  boolean hasRoomBesidePauses(long nowMillis) {
-    return fleetInFlight(nowMillis) < MAX_LOAD_PER_SLOT_BESIDE_PAUSES * report.slots();
-  }
-
   /** Records the load that the upstream reported. */
   void updateLoad(LoadReport loadReport, long nowMillis) {
     load.update(loadReport, nowMillis);
--- a/src/main/java/org/tanagerbank/dispatch/Upstreams.java
+++ b/src/main/java/org/tanagerbank/dispatch/Upstreams.java
@@ -5,7 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Multimaps;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
@@ -42,6 +42,9 @@
    */
   private static final long REMOVED_MILLIS = 60_000;
 
+  /** The requests that an upstream gets for each of its slots while others of its service pause. */
+  private static final int MAX_LOAD_PER_SLOT_BESIDE_PAUSES = 2;
+
   private record Removed(UpstreamHandle upstream, long atMillis) {}
 
   private final Connector connector;
@@ -133,7 +136,7 @@
       UpstreamHandle known = byId.get(report.id());
       if (known != null && known.report().isSameProcess(report)) {
         logDraining(known.report(), report);
-        known.update(report);
+        known.update(report, now);
       } else {
         add(Optional.ofNullable(known), report);
       }
@@ -148,7 +151,7 @@
         EventLog.emit(LogEvent.UPSTREAM_GONE, "upstream", id);
       }
     }
-    recordReplaced(before);
+    recordReplaced(before, config);
   }
 
   /** Returns which software versions there were lately. */
@@ -157,16 +160,19 @@
   }
 
   /** Finds the upstreams that have ended, because another process has their address since. */
-  private void recordReplaced(ImmutableList<UpstreamHandle> before) {
+  private void recordReplaced(
+      ImmutableList<UpstreamHandle> before, Optional<RoutingConfig> config) {
+    // Before there is a configuration, entries of other writers cannot be told from reports.
+    Set<String> services = config.map(c -> c.services().keySet()).orElse(ImmutableSet.of());
     ImmutableListMultimap<InetSocketAddress, UpstreamHandle> byAddress =
-        Multimaps.index(byId.values(), u -> u.report().address());
+        byId.values().stream()
+            .filter(u -> services.contains(u.report().service()))
+            .collect(
+                ImmutableListMultimap.toImmutableListMultimap(u -> u.report().address(), u -> u));
     for (UpstreamHandle upstream : byId.values()) {
-      boolean isReplaced =
-          byAddress.get(upstream.report().address()).stream()
-              .anyMatch(u -> isSuccessor(u, upstream, before));
-      if (isReplaced) {
-        upstream.recordReplaced();
-      }
+      byAddress.get(upstream.report().address()).stream()
+          .filter(u -> isSuccessor(u, upstream, before))
+          .forEach(u -> upstream.claim().recordSuccessor(u.claim()));
     }
   }
 
@@ -209,13 +215,14 @@
   private UpstreamHandle handle(
       Optional<UpstreamHandle> earlier, UpstreamReport report, ConnectionPool connections) {
     ColdState cold = new ColdState(report.id(), coldTolerance, shares::steadyShare, random);
+    long now = clockMillis.getAsLong();
     if (earlier.isPresent() && earlier.get().report().isSameProcess(report)) {
       earlier.get().reopen(report, connections);
       return earlier.get();
     }
     return earlier
         .filter(e -> e.report().address().equals(report.address()))
-        .map(e -> e.followedBy(report, connections, cold))
+        .map(e -> e.followedBy(report, connections, cold, now))
         .orElseGet(
             () ->
                 new UpstreamHandle(
@@ -224,7 +231,8 @@
                     new SendPermission(wallClockMillis, () -> new SendRate(shares::share, random)),
                     evacuations,
                     cold,
-                    capacities.computeIfAbsent(report.service(), unused -> new ServiceCapacity())));
+                    capacities.computeIfAbsent(report.service(), unused -> new ServiceCapacity()),
+                    now));
   }
 
   private void remove(String id) {
@@ -238,6 +246,15 @@
     endListener.accept(ended);
   }
 
+  /**
+   * Returns whether an upstream can take over requests of others that take none now: it is working
+   * on fewer requests than twice its slots, so that none waits longer than another one takes.
+   */
+  private static boolean hasRoomBesidePauses(UpstreamHandle upstream, long nowMillis) {
+    return upstream.fleetInFlight(nowMillis)
+        < MAX_LOAD_PER_SLOT_BESIDE_PAUSES * upstream.report().slots();
+  }
+
   /**
    * Returns those of the upstreams of a service that accept requests and whose ids were not tried.
    * While some of the service take none now, those that have no room for the requests of these are
@@ -249,7 +266,7 @@
     return all.stream()
         .filter(u -> u.acceptsRequests(now))
         .filter(u -> !tried.contains(u.report().id()))
-        .filter(u -> !isAnyBusy || u.hasRoomBesidePauses(now))
+        .filter(u -> !isAnyBusy || hasRoomBesidePauses(u, now))
         .collect(Collectors.toList());
   }
 
--- a/src/main/java/org/tanagerbank/gateway/Gateway.java
+++ b/src/main/java/org/tanagerbank/gateway/Gateway.java
@@ -116,7 +116,8 @@
         new PeerAddress(settings.instanceId(), settings.peerAddress(), System.currentTimeMillis());
     peers = createPeerService(store, self);
     upstreamListener =
-        new UpstreamTopicListener(store, dispatcher, clockMillis, this::onStoreCurrent);
+        new UpstreamTopicListener(
+            store, configState::config, dispatcher, clockMillis, this::onStoreCurrent);
     suspectStore = createSuspectStore(store);
     ConfigTopicListener configListener = createConfigListener(store);
     configHandover =
--- a/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.tanagerbank.dispatch.Dispatcher;
 import org.tanagerbank.events.EventLog;
 import org.tanagerbank.events.LogEvent;
+import org.tanagerbank.route.RoutingConfig;
 import org.tanagerbank.store.FleetStore;
 import org.tanagerbank.store.KeyedRecord;
 import org.tanagerbank.store.TopicListener;
@@ -24,15 +26,28 @@
   static final int MAX_UNREADABLE_KEYS = 1_000;
 
   private final FleetStore store;
-  private final UpstreamDirectory directory = new UpstreamDirectory();
+  private final Supplier<Optional<RoutingConfig>> config;
+  private final UpstreamDirectory directory;
   private final Dispatcher dispatcher;
   private final LongSupplier clockMillis;
   private final Set<String> unreadableKeys = new HashSet<>();
   private final Runnable onCurrent;
   private boolean hasSnapshot;
 
+  /**
+   * Creates a listener.
+   *
+   * @param config returns the configuration in use
+   * @param onCurrent called when the store has answered
+   */
   UpstreamTopicListener(
-      FleetStore store, Dispatcher dispatcher, LongSupplier clockMillis, Runnable onCurrent) {
+      FleetStore store,
+      Supplier<Optional<RoutingConfig>> config,
+      Dispatcher dispatcher,
+      LongSupplier clockMillis,
+      Runnable onCurrent) {
+    this.config = config;
+    this.directory = new UpstreamDirectory(config);
     this.onCurrent = onCurrent;
     this.store = store;
     this.dispatcher = dispatcher;
@@ -62,15 +77,26 @@
   }
 
   private void applyReport(KeyedRecord keyedRecord) {
+    String key = keyedRecord.key();
     Optional<UpstreamReport> report = store.decodeUpstream(keyedRecord);
-    if (report.isEmpty()
-        && keyedRecord.value().isPresent()
-        && unreadableKeys.size() < MAX_UNREADABLE_KEYS
-        && unreadableKeys.add(keyedRecord.key())) {
-      EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", keyedRecord.key());
+    if (report.isEmpty() && keyedRecord.value().isPresent()) {
+      logForeign(key, "unreadable");
+      directory.applyUnreadable(key, clockMillis.getAsLong());
+      return;
     }
+    report.filter(r -> !isNamed(r.service())).ifPresent(r -> logForeign(key, "unknown service"));
     report.ifPresent(dispatcher.upstreamVersions()::recordReport);
-    directory.applyRecord(keyedRecord.key(), report, clockMillis.getAsLong());
+    directory.applyRecord(key, report, clockMillis.getAsLong());
+  }
+
+  private boolean isNamed(String service) {
+    return config.get().map(c -> c.services().containsKey(service)).orElse(true);
+  }
+
+  private void logForeign(String key, String reason) {
+    if (unreadableKeys.size() < MAX_UNREADABLE_KEYS && unreadableKeys.add(key)) {
+      EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", key, "reason", reason);
+    }
   }
 
   /**
--- a/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/AdmissionSimulation.java
@@ -180,7 +180,8 @@
             new SendPermission(() -> now, () -> new SendRate(() -> 1, random)),
             new Evacuations(),
             new ColdState("e" + i, ColdTolerance.NONE, () -> 1, random),
-            new ServiceCapacity());
+            new ServiceCapacity(),
+            now);
     handle.setEngineLimits(new EngineLimits(SLOTS, 300_000, OptionalDouble.empty()));
     return handle;
   }
--- a/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/PlacementTest.java
@@ -75,7 +75,8 @@
             new SendPermission(() -> 0, () -> new SendRate(() -> 1, new SplittableRandom(1))),
             evacuations,
             new ColdState(id, ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
-            new ServiceCapacity());
+            new ServiceCapacity(),
+            /* nowMillis= */ 0);
     handle.setEngineLimits(new EngineLimits(64, 300_000, transferMillisPerToken));
     return handle;
   }
@@ -93,7 +94,8 @@
                         () -> 0, () -> new SendRate(() -> 1, new SplittableRandom())),
                     new Evacuations(),
                     new ColdState("p", ColdTolerance.NONE, () -> 1, new SplittableRandom(1)),
-                    capacity))
+                    capacity,
+                    /* nowMillis= */ 0))
         .toList();
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/UpstreamsTest.java
@@ -36,10 +36,11 @@
 final class UpstreamsTest {
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private long wallMillis;
+  private long nowMillis;
   private final Upstreams upstreams =
       new Upstreams(
           Connector.tcp(group.next()),
-          () -> 0,
+          () -> nowMillis,
           () -> wallMillis,
           new SplittableRandom(1),
           ColdTolerance.NONE);
@@ -237,4 +238,75 @@
     assertThat(upstreams.find("old").get().acceptsRequests(0)).isFalse();
     assertThat(upstreams.find("new").get().acceptsRequests(0)).isTrue();
   }
+
+  private static UpstreamReport report(String id, String service, long started, long number) {
+    return new UpstreamReport(
+        id,
+        service,
+        "v1",
+        new InetSocketAddress("127.0.0.1", 1),
+        "z",
+        64,
+        false,
+        0,
+        started,
+        number);
+  }
+
+  private boolean isUsed(String id) {
+    return upstreams.find(id).get().acceptsRequests(nowMillis);
+  }
+
+  /** Guards against sound upstreams that entries of another writer shut out (review/15). */
+  @Test
+  void entryOfAServiceThatIsNotNamedReplacesNobody() {
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1)), CONFIG);
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1), report("x", "other", 9, 1)), CONFIG);
+    assertThat(isUsed("a")).isTrue();
+  }
+
+  /** Entries that were read with the first reports say nothing before services are known. */
+  @Test
+  void entriesReplaceNobodyBeforeThereIsAConfiguration() {
+    ImmutableList<UpstreamReport> both =
+        ImmutableList.of(report("a", "s", 1, 1), report("x", "other", 9, 1));
+    upstreams.update(both, Optional.empty());
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1)), CONFIG);
+    assertThat(isUsed("a")).isTrue();
+  }
+
+  /** An upstream that reports after it was taken for replaced must not stay shut out for good. */
+  @Test
+  void upstreamThatReportsAgainIsNotReplaced() {
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1)), CONFIG);
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1), report("x", "s", 9, 1)), CONFIG);
+    assertThat(isUsed("a")).isFalse();
+    nowMillis = 1_200;
+    for (int number = 2; number < 5; number++) {
+      upstreams.update(
+          ImmutableList.of(report("a", "s", 1, number), report("x", "s", 9, 1)), CONFIG);
+      assertThat(isUsed("a")).isTrue();
+    }
+  }
+
+  /** The store may pass on no report that brings no change, so that only answers tell. */
+  @Test
+  void upstreamWhoseSuccessorIsNotAtTheAddressIsNotReplaced() {
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1), report("x", "s", 9, 1)), CONFIG);
+    assertThat(isUsed("a")).isFalse();
+    upstreams.find("x").get().claim().refute();
+    assertThat(isUsed("a")).isTrue();
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1), report("x", "s", 9, 2)), CONFIG);
+    assertThat(isUsed("a")).isTrue();
+  }
+
+  /** A report that was written before the end may be read together with the successor's first. */
+  @Test
+  void reportThatIsReadWithTheSuccessorsDoesNotKeepAProcessInUse() {
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 1)), CONFIG);
+    nowMillis = 500;
+    upstreams.update(ImmutableList.of(report("a", "s", 1, 2), report("b", "s", 9, 1)), CONFIG);
+    assertThat(isUsed("a")).isFalse();
+    assertThat(isUsed("b")).isTrue();
+  }
 }
