Freeze the clock of WaitingRequestsTest

Cause: the event loop of an EmbeddedChannel adds real time to the time that the test lets pass, so a test that takes a millisecond longer than usual reaches the limit. The clock is frozen now, as in the simulation; what the test asserts is unchanged.

--- a/src/test/java/org/tanagerbank/dispatch/WaitingRequestsTest.java
+++ b/src/test/java/org/tanagerbank/dispatch/WaitingRequestsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.tanagerbank.caller.CallerExchange;
 import org.tanagerbank.caller.CallerRequest;
@@ -76,6 +77,12 @@
     public void onWritable(Runnable action) {}
   }
 
+  /** Time passes in {@link #passMillis} only, however long a test takes. */
+  @BeforeEach
+  void freezeTime() {
+    channel.freezeTime();
+  }
+
   private void addAll() {
     callers.forEach(c -> waiting.add(c.request(), c, () -> resumed.add(c.number), LIMIT_MILLIS));
   }
