Look at the origin of a stream again when its reports are known

Cause: a stream is told with the version in the report of its upstream that is known when it begins. If the upstream has started again under its id with another version and its report is not read yet, that is the wrong one, and the stream goes on there when it is taken up.

Change: OriginChecks keeps each stream until all reports up to its beginning are known, and tells the origin again if it was another one. The simulation confirms the reports with the lag with which it reads them.

Evidence: OriginChecksTest, for an upstream that had started before and after the stream began; StreamVersionHistoriesTest and StreamVersionTest pass. Why it works: the start in a report says which process had the address when the stream was sent.

--- a/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
+++ b/src/main/java/org/tanagerbank/dispatch/Dispatcher.java
@@ -49,6 +49,7 @@
   private final SurvivalCheck survivalCheck;
   private final SharedUpstreamState sharedUpstreamState;
   private final StreamOrigins streamOrigins;
+  private final OriginChecks originChecks;
   private final WaitingRequests waiting;
   private Runnable refreshConfig = () -> {};
   private PlacementListener placementListener = (upstream, prompt, fetchedTokens) -> {};
@@ -83,6 +84,7 @@
     upstreams.setEndListener(crashGuard::upstreamEnded);
     this.retryBudgets = new RetryBudgets(settings);
     this.streamOrigins = new StreamOrigins(runtime.clockMillis());
+    this.originChecks = new OriginChecks(streamOrigins, runtime.clockMillis());
     this.sharedUpstreamState =
         new SharedUpstreamState(
             upstreams,
@@ -125,6 +127,12 @@
    */
   public void confirmUpstreamsAsOf(long asOfMillis) {
     upstreamListProof.confirm(asOfMillis);
+    originChecks.confirm(asOfMillis);
+  }
+
+  /** Returns what records where the streams begin that are forwarded here. */
+  OriginChecks originChecks() {
+    return originChecks;
   }
 
   /** Returns the software versions that upstreams had lately. */
--- a/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestExecution.java
@@ -186,17 +186,17 @@
   void beginResponse(UpstreamHandle upstream, int status, HttpHeaders headers) {
     if (!response.hasBegun()) {
       if (isStream()) {
-        recordOrigin(StreamOrigin.of(upstream.report()));
+        recordOrigin(upstream);
       }
       log.responseBegun();
       response.begin(status, headers, () -> attempt.setReading(true));
     }
   }
 
-  private void recordOrigin(StreamOrigin begun) {
-    origin = Optional.of(begun);
+  private void recordOrigin(UpstreamHandle upstream) {
+    origin = Optional.of(StreamOrigin.of(upstream.report()));
     if (route.isResumable() && !streamId.isEmpty()) {
-      dispatcher.streamOrigins().recordBegun(streamId, begun);
+      dispatcher.originChecks().recordBegun(streamId, upstream);
     }
   }
 
--- a/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
+++ b/src/test/java/org/tanagerbank/dispatch/DispatchSimulation.java
@@ -116,6 +116,7 @@
     private void readReports() {
       if (!isPaused && !isStoreCutOff) {
         dispatcher.updateUpstreams(reports.known());
+        dispatcher.confirmUpstreamsAsOf(nowMillis - SimulatedReports.LAG_MILLIS);
       }
     }
 
--- a/src/test/java/org/tanagerbank/dispatch/SimulatedReports.java
+++ b/src/test/java/org/tanagerbank/dispatch/SimulatedReports.java
@@ -12,7 +12,7 @@
 /** The reports of upstreams, which gateways usually read some time later. Not thread-safe. */
 final class SimulatedReports {
   /** The time until gateways learn of an upstream that has started or is gone. */
-  private static final long LAG_MILLIS = 800;
+  static final long LAG_MILLIS = 800;
 
   private final List<SimulatedUpstream> upstreams;
   private ImmutableList<UpstreamReport> known;
