Tell a suspect of others also if its evidence alone fills a message

Found by reading the change for long prompts: evidence of 12 crashes under 256 runs each weighs more than a message may hold, so the suspect, and all that wait behind it, would never have been told, and repeats would have stopped there. The first suspect of a message is told now, whatever it weighs; digests are split into datagrams as before.

--- a/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
+++ b/src/main/java/org/tanagerbank/quarantine/SuspectNews.java
@@ -91,7 +91,10 @@
     return changed;
   }
 
-  /** Returns the first of some suspects, with a bounded number of different crashes in all. */
+  /**
+   * Returns the first of some suspects, with a bounded number of different crashes in all, but at
+   * least one.
+   */
   private static ImmutableList<Fingerprint> fitting(
       Quarantine quarantine, Stream<Fingerprint> suspects, int maxSuspects, int maxCrashes) {
     Set<CrashEvidence> told = Sets.newIdentityHashSet();
@@ -102,7 +105,7 @@
             f -> {
               CrashEvidence evidence = quarantine.evidence(f).orElse(CrashEvidence.NONE);
               crashes[0] += told.add(evidence) ? weight(evidence) : 0;
-              return crashes[0] <= maxCrashes;
+              return crashes[0] <= maxCrashes || told.size() == 1;
             })
         .collect(toImmutableList());
   }
