Start no request with less time left than a response takes

Callers saw a stream of which the first events came just before its time limit and the rest never.

Cause: a request that may crash upstreams waits for its trial, of which the fleet runs one at a time. A stream that waited 2,958 of its 3,000 ms was then begun with 42 ms left, and was cut off at the time limit.

Change: a request waits only while the time within which a response should arrive (the route's objective) is left. After that it is refused as not run, so that its caller can send it again at once.

TrialWaitTest failed before (status 0 in place of 503) and passes now.

--- a/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
@@ -50,7 +50,7 @@
         dispatcher.crashGuard().admit(suspects, execution, upstreams.candidates(state.origin()));
     return switch (admission.kind()) {
       case RUN, TRIAL -> choose(admission, state);
-      case WAIT -> PlacementResult.waiting();
+      case WAIT -> waitForTrial(state);
       case REFUSED_FOR_NOW ->
           PlacementResult.refused(
               Refusal.onTrial(admission.retryAfterMillis(), dispatcher.random()));
@@ -58,6 +58,16 @@
     };
   }
 
+  /**
+   * Lets a request wait for its trial while an upstream still has the time to respond in. Later, the
+   * response that has begun would be cut off at the time limit.
+   */
+  private PlacementResult waitForTrial(PlacementState state) {
+    return state.timeLeftMillis() < request.route().objectiveMillis()
+        ? PlacementResult.refused(Refusal.notRun("no time is left after the wait for a trial"))
+        : PlacementResult.waiting();
+  }
+
   private PlacementResult choose(SuspectAdmission admission, PlacementState state) {
     if (!state.mayBeSent().getAsBoolean()) {
       return PlacementResult.refused(Refusal.notRun("no retry is left"));
