--- a/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
+++ b/src/main/java/org/tanagerbank/dispatch/RequestPlacer.java
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Lets a request wait for its trial while an upstream still has the time to respond in. Later, the
-   * response that has begun would be cut off at the time limit.
+   * Lets a request wait for its trial while an upstream still has the time to respond in. Later,
+   * the response that has begun would be cut off at the time limit.
    */
   private PlacementResult waitForTrial(PlacementState state) {
     return state.timeLeftMillis() < request.route().objectiveMillis()
