Ask the directory of upstreams what a named service is

Behaviour stays.

The listener of the upstreams' topic repeated the directory's check for a named service; it asks the directory now. Its keys are those of foreign entries, not only of unreadable ones, and named so. PromptPartIds counted leading zeros that it can trim. TrackedRun and CrashGuard use isPart and CrashEvidence.NONE in place of copies. A comment says that isUpstream remembers a named service.

Evidence: PlatformHeaderCodecTest, UpstreamDirectoryTest, UpstreamsTest, SuspectTableTest, BlameTest, SuspectNewsTest, SharedAccessRuleTest, TrialWaitTest, DecodersTest, PeerStateExchangeTest and GatewayPartsTest pass unchanged.

--- a/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
+++ b/src/main/java/org/tanagerbank/dispatch/CrashGuard.java
@@ -304,7 +304,7 @@
         after.keySet().stream()
             .filter(s -> isRestricted(s, after) && after.get(s) != before.get(s))
             .collect(toImmutableList());
-    Multimaps.index(restricted, s -> quarantine.evidence(s).orElse(CrashEvidence.of(List.of())))
+    Multimaps.index(restricted, s -> quarantine.evidence(s).orElse(CrashEvidence.NONE))
         .asMap()
         .forEach(
             (evidence, alike) -> {
--- a/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
+++ b/src/main/java/org/tanagerbank/dispatch/TrackedRun.java
@@ -61,9 +61,7 @@
             suspects.all(),
             s ->
                 new CrashKind(
-                    depths.getOrDefault(s, 0),
-                    onTrial.equals(Optional.of(s)),
-                    !s.equals(suspects.request())));
+                    depths.getOrDefault(s, 0), onTrial.equals(Optional.of(s)), suspects.isPart(s)));
     return byKind.keySet().stream().map(byKind::get).collect(ImmutableList.toImmutableList());
   }
 
--- a/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
+++ b/src/main/java/org/tanagerbank/gateway/UpstreamTopicListener.java
@@ -19,18 +19,18 @@
 
 /**
  * Applies the reports that upstreams write to the store, and logs each of the first {@link
- * #MAX_UNREADABLE_KEYS} keys with an unreadable report once. Confined to the event loop.
+ * #MAX_FOREIGN_KEYS} keys once whose entry is unreadable or names an unknown service. Confined to
+ * the event loop.
  */
 final class UpstreamTopicListener implements TopicListener {
   /** The number of keys that are remembered and logged. */
-  static final int MAX_UNREADABLE_KEYS = 1_000;
+  private static final int MAX_FOREIGN_KEYS = 1_000;
 
   private final FleetStore store;
-  private final Supplier<Optional<RoutingConfig>> config;
   private final UpstreamDirectory directory;
   private final Dispatcher dispatcher;
   private final LongSupplier clockMillis;
-  private final Set<String> unreadableKeys = new HashSet<>();
+  private final Set<String> foreignKeys = new HashSet<>();
   private final Runnable onCurrent;
   private boolean hasSnapshot;
 
@@ -46,7 +46,6 @@
       Dispatcher dispatcher,
       LongSupplier clockMillis,
       Runnable onCurrent) {
-    this.config = config;
     this.directory = new UpstreamDirectory(config);
     this.onCurrent = onCurrent;
     this.store = store;
@@ -84,17 +83,13 @@
       directory.applyUnreadable(key, clockMillis.getAsLong());
       return;
     }
-    report.filter(r -> !isNamed(r.service())).ifPresent(r -> logForeign(key, "unknown service"));
+    report.filter(r -> !directory.isNamed(r)).ifPresent(r -> logForeign(key, "unknown service"));
     report.ifPresent(dispatcher.upstreamVersions()::recordReport);
     directory.applyRecord(key, report, clockMillis.getAsLong());
   }
 
-  private boolean isNamed(String service) {
-    return config.get().map(c -> c.services().containsKey(service)).orElse(true);
-  }
-
   private void logForeign(String key, String reason) {
-    if (unreadableKeys.size() < MAX_UNREADABLE_KEYS && unreadableKeys.add(key)) {
+    if (foreignKeys.size() < MAX_FOREIGN_KEYS && foreignKeys.add(key)) {
       EventLog.emit(LogEvent.UPSTREAM_REPORT_UNREADABLE, "key", key, "reason", reason);
     }
   }
--- a/src/main/java/org/tanagerbank/platform/PromptPartIds.java
+++ b/src/main/java/org/tanagerbank/platform/PromptPartIds.java
@@ -31,13 +31,9 @@
     if (digits.isEmpty() || !DIGITS.matchesAllOf(digits)) {
       return OptionalLong.empty();
     }
-    if (digits.length() <= MAX_EXACT_DIGITS) {
-      return OptionalLong.of(Long.parseUnsignedLong(digits, RADIX));
-    }
-    int leadingZeros = digits.length() - CharMatcher.is('0').trimLeadingFrom(digits).length();
-    String significant = digits.substring(Math.min(leadingZeros, digits.length() - 1));
+    String significant = CharMatcher.is('0').trimLeadingFrom(digits);
     return significant.length() <= MAX_EXACT_DIGITS
-        ? OptionalLong.of(Long.parseUnsignedLong(significant, RADIX))
+        ? OptionalLong.of(Long.parseUnsignedLong("0" + significant, RADIX))
         : OptionalLong.of(Hashing.murmur3_128().hashString(significant, UTF_8).asLong());
   }
 }
--- a/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
+++ b/src/main/java/org/tanagerbank/quarantine/CrashEvidence.java
@@ -24,7 +24,9 @@
   /** A time before all others. Shifting it by any real time leaves it in the past. */
   public static final long NEVER = Long.MIN_VALUE / 2;
 
-  static final CrashEvidence NONE = new CrashEvidence(ImmutableMap.of(), UndecidedTrials.NONE);
+  /** No evidence at all. */
+  public static final CrashEvidence NONE =
+      new CrashEvidence(ImmutableMap.of(), UndecidedTrials.NONE);
 
   private static final int MAX_CRASHES = 12;
 
--- a/src/main/java/org/tanagerbank/store/UpstreamDirectory.java
+++ b/src/main/java/org/tanagerbank/store/UpstreamDirectory.java
@@ -46,7 +46,7 @@
   private static final class Entry {
     private UpstreamReport report;
 
-    /** Whether the service of the report was named since; a later configuration may drop it. */
+    /** Whether a configuration has named the service since the report was read. */
     private boolean isNamed;
 
     /** A report in place of the upstream's own, whose service is not named. */
@@ -115,6 +115,10 @@
     return report.service().equals(other.service());
   }
 
+  /**
+   * Returns whether an entry is of an upstream, and remembers that its service is named: a later
+   * configuration may drop it.
+   */
   private boolean isUpstream(Entry entry) {
     if (entry.report == null) {
       return false;
@@ -123,7 +127,8 @@
     return entry.isNamed || config.get().isEmpty();
   }
 
-  private boolean isNamed(UpstreamReport report) {
+  /** Returns whether the configuration in use names the service of a report. */
+  public boolean isNamed(UpstreamReport report) {
     return config.get().map(c -> c.services().containsKey(report.service())).orElse(true);
   }
 
